--- a/crates/azuresaddle-node/src/traffic/answers.rs
+++ b/crates/azuresaddle-node/src/traffic/answers.rs
@@ -134,6 +134,7 @@
             placement: &placement,
             sink: &mut sink,
             progress: &mut progress,
+            announced: false,
         };
         let end = tokio::select! {
             end = relay.run(Some(opened)) => end,
--- a/crates/azuresaddle-node/src/traffic/relay.rs
+++ b/crates/azuresaddle-node/src/traffic/relay.rs
@@ -66,6 +66,8 @@
     pub(super) placement: &'a Placement,
     pub(super) sink: &'a mut CallerSink,
     pub(super) progress: &'a mut Progress,
+    /// Whether the caller has this attempt's resume token.
+    pub(super) announced: bool,
 }
 
 impl<N: Network> Relay<'_, N> {
@@ -149,8 +151,8 @@
 
     /// Passes one token on to the caller.
     async fn pass_on(&mut self, event: TokenEvent) -> Result<(), RelayEnd> {
-        if self.progress.first_token_at.is_none() {
-            self.begin().await?;
+        if !self.announced {
+            self.announce().await?;
         }
         let text = TokenText {
             request: self.placement.stream.request,
@@ -163,9 +165,12 @@
         Ok(())
     }
 
-    /// Begins the response, and tells the owner that the prefill is over.
-    async fn begin(&mut self) -> Result<(), RelayEnd> {
-        self.progress.first_token_at = Some(Instant::now());
+    /// Gives the caller the attempt's resume token, and tells the owner that the prefill is over.
+    async fn announce(&mut self) -> Result<(), RelayEnd> {
+        self.announced = true;
+        self.progress
+            .first_token_at
+            .get_or_insert_with(Instant::now);
         self.traffic.report(self.placement, ReportKind::FirstToken);
         let target = self.placement.targets.first().map(|(name, _)| name.clone());
         let token = ResumeToken {
--- a/crates/azuresaddle-node/src/traffic/run_job.rs
+++ b/crates/azuresaddle-node/src/traffic/run_job.rs
@@ -115,6 +115,7 @@
             placement,
             sink,
             progress,
+            announced: false,
         };
         let end = relay.run(opened).await;
         if let Err(RelayEnd::Target(_)) = &end {
--- /dev/null
+++ b/crates/azuresaddle-standin/src/answer.rs
@@ -0,0 +1,35 @@
+//! Answers that derive from their prompts, so that a caller can tell whether one is its own.
+
+use azuresaddle_core::prompt::prompt_digest;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Shortest answer, in tokens, where the request allows it.
+const MIN_TOKENS: u64 = 8;
+
+/// The answer that every stand-in engine gives to one prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    digest: u64,
+    tokens: u64,
+}
+
+impl Answer {
+    /// The answer to a prompt of at most `max_tokens`.
+    pub fn new(prompt: &str, max_tokens: u64) -> Self {
+        let digest = prompt_digest(prompt);
+        let span = max_tokens.saturating_sub(MIN_TOKENS) + 1;
+        let tokens = (MIN_TOKENS + digest % span).min(max_tokens);
+        Self { digest, tokens }
+    }
+
+    /// Number of tokens.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Text of one token.
+    pub fn token(&self, index: u64) -> String {
+        let hash = xxh3_64_with_seed(&index.to_le_bytes(), self.digest);
+        format!("{:06x} ", hash & 0xff_ffff)
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cluster/placement.rs
@@ -0,0 +1,58 @@
+//! Which network and address each host of a cluster has.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::{Mutex, PoisonError};
+
+use azuresaddle_core::net::TcpNetwork;
+use azuresaddle_core::prelude::*;
+
+use crate::net::{Fabric, MemoryNetwork};
+
+/// Gives each host its network.
+pub trait Places {
+    /// The network.
+    type Net: Network;
+
+    /// The network as a host sees it, and the host's address; the same for the same name.
+    fn place(&self, host: &str) -> (Self::Net, IpAddr);
+}
+
+/// All hosts on the loopback address.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Loopback;
+
+impl Places for Loopback {
+    type Net = TcpNetwork;
+
+    fn place(&self, _: &str) -> (TcpNetwork, IpAddr) {
+        (TcpNetwork, IpAddr::V4(Ipv4Addr::LOCALHOST))
+    }
+}
+
+/// Each host with an address of its own on an in-memory network.
+#[derive(Debug, Default)]
+pub struct MemoryHosts {
+    /// The wires between the hosts.
+    pub fabric: Fabric,
+    numbers: Mutex<HashMap<String, u8>>,
+}
+
+impl MemoryHosts {
+    /// Address of a host.
+    pub fn ip(&self, host: &str) -> IpAddr {
+        let mut numbers = self.numbers.lock().unwrap_or_else(PoisonError::into_inner);
+        let next = numbers.len() as u8 + 1;
+        let number = *numbers.entry(host.to_owned()).or_insert(next);
+        IpAddr::V4(Ipv4Addr::new(10, 0, 0, number))
+    }
+}
+
+impl Places for MemoryHosts {
+    type Net = MemoryNetwork;
+
+    fn place(&self, host: &str) -> (MemoryNetwork, IpAddr) {
+        let ip = self.ip(host);
+        (self.fabric.host(ip), ip)
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cluster/spec.rs
@@ -0,0 +1,89 @@
+//! What a cluster consists of.
+
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+
+use crate::engine::EngineOptions;
+
+/// A host that runs a node.
+#[derive(Clone, Debug)]
+pub struct HostSpec {
+    /// Name.
+    pub name: HostName,
+    /// Failure domain.
+    pub domain: FailureDomain,
+}
+
+/// A host that runs an engine.
+#[derive(Clone, Debug)]
+pub struct EngineSpec {
+    /// Name.
+    pub name: HostName,
+    /// Failure domain.
+    pub domain: FailureDomain,
+    /// The model it serves.
+    pub model: Model,
+    /// Size and speed.
+    pub options: EngineOptions,
+}
+
+/// A host that runs a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: HostName,
+    /// Failure domain.
+    pub domain: FailureDomain,
+    /// Name of the service.
+    pub service: Model,
+}
+
+/// All hosts of a cluster.
+#[derive(Clone, Debug, Default)]
+pub struct ClusterSpec {
+    /// Hosts that run nodes.
+    pub nodes: Vec<HostSpec>,
+    /// Hosts that run engines.
+    pub engines: Vec<EngineSpec>,
+    /// Hosts that run plain services.
+    pub services: Vec<ServiceSpec>,
+    /// Lag of the host list.
+    pub host_list_lag: Duration,
+}
+
+impl ClusterSpec {
+    /// Equal hosts in one failure domain: nodes `n1`…, engines `e1`… of the model `m`, and plain
+    /// service hosts `s1`… of the service `svc`.
+    pub fn uniform(nodes: usize, engines: usize, services: usize, options: &EngineOptions) -> Self {
+        let domain = FailureDomain::new("d1");
+        let name = |kind: &str, i: usize| HostName::new(format!("{kind}{}", i + 1));
+        Self {
+            nodes: (0..nodes)
+                .map(|i| HostSpec {
+                    name: name("n", i),
+                    domain: domain.clone(),
+                })
+                .collect(),
+            engines: (0..engines)
+                .map(|i| EngineSpec {
+                    name: name("e", i),
+                    domain: domain.clone(),
+                    model: Model::new("m"),
+                    options: EngineOptions {
+                        seed: i as u64,
+                        ..options.clone()
+                    },
+                })
+                .collect(),
+            services: (0..services)
+                .map(|i| ServiceSpec {
+                    name: name("s", i),
+                    domain: domain.clone(),
+                    service: Model::new("svc"),
+                })
+                .collect(),
+            host_list_lag: Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cmd/args.rs
@@ -0,0 +1,53 @@
+//! Arguments that several subcommands share.
+
+use std::net::SocketAddr;
+
+use anyhow::Result;
+use clap::{Arg, ArgMatches, value_parser};
+use tokio::runtime::Runtime;
+
+/// The address to listen on.
+pub(crate) fn listen(default: &'static str) -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .value_name("ADDR")
+        .value_parser(value_parser!(SocketAddr))
+        .default_value(default)
+        .help("Address to listen on")
+}
+
+/// The seed.
+pub(crate) fn seed() -> Arg {
+    Arg::new("seed")
+        .long("seed")
+        .value_name("N")
+        .value_parser(value_parser!(u64))
+        .default_value("1")
+        .help("Seed of everything that is random")
+}
+
+/// A required or defaulted value.
+pub(crate) fn get<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
+    args.get_one::<T>(name)
+        .cloned()
+        .expect("the argument has a default or is required")
+}
+
+/// A runtime with all features.
+pub(crate) fn runtime() -> Result<Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?)
+}
+
+/// Prints a line of results.
+#[expect(clippy::print_stdout, reason = "results go to standard output")]
+pub(crate) fn say(line: &str) {
+    println!("{line}");
+}
+
+/// Serves until the process is told to stop.
+pub(crate) async fn until_stopped() -> Result<()> {
+    tokio::signal::ctrl_c().await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cmd/demo.rs
@@ -0,0 +1,30 @@
+//! `demo`: the whole system in one process.
+
+use anyhow::{Result, ensure};
+use azuresaddle_standin::demo::run_demo;
+use clap::{ArgMatches, Command};
+
+use super::args::{get, runtime, say, seed};
+
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("demo")
+        .about("Runs the whole system in one process on loopback and reports first-token times")
+        .arg(seed())
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let result = runtime()?.block_on(run_demo(get(args, "seed"), say))?;
+    say("\nshort prompts alone");
+    say(&result.alone.to_string());
+    say("\nshort prompts beside long ones");
+    say(&result.mixed.to_string());
+    let alone = result.alone.short_first_token_ms(95.0);
+    let mixed = result.mixed.short_first_token_ms(95.0);
+    let ratio = mixed as f64 / alone.max(1) as f64;
+    say(&format!(
+        "\nfirst token of short prompts, p95: {alone} ms alone, {mixed} ms beside long ones \
+         (ratio {ratio:.2})"
+    ));
+    ensure!(result.is_sound(), "an answer was lost, crossed or doubled");
+    Ok(())
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cmd/load.rs
@@ -0,0 +1,112 @@
+//! `load`: callers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Result, ensure};
+use azuresaddle_core::http::HttpClient;
+use azuresaddle_core::net::TcpNetwork;
+use azuresaddle_core::prelude::*;
+use azuresaddle_standin::load::{LoadPlan, LoadReport, Step, run_load};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use super::args::{get, runtime, say, seed};
+
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("load")
+        .about("Sends requests of unlike lengths, verifies every token and reports times")
+        .arg(
+            Arg::new("node")
+                .long("node")
+                .value_name("ADDR")
+                .value_parser(value_parser!(SocketAddr))
+                .action(ArgAction::Append)
+                .required(true)
+                .help("A node's address for callers; may be given several times"),
+        )
+        .arg(text("model", "m", "The model"))
+        .arg(float(
+            "short-rate",
+            "8",
+            "Short prompts (1k to 4k tokens) a second",
+        ))
+        .arg(float(
+            "long-rate",
+            "0.5",
+            "Long prompts (20k to 350k tokens) a second",
+        ))
+        .arg(float(
+            "huge-rate",
+            "0.05",
+            "Prompts over 800k tokens a second",
+        ))
+        .arg(float(
+            "seconds",
+            "20",
+            "How long requests are sent, in seconds",
+        ))
+        .arg(float(
+            "deadline-seconds",
+            "60",
+            "Time until each deadline, in seconds",
+        ))
+        .arg(seed())
+}
+
+fn text(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("TEXT")
+        .default_value(default)
+        .help(help)
+}
+
+fn float(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .value_parser(value_parser!(f64))
+        .default_value(default)
+        .help(help)
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let nodes: Vec<SocketAddr> = args
+        .get_many("node")
+        .into_iter()
+        .flatten()
+        .copied()
+        .collect();
+    let steps = [
+        ("sabarmati", "short-rate", 1_000, 4_000),
+        ("aguaclara", "long-rate", 20_000, 350_000),
+        ("aguaclara", "huge-rate", 800_000, 1_000_000),
+    ];
+    let step = |(account, rate, min_tokens, max_tokens)| Step {
+        account: ClientAccount::new(account),
+        rate: get(args, rate),
+        min_tokens,
+        max_tokens,
+        kind: String::new(),
+    };
+    let seconds = |name: &str| Duration::from_secs_f64(get::<f64>(args, name).max(0.0));
+    let plan = LoadPlan {
+        model: Model::new(get::<String>(args, "model")),
+        steps: steps
+            .into_iter()
+            .map(step)
+            .filter(|s| s.rate > 0.0)
+            .collect(),
+        duration: seconds("seconds"),
+        answer_tokens: 64,
+        deadline: seconds("deadline-seconds"),
+        seed: get(args, "seed"),
+    };
+    let report: LoadReport = runtime()?.block_on(async {
+        let http = HttpClient::new(TcpNetwork, Spawner::current());
+        run_load(&http, &nodes, &plan, |_| {}).await
+    });
+    say(&report.to_string());
+    ensure!(report.is_sound(), "an answer was lost, crossed or doubled");
+    Ok(())
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cmd/mod.rs
@@ -0,0 +1,9 @@
+//! Subcommands, one file each.
+
+pub(crate) mod args;
+pub(crate) mod demo;
+pub(crate) mod engine;
+pub(crate) mod hosts;
+pub(crate) mod load;
+pub(crate) mod service;
+pub(crate) mod store;
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cmd/store.rs
@@ -0,0 +1,26 @@
+//! `store`: the key-value service.
+
+use anyhow::{Context, Result};
+use azuresaddle_core::net::TcpNetwork;
+use azuresaddle_core::prelude::*;
+use azuresaddle_standin::store::StoreServer;
+use clap::{ArgMatches, Command};
+
+use super::args::{get, listen, runtime, say, until_stopped};
+
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("store")
+        .about("Stands in for the key-value service; PUT /faults switches faults")
+        .arg(listen("127.0.0.1:7100"))
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let addr = get(args, "listen");
+    runtime()?.block_on(async {
+        let store = StoreServer::bind(&TcpNetwork, addr, &Spawner::current())
+            .await
+            .with_context(|| format!("--listen {addr}"))?;
+        say(&format!("store on {}", store.addr()));
+        until_stopped().await
+    })
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/demo/mod.rs
@@ -0,0 +1,122 @@
+//! The whole system in one process on loopback, under a load of very unlike lengths.
+
+use std::time::Duration;
+
+use anyhow::{Result, ensure};
+use azuresaddle_core::prelude::*;
+use tokio::time::Instant;
+
+use crate::cluster::{Cluster, ClusterSpec, Loopback};
+use crate::engine::EngineOptions;
+use crate::load::{LoadPlan, LoadReport, Step, run_load};
+
+/// Number of nodes.
+const NODES: usize = 3;
+
+/// Number of engines.
+const ENGINES: usize = 8;
+
+/// Longest wait for the system to settle.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How long requests are sent in each of the two parts.
+const PART_DURATION: Duration = Duration::from_secs(15);
+
+/// What the two parts of the demo measured.
+#[derive(Clone, Debug)]
+pub struct DemoResult {
+    /// Short prompts alone.
+    pub alone: LoadReport,
+    /// Short and long prompts beside each other.
+    pub mixed: LoadReport,
+}
+
+impl DemoResult {
+    /// Whether nothing was lost, crossed or doubled.
+    pub fn is_sound(&self) -> bool {
+        self.alone.is_sound() && self.mixed.is_sound()
+    }
+}
+
+/// Runs the demo; `say` gets lines of progress.
+///
+/// # Errors
+/// Where a part can't be started or the system does not settle.
+pub async fn run_demo(seed: u64, say: impl Fn(&str)) -> Result<DemoResult> {
+    let options = EngineOptions {
+        decode_step: Duration::from_millis(10),
+        ..EngineOptions::default()
+    };
+    say(&format!(
+        "starting {ENGINES} engines, a store, a host list and {NODES} nodes"
+    ));
+    let spec = ClusterSpec::uniform(NODES, ENGINES, 1, &options);
+    let cluster = Cluster::open(Loopback, spec, |_| {}).await?;
+    settle(&cluster).await?;
+    let http = cluster.client("callers");
+    let seeds = cluster.seeds();
+    let short = [
+        step("sabarmati", 8.0, 1_000, 4_000),
+        step("aguaclara", 4.0, 1_000, 6_000),
+    ];
+    say("short prompts alone");
+    let plan = plan(short.to_vec(), seed);
+    let alone = run_load(&http, &seeds, &plan, progress(&say)).await;
+    say("short prompts beside long ones, up to a million tokens");
+    let mut steps = short.to_vec();
+    steps.push(step("sabarmati", 0.8, 20_000, 200_000));
+    steps.push(step("aguaclara", 0.4, 200_000, 350_000));
+    steps.push(step("aguaclara", 0.15, 850_000, 1_000_000));
+    let mixed = run_load(&http, &seeds, &self::plan(steps, seed + 1), progress(&say)).await;
+    ensure!(
+        mixed.classes.contains_key("over 256k"),
+        "the seed gave no prompt over 256k tokens"
+    );
+    Ok(DemoResult { alone, mixed })
+}
+
+async fn settle(cluster: &Cluster<Loopback>) -> Result<()> {
+    let deadline = Instant::now() + SETTLE_TIMEOUT;
+    while !cluster.is_settled() {
+        ensure!(
+            Instant::now() < deadline,
+            "the nodes did not settle in {SETTLE_TIMEOUT:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    Ok(())
+}
+
+fn step(account: &str, rate: f64, min_tokens: u64, max_tokens: u64) -> Step {
+    Step {
+        account: ClientAccount::new(account),
+        rate,
+        min_tokens,
+        max_tokens,
+        kind: String::new(),
+    }
+}
+
+fn plan(steps: Vec<Step>, seed: u64) -> LoadPlan {
+    LoadPlan {
+        model: Model::new("m"),
+        steps,
+        duration: PART_DURATION,
+        answer_tokens: 64,
+        deadline: Duration::from_secs(60),
+        seed,
+    }
+}
+
+/// Says how far a load is, every so many requests.
+fn progress(say: &impl Fn(&str)) -> impl FnMut(&LoadReport) {
+    const EVERY: u64 = 50;
+    move |report| {
+        if report.sent % EVERY == 0 {
+            say(&format!(
+                "  {} answered, {} whole",
+                report.sent, report.whole
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/engine/server.rs
@@ -0,0 +1,420 @@
+//! The engine's HTTP interface; see [`azuresaddle_node::engine::wire`].
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azuresaddle_core::http::{Body, Handler, ServerLimits, json, problem, serve};
+use azuresaddle_core::prelude::*;
+use azuresaddle_node::engine::wire::{
+    CacheChanges, CacheListing, Fence, Gone, Lend, LoadReport, Start, StreamList, TITLE_DISPLACED,
+    TITLE_DUPLICATE, TITLE_FENCED, TITLE_NO_MEMORY, TITLE_UNKNOWN, TokenEvent,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use tokio::sync::{Notify, mpsc};
+
+use super::faults::{EngineFaults, strikes};
+use super::model::{EngineModel, Rejection};
+use super::options::EngineOptions;
+use super::run::spawn_loops;
+use crate::http_util::{bad, query, read_json};
+
+/// Longest body, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Interval of comment lines while no token is ready.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Events that wait for a slow reader.
+const MAX_WAITING: usize = 16;
+
+/// A running engine.
+#[derive(Clone)]
+pub struct EngineServer {
+    shared: Arc<Shared>,
+    addr: SocketAddr,
+}
+
+pub(super) struct Shared {
+    model: Mutex<EngineModel>,
+    faults: Mutex<EngineFaults>,
+    load: Mutex<LoadReport>,
+    pub(super) incarnation: Incarnation,
+    pub(super) queued: Notify,
+    pub(super) decoding: Notify,
+    spawner: Spawner,
+}
+
+impl EngineServer {
+    /// Binds and serves.
+    ///
+    /// # Errors
+    /// Where the address can't be bound.
+    pub async fn bind<N: Network>(
+        net: &N,
+        addr: SocketAddr,
+        spawner: &Spawner,
+        options: EngineOptions,
+        incarnation: Incarnation,
+    ) -> std::io::Result<Self> {
+        let listener = net.bind(addr).await?;
+        let addr = listener.local_addr();
+        let load = LoadReport {
+            incarnation,
+            memory_tokens: options.memory_tokens,
+            used_tokens: 0,
+            streams: 0,
+            cache_sequence: 0,
+        };
+        let shared = Arc::new(Shared {
+            model: Mutex::new(EngineModel::new(options)),
+            faults: Mutex::default(),
+            load: Mutex::new(load),
+            incarnation,
+            queued: Notify::new(),
+            decoding: Notify::new(),
+            spawner: spawner.clone(),
+        });
+        spawn_loops(&shared, spawner);
+        let handler = Arc::new(EngineHandler {
+            shared: Arc::clone(&shared),
+        });
+        serve(listener, spawner.clone(), ServerLimits::default(), handler);
+        Ok(Self { shared, addr })
+    }
+
+    /// Bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> EngineFaults {
+        self.shared.faults()
+    }
+
+    /// Memory held, in tokens.
+    pub fn used_tokens(&self) -> u64 {
+        self.shared.model().used()
+    }
+
+    /// Number of streams that hold memory.
+    pub fn live_streams(&self) -> usize {
+        self.shared.model().live().len()
+    }
+
+    /// How often the prefill of each request began.
+    pub fn executions(&self) -> HashMap<RequestId, u64> {
+        self.shared.model().executions.clone()
+    }
+}
+
+impl Shared {
+    pub(super) fn model(&self) -> MutexGuard<'_, EngineModel> {
+        lock(&self.model)
+    }
+
+    pub(super) fn faults(&self) -> EngineFaults {
+        *lock(&self.faults)
+    }
+
+    pub(super) fn load(&self) -> MutexGuard<'_, LoadReport> {
+        lock(&self.load)
+    }
+
+    async fn silent(&self) {
+        if self.faults().silent {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+struct EngineHandler {
+    shared: Arc<Shared>,
+}
+
+impl EngineHandler {
+    async fn route(&self, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (&method, segments.as_slice()) {
+            (&Method::PUT, ["faults"]) => {
+                let faults: EngineFaults = read(req).await?;
+                *lock(&self.shared.faults) = faults;
+                return Ok(json(StatusCode::OK, &faults));
+            }
+            (&Method::GET, ["counts"]) => {
+                return Ok(json(StatusCode::OK, &self.shared.model().executions));
+            }
+            _ => {}
+        }
+        self.shared.silent().await;
+        let shared = &self.shared;
+        match (&method, segments.as_slice()) {
+            (&Method::POST, ["v1", "streams"]) => {
+                let start: Start = read(req).await?;
+                let (id, first) = (start.stream, start.prior.len() as u64);
+                let reader = shared.model().start(start).map_err(rejected)?;
+                shared.queued.notify_waiters();
+                Ok(self.respond(id, first, reader))
+            }
+            (&Method::GET, ["v1", "streams", id]) => {
+                let id = stream_id(id)?;
+                let after = query(&req, "after")
+                    .and_then(|n| n.parse().ok())
+                    .unwrap_or(0);
+                let node = HostName::new(query(&req, "node").unwrap_or_default());
+                let take_over = query(&req, "take-over").as_deref() == Some("true");
+                let resumed = shared.model().resume(id, after, &node, take_over);
+                Ok(self.respond(id, after, resumed.map_err(rejected)?))
+            }
+            (&Method::DELETE, ["v1", "streams", id]) => self.cancel(&req, stream_id(id)?).await,
+            (&Method::POST, ["v1", "lends"]) => {
+                let lend: Lend = read(req).await?;
+                shared.model().lend(lend).map_err(rejected)?;
+                Ok(json(StatusCode::OK, &Gone { gone: false }))
+            }
+            (&Method::GET, ["v1", "streams"]) => {
+                let list = StreamList {
+                    incarnation: shared.incarnation,
+                    streams: shared.model().live(),
+                };
+                Ok(json(StatusCode::OK, &list))
+            }
+            (&Method::GET, ["v1", "load"]) => Ok(json(StatusCode::OK, &*shared.load())),
+            (&Method::GET, ["v1", "cache"]) => {
+                let after = query(&req, "after")
+                    .and_then(|n| n.parse().ok())
+                    .unwrap_or(0);
+                let gap = shared.faults().cache_gap_every;
+                let mut events = shared.model().cache.events_after(after);
+                events.retain(|event| !strikes(gap, event.sequence));
+                Ok(json(StatusCode::OK, &CacheChanges { events }))
+            }
+            (&Method::GET, ["v1", "cache", "listing"]) => {
+                let model = shared.model();
+                let listing = CacheListing {
+                    sequence: model.cache.sequence(),
+                    blocks: model.cache.blocks(),
+                };
+                Ok(json(StatusCode::OK, &listing))
+            }
+            _ => Err(bad("unknown path")),
+        }
+    }
+
+    async fn cancel(
+        &self,
+        req: &Request<Incoming>,
+        id: StreamId,
+    ) -> Result<Response<Body>, Problem> {
+        let lost = {
+            let mut faults = lock(&self.shared.faults);
+            let lost = faults.lose_cancels > 0;
+            faults.lose_cancels = faults.lose_cancels.saturating_sub(1);
+            lost
+        };
+        if lost {
+            std::future::pending::<()>().await;
+        }
+        let fence = Fence {
+            pool: query(req, "pool").unwrap_or_default(),
+            epoch: Epoch(
+                query(req, "epoch")
+                    .and_then(|n| n.parse().ok())
+                    .unwrap_or(0),
+            ),
+        };
+        let mut model = self.shared.model();
+        model.check_fence(&fence).map_err(rejected)?;
+        model.cancel(id);
+        Ok(json(StatusCode::OK, &Gone { gone: true }))
+    }
+
+    /// Streams the events of one stream to one reader.
+    fn respond(&self, id: StreamId, first: u64, reader: u64) -> Response<Body> {
+        let (tx, rx) = mpsc::channel(MAX_WAITING);
+        let shared = Arc::clone(&self.shared);
+        self.shared.spawner.spawn(async move {
+            let mut sender = Sender {
+                shared: &shared,
+                id,
+                reader,
+                next: first,
+                sent: 0,
+                held: None,
+                tx,
+            };
+            sender.run().await;
+        });
+        let frames = futures::stream::unfold(rx, |mut rx: mpsc::Receiver<Bytes>| async move {
+            rx.recv().await.map(|bytes| (Ok(Frame::data(bytes)), rx))
+        });
+        Response::new(BodyExt::boxed(StreamBody::new(frames)))
+    }
+}
+
+/// Sends the events of a stream to one reader, with the faults in force.
+struct Sender<'a> {
+    shared: &'a Shared,
+    id: StreamId,
+    reader: u64,
+    next: u64,
+    sent: u64,
+    /// An event that comes late.
+    held: Option<Bytes>,
+    tx: mpsc::Sender<Bytes>,
+}
+
+/// What a reader can be given now.
+enum Ready {
+    Token(TokenEvent),
+    Wait(Arc<Notify>),
+    End,
+}
+
+impl Sender<'_> {
+    async fn run(&mut self) {
+        loop {
+            self.shared.silent().await;
+            let ready = self.ready();
+            let sent = match ready {
+                Ready::Token(event) => self.send(event).await,
+                Ready::Wait(changed) => self.wait(&changed).await,
+                Ready::End => false,
+            };
+            if !sent {
+                return;
+            }
+        }
+    }
+
+    fn ready(&mut self) -> Ready {
+        let mut model = self.shared.model();
+        let Some(stream) = model.streams.get_mut(&self.id) else {
+            return Ready::End;
+        };
+        if stream.reader != self.reader || self.next >= stream.answer.tokens() {
+            return Ready::End;
+        }
+        if self.next >= stream.ready {
+            return Ready::Wait(Arc::clone(&stream.changed));
+        }
+        let event = TokenEvent {
+            stream: self.id,
+            index: self.next,
+            token: stream.answer.token(self.next),
+            last: self.next + 1 == stream.answer.tokens(),
+        };
+        self.next += 1;
+        stream.read = self.next;
+        Ready::Token(event)
+    }
+
+    async fn wait(&self, changed: &Notify) -> bool {
+        // Waited for with a bound, so that a change between the look and the wait costs little.
+        match tokio::time::timeout(KEEP_ALIVE, changed.notified()).await {
+            Ok(()) => true,
+            Err(_) => self
+                .tx
+                .send(Bytes::from_static(b": waiting\n\n"))
+                .await
+                .is_ok(),
+        }
+    }
+
+    async fn send(&mut self, event: TokenEvent) -> bool {
+        let faults = self.shared.faults();
+        let number = self.sent;
+        self.sent += 1;
+        if faults.break_after > 0 && number >= faults.break_after {
+            return false;
+        }
+        let bytes = lines(&event);
+        if strikes(faults.crossed_every, number) {
+            let mut other = event.clone();
+            other.stream.request.0 ^= 1;
+            other.token = "stray ".to_owned();
+            if self.tx.send(lines(&other)).await.is_err() {
+                return false;
+            }
+        }
+        if strikes(faults.missing_every, number) && !event.last {
+            return true;
+        }
+        if strikes(faults.late_every, number) && !event.last {
+            self.held = Some(bytes);
+            return true;
+        }
+        let twice = strikes(faults.doubled_every, number);
+        if twice && self.tx.send(bytes.clone()).await.is_err() {
+            return false;
+        }
+        if self.tx.send(bytes).await.is_err() {
+            return false;
+        }
+        match self.held.take() {
+            Some(late) => self.tx.send(late).await.is_ok(),
+            None => true,
+        }
+    }
+}
+
+impl Handler for EngineHandler {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        match self.route(req).await {
+            Ok(response) => response,
+            Err(p) => problem(&p),
+        }
+    }
+}
+
+fn lines(event: &TokenEvent) -> Bytes {
+    let json = serde_json::to_string(event).expect("an event serializes");
+    Bytes::from(format!("data: {json}\n\n"))
+}
+
+fn rejected(rejection: Rejection) -> Problem {
+    let (status, title, verdict) = match rejection {
+        Rejection::Fenced => (
+            StatusCode::PRECONDITION_FAILED,
+            TITLE_FENCED,
+            Verdict::NotRun,
+        ),
+        Rejection::NoMemory => (
+            StatusCode::INSUFFICIENT_STORAGE,
+            TITLE_NO_MEMORY,
+            Verdict::NotRun,
+        ),
+        Rejection::Duplicate => (StatusCode::CONFLICT, TITLE_DUPLICATE, Verdict::MayHaveRun),
+        Rejection::Displaced => (StatusCode::CONFLICT, TITLE_DISPLACED, Verdict::MayHaveRun),
+        Rejection::Unknown => (StatusCode::NOT_FOUND, TITLE_UNKNOWN, Verdict::MayHaveRun),
+    };
+    Problem::not_run(status, title, title).verdict(verdict)
+}
+
+fn stream_id(text: &str) -> Result<StreamId, Problem> {
+    text.parse().map_err(|_| bad("bad stream id"))
+}
+
+async fn read<T: DeserializeOwned>(req: Request<Incoming>) -> Result<T, Problem> {
+    read_json(req, MAX_BODY_BYTES, BODY_TIMEOUT).await
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/hosts/mod.rs
@@ -0,0 +1,151 @@
+//! Stand-in of the host list, with a lag.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azuresaddle_core::host_list::{Host, HostList};
+use azuresaddle_core::http::{Body, Handler, ServerLimits, json, problem, serve};
+use azuresaddle_core::prelude::*;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::time::Instant;
+
+use crate::http_util::{bad, query, read_json};
+
+/// Longest body, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running host list.
+#[derive(Clone)]
+pub struct HostListServer {
+    shared: Arc<Mutex<State>>,
+    addr: SocketAddr,
+}
+
+struct State {
+    lag: Duration,
+    /// Lists with the time they came about, the newest last.
+    history: VecDeque<(Instant, HostList)>,
+}
+
+impl HostListServer {
+    /// Binds and serves; changes show after `lag`.
+    ///
+    /// # Errors
+    /// Where the address can't be bound.
+    pub async fn bind<N: Network>(
+        net: &N,
+        addr: SocketAddr,
+        spawner: &Spawner,
+        hosts: Vec<Host>,
+        lag: Duration,
+    ) -> std::io::Result<Self> {
+        let listener = net.bind(addr).await?;
+        let addr = listener.local_addr();
+        let first = (Instant::now(), HostList { hosts });
+        let shared = Arc::new(Mutex::new(State {
+            lag,
+            history: VecDeque::from([first]),
+        }));
+        let list = Self { shared, addr };
+        let handler = Arc::new(HostListHandler { list: list.clone() });
+        serve(listener, spawner.clone(), ServerLimits::default(), handler);
+        Ok(list)
+    }
+
+    /// Bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Adds a host, or replaces the one with its name.
+    pub fn put(&self, host: Host) {
+        lock(&self.shared).change(|hosts| {
+            hosts.retain(|h| h.name != host.name);
+            hosts.push(host);
+        });
+    }
+
+    /// Removes a host.
+    pub fn remove(&self, name: &HostName) {
+        lock(&self.shared).change(|hosts| hosts.retain(|h| h.name != *name));
+    }
+
+    /// Marks a host as leaving, or not.
+    pub fn set_leaving(&self, name: &HostName, leaving: bool) {
+        lock(&self.shared).change(|hosts| {
+            for host in hosts.iter_mut().filter(|h| h.name == *name) {
+                host.leaving = leaving;
+            }
+        });
+    }
+}
+
+impl State {
+    fn change(&mut self, change: impl FnOnce(&mut Vec<Host>)) {
+        let mut list = self
+            .history
+            .back()
+            .map_or_else(HostList::default, |(_, l)| l.clone());
+        change(&mut list.hosts);
+        list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        self.history.push_back((Instant::now(), list));
+    }
+
+    /// The list as it was a lag ago.
+    fn seen(&mut self, now: Instant) -> HostList {
+        while self.history.len() > 1 && self.history[1].0 + self.lag <= now {
+            self.history.pop_front();
+        }
+        self.history
+            .front()
+            .map_or_else(HostList::default, |(_, l)| l.clone())
+    }
+}
+
+struct HostListHandler {
+    list: HostListServer,
+}
+
+impl HostListHandler {
+    async fn route(&self, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (method, segments.as_slice()) {
+            (Method::GET, ["v1", "hosts"]) => {}
+            (Method::PUT, ["v1", "hosts"]) => {
+                let host: Host = read_json(req, MAX_BODY_BYTES, BODY_TIMEOUT).await?;
+                self.list.put(host);
+            }
+            (Method::DELETE, ["v1", "hosts", name]) => {
+                self.list.remove(&HostName::new(name));
+            }
+            (Method::PUT, ["v1", "hosts", name, "leaving"]) => {
+                let leaving = query(&req, "value").as_deref() != Some("false");
+                self.list.set_leaving(&HostName::new(name), leaving);
+            }
+            _ => return Err(bad("unknown path")),
+        }
+        let list = lock(&self.list.shared).seen(Instant::now());
+        Ok(json(StatusCode::OK, &list))
+    }
+}
+
+impl Handler for HostListHandler {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        match self.route(req).await {
+            Ok(response) => response,
+            Err(p) => problem(&p),
+        }
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/load/caller.rs
@@ -0,0 +1,278 @@
+//! One caller.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azuresaddle_core::http::HttpClient;
+use azuresaddle_core::prelude::*;
+use azuresaddle_node::traffic::{
+    CallerEvent, GenerateBody, HEADER_ACCOUNT, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY,
+    HEADER_IDEMPOTENT, HEADER_KIND, HEADER_RESUME_TOKEN, StartEvent,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::time::Instant;
+
+use super::address_book::AddressBook;
+use super::event_reader::EventReader;
+use super::outcome::{Outcome, OutcomeKind};
+use super::prompts::make_prompt;
+use crate::answer::Answer;
+
+/// Pause before another address is tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest silence of an answer that has begun.
+const SILENCE: Duration = Duration::from_secs(6);
+
+/// A caller of one client account.
+#[derive(Clone)]
+pub struct Caller<N> {
+    http: HttpClient<N>,
+    account: ClientAccount,
+    addresses: AddressBook,
+}
+
+/// A request that a caller makes.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// The model.
+    pub model: Model,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Seed of the prompt.
+    pub seed: u64,
+    /// Most tokens of the answer.
+    pub max_tokens: u64,
+    /// Kind, for rules.
+    pub kind: String,
+    /// Time until the deadline.
+    pub deadline: Duration,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Idempotency key, if any.
+    pub key: Option<String>,
+}
+
+/// What the caller has of an answer.
+struct Received {
+    answer: Answer,
+    next: u64,
+    start: Option<StartEvent>,
+    first_token: Option<Duration>,
+    requests: Vec<RequestId>,
+}
+
+/// How one connection ended.
+enum ConnectionEnd {
+    Final(OutcomeKind),
+    Broken,
+}
+
+impl<N: Network> Caller<N> {
+    /// A caller that knows some addresses to begin with.
+    pub fn new(http: HttpClient<N>, account: ClientAccount, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            http,
+            account,
+            addresses: AddressBook::new(seeds),
+        }
+    }
+
+    /// Makes a request and stays with it until its final answer.
+    ///
+    /// A refusal that names a time to come back is final; only broken connections and nodes that
+    /// take no requests lead to another address.
+    pub async fn run(&mut self, request: &CallerRequest) -> Outcome {
+        let started = Instant::now();
+        let prompt = make_prompt(request.prompt_tokens, request.seed);
+        let mut received = Received {
+            answer: Answer::new(&prompt, request.max_tokens),
+            next: 0,
+            start: None,
+            first_token: None,
+            requests: Vec::new(),
+        };
+        let mut resumes = 0;
+        let body = GenerateBody {
+            model: request.model.clone(),
+            prompt,
+            max_tokens: request.max_tokens,
+        };
+        let bytes = Bytes::from(serde_json::to_vec(&body).expect("a body serializes"));
+        let work = self.until_final(request, &bytes, started, &mut received, &mut resumes);
+        // The node's own deadline answers first; this one finds out nodes that do not answer.
+        let limit = started + request.deadline + SILENCE;
+        let kind = tokio::time::timeout_at(limit, work)
+            .await
+            .unwrap_or(OutcomeKind::Lost);
+        Outcome {
+            prompt_tokens: request.prompt_tokens,
+            request: received.start.as_ref().map(|s| s.request),
+            requests: received.requests,
+            first_token: received.first_token,
+            total: started.elapsed(),
+            resumes,
+            kind,
+        }
+    }
+
+    async fn until_final(
+        &mut self,
+        request: &CallerRequest,
+        body: &Bytes,
+        started: Instant,
+        received: &mut Received,
+        resumes: &mut u32,
+    ) -> OutcomeKind {
+        let mut attempt = 0;
+        loop {
+            let addr = self
+                .addresses
+                .pick(&self.http, &self.account, attempt)
+                .await;
+            attempt += 1;
+            if let Some(addr) = addr {
+                let end = self.connect(addr, request, body, started, received).await;
+                match end {
+                    ConnectionEnd::Final(kind) => return kind,
+                    ConnectionEnd::Broken if !request.idempotent && request.key.is_none() => {
+                        return OutcomeKind::Failed(unknown_outcome());
+                    }
+                    ConnectionEnd::Broken => *resumes += 1,
+                }
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn connect(
+        &self,
+        addr: SocketAddr,
+        request: &CallerRequest,
+        body: &Bytes,
+        started: Instant,
+        received: &mut Received,
+    ) -> ConnectionEnd {
+        let left = request.deadline.saturating_sub(started.elapsed());
+        let resuming = received.start.clone();
+        let req = match &resuming {
+            Some(start) => self.resume_request(start, received.next),
+            None => self.first_request(request, body, left),
+        };
+        let Ok(resp) = self.http.send(addr, req, left + SILENCE).await else {
+            return ConnectionEnd::Broken;
+        };
+        if !resp.status().is_success() {
+            return failed(resp, received, resuming.is_some(), request.idempotent).await;
+        }
+        received
+            .read(EventReader::new(resp.into_body(), SILENCE), started)
+            .await
+    }
+
+    fn first_request(
+        &self,
+        request: &CallerRequest,
+        body: &Bytes,
+        left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let mut req = Request::post("/v1/generate")
+            .header(HEADER_ACCOUNT, self.account.as_str())
+            .header(HEADER_KIND, &request.kind)
+            .header(HEADER_IDEMPOTENT, request.idempotent.to_string())
+            .header(HEADER_DEADLINE_MS, left.as_millis().max(1).to_string());
+        if let Some(key) = &request.key {
+            req = req.header(HEADER_IDEMPOTENCY_KEY, key);
+        }
+        req.body(Full::new(body.clone()))
+            .expect("headers are valid")
+    }
+
+    fn resume_request(&self, start: &StartEvent, next: u64) -> Request<Full<Bytes>> {
+        Request::get(format!("/v1/answers/{}?after={next}", start.request))
+            .header(HEADER_ACCOUNT, self.account.as_str())
+            .header(HEADER_RESUME_TOKEN, &start.resume_token)
+            .body(Full::default())
+            .expect("headers are valid")
+    }
+}
+
+impl Received {
+    /// Reads one connection to its end and checks every event.
+    async fn read(&mut self, mut events: EventReader, started: Instant) -> ConnectionEnd {
+        while let Some(event) = events.next().await {
+            match event {
+                CallerEvent::Start(start) => {
+                    if !self.requests.contains(&start.request) {
+                        self.requests.push(start.request);
+                    }
+                    self.start = Some(start);
+                }
+                CallerEvent::Token(token) => {
+                    let own = self
+                        .start
+                        .as_ref()
+                        .is_some_and(|s| s.request == token.request);
+                    if !own || token.token != self.answer.token(token.index) {
+                        return ConnectionEnd::Final(OutcomeKind::Crossed);
+                    }
+                    if token.index != self.next {
+                        return ConnectionEnd::Final(OutcomeKind::Doubled);
+                    }
+                    self.next += 1;
+                    self.first_token.get_or_insert_with(|| started.elapsed());
+                }
+                CallerEvent::End(end) => {
+                    let whole = end.tokens == self.next && self.next == self.answer.tokens();
+                    return ConnectionEnd::Final(if whole {
+                        OutcomeKind::Whole
+                    } else {
+                        OutcomeKind::Lost
+                    });
+                }
+                CallerEvent::Error(problem) => {
+                    return ConnectionEnd::Final(OutcomeKind::Failed(problem));
+                }
+            }
+        }
+        ConnectionEnd::Broken
+    }
+
+    /// Forgets an answer that can't be gone on with, so that the request is made anew.
+    fn restart(&mut self) {
+        self.start = None;
+        self.next = 0;
+    }
+}
+
+/// Reads a failure response; some lead to another address or a new request.
+async fn failed(
+    resp: Response<Incoming>,
+    received: &mut Received,
+    resuming: bool,
+    idempotent: bool,
+) -> ConnectionEnd {
+    let Ok(body) = resp.into_body().collect().await else {
+        return ConnectionEnd::Broken;
+    };
+    let Ok(problem) = serde_json::from_slice::<Problem>(&body.to_bytes()) else {
+        return ConnectionEnd::Broken;
+    };
+    if resuming && problem.title == "answer-lost" && idempotent {
+        received.restart();
+        return ConnectionEnd::Broken;
+    }
+    if problem.title == "node-unavailable" {
+        return ConnectionEnd::Broken;
+    }
+    ConnectionEnd::Final(OutcomeKind::Failed(problem))
+}
+
+/// What a caller has to assume when its connection broke and it must not ask again.
+fn unknown_outcome() -> Problem {
+    Problem::unavailable("connection-broke", "the connection broke", RETRY_PAUSE)
+        .verdict(Verdict::MayHaveRun)
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/load/mod.rs
@@ -0,0 +1,16 @@
+//! Callers: they ask for addresses, send requests, verify every token, and go on with broken
+//! answers through other nodes.
+
+mod address_book;
+mod caller;
+mod event_reader;
+mod outcome;
+mod prompts;
+mod report;
+mod run;
+
+pub use caller::{Caller, CallerRequest};
+pub use outcome::{Outcome, OutcomeKind};
+pub use prompts::make_prompt;
+pub use report::{LengthClass, LoadReport};
+pub use run::{LoadPlan, Step, run_load};
--- /dev/null
+++ b/crates/azuresaddle-standin/src/load/prompts.rs
@@ -0,0 +1,19 @@
+//! Prompts of a wanted length.
+
+use azuresaddle_core::prompt::BYTES_PER_TOKEN;
+
+/// Text that prompts are filled with.
+const FILLER: &str =
+    "the flat on the second floor has an old meter and a slow leak in the kitchen. ";
+
+/// A prompt of that many tokens; equal seeds give equal prompts, others differ from the start.
+pub fn make_prompt(tokens: u64, seed: u64) -> String {
+    let bytes = tokens as usize * BYTES_PER_TOKEN;
+    let mut prompt = format!("{seed:016x} ");
+    prompt.reserve(bytes);
+    while prompt.len() < bytes {
+        prompt.push_str(FILLER);
+    }
+    prompt.truncate(bytes.max(1));
+    prompt
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/load/run.rs
@@ -0,0 +1,111 @@
+//! Runs a plan of requests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azuresaddle_core::http::HttpClient;
+use azuresaddle_core::prelude::*;
+use futures::stream::{FuturesUnordered, StreamExt};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+use super::caller::{Caller, CallerRequest};
+use super::outcome::Outcome;
+use super::report::LoadReport;
+
+/// One kind of requests in a plan.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// Client account.
+    pub account: ClientAccount,
+    /// Requests a second.
+    pub rate: f64,
+    /// Shortest prompt, in tokens.
+    pub min_tokens: u64,
+    /// Longest prompt, in tokens.
+    pub max_tokens: u64,
+    /// Kind, for rules.
+    pub kind: String,
+}
+
+/// A plan of requests.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// The model.
+    pub model: Model,
+    /// Kinds of requests that run beside each other.
+    pub steps: Vec<Step>,
+    /// How long requests are sent.
+    pub duration: Duration,
+    /// Most tokens of an answer.
+    pub answer_tokens: u64,
+    /// Time until each request's deadline.
+    pub deadline: Duration,
+    /// Seed of arrivals and lengths.
+    pub seed: u64,
+}
+
+/// A request of a plan and when it is sent.
+struct Arrival {
+    at: Duration,
+    account: ClientAccount,
+    request: CallerRequest,
+}
+
+/// Sends a plan's requests and waits for all their final answers; `on_outcome` sees each.
+pub async fn run_load<N: Network>(
+    http: &HttpClient<N>,
+    seeds: &[SocketAddr],
+    plan: &LoadPlan,
+    mut on_outcome: impl FnMut(&LoadReport),
+) -> LoadReport {
+    let started = Instant::now();
+    let mut running: FuturesUnordered<_> = arrivals(plan)
+        .into_iter()
+        .map(|arrival| {
+            let mut caller = Caller::new(http.clone(), arrival.account, seeds.to_vec());
+            async move {
+                tokio::time::sleep_until(started + arrival.at).await;
+                caller.run(&arrival.request).await
+            }
+        })
+        .collect();
+    let mut report = LoadReport::default();
+    while let Some(outcome) = running.next().await {
+        let outcome: Outcome = outcome;
+        report.add(&outcome);
+        on_outcome(&report);
+    }
+    report
+}
+
+/// Poisson arrivals of all steps.
+fn arrivals(plan: &LoadPlan) -> Vec<Arrival> {
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let mut arrivals = Vec::new();
+    for step in &plan.steps {
+        let mut at = 0.0;
+        loop {
+            at += -rng.random::<f64>().max(f64::MIN_POSITIVE).ln() / step.rate;
+            if at >= plan.duration.as_secs_f64() {
+                break;
+            }
+            arrivals.push(Arrival {
+                at: Duration::from_secs_f64(at),
+                account: step.account.clone(),
+                request: CallerRequest {
+                    model: plan.model.clone(),
+                    prompt_tokens: rng.random_range(step.min_tokens..=step.max_tokens),
+                    seed: rng.random(),
+                    max_tokens: plan.answer_tokens,
+                    kind: step.kind.clone(),
+                    deadline: plan.deadline,
+                    idempotent: true,
+                    key: None,
+                },
+            });
+        }
+    }
+    arrivals
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/net/fabric.rs
@@ -0,0 +1,98 @@
+//! What all hosts of an in-memory network share.
+
+use std::collections::{HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+
+use tokio::sync::mpsc;
+
+use super::memory::MemoryNetwork;
+use super::stream::{Link, MemoryStream};
+
+/// First port given to a listener that asks for any.
+const FIRST_FREE_PORT: u16 = 40_000;
+
+/// The wires between hosts, which can be cut or fall silent.
+#[derive(Clone, Debug, Default)]
+pub struct Fabric {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    listeners: HashMap<SocketAddr, mpsc::UnboundedSender<MemoryStream>>,
+    cuts: HashSet<(IpAddr, IpAddr)>,
+    links: Vec<Weak<Link>>,
+    next_port: u16,
+}
+
+impl Fabric {
+    /// The network as the host with that address sees it.
+    pub fn host(&self, ip: IpAddr) -> MemoryNetwork {
+        MemoryNetwork::new(self.clone(), ip)
+    }
+
+    /// Cuts two hosts off from each other: open connections fall silent, new ones never open.
+    pub fn cut(&self, a: IpAddr, b: IpAddr) {
+        self.lock().cuts.insert(pair(a, b));
+        self.silence(a, b);
+    }
+
+    /// Lets new connections between two hosts open again; silent ones stay silent.
+    pub fn heal(&self, a: IpAddr, b: IpAddr) {
+        self.lock().cuts.remove(&pair(a, b));
+    }
+
+    /// Makes the open connections between two hosts go silent for good; new ones work.
+    pub fn silence(&self, a: IpAddr, b: IpAddr) {
+        let mut state = self.lock();
+        state.links.retain(|link| link.strong_count() > 0);
+        let links: Vec<_> = state.links.iter().filter_map(Weak::upgrade).collect();
+        drop(state);
+        for link in links.iter().filter(|link| link.hosts == pair(a, b)) {
+            link.silence();
+        }
+    }
+
+    pub(super) fn is_cut(&self, a: IpAddr, b: IpAddr) -> bool {
+        self.lock().cuts.contains(&pair(a, b))
+    }
+
+    pub(super) fn listen(
+        &self,
+        mut addr: SocketAddr,
+    ) -> Option<(SocketAddr, mpsc::UnboundedReceiver<MemoryStream>)> {
+        let mut state = self.lock();
+        if addr.port() == 0 {
+            addr.set_port(FIRST_FREE_PORT + state.next_port);
+            state.next_port += 1;
+        }
+        let taken = state.listeners.get(&addr).is_some_and(|tx| !tx.is_closed());
+        if taken {
+            return None;
+        }
+        let (tx, rx) = mpsc::unbounded_channel();
+        state.listeners.insert(addr, tx);
+        Some((addr, rx))
+    }
+
+    /// Opens a connection; `None` where nothing listens.
+    pub(super) fn open(&self, from: IpAddr, to: SocketAddr) -> Option<MemoryStream> {
+        let mut state = self.lock();
+        let listener = state.listeners.get(&to)?.clone();
+        let link = Arc::new(Link::new(pair(from, to.ip())));
+        state.links.push(Arc::downgrade(&link));
+        let (near, far) = MemoryStream::pair(&link);
+        listener.send(far).ok()?;
+        Some(near)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The same pair for both directions.
+fn pair(a: IpAddr, b: IpAddr) -> (IpAddr, IpAddr) {
+    if a <= b { (a, b) } else { (b, a) }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/net/stream.rs
@@ -0,0 +1,122 @@
+//! A connection of an in-memory network.
+
+use std::io;
+use std::net::IpAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
+
+use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
+
+/// Bytes that a connection holds in each direction.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// State that both ends of a connection share.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) hosts: (IpAddr, IpAddr),
+    silent: AtomicBool,
+    readers: Mutex<Vec<Waker>>,
+}
+
+impl Link {
+    pub(super) fn new(hosts: (IpAddr, IpAddr)) -> Self {
+        Self {
+            hosts,
+            silent: AtomicBool::new(false),
+            readers: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// From now on nothing arrives and nothing ends, in either direction.
+    pub(super) fn silence(&self) {
+        self.silent.store(true, Ordering::SeqCst);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::SeqCst)
+    }
+
+    /// Keeps a reader's waker, so that its task is not taken for lost.
+    fn park(&self, waker: &Waker) {
+        let mut readers = self.readers.lock().unwrap_or_else(PoisonError::into_inner);
+        if !readers.iter().any(|known| known.will_wake(waker)) {
+            readers.push(waker.clone());
+        }
+    }
+}
+
+/// One end of a connection.
+#[derive(Debug)]
+pub struct MemoryStream {
+    /// Kept open by a silent link even when the other end is dropped.
+    inner: Option<DuplexStream>,
+    link: Arc<Link>,
+}
+
+impl MemoryStream {
+    pub(super) fn pair(link: &Arc<Link>) -> (Self, Self) {
+        let (a, b) = tokio::io::duplex(BUFFER_BYTES);
+        let end = |inner| Self {
+            inner: Some(inner),
+            link: Arc::clone(link),
+        };
+        (end(a), end(b))
+    }
+
+    fn inner(&mut self) -> Pin<&mut DuplexStream> {
+        Pin::new(self.inner.as_mut().expect("present until dropped"))
+    }
+}
+
+impl Drop for MemoryStream {
+    fn drop(&mut self) {
+        if self.link.is_silent() {
+            // The other end must not see an end of file; the few bytes of the pipe are given up.
+            std::mem::forget(self.inner.take());
+        }
+    }
+}
+
+impl AsyncRead for MemoryStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.link.is_silent() {
+            self.link.park(cx.waker());
+            return Poll::Pending;
+        }
+        self.inner().poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for MemoryStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.link.is_silent() {
+            // Writes go into the void until the sender's own buffers would be full.
+            return Poll::Ready(Ok(buf.len()));
+        }
+        self.inner().poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.link.is_silent() {
+            return Poll::Ready(Ok(()));
+        }
+        self.inner().poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.link.is_silent() {
+            return Poll::Ready(Ok(()));
+        }
+        self.inner().poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/store/mod.rs
@@ -0,0 +1,9 @@
+//! Stand-in of the key-value service.
+
+mod faults;
+mod model;
+mod server;
+
+pub use faults::StoreFaults;
+pub use model::{CallCounts, StoreModel};
+pub use server::StoreServer;
