--- a/crates/azuresaddle-standin/src/load/event_reader.rs
+++ b/crates/azuresaddle-node/src/traffic/event_reader.rs
@@ -3,13 +3,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use azuresaddle_node::traffic::CallerEvent;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::caller_events::CallerEvent;
+
 /// Reads caller events from a response.
 #[derive(Debug)]
-pub(super) struct EventReader {
+pub struct EventReader {
     body: Incoming,
     silence: Duration,
     text: String,
@@ -18,7 +19,8 @@
 }
 
 impl EventReader {
-    pub(super) fn new(body: Incoming, silence: Duration) -> Self {
+    /// Reads a response's body; `silence` is the longest wait between two pieces of it.
+    pub fn new(body: Incoming, silence: Duration) -> Self {
         Self {
             body,
             silence,
@@ -29,7 +31,7 @@
     }
 
     /// The next event; `None` once the connection has ended, broken or fallen silent.
-    pub(super) async fn next(&mut self) -> Option<CallerEvent> {
+    pub async fn next(&mut self) -> Option<CallerEvent> {
         loop {
             if let Some(event) = self.ready.pop_front() {
                 return Some(event);
--- a/crates/azuresaddle-node/src/traffic/mod.rs
+++ b/crates/azuresaddle-node/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod caller_events;
 mod engine_attempt;
+mod event_reader;
 mod fault;
 mod generate;
 mod headers;
@@ -23,6 +24,7 @@
 pub use admin::{AdminHandler, BurnReply, ExplainReply, HostRow, PoolRow, PutRules};
 pub use call::ServiceLoad;
 pub use caller_events::{CallerEvent, EndEvent, StartEvent, TokenText};
+pub use event_reader::EventReader;
 pub use generate::GenerateBody;
 pub use headers::{
     HEADER_ACCOUNT, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY, HEADER_IDEMPOTENT, HEADER_KIND,
--- a/crates/azuresaddle-standin/src/load/caller.rs
+++ b/crates/azuresaddle-standin/src/load/caller.rs
@@ -6,8 +6,8 @@
 use azuresaddle_core::http::HttpClient;
 use azuresaddle_core::prelude::*;
 use azuresaddle_node::traffic::{
-    CallerEvent, GenerateBody, HEADER_ACCOUNT, HEADER_DEADLINE_MS, HEADER_IDEMPOTENCY_KEY,
-    HEADER_IDEMPOTENT, HEADER_KIND, HEADER_RESUME_TOKEN, StartEvent,
+    CallerEvent, EventReader, GenerateBody, HEADER_ACCOUNT, HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY, HEADER_IDEMPOTENT, HEADER_KIND, HEADER_RESUME_TOKEN, StartEvent,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -16,7 +16,6 @@
 use tokio::time::Instant;
 
 use super::address_book::AddressBook;
-use super::event_reader::EventReader;
 use super::outcome::{Outcome, OutcomeKind};
 use super::prompts::make_prompt;
 use crate::answer::Answer;
--- a/crates/azuresaddle-standin/src/load/mod.rs
+++ b/crates/azuresaddle-standin/src/load/mod.rs
@@ -3,7 +3,6 @@
 
 mod address_book;
 mod caller;
-mod event_reader;
 mod outcome;
 mod prompts;
 mod report;
--- /dev/null
+++ b/src/cmd/burn.rs
@@ -0,0 +1,119 @@
+//! `burn`: service-level burn by client account and rule.
+
+use anyhow::Result;
+use azuresaddle_node::burn::{BurnRow, Counts, WINDOW_MINUTES};
+use azuresaddle_node::traffic::BurnReply;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use super::admin::{self, AdminClient};
+use super::output;
+use super::runtime::client_runtime;
+
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("burn")
+        .about("Reports how fast the error budgets of client accounts are spent")
+        .arg(
+            Arg::new("objective")
+                .long("objective")
+                .value_name("PERCENT")
+                .value_parser(value_parser!(f64))
+                .default_value("95")
+                .help("Part of the requests that must meet each objective, in percent"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print the merged counts as JSON"),
+        )
+        .args(admin::args())
+}
+
+/// What is asked of every request.
+#[derive(Clone, Copy)]
+enum Objective {
+    FirstToken,
+    Deadline,
+    Answered,
+}
+
+impl Objective {
+    const ALL: [Self; 3] = [Self::FirstToken, Self::Deadline, Self::Answered];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::FirstToken => "first token",
+            Self::Deadline => "deadline",
+            Self::Answered => "answered",
+        }
+    }
+
+    fn misses(self, counts: &Counts) -> u64 {
+        match self {
+            Self::FirstToken => counts.first_token_missed,
+            Self::Deadline => counts.deadline_missed,
+            Self::Answered => counts.unanswered,
+        }
+    }
+
+    /// How many times as fast as allowed the error budget is spent.
+    fn burn(self, counts: &Counts, budget: f64) -> f64 {
+        if counts.requests == 0 {
+            return 0.0;
+        }
+        self.misses(counts) as f64 / counts.requests as f64 / budget
+    }
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let percent: f64 = *args.get_one("objective").expect("has a default");
+    if !(percent > 0.0 && percent < 100.0) {
+        let detail = format!("--objective {percent}: must be above 0 and below 100");
+        return Err(super::BadInput(detail).into());
+    }
+    let budget = 1.0 - percent / 100.0;
+    let reply: BurnReply =
+        client_runtime()?.block_on(async { AdminClient::new(args).get("/admin/v1/burn").await })?;
+    if args.get_flag("json") {
+        return output::json(&reply);
+    }
+    print_table(&reply, budget);
+    Ok(())
+}
+
+fn print_table(reply: &BurnReply, budget: f64) {
+    let mut head = format!("{:<14} {:<16} {:<12}", "account", "rule", "objective");
+    for minutes in WINDOW_MINUTES {
+        head.push_str(&format!(" {:>9}", format!("{minutes} min")));
+    }
+    head.push_str(&format!(" {:>9} {:>9}", "requests", "p95 ms"));
+    output::line(head);
+    for row in &reply.counts.rows {
+        for objective in Objective::ALL {
+            output::line(table_line(row, objective, budget));
+        }
+    }
+    output::line("burn: 1.00 spends the error budget exactly as fast as the objective allows");
+    for node in &reply.missing {
+        output::line(format!(
+            "node {node} did not answer; its requests are missing"
+        ));
+    }
+}
+
+fn table_line(row: &BurnRow, objective: Objective, budget: f64) -> String {
+    let rule = if row.rule.is_empty() {
+        "(default)"
+    } else {
+        &row.rule
+    };
+    let account = row.account.as_str();
+    let mut line = format!("{account:<14} {rule:<16} {:<12}", objective.name());
+    for counts in &row.windows {
+        line.push_str(&format!(" {:>9.2}", objective.burn(counts, budget)));
+    }
+    let requests = row.windows.last().map_or(0, |counts| counts.requests);
+    let p95 = row.histogram().value_at_quantile(0.95);
+    line.push_str(&format!(" {requests:>9} {p95:>9}"));
+    line
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,14 @@
+//! Subcommands, one file each.
+
+pub(crate) mod admin;
+pub(crate) mod ask;
+mod bad_input;
+pub(crate) mod burn;
+pub(crate) mod hosts;
+pub(crate) mod node;
+mod output;
+pub(crate) mod pools;
+pub(crate) mod rules;
+mod runtime;
+
+pub(crate) use bad_input::BadInput;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,52 @@
-//! x
-fn main() {}
+//! Command line of azuresaddle.
+
+mod cmd;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+/// Exit code of a command that failed.
+const EXIT_FAILED: u8 = 1;
+
+/// Exit code of a command whose input can't be used.
+const EXIT_BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let args = make_command().get_matches();
+    let result = match args.subcommand() {
+        Some(("node", args)) => cmd::node::execute(args),
+        Some(("rules", args)) => cmd::rules::execute(args),
+        Some(("hosts", args)) => cmd::hosts::execute(args),
+        Some(("pools", args)) => cmd::pools::execute(args),
+        Some(("burn", args)) => cmd::burn::execute(args),
+        Some(("ask", args)) => cmd::ask::execute(args),
+        _ => unreachable!("clap requires a subcommand"),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("azuresaddle: {e:#}");
+            if e.is::<cmd::BadInput>() {
+                ExitCode::from(EXIT_BAD_INPUT)
+            } else {
+                ExitCode::from(EXIT_FAILED)
+            }
+        }
+    }
+}
+
+fn make_command() -> Command {
+    Command::new("azuresaddle")
+        .about("Serving layer for prompts of very unlike lengths")
+        .after_help("Exit codes: 0 success, 1 failure, 2 input that can't be used.")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(cmd::ask::make_subcommand())
+        .subcommand(cmd::burn::make_subcommand())
+        .subcommand(cmd::hosts::make_subcommand())
+        .subcommand(cmd::node::make_subcommand())
+        .subcommand(cmd::pools::make_subcommand())
+        .subcommand(cmd::rules::make_subcommand())
+}
