--- a/crates/azuresaddle-node/src/control/rules.rs
+++ b/crates/azuresaddle-node/src/control/rules.rs
@@ -15,6 +15,9 @@
 /// Longest wait of one watch; a silent connection costs no more than this and a second.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
+/// Pause between watches, so that many changes in a row cost few calls.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause after a failed watch.
 const WATCH_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -37,6 +40,7 @@
                         was_reachable = true;
                         revision = changes.revision;
                         let _ = tx.send(Command::StoreChanges(changes)).await;
+                        tokio::time::sleep(WATCH_PAUSE).await;
                     }
                     Err(e) => {
                         if was_reachable {
--- a/crates/azuresaddle-standin/src/answer.rs
+++ b/crates/azuresaddle-standin/src/answer.rs
@@ -22,6 +22,11 @@
         Self { digest, tokens }
     }
 
+    /// Digest of the prompt.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Number of tokens.
     pub fn tokens(&self) -> u64 {
         self.tokens
--- a/crates/azuresaddle-standin/src/cmd/service.rs
+++ b/crates/azuresaddle-standin/src/cmd/service.rs
@@ -10,7 +10,7 @@
 
 pub(crate) fn make_subcommand() -> Command {
     Command::new("service")
-        .about("Stands in for a plain service; GET /counts lists executions by request id")
+        .about("Stands in for a plain service; GET /counts lists executions by request body")
         .arg(listen("127.0.0.1:0"))
 }
 
--- a/crates/azuresaddle-standin/src/engine/model.rs
+++ b/crates/azuresaddle-standin/src/engine/model.rs
@@ -41,8 +41,8 @@
     lends: BTreeMap<StreamId, Lend>,
     fences: HashMap<String, Epoch>,
     pub(super) cache: PrefixCache,
-    /// How often the prefill of each request began.
-    pub(super) executions: HashMap<RequestId, u64>,
+    /// How often the prefill of each prompt began, by the prompt's digest.
+    pub(super) executions: HashMap<u64, u64>,
     orders: u64,
 }
 
@@ -174,7 +174,7 @@
         let id = next.map(|(id, _)| *id)?;
         let stream = self.streams.get_mut(&id)?;
         stream.stage = Stage::Prefilling;
-        *self.executions.entry(id.request).or_default() += 1;
+        *self.executions.entry(stream.answer.digest()).or_default() += 1;
         let cached = self.cache.cached(&stream.prefix) as u64 * BLOCK_TOKENS;
         let tokens = stream.prompt_tokens.saturating_sub(cached) as f64;
         let rate = self.options.prefill_rate * f64::from(stream.members);
--- a/crates/azuresaddle-standin/src/engine/server.rs
+++ b/crates/azuresaddle-standin/src/engine/server.rs
@@ -116,8 +116,8 @@
         self.shared.model().live().len()
     }
 
-    /// How often the prefill of each request began.
-    pub fn executions(&self) -> HashMap<RequestId, u64> {
+    /// How often the prefill of each prompt began, by the prompt's digest.
+    pub fn executions(&self) -> HashMap<u64, u64> {
         self.shared.model().executions.clone()
     }
 }
--- a/crates/azuresaddle-standin/src/service/mod.rs
+++ b/crates/azuresaddle-standin/src/service/mod.rs
@@ -1,11 +1,11 @@
-//! Stand-in of a plain service, which counts each execution by request id.
+//! Stand-in of a plain service, which counts the executions of each request body.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use azuresaddle_core::http::{Body, Handler, ServerLimits, json, problem, serve};
+use azuresaddle_core::http::{Body, Handler, ServerLimits, json, problem, read_limited, serve};
 use azuresaddle_core::prelude::*;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -37,7 +37,7 @@
 pub struct CallDone {
     /// The request's id.
     pub id: String,
-    /// How often it was executed, this time included.
+    /// How often a request with this body was executed, this time included.
     pub executions: u64,
 }
 
@@ -87,7 +87,7 @@
         self.lock().faults = faults;
     }
 
-    /// Executions by request id.
+    /// Executions by request body.
     pub fn executions(&self) -> HashMap<String, u64> {
         self.lock().executions.clone()
     }
@@ -104,7 +104,7 @@
         some_left
     }
 
-    async fn execute(&self, id: String) -> CallDone {
+    async fn execute(&self, id: String, body: String) -> CallDone {
         if self.take_fault(|f| &mut f.silent_before) {
             std::future::pending::<()>().await;
         }
@@ -112,7 +112,7 @@
         tokio::time::sleep(delay).await;
         let executions = {
             let mut state = self.lock();
-            let count = state.executions.entry(id.clone()).or_default();
+            let count = state.executions.entry(body).or_default();
             *count += 1;
             *count
         };
@@ -143,7 +143,10 @@
                     .get("x-request-id")
                     .and_then(|v| v.to_str().ok());
                 let id = id.ok_or_else(|| bad("x-request-id is missing"))?.to_owned();
-                Ok(json(StatusCode::OK, &self.service.execute(id).await))
+                let body = read_limited(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+                let body = body.map_err(|e| bad(e.to_string()))?;
+                let body = String::from_utf8_lossy(&body).into_owned();
+                Ok(json(StatusCode::OK, &self.service.execute(id, body).await))
             }
         }
     }
--- a/crates/azuresaddle-standin/src/store/model.rs
+++ b/crates/azuresaddle-standin/src/store/model.rs
@@ -75,7 +75,7 @@
         if present != expected {
             return Err(self.entry(key));
         }
-        self.revision = Revision(self.revision.0 + 1);
+        self.revision = Revision(self.revision.0.max(1) + 1);
         let version = KeyVersion(present.0 + 1);
         let stored = Stored {
             value,
@@ -127,7 +127,8 @@
             .filter_map(|(key, _)| self.entry(key));
         Changes {
             entries: changed.collect(),
-            revision: self.revision,
+            // Revision 0 asks for everything, so an untouched store must not answer with it.
+            revision: Revision(self.revision.0.max(1)),
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,6 @@
-//! x
+//! Integration tests, one module a subject.
+
+mod bad_input;
+mod command_line;
+mod scenario;
+mod store_calls;
--- /dev/null
+++ b/tests/testsuite/scenario/mod.rs
@@ -0,0 +1,18 @@
+//! Scripted scenarios: `tests/scenarios/*.scn`, one command a line, on real nodes over an
+//! in-memory network with a paused clock.
+
+mod checker;
+mod checker_tests;
+mod driver;
+mod trace;
+mod words;
+mod world;
+
+#[test]
+fn scenarios() {
+    insta::glob!("../../scenarios", "*.scn", |path| {
+        let script = std::fs::read_to_string(path).expect("the script can be read");
+        let transcript = driver::run_script(&script);
+        insta::assert_snapshot!(transcript);
+    });
+}
--- /dev/null
+++ b/tests/testsuite/scenario/words.rs
@@ -0,0 +1,142 @@
+//! The words of the test language.
+
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+fn word(name: &'static str) -> Command {
+    Command::new(name)
+}
+
+fn text(name: &'static str) -> Arg {
+    Arg::new(name).required(true)
+}
+
+fn option(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default)
+}
+
+fn number(name: &'static str, default: &'static str) -> Arg {
+    option(name, default).value_parser(value_parser!(u64))
+}
+
+fn duration(name: &'static str, default: &'static str) -> Arg {
+    option(name, default).value_parser(parse_duration)
+}
+
+fn flag(name: &'static str) -> Arg {
+    Arg::new(name).long(name).action(ArgAction::SetTrue)
+}
+
+fn request(command: Command) -> Command {
+    command
+        .arg(text("id"))
+        .arg(option("account", "a"))
+        .arg(duration("deadline", "30s"))
+        .arg(Arg::new("key").long("key"))
+        .arg(Arg::new("via").long("via"))
+}
+
+/// The grammar of one line.
+pub(super) fn grammar() -> Command {
+    Command::new("scenario")
+        .multicall(true)
+        .subcommand_required(true)
+        .subcommand(
+            word("start")
+                .arg(number("nodes", "3"))
+                .arg(number("engines", "2"))
+                .arg(number("services", "1"))
+                .arg(number("memory", "400000"))
+                .arg(duration("list-lag", "0s"))
+                .arg(flag("ignore-fencing")),
+        )
+        .subcommand(
+            request(word("send"))
+                .arg(number("tokens", "2000"))
+                .arg(number("max-tokens", "64"))
+                .arg(flag("once")),
+        )
+        .subcommand(request(word("call")))
+        .subcommand(word("advance").arg(text("time").value_parser(parse_duration)))
+        .subcommand(word("kill").arg(text("host")))
+        .subcommand(word("restart").arg(text("host")))
+        .subcommand(word("freeze").arg(text("host")))
+        .subcommand(word("thaw").arg(text("host")))
+        .subcommand(word("cut").arg(text("one")).arg(text("other")))
+        .subcommand(word("heal").arg(text("one")).arg(text("other")))
+        .subcommand(word("silence").arg(text("one")).arg(text("other")))
+        .subcommand(
+            word("store")
+                .arg(text("state").value_parser([
+                    "up",
+                    "down",
+                    "slow",
+                    "lose-answers",
+                    "lose-renewals",
+                ]))
+                .arg(number("count", "1"))
+                .arg(duration("delay", "500ms")),
+        )
+        .subcommand(word("fault").arg(text("host")).arg(text("json")))
+        .subcommand(
+            word("plan-stop")
+                .arg(text("host"))
+                .arg(Arg::new("via").long("via")),
+        )
+        .subcommand(
+            word("cancel-stop")
+                .arg(text("host"))
+                .arg(Arg::new("via").long("via")),
+        )
+        .subcommand(
+            word("leaving")
+                .arg(text("host"))
+                .arg(option("value", "true")),
+        )
+        .subcommand(
+            word("put-rules")
+                .arg(text("json"))
+                .arg(number("base", "0"))
+                .arg(Arg::new("via").long("via")),
+        )
+        .subcommand(
+            word("race-rules")
+                .arg(number("operators", "2"))
+                .arg(number("base", "0")),
+        )
+        .subcommand(
+            word("expect")
+                .arg(text("what"))
+                .arg(Arg::new("args").num_args(0..)),
+        )
+        .subcommand(word("wait").arg(text("id")))
+        .subcommand(word("kill-owner"))
+        .subcommand(word("freeze-owner"))
+}
+
+/// Parses one line; comments and empty lines give `None`.
+pub(super) fn parse(line: &str) -> Option<ArgMatches> {
+    let line = line.trim();
+    if line.is_empty() || line.starts_with('#') {
+        return None;
+    }
+    let words = shlex::split(line).unwrap_or_else(|| panic!("bad quotes: {line}"));
+    let parsed = grammar().try_get_matches_from(words);
+    Some(parsed.unwrap_or_else(|e| panic!("{line}: {e}")))
+}
+
+fn parse_duration(text: &str) -> Result<Duration, String> {
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 0.001),
+        None => match text.strip_suffix('m') {
+            Some(number) => (number, 60.0),
+            None => (
+                text.strip_suffix('s').ok_or("a time ends in ms, s or m")?,
+                1.0,
+            ),
+        },
+    };
+    let number: f64 = number.parse().map_err(|_| "a time begins with a number")?;
+    Ok(Duration::from_secs_f64(number * unit))
+}
--- /dev/null
+++ b/tests/testsuite/store_calls.rs
@@ -0,0 +1,29 @@
+//! Calls to the store are few.
+
+use std::time::Duration;
+
+use azuresaddle_standin::cluster::{Cluster, ClusterSpec, MemoryHosts};
+use azuresaddle_standin::engine::EngineOptions;
+
+/// A watch that returned at once on an empty store made nodes call it without a pause.
+#[tokio::test(start_paused = true)]
+async fn an_idle_minute_costs_a_node_a_call_a_second() {
+    let spec = ClusterSpec::uniform(3, 2, 0, &EngineOptions::default());
+    let cluster = Cluster::open(MemoryHosts::default(), spec, |_| {})
+        .await
+        .expect("it starts");
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let before = cluster.store.counts();
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    let after = cluster.store.counts();
+    assert!(
+        after.watches - before.watches <= 3 * 60 / 2,
+        "{before:?} {after:?}"
+    );
+    assert!(
+        after.lease_writes - before.lease_writes <= 3 * 60 / 2 + 15,
+        "{before:?} {after:?}"
+    );
+    assert_eq!(after.writes, before.writes);
+    assert_eq!(after.reads, before.reads);
+}
