--- a/crates/azuresaddle-sched/src/pool/dispatch.rs
+++ b/crates/azuresaddle-sched/src/pool/dispatch.rs
@@ -38,21 +38,19 @@
         if self.queue.is_class_empty(class) {
             return false;
         }
-        let long_room = match class {
-            Class::Short => usize::MAX,
-            Class::Long => {
-                let allowed = self.max_long_targets(now);
-                allowed.saturating_sub(self.long_targets())
-            }
-        };
-        let candidates = self.candidates(now, class);
-        if candidates.is_empty() || long_room == 0 {
+        let round = self.begin_round(now, class);
+        let most_free = round
+            .candidates
+            .iter()
+            .map(|k| self.targets[*k].free())
+            .max();
+        let Some(most_free) = most_free.filter(|_| round.room > 0) else {
             return false;
-        }
+        };
         let tries = if self.options.backfill { MAX_TRIED } else { 1 };
         let found = self.queue.in_order(class).take(tries).find_map(|key| {
-            self.place(now, key, &candidates, long_room)
-                .map(|t| (key, t))
+            let targets = self.place(now, key, &round, most_free)?;
+            Some((key, targets))
         });
         let Some((key, targets)) = found else {
             return false;
@@ -61,6 +59,23 @@
         true
     }
 
+    /// Finds out what can be given to a class now.
+    fn begin_round(&self, now: Instant, class: Class) -> Round {
+        let (room, none_runs) = match class {
+            Class::Short => (usize::MAX, false),
+            Class::Long => {
+                let running = self.long_targets();
+                let allowed = self.max_long_targets(now);
+                (allowed.saturating_sub(running), running == 0)
+            }
+        };
+        Round {
+            candidates: self.candidates(now, class),
+            room,
+            none_runs,
+        }
+    }
+
     fn start(&mut self, now: Instant, key: WaitKey, targets: &[TargetKey]) {
         let Some(waiting) = self.queue.remove(key) else {
             return;
@@ -69,9 +84,11 @@
         let class = waiting.class;
         self.fair[class.index()].on_dispatch(waiting.tag);
         self.note_if_idle(class);
+        let slow_below = self.slow_rate();
         for target in targets {
-            if self.is_slow(&self.targets[*target]) {
-                self.targets[*target].probe_at = now + SLOW_PROBE_INTERVAL;
+            let target = &mut self.targets[*target];
+            if target.rate.tokens_per_second() < slow_below {
+                target.probe_at = now + SLOW_PROBE_INTERVAL;
             }
         }
         let grant = self.reserve(now, waiting, targets);
@@ -84,10 +101,11 @@
             Class::Short => self.options.ready_ahead,
             Class::Long => Duration::ZERO,
         };
+        let slow_below = self.slow_rate();
         self.targets
             .iter()
-            .filter(|(_, t)| t.is_open(now) && t.has_prefill_slot(now, ahead))
-            .filter(|(_, t)| !self.is_slow(t) || now >= t.probe_at)
+            .filter(|(_, t)| t.has_prefill_slot(now, ahead) && t.is_open(now))
+            .filter(|(_, t)| t.rate.tokens_per_second() >= slow_below || now >= t.probe_at)
             .map(|(key, _)| key)
             .collect()
     }
@@ -97,23 +115,27 @@
         &self,
         now: Instant,
         key: WaitKey,
-        candidates: &[TargetKey],
-        long_room: usize,
+        round: &Round,
+        most_free: u64,
     ) -> Option<Vec<TargetKey>> {
         let waiting = self.queue.get(key)?;
         let ask = &waiting.ask;
         let members = self.members_for(ask);
-        let nothing_long = self.long_targets() == 0;
-        if members == 0 || (members > long_room && !nothing_long) {
+        // One that needs more targets than the class may have runs when none of the class does.
+        if members == 0 || (members > round.room && !round.none_runs) {
             return None;
         }
         let memory = ask.memory_tokens().div_ceil(members as u64);
+        if memory > most_free {
+            return None;
+        }
         let allowed = |target: &Target| {
             target.free() >= memory
                 && !ask.exclude.contains(&target.spec.name)
                 && self.respects_drain(now, target, key, waiting.prefill)
         };
-        let mut fitting: Vec<_> = candidates
+        let mut fitting: Vec<_> = round
+            .candidates
             .iter()
             .copied()
             .filter(|k| allowed(&self.targets[*k]))
@@ -201,7 +223,21 @@
             .unwrap_or(ask.prompt_tokens as f64)
     }
 
-    fn is_slow(&self, target: &Target) -> bool {
-        self.options.avoid_slow && target.rate.tokens_per_second() < SLOW_RATE * self.usual_rate()
+    /// Rate below which a target counts as slow, in tokens a second.
+    fn slow_rate(&self) -> f64 {
+        if self.options.avoid_slow {
+            SLOW_RATE * self.usual_rate()
+        } else {
+            0.0
+        }
     }
 }
+
+/// What can be given to a class in one pass over its queue.
+struct Round {
+    candidates: Vec<TargetKey>,
+    /// Targets that the class may still take.
+    room: usize,
+    /// Whether nothing of the class runs.
+    none_runs: bool,
+}
--- a/crates/azuresaddle-sched/src/pool/drains.rs
+++ b/crates/azuresaddle-sched/src/pool/drains.rs
@@ -38,6 +38,11 @@
         if members == 0 {
             return;
         }
+        let drained: usize = self.drains.values().map(|d| d.targets.len()).sum();
+        let bound = (self.targets.len() as f64 * MAX_DRAINED_SHARE) as usize;
+        if drained > 0 && drained + members > bound {
+            return;
+        }
         let memory = waiting.ask.memory_tokens().div_ceil(members as u64);
         let usable = |target: &Target| {
             target.drain.is_none()
@@ -45,22 +50,18 @@
                 && target.spec.memory_tokens >= memory
                 && !waiting.ask.exclude.contains(&target.spec.name)
         };
+        let has_room = |target: &&Target| usable(target) && target.free() >= memory;
+        let usable_count = self.targets.values().filter(|t| usable(t)).count();
+        if usable_count < members || self.targets.values().filter(has_room).count() >= members {
+            // Either it can't be helped, or only a prefill slot is missing.
+            return;
+        }
         let mut choices: Vec<(Instant, TargetKey)> = self
             .targets
             .iter()
             .filter(|(_, t)| usable(t))
             .map(|(k, _)| (self.room_at(now, k, memory), k))
             .collect();
-        let has_room = choices.iter().filter(|(at, _)| *at <= now).count();
-        if choices.len() < members || has_room >= members {
-            // Either it can't be helped, or only a prefill slot is missing.
-            return;
-        }
-        let drained: usize = self.drains.values().map(|d| d.targets.len()).sum();
-        let bound = (self.targets.len() as f64 * MAX_DRAINED_SHARE) as usize;
-        if drained > 0 && drained + members > bound {
-            return;
-        }
         choices.sort_unstable();
         choices.truncate(members);
         let ready_at = choices.last().map_or(now, |(at, _)| *at);
@@ -82,10 +83,8 @@
         if free >= memory {
             return now;
         }
-        let mut ends: Vec<_> = self
-            .reservations
-            .values()
-            .filter(|r| r.targets.contains(&key))
+        let held = target.reservations.iter().map(|r| &self.reservations[*r]);
+        let mut ends: Vec<_> = held
             .map(|r| (r.ends_at.max(now), r.memory_tokens))
             .collect();
         ends.sort_unstable();
--- a/crates/azuresaddle-sched/src/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/pool/ledger.rs
@@ -64,7 +64,7 @@
             let reservation = &mut self.reservations[key];
             if !reservation.targets.contains(&target_key) {
                 reservation.targets.push(target_key);
-                self.hold(target_key, live.memory_tokens);
+                self.hold(target_key, key, live.memory_tokens);
             }
             return;
         }
@@ -93,15 +93,15 @@
         let key = self.reservations.insert(reservation);
         self.by_stream.insert(stream, key);
         for target in targets {
-            self.hold(target, memory_tokens);
+            self.hold(target, key, memory_tokens);
         }
         key
     }
 
-    fn hold(&mut self, key: TargetKey, memory_tokens: u64) {
-        let target = &mut self.targets[key];
+    fn hold(&mut self, target_key: TargetKey, key: ReservationKey, memory_tokens: u64) {
+        let target = &mut self.targets[target_key];
         target.reserved += memory_tokens;
-        target.running += 1;
+        target.reservations.push(key);
     }
 
     /// Gives back what a reservation holds on one target.
@@ -110,7 +110,7 @@
         reservation.targets.retain(|t| *t != target_key);
         let target = &mut self.targets[target_key];
         target.reserved -= reservation.memory_tokens;
-        target.running -= 1;
+        target.reservations.retain(|r| *r != key);
         target.prefilling.retain(|r| *r != key);
     }
 
--- a/crates/azuresaddle-sched/src/pool/targets.rs
+++ b/crates/azuresaddle-sched/src/pool/targets.rs
@@ -99,12 +99,7 @@
     }
 
     fn drop_reservations_on(&mut self, now: Instant, key: TargetKey) {
-        let affected: Vec<_> = self
-            .reservations
-            .iter()
-            .filter(|(_, r)| r.targets.contains(&key))
-            .map(|(reservation, _)| reservation)
-            .collect();
+        let affected = self.targets[key].reservations.clone();
         for reservation in affected {
             self.release_on(reservation, key);
             if self.reservations[reservation].targets.is_empty() {
--- a/crates/azuresaddle-sched/src/target.rs
+++ b/crates/azuresaddle-sched/src/target.rs
@@ -34,8 +34,8 @@
     pub(crate) reserved: u64,
     /// Reservations whose first token has not come, in the order they were sent.
     pub(crate) prefilling: Vec<ReservationKey>,
-    /// Number of reservations.
-    pub(crate) running: usize,
+    /// All reservations.
+    pub(crate) reservations: Vec<ReservationKey>,
     /// When the present prefill is expected to end.
     pub(crate) prefill_ends: Instant,
     /// When the last first token came.
@@ -59,7 +59,7 @@
             spec,
             reserved: 0,
             prefilling: Vec::new(),
-            running: 0,
+            reservations: Vec::new(),
             prefill_ends: now,
             prefill_ended: now,
             rate: PrefillRate::new(rate),
@@ -80,7 +80,9 @@
 
     /// Whether new work may go to the target at all.
     pub(crate) fn is_open(&self, now: Instant) -> bool {
-        !self.leaving && now >= self.paused_until && self.breaker.allows(now, self.running)
+        !self.leaving
+            && now >= self.paused_until
+            && self.breaker.allows(now, self.reservations.len())
     }
 
     /// Whether the next prefill may be sent: none runs, or the only one is about to end.
--- a/crates/azuresaddle-standin/src/cmd/mod.rs
+++ b/crates/azuresaddle-standin/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod args;
 pub(crate) mod demo;
 pub(crate) mod engine;
+pub(crate) mod experiment;
 pub(crate) mod hosts;
 pub(crate) mod load;
 pub(crate) mod service;
--- /dev/null
+++ b/crates/azuresaddle-standin/src/experiment/mod.rs
@@ -0,0 +1,23 @@
+//! Policies side by side, in virtual time on the runtime's paused clock.
+//!
+//! The product's [`azuresaddle_sched::Pool`] runs unchanged against a model of the engines, beside
+//! baselines and beside itself with single ideas switched off. The same seed gives the same output.
+
+mod arrivals;
+mod catalog;
+mod engine_model;
+mod immediate;
+mod mix;
+mod plot;
+mod policy;
+mod pool_policy;
+mod results;
+mod world;
+
+pub use arrivals::{Request, make_requests};
+pub use catalog::{Experiment, ExperimentRow, run_experiment};
+pub use mix::{AccountMix, EngineMix, Fault, FaultKind, LengthMix, Mix};
+pub use plot::plot_first_tokens;
+pub use policy::Policy;
+pub use results::{ClassResults, Results, SHORT_TOKENS};
+pub use world::simulate;
--- /dev/null
+++ b/crates/azuresaddle-standin/src/experiment/world.rs
@@ -0,0 +1,344 @@
+//! Runs requests through a policy against the engines, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::{Action, Ask, Outcome};
+use tokio::time::Instant;
+
+use super::arrivals::{MAX_ANSWER_TOKENS, Request};
+use super::engine_model::{EngineOrder, Engines, OrderId};
+use super::mix::{FaultKind, Mix};
+use super::policy::Policy;
+use super::pool_policy::{Decider, engine_name};
+use super::results::Results;
+
+/// Silence after which a node gives a target up.
+const TARGET_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// First-token target of every request.
+const FIRST_TOKEN_TARGET: Duration = Duration::from_millis(350);
+
+/// Most targets tried for one request.
+const MAX_ATTEMPTS: u8 = 4;
+
+/// Something that happens at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    /// An order reaches its engines.
+    Order(OrderId),
+    PrefillEnds(OrderId),
+    AnswerEnds(OrderId),
+    /// The owner hears of a first token.
+    FirstTokenHeard(OrderId),
+    /// The owner hears of an end.
+    EndHeard(OrderId),
+    /// A node gives up on an order whose engine is silent.
+    GivenUp(OrderId),
+    Deadline(usize),
+    Fault(usize),
+    Wakeup,
+}
+
+struct World<'a> {
+    mix: &'a Mix,
+    requests: &'a [Request],
+    decider: Decider,
+    engines: Engines,
+    orders: Vec<EngineOrder>,
+    /// Request and attempt of each order.
+    streams: Vec<StreamId>,
+    live: HashMap<StreamId, OrderId>,
+    state: Vec<RequestState>,
+    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+    sequence: u64,
+    start: Instant,
+    wakeup: Option<Instant>,
+    results: Results,
+}
+
+#[derive(Clone, Debug, Default)]
+struct RequestState {
+    attempt: u8,
+    exclude: Vec<HostName>,
+    first_token: bool,
+    ended: bool,
+    ran: u32,
+}
+
+/// Runs all requests to their ends.
+pub async fn simulate(mix: &Mix, requests: &[Request], policy: Policy, seed: u64) -> Results {
+    let start = Instant::now();
+    let mut world = World {
+        mix,
+        requests,
+        decider: Decider::new(start, policy, mix.engines, seed),
+        engines: Engines::new(mix.engines),
+        orders: Vec::new(),
+        streams: Vec::new(),
+        live: HashMap::new(),
+        state: vec![RequestState::default(); requests.len()],
+        events: BinaryHeap::new(),
+        sequence: 0,
+        start,
+        wakeup: None,
+        results: Results::new(mix),
+    };
+    for (i, request) in requests.iter().enumerate() {
+        world.push(start + request.at, Event::Arrive(i));
+    }
+    for (i, fault) in mix.faults.iter().enumerate() {
+        world.push(start + Duration::from_secs_f64(fault.at_s), Event::Fault(i));
+    }
+    while let Some(Reverse((at, _, event))) = world.events.pop() {
+        tokio::time::sleep_until(at).await;
+        world.handle(at, event);
+    }
+    world.finish()
+}
+
+impl World<'_> {
+    fn push(&mut self, at: Instant, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn delay(&self) -> Duration {
+        Duration::from_secs_f64(self.mix.message_delay_ms / 1000.0)
+    }
+
+    fn handle(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Arrive(i) => {
+                let deadline = now + Duration::from_secs_f64(self.mix.deadline_s);
+                self.push(deadline, Event::Deadline(i));
+                self.ask(now, i);
+            }
+            Event::Order(id) => self.on_order(now, id),
+            Event::PrefillEnds(id) => self.on_prefill_ends(now, id),
+            Event::AnswerEnds(id) => self.on_answer_ends(now, id),
+            Event::FirstTokenHeard(id) => self.decider.first_token(now, self.streams[id]),
+            Event::EndHeard(id) => self.decider.end(now, self.streams[id], Outcome::Done),
+            Event::GivenUp(id) => self.on_given_up(now, id),
+            Event::Deadline(i) => self.on_deadline(now, i),
+            Event::Fault(i) => self.on_fault(now, i),
+            // One that was planned anew for an earlier time is stale.
+            Event::Wakeup if self.wakeup != Some(now) => return,
+            Event::Wakeup => self.wakeup = None,
+        }
+        self.carry_out(now);
+    }
+
+    /// Asks for a reservation for a request's present attempt.
+    fn ask(&mut self, now: Instant, i: usize) {
+        let request = &self.requests[i];
+        let state = &self.state[i];
+        let stream = StreamId {
+            request: RequestId(i as u128),
+            attempt: state.attempt,
+        };
+        let ask = Ask {
+            stream,
+            node: HostName::new("n"),
+            account: request.account_name.clone(),
+            prompt_tokens: request.prompt_tokens,
+            max_tokens: MAX_ANSWER_TOKENS,
+            prefix: Vec::new(),
+            priority: 0,
+            first_token_target: FIRST_TOKEN_TARGET,
+            deadline: self.start + request.at + Duration::from_secs_f64(self.mix.deadline_s),
+            weight: request.weight,
+            limits: Default::default(),
+            exclude: state.exclude.clone(),
+        };
+        self.decider.enqueue(now, ask);
+    }
+
+    /// Carries out what the policy decided, and plans its next wakeup.
+    fn carry_out(&mut self, now: Instant) {
+        for action in self.decider.dispatch(now) {
+            match action {
+                Action::Reserved(grant) => {
+                    let request = grant.stream.request.0 as usize;
+                    let engines = grant.targets.iter().map(number_of).collect();
+                    let id = self.orders.len();
+                    self.orders.push(EngineOrder {
+                        engines,
+                        memory: grant.memory_tokens,
+                        prompt_tokens: self.requests[request].prompt_tokens,
+                        answer_tokens: self.requests[request].answer_tokens,
+                    });
+                    self.streams.push(grant.stream);
+                    self.live.insert(grant.stream, id);
+                    // To the node, and from there to the engine.
+                    self.push(now + self.delay() * 2, Event::Order(id));
+                }
+                Action::Refused { stream, .. } => {
+                    let i = stream.request.0 as usize;
+                    if !std::mem::replace(&mut self.state[i].ended, true) {
+                        self.results.refused(now - self.start, &self.requests[i]);
+                    }
+                }
+            }
+        }
+        if let Some(at) = self.decider.next_wakeup(now)
+            && self.wakeup.is_none_or(|planned| at < planned)
+        {
+            self.wakeup = Some(at);
+            self.push(at, Event::Wakeup);
+        }
+    }
+
+    fn on_order(&mut self, now: Instant, id: OrderId) {
+        if self.live.get(&self.streams[id]) != Some(&id) {
+            return;
+        }
+        let order = self.orders[id].clone();
+        if self.engines.accept(id, &order) {
+            self.start_prefills(now, &order.engines);
+        } else {
+            // A dead host refuses connections at once.
+            self.push(now + self.delay(), Event::GivenUp(id));
+        }
+    }
+
+    fn start_prefills(&mut self, now: Instant, engines: &[usize]) {
+        for engine in engines {
+            while let Some((id, took)) = self.engines.start_next(*engine, &self.orders) {
+                let i = self.streams[id].request.0 as usize;
+                self.state[i].ran += 1;
+                self.push(now + took, Event::PrefillEnds(id));
+            }
+        }
+    }
+
+    fn on_prefill_ends(&mut self, now: Instant, id: OrderId) {
+        if !self.runs(id) {
+            return;
+        }
+        let i = self.streams[id].request.0 as usize;
+        let rest = self.engines.end_prefill(id, &self.orders[id]);
+        self.push(now + rest, Event::AnswerEnds(id));
+        self.push(now + self.delay() * 2, Event::FirstTokenHeard(id));
+        if !self.state[i].first_token && !self.state[i].ended {
+            self.state[i].first_token = true;
+            let took = now + self.delay() * 2 - self.start - self.requests[i].at;
+            self.results.first_token(&self.requests[i], took);
+        }
+        let engines = self.orders[id].engines.clone();
+        self.start_prefills(now, &engines);
+    }
+
+    fn on_answer_ends(&mut self, now: Instant, id: OrderId) {
+        if !self.runs(id) {
+            return;
+        }
+        let i = self.streams[id].request.0 as usize;
+        self.engines.remove(id, &self.orders[id]);
+        self.live.remove(&self.streams[id]);
+        self.push(now + self.delay() * 2, Event::EndHeard(id));
+        if std::mem::replace(&mut self.state[i].ended, true) {
+            self.results.doubled += 1;
+        } else {
+            self.results.whole(now - self.start, &self.requests[i]);
+        }
+        let engines = self.orders[id].engines.clone();
+        self.start_prefills(now, &engines);
+    }
+
+    /// Whether an order's stream exists on living engines.
+    fn runs(&self, id: OrderId) -> bool {
+        let is_live = self.live.get(&self.streams[id]) == Some(&id);
+        let order = &self.orders[id];
+        is_live
+            && order
+                .engines
+                .iter()
+                .all(|e| self.engines.states[*e].streams.contains(&id))
+    }
+
+    /// A node tries another target after a failure.
+    fn on_given_up(&mut self, now: Instant, id: OrderId) {
+        let stream = self.streams[id];
+        let i = stream.request.0 as usize;
+        if self.live.get(&stream) != Some(&id) {
+            return;
+        }
+        self.live.remove(&stream);
+        let order = self.orders[id].clone();
+        let dead: Vec<_> = order
+            .engines
+            .iter()
+            .filter(|e| self.engines.states[**e].dead)
+            .collect();
+        let names: Vec<_> = dead.iter().map(|e| engine_name(**e)).collect();
+        self.engines.remove(id, &order);
+        self.decider.suspect(now, stream);
+        // The platform replaces a dead host's list entry in time; the ledger lets go with it.
+        self.decider.end(now, stream, Outcome::TargetFailed);
+        let state = &mut self.state[i];
+        state.exclude.extend(names);
+        state.attempt += 1;
+        if state.ended {
+            return;
+        }
+        if state.attempt >= MAX_ATTEMPTS {
+            state.ended = true;
+            self.results.failed += 1;
+            return;
+        }
+        self.ask(now, i);
+        self.start_prefills(now, &order.engines);
+    }
+
+    fn on_deadline(&mut self, now: Instant, i: usize) {
+        if std::mem::replace(&mut self.state[i].ended, true) {
+            return;
+        }
+        self.results.missed(&self.requests[i]);
+        let stream = StreamId {
+            request: RequestId(i as u128),
+            attempt: self.state[i].attempt,
+        };
+        if let Some(id) = self.live.remove(&stream) {
+            let order = self.orders[id].clone();
+            self.engines.remove(id, &order);
+            self.start_prefills(now, &order.engines);
+        }
+        self.decider.end(now, stream, Outcome::Cancelled);
+    }
+
+    fn on_fault(&mut self, now: Instant, i: usize) {
+        let fault = self.mix.faults[i];
+        match fault.kind {
+            FaultKind::Slow(factor) => self.engines.states[fault.engine].slowdown = factor,
+            FaultKind::Die => {
+                let state = &mut self.engines.states[fault.engine];
+                state.dead = true;
+                let streams = std::mem::take(&mut state.streams);
+                let queued = std::mem::take(&mut state.queue);
+                state.used = 0;
+                state.busy = None;
+                for id in streams.into_iter().chain(queued) {
+                    self.push(now + TARGET_TIMEOUT, Event::GivenUp(id));
+                }
+            }
+        }
+    }
+
+    fn finish(mut self) -> Results {
+        self.results.lost = self.state.iter().filter(|s| !s.ended).count() as u64;
+        let used: u64 = self.engines.states.iter().map(|s| s.used).sum();
+        self.results.memory_left = used.max(self.decider.reserved());
+        self.results
+    }
+}
+
+fn number_of(name: &HostName) -> usize {
+    name.as_str()[1..]
+        .parse()
+        .expect("names are e and a number")
+}
--- a/crates/azuresaddle-standin/src/lib.rs
+++ b/crates/azuresaddle-standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod engine;
+pub mod experiment;
 pub mod hosts;
 mod http_util;
 pub mod load;
--- a/crates/azuresaddle-standin/src/main.rs
+++ b/crates/azuresaddle-standin/src/main.rs
@@ -14,6 +14,7 @@
     let result = match args.subcommand() {
         Some(("demo", args)) => cmd::demo::execute(args),
         Some(("engine", args)) => cmd::engine::execute(args),
+        Some(("experiment", args)) => cmd::experiment::execute(args),
         Some(("hosts", args)) => cmd::hosts::execute(args),
         Some(("load", args)) => cmd::load::execute(args),
         Some(("service", args)) => cmd::service::execute(args),
@@ -37,6 +38,7 @@
         .arg_required_else_help(true)
         .subcommand(cmd::demo::make_subcommand())
         .subcommand(cmd::engine::make_subcommand())
+        .subcommand(cmd::experiment::make_subcommand())
         .subcommand(cmd::hosts::make_subcommand())
         .subcommand(cmd::load::make_subcommand())
         .subcommand(cmd::service::make_subcommand())
