--- a/crates/azuresaddle-sched/src/pool/dispatch.rs
+++ b/crates/azuresaddle-sched/src/pool/dispatch.rs
@@ -44,7 +44,7 @@
             .iter()
             .map(|k| self.targets[*k].free())
             .max();
-        let Some(most_free) = most_free.filter(|_| round.room > 0) else {
+        let Some(most_free) = most_free else {
             return false;
         };
         let tries = if self.options.backfill { MAX_TRIED } else { 1 };
@@ -122,7 +122,8 @@
         let ask = &waiting.ask;
         let members = self.members_for(ask);
         // One that needs more targets than the class may have runs when none of the class does.
-        if members == 0 || (members > round.room && !round.none_runs) {
+        let room = round.room.saturating_add(self.drained_for(key));
+        if members == 0 || (members > room && !round.none_runs) {
             return None;
         }
         let memory = ask.memory_tokens().div_ceil(members as u64);
--- a/crates/azuresaddle-sched/src/pool/drains.rs
+++ b/crates/azuresaddle-sched/src/pool/drains.rs
@@ -111,6 +111,12 @@
         drain.wait == key || now + prefill + self.decode.get() <= drain.ready_at
     }
 
+    /// Number of targets that are drained for a request.
+    pub(super) fn drained_for(&self, wait: WaitKey) -> usize {
+        let own = self.drains.values().filter(|d| d.wait == wait);
+        own.map(|d| d.targets.len()).sum()
+    }
+
     pub(super) fn cancel_drain_for(&mut self, wait: WaitKey) {
         self.cancel_drains(|drain| drain.wait == wait);
     }
--- a/crates/azuresaddle-sched/src/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/pool/ledger.rs
@@ -11,6 +11,9 @@
 use crate::reservation::{LiveStream, Reservation, ReservationKey};
 use crate::target::TargetKey;
 
+/// Short prompts that must fit in a target's free memory for it to count as usable for them.
+const SHORT_ROOM: u64 = 2;
+
 impl Pool {
     /// Reserves memory and a prefill slot on each of the targets, in one step.
     pub(super) fn reserve(&mut self, now: Instant, waiting: Waiting, keys: &[TargetKey]) -> Grant {
@@ -128,12 +131,17 @@
         }
     }
 
-    /// Number of targets that run a long prefill.
+    /// Number of targets that short prompts can't use: they run a long prefill, lack memory, or
+    /// are drained for a long prompt.
     pub(super) fn long_targets(&self) -> usize {
         let is_long = |key: &ReservationKey| self.reservations[*key].class == Class::Long;
+        let room = SHORT_ROOM * self.options.short_max_tokens;
         self.targets
             .values()
-            .filter(|t| t.prefilling.iter().any(is_long))
+            .filter(|t| {
+                let lacks_room = t.free() < room.min(t.spec.memory_tokens);
+                lacks_room || t.drain.is_some() || t.prefilling.iter().any(is_long)
+            })
             .count()
     }
 }
