--- a/crates/azuresaddle-sched/src/demand.rs
+++ b/crates/azuresaddle-sched/src/demand.rs
@@ -11,7 +11,7 @@
 const WINDOWS: [Duration; 2] = [Duration::from_secs(60), Duration::from_secs(300)];
 
 /// Targets kept for short prompts beyond their mean load, in standard deviations of that load.
-const SAFETY: f64 = 1.0;
+const SAFETY: f64 = 0.6;
 
 /// Part of the targets that may run long prefills before any load is known.
 const INITIAL_LONG_SHARE: f64 = 0.8;
--- a/crates/azuresaddle-sched/src/pool/admission.rs
+++ b/crates/azuresaddle-sched/src/pool/admission.rs
@@ -175,7 +175,7 @@
 /// When a request should have started, its prefill taken off.
 fn due_time(now: Instant, ask: &Ask, prefill: Duration) -> Instant {
     // The target grows with the prefill, so that a long prompt does not start out overdue.
-    let due = now + ask.first_token_target + prefill * 4;
+    let due = now + ask.first_token_target + prefill * 8;
     let shift = PRIORITY_STEP * u32::from(ask.priority.unsigned_abs());
     if ask.priority >= 0 {
         due.checked_sub(shift).unwrap_or(now)
