Split large prompts over more engines, bound their wait, keep time for long answers

Cause of the long ones' wait: a prompt that takes most of an engine's memory has to wait until the engine is nearly empty.

--- a/crates/azuresaddle-sched/src/pool/admission.rs
+++ b/crates/azuresaddle-sched/src/pool/admission.rs
@@ -14,6 +14,12 @@
 /// Weight of one step of priority, as time in the queue.
 const PRIORITY_STEP: Duration = Duration::from_secs(1);
 
+/// Time kept for an answer, in mean answers; of geometric lengths one in fifty is longer.
+const ANSWER_MARGIN: u32 = 4;
+
+/// Wait that is allowed for each unit of prefill time, in the order of the queue.
+const WAIT_PER_PREFILL: u32 = 8;
+
 /// When to come back while the pool has no usable target or its queue is full.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -52,7 +58,7 @@
         let tag = self.fair[class.index()].tag(&ask.account, cost, ask.weight);
         let mut due = now;
         if self.options.order_by_slack {
-            due = due_time(now, &ask, prefill);
+            due = due_time(now, &ask, prefill / members, start_by);
         }
         if self.options.fair_accounts {
             due += tag.ahead;
@@ -100,7 +106,7 @@
         class: Class,
         prefill: Duration,
     ) -> Result<Instant, Refusal> {
-        let needed = prefill + self.decode.get();
+        let needed = prefill + self.decode.get() * ANSWER_MARGIN;
         let latest = ask.deadline.checked_sub(needed).unwrap_or(now);
         if !self.options.check_deadlines {
             return Ok(ask.deadline);
@@ -172,10 +178,14 @@
     }
 }
 
-/// When a request should have started, its prefill taken off.
-fn due_time(now: Instant, ask: &Ask, prefill: Duration) -> Instant {
-    // The target grows with the prefill, so that a long prompt does not start out overdue.
-    let due = now + ask.first_token_target + prefill * 8;
+/// When a request should have started.
+///
+/// The wait allowed grows with the prefill, so that a prompt does not wait behind much longer ones,
+/// and is at most half of the time that the deadline leaves, so that the longest start in time.
+fn due_time(now: Instant, ask: &Ask, prefill: Duration, start_by: Instant) -> Instant {
+    let allowed = ask.first_token_target + prefill * WAIT_PER_PREFILL;
+    let longest = start_by.saturating_duration_since(now) / 2;
+    let due = now + allowed.min(longest);
     let shift = PRIORITY_STEP * u32::from(ask.priority.unsigned_abs());
     if ask.priority >= 0 {
         due.checked_sub(shift).unwrap_or(now)
--- a/crates/azuresaddle-sched/src/pool/dispatch.rs
+++ b/crates/azuresaddle-sched/src/pool/dispatch.rs
@@ -18,6 +18,9 @@
 /// Part of the usual rate below which a target counts as slow.
 const SLOW_RATE: f64 = 0.4;
 
+/// Part of a target's memory that one prompt may take; a larger one is split over more targets.
+const MAX_SHARE: f64 = 0.5;
+
 /// Pause between tries of a slow target.
 const SLOW_PROBE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -176,14 +179,10 @@
             .filter(|t| !t.leaving && !ask.exclude.contains(&t.spec.name))
             .map(|t| t.spec.memory_tokens)
             .collect();
-        let needed = ask.memory_tokens();
-        if sizes.iter().any(|size| *size >= needed) {
-            return 1;
-        }
         sizes.sort_unstable_by(|a, b| b.cmp(a));
-        // Each member holds an equal share, so the smallest member decides.
-        (2..=sizes.len())
-            .find(|n| sizes[n - 1] >= needed.div_ceil(*n as u64))
+        let needed = ask.memory_tokens();
+        fewest_members(&sizes, needed, MAX_SHARE)
+            .or_else(|| fewest_members(&sizes, needed, 1.0))
             .unwrap_or(0)
     }
 
@@ -234,6 +233,12 @@
     }
 }
 
+/// Fewest targets, the largest first, of whose memory a request needs at most `share` each.
+fn fewest_members(sizes: &[u64], needed: u64, share: f64) -> Option<usize> {
+    // Each member holds an equal part, so the smallest member decides.
+    (1..=sizes.len()).find(|n| sizes[n - 1] as f64 * share >= needed.div_ceil(*n as u64) as f64)
+}
+
 /// What can be given to a class in one pass over its queue.
 struct Round {
     candidates: Vec<TargetKey>,
