--- a/crates/azuresaddle-sched/src/pool/dispatch.rs
+++ b/crates/azuresaddle-sched/src/pool/dispatch.rs
@@ -67,9 +67,9 @@
         let (room, none_runs) = match class {
             Class::Short => (usize::MAX, false),
             Class::Long => {
-                let running = self.long_targets();
                 let allowed = self.max_long_targets(now);
-                (allowed.saturating_sub(running), running == 0)
+                let room = allowed.saturating_sub(self.taken_targets());
+                (room, !self.any_long_prefill())
             }
         };
         Round {
--- a/crates/azuresaddle-sched/src/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/pool/ledger.rs
@@ -9,7 +9,7 @@
 use crate::outcome::Outcome;
 use crate::queue::Waiting;
 use crate::reservation::{LiveStream, Reservation, ReservationKey};
-use crate::target::TargetKey;
+use crate::target::{Target, TargetKey};
 
 /// Short prompts that must fit in a target's free memory for it to count as usable for them.
 const SHORT_ROOM: u64 = 2;
@@ -133,15 +133,22 @@
 
     /// Number of targets that short prompts can't use: they run a long prefill, lack memory, or
     /// are drained for a long prompt.
-    pub(super) fn long_targets(&self) -> usize {
-        let is_long = |key: &ReservationKey| self.reservations[*key].class == Class::Long;
+    pub(super) fn taken_targets(&self) -> usize {
         let room = SHORT_ROOM * self.options.short_max_tokens;
-        self.targets
-            .values()
-            .filter(|t| {
-                let lacks_room = t.free() < room.min(t.spec.memory_tokens);
-                lacks_room || t.drain.is_some() || t.prefilling.iter().any(is_long)
-            })
-            .count()
+        let is_taken = |t: &&Target| {
+            let lacks_room = t.free() < room.min(t.spec.memory_tokens);
+            lacks_room || t.drain.is_some() || self.runs_long_prefill(t)
+        };
+        self.targets.values().filter(is_taken).count()
+    }
+
+    /// Whether any target runs a long prefill.
+    pub(super) fn any_long_prefill(&self) -> bool {
+        self.targets.values().any(|t| self.runs_long_prefill(t))
+    }
+
+    fn runs_long_prefill(&self, target: &Target) -> bool {
+        let mut prefilling = target.prefilling.iter();
+        prefilling.any(|key| self.reservations[*key].class == Class::Long)
     }
 }
--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/breaker.rs
@@ -0,0 +1,42 @@
+//! The breaker of a target.
+
+use std::time::Duration;
+
+use azuresaddle_sched::Breaker;
+use tokio::time::Instant;
+
+#[test]
+fn opens_after_failures_and_returns_slowly() {
+    let start = Instant::now();
+    let mut breaker = Breaker::default();
+    breaker.on_failure(start);
+    assert!(breaker.allows(start, 100), "one failure may be chance");
+    breaker.on_failure(start);
+    assert!(!breaker.allows(start, 0));
+    let later = start + Duration::from_secs(1);
+    assert!(breaker.allows(later, 0));
+    assert!(!breaker.allows(later, 1), "one at a time at first");
+    breaker.on_success();
+    assert!(breaker.allows(later, 1));
+    assert!(!breaker.allows(later, 2));
+    for _ in 0..3 {
+        breaker.on_success();
+    }
+    assert!(breaker.allows(later, 100));
+}
+
+#[test]
+fn pauses_longer_after_each_failed_return() {
+    let mut now = Instant::now();
+    let mut breaker = Breaker::default();
+    breaker.on_failure(now);
+    breaker.on_failure(now);
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        let opens = breaker.opens_at(now).expect("the breaker is open");
+        pauses.push((opens - now).as_secs());
+        now = opens;
+        breaker.on_failure(now);
+    }
+    assert_eq!(pauses, [1, 2, 4, 8, 16, 30, 30, 30]);
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the decisions.
+
+mod breaker;
+mod conservation;
+mod fallback;
+mod pool;
+mod pool_choice;
+mod prefix_index;
+mod support;
