Scenarios for every kind of failure, pairs of failures, random walks

Found by them: keeping time for four mean answers refused every request with a deadline under 33 s on a pool that had not seen an answer yet (418 tokens of 20 ms assumed). The time of a token and the length of answers are now learned apart, bounded by the request's own max-tokens, and not used for refusals before 20 answers were seen.

--- a/crates/azuresaddle-node/src/traffic/answers.rs
+++ b/crates/azuresaddle-node/src/traffic/answers.rs
@@ -4,7 +4,6 @@
 
 use azuresaddle_core::http::Body;
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::Outcome;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
@@ -143,7 +142,7 @@
         drop(caller);
         let target_failed = matches!(end, Err(RelayEnd::Target(_)));
         match end {
-            Ok(()) => self.report(&placement, ReportKind::Ended(Outcome::Done)),
+            Ok(()) => self.report(&placement, ReportKind::Ended(progress.done())),
             Err(RelayEnd::Displaced) => {}
             Err(RelayEnd::CallerGone) => {
                 self.report(&placement, ReportKind::Abandoned { target_failed });
--- a/crates/azuresaddle-node/src/traffic/relay.rs
+++ b/crates/azuresaddle-node/src/traffic/relay.rs
@@ -1,6 +1,7 @@
 //! Relays one stream of a target to a caller.
 
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::Outcome;
 use tokio::time::Instant;
 
 use super::caller_events::{CallerEvent, EndEvent, StartEvent, TokenText};
@@ -28,6 +29,12 @@
 }
 
 impl Progress {
+    /// The outcome of a whole answer.
+    pub(super) fn done(&self) -> Outcome {
+        let tokens = u32::try_from(self.next).unwrap_or(u32::MAX);
+        Outcome::Done { tokens }
+    }
+
     /// What is known of the request's execution.
     pub(super) fn verdict(&self) -> Verdict {
         if self.may_have_run {
--- a/crates/azuresaddle-node/src/traffic/run_job.rs
+++ b/crates/azuresaddle-node/src/traffic/run_job.rs
@@ -77,7 +77,7 @@
                     stream = stream.retry();
                 }
                 Ok(()) => {
-                    attempt.end(Some(ReportKind::Ended(Outcome::Done)));
+                    attempt.end(Some(ReportKind::Ended(progress.done())));
                     return Ok(());
                 }
                 Err(RelayEnd::Displaced) => {
--- a/crates/azuresaddle-sched/benches/decide.rs
+++ b/crates/azuresaddle-sched/benches/decide.rs
@@ -4,7 +4,7 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::{Action, Ask, Outcome, Pool, PoolOptions, TargetSpec};
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BenchmarkId, Criterion, criterion_main};
 use tokio::time::Instant;
 
 fn ask(number: u128, now: Instant) -> Ask {
@@ -13,7 +13,11 @@
         node: HostName::new("n"),
         account: ClientAccount::new(["a", "b", "c", "d"][number as usize % 4]),
         // One in fifty is long.
-        prompt_tokens: if number % 50 == 0 { 150_000 } else { 2_000 },
+        prompt_tokens: if number.is_multiple_of(50) {
+            150_000
+        } else {
+            2_000
+        },
         max_tokens: 512,
         prefix: Vec::new(),
         priority: 0,
@@ -69,7 +73,7 @@
                     pool.enqueue(now, ask(next, now));
                     if let Some(stream) = running.pop() {
                         pool.on_first_token(now, stream);
-                        pool.on_end(now, stream, Outcome::Done);
+                        pool.on_end(now, stream, Outcome::Done { tokens: 400 });
                     }
                     pool.dispatch(now);
                     running.extend(reserved(&mut pool));
@@ -80,5 +84,10 @@
     group.finish();
 }
 
-criterion_group!(benches, decide);
-criterion_main!(benches);
+#[allow(missing_docs, reason = "the macro makes an undocumented function")]
+mod group {
+    use super::decide;
+    criterion::criterion_group!(benches, decide);
+}
+
+criterion_main!(group::benches);
--- a/crates/azuresaddle-sched/src/outcome.rs
+++ b/crates/azuresaddle-sched/src/outcome.rs
@@ -7,7 +7,10 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// The answer is whole.
-    Done,
+    Done {
+        /// Tokens of the answer.
+        tokens: u32,
+    },
     /// The caller or the node gave up, and the target confirmed that the stream is gone.
     Cancelled,
     /// The target refused the request before it started.
@@ -19,6 +22,6 @@
 impl Outcome {
     /// Whether the target did what it was asked to.
     pub fn is_success(self) -> bool {
-        matches!(self, Self::Done | Self::Cancelled)
+        matches!(self, Self::Done { .. } | Self::Cancelled)
     }
 }
--- a/crates/azuresaddle-sched/src/pool/admission.rs
+++ b/crates/azuresaddle-sched/src/pool/admission.rs
@@ -14,9 +14,6 @@
 /// Weight of one step of priority, as time in the queue.
 const PRIORITY_STEP: Duration = Duration::from_secs(1);
 
-/// Time kept for an answer, in mean answers; of geometric lengths one in fifty is longer.
-const ANSWER_MARGIN: u32 = 4;
-
 /// Wait that is allowed for each unit of prefill time, in the order of the queue.
 const WAIT_PER_PREFILL: u32 = 8;
 
@@ -106,7 +103,7 @@
         class: Class,
         prefill: Duration,
     ) -> Result<Instant, Refusal> {
-        let needed = prefill + self.decode.get() * ANSWER_MARGIN;
+        let needed = prefill + self.answers.time_to_keep(ask.max_tokens);
         let latest = ask.deadline.checked_sub(needed).unwrap_or(now);
         if !self.options.check_deadlines {
             return Ok(ask.deadline);
--- a/crates/azuresaddle-sched/src/pool/dispatch.rs
+++ b/crates/azuresaddle-sched/src/pool/dispatch.rs
@@ -173,14 +173,18 @@
 
     /// Targets whose memory the request needs together; 0 where the pool is too small.
     pub(super) fn members_for(&self, ask: &Ask) -> usize {
-        let mut sizes: Vec<u64> = self
-            .targets
-            .values()
-            .filter(|t| !t.leaving && !ask.exclude.contains(&t.spec.name))
-            .map(|t| t.spec.memory_tokens)
-            .collect();
-        sizes.sort_unstable_by(|a, b| b.cmp(a));
+        let usable = self.targets.values();
+        let usable = usable.filter(|t| !t.leaving && !ask.exclude.contains(&t.spec.name));
+        let sizes = usable.map(|t| t.spec.memory_tokens);
         let needed = ask.memory_tokens();
+        if sizes
+            .clone()
+            .any(|size| size as f64 * MAX_SHARE >= needed as f64)
+        {
+            return 1;
+        }
+        let mut sizes: Vec<u64> = sizes.collect();
+        sizes.sort_unstable_by(|a, b| b.cmp(a));
         fewest_members(&sizes, needed, MAX_SHARE)
             .or_else(|| fewest_members(&sizes, needed, 1.0))
             .unwrap_or(0)
--- a/crates/azuresaddle-sched/src/pool/drains.rs
+++ b/crates/azuresaddle-sched/src/pool/drains.rs
@@ -94,7 +94,7 @@
                 return at;
             }
         }
-        now + self.decode.get()
+        now + self.answers.mean_time()
     }
 
     /// Whether a request may use a target in spite of a drain.
@@ -108,7 +108,7 @@
         let Some(drain) = target.drain.and_then(|d| self.drains.get(d)) else {
             return true;
         };
-        drain.wait == key || now + prefill + self.decode.get() <= drain.ready_at
+        drain.wait == key || now + prefill + self.answers.mean_time() <= drain.ready_at
     }
 
     /// Number of targets that are drained for a request.
--- a/crates/azuresaddle-sched/src/pool/events.rs
+++ b/crates/azuresaddle-sched/src/pool/events.rs
@@ -19,13 +19,13 @@
         let Some(key) = self.by_stream.get(&stream).copied() else {
             return;
         };
-        let decode = self.decode.get();
+        let rest = self.answers.mean_time();
         let reservation = &mut self.reservations[key];
         if reservation.first_token_at.is_some() {
             return;
         }
         reservation.first_token_at = Some(now);
-        reservation.ends_at = now + decode;
+        reservation.ends_at = now + rest;
         let sent_at = reservation.sent_at;
         let tokens = reservation.prefill_tokens;
         for target_key in reservation.targets.clone() {
@@ -102,7 +102,7 @@
     pub(super) fn note_outcome(&mut self, now: Instant, key: TargetKey, outcome: Outcome) {
         let target = &mut self.targets[key];
         match outcome {
-            Outcome::Done => target.breaker.on_success(),
+            Outcome::Done { .. } => target.breaker.on_success(),
             Outcome::Cancelled => {}
             Outcome::TargetRefused => target.paused_until = now + REFUSED_PAUSE,
             Outcome::TargetFailed => target.breaker.on_failure(now),
--- a/crates/azuresaddle-sched/src/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/pool/ledger.rs
@@ -40,7 +40,7 @@
             let start = target.prefill_ends.max(now);
             first_token = first_token.max(start + target.rate.time_for(prefill_tokens));
         }
-        self.reservations[key].ends_at = first_token + self.decode.get();
+        self.reservations[key].ends_at = first_token + self.answers.mean_time();
         for target_key in keys {
             let target = &mut self.targets[*target_key];
             target.prefilling.push(key);
@@ -82,7 +82,7 @@
             prefill_tokens: 0.0,
             sent_at: now,
             first_token_at: live.decoding.then_some(now),
-            ends_at: now + self.decode.get(),
+            ends_at: now + self.answers.mean_time(),
         });
         if !live.decoding {
             self.targets[target_key].prefilling.push(key);
@@ -126,8 +126,9 @@
         let reservation = self.reservations.remove(key).expect("the key is live");
         self.by_stream.remove(&reservation.stream);
         self.usage.release(&reservation.account);
-        if let (Outcome::Done, Some(at)) = (outcome, reservation.first_token_at) {
-            self.decode.observe(now.saturating_duration_since(at));
+        if let (Outcome::Done { tokens }, Some(at)) = (outcome, reservation.first_token_at) {
+            self.answers
+                .observe(tokens, now.saturating_duration_since(at));
         }
     }
 
--- a/crates/azuresaddle-sched/src/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/pool/mod.rs
@@ -23,14 +23,11 @@
 use crate::options::PoolOptions;
 use crate::pool_digest::PoolDigest;
 use crate::queue::Queue;
-use crate::rate::MeanDuration;
+use crate::rate::AnswerTimes;
 use crate::reservation::{Reservation, ReservationKey};
 use crate::retry_budget::RetryBudget;
 use crate::target::{Target, TargetKey};
 
-/// Mean answer assumed until the time of answers is learned, in tokens.
-const INITIAL_ANSWER_TOKENS: u32 = 418;
-
 /// Schedules the requests of one pool.
 ///
 /// Call [`Pool::dispatch`] after a batch of events and when [`Pool::next_wakeup`] has come, then
@@ -48,14 +45,14 @@
     demand: Demand,
     usage: AccountUsage,
     retries: RetryBudget,
-    decode: MeanDuration,
+    answers: AnswerTimes,
     actions: Vec<Action>,
 }
 
 impl Pool {
     /// An empty pool.
     pub fn new(now: Instant, options: PoolOptions) -> Self {
-        let decode = MeanDuration::new(options.initial_decode_step * INITIAL_ANSWER_TOKENS);
+        let answers = AnswerTimes::new(options.initial_decode_step);
         Self {
             options,
             targets: SlotMap::with_key(),
@@ -68,7 +65,7 @@
             demand: Demand::new(now),
             usage: AccountUsage::default(),
             retries: RetryBudget::default(),
-            decode,
+            answers,
             actions: Vec::new(),
         }
     }
--- a/crates/azuresaddle-sched/src/rate.rs
+++ b/crates/azuresaddle-sched/src/rate.rs
@@ -39,27 +39,55 @@
     }
 }
 
-/// Exponentially weighted mean of a duration.
+/// Mean length of answers and mean time of a token, learned from whole answers.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct MeanDuration {
-    seconds: f64,
+pub(crate) struct AnswerTimes {
+    mean_tokens: f64,
+    step_seconds: f64,
+    observed: u32,
 }
 
-impl MeanDuration {
+impl AnswerTimes {
     /// Weight of a new observation; many requests share one mean, so it moves slowly.
     const GAIN: f64 = 0.02;
 
-    pub(crate) fn new(initial: Duration) -> Self {
+    /// Mean answer assumed until it is learned, in tokens.
+    const INITIAL_TOKENS: f64 = 418.0;
+
+    /// Answers after which the means are trusted for refusals.
+    const TRUSTED_AFTER: u32 = 20;
+
+    /// Time kept for an answer, in mean answers; of geometric lengths one in fifty is longer.
+    const MARGIN: f64 = 4.0;
+
+    pub(crate) fn new(initial_step: Duration) -> Self {
         Self {
-            seconds: initial.as_secs_f64(),
+            mean_tokens: Self::INITIAL_TOKENS,
+            step_seconds: initial_step.as_secs_f64(),
+            observed: 0,
         }
     }
 
-    pub(crate) fn get(self) -> Duration {
-        Duration::from_secs_f64(self.seconds)
+    /// Time from the first token to the end of a usual answer.
+    pub(crate) fn mean_time(self) -> Duration {
+        Duration::from_secs_f64(self.mean_tokens * self.step_seconds)
+    }
+
+    /// Time that a request needs before its deadline for its answer; none while little is known,
+    /// since a wrong guess would refuse what could be served.
+    pub(crate) fn time_to_keep(self, max_tokens: u64) -> Duration {
+        if self.observed < Self::TRUSTED_AFTER {
+            return Duration::ZERO;
+        }
+        let tokens = (Self::MARGIN * self.mean_tokens).min(max_tokens as f64);
+        Duration::from_secs_f64(tokens * self.step_seconds)
     }
 
-    pub(crate) fn observe(&mut self, took: Duration) {
-        self.seconds += Self::GAIN * (took.as_secs_f64() - self.seconds);
+    pub(crate) fn observe(&mut self, tokens: u32, took: Duration) {
+        let tokens = f64::from(tokens.max(1));
+        let step = took.as_secs_f64() / tokens;
+        self.mean_tokens += Self::GAIN * (tokens - self.mean_tokens);
+        self.step_seconds += Self::GAIN * (step - self.step_seconds);
+        self.observed = self.observed.saturating_add(1);
     }
 }
--- a/crates/azuresaddle-sched/tests/suite/conservation.rs
+++ b/crates/azuresaddle-sched/tests/suite/conservation.rs
@@ -71,7 +71,7 @@
                 Op::End(at, how) => {
                     if let Some(stream) = pick(at) {
                         let outcomes = [
-                            Outcome::Done,
+                            Outcome::Done { tokens: 400 },
                             Outcome::Cancelled,
                             Outcome::TargetRefused,
                             Outcome::TargetFailed,
@@ -109,7 +109,7 @@
             take(&mut pool, now, &mut held);
             for stream in held.keys() {
                 pool.on_first_token(now, *stream);
-                pool.on_end(now, *stream, Outcome::Done);
+                pool.on_end(now, *stream, Outcome::Done { tokens: 400 });
             }
             held.clear();
         }
--- a/crates/azuresaddle-sched/tests/suite/pool.rs
+++ b/crates/azuresaddle-sched/tests/suite/pool.rs
@@ -30,7 +30,7 @@
     pool.enqueue(now, ask(2, now, 1_150_000));
     assert_eq!(decide(&mut pool, now).len(), 0, "one target is taken");
     pool.on_first_token(now, stream(1));
-    pool.on_end(now, stream(1), Outcome::Done);
+    pool.on_end(now, stream(1), Outcome::Done { tokens: 400 });
     assert_eq!(decide(&mut pool, now), ["2@e0,e1,e2"]);
 }
 
@@ -66,7 +66,7 @@
             }
             let ended = now >= *at + Duration::from_secs(2);
             if ended {
-                pool.on_end(now, stream(*number), Outcome::Done);
+                pool.on_end(now, stream(*number), Outcome::Done { tokens: 400 });
             }
             !ended
         });
@@ -172,7 +172,7 @@
     let decisions = decide(&mut pool, now);
     let refused = "2!the client account has reached its limit of requests in flight";
     assert_eq!(decisions.iter().filter(|d| *d == refused).count(), 1);
-    pool.on_end(now, stream(0), Outcome::Done);
+    pool.on_end(now, stream(0), Outcome::Done { tokens: 400 });
     pool.enqueue(
         now,
         Ask {
@@ -249,7 +249,7 @@
             .iter()
             .filter(|d| d.ends_with("the retry budget is spent"))
             .count();
-        pool.on_end(now, stream(number).retry(), Outcome::Done);
+        pool.on_end(now, stream(number).retry(), Outcome::Done { tokens: 400 });
     }
     assert_eq!(refused, 40, "ten are saved up at the start");
 }
--- a/crates/azuresaddle-standin/src/cluster/spec.rs
+++ b/crates/azuresaddle-standin/src/cluster/spec.rs
@@ -86,4 +86,19 @@
             host_list_lag: Duration::ZERO,
         }
     }
+
+    /// Spreads the hosts of each kind over failure domains `d1`… in turn.
+    pub fn over_domains(mut self, count: usize) -> Self {
+        let domain = |i: usize| FailureDomain::new(format!("d{}", i % count.max(1) + 1));
+        for (i, node) in self.nodes.iter_mut().enumerate() {
+            node.domain = domain(i);
+        }
+        for (i, engine) in self.engines.iter_mut().enumerate() {
+            engine.domain = domain(i);
+        }
+        for (i, service) in self.services.iter_mut().enumerate() {
+            service.domain = domain(i);
+        }
+        self
+    }
 }
--- a/crates/azuresaddle-standin/src/cluster/system.rs
+++ b/crates/azuresaddle-standin/src/cluster/system.rs
@@ -225,15 +225,15 @@
         self.engines.values().map(|e| e.server.used_tokens()).sum()
     }
 
-    /// Whether every pool has an owner that all nodes know and whose targets take work.
+    /// Whether every pool has an owner that all nodes know and whose targets all take work.
     pub fn is_settled(&self) -> bool {
         self.nodes.values().all(|host| {
             let snapshot = host.node.snapshot();
-            let pools = snapshot.hosts.pools.keys();
-            let mut ready = pools.map(|pool| {
-                let digest = snapshot.digests.iter().find(|d| d.digest.pool == *pool);
-                snapshot.owners.contains_key(pool)
-                    && digest.is_some_and(|d| d.digest.usable_targets > 0)
+            let pools = snapshot.hosts.pools.iter();
+            let mut ready = pools.map(|(pool, targets)| {
+                let seen = snapshot.digests.iter().find(|d| d.digest.pool == *pool);
+                let usable = seen.map_or(0, |d| d.digest.usable_targets as usize);
+                snapshot.owners.contains_key(pool) && usable == targets.len()
             });
             !snapshot.hosts.pools.is_empty() && ready.all(|is_ready| is_ready)
         })
--- a/crates/azuresaddle-standin/src/experiment/world.rs
+++ b/crates/azuresaddle-standin/src/experiment/world.rs
@@ -121,7 +121,11 @@
             Event::PrefillEnds(id) => self.on_prefill_ends(now, id),
             Event::AnswerEnds(id) => self.on_answer_ends(now, id),
             Event::FirstTokenHeard(id) => self.decider.first_token(now, self.streams[id]),
-            Event::EndHeard(id) => self.decider.end(now, self.streams[id], Outcome::Done),
+            Event::EndHeard(id) => {
+                let tokens = self.orders[id].answer_tokens as u32;
+                let outcome = Outcome::Done { tokens };
+                self.decider.end(now, self.streams[id], outcome);
+            }
             Event::GivenUp(id) => self.on_given_up(now, id),
             Event::Deadline(i) => self.on_deadline(now, i),
             Event::Fault(i) => self.on_fault(now, i),
--- a/tests/testsuite/scenario/driver.rs
+++ b/tests/testsuite/scenario/driver.rs
@@ -277,7 +277,7 @@
     );
     ClusterSpec {
         host_list_lag: time(args, "list-lag"),
-        ..spec
+        ..spec.over_domains(count("domains"))
     }
 }
 
--- a/tests/testsuite/scenario/mod.rs
+++ b/tests/testsuite/scenario/mod.rs
@@ -5,6 +5,7 @@
 mod checker_tests;
 mod driver;
 mod trace;
+mod walk;
 mod words;
 mod world;
 
--- a/tests/testsuite/scenario/words.rs
+++ b/tests/testsuite/scenario/words.rs
@@ -48,6 +48,7 @@
                 .arg(number("engines", "2"))
                 .arg(number("services", "1"))
                 .arg(number("memory", "400000"))
+                .arg(number("domains", "1"))
                 .arg(duration("list-lag", "0s"))
                 .arg(flag("ignore-fencing")),
         )
