Give back lent memory at the end of an answer; a refusal does not exclude a target

Seen failing: after an answer from several engines the engines that only lent memory held it until the listing of streams found it up to 15 s later (scenario lent-memory), and the next huge prompt was refused by them, which counted as failures of targets until too few were left: "no target is available" with all targets idle (scenario plain). The owner now cancels on all targets of a multi-engine answer when it ends, and a target that refuses without starting is not excluded from the retry. The caller now keeps the worst verdict.

--- a/crates/azuresaddle-node/src/control/actor.rs
+++ b/crates/azuresaddle-node/src/control/actor.rs
@@ -151,7 +151,7 @@
             Command::Listing(target, list, sent) => self.on_listing(now, &target, list, sent),
             Command::CacheListing(target, listing) => self.on_cache_listing(&target, listing),
             Command::CacheEvents(target, events) => self.on_cache_events(&target, events),
-            Command::Gone(pool, stream, failed) => self.on_gone(now, &pool, stream, failed),
+            Command::Gone(pool, stream, outcome) => self.on_gone(now, &pool, stream, outcome),
             Command::CancelUnconfirmed(pool, stream) => {
                 self.on_cancel_unconfirmed(now, &pool, stream);
             }
--- a/crates/azuresaddle-node/src/control/cancel.rs
+++ b/crates/azuresaddle-node/src/control/cancel.rs
@@ -5,6 +5,7 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::Outcome;
+use futures::future::join_all;
 use tokio::time::Instant;
 
 use super::actor::Control;
@@ -22,13 +23,14 @@
 const MAX_ATTEMPTS: u32 = 20;
 
 impl<N: Network> Control<N> {
-    /// Cancels an attempt on all its targets; the reservation ends once they confirm it.
+    /// Cancels an attempt on all its targets; the reservation ends with the outcome once they
+    /// confirm it.
     pub(super) fn begin_cancel(
         &mut self,
         now: Instant,
         pool: &PoolId,
         stream: StreamId,
-        target_failed: bool,
+        outcome: Outcome,
     ) {
         let Some(owned) = self.owned.get_mut(pool) else {
             return;
@@ -36,7 +38,7 @@
         owned.claimed.remove(&stream);
         let names = owned.pool.targets_of(stream);
         if names.is_empty() {
-            owned.pool.on_end(now, stream, Outcome::Cancelled);
+            owned.pool.on_end(now, stream, outcome);
             owned.forget(stream);
             return;
         }
@@ -56,12 +58,18 @@
         let client = self.engines.clone();
         let pool = pool.clone();
         self.spawn_command(async move {
-            for addr in addrs {
-                if !cancel_on(&client, addr, stream, &fence).await {
-                    return Some(Command::CancelUnconfirmed(pool, stream));
-                }
-            }
-            Some(Command::Gone(pool, stream, target_failed))
+            let cancels = addrs
+                .into_iter()
+                .map(|addr| cancel_on(&client, addr, stream, &fence));
+            let confirmed = join_all(cancels)
+                .await
+                .into_iter()
+                .all(|confirmed| confirmed);
+            Some(if confirmed {
+                Command::Gone(pool, stream, outcome)
+            } else {
+                Command::CancelUnconfirmed(pool, stream)
+            })
         });
     }
 
@@ -72,13 +80,14 @@
         }
     }
 
-    pub(super) fn on_gone(&mut self, now: Instant, pool: &PoolId, stream: StreamId, failed: bool) {
+    pub(super) fn on_gone(
+        &mut self,
+        now: Instant,
+        pool: &PoolId,
+        stream: StreamId,
+        outcome: Outcome,
+    ) {
         if let Some(owned) = self.owned.get_mut(pool) {
-            let outcome = if failed {
-                Outcome::TargetFailed
-            } else {
-                Outcome::Cancelled
-            };
             owned.pool.on_end(now, stream, outcome);
             owned.forget(stream);
         }
--- a/crates/azuresaddle-node/src/control/command.rs
+++ b/crates/azuresaddle-node/src/control/command.rs
@@ -2,6 +2,7 @@
 
 use azuresaddle_core::host_list::HostList;
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::Outcome;
 use azuresaddle_store::{Changes, LeaseId, OwnerRecord, RulesRecord, StoreError};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -46,8 +47,8 @@
     CacheListing(HostName, CacheListing),
     /// A target's cache events.
     CacheEvents(HostName, Vec<azuresaddle_sched::CacheEvent>),
-    /// A stream is known to be gone from its targets; the flag says whether a target failed it.
-    Gone(PoolId, StreamId, bool),
+    /// A stream is known to be gone from its targets.
+    Gone(PoolId, StreamId, Outcome),
     /// No target confirmed that a stream is gone.
     CancelUnconfirmed(PoolId, StreamId),
     /// The process was told to stop.
--- a/crates/azuresaddle-node/src/control/reservations.rs
+++ b/crates/azuresaddle-node/src/control/reservations.rs
@@ -89,15 +89,22 @@
         };
         match kind {
             ReportKind::FirstToken => owned.pool.on_first_token(now, stream),
+            // Targets that lent memory to the leading one do not know of the end.
+            ReportKind::Ended(outcome) if owned.pool.targets_of(stream).len() > 1 => {
+                self.begin_cancel(now, &pool, stream, outcome);
+            }
             ReportKind::Ended(outcome) => {
                 owned.pool.on_end(now, stream, outcome);
                 owned.forget(stream);
             }
             ReportKind::Abandoned { target_failed } => {
-                if target_failed {
+                let outcome = if target_failed {
                     owned.pool.on_suspect(now, stream);
-                }
-                self.begin_cancel(now, &pool, stream, target_failed);
+                    Outcome::TargetFailed
+                } else {
+                    Outcome::Cancelled
+                };
+                self.begin_cancel(now, &pool, stream, outcome);
             }
         }
     }
@@ -161,7 +168,7 @@
         }
         for (id, stream) in unclaimed {
             tracing::info!("owner: no node claims {stream}, cancelling");
-            self.begin_cancel(now, &id, stream, false);
+            self.begin_cancel(now, &id, stream, Outcome::Cancelled);
         }
     }
 }
--- a/crates/azuresaddle-node/src/engine/wire.rs
+++ b/crates/azuresaddle-node/src/engine/wire.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|
 //! | `POST /v1/streams` | [`Start`] | server-sent [`TokenEvent`]s |
 //! | `GET /v1/streams/ID?after=N&node=H&take-over=B` | | server-sent [`TokenEvent`]s from index N |
-//! | `DELETE /v1/streams/ID?pool=P&epoch=E` | | [`Gone`]; also for an unknown id |
+//! | `DELETE /v1/streams/ID?pool=P&epoch=E` | | [`Gone`]; also for an unknown id; a finished stream stays readable |
 //! | `POST /v1/lends` | [`Lend`] | [`Gone`] with `gone: false` |
 //! | `GET /v1/streams` | | [`StreamList`] |
 //! | `GET /v1/load` | | [`LoadReport`] |
--- a/crates/azuresaddle-node/src/traffic/answers.rs
+++ b/crates/azuresaddle-node/src/traffic/answers.rs
@@ -147,7 +147,7 @@
             Err(RelayEnd::CallerGone) => {
                 self.report(&placement, ReportKind::Abandoned { target_failed });
             }
-            Err(RelayEnd::Target(detail)) => {
+            Err(RelayEnd::Target(detail) | RelayEnd::Refused(detail)) => {
                 self.report(&placement, ReportKind::Abandoned { target_failed });
                 sink.fail(fault::target(&detail, Verdict::MayHaveRun)).await;
             }
--- a/crates/azuresaddle-node/src/traffic/relay.rs
+++ b/crates/azuresaddle-node/src/traffic/relay.rs
@@ -54,6 +54,8 @@
     Displaced,
     /// The target failed; another one may do.
     Target(String),
+    /// The target did not take the request, but is not at fault; the same one may do later.
+    Refused(String),
     /// The answer can't be finished.
     Failed(Problem),
 }
--- a/crates/azuresaddle-node/src/traffic/run_job.rs
+++ b/crates/azuresaddle-node/src/traffic/run_job.rs
@@ -14,8 +14,8 @@
 use crate::engine::EngineFailure;
 use crate::peer::{Report, ReportKind};
 
-/// Most targets that are tried for one request.
-const MAX_TARGETS: u8 = 4;
+/// Most attempts of one request.
+const MAX_ATTEMPTS: u8 = 4;
 
 impl<N: Network> Traffic<N> {
     /// Runs a job to its end; the caller gets exactly one final answer, by the deadline.
@@ -33,7 +33,9 @@
         let problem = match end {
             Ok(()) => None,
             Err(RelayEnd::CallerGone | RelayEnd::Displaced) => return,
-            Err(RelayEnd::Target(detail)) => Some(fault::target(&detail, progress.verdict())),
+            Err(RelayEnd::Target(detail) | RelayEnd::Refused(detail)) => {
+                Some(fault::target(&detail, progress.verdict()))
+            }
             Err(RelayEnd::Failed(problem)) => {
                 let verdict = problem.verdict.max(progress.verdict());
                 Some(problem.verdict(verdict))
@@ -64,18 +66,7 @@
                 .await
                 .map_err(RelayEnd::Failed)?;
             let end = self.run_attempt(job, &placement, sink, progress).await;
-            match end {
-                Err(RelayEnd::Target(detail)) => {
-                    attempt.end(None);
-                    let out_of_tries = stream.attempt + 1 >= MAX_TARGETS;
-                    if out_of_tries || !progress.verdict().may_retry(job.idempotent) {
-                        return Err(RelayEnd::Target(detail));
-                    }
-                    tracing::info!("traffic: {stream} failed, trying another target: {detail}");
-                    self.metrics.count("traffic.retry");
-                    exclude.extend(placement.targets.first().map(|(name, _)| name.clone()));
-                    stream = stream.retry();
-                }
+            let failure = match end {
                 Ok(()) => {
                     attempt.end(Some(ReportKind::Ended(progress.done())));
                     return Ok(());
@@ -84,8 +75,21 @@
                     attempt.end(None);
                     return Err(RelayEnd::Displaced);
                 }
+                Err(RelayEnd::Target(detail)) => {
+                    exclude.extend(placement.targets.first().map(|(name, _)| name.clone()));
+                    detail
+                }
+                Err(RelayEnd::Refused(detail)) => detail,
                 Err(end) => return Err(end),
+            };
+            attempt.end(None);
+            let out_of_tries = stream.attempt + 1 >= MAX_ATTEMPTS;
+            if out_of_tries || !progress.verdict().may_retry(job.idempotent) {
+                return Err(RelayEnd::Target(failure));
             }
+            tracing::info!("traffic: {stream} failed, trying again: {failure}");
+            self.metrics.count("traffic.retry");
+            stream = stream.retry();
         }
     }
 
@@ -104,7 +108,10 @@
             Err(e) if e.verdict() == Verdict::NotRun => {
                 progress.may_have_run = ran_before;
                 self.report(placement, report_of(&e, placement));
-                return Err(RelayEnd::Target(e.to_string()));
+                return Err(match e {
+                    EngineFailure::Refused(_) => RelayEnd::Refused(e.to_string()),
+                    _ => RelayEnd::Target(e.to_string()),
+                });
             }
             // The order may have arrived: what it started is read, not started again.
             Err(_) => None,
--- a/crates/azuresaddle-standin/src/engine/model.rs
+++ b/crates/azuresaddle-standin/src/engine/model.rs
@@ -156,9 +156,13 @@
         Ok(stream.reader)
     }
 
-    /// Forgets a stream and lent memory; unknown ones are gone already.
+    /// Forgets a stream and lent memory; unknown ones are gone already, and finished ones hold
+    /// nothing and are kept for their readers.
     pub(super) fn cancel(&mut self, id: StreamId) {
         self.lends.remove(&id);
+        if self.streams.get(&id).is_some_and(|s| !s.holds_memory()) {
+            return;
+        }
         if let Some(stream) = self.streams.remove(&id) {
             stream.changed.notify_waiters();
         }
--- a/crates/azuresaddle-standin/src/load/caller.rs
+++ b/crates/azuresaddle-standin/src/load/caller.rs
@@ -67,7 +67,8 @@
 /// How one connection ended.
 enum ConnectionEnd {
     Final(OutcomeKind),
-    Broken,
+    /// Another address may do; the verdict is on what was sent over this one.
+    Broken(Verdict),
 }
 
 impl<N: Network> Caller<N> {
@@ -127,6 +128,7 @@
         resumes: &mut u32,
     ) -> OutcomeKind {
         let mut attempt = 0;
+        let mut verdict = Verdict::NotRun;
         loop {
             let addr = self
                 .addresses
@@ -136,12 +138,19 @@
             if let Some(addr) = addr {
                 let end = self.connect(addr, request, body, started, received).await;
                 match end {
-                    ConnectionEnd::Final(kind) => return kind,
-                    ConnectionEnd::Broken if !request.idempotent && request.key.is_none() => {
-                        return OutcomeKind::Failed(unknown_outcome());
+                    ConnectionEnd::Final(OutcomeKind::Failed(mut problem)) => {
+                        // Earlier connections may have started what this one says did not run.
+                        problem.verdict = problem.verdict.max(verdict);
+                        return OutcomeKind::Failed(problem);
                     }
-                    ConnectionEnd::Broken => *resumes += 1,
+                    ConnectionEnd::Final(kind) => return kind,
+                    ConnectionEnd::Broken(broken) => verdict = verdict.max(broken),
+                }
+                let may_retry = request.key.is_some() || verdict.may_retry(request.idempotent);
+                if !may_retry {
+                    return OutcomeKind::Failed(unknown_outcome());
                 }
+                *resumes += 1;
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -161,8 +170,9 @@
             Some(start) => self.resume_request(start, received.next),
             None => self.first_request(request, body, left),
         };
-        let Ok(resp) = self.http.send(addr, req, left + SILENCE).await else {
-            return ConnectionEnd::Broken;
+        let resp = match self.http.send(addr, req, left + SILENCE).await {
+            Ok(resp) => resp,
+            Err(e) => return ConnectionEnd::Broken(e.verdict()),
         };
         if !resp.status().is_success() {
             return failed(resp, received, resuming.is_some(), request.idempotent).await;
@@ -237,7 +247,7 @@
                 }
             }
         }
-        ConnectionEnd::Broken
+        ConnectionEnd::Broken(Verdict::MayHaveRun)
     }
 
     /// Forgets an answer that can't be gone on with, so that the request is made anew.
@@ -255,17 +265,17 @@
     idempotent: bool,
 ) -> ConnectionEnd {
     let Ok(body) = resp.into_body().collect().await else {
-        return ConnectionEnd::Broken;
+        return ConnectionEnd::Broken(Verdict::MayHaveRun);
     };
     let Ok(problem) = serde_json::from_slice::<Problem>(&body.to_bytes()) else {
-        return ConnectionEnd::Broken;
+        return ConnectionEnd::Broken(Verdict::MayHaveRun);
     };
     if resuming && problem.title == "answer-lost" && idempotent {
         received.restart();
-        return ConnectionEnd::Broken;
+        return ConnectionEnd::Broken(Verdict::MayHaveRun);
     }
     if problem.title == "node-unavailable" {
-        return ConnectionEnd::Broken;
+        return ConnectionEnd::Broken(problem.verdict);
     }
     ConnectionEnd::Final(OutcomeKind::Failed(problem))
 }
--- a/tests/testsuite/scenario/checker_tests.rs
+++ b/tests/testsuite/scenario/checker_tests.rs
@@ -22,7 +22,7 @@
 
 fn not_run() -> End {
     End::Failed {
-        title: "x".to_owned(),
+        problem: "x".to_owned(),
         verdict: Verdict::NotRun,
         retry_after: true,
     }
--- a/tests/testsuite/scenario/driver.rs
+++ b/tests/testsuite/scenario/driver.rs
@@ -302,7 +302,7 @@
     match end {
         End::Whole => "whole".to_owned(),
         End::Failed {
-            title,
+            problem,
             verdict,
             retry_after,
         } => {
@@ -311,7 +311,7 @@
             } else {
                 ""
             };
-            format!("failed: {title} ({verdict}{hint})")
+            format!("failed: {problem} ({verdict}{hint})")
         }
         other => format!("{other:?}"),
     }
--- a/tests/testsuite/scenario/trace.rs
+++ b/tests/testsuite/scenario/trace.rs
@@ -12,7 +12,8 @@
     Whole,
     /// A final failure.
     Failed {
-        title: String,
+        /// Title and detail of the problem.
+        problem: String,
         verdict: Verdict,
         retry_after: bool,
     },
--- a/tests/testsuite/scenario/world.rs
+++ b/tests/testsuite/scenario/world.rs
@@ -160,7 +160,7 @@
             let started = Instant::now();
             let end = match client.send(addr, req, deadline * 2).await {
                 Err(_) => End::Failed {
-                    title: "connection-broke".to_owned(),
+                    problem: "connection-broke".to_owned(),
                     verdict: Verdict::MayHaveRun,
                     retry_after: false,
                 },
@@ -467,7 +467,7 @@
 fn failed(problem: Problem) -> End {
     End::Failed {
         retry_after: problem.retry_after_ms.is_some(),
-        title: problem.title,
+        problem: format!("{}: {}", problem.title, problem.detail),
         verdict: problem.verdict,
     }
 }
