--- a/tests/testsuite/scenario/driver.rs
+++ b/tests/testsuite/scenario/driver.rs
@@ -90,6 +90,7 @@
             }
             "advance" => world.advance(time(args, "time")).await,
             "wait" => return Some(describe(&world.wait(&text(args, "id")).await)),
+            "hang-up" => world.hang_up(&text(args, "id")),
             "kill" => world.kill(&text(args, "host")),
             "kill-owner" => {
                 let owner = world.owner().expect("a pool has an owner");
--- a/tests/testsuite/scenario/words.rs
+++ b/tests/testsuite/scenario/words.rs
@@ -112,6 +112,7 @@
                 .arg(Arg::new("args").num_args(0..)),
         )
         .subcommand(word("wait").arg(text("id")))
+        .subcommand(word("hang-up").arg(text("id")))
         .subcommand(word("kill-owner"))
         .subcommand(word("freeze-owner"))
 }
--- a/tests/testsuite/scenario/world.rs
+++ b/tests/testsuite/scenario/world.rs
@@ -209,6 +209,13 @@
         self.trace.requests[id].end.clone()
     }
 
+    /// A caller goes away without waiting for its answer.
+    pub(super) fn hang_up(&mut self, id: &str) {
+        if let Some(running) = self.running.remove(id) {
+            running.task.abort();
+        }
+    }
+
     pub(super) fn is_running(&self, id: &str) -> bool {
         self.running.get(id).is_some_and(|r| !r.task.is_finished())
     }
