--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod bad_input;
 mod command_line;
+mod processes;
 mod scenario;
 mod store_calls;
