Answers begin within a second, with comments while nothing is ready

Cause: a caller whose node froze, or whose connection to it fell silent, before the first token had nothing to tell a long wait from a dead node, and found out only at its deadline. Seen failing: owner-frozen with a request through the frozen owner: "b had no final answer", "c had no final answer" (both callers had picked the frozen node). The response now begins after one second at the latest, and a comment line follows each second; a refusal that comes later is an error event. A caller gives a node up after six seconds of silence and asks another one. Ruled out: shorter timeouts in the caller alone, as a long prompt waits longer than any of them.

The order in which an owner adds targets is now that of their names, not that of a hash.

--- a/crates/azuresaddle-node/src/control/targets.rs
+++ b/crates/azuresaddle-node/src/control/targets.rs
@@ -1,6 +1,6 @@
 //! Targets of the owned pools: listed once, then polled.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
@@ -27,7 +27,7 @@
         let now_unix_ms = unix_ms();
         for (id, owned) in &mut self.owned {
             let listed = self.hosts.pools.get(id);
-            let wanted: HashSet<_> = listed.into_iter().flatten().cloned().collect();
+            let wanted: BTreeSet<_> = listed.into_iter().flatten().cloned().collect();
             let known: Vec<_> = owned.pool.target_names().cloned().collect();
             for name in known.iter().filter(|name| !wanted.contains(*name)) {
                 owned.pool.remove_target(now, name);
--- a/crates/azuresaddle-node/src/traffic/answers.rs
+++ b/crates/azuresaddle-node/src/traffic/answers.rs
@@ -8,10 +8,10 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::fault;
-use super::generate::respond;
 use super::headers::{CallerHeaders, HEADER_RESUME_TOKEN, text};
 use super::relay::{Progress, Relay, RelayEnd};
 use super::reserve::Placement;
+use super::respond::respond;
 use super::resume_token::ResumeToken;
 use super::router::query_value;
 use super::sink::{CallerSink, caller_channel};
--- a/crates/azuresaddle-node/src/traffic/generate.rs
+++ b/crates/azuresaddle-node/src/traffic/generate.rs
@@ -9,10 +9,8 @@
 use azuresaddle_core::rules::{RequestFacts, Then};
 use azuresaddle_store::{ClaimKey, ClaimOutcome};
 use bytes::Bytes;
-use futures::StreamExt;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use hyper::header::{CACHE_CONTROL, CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::sync::OwnedSemaphorePermit;
@@ -21,7 +19,8 @@
 use super::fault;
 use super::headers::CallerHeaders;
 use super::job::Job;
-use super::sink::{CallerSource, caller_channel};
+use super::respond::respond;
+use super::sink::caller_channel;
 use super::state::{BUFFER_UNIT, Traffic};
 
 /// Most tokens of an answer.
@@ -221,25 +220,3 @@
     }
     Ok(body)
 }
-
-/// Responds once the answer begins, or with the failure.
-pub(super) async fn respond(source: CallerSource) -> Result<Response<Body>, Problem> {
-    let CallerSource { head, rx } = source;
-    match head.await {
-        Ok(Ok(())) => {}
-        Ok(Err(problem)) => return Err(problem),
-        Err(_) => {
-            let detail = "the relay ended without an answer";
-            return Err(fault::target(detail, Verdict::MayHaveRun));
-        }
-    }
-    let frames = futures::stream::unfold(rx, |mut rx| async move {
-        rx.recv().await.map(|bytes| (bytes, rx))
-    });
-    let body = StreamBody::new(frames.map(|bytes| Ok(Frame::data(bytes))));
-    Ok(Response::builder()
-        .header(CONTENT_TYPE, "text/event-stream")
-        .header(CACHE_CONTROL, "no-store")
-        .body(BodyExt::boxed(body))
-        .expect("constant headers are valid"))
-}
--- a/crates/azuresaddle-node/src/traffic/mod.rs
+++ b/crates/azuresaddle-node/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod reporter;
 mod reserve;
+mod respond;
 mod resume_token;
 mod router;
 mod run_job;
--- a/crates/azuresaddle-node/src/traffic/sink.rs
+++ b/crates/azuresaddle-node/src/traffic/sink.rs
@@ -19,7 +19,8 @@
 
 /// The end that the HTTP response reads from; dropping it tells the relay that the caller is gone.
 pub(super) struct CallerSource {
-    pub(super) head: oneshot::Receiver<Result<(), Problem>>,
+    /// Whether the answer begins, until it is known.
+    pub(super) head: Option<oneshot::Receiver<Result<(), Problem>>>,
     pub(super) rx: mpsc::Receiver<Bytes>,
 }
 
@@ -31,7 +32,11 @@
         head: Some(head_tx),
         tx,
     };
-    (sink, CallerSource { head, rx })
+    let source = CallerSource {
+        head: Some(head),
+        rx,
+    };
+    (sink, source)
 }
 
 impl CallerSink {
--- a/crates/azuresaddle-standin/src/load/caller.rs
+++ b/crates/azuresaddle-standin/src/load/caller.rs
@@ -23,7 +23,7 @@
 /// Pause before another address is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest silence of an answer that has begun.
+/// Longest silence of a node, which sends at least a comment each second.
 const SILENCE: Duration = Duration::from_secs(6);
 
 /// A caller of one client account.
@@ -170,7 +170,7 @@
             Some(start) => self.resume_request(start, received.next),
             None => self.first_request(request, body, left),
         };
-        let resp = match self.http.send(addr, req, left + SILENCE).await {
+        let resp = match self.http.send(addr, req, SILENCE).await {
             Ok(resp) => resp,
             Err(e) => return ConnectionEnd::Broken(e.verdict()),
         };
--- a/tests/testsuite/scenario/driver.rs
+++ b/tests/testsuite/scenario/driver.rs
@@ -38,6 +38,7 @@
     assert_eq!(word, "start", "a script begins with start");
     let mut driver = Driver {
         world: World::open(spec(&args)).await,
+        busy: None,
         transcript: format!("{first}\n"),
     };
     for (line, args) in lines {
@@ -64,11 +65,31 @@
 
 struct Driver {
     world: World,
+    /// The engine that `busy` stands for, from its first use on.
+    busy: Option<String>,
     transcript: String,
 }
 
 impl Driver {
+    /// The host that a line names; `busy` is the engine with the most streams.
+    fn host(&mut self, args: &ArgMatches) -> String {
+        let name = text(args, "host");
+        if name != "busy" {
+            return name;
+        }
+        let world = &self.world;
+        self.busy
+            .get_or_insert_with(|| world.busiest_engine())
+            .clone()
+    }
+
     async fn run_word(&mut self, word: &str, args: &ArgMatches) -> Option<String> {
+        let names_host = args.try_get_one::<String>("host").is_ok();
+        let host = if names_host {
+            self.host(args)
+        } else {
+            String::new()
+        };
         let world = &mut self.world;
         match word {
             "send" => {
@@ -91,7 +112,7 @@
             "advance" => world.advance(time(args, "time")).await,
             "wait" => return Some(describe(&world.wait(&text(args, "id")).await)),
             "hang-up" => world.hang_up(&text(args, "id")),
-            "kill" => world.kill(&text(args, "host")),
+            "kill" => world.kill(&host),
             "kill-owner" => {
                 let owner = world.owner().expect("a pool has an owner");
                 world.kill(owner.as_str());
@@ -100,16 +121,16 @@
                 let owner = world.owner().expect("a pool has an owner");
                 world.set_frozen(owner.as_str(), true);
             }
-            "restart" => world.restart(&text(args, "host")).await,
-            "freeze" => world.set_frozen(&text(args, "host"), true),
-            "thaw" => self.thaw(&text(args, "host")),
+            "restart" => world.restart(&host).await,
+            "freeze" => world.set_frozen(&host, true),
+            "thaw" => self.thaw(&host),
             "cut" => world.set_cut(&text(args, "one"), &text(args, "other"), true),
             "heal" => world.set_cut(&text(args, "one"), &text(args, "other"), false),
             "silence" => world.silence(&text(args, "one"), &text(args, "other")),
             "store" => self.store(args),
-            "fault" => self.fault(&text(args, "host"), &text(args, "json")),
+            "fault" => self.fault(&host, &text(args, "json")),
             "leaving" => {
-                let (host, leaving) = (text(args, "host"), text(args, "value") == "true");
+                let leaving = text(args, "value") == "true";
                 world
                     .cluster
                     .hosts
@@ -120,7 +141,7 @@
                     world.cancel_leaving(&host);
                 }
             }
-            "plan-stop" | "cancel-stop" => return Some(self.stop(word, args).await),
+            "plan-stop" | "cancel-stop" => return Some(self.stop(word, host, args).await),
             "put-rules" => return Some(self.put_rules(args).await),
             "race-rules" => return Some(self.race_rules(args).await),
             "expect" => self.expect(args),
@@ -167,8 +188,7 @@
         }
     }
 
-    async fn stop(&mut self, word: &str, args: &ArgMatches) -> String {
-        let host = text(args, "host");
+    async fn stop(&mut self, word: &str, host: String, args: &ArgMatches) -> String {
         let path = format!("/admin/v1/hosts/{host}/stop");
         let method = if word == "plan-stop" {
             Method::PUT
--- a/tests/testsuite/scenario/world.rs
+++ b/tests/testsuite/scenario/world.rs
@@ -429,6 +429,15 @@
         self.end_leaving(host);
     }
 
+    /// The engine with the most streams.
+    pub(super) fn busiest_engine(&self) -> String {
+        let engines = self.cluster.engines.iter();
+        let busiest = engines.max_by_key(|(_, host)| host.server.live_streams());
+        busiest
+            .map(|(name, _)| name.to_string())
+            .expect("an engine")
+    }
+
     /// The owner of the first pool, as most nodes know it.
     pub(super) fn owner(&self) -> Option<HostName> {
         let records = self.cluster.nodes.values().flat_map(|host| {
