capacity: slopes of control's cost; loads polled every 4 s

Measured by azuresaddle-standin capacity (idle, each node and second): 1225 bytes at 3 nodes and 2 engines, about 170 more for each further node and each further engine. The host list, read whole by every node each second, is what grows with engines: halving the polls of loads changed 7077 to 6344 bytes at 32 engines only.

--- a/crates/azuresaddle-node/src/control/targets.rs
+++ b/crates/azuresaddle-node/src/control/targets.rs
@@ -13,7 +13,7 @@
 use crate::engine::wire::{CacheListing, LoadReport, StreamList};
 
 /// Interval of polls of each target's load.
-const POLL_INTERVAL: Duration = Duration::from_secs(2);
+const POLL_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Interval of listings of each target's streams, which find leaks in the ledger.
 const LISTING_INTERVAL: Duration = Duration::from_secs(15);
--- /dev/null
+++ b/crates/azuresaddle-standin/src/capacity/idle.rs
@@ -0,0 +1,65 @@
+//! What an idle system costs a node each second.
+
+use std::time::{Duration, Instant as WallInstant};
+
+use anyhow::Result;
+
+use crate::cluster::{Cluster, ClusterSpec, MemoryHosts};
+use crate::engine::EngineOptions;
+
+/// Virtual time that is measured, in seconds.
+const MEASURED_S: u64 = 60;
+
+/// Virtual time before, in which owners are found.
+const SETTLE: Duration = Duration::from_secs(15);
+
+/// Cost of control for each node and second, without requests.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleCost {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of engines.
+    pub engines: usize,
+    /// Bytes on all wires: between nodes, and to and from store, host list and engines.
+    pub bytes: f64,
+    /// Watches of the store.
+    pub watches: f64,
+    /// Grants and renewals of leases.
+    pub lease_writes: f64,
+    /// Reads of the store.
+    pub reads: f64,
+    /// Processor time in microseconds; the stand-ins' own is in it.
+    pub cpu_us: f64,
+}
+
+/// Measures idle systems in virtual time: the processor works only when something happens, so the
+/// time that passed outside is the processor's.
+///
+/// # Errors
+/// Where a system can't be started.
+pub fn measure_idle(nodes: usize, engines: usize) -> Result<IdleCost> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()?;
+    runtime.block_on(async {
+        let spec = ClusterSpec::uniform(nodes, engines, 0, &EngineOptions::default());
+        let cluster = Cluster::open(MemoryHosts::default(), spec, |_| {}).await?;
+        tokio::time::sleep(SETTLE).await;
+        let (before, bytes) = (cluster.store.counts(), cluster.places.fabric.bytes());
+        let started = WallInstant::now();
+        tokio::time::sleep(Duration::from_secs(MEASURED_S)).await;
+        let cpu = started.elapsed();
+        let after = cluster.store.counts();
+        let each = |total: u64| total as f64 / nodes as f64 / MEASURED_S as f64;
+        Ok(IdleCost {
+            nodes,
+            engines,
+            bytes: each(cluster.places.fabric.bytes() - bytes),
+            watches: each(after.watches - before.watches),
+            lease_writes: each(after.lease_writes - before.lease_writes),
+            reads: each(after.reads - before.reads),
+            cpu_us: cpu.as_secs_f64() * 1e6 / nodes as f64 / MEASURED_S as f64,
+        })
+    })
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/capacity/memory.rs
@@ -0,0 +1,101 @@
+//! Memory of a pool's state.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::{Ask, Pool, PoolOptions, TargetSpec};
+use tokio::time::Instant;
+
+/// Size of a page of memory, in bytes.
+const PAGE_BYTES: u64 = 4096;
+
+/// Memory of one kind of state.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryCost {
+    /// What is held.
+    pub name: &'static str,
+    /// How many.
+    pub count: usize,
+    /// Resident bytes for each.
+    pub bytes_each: f64,
+}
+
+/// Measures resident memory of waiting requests and of reservations at three counts each.
+///
+/// # Errors
+/// Where the system does not tell the process its memory.
+pub fn measure_memory() -> Result<Vec<MemoryCost>> {
+    let mut costs = Vec::new();
+    for count in [10_000, 20_000, 40_000] {
+        costs.push(cost("waiting request", count, || pool_with(1, count))?);
+    }
+    for count in [256, 512, 1_024] {
+        let make = || pool_with(count, count);
+        costs.push(cost("target with one reservation", count, make)?);
+    }
+    Ok(costs)
+}
+
+fn cost(name: &'static str, count: usize, make: impl FnOnce() -> Pool) -> Result<MemoryCost> {
+    let before = resident_bytes()?;
+    let pool = make();
+    let after = resident_bytes()?;
+    // What is measured is kept so that the next one does not reuse its memory.
+    std::mem::forget(pool);
+    Ok(MemoryCost {
+        name,
+        count,
+        bytes_each: after.saturating_sub(before) as f64 / count as f64,
+    })
+}
+
+fn pool_with(targets: usize, requests: usize) -> Pool {
+    let now = Instant::now();
+    let options = PoolOptions {
+        max_waiting: requests,
+        ..PoolOptions::default()
+    };
+    let mut pool = Pool::new(now, options);
+    for n in 0..targets {
+        let name = HostName::new(format!("engine-{n:05}"));
+        let memory_tokens = 400_000;
+        pool.upsert_target(
+            now,
+            TargetSpec {
+                name,
+                memory_tokens,
+            },
+        );
+    }
+    for n in 0..requests {
+        pool.enqueue(now, ask(now, n as u128));
+    }
+    if targets > 1 {
+        pool.dispatch(now);
+    }
+    pool
+}
+
+fn ask(now: Instant, number: u128) -> Ask {
+    Ask {
+        stream: StreamId::first(RequestId(number)),
+        node: HostName::new("entry-host-001"),
+        account: ClientAccount::new("account-001"),
+        prompt_tokens: 2_000,
+        max_tokens: 512,
+        prefix: vec![0; 2],
+        priority: 0,
+        first_token_target: Duration::from_millis(350),
+        deadline: now + Duration::from_secs(3_600),
+        weight: 1.0,
+        limits: Default::default(),
+        exclude: Vec::new(),
+    }
+}
+
+fn resident_bytes() -> Result<u64> {
+    let text = std::fs::read_to_string("/proc/self/statm").context("/proc/self/statm")?;
+    let pages = text.split(' ').nth(1).context("no resident size")?;
+    Ok(pages.parse::<u64>()? * PAGE_BYTES)
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/capacity/mod.rs
@@ -0,0 +1,9 @@
+//! Slopes of control's cost against nodes, targets, reservations and rules.
+
+mod idle;
+mod memory;
+mod messages;
+
+pub use idle::{IdleCost, measure_idle};
+pub use memory::{MemoryCost, measure_memory};
+pub use messages::{MessageSize, measure_messages};
--- a/crates/azuresaddle-standin/src/cmd/mod.rs
+++ b/crates/azuresaddle-standin/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 pub(crate) mod args;
+pub(crate) mod capacity;
 pub(crate) mod demo;
 pub(crate) mod engine;
 pub(crate) mod experiment;
--- a/crates/azuresaddle-standin/src/lib.rs
+++ b/crates/azuresaddle-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! while it runs. The same code runs on an in-memory network in tests.
 
 pub mod answer;
+pub mod capacity;
 pub mod cluster;
 pub mod demo;
 pub mod engine;
--- a/crates/azuresaddle-standin/src/main.rs
+++ b/crates/azuresaddle-standin/src/main.rs
@@ -12,6 +12,7 @@
 fn main() -> ExitCode {
     let args = make_command().get_matches();
     let result = match args.subcommand() {
+        Some(("capacity", _)) => cmd::capacity::execute(),
         Some(("demo", args)) => cmd::demo::execute(args),
         Some(("engine", args)) => cmd::engine::execute(args),
         Some(("experiment", args)) => cmd::experiment::execute(args),
@@ -36,6 +37,7 @@
         .version(clap::crate_version!())
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(cmd::capacity::make_subcommand())
         .subcommand(cmd::demo::make_subcommand())
         .subcommand(cmd::engine::make_subcommand())
         .subcommand(cmd::experiment::make_subcommand())
--- a/crates/azuresaddle-standin/src/net/fabric.rs
+++ b/crates/azuresaddle-standin/src/net/fabric.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use tokio::sync::mpsc;
@@ -16,6 +17,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fabric {
     state: Arc<Mutex<State>>,
+    bytes: Arc<AtomicU64>,
 }
 
 #[derive(Debug, Default)]
@@ -54,6 +56,11 @@
         }
     }
 
+    /// Bytes written to all connections so far.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     pub(super) fn is_cut(&self, a: IpAddr, b: IpAddr) -> bool {
         self.lock().cuts.contains(&pair(a, b))
     }
@@ -80,7 +87,7 @@
     pub(super) fn open(&self, from: IpAddr, to: SocketAddr) -> Option<MemoryStream> {
         let mut state = self.lock();
         let listener = state.listeners.get(&to)?.clone();
-        let link = Arc::new(Link::new(pair(from, to.ip())));
+        let link = Arc::new(Link::new(pair(from, to.ip()), Arc::clone(&self.bytes)));
         state.links.push(Arc::downgrade(&link));
         let (near, far) = MemoryStream::pair(&link);
         listener.send(far).ok()?;
--- a/crates/azuresaddle-standin/src/net/stream.rs
+++ b/crates/azuresaddle-standin/src/net/stream.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::IpAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, Waker};
 
@@ -18,11 +18,14 @@
     pub(super) hosts: (IpAddr, IpAddr),
     silent: AtomicBool,
     readers: Mutex<Vec<Waker>>,
+    /// Bytes written on the whole network.
+    bytes: Arc<AtomicU64>,
 }
 
 impl Link {
-    pub(super) fn new(hosts: (IpAddr, IpAddr)) -> Self {
+    pub(super) fn new(hosts: (IpAddr, IpAddr), bytes: Arc<AtomicU64>) -> Self {
         Self {
+            bytes,
             hosts,
             silent: AtomicBool::new(false),
             readers: Mutex::new(Vec::new()),
@@ -103,7 +106,11 @@
             // Writes go into the void until the sender's own buffers would be full.
             return Poll::Ready(Ok(buf.len()));
         }
-        self.inner().poll_write(cx, buf)
+        let written = self.inner().poll_write(cx, buf);
+        if let Poll::Ready(Ok(count)) = written {
+            self.link.bytes.fetch_add(count as u64, Ordering::Relaxed);
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
