--- a/crates/azuresaddle-core/src/rules/document.rs
+++ b/crates/azuresaddle-core/src/rules/document.rs
@@ -6,7 +6,6 @@
 use super::facts::RequestFacts;
 use super::rule::Rule;
 use super::stop::PlannedStop;
-use super::then::Then;
 use crate::names::HostName;
 
 /// All rules and planned stops, accepted as one under one version.
@@ -29,13 +28,6 @@
             .find(|rule| rule.when.mismatch(facts).is_none())
     }
 
-    /// The treatment of a request; the default one where no rule matches.
-    pub fn treatment(&self, facts: &RequestFacts) -> Then {
-        self.first_match(facts)
-            .map(|rule| rule.then.clone())
-            .unwrap_or_default()
-    }
-
     /// What each rule says of a request.
     pub fn explain(&self, facts: &RequestFacts) -> Vec<Explanation> {
         let mut decided = false;
--- a/crates/azuresaddle-core/src/spawner.rs
+++ b/crates/azuresaddle-core/src/spawner.rs
@@ -78,11 +78,6 @@
         self.inner.killed.cancel();
     }
 
-    /// Whether the group was killed.
-    pub fn is_killed(&self) -> bool {
-        self.inner.killed.is_cancelled()
-    }
-
     /// Stops every task of the group where it stands, as `SIGSTOP` would.
     pub fn freeze(&self) {
         self.inner.frozen.store(true, Ordering::SeqCst);
--- a/crates/azuresaddle-node/src/control/actor.rs
+++ b/crates/azuresaddle-node/src/control/actor.rs
@@ -128,6 +128,7 @@
 
     fn handle(&mut self, command: Command) {
         let now = Instant::now();
+        let is_news = command.is_news_for_traffic();
         match command {
             Command::Reserve(req, reply) => self.on_reserve(now, *req, reply),
             Command::Fallback(req, reply) => self.on_fallback(*req, reply),
@@ -157,7 +158,9 @@
             }
             Command::Stop => self.told_to_stop = true,
         }
-        self.publish(now);
+        if is_news {
+            self.publish(now);
+        }
     }
 
     fn on_tick(&mut self) {
--- a/crates/azuresaddle-node/src/control/command.rs
+++ b/crates/azuresaddle-node/src/control/command.rs
@@ -54,3 +54,22 @@
     /// The process was told to stop.
     Stop,
 }
+
+impl Command {
+    /// Whether traffic has to know of the change at once; other changes wait for the next tick.
+    pub(super) fn is_news_for_traffic(&self) -> bool {
+        !matches!(
+            self,
+            Self::Reserve(..)
+                | Self::Fallback(..)
+                | Self::Reports(_)
+                | Self::TakeOver(_)
+                | Self::Heartbeat(..)
+                | Self::Load(..)
+                | Self::CacheEvents(..)
+                | Self::CacheListing(..)
+                | Self::Gone(..)
+                | Self::CancelUnconfirmed(..)
+        )
+    }
+}
--- a/crates/azuresaddle-node/src/control/ownership.rs
+++ b/crates/azuresaddle-node/src/control/ownership.rs
@@ -202,7 +202,7 @@
         }
     }
 
-    /// Whether the store itself says that a pool's owner is this node.
+    /// Whether this node owns a pool and is not handing it over.
     pub(super) fn owns(&self, pool: &PoolId) -> bool {
         self.owned
             .get(pool)
--- a/crates/azuresaddle-sched/src/breaker.rs
+++ b/crates/azuresaddle-sched/src/breaker.rs
@@ -47,8 +47,8 @@
             .is_none_or(|allowance| running < allowance as usize)
     }
 
-    /// When the pause ends, while it lasts.
-    pub fn opens_at(&self, now: Instant) -> Option<Instant> {
+    /// When the breaker lets a request through again, while it is open.
+    pub fn open_until(&self, now: Instant) -> Option<Instant> {
         self.open_until.filter(|until| *until > now)
     }
 
@@ -73,7 +73,7 @@
         if self.failures < FAILURES_TO_OPEN && !returning {
             return;
         }
-        if self.opens_at(now).is_some() {
+        if self.open_until(now).is_some() {
             return;
         }
         if returning {
--- a/crates/azuresaddle-sched/src/outcome.rs
+++ b/crates/azuresaddle-sched/src/outcome.rs
@@ -18,10 +18,3 @@
     /// The target broke off, and it is confirmed that the stream is gone.
     TargetFailed,
 }
-
-impl Outcome {
-    /// Whether the target did what it was asked to.
-    pub fn is_success(self) -> bool {
-        matches!(self, Self::Done { .. } | Self::Cancelled)
-    }
-}
--- a/crates/azuresaddle-sched/src/pool/admission.rs
+++ b/crates/azuresaddle-sched/src/pool/admission.rs
@@ -88,7 +88,7 @@
         let usable = self
             .targets
             .values()
-            .any(|t| !t.leaving && t.breaker.opens_at(now).is_none());
+            .any(|t| !t.leaving && t.breaker.open_until(now).is_none());
         if !usable {
             return Err(refusal(RefusalReason::NoTarget, UNAVAILABLE_RETRY_AFTER));
         }
--- a/crates/azuresaddle-sched/src/pool/dispatch.rs
+++ b/crates/azuresaddle-sched/src/pool/dispatch.rs
@@ -195,7 +195,7 @@
         let open = self
             .targets
             .values()
-            .filter(|t| !t.leaving && t.breaker.opens_at(now).is_none());
+            .filter(|t| !t.leaving && t.breaker.open_until(now).is_none());
         self.demand.max_long_targets(open.count())
     }
 
--- a/crates/azuresaddle-sched/src/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/pool/mod.rs
@@ -129,7 +129,7 @@
             .flatten();
         [
             ready,
-            target.breaker.opens_at(now),
+            target.breaker.open_until(now),
             Some(target.paused_until),
             Some(target.probe_at),
         ]
--- a/crates/azuresaddle-sched/tests/suite/breaker.rs
+++ b/crates/azuresaddle-sched/tests/suite/breaker.rs
@@ -33,7 +33,7 @@
     breaker.on_failure(now);
     let mut pauses = Vec::new();
     for _ in 0..8 {
-        let opens = breaker.opens_at(now).expect("the breaker is open");
+        let opens = breaker.open_until(now).expect("the breaker is open");
         pauses.push((opens - now).as_secs());
         now = opens;
         breaker.on_failure(now);
--- a/crates/azuresaddle-standin/src/cluster/spec.rs
+++ b/crates/azuresaddle-standin/src/cluster/spec.rs
@@ -70,10 +70,7 @@
                     name: name("e", i),
                     domain: domain.clone(),
                     model: Model::new("m"),
-                    options: EngineOptions {
-                        seed: i as u64,
-                        ..options.clone()
-                    },
+                    options: options.clone(),
                 })
                 .collect(),
             services: (0..services)
--- a/crates/azuresaddle-standin/src/cmd/engine.rs
+++ b/crates/azuresaddle-standin/src/cmd/engine.rs
@@ -8,7 +8,7 @@
 use azuresaddle_standin::engine::{EngineOptions, EngineServer};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use super::args::{get, listen, runtime, say, seed, until_stopped};
+use super::args::{get, listen, runtime, say, until_stopped};
 
 pub(crate) fn make_subcommand() -> Command {
     Command::new("engine")
@@ -46,7 +46,6 @@
                 .action(ArgAction::SetTrue)
                 .help("Carry out orders with an old fencing number"),
         )
-        .arg(seed())
 }
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -67,7 +66,6 @@
         cache_blocks: usize::try_from(get::<u64>(args, "cache-blocks"))?,
         load_lag: Duration::from_millis(get(args, "load-lag-ms")),
         checks_fencing: !args.get_flag("ignore-fencing"),
-        seed: get(args, "seed"),
         ..EngineOptions::default()
     };
     let incarnation = Incarnation(get(args, "incarnation"));
--- a/crates/azuresaddle-standin/src/engine/options.rs
+++ b/crates/azuresaddle-standin/src/engine/options.rs
@@ -19,8 +19,6 @@
     pub load_lag: Duration,
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
-    /// Seed of the faults that strike at random.
-    pub seed: u64,
 }
 
 impl Default for EngineOptions {
@@ -33,7 +31,6 @@
             cache_blocks: 256,
             load_lag: Duration::from_millis(500),
             checks_fencing: true,
-            seed: 1,
         }
     }
 }
--- a/crates/azuresaddle-standin/src/experiment/results.rs
+++ b/crates/azuresaddle-standin/src/experiment/results.rs
@@ -105,12 +105,12 @@
         }
     }
 
-    pub(super) fn whole(&mut self, _: Duration, request: &Request) {
+    pub(super) fn whole(&mut self, request: &Request) {
         self.whole += 1;
         self.worth += request.worth;
     }
 
-    pub(super) fn refused(&mut self, _: Duration, request: &Request) {
+    pub(super) fn refused(&mut self, request: &Request) {
         self.refused += 1;
         self.class(request.prompt_tokens).refused += 1;
     }
--- a/crates/azuresaddle-standin/src/experiment/world.rs
+++ b/crates/azuresaddle-standin/src/experiment/world.rs
@@ -183,7 +183,7 @@
                 Action::Refused { stream, .. } => {
                     let i = stream.request.0 as usize;
                     if !std::mem::replace(&mut self.state[i].ended, true) {
-                        self.results.refused(now - self.start, &self.requests[i]);
+                        self.results.refused(&self.requests[i]);
                     }
                 }
             }
@@ -247,7 +247,7 @@
         if std::mem::replace(&mut self.state[i].ended, true) {
             self.results.doubled += 1;
         } else {
-            self.results.whole(now - self.start, &self.requests[i]);
+            self.results.whole(&self.requests[i]);
         }
         let engines = self.orders[id].engines.clone();
         self.start_prefills(now, &engines);
