Split grown files; a test of the time kept for answers

Since answers are learned, nothing is kept before twenty were seen, and a refusal is due when the prefill no longer fits. The test now pins that bound to 10 ms on both sides, and a second one pins the refusal once the length of answers is known.

--- a/crates/azuresaddle-node/src/traffic/mod.rs
+++ b/crates/azuresaddle-node/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod admin;
+mod admin_messages;
 mod answers;
 mod call;
 mod caller_events;
@@ -22,7 +23,8 @@
 mod state;
 
 pub use addresses::{AddressAnswer, EntryAddress};
-pub use admin::{AdminHandler, BurnReply, ExplainReply, HostRow, PoolRow, PutRules};
+pub use admin::AdminHandler;
+pub use admin_messages::{BurnReply, ExplainReply, HostRow, PoolRow, PutRules};
 pub use call::ServiceLoad;
 pub use caller_events::{CallerEvent, EndEvent, StartEvent, TokenText};
 pub use event_reader::EventReader;
--- a/crates/azuresaddle-sched/tests/suite/pool.rs
+++ b/crates/azuresaddle-sched/tests/suite/pool.rs
@@ -137,10 +137,45 @@
         .next_wakeup(now + Duration::from_secs(1))
         .expect("a wakeup is planned");
     assert!(later < deadline);
-    let late = now + Duration::from_secs(59);
+    // The prefill alone takes 25 ms.
+    let in_time = deadline - Duration::from_millis(30);
+    assert_eq!(decide(&mut pool, in_time).len(), 0);
+    let late = deadline - Duration::from_millis(20);
     assert_eq!(decide(&mut pool, late), ["2!the deadline can't be met"]);
 }
 
+#[test]
+fn time_is_kept_for_answers_once_their_length_is_known() {
+    let mut now = Instant::now();
+    let mut pool = pool(now, 1, 400_000);
+    for number in 0..100 {
+        pool.enqueue(now, ask(number, now, 1_000));
+        assert_eq!(decide(&mut pool, now).len(), 1);
+        pool.on_first_token(now, stream(number));
+        now += Duration::from_secs(10);
+        pool.on_end(now, stream(number), Outcome::Done { tokens: 100 });
+    }
+    // A hundred tokens take ten seconds.
+    let soon = now + Duration::from_secs(5);
+    pool.enqueue(
+        now,
+        Ask {
+            deadline: soon,
+            ..ask(200, now, 1_000)
+        },
+    );
+    assert_eq!(decide(&mut pool, now), ["200!the deadline can't be met"]);
+    let later = now + Duration::from_secs(30);
+    pool.enqueue(
+        now,
+        Ask {
+            deadline: later,
+            ..ask(201, now, 1_000)
+        },
+    );
+    assert!(decided(&decide(&mut pool, now), 201).is_some());
+}
+
 #[test]
 fn a_leaving_target_gets_nothing_new() {
     let now = Instant::now();
--- a/crates/azuresaddle-standin/src/engine/mod.rs
+++ b/crates/azuresaddle-standin/src/engine/mod.rs
@@ -10,6 +10,7 @@
 mod model;
 mod options;
 mod run;
+mod sender;
 mod server;
 mod stream;
 
--- a/crates/azuresaddle-standin/src/engine/server.rs
+++ b/crates/azuresaddle-standin/src/engine/server.rs
@@ -9,7 +9,7 @@
 use azuresaddle_core::prelude::*;
 use azuresaddle_node::engine::wire::{
     CacheChanges, CacheListing, Fence, Gone, Lend, LoadReport, Start, StreamList, TITLE_DISPLACED,
-    TITLE_DUPLICATE, TITLE_FENCED, TITLE_NO_MEMORY, TITLE_UNKNOWN, TokenEvent,
+    TITLE_DUPLICATE, TITLE_FENCED, TITLE_NO_MEMORY, TITLE_UNKNOWN,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
@@ -22,6 +22,7 @@
 use super::model::{EngineModel, Rejection};
 use super::options::EngineOptions;
 use super::run::spawn_loops;
+use super::sender::Sender;
 use crate::http_util::{bad, query, read_json};
 
 /// Longest body, in bytes.
@@ -30,9 +31,6 @@
 /// Longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Interval of comment lines while no token is ready.
-const KEEP_ALIVE: Duration = Duration::from_secs(1);
-
 /// Events that wait for a slow reader.
 const MAX_WAITING: usize = 16;
 
@@ -135,7 +133,7 @@
         lock(&self.load)
     }
 
-    async fn silent(&self) {
+    pub(super) async fn silent(&self) {
         if self.faults().silent {
             std::future::pending::<()>().await;
         }
@@ -250,15 +248,7 @@
         let (tx, rx) = mpsc::channel(MAX_WAITING);
         let shared = Arc::clone(&self.shared);
         self.shared.spawner.spawn(async move {
-            let mut sender = Sender {
-                shared: &shared,
-                id,
-                reader,
-                next: first,
-                sent: 0,
-                held: None,
-                tx,
-            };
+            let mut sender = Sender::new(&shared, id, reader, first, tx);
             sender.run().await;
         });
         let frames = futures::stream::unfold(rx, |mut rx: mpsc::Receiver<Bytes>| async move {
@@ -268,112 +258,6 @@
     }
 }
 
-/// Sends the events of a stream to one reader, with the faults in force.
-struct Sender<'a> {
-    shared: &'a Shared,
-    id: StreamId,
-    reader: u64,
-    next: u64,
-    sent: u64,
-    /// An event that comes late.
-    held: Option<Bytes>,
-    tx: mpsc::Sender<Bytes>,
-}
-
-/// What a reader can be given now.
-enum Ready {
-    Token(TokenEvent),
-    Wait(Arc<Notify>),
-    End,
-}
-
-impl Sender<'_> {
-    async fn run(&mut self) {
-        loop {
-            self.shared.silent().await;
-            let ready = self.ready();
-            let sent = match ready {
-                Ready::Token(event) => self.send(event).await,
-                Ready::Wait(changed) => self.wait(&changed).await,
-                Ready::End => false,
-            };
-            if !sent {
-                return;
-            }
-        }
-    }
-
-    fn ready(&mut self) -> Ready {
-        let mut model = self.shared.model();
-        let Some(stream) = model.streams.get_mut(&self.id) else {
-            return Ready::End;
-        };
-        if stream.reader != self.reader || self.next >= stream.answer.tokens() {
-            return Ready::End;
-        }
-        if self.next >= stream.ready {
-            return Ready::Wait(Arc::clone(&stream.changed));
-        }
-        let event = TokenEvent {
-            stream: self.id,
-            index: self.next,
-            token: stream.answer.token(self.next),
-            last: self.next + 1 == stream.answer.tokens(),
-        };
-        self.next += 1;
-        stream.read = self.next;
-        Ready::Token(event)
-    }
-
-    async fn wait(&self, changed: &Notify) -> bool {
-        // Waited for with a bound, so that a change between the look and the wait costs little.
-        match tokio::time::timeout(KEEP_ALIVE, changed.notified()).await {
-            Ok(()) => true,
-            Err(_) => self
-                .tx
-                .send(Bytes::from_static(b": waiting\n\n"))
-                .await
-                .is_ok(),
-        }
-    }
-
-    async fn send(&mut self, event: TokenEvent) -> bool {
-        let faults = self.shared.faults();
-        let number = self.sent;
-        self.sent += 1;
-        if faults.break_after > 0 && number >= faults.break_after {
-            return false;
-        }
-        let bytes = lines(&event);
-        if strikes(faults.crossed_every, number) {
-            let mut other = event.clone();
-            other.stream.request.0 ^= 1;
-            other.token = "stray ".to_owned();
-            if self.tx.send(lines(&other)).await.is_err() {
-                return false;
-            }
-        }
-        if strikes(faults.missing_every, number) && !event.last {
-            return true;
-        }
-        if strikes(faults.late_every, number) && !event.last {
-            self.held = Some(bytes);
-            return true;
-        }
-        let twice = strikes(faults.doubled_every, number);
-        if twice && self.tx.send(bytes.clone()).await.is_err() {
-            return false;
-        }
-        if self.tx.send(bytes).await.is_err() {
-            return false;
-        }
-        match self.held.take() {
-            Some(late) => self.tx.send(late).await.is_ok(),
-            None => true,
-        }
-    }
-}
-
 impl Handler for EngineHandler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         match self.route(req).await {
@@ -383,11 +267,6 @@
     }
 }
 
-fn lines(event: &TokenEvent) -> Bytes {
-    let json = serde_json::to_string(event).expect("an event serializes");
-    Bytes::from(format!("data: {json}\n\n"))
-}
-
 fn rejected(rejection: Rejection) -> Problem {
     let (status, title, verdict) = match rejection {
         Rejection::Fenced => (
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod burn;
 pub(crate) mod hosts;
 pub(crate) mod node;
+mod node_settings;
 mod output;
 pub(crate) mod pools;
 pub(crate) mod rules;
--- /dev/null
+++ b/tests/testsuite/scenario/world/mod.rs
@@ -0,0 +1,173 @@
+//! The system under test with its callers.
+
+mod hosts;
+mod operators;
+mod requests;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_standin::cluster::{Cluster, ClusterSpec, HostSpec, MemoryHosts};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use requests::calls_run;
+
+use super::trace::{End, LateStart, SeenRules, Trace};
+
+/// Interval at which the nodes' rules are looked at.
+const SAMPLE: Duration = Duration::from_millis(100);
+
+/// Time after which a leaving target must get no new work.
+const LEAVE_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which a node must have been reachable for its rules to be due.
+const REACHABLE_FOR: Duration = Duration::from_secs(4);
+
+/// Longest wait for requests and memory at the end.
+const FINISH: Duration = Duration::from_secs(120);
+
+/// A request under way.
+struct Running {
+    task: JoinHandle<(End, Duration)>,
+    deadline: Duration,
+    digest: Option<u64>,
+    once: bool,
+}
+
+/// A target that was told to leave.
+struct Leaving {
+    since: Instant,
+    /// Starts counted once it must get no more.
+    starts: Option<u64>,
+}
+
+/// The system under test.
+pub(super) struct World {
+    pub(super) cluster: Cluster<MemoryHosts>,
+    running: BTreeMap<String, Running>,
+    /// Digest of each ended request's prompt; none for calls.
+    digests: BTreeMap<String, Option<u64>>,
+    killed: BTreeMap<String, HostSpec>,
+    /// Nodes that can't be reached, and since when others can be again.
+    unreachable: BTreeSet<String>,
+    reachable_since: BTreeMap<String, Instant>,
+    leaving: BTreeMap<String, Leaving>,
+    runs: BTreeMap<String, u32>,
+    started: Instant,
+    pub(super) trace: Trace,
+}
+
+impl World {
+    pub(super) async fn open(spec: ClusterSpec) -> Self {
+        let cluster = Cluster::open(MemoryHosts::default(), spec, |_| {}).await;
+        let mut world = Self {
+            cluster: cluster.expect("the cluster starts"),
+            running: BTreeMap::new(),
+            digests: BTreeMap::new(),
+            killed: BTreeMap::new(),
+            unreachable: BTreeSet::new(),
+            reachable_since: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            started: Instant::now(),
+            trace: Trace::default(),
+        };
+        for _ in 0..200 {
+            if world.cluster.is_settled() {
+                return world;
+            }
+            world.advance(SAMPLE).await;
+        }
+        panic!("the cluster did not settle");
+    }
+
+    /// Lets time pass and looks at the nodes' rules.
+    pub(super) async fn advance(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            let next = (Instant::now() + SAMPLE).min(until);
+            tokio::time::sleep_until(next).await;
+            self.sample();
+        }
+    }
+
+    fn sample(&mut self) {
+        let now = Instant::now();
+        for (name, host) in &self.cluster.nodes {
+            let name = name.as_str();
+            let since = self
+                .reachable_since
+                .get(name)
+                .copied()
+                .unwrap_or(self.started);
+            let run = self.runs.get(name).copied().unwrap_or(0);
+            self.trace.rules.push(SeenRules {
+                at: now - self.started,
+                node: format!("{name} (run {run})"),
+                version: host.node.snapshot().rules.version.0,
+                reachable: !self.unreachable.contains(name) && now - since > REACHABLE_FOR,
+            });
+        }
+        for (name, leaving) in &mut self.leaving {
+            if leaving.starts.is_none() && now - leaving.since >= LEAVE_TIME {
+                leaving.starts = Some(starts_on(&self.cluster, name));
+            }
+        }
+    }
+
+    /// Ends the run: all requests end, and all memory comes back.
+    pub(super) async fn finish(&mut self) {
+        let ids: Vec<String> = self.running.keys().cloned().collect();
+        for id in ids {
+            self.wait(&id).await;
+        }
+        let until = Instant::now() + FINISH;
+        while self.cluster.used_tokens() > 0 && Instant::now() < until {
+            self.advance(SAMPLE).await;
+        }
+        self.trace.memory_left = self.cluster.used_tokens();
+        let names: Vec<String> = self.leaving.keys().cloned().collect();
+        for name in names {
+            self.end_leaving(&name);
+        }
+        self.count_executions();
+    }
+
+    fn count_executions(&mut self) {
+        let mut by_digest: BTreeMap<u64, u64> = BTreeMap::new();
+        for engine in self.cluster.engines.values() {
+            for (digest, count) in engine.server.executions() {
+                *by_digest.entry(digest).or_default() += count;
+            }
+        }
+        for (id, request) in &mut self.trace.requests {
+            request.executions = match self.digests[id] {
+                Some(digest) => by_digest.get(&digest).copied().unwrap_or(0),
+                None => calls_run(&self.cluster, id),
+            };
+        }
+    }
+
+    /// Notes whether a leaving target began work after its time.
+    fn end_leaving(&mut self, name: &str) {
+        let Some(Leaving {
+            starts: Some(before),
+            ..
+        }) = self.leaving.remove(name)
+        else {
+            return;
+        };
+        let starts = starts_on(&self.cluster, name) - before;
+        if starts > 0 {
+            let target = name.to_owned();
+            self.trace.late_starts.push(LateStart { target, starts });
+        }
+    }
+}
+
+fn starts_on(cluster: &Cluster<MemoryHosts>, engine: &str) -> u64 {
+    let host = cluster.engines.get(&HostName::new(engine));
+    host.map_or(0, |e| e.server.executions().values().sum())
+}
