--- /dev/null
+++ b/crates/azuresaddle-standin/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins' tools.
+
+mod experiment;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 mod bad_input;
 mod command_line;
+mod operators;
 mod processes;
+mod rules;
 mod scenario;
 mod store_calls;
