A new owner answers only once its ledger is complete; huge prompts wait for it

Cause of 48 refusals of 241 requests when the owner was killed under load (README's walk-through, real processes): the new owner was asked before its targets had listed their streams, counted them as leaving and refused every waiting request with "no target is available". Reproduced by scenario owner-change-under-load: 7 of 40 short prompts refused, and two long ones refused by the placement without an owner although an owner was a few seconds away. The owner now answers "not yet" until all targets were listed or two seconds have passed, lists at once, and what can't be placed without an owner waits for one up to 15 s while the store can be reached.

--- a/crates/azuresaddle-node/src/control/owned_pool.rs
+++ b/crates/azuresaddle-node/src/control/owned_pool.rs
@@ -1,6 +1,7 @@
 //! A pool that this node owns.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::{Grant, Pool, Refusal};
@@ -9,6 +10,9 @@
 
 use crate::peer::ReserveReply;
 
+/// Time for the targets of a newly owned pool to list their streams.
+const LISTING_GRACE: Duration = Duration::from_secs(2);
+
 /// A pool with the requests of other nodes that wait for its decisions.
 #[derive(Debug)]
 pub(super) struct OwnedPool {
@@ -28,6 +32,8 @@
     pub(super) listed: HashMap<HostName, Instant>,
     /// Position in the cache events of each target.
     pub(super) cache_seen: HashMap<HostName, u64>,
+    /// Since when this node owns the pool.
+    pub(super) since: Instant,
     /// The pool is being handed over and decides nothing more.
     pub(super) handing_over: bool,
 }
@@ -40,7 +46,7 @@
 }
 
 impl OwnedPool {
-    pub(super) fn new(pool: Pool, epoch: Epoch) -> Self {
+    pub(super) fn new(now: Instant, pool: Pool, epoch: Epoch) -> Self {
         Self {
             pool,
             epoch,
@@ -51,10 +57,17 @@
             cancelling: HashMap::new(),
             listed: HashMap::new(),
             cache_seen: HashMap::new(),
+            since: now,
             handing_over: false,
         }
     }
 
+    /// Whether the ledger is complete: every target was listed, or had its time to answer.
+    pub(super) fn is_ready(&self, now: Instant) -> bool {
+        let mut names = self.pool.target_names();
+        now - self.since > LISTING_GRACE || names.all(|name| self.listed.contains_key(name))
+    }
+
     /// Answers every waiting call that this node decides no more.
     pub(super) fn dismiss(&mut self) {
         for (_, waiter) in self.waiters.drain() {
--- a/crates/azuresaddle-node/src/control/ownership.rs
+++ b/crates/azuresaddle-node/src/control/ownership.rs
@@ -148,10 +148,11 @@
             initial_prefill_rate: self.parts.settings.initial_prefill_rate,
             ..PoolOptions::default()
         };
-        let owned = OwnedPool::new(Pool::new(now, options), record.epoch);
+        let owned = OwnedPool::new(now, Pool::new(now, options), record.epoch);
         self.owned.insert(record.pool.clone(), owned);
         self.sync_targets(now);
         self.last_poll = None;
+        self.poll_targets(now);
     }
 
     fn stop_owning(&mut self, pool: &PoolId) {
--- a/crates/azuresaddle-node/src/control/reservations.rs
+++ b/crates/azuresaddle-node/src/control/reservations.rs
@@ -36,6 +36,10 @@
         let Some(owned) = self.owned.get_mut(&req.pool) else {
             return;
         };
+        if !owned.is_ready(now) {
+            let _ = reply.send(ReserveReply::NotOwner);
+            return;
+        }
         owned.reserve(now, req, reply);
         self.dispatch_all();
     }
--- a/crates/azuresaddle-node/src/traffic/reserve.rs
+++ b/crates/azuresaddle-node/src/traffic/reserve.rs
@@ -18,6 +18,10 @@
 /// Time without an owner's answer after which a request is placed without one.
 const FALLBACK_AFTER: Duration = Duration::from_secs(2);
 
+/// Time in which a pool gets a new owner while the store can be reached; what can't be placed without
+/// one waits so long.
+const OWNER_WAIT: Duration = Duration::from_secs(15);
+
 /// Pause before an owner is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -85,9 +89,14 @@
             let mut reply = self.ask_owner(ask.clone()).await;
             let now = Instant::now();
             if matches!(reply, ReserveReply::NotOwner) {
-                if now - unanswered_since >= FALLBACK_AFTER {
+                let alone = now - unanswered_since;
+                if alone >= FALLBACK_AFTER {
                     reply = self.control.fallback(ask).await;
                 }
+                let owner_is_near = self.snapshot.load().store_reachable && alone < OWNER_WAIT;
+                if owner_is_near && matches!(reply, ReserveReply::Refused(_)) {
+                    reply = ReserveReply::NotOwner;
+                }
             } else {
                 unanswered_since = now;
             }
