A prefill that ends early is not waited for; engines stop a cancelled prefill

Seen failing: the digest told of 3.75 s of waiting on an idle pool after two long prefills were cancelled (test a_prefill_that_ends_early_is_not_waited_for): the expected end of a target's prefill was taken back at a first token only. The stand-in engine ran a cancelled prefill to its end, which the ledger could not know of; it now stops.

--- a/crates/azuresaddle-sched/src/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/pool/ledger.rs
@@ -108,19 +108,22 @@
     }
 
     /// Gives back what a reservation holds on one target.
-    pub(super) fn release_on(&mut self, key: ReservationKey, target_key: TargetKey) {
+    pub(super) fn release_on(&mut self, now: Instant, key: ReservationKey, target_key: TargetKey) {
         let reservation = &mut self.reservations[key];
         reservation.targets.retain(|t| *t != target_key);
         let target = &mut self.targets[target_key];
         target.reserved -= reservation.memory_tokens;
         target.reservations.retain(|r| *r != key);
         target.prefilling.retain(|r| *r != key);
+        if target.prefilling.is_empty() {
+            target.prefill_ends = now;
+        }
     }
 
     /// Ends a reservation and gives back all that it holds.
     pub(super) fn end_reservation(&mut self, now: Instant, key: ReservationKey, outcome: Outcome) {
         for target in self.reservations[key].targets.clone() {
-            self.release_on(key, target);
+            self.release_on(now, key, target);
             self.note_outcome(now, target, outcome);
         }
         let reservation = self.reservations.remove(key).expect("the key is live");
--- a/crates/azuresaddle-sched/src/pool/targets.rs
+++ b/crates/azuresaddle-sched/src/pool/targets.rs
@@ -101,7 +101,7 @@
     fn drop_reservations_on(&mut self, now: Instant, key: TargetKey) {
         let affected = self.targets[key].reservations.clone();
         for reservation in affected {
-            self.release_on(reservation, key);
+            self.release_on(now, reservation, key);
             if self.reservations[reservation].targets.is_empty() {
                 self.end_reservation(now, reservation, Outcome::TargetFailed);
             }
--- a/crates/azuresaddle-sched/tests/suite/pool.rs
+++ b/crates/azuresaddle-sched/tests/suite/pool.rs
@@ -319,6 +319,26 @@
     assert_eq!(decide(&mut pool, now), ["2@e1"]);
 }
 
+#[test]
+fn a_prefill_that_ends_early_is_not_waited_for() {
+    let now = Instant::now();
+    let mut pool = pool(now, 2, 400_000);
+    for number in 0..2 {
+        pool.enqueue(now, ask(number, now, 150_000));
+    }
+    decide(&mut pool, now);
+    let id = PoolId {
+        model: Model::new("m"),
+        domain: FailureDomain::new("d"),
+        shard: 0,
+    };
+    assert!(pool.digest(now, id.clone()).long_wait > Duration::ZERO);
+    for number in 0..2 {
+        pool.on_end(now, stream(number), Outcome::Cancelled);
+    }
+    assert_eq!(pool.digest(now, id).long_wait, Duration::ZERO);
+}
+
 #[test]
 fn a_target_that_holds_the_prefix_is_preferred() {
     let now = Instant::now();
--- a/crates/azuresaddle-standin/src/engine/run.rs
+++ b/crates/azuresaddle-standin/src/engine/run.rs
@@ -27,13 +27,27 @@
             queued.await;
             continue;
         };
-        tokio::time::sleep(took.mul_f64(shared.faults().slowdown)).await;
-        shared.model().end_prefill(id);
+        let prefill = tokio::time::sleep(took.mul_f64(shared.faults().slowdown));
+        tokio::select! {
+            () = prefill => shared.model().end_prefill(id),
+            () = cancelled(shared, id) => {}
+        }
         shared.queued.notify_waiters();
         shared.decoding.notify_one();
     }
 }
 
+/// Waits until a stream is gone.
+async fn cancelled(shared: &Shared, id: StreamId) {
+    loop {
+        let stopped = shared.cancelled.notified();
+        if !shared.model().streams.contains_key(&id) {
+            return;
+        }
+        stopped.await;
+    }
+}
+
 async fn run_steps(shared: &Shared) {
     loop {
         if shared.model().decoding() == 0 {
--- a/crates/azuresaddle-standin/src/engine/server.rs
+++ b/crates/azuresaddle-standin/src/engine/server.rs
@@ -48,6 +48,8 @@
     pub(super) incarnation: Incarnation,
     pub(super) queued: Notify,
     pub(super) decoding: Notify,
+    /// Told when a stream was cancelled.
+    pub(super) cancelled: Notify,
     spawner: Spawner,
 }
 
@@ -79,6 +81,7 @@
             incarnation,
             queued: Notify::new(),
             decoding: Notify::new(),
+            cancelled: Notify::new(),
             spawner: spawner.clone(),
         });
         spawn_loops(&shared, spawner);
@@ -240,6 +243,8 @@
         let mut model = self.shared.model();
         model.check_fence(&fence).map_err(rejected)?;
         model.cancel(id);
+        drop(model);
+        self.shared.cancelled.notify_waiters();
         Ok(json(StatusCode::OK, &Gone { gone: true }))
     }
 
