Over-long heads get a problem body; stand-ins count by id and show cache events late

A head between 16 KiB and 64 KiB is answered with 431 and a problem body that says "not run" (seen failing: a bare status); a longer one still gets a bare 431, and a head that never ends is cut off without an answer, both by the HTTP library.

--- a/crates/azuresaddle-core/src/http/server.rs
+++ b/crates/azuresaddle-core/src/http/server.rs
@@ -8,17 +8,23 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::sync::Semaphore;
 
 use super::body::Body;
+use super::respond::problem;
 use crate::net::Listener;
+use crate::problem::Problem;
 use crate::spawner::Spawner;
 
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Part of a head beyond its limit that is still read, to answer with a problem that says so; a
+/// longer one is answered with a bare status.
+const READ_FACTOR: usize = 4;
+
 /// Bounds on what one server takes.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -83,13 +89,34 @@
 {
     let service = service_fn(move |req| {
         let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+        async move {
+            let response = match check_head(&req, limits.max_header_bytes) {
+                Ok(()) => handler.handle(req).await,
+                Err(too_large) => problem(&too_large),
+            };
+            Ok::<_, Infallible>(response)
+        }
     });
     // An error here is a broken or misbehaving caller; the handler has seen its own part of it.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.max_header_bytes.max(8192))
+        .max_buf_size(limits.max_header_bytes * READ_FACTOR)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
+
+/// Checks the size of a request's head.
+fn check_head(req: &Request<Incoming>, limit: usize) -> Result<(), Problem> {
+    let uri = req.uri().path_and_query().map_or(0, |p| p.as_str().len());
+    let headers = req.headers().iter();
+    let size: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if uri + size <= limit {
+        return Ok(());
+    }
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let detail = format!("the head of the request is longer than {limit} bytes");
+    Err(Problem::not_run(status, "head-too-large", detail))
+}
--- a/crates/azuresaddle-standin/src/engine/server.rs
+++ b/crates/azuresaddle-standin/src/engine/server.rs
@@ -203,7 +203,8 @@
                     .unwrap_or(0);
                 let gap = shared.faults().cache_gap_every;
                 let mut events = shared.model().cache.events_after(after);
-                events.retain(|event| !strikes(gap, event.sequence));
+                let seen = shared.load().cache_sequence;
+                events.retain(|e| e.sequence <= seen && !strikes(gap, e.sequence));
                 Ok(json(StatusCode::OK, &CacheChanges { events }))
             }
             (&Method::GET, ["v1", "cache", "listing"]) => {
--- a/crates/azuresaddle-standin/src/service/mod.rs
+++ b/crates/azuresaddle-standin/src/service/mod.rs
@@ -1,4 +1,4 @@
-//! Stand-in of a plain service, which counts the executions of each request body.
+//! Stand-in of a plain service, which counts executions by request id and by request body.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -50,7 +50,10 @@
 
 #[derive(Default)]
 struct State {
+    /// By request body, which a caller's own retry repeats.
     executions: HashMap<String, u64>,
+    /// By request id.
+    by_id: HashMap<String, u64>,
     faults: ServiceFaults,
 }
 
@@ -92,6 +95,11 @@
         self.lock().executions.clone()
     }
 
+    /// Executions by request id.
+    pub fn executions_by_id(&self) -> HashMap<String, u64> {
+        self.lock().by_id.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -112,6 +120,7 @@
         tokio::time::sleep(delay).await;
         let executions = {
             let mut state = self.lock();
+            *state.by_id.entry(id.clone()).or_default() += 1;
             let count = state.executions.entry(body).or_default();
             *count += 1;
             *count
@@ -136,6 +145,9 @@
                 self.service.set_faults(faults);
                 Ok(json(StatusCode::OK, &faults))
             }
+            (Method::GET, "/counts/ids") => {
+                Ok(json(StatusCode::OK, &self.service.executions_by_id()))
+            }
             (Method::GET, "/counts") => Ok(json(StatusCode::OK, &self.service.executions())),
             _ => {
                 let id = req
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -129,9 +129,10 @@
 #[tokio::test(start_paused = true)]
 async fn over_large_headers_are_refused() {
     let cluster = cluster().await;
-    let mut head = b"GET /healthz HTTP/1.1\r\nhost: x\r\nx-long: ".to_vec();
+    let mut head = b"GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-long: ".to_vec();
     head.extend(vec![b'a'; 40 << 10]);
     head.extend(b"\r\n\r\n");
     let answer = send_raw(&cluster, &head).await;
     assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert!(answer.contains("\"verdict\":\"not-run\""), "{answer}");
 }
