--- a/crates/azuresaddle-sched/tests/suite/main.rs
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions.
 
+mod admission;
 mod breaker;
 mod conservation;
 mod fallback;
--- a/crates/azuresaddle-sched/tests/suite/pool.rs
+++ b/crates/azuresaddle-sched/tests/suite/pool.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_core::rules::AccountLimits;
 use azuresaddle_sched::{Ask, LiveStream, Outcome};
 use tokio::time::Instant;
 
@@ -92,90 +91,6 @@
     assert!(decided(&decide(&mut pool, now), 100).is_some());
 }
 
-#[test]
-fn what_fits_in_no_pool_is_refused_for_good() {
-    let now = Instant::now();
-    let mut pool = pool(now, 2, 400_000);
-    pool.enqueue(now, ask(1, now, 900_000));
-    assert_eq!(
-        decide(&mut pool, now),
-        ["1!the prompt does not fit in the pool's memory"]
-    );
-}
-
-#[test]
-fn an_unreachable_deadline_is_refused_at_once() {
-    let now = Instant::now();
-    let mut pool = pool(now, 2, 400_000);
-    let deadline = now + Duration::from_secs(2);
-    pool.enqueue(
-        now,
-        Ask {
-            deadline,
-            ..ask(1, now, 300_000)
-        },
-    );
-    assert_eq!(decide(&mut pool, now), ["1!the deadline can't be met"]);
-}
-
-#[test]
-fn a_waiting_request_is_refused_once_it_is_too_late() {
-    let now = Instant::now();
-    let mut pool = pool(now, 1, 400_000);
-    pool.enqueue(now, ask(1, now, 1_000));
-    assert_eq!(decide(&mut pool, now).len(), 1);
-    let deadline = now + Duration::from_secs(60);
-    pool.enqueue(
-        now,
-        Ask {
-            deadline,
-            ..ask(2, now, 1_000)
-        },
-    );
-    assert_eq!(decide(&mut pool, now).len(), 0);
-    let later = pool
-        .next_wakeup(now + Duration::from_secs(1))
-        .expect("a wakeup is planned");
-    assert!(later < deadline);
-    // The prefill alone takes 25 ms.
-    let in_time = deadline - Duration::from_millis(30);
-    assert_eq!(decide(&mut pool, in_time).len(), 0);
-    let late = deadline - Duration::from_millis(20);
-    assert_eq!(decide(&mut pool, late), ["2!the deadline can't be met"]);
-}
-
-#[test]
-fn time_is_kept_for_answers_once_their_length_is_known() {
-    let mut now = Instant::now();
-    let mut pool = pool(now, 1, 400_000);
-    for number in 0..100 {
-        pool.enqueue(now, ask(number, now, 1_000));
-        assert_eq!(decide(&mut pool, now).len(), 1);
-        pool.on_first_token(now, stream(number));
-        now += Duration::from_secs(10);
-        pool.on_end(now, stream(number), Outcome::Done { tokens: 100 });
-    }
-    // A hundred tokens take ten seconds.
-    let soon = now + Duration::from_secs(5);
-    pool.enqueue(
-        now,
-        Ask {
-            deadline: soon,
-            ..ask(200, now, 1_000)
-        },
-    );
-    assert_eq!(decide(&mut pool, now), ["200!the deadline can't be met"]);
-    let later = now + Duration::from_secs(30);
-    pool.enqueue(
-        now,
-        Ask {
-            deadline: later,
-            ..ask(201, now, 1_000)
-        },
-    );
-    assert!(decided(&decide(&mut pool, now), 201).is_some());
-}
-
 #[test]
 fn a_leaving_target_gets_nothing_new() {
     let now = Instant::now();
@@ -187,108 +102,6 @@
     assert_eq!(decide(&mut pool, now), ["0@e1"]);
 }
 
-#[test]
-fn accounts_are_held_to_their_limits() {
-    let now = Instant::now();
-    let mut pool = pool(now, 8, 400_000);
-    let limits = AccountLimits {
-        max_in_flight: Some(2),
-        max_tokens_per_second: None,
-    };
-    for number in 0..3 {
-        pool.enqueue(
-            now,
-            Ask {
-                limits: limits.clone(),
-                ..ask(number, now, 1_000)
-            },
-        );
-    }
-    let decisions = decide(&mut pool, now);
-    let refused = "2!the client account has reached its limit of requests in flight";
-    assert_eq!(decisions.iter().filter(|d| *d == refused).count(), 1);
-    pool.on_end(now, stream(0), Outcome::Done { tokens: 400 });
-    pool.enqueue(
-        now,
-        Ask {
-            limits,
-            ..ask(3, now, 1_000)
-        },
-    );
-    assert!(decided(&decide(&mut pool, now), 3).is_some());
-}
-
-#[test]
-fn a_token_rate_is_held_to_over_ten_seconds() {
-    let now = Instant::now();
-    let mut pool = pool(now, 8, 400_000);
-    let limits = AccountLimits {
-        max_in_flight: None,
-        max_tokens_per_second: Some(100.0),
-    };
-    let limited = |number, now| Ask {
-        limits: limits.clone(),
-        ..ask(number, now, 600)
-    };
-    pool.enqueue(now, limited(1, now));
-    pool.enqueue(now, limited(2, now));
-    let refused = "2!the client account has reached its limit of prompt tokens a second";
-    assert_eq!(decide(&mut pool, now)[0], refused);
-    let later = now + Duration::from_secs(2);
-    pool.enqueue(later, limited(3, later));
-    assert!(decided(&decide(&mut pool, later), 3).is_some());
-}
-
-#[test]
-fn a_flooding_account_does_not_pass_others() {
-    let now = Instant::now();
-    let mut pool = pool(now, 1, 400_000);
-    pool.enqueue(now, ask(0, now, 1_000));
-    decide(&mut pool, now);
-    for number in 1..100 {
-        pool.enqueue(now, ask(number, now, 8_000));
-    }
-    let later = now + Duration::from_millis(10);
-    let other = ClientAccount::new("b");
-    pool.enqueue(
-        later,
-        Ask {
-            account: other,
-            ..ask(500, later, 8_000)
-        },
-    );
-    pool.on_first_token(later, stream(0));
-    decide(&mut pool, later);
-    pool.on_first_token(later, stream(1));
-    assert!(
-        decided(&decide(&mut pool, later), 500).is_some(),
-        "second in turn"
-    );
-}
-
-#[test]
-fn retries_are_bounded() {
-    let now = Instant::now();
-    let mut pool = pool(now, 8, 4_000_000);
-    let mut refused = 0;
-    for number in 0..50 {
-        pool.enqueue(
-            now,
-            Ask {
-                stream: stream(number).retry(),
-                ..ask(number, now, 1_000)
-            },
-        );
-        let decisions = decide(&mut pool, now);
-        refused += decisions
-            .iter()
-            .filter(|d| d.ends_with("the retry budget is spent"))
-            .count();
-        pool.on_end(now, stream(number).retry(), Outcome::Done { tokens: 400 });
-    }
-    assert_eq!(refused, 40, "ten are saved up at the start");
-}
-
 #[test]
 fn a_new_incarnation_has_lost_its_streams() {
     let now = Instant::now();
--- a/tests/testsuite/scenario/driver.rs
+++ b/tests/testsuite/scenario/driver.rs
@@ -4,15 +4,13 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_standin::cluster::ClusterSpec;
-use azuresaddle_standin::engine::EngineOptions;
-use azuresaddle_standin::load::CallerRequest;
 use clap::ArgMatches;
 use hyper::Method;
-use xxhash_rust::xxh3::xxh3_64;
 
+use super::arguments::{
+    caller_request, describe, describe_version, number, opt, put_body, spec, text, time,
+};
 use super::checker::broken_promises;
-use super::trace::End;
 use super::words;
 use super::world::World;
 
@@ -282,81 +280,3 @@
         }
     }
 }
-
-fn spec(args: &ArgMatches) -> ClusterSpec {
-    let options = EngineOptions {
-        memory_tokens: number(args, "memory"),
-        checks_fencing: !args.get_flag("ignore-fencing"),
-        ..EngineOptions::default()
-    };
-    let count = |name| number(args, name) as usize;
-    let spec = ClusterSpec::uniform(
-        count("nodes"),
-        count("engines"),
-        count("services"),
-        &options,
-    );
-    ClusterSpec {
-        host_list_lag: time(args, "list-lag"),
-        ..spec.over_domains(count("domains"))
-    }
-}
-
-fn caller_request(id: &str, args: &ArgMatches) -> CallerRequest {
-    CallerRequest {
-        model: Model::new("m"),
-        prompt_tokens: number(args, "tokens"),
-        seed: xxh3_64(id.as_bytes()),
-        max_tokens: number(args, "max-tokens"),
-        kind: String::new(),
-        deadline: time(args, "deadline"),
-        idempotent: !args.get_flag("once"),
-        key: opt(args, "key"),
-    }
-}
-
-fn put_body(base: u64, rules: &str) -> String {
-    format!(r#"{{"base": {base}, "document": {{"rules": {rules}}}}}"#)
-}
-
-fn describe(end: &End) -> String {
-    match end {
-        End::Whole => "whole".to_owned(),
-        End::Failed {
-            problem,
-            verdict,
-            retry_after,
-        } => {
-            let hint = if *retry_after {
-                ", come back later"
-            } else {
-                ""
-            };
-            format!("failed: {problem} ({verdict}{hint})")
-        }
-        other => format!("{other:?}"),
-    }
-}
-
-fn describe_version(status: u16, version: Option<u64>) -> String {
-    match version {
-        Some(version) => format!("{status}, version {version}"),
-        None => status.to_string(),
-    }
-}
-
-fn text(args: &ArgMatches, name: &str) -> String {
-    args.get_one::<String>(name).cloned().unwrap_or_default()
-}
-
-fn opt(args: &ArgMatches, name: &str) -> Option<String> {
-    args.get_one::<String>(name).cloned()
-}
-
-fn number(args: &ArgMatches, name: &str) -> u64 {
-    *args.get_one(name).expect("has a default")
-}
-
-fn time(args: &ArgMatches, name: &str) -> Duration {
-    *args.get_one(name).expect("has a value")
-}
--- a/tests/testsuite/scenario/mod.rs
+++ b/tests/testsuite/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! Scripted scenarios: `tests/scenarios/*.scn`, one command a line, on real nodes over an
 //! in-memory network with a paused clock.
 
+mod arguments;
 mod checker;
 mod checker_tests;
 mod driver;
