--- a/crates/azuresaddle-core/src/net/tcp.rs
+++ b/crates/azuresaddle-core/src/net/tcp.rs
@@ -2,11 +2,23 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 use super::{Listener, Network};
 
+/// Time after which a connection with unacknowledged bytes counts as broken; many round trips
+/// inside a region.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Time between probes of a connection on which nothing is sent.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection counts as broken.
+const PROBES: u32 = 2;
+
 /// Real sockets.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TcpNetwork;
@@ -25,6 +37,13 @@
     async fn connect(&self, addr: SocketAddr) -> io::Result<TcpStream> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL)
+            .with_retries(PROBES);
+        socket.set_tcp_keepalive(&probes)?;
         Ok(stream)
     }
 
--- a/crates/azuresaddle-core/src/spawner.rs
+++ b/crates/azuresaddle-core/src/spawner.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll, Waker};
 
 use tokio::runtime::Handle;
+use tokio::task::AbortHandle;
 use tokio_util::sync::CancellationToken;
 
 /// Spawns the tasks of one process and can stop all of them at once.
@@ -56,6 +57,14 @@
 
     /// Starts a task that ends when the group is killed.
     pub fn spawn<F>(&self, future: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.spawn_abortable(future);
+    }
+
+    /// Starts a task that ends when the group is killed, or by the handle.
+    pub fn spawn_abortable<F>(&self, future: F) -> AbortHandle
     where
         F: Future<Output = ()> + Send + 'static,
     {
@@ -64,13 +73,14 @@
             inner: Arc::clone(&self.inner),
             future: Box::pin(future),
         };
-        self.handle.spawn(async move {
+        let task = self.handle.spawn(async move {
             tokio::select! {
                 biased;
                 () = killed.cancelled() => {}
                 () = gate => {}
             }
         });
+        task.abort_handle()
     }
 
     /// Drops every task of the group, as `kill -9` would.
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -0,0 +1,322 @@
+//! The control loop.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{Configuration, EntrySettings};
+use azuresaddle_core::http::HttpClient;
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::{Item, Kind, PlatformStore, decode_configuration, kind_of};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior};
+use tokio_util::sync::CancellationToken;
+
+use super::heartbeat::{Heartbeat, MAX_BYTES};
+use super::members::{HEARTBEAT_INTERVAL, Members};
+use super::registry::Registry;
+use super::store_watch::{StoreEvent, watch_store};
+use crate::peer::{PeerClients, PeerNews};
+use crate::snapshot::{Snapshot, Snapshots, TargetSet};
+
+/// Longest wait for an answer of the store, other than of a watch.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Longest wait for news from another node.
+const PEER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time that a node gives its own watch to bring what another node already knows.
+const NEWS_PATIENCE: Duration = Duration::from_millis(150);
+
+/// Events of the store that wait for the control loop.
+const MAX_WAITING_EVENTS: usize = 64;
+
+/// What control needs.
+pub(crate) struct ControlParts<N> {
+    pub(crate) settings: EntrySettings,
+    pub(crate) net: N,
+    pub(crate) spawner: Spawner,
+    pub(crate) incarnation: u64,
+    /// Unix time of the start, in milliseconds.
+    pub(crate) started_ms: u64,
+    pub(crate) socket: UdpSocket,
+    pub(crate) snapshots: Snapshots,
+    pub(crate) leaving: CancellationToken,
+}
+
+/// State of control.
+pub(crate) struct Control<N> {
+    socket: UdpSocket,
+    heartbeat_port: u16,
+    peers: PeerClients<N>,
+    spawner: Spawner,
+    snapshots: Snapshots,
+    leaving: CancellationToken,
+    members: Members,
+    registry: Registry,
+    configuration: Option<Arc<Configuration>>,
+    raw_configuration: Option<Arc<Vec<u8>>>,
+    /// Since when another node has known more than this one.
+    behind_since: Option<Instant>,
+    is_fetching: bool,
+}
+
+impl<N: Network> Control<N> {
+    /// Starts the control loop.
+    pub(crate) fn spawn(parts: ControlParts<N>) {
+        let spawner = parts.spawner.clone();
+        let http = HttpClient::new(parts.net.clone(), spawner.clone());
+        let store = PlatformStore::new(http, parts.settings.store, STORE_TIMEOUT);
+        let (store_tx, store_rx) = mpsc::channel(MAX_WAITING_EVENTS);
+        spawner.spawn(watch_store(store, store_tx));
+        let control = Self::new(parts);
+        spawner.spawn(control.run(store_rx));
+    }
+
+    fn new(parts: ControlParts<N>) -> Self {
+        let settings = &parts.settings;
+        let own = Heartbeat {
+            name: settings.name.clone(),
+            incarnation: parts.incarnation,
+            started_ms: parts.started_ms,
+            cpu_milli: (settings.cpu_share * 1000.0) as u32,
+            callers: settings.listen.callers,
+            configuration: 0,
+            targets: 0,
+            leaving: false,
+            heard: Vec::new(),
+        };
+        let now = Instant::now();
+        let members = Members::new(now, own, settings.ip, settings.peer_port, &settings.seeds);
+        Self {
+            socket: parts.socket,
+            heartbeat_port: settings.heartbeat_port,
+            peers: PeerClients::new(parts.net, parts.spawner.clone()),
+            spawner: parts.spawner,
+            snapshots: parts.snapshots,
+            leaving: parts.leaving,
+            members,
+            registry: Registry::default(),
+            configuration: None,
+            raw_configuration: None,
+            behind_since: None,
+            is_fetching: false,
+        }
+    }
+
+    async fn run(mut self, mut store: mpsc::Receiver<StoreEvent>) {
+        let (news_tx, mut news_rx) = mpsc::channel(4);
+        let mut tick = tokio::time::interval(HEARTBEAT_INTERVAL);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let leaving = self.leaving.clone();
+        let mut buf = [0; MAX_BYTES];
+        loop {
+            let changed = tokio::select! {
+                received = self.socket.recv_from(&mut buf) => match received {
+                    Ok((len, from)) => self.on_datagram(from, &buf[..len]),
+                    Err(e) => {
+                        // A port without a listener at the other end shows up here.
+                        tracing::debug!(part = "control", error = %e, "datagram not received");
+                        false
+                    }
+                },
+                Some(event) = store.recv() => self.on_store(event),
+                Some(news) = news_rx.recv() => self.on_peer_news(news),
+                () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
+                _ = tick.tick() => self.on_tick(&news_tx).await,
+            };
+            if changed {
+                self.publish();
+            }
+        }
+    }
+
+    fn on_datagram(&mut self, from: SocketAddr, bytes: &[u8]) -> bool {
+        let SocketAddr::V4(from) = from else {
+            return false;
+        };
+        let Some(heartbeat) = Heartbeat::decode(bytes) else {
+            tracing::debug!(part = "control", %from, "unreadable heartbeat ignored");
+            return false;
+        };
+        self.members
+            .on_heartbeat(Instant::now(), *from.ip(), heartbeat)
+    }
+
+    async fn on_tick(&mut self, news_tx: &mpsc::Sender<Option<PeerNews>>) -> bool {
+        let now = Instant::now();
+        let members_changed = self.members.check(now);
+        let targets_changed = self.registry.check(now);
+        self.send_heartbeats(now).await;
+        self.fetch_if_behind(now, news_tx);
+        members_changed || targets_changed
+    }
+
+    async fn send_heartbeats(&self, now: Instant) {
+        let bytes = self.members.heartbeat(now).encode();
+        for ip in self.members.destinations() {
+            self.send_to(ip, &bytes).await;
+        }
+    }
+
+    async fn send_to(&self, ip: Ipv4Addr, bytes: &[u8]) {
+        let to = SocketAddr::from((ip, self.heartbeat_port));
+        if let Err(e) = self.socket.send_to(bytes, to).await {
+            // The next heartbeat follows soon.
+            tracing::debug!(part = "control", %to, error = %e, "heartbeat not sent");
+        }
+    }
+
+    /// Asks a better informed node for its news, once the own watch had its chance.
+    fn fetch_if_behind(&mut self, now: Instant, news_tx: &mpsc::Sender<Option<PeerNews>>) {
+        let configuration = self.version();
+        let targets = self.registry.revision();
+        let is_better =
+            |h: &Heartbeat| h.configuration > configuration || h.targets > targets;
+        let Some(addr) = self.members.better_informed(now, is_better) else {
+            self.behind_since = None;
+            return;
+        };
+        let since = *self.behind_since.get_or_insert(now);
+        if self.is_fetching || now.saturating_duration_since(since) < NEWS_PATIENCE {
+            return;
+        }
+        self.is_fetching = true;
+        let peers = self.peers.clone();
+        let tx = news_tx.clone();
+        self.spawner.spawn(async move {
+            let news = peers
+                .call(addr, PEER_TIMEOUT, async |client, cx| {
+                    client.news(cx, configuration).await
+                })
+                .await;
+            if let Err(e) = &news {
+                tracing::debug!(part = "control", %addr, error = %e, "news not fetched");
+            }
+            // The loop outlives this task.
+            let _ = tx.send(news.ok()).await;
+        });
+    }
+
+    fn on_peer_news(&mut self, news: Option<PeerNews>) -> bool {
+        self.is_fetching = false;
+        let Some(news) = news else {
+            return false;
+        };
+        let mut changed = false;
+        if let Some(json) = news.configuration {
+            changed |= self.on_configuration(json, "a node");
+        }
+        let now = Instant::now();
+        for target in news.targets {
+            changed |= self.registry.apply(now, target.into());
+        }
+        changed
+    }
+
+    fn on_store(&mut self, event: StoreEvent) -> bool {
+        let now = Instant::now();
+        match event {
+            StoreEvent::Back => {
+                tracing::info!(part = "control", "store regained");
+                self.registry.on_store_back(now);
+                false
+            }
+            StoreEvent::Lost { reason } => {
+                tracing::warn!(part = "control", reason, "store lost");
+                false
+            }
+            StoreEvent::Listing { items, at } => {
+                let (targets, others): (Vec<_>, Vec<_>) =
+                    items.into_iter().partition(|i| kind_of(&i.key) == Kind::Target);
+                let mut changed = self.registry.apply_listing(now, targets, at);
+                for item in others {
+                    changed |= self.on_item(now, item);
+                }
+                changed
+            }
+            StoreEvent::Changes(items) => items
+                .into_iter()
+                .fold(false, |changed, item| self.on_item(now, item) | changed),
+        }
+    }
+
+    fn on_item(&mut self, now: Instant, item: Item) -> bool {
+        match kind_of(&item.key) {
+            Kind::Target => self.registry.apply(now, item),
+            Kind::Configuration => item
+                .value
+                .is_some_and(|json| self.on_configuration(json, "the store")),
+            Kind::Other => false,
+        }
+    }
+
+    fn on_configuration(&mut self, json: Vec<u8>, source: &str) -> bool {
+        let configuration = match decode_configuration(&json) {
+            Ok(configuration) => configuration,
+            Err(e) => {
+                tracing::error!(part = "control", error = %e, "configuration refused");
+                return false;
+            }
+        };
+        if configuration.version.0 <= self.version() {
+            return false;
+        }
+        tracing::info!(
+            part = "control",
+            version = configuration.version.0,
+            routes = configuration.route_count(),
+            source,
+            "configuration in force"
+        );
+        self.configuration = Some(Arc::new(configuration));
+        self.raw_configuration = Some(Arc::new(json));
+        true
+    }
+
+    fn on_leaving(&mut self) -> bool {
+        self.members.update_own(|own| own.leaving = true);
+        true
+    }
+
+    fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |c| c.version.0)
+    }
+
+    fn publish(&mut self) {
+        let version = self.version();
+        let revision = self.registry.revision();
+        self.members.update_own(|own| {
+            own.configuration = version;
+            own.targets = revision;
+        });
+        let (nodes, owner) = self.members.live(Instant::now());
+        let before = self.snapshots.load();
+        let targets = self.registry.targets();
+        self.log_changes(&before, &targets, nodes.len(), owner);
+        self.snapshots.publish(Snapshot {
+            configuration: self.configuration.clone(),
+            raw_configuration: self.raw_configuration.clone(),
+            targets: Arc::new(targets),
+            raw_targets: Arc::new(self.registry.items()),
+            nodes: Arc::new(nodes),
+            owner,
+            leaving: self.members.is_leaving(),
+        });
+    }
+
+    fn log_changes(&self, before: &Snapshot, targets: &TargetSet, nodes: usize, owner: u64) {
+        if before.targets.len() != targets.len() {
+            tracing::info!(
+                part = "control",
+                targets = targets.len(),
+                revision = self.registry.revision(),
+                "targets changed"
+            );
+        }
+        if before.nodes.len() != nodes || before.owner != owner {
+            tracing::info!(part = "control", nodes, owner, "membership changed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -0,0 +1,9 @@
+//! Control: what this node believes of the configuration, the targets and the other nodes.
+
+mod actor;
+mod heartbeat;
+mod members;
+mod registry;
+mod store_watch;
+
+pub(crate) use actor::{Control, ControlParts};
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -0,0 +1,151 @@
+//! Targets by their entries in the store, and what the store's outages do to them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{TargetEntry, TargetState};
+use azuresaddle_platform::{Item, decode_target};
+use tokio::time::Instant;
+
+use crate::snapshot::TargetSet;
+
+/// Time for which an entry that lapsed while the store was away is still believed: a target that
+/// lives registers again within about two seconds.
+const RETURN_GRACE: Duration = Duration::from_millis(2200);
+
+/// Time for which a removed entry is remembered, so that older news of it is not believed.
+const TOMBSTONE_KEPT: Duration = Duration::from_secs(60);
+
+/// What is known of one entry.
+#[derive(Debug)]
+struct Held {
+    item: Item,
+    /// The decoded entry; `None` where it was removed.
+    entry: Option<Arc<TargetEntry>>,
+    /// When an entry that lapsed is given up.
+    give_up_at: Option<Instant>,
+    /// When the removal was learned.
+    removed_at: Option<Instant>,
+}
+
+/// Entries by key; only newer revisions replace older ones.
+#[derive(Debug, Default)]
+pub(super) struct Registry {
+    held: HashMap<String, Held>,
+    revision: u64,
+    /// Until when removals are taken for lapses of an outage.
+    grace_until: Option<Instant>,
+}
+
+impl Registry {
+    /// Revision of the last change that is known.
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Notes that the store answers again.
+    pub(super) fn on_store_back(&mut self, now: Instant) {
+        self.grace_until = Some(now + RETURN_GRACE);
+    }
+
+    /// Takes one change; true where the targets are different now.
+    pub(super) fn apply(&mut self, now: Instant, item: Item) -> bool {
+        let known = self.held.get(&item.key);
+        if known.is_some_and(|h| h.item.revision >= item.revision) {
+            return false;
+        }
+        self.revision = self.revision.max(item.revision);
+        let Some(value) = &item.value else {
+            return self.remove(now, item);
+        };
+        let entry = match decode_target(&item.key, value) {
+            Ok(entry) => Arc::new(entry),
+            Err(e) => {
+                // The last good state stays in force.
+                tracing::warn!(part = "control", error = %e, "unreadable target entry ignored");
+                return false;
+            }
+        };
+        let changed = known.and_then(|h| h.entry.as_ref()) != Some(&entry);
+        let held = Held {
+            entry: Some(entry),
+            give_up_at: None,
+            removed_at: None,
+            item,
+        };
+        self.held.insert(held.item.key.clone(), held);
+        changed
+    }
+
+    fn remove(&mut self, now: Instant, item: Item) -> bool {
+        let in_grace = self.grace_until.is_some_and(|until| now < until);
+        let Some(held) = self.held.get_mut(&item.key) else {
+            return false;
+        };
+        if in_grace && held.entry.as_ref().is_some_and(|e| e.state == TargetState::Ready) {
+            held.give_up_at = held.give_up_at.or(self.grace_until);
+            return false;
+        }
+        held.item = item;
+        held.removed_at = Some(now);
+        held.give_up_at = None;
+        held.entry.take().is_some()
+    }
+
+    /// Takes a full listing that was read at a revision; true where the targets are different now.
+    pub(super) fn apply_listing(&mut self, now: Instant, items: Vec<Item>, at: u64) -> bool {
+        let listed: std::collections::HashSet<String> =
+            items.iter().map(|i| i.key.clone()).collect();
+        let mut changed = false;
+        for item in items {
+            changed |= self.apply(now, item);
+        }
+        let missing: Vec<String> = self
+            .held
+            .values()
+            .filter(|h| h.entry.is_some() && !listed.contains(&h.item.key))
+            .filter(|h| h.item.revision < at)
+            .map(|h| h.item.key.clone())
+            .collect();
+        for key in missing {
+            let gone = Item {
+                key,
+                value: None,
+                revision: at,
+            };
+            changed |= self.apply(now, gone);
+        }
+        changed
+    }
+
+    /// Gives up entries whose grace is over; true where the targets are different now.
+    pub(super) fn check(&mut self, now: Instant) -> bool {
+        let mut changed = false;
+        for held in self.held.values_mut() {
+            if held.give_up_at.is_some_and(|at| now >= at) {
+                held.give_up_at = None;
+                held.removed_at = Some(now);
+                held.item.value = None;
+                held.entry = None;
+                changed = true;
+            }
+        }
+        self.held.retain(|_, h| {
+            h.removed_at
+                .is_none_or(|at| now.saturating_duration_since(at) < TOMBSTONE_KEPT)
+        });
+        changed
+    }
+
+    /// Targets that take new work.
+    pub(super) fn targets(&self) -> TargetSet {
+        let entries = self.held.values().filter_map(|h| h.entry.clone());
+        TargetSet::new(entries.filter(|e| e.state == TargetState::Ready))
+    }
+
+    /// All that is known, for other nodes.
+    pub(super) fn items(&self) -> Vec<Item> {
+        self.held.values().map(|h| h.item.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -0,0 +1,153 @@
+//! One send of a request to one target.
+
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::headers;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
+
+use crate::targets::Connection;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Why a send brought no answer of the target to relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum SendFailure {
+    /// The request never left this node.
+    NotSent(String),
+    /// The target says that it did not run the request.
+    Declined {
+        status: StatusCode,
+        /// The target at fault, where another than the receiver.
+        at: Option<String>,
+    },
+    /// Another server answers at the address; it did not run the request.
+    WrongTarget,
+    /// The request may have run.
+    Broken(String),
+    /// No answer in the time given; the request may have run.
+    Silent,
+}
+
+impl SendFailure {
+    pub(super) fn verdict(&self) -> Verdict {
+        match self {
+            Self::NotSent(_) | Self::Declined { .. } | Self::WrongTarget => Verdict::NotRun,
+            Self::Broken(_) | Self::Silent => Verdict::MayHaveRun,
+        }
+    }
+
+    /// Whether the target has seen the request.
+    pub(super) fn has_arrived(&self) -> bool {
+        !matches!(self, Self::NotSent(_))
+    }
+}
+
+impl std::fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::Declined { status, at: None } => write!(f, "declined with {status}"),
+            Self::Declined {
+                status,
+                at: Some(at),
+            } => write!(f, "declined with {status} because of {at}"),
+            Self::WrongTarget => f.write_str("another server has the address"),
+            Self::Broken(reason) => write!(f, "broken: {reason}"),
+            Self::Silent => f.write_str("no answer in time"),
+        }
+    }
+}
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+/// Where there is no answer of the target to relay.
+pub(super) async fn send(
+    connection: &mut Connection,
+    req: Request<Full<Bytes>>,
+    attempt_id: &hyper::header::HeaderValue,
+    patience: Duration,
+) -> Result<Response<Incoming>, SendFailure> {
+    let sending = connection.sender().try_send_request(req);
+    let response = match tokio::time::timeout(patience, sending).await {
+        Err(_) => return Err(SendFailure::Silent),
+        Ok(Err(mut e)) => {
+            let was_written = e.take_message().is_none();
+            let reason = e.into_error().to_string();
+            return Err(if was_written {
+                SendFailure::Broken(reason)
+            } else {
+                SendFailure::NotSent(reason)
+            });
+        }
+        Ok(Ok(response)) => response,
+    };
+    check_answer(response, attempt_id)
+}
+
+fn check_answer(
+    response: Response<Incoming>,
+    attempt_id: &hyper::header::HeaderValue,
+) -> Result<Response<Incoming>, SendFailure> {
+    let map = response.headers();
+    // A late or second answer to another request may arrive first.
+    if map.get(&headers::ATTEMPT_ID).is_some_and(|id| id != attempt_id) {
+        return Err(SendFailure::Broken("answer to another request".to_owned()));
+    }
+    let status = response.status();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(match at_target(map) {
+            Some(at) => SendFailure::Declined {
+                status,
+                at: Some(at),
+            },
+            None => SendFailure::WrongTarget,
+        });
+    }
+    if map.contains_key(&headers::NOT_RUN) {
+        let at = at_target(map);
+        return Err(SendFailure::Declined { status, at });
+    }
+    if map.get(&headers::ATTEMPT_ID).is_none() {
+        return Err(SendFailure::Broken("answer without its request".to_owned()));
+    }
+    Ok(response)
+}
+
+fn at_target(map: &HeaderMap) -> Option<String> {
+    let at = map.get(&headers::AT_TARGET)?.to_str().ok()?;
+    Some(at.to_owned())
+}
+
+/// How long the target keeps the connection; `None` where it closes it after this answer.
+pub(super) fn kept_for(map: &HeaderMap) -> Option<Kept> {
+    let closes = map.get_all(CONNECTION).iter().any(|v| {
+        v.to_str()
+            .is_ok_and(|v| v.split(',').any(|t| t.trim().eq_ignore_ascii_case("close")))
+    });
+    if closes {
+        return None;
+    }
+    let told = map.get(&KEEP_ALIVE).and_then(|v| v.to_str().ok());
+    let seconds = told.and_then(|v| {
+        v.split(',')
+            .find_map(|p| p.trim().strip_prefix("timeout="))
+            .and_then(|s| s.trim().parse().ok())
+    });
+    Some(Kept(seconds.map(Duration::from_secs)))
+}
+
+/// Time for which a target keeps a connection, where it says.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kept(pub(super) Option<Duration>);
+
+/// The time left until a moment.
+pub(super) fn until(at: Instant) -> Duration {
+    at.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/body.rs
@@ -0,0 +1,138 @@
+//! Bodies of answers to callers.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio_util::sync::DropGuard;
+
+/// The answer ends before it is complete; the connection is closed so that the caller sees it.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the answer broke off")]
+pub(crate) struct BrokenOff;
+
+/// Counts answers that are not finished.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InFlight(Arc<AtomicUsize>);
+
+impl InFlight {
+    pub(crate) fn begin(&self) -> InFlightGuard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        InFlightGuard(Arc::clone(&self.0))
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// An answer that is not finished.
+#[derive(Debug)]
+pub(crate) struct InFlightGuard(Arc<AtomicUsize>);
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A piece of a relayed answer.
+#[derive(Clone, Debug)]
+pub(crate) enum Piece {
+    /// Bytes to pass on.
+    Data(Bytes),
+    /// The answer is complete; a relay that stops without it has broken off.
+    End,
+}
+
+/// Body of an answer: whole, or relayed as it arrives.
+#[derive(Debug)]
+pub(crate) struct ProxyBody {
+    kind: BodyKind,
+    /// Dropped when the answer is written or given up.
+    in_flight: Option<InFlightGuard>,
+}
+
+#[derive(Debug)]
+enum BodyKind {
+    Whole(Option<Bytes>),
+    Relayed {
+        pieces: mpsc::Receiver<Piece>,
+        /// Cancels the relay when the caller leaves.
+        _cancel: DropGuard,
+    },
+}
+
+impl ProxyBody {
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self {
+            kind: BodyKind::Whole(Some(bytes.into())),
+            in_flight: None,
+        }
+    }
+
+    pub(crate) fn relayed(
+        pieces: mpsc::Receiver<Piece>,
+        cancel: DropGuard,
+    ) -> Self {
+        Self {
+            kind: BodyKind::Relayed {
+                pieces,
+                _cancel: cancel,
+            },
+            in_flight: None,
+        }
+    }
+
+    /// Counts the answer as in flight until this body is dropped.
+    pub(crate) fn counted(mut self, guard: InFlightGuard) -> Self {
+        self.in_flight = Some(guard);
+        self
+    }
+}
+
+impl Body for ProxyBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match &mut self.kind {
+            BodyKind::Whole(bytes) => {
+                let bytes = bytes.take().filter(|b| !b.is_empty());
+                Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
+            }
+            BodyKind::Relayed { pieces, .. } => {
+                let piece = std::task::ready!(pieces.poll_recv(cx));
+                Poll::Ready(match piece {
+                    Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(Piece::End) => None,
+                    None => Some(Err(BrokenOff)),
+                })
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.kind {
+            BodyKind::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            BodyKind::Relayed { .. } => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.kind {
+            BodyKind::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            BodyKind::Relayed { .. } => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -0,0 +1,100 @@
+//! Everything that relaying needs.
+
+use std::sync::Arc;
+
+use azuresaddle_core::deployment::{Bounds, EngineSpec, TargetEntry};
+use azuresaddle_core::prelude::*;
+use hyper::Response;
+
+use super::body::ProxyBody;
+use super::head::ForwardRequest;
+use super::plain::forward_plain;
+use super::retry_budget::RetryBudget;
+use super::stream::forward_stream;
+use crate::placement::Placement;
+use crate::snapshot::Snapshots;
+use crate::targets::{ConnectError, Connection, Connections, TargetHealth};
+
+/// Relays requests of callers to targets.
+pub(crate) struct Forwarder<N: Network> {
+    pub(super) domain: FailureDomain,
+    pub(super) spawner: Spawner,
+    pub(super) snapshots: Snapshots,
+    pub(super) placement: Arc<Placement<N>>,
+    pub(super) connections: Connections<N>,
+    pub(super) health: Arc<TargetHealth>,
+    pub(super) retries: RetryBudget,
+    pub(super) bounds: Bounds,
+}
+
+impl<N: Network> Forwarder<N> {
+    pub(crate) fn new(
+        net: N,
+        spawner: Spawner,
+        domain: FailureDomain,
+        bounds: Bounds,
+        snapshots: Snapshots,
+        placement: Arc<Placement<N>>,
+    ) -> Arc<Self> {
+        let forwarder = Arc::new(Self {
+            domain,
+            connections: Connections::new(net, spawner.clone()),
+            spawner: spawner.clone(),
+            snapshots,
+            placement,
+            health: Arc::default(),
+            retries: RetryBudget::new(bounds),
+            bounds,
+        });
+        spawner.spawn(Arc::clone(&forwarder).follow_targets());
+        forwarder
+    }
+
+    /// Relays one request.
+    pub(crate) async fn forward(self: &Arc<Self>, req: ForwardRequest) -> Response<ProxyBody> {
+        self.retries.on_request(&req.service);
+        if req.route.is_stream {
+            forward_stream(Arc::clone(self), req).await
+        } else {
+            forward_plain(self, &req).await
+        }
+    }
+
+    /// A connection to a target, within this node's share.
+    pub(super) async fn connect(&self, target: &TargetEntry) -> Result<Connection, ConnectError> {
+        let snapshot = self.snapshots.load();
+        let service = snapshot
+            .configuration
+            .as_ref()
+            .and_then(|c| c.service(&target.service));
+        let most = service.map_or(u32::MAX, |s| s.max_connections);
+        let share = Connections::<N>::share(most, snapshot.nodes.len());
+        self.connections
+            .checkout(&target.id, target.addr, share)
+            .await
+    }
+
+    /// Takes one repeat from the node's share of the budget.
+    pub(super) fn may_repeat(&self, service: &Arc<str>) -> bool {
+        let nodes = self.snapshots.load().nodes.len();
+        self.retries.take(service, nodes)
+    }
+
+    /// Speeds and sizes of a service's engines; `None` for a plain service.
+    pub(super) fn engine_spec(&self, service: &str) -> Option<EngineSpec> {
+        let snapshot = self.snapshots.load();
+        let configuration = snapshot.configuration.as_ref()?;
+        configuration.service(service)?.engine.clone()
+    }
+
+    /// Forgets targets that are gone.
+    async fn follow_targets(self: Arc<Self>) {
+        let mut changes = self.snapshots.subscribe();
+        while changes.changed().await.is_ok() {
+            let snapshot = self.snapshots.load();
+            let is_known = |id: &HostName| snapshot.targets.get(id).is_some();
+            self.connections.retain(is_known);
+            self.health.retain(is_known);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -0,0 +1,165 @@
+//! A caller's request, ready to be sent to targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{Account, Repeat, Route};
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::headers;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Method, Request, Uri};
+use tokio::time::Instant;
+
+/// Headers that concern one connection only, beside those that `Connection` names.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    HeaderName::from_static("proxy-authenticate"),
+    HeaderName::from_static("proxy-authorization"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Headers that the node sets itself, whatever the caller sent.
+const OWN: [HeaderName; 8] = [
+    AUTHORIZATION,
+    CONTENT_LENGTH,
+    headers::TIME_LEFT_MS,
+    headers::ACCOUNT,
+    headers::EXPECTED_TARGET,
+    headers::ENGINE_PRIORITY,
+    headers::HELPERS,
+    headers::LAST_EVENT_ID,
+];
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_hop_by_hop(map: &mut HeaderMap) {
+    let named: Vec<HeaderName> = map
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        map.remove(name);
+    }
+}
+
+/// Method, target and headers of a request, as targets get them.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestHead {
+    pub(crate) method: Method,
+    /// Path and query, unchanged.
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    /// Last event that the caller has.
+    pub(crate) last_event_id: Option<HeaderValue>,
+    pub(crate) attempt_id: HeaderValue,
+}
+
+impl RequestHead {
+    /// Takes what is forwarded of a caller's head.
+    pub(crate) fn new(
+        method: Method,
+        uri: Uri,
+        mut map: HeaderMap,
+        attempt_id: HeaderValue,
+    ) -> Self {
+        let last_event_id = map.get(&headers::LAST_EVENT_ID).cloned();
+        strip_hop_by_hop(&mut map);
+        for name in &OWN {
+            map.remove(name);
+        }
+        Self {
+            method,
+            uri,
+            headers: map,
+            last_event_id,
+            attempt_id,
+        }
+    }
+}
+
+/// A caller's request with everything that decides how it is relayed.
+#[derive(Debug)]
+pub(crate) struct ForwardRequest {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) account: Option<Arc<Account>>,
+    pub(crate) arrived: Instant,
+    /// When the caller, or the operator, gives up.
+    pub(crate) deadline: Instant,
+}
+
+impl ForwardRequest {
+    /// Whether the request may run again after a failure.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    /// Time until the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Name of the account for decisions; callers without one share the empty name.
+    pub(crate) fn account_name(&self) -> ClientAccount {
+        let name = self.account.as_ref().map(|a| a.name.clone());
+        name.unwrap_or_else(|| ClientAccount::new(""))
+    }
+
+    /// Prompt tokens and expected answer tokens, where the request says them.
+    pub(crate) fn tokens(&self) -> Option<(u64, u64)> {
+        let map = &self.head.headers;
+        let (prompt, most) = headers::tokens_of(map.get(&headers::TOKENS)?)?;
+        let estimate = map.get(&headers::ANSWER_ESTIMATE).and_then(headers::number_of);
+        Some((prompt, estimate.unwrap_or(most).min(most.max(1))))
+    }
+
+    /// The request for one target.
+    pub(super) fn for_target(&self, to: &Sending<'_>) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.head.method.clone();
+        *req.uri_mut() = self.head.uri.clone();
+        let mut map = self.head.headers.clone();
+        let left_ms = self.time_left().as_millis().max(1);
+        map.insert(headers::TIME_LEFT_MS, text(&left_ms.to_string()));
+        map.insert(headers::EXPECTED_TARGET, text(to.target.as_str()));
+        if let Some(account) = &self.account {
+            map.insert(headers::ACCOUNT, text(account.name.as_str()));
+        }
+        if let Some(id) = to.last_event_id {
+            map.insert(headers::LAST_EVENT_ID, id.clone());
+        }
+        if let Some(helpers) = to.helpers {
+            map.insert(headers::HELPERS, text(helpers));
+        }
+        *req.headers_mut() = map;
+        req
+    }
+}
+
+/// What differs between the sends of one request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sending<'a> {
+    pub(super) target: &'a HostName,
+    pub(super) last_event_id: Option<&'a HeaderValue>,
+    pub(super) helpers: Option<&'a str>,
+}
+
+/// A header value of text that the platform or this node made; an unusable one is left empty, and
+/// the target refuses it.
+fn text(value: &str) -> HeaderValue {
+    HeaderValue::from_str(value).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -0,0 +1,17 @@
+//! Relays requests to targets.
+
+mod answer;
+mod attempt;
+mod body;
+mod event_splitter;
+mod forwarder;
+mod head;
+mod plain;
+mod reservations;
+mod retry_budget;
+mod stream;
+
+pub(crate) use answer::{own_answer, refusal};
+pub(crate) use body::{BrokenOff, InFlight, ProxyBody};
+pub(crate) use forwarder::Forwarder;
+pub(crate) use head::{ForwardRequest, RequestHead};
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -0,0 +1,175 @@
+//! Memory on several engines for a prompt that no single one can hold.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::TargetEntry;
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::{
+    HelperRef, ORDER_PATH, decode_order_answer, encode_release, encode_reserve, headers,
+};
+use bytes::Bytes;
+use futures::future::join_all;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::attempt::{SendFailure, kept_for};
+use super::forwarder::Forwarder;
+
+/// Time for which memory is held without renewal: a node that dies leaves it for no longer.
+const HOLD: Duration = Duration::from_millis(3000);
+
+/// Time between renewals; two may fail before the hold ends.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// Longest wait for an answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest answer to an order, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// Memory reserved on helpers; renewed until dropped, then released.
+pub(super) struct Reservations {
+    pub(super) helpers: Vec<HelperRef>,
+    _renewal: DropGuard,
+}
+
+/// Reserves `tokens` on each helper.
+///
+/// # Errors
+/// The helper that did not reserve; what others reserved is released.
+pub(super) async fn reserve<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    helpers: &[Arc<TargetEntry>],
+    name: &str,
+    tokens: u64,
+) -> Result<Reservations, HostName> {
+    let orders = helpers
+        .iter()
+        .map(|helper| order(cx, helper, encode_reserve(name, tokens, hold_ms(), false)));
+    let answers = join_all(orders).await;
+    let stopped = CancellationToken::new();
+    // From here on the task releases whatever was reserved, also where an answer was lost.
+    cx.spawner.spawn(renew(
+        Arc::clone(cx),
+        helpers.to_vec(),
+        name.to_owned(),
+        tokens,
+        stopped.clone(),
+    ));
+    let renewal = stopped.drop_guard();
+    for (helper, answer) in helpers.iter().zip(answers) {
+        if let Err(e) = answer {
+            tracing::info!(
+                part = "forward",
+                target = %helper.id,
+                reservation = name,
+                failure = %e,
+                "memory not reserved"
+            );
+            return Err(helper.id.clone());
+        }
+    }
+    let helpers = helpers.iter().map(|helper| HelperRef {
+        addr: helper.addr,
+        reservation: Some(name.to_owned()),
+    });
+    Ok(Reservations {
+        helpers: helpers.collect(),
+        _renewal: renewal,
+    })
+}
+
+fn hold_ms() -> u64 {
+    u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Renews until it is stopped, then releases.
+async fn renew<N: Network>(
+    cx: Arc<Forwarder<N>>,
+    helpers: Vec<Arc<TargetEntry>>,
+    name: String,
+    tokens: u64,
+    stopped: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = stopped.cancelled() => break,
+            () = tokio::time::sleep(RENEW_INTERVAL) => {}
+        }
+        let body = encode_reserve(&name, tokens, hold_ms(), false);
+        let orders = helpers.iter().map(|h| order(&cx, h, body.clone()));
+        note_failures(&helpers, &name, &join_all(orders).await);
+    }
+    let body = encode_release(&name);
+    let orders = helpers.iter().map(|h| order(&cx, h, body.clone()));
+    note_failures(&helpers, &name, &join_all(orders).await);
+}
+
+/// The hold ends by itself, so a lost order needs no more than a line.
+fn note_failures(
+    helpers: &[Arc<TargetEntry>],
+    name: &str,
+    answers: &[Result<(), SendFailure>],
+) {
+    for (helper, answer) in helpers.iter().zip(answers) {
+        if let Err(e) = answer {
+            tracing::info!(
+                part = "forward",
+                target = %helper.id,
+                reservation = name,
+                failure = %e,
+                "order failed"
+            );
+        }
+    }
+}
+
+/// Sends one order.
+async fn order<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    target: &TargetEntry,
+    body: Vec<u8>,
+) -> Result<(), SendFailure> {
+    let exchange = async {
+        let mut connection = cx
+            .connect(target)
+            .await
+            .map_err(|e| SendFailure::NotSent(e.to_string()))?;
+        let mut req = Request::new(Full::new(Bytes::from(body)));
+        *req.method_mut() = hyper::Method::POST;
+        *req.uri_mut() = hyper::Uri::from_static(ORDER_PATH);
+        let host = HeaderValue::try_from(target.addr.to_string()).expect("an address is ASCII");
+        let map = req.headers_mut();
+        map.insert(HOST, host);
+        map.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(id) = HeaderValue::from_str(target.id.as_str()) {
+            map.insert(headers::EXPECTED_TARGET, id);
+        }
+        let response = connection
+            .sender()
+            .send_request(req)
+            .await
+            .map_err(|e| SendFailure::Broken(e.to_string()))?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|e| SendFailure::Broken(e.to_string()))?;
+        if let Some(kept) = kept_for(&parts.headers) {
+            connection.give_back(kept.0);
+        }
+        if parts.status != StatusCode::OK {
+            return Err(SendFailure::Declined {
+                status: parts.status,
+                at: None,
+            });
+        }
+        decode_order_answer(&body.to_bytes())
+            .map(|_| ())
+            .map_err(|e| SendFailure::Broken(e.to_string()))
+    };
+    tokio::time::timeout(ORDER_TIMEOUT, exchange)
+        .await
+        .unwrap_or(Err(SendFailure::Silent))
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/retry_budget.rs
@@ -0,0 +1,87 @@
+//! The node's share of the retry budget of all nodes.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azuresaddle_core::deployment::Bounds;
+use tokio::time::Instant;
+
+/// Part of its share that a node uses; the rest covers nodes that count differently and windows
+/// that slide between buckets.
+const USED_SHARE: f64 = 0.7;
+
+/// Buckets of a window.
+const BUCKETS: u32 = 20;
+
+/// Retries of each service in sliding windows.
+///
+/// No node asks another: each takes the part of the fixed extra that one of the live nodes has, and
+/// the ratio of its own requests.
+pub(crate) struct RetryBudget {
+    bounds: Bounds,
+    services: Mutex<HashMap<Arc<str>, Window>>,
+}
+
+#[derive(Default)]
+struct Window {
+    /// Start, first sends and repeats of each bucket.
+    buckets: VecDeque<(Instant, u32, u32)>,
+}
+
+impl RetryBudget {
+    pub(crate) fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            services: Mutex::default(),
+        }
+    }
+
+    /// Notes a request to a service.
+    pub(crate) fn on_request(&self, service: &Arc<str>) {
+        let mut services = self.lock();
+        let window = services.entry(Arc::clone(service)).or_default();
+        window.current(self.bounds.retry_window).1 += 1;
+    }
+
+    /// Takes one repeat; false where the share is used up.
+    pub(crate) fn take(&self, service: &Arc<str>, nodes: usize) -> bool {
+        let mut services = self.lock();
+        let window = services.entry(Arc::clone(service)).or_default();
+        window.current(self.bounds.retry_window);
+        let requests: u32 = window.buckets.iter().map(|b| b.1).sum();
+        let repeats: u32 = window.buckets.iter().map(|b| b.2).sum();
+        let extra = self.bounds.retry_extra / nodes.max(1) as f64;
+        let allowed = USED_SHARE * (self.bounds.retry_ratio * f64::from(requests) + extra);
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        window.current(self.bounds.retry_window).2 += 1;
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Window>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Window {
+    /// The present bucket, after old ones are dropped.
+    fn current(&mut self, length: Duration) -> &mut (Instant, u32, u32) {
+        let now = Instant::now();
+        while let Some((start, ..)) = self.buckets.front() {
+            if now.saturating_duration_since(*start) <= length {
+                break;
+            }
+            self.buckets.pop_front();
+        }
+        let is_current = self
+            .buckets
+            .back()
+            .is_some_and(|(start, ..)| now.saturating_duration_since(*start) < length / BUCKETS);
+        if !is_current {
+            self.buckets.push_back((now, 0, 0));
+        }
+        self.buckets.back_mut().expect("pushed above")
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/admission.rs
@@ -0,0 +1,81 @@
+//! Which route a request takes, for which account, or why it is not taken.
+
+use std::sync::Arc;
+
+use azuresaddle_core::deployment::{Account, Configuration, Route};
+use azuresaddle_platform::headers;
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
+use hyper::{StatusCode, Uri};
+
+/// A request that may be relayed.
+#[derive(Clone, Debug)]
+pub(super) struct Admitted {
+    pub(super) route: Arc<Route>,
+    pub(super) account: Option<Arc<Account>>,
+}
+
+/// A request that is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Rejection {
+    pub(super) status: StatusCode,
+    pub(super) detail: &'static str,
+}
+
+impl Rejection {
+    pub(super) fn new(status: StatusCode, detail: &'static str) -> Self {
+        Self { status, detail }
+    }
+}
+
+/// Finds the route and the account of a request.
+pub(super) fn admit(
+    configuration: &Configuration,
+    uri: &Uri,
+    map: &HeaderMap,
+) -> Result<Admitted, Rejection> {
+    check_head_size(configuration, uri, map)?;
+    let host = map
+        .get(HOST)
+        .and_then(|v| v.to_str().ok())
+        .or_else(|| uri.host())
+        .ok_or(Rejection::new(StatusCode::BAD_REQUEST, "no host"))?;
+    let found = configuration
+        .route(host, uri.path())
+        .ok_or(Rejection::new(StatusCode::NOT_FOUND, "no route matches"))?;
+    let account = find_account(configuration, &found.route, map)?;
+    Ok(Admitted {
+        route: found.route,
+        account,
+    })
+}
+
+fn check_head_size(
+    configuration: &Configuration,
+    uri: &Uri,
+    map: &HeaderMap,
+) -> Result<(), Rejection> {
+    let path = uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let fields = map.iter();
+    let size: usize = fields.map(|(n, v)| n.as_str().len() + v.len()).sum();
+    if path + size > configuration.limits.max_header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Rejection::new(status, "the head is too long"));
+    }
+    Ok(())
+}
+
+fn find_account(
+    configuration: &Configuration,
+    route: &Route,
+    map: &HeaderMap,
+) -> Result<Option<Arc<Account>>, Rejection> {
+    if !configuration.has_accounts() {
+        return Ok(None);
+    }
+    let key = map.get(AUTHORIZATION).and_then(headers::key_of);
+    let account = key.and_then(|k| configuration.account(k)).cloned();
+    if account.is_none() && !route.is_public {
+        return Err(Rejection::new(StatusCode::UNAUTHORIZED, "unknown key"));
+    }
+    Ok(account)
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -0,0 +1,121 @@
+//! One connection of a caller.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::time::Instant;
+
+use super::connection_clock::{Activity, ClockedStream, ConnectionClock};
+use super::guarded::Guarded;
+use super::service::CallerService;
+use super::stopping::Stage;
+
+/// Part of a head beyond its limit that is still read, to answer that it is too long.
+const READ_FACTOR: usize = 4;
+
+/// Answer to a head that does not arrive in time; the request did not run.
+const HEAD_TIMEOUT_ANSWER: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Longest wait for that answer to be written.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Why a connection is ended by this node.
+enum Ended {
+    ByCaller,
+    HeadTimeout,
+}
+
+/// Serves one connection until either side closes it.
+pub(super) async fn serve_connection<N, S>(stream: S, service: Arc<CallerService<N>>)
+where
+    N: Network,
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let clock = ConnectionClock::new();
+    let mut stopping = service.stopping().subscribe();
+    let limits = service.limits();
+    let handler = {
+        let service = Arc::clone(&service);
+        let clock = clock.clone();
+        service_fn(move |req| {
+            let service = Arc::clone(&service);
+            let answering = clock.begin();
+            async move {
+                let mut response = service.handle(req).await;
+                if service.stopping().stage() != Stage::Serving {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                // The guard is kept by the body, which lasts until the answer is written.
+                Ok::<_, Infallible>(response.map(|body| Guarded::new(body, answering)))
+            }
+        })
+    };
+    let io = TokioIo::new(ClockedStream::new(stream, clock.clone()));
+    let mut conn = http1::Builder::new()
+        .max_buf_size(limits.max_header_bytes * READ_FACTOR)
+        .serve_connection(io, handler);
+    let ended = loop {
+        tokio::select! {
+            // An error here is a caller that left or misbehaved; the handler saw its own part.
+            _ = &mut conn => break Ended::ByCaller,
+            timeout = until_timeout(&clock, &service) => match timeout {
+                Timeout::Idle => Pin::new(&mut conn).graceful_shutdown(),
+                Timeout::Head => break Ended::HeadTimeout,
+            },
+            Ok(()) = stopping.changed() => {
+                if service.stopping().stage() == Stage::Refusing {
+                    Pin::new(&mut conn).graceful_shutdown();
+                }
+            }
+        }
+    };
+    if let Ended::HeadTimeout = ended {
+        answer_head_timeout(conn.into_parts().io.into_inner()).await;
+    }
+}
+
+/// Answers a head that did not arrive in time, and closes.
+async fn answer_head_timeout<S: AsyncWrite + Unpin>(mut stream: S) {
+    let write = async {
+        stream.write_all(HEAD_TIMEOUT_ANSWER).await?;
+        stream.shutdown().await
+    };
+    // The connection is closed either way.
+    let _ = tokio::time::timeout(WRITE_TIMEOUT, write).await;
+}
+
+/// A bound of the connection that was reached.
+enum Timeout {
+    Idle,
+    Head,
+}
+
+/// Waits until the connection has been idle, or reading a head, for too long.
+async fn until_timeout<N: Network>(clock: &ConnectionClock, service: &CallerService<N>) -> Timeout {
+    loop {
+        let limits = service.limits();
+        let now = Instant::now();
+        let next = match clock.activity() {
+            Activity::Idle(since) if now >= since + limits.idle_timeout => return Timeout::Idle,
+            Activity::Idle(since) => {
+                // A head may begin just after; its own bound is the shorter one.
+                (since + limits.idle_timeout).min(now + limits.header_timeout)
+            }
+            Activity::ReadingHead(since) if now >= since + limits.header_timeout => {
+                return Timeout::Head;
+            }
+            Activity::ReadingHead(since) => since + limits.header_timeout,
+            Activity::Answering => now + limits.idle_timeout,
+        };
+        tokio::time::sleep_until(next).await;
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/connection_clock.rs
@@ -0,0 +1,119 @@
+//! What a connection is doing and since when, seen from its bytes.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Activity {
+    /// Nothing, since then.
+    Idle(Instant),
+    /// A head began to arrive then and is not whole.
+    ReadingHead(Instant),
+    /// A request is being answered.
+    Answering,
+}
+
+/// Shared view of a connection's activity.
+#[derive(Clone, Debug)]
+pub(super) struct ConnectionClock(Arc<Mutex<Activity>>);
+
+impl ConnectionClock {
+    pub(super) fn new() -> Self {
+        Self(Arc::new(Mutex::new(Activity::Idle(Instant::now()))))
+    }
+
+    pub(super) fn activity(&self) -> Activity {
+        *self.lock()
+    }
+
+    /// Notes that a request is whole, until the guard is dropped.
+    pub(super) fn begin(&self) -> AnsweringGuard {
+        *self.lock() = Activity::Answering;
+        AnsweringGuard(self.clone())
+    }
+
+    fn on_bytes(&self) {
+        let mut activity = self.lock();
+        if let Activity::Idle(_) = *activity {
+            *activity = Activity::ReadingHead(Instant::now());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Activity> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that is being answered.
+#[derive(Debug)]
+pub(super) struct AnsweringGuard(ConnectionClock);
+
+impl Drop for AnsweringGuard {
+    fn drop(&mut self) {
+        *self.0.lock() = Activity::Idle(Instant::now());
+    }
+}
+
+/// A byte stream that tells the clock of arriving bytes.
+#[derive(Debug)]
+pub(super) struct ClockedStream<S> {
+    stream: S,
+    clock: ConnectionClock,
+}
+
+impl<S> ClockedStream<S> {
+    pub(super) fn new(stream: S, clock: ConnectionClock) -> Self {
+        Self { stream, clock }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for ClockedStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        if buf.filled().len() > before {
+            self.clock.on_bytes();
+        }
+        Poll::Ready(result)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for ClockedStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -0,0 +1,175 @@
+//! Handles the requests of callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{Configuration, RequestLimits};
+use azuresaddle_core::http::{BodyError, read_limited};
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::headers;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::admission::{Admitted, Rejection, admit};
+use super::stopping::{Stage, Stopping};
+use crate::forward::{
+    ForwardRequest, Forwarder, InFlight, ProxyBody, RequestHead, own_answer, refusal,
+};
+use crate::snapshot::Snapshots;
+
+/// Time to come back to a node that knows no configuration yet.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Time to come back, at another node, to one that is stopping.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Handles the requests of callers.
+pub(crate) struct CallerService<N: Network> {
+    forwarder: Arc<Forwarder<N>>,
+    snapshots: Snapshots,
+    stopping: Arc<Stopping>,
+    in_flight: InFlight,
+}
+
+impl<N: Network> CallerService<N> {
+    pub(crate) fn new(
+        forwarder: Arc<Forwarder<N>>,
+        snapshots: Snapshots,
+        stopping: Arc<Stopping>,
+        in_flight: InFlight,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            forwarder,
+            snapshots,
+            stopping,
+            in_flight,
+        })
+    }
+
+    pub(super) fn stopping(&self) -> &Stopping {
+        &self.stopping
+    }
+
+    /// Limits in force.
+    pub(super) fn limits(&self) -> RequestLimits {
+        let snapshot = self.snapshots.load();
+        let configuration = snapshot.configuration.as_ref();
+        configuration.map_or_else(RequestLimits::default, |c| c.limits)
+    }
+
+    /// Answers one request.
+    pub(super) async fn handle(&self, req: Request<Incoming>) -> Response<ProxyBody> {
+        let arrived = Instant::now();
+        let counted = self.in_flight.begin();
+        let attempt_id = req.headers().get(&headers::ATTEMPT_ID).cloned();
+        let mut response = match self.take(arrived, req).await {
+            Ok(req) => self.forwarder.forward(req).await,
+            Err(response) => *response,
+        };
+        if let Some(id) = attempt_id {
+            response.headers_mut().entry(headers::ATTEMPT_ID).or_insert(id);
+        }
+        response.map(|body| body.counted(counted))
+    }
+
+    /// Reads a request and finds its route, or the answer that says why not.
+    async fn take(
+        &self,
+        arrived: Instant,
+        req: Request<Incoming>,
+    ) -> Result<ForwardRequest, Box<Response<ProxyBody>>> {
+        let snapshot = self.snapshots.load();
+        let Some(configuration) = &snapshot.configuration else {
+            let detail = "the node has no configuration yet";
+            return Err(Box::new(refusal(detail, STARTING_RETRY_AFTER)));
+        };
+        let (parts, body) = req.into_parts();
+        let admitted = admit(configuration, &parts.uri, &parts.headers)
+            .map_err(|rejection| self.reject(&parts.headers, rejection))?;
+        if self.stopping.stage() == Stage::Refusing {
+            let detail = "the node is stopping";
+            return Err(Box::new(refusal(detail, STOPPING_RETRY_AFTER)));
+        }
+        let attempt_id = parts.headers.get(&headers::ATTEMPT_ID).cloned();
+        let attempt_id = attempt_id.ok_or_else(|| {
+            let status = StatusCode::BAD_REQUEST;
+            self.reject(&parts.headers, Rejection::new(status, "no attempt id"))
+        })?;
+        let deadline = arrived + time_allowed(&admitted, &parts.headers);
+        let body = self
+            .read_body(configuration, body, deadline)
+            .await
+            .map_err(|rejection| self.reject(&parts.headers, rejection))?;
+        let at = rand::rng().random_range(0.0..1.0);
+        let service = admitted.route.pick_service(at).cloned().ok_or_else(|| {
+            let detail = "the route sends to no service";
+            Box::new(refusal(detail, STARTING_RETRY_AFTER))
+        })?;
+        Ok(ForwardRequest {
+            head: RequestHead::new(parts.method, parts.uri, parts.headers, attempt_id),
+            body,
+            route: admitted.route,
+            service,
+            account: admitted.account,
+            arrived,
+            deadline,
+        })
+    }
+
+    async fn read_body(
+        &self,
+        configuration: &Configuration,
+        body: Incoming,
+        deadline: Instant,
+    ) -> Result<Bytes, Rejection> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let limit = configuration.limits.max_body_bytes;
+        let too_large = Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+        if body.size_hint().lower() > limit as u64 {
+            return Err(too_large);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        read_limited(body, limit, left).await.map_err(|e| match e {
+            BodyError::TooLarge(_) => too_large,
+            BodyError::TooSlow(_) => {
+                Rejection::new(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time")
+            }
+            BodyError::Broken => Rejection::new(StatusCode::BAD_REQUEST, "the body broke off"),
+        })
+    }
+
+    /// Answer to a request that is not taken; the connection is closed, since a rest of the request
+    /// may follow on it.
+    fn reject(&self, map: &HeaderMap, rejection: Rejection) -> Box<Response<ProxyBody>> {
+        tracing::info!(
+            part = "frontend",
+            request = ?map.get(&headers::ATTEMPT_ID),
+            status = rejection.status.as_u16(),
+            reason = rejection.detail,
+            "request not taken"
+        );
+        let mut response = own_answer(rejection.status, rejection.detail);
+        let keeps = matches!(
+            rejection.status,
+            StatusCode::NOT_FOUND | StatusCode::UNAUTHORIZED
+        );
+        if !keeps {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        Box::new(response)
+    }
+}
+
+/// Time from the arrival until the caller or the operator gives up.
+fn time_allowed(admitted: &Admitted, map: &HeaderMap) -> Duration {
+    let told = map.get(&headers::TIME_LEFT_MS).and_then(headers::number_of);
+    let told = told.map_or(Duration::MAX, Duration::from_millis);
+    told.min(admitted.route.timeout)
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/stopping.rs
@@ -0,0 +1,55 @@
+//! Stages of a graceful shutdown.
+
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use tokio::sync::watch;
+
+/// How far a graceful shutdown is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub(crate) enum Stage {
+    /// Not stopping.
+    Serving = 0,
+    /// Answers close their connections; new requests are still taken, since callers keep the
+    /// addresses that they were told for a while.
+    Closing = 1,
+    /// New requests are refused as not run.
+    Refusing = 2,
+}
+
+/// The stage, for all connections.
+#[derive(Debug)]
+pub(crate) struct Stopping {
+    stage: AtomicU8,
+    changed: watch::Sender<()>,
+}
+
+impl Default for Stopping {
+    fn default() -> Self {
+        Self {
+            stage: AtomicU8::new(Stage::Serving as u8),
+            changed: watch::Sender::new(()),
+        }
+    }
+}
+
+impl Stopping {
+    /// Moves on to the next stage.
+    pub(crate) fn advance(&self) {
+        let next = (self.stage.load(Ordering::Relaxed) + 1).min(Stage::Refusing as u8);
+        self.stage.store(next, Ordering::Relaxed);
+        self.changed.send_replace(());
+    }
+
+    pub(crate) fn stage(&self) -> Stage {
+        match self.stage.load(Ordering::Relaxed) {
+            0 => Stage::Serving,
+            1 => Stage::Closing,
+            _ => Stage::Refusing,
+        }
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -0,0 +1,17 @@
+//! The node on the platform: takes callers' requests and relays them to targets that register
+//! themselves.
+//!
+//! Control (one thread) knows the configuration, the targets and the other nodes, and publishes a
+//! [`snapshot`]. Traffic (another thread) forwards requests by it and never waits for control.
+
+mod control;
+mod directory;
+mod forward;
+mod frontend;
+mod node;
+mod peer;
+mod placement;
+mod snapshot;
+mod targets;
+
+pub use node::{Node, OpenError};
--- /dev/null
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -0,0 +1,207 @@
+//! The node: starts everything, and stops it gracefully.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::EntrySettings;
+use azuresaddle_core::http::{ServerLimits, serve};
+use azuresaddle_core::prelude::*;
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::runtime::Handle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::control::{Control, ControlParts};
+use crate::directory::Directory;
+use crate::forward::{Forwarder, InFlight};
+use crate::frontend::{CallerService, Stopping, serve_callers};
+use crate::peer::{PeerClients, serve_peers};
+use crate::placement::{Owner, Placement};
+use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
+
+/// Part of the grace of a stop after which new requests are refused: callers have had their time to
+/// live to learn of other addresses.
+const CLOSING_SHARE: f64 = 0.34;
+
+/// Time kept of the grace for the process to end.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time between two looks whether all answers are finished.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// The node can't be opened.
+#[derive(Debug, Error)]
+pub enum OpenError {
+    /// An address can't be bound.
+    #[error("can't listen on {what} {addr}: {source}")]
+    Bind {
+        /// What listens there.
+        what: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// Why not.
+        #[source]
+        source: io::Error,
+    },
+}
+
+/// A running node.
+pub struct Node {
+    leaving: CancellationToken,
+    closed: CancellationToken,
+    stopping: Arc<Stopping>,
+    in_flight: InFlight,
+    grace: Duration,
+}
+
+impl Node {
+    /// Binds all addresses and starts to serve; control runs on its own runtime.
+    ///
+    /// # Errors
+    /// Where an address can't be bound.
+    pub async fn open<N: Network>(
+        settings: EntrySettings,
+        net: N,
+        spawner: Spawner,
+        control: Handle,
+    ) -> Result<Self, OpenError> {
+        let incarnation = rand::random();
+        let snapshots = Snapshots::new(first_snapshot(&settings, incarnation));
+        let leaving = CancellationToken::new();
+        let socket = open_socket(&settings, &control).await?;
+        let control_spawner = spawner.on(control);
+        Control::spawn(ControlParts {
+            settings: settings.clone(),
+            net: net.clone(),
+            spawner: control_spawner,
+            incarnation,
+            started_ms: unix_ms(),
+            socket,
+            snapshots: snapshots.clone(),
+            leaving: leaving.clone(),
+        });
+        let owner = Owner::spawn(&spawner, &snapshots);
+        let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
+        let peers = bind(&net, "calls between nodes", peer_addr).await?;
+        serve_peers(peers, &spawner, Arc::clone(&owner), snapshots.clone());
+        let placement = Placement::spawn(
+            &spawner,
+            incarnation,
+            settings.domain.clone(),
+            owner,
+            PeerClients::new(net.clone(), spawner.clone()),
+            snapshots.clone(),
+        );
+        let forwarder = Forwarder::new(
+            net.clone(),
+            spawner.clone(),
+            settings.domain.clone(),
+            settings.bounds,
+            snapshots.clone(),
+            placement,
+        );
+        let stopping = Arc::new(Stopping::default());
+        let in_flight = InFlight::default();
+        let closed = CancellationToken::new();
+        let callers = bind(&net, "callers", settings.listen.callers).await?;
+        let service = CallerService::new(
+            forwarder,
+            snapshots.clone(),
+            Arc::clone(&stopping),
+            in_flight.clone(),
+        );
+        serve_callers(callers, &spawner, service, closed.clone());
+        let directory = Directory::new(snapshots, settings.bounds.max_address_ttl);
+        for (what, addr) in [
+            ("the directory", settings.listen.directory),
+            ("readiness", settings.listen.readiness),
+        ] {
+            let listener = bind(&net, what, addr).await?;
+            let limits = ServerLimits::default();
+            serve(listener, spawner.clone(), limits, Arc::clone(&directory));
+        }
+        Ok(Self {
+            leaving,
+            closed,
+            stopping,
+            in_flight,
+            grace: settings.bounds.stop_grace,
+        })
+    }
+
+    /// Stops gracefully: leaves the addresses that callers are told, then refuses new requests, and
+    /// returns when every answer is finished or the grace is nearly over.
+    pub async fn stop(&self) {
+        let started = Instant::now();
+        tracing::info!(part = "node", in_flight = self.in_flight.count(), "stopping");
+        self.leaving.cancel();
+        self.stopping.advance();
+        tokio::time::sleep_until(started + self.grace.mul_f64(CLOSING_SHARE)).await;
+        self.stopping.advance();
+        let end = started + self.grace - EXIT_MARGIN;
+        // Callers that were told this address before may still come for a moment, and get a refusal
+        // rather than a closed port.
+        tokio::time::sleep(DRAIN_POLL * 4).await;
+        while self.in_flight.count() > 0 && Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        self.closed.cancel();
+        tracing::info!(
+            part = "node",
+            in_flight = self.in_flight.count(),
+            took_ms = started.elapsed().as_millis() as u64,
+            "stopped"
+        );
+    }
+}
+
+fn first_snapshot(settings: &EntrySettings, incarnation: u64) -> Snapshot {
+    let own = LiveNode {
+        incarnation,
+        callers: settings.listen.callers,
+        peer: SocketAddr::from((settings.ip, settings.peer_port)),
+        takes_callers: false,
+    };
+    Snapshot {
+        configuration: None,
+        raw_configuration: None,
+        targets: Arc::new(TargetSet::default()),
+        raw_targets: Arc::default(),
+        nodes: Arc::new(vec![own]),
+        owner: incarnation,
+        leaving: false,
+    }
+}
+
+/// Opens the socket for heartbeats on the runtime that reads it.
+async fn open_socket(settings: &EntrySettings, control: &Handle) -> Result<UdpSocket, OpenError> {
+    let addr = SocketAddr::from((settings.ip, settings.heartbeat_port));
+    let opened = control.spawn(UdpSocket::bind(addr)).await;
+    opened
+        .unwrap_or_else(|e| Err(io::Error::other(e)))
+        .map_err(|source| OpenError::Bind {
+            what: "heartbeats",
+            addr,
+            source,
+        })
+}
+
+async fn bind<N: Network>(
+    net: &N,
+    what: &'static str,
+    addr: SocketAddr,
+) -> Result<N::Listener, OpenError> {
+    net.bind(addr)
+        .await
+        .map_err(|source| OpenError::Bind { what, addr, source })
+}
+
+/// Unix time, in milliseconds; orders nodes by their start and is never compared to a clock.
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -0,0 +1,106 @@
+//! Messages between nodes.
+
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::Item;
+use azuresaddle_sched::passes::{AskId, PassOutcome, RunningStream};
+use serde::{Deserialize, Serialize};
+
+/// Asks the owner to place a stream. Times are relative, since clocks differ.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct AskMessage {
+    pub(crate) id: AskId,
+    pub(crate) service: String,
+    pub(crate) account: ClientAccount,
+    pub(crate) domain: FailureDomain,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) answer_tokens: u64,
+    /// Time left until the first event is late.
+    pub(crate) first_event_in: Duration,
+    pub(crate) pause: Duration,
+    /// Time left until the request must have ended.
+    pub(crate) time_left: Duration,
+    pub(crate) exclude: Vec<HostName>,
+}
+
+/// The owner's decision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum AskReply {
+    /// Send it now.
+    Granted {
+        lead: HostName,
+        helpers: Vec<HostName>,
+        helper_memory_tokens: u64,
+        first_event_in: Duration,
+    },
+    /// Not run, and never will be.
+    Refused { retry_after: Duration },
+    /// The node does not know the service; ask again.
+    Unknown,
+}
+
+/// What happened to a stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum ReportKind {
+    /// Its first event came.
+    FirstEvent,
+    /// It ended.
+    Ended(PassOutcome),
+}
+
+/// News of a stream for the owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Report {
+    pub(crate) id: AskId,
+    pub(crate) service: String,
+    pub(crate) kind: ReportKind,
+}
+
+/// All streams of a node, so that the owner's ledger matches.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct SyncMessage {
+    pub(crate) node: u64,
+    /// Running streams by service.
+    pub(crate) running: Vec<(String, RunningStream)>,
+    /// Asks without a decision.
+    pub(crate) waiting: Vec<AskId>,
+    /// Asks with a higher number began after this message was made.
+    pub(crate) up_to: u64,
+}
+
+/// An entry of a target as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TargetNews {
+    key: String,
+    value: Option<Vec<u8>>,
+    revision: u64,
+}
+
+impl From<TargetNews> for Item {
+    fn from(news: TargetNews) -> Self {
+        Self {
+            key: news.key,
+            value: news.value,
+            revision: news.revision,
+        }
+    }
+}
+
+impl From<&Item> for TargetNews {
+    fn from(item: &Item) -> Self {
+        Self {
+            key: item.key.clone(),
+            value: item.value.clone(),
+            revision: item.revision,
+        }
+    }
+}
+
+/// What a node knows from the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PeerNews {
+    /// The configuration, where it is newer than the asking node's.
+    pub(crate) configuration: Option<Vec<u8>>,
+    pub(crate) targets: Vec<TargetNews>,
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/peer/mod.rs
@@ -0,0 +1,15 @@
+//! Calls between nodes.
+
+mod messages;
+mod server;
+mod service;
+
+pub(crate) use messages::{
+    AskMessage, AskReply, PeerNews, Report, ReportKind, SyncMessage,
+};
+pub(crate) use server::serve_peers;
+use service::{EdgePeerClient, EdgePeerRequest, EdgePeerResponse};
+
+/// Keeps one connection to each other node.
+pub(crate) type PeerClients<N> =
+    azuresaddle_rpc::RpcClients<N, EdgePeerClient, EdgePeerRequest, EdgePeerResponse>;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -0,0 +1,75 @@
+//! Serves other nodes.
+
+use std::sync::Arc;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_rpc::serve_rpc;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use super::messages::{AskMessage, AskReply, PeerNews, Report, SyncMessage};
+use super::service::EdgePeer;
+use crate::placement::Owner;
+use crate::snapshot::Snapshots;
+
+/// Accepts other nodes until the spawner is killed.
+pub(crate) fn serve_peers<L>(
+    listener: L,
+    spawner: &Spawner,
+    owner: Arc<Owner>,
+    snapshots: Snapshots,
+) where
+    L: Listener,
+    L::Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let tasks = spawner.clone();
+    serve_rpc(listener, spawner, move |channel| {
+        let server = PeerServer {
+            owner: Arc::clone(&owner),
+            snapshots: snapshots.clone(),
+        };
+        let requests = tasks.clone();
+        tasks.spawn(async move {
+            let mut execute = std::pin::pin!(channel.execute(server.serve()));
+            while let Some(request) = execute.next().await {
+                requests.spawn(request);
+            }
+        });
+    });
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    owner: Arc<Owner>,
+    snapshots: Snapshots,
+}
+
+impl EdgePeer for PeerServer {
+    async fn ask(self, _: Context, ask: AskMessage) -> AskReply {
+        self.owner.ask(ask).await
+    }
+
+    async fn report(self, _: Context, reports: Vec<Report>) {
+        self.owner.report(reports);
+    }
+
+    async fn sync(self, _: Context, sync: SyncMessage) {
+        self.owner.sync(&sync);
+    }
+
+    async fn news(self, _: Context, configuration: u64) -> PeerNews {
+        let snapshot = self.snapshots.load();
+        let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
+        let newer = version > configuration;
+        PeerNews {
+            configuration: snapshot
+                .raw_configuration
+                .as_deref()
+                .filter(|_| newer)
+                .cloned(),
+            targets: snapshot.raw_targets.iter().map(Into::into).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -0,0 +1,17 @@
+//! The service that every node offers to the others.
+#![allow(missing_docs, reason = "tarpc generates items without documentation")]
+
+use super::messages::{AskMessage, AskReply, PeerNews, Report, SyncMessage};
+
+/// Calls between nodes.
+#[tarpc::service]
+pub(crate) trait EdgePeer {
+    /// Asks for engines; answers when the stream may be sent, or is refused.
+    async fn ask(ask: AskMessage) -> AskReply;
+    /// Reports what happened to streams.
+    async fn report(reports: Vec<Report>);
+    /// Tells all streams of a node.
+    async fn sync(sync: SyncMessage);
+    /// What is known from the store, beyond a version of the configuration.
+    async fn news(configuration: u64) -> PeerNews;
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -0,0 +1,322 @@
+//! Asks the owner where a stream may run.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{AskId, PassOutcome, RunningStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use super::owner::Owner;
+use super::reporter::run_reporter;
+use crate::peer::{AskMessage, AskReply, PeerClients, Report, ReportKind, SyncMessage};
+use crate::snapshot::Snapshots;
+
+/// Pause before an owner that did not answer is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+
+/// Time without an owner after which this node places alone, by what it knows of its own streams.
+const OWNER_PATIENCE: Duration = Duration::from_millis(200);
+
+/// Reports that wait to be sent.
+const MAX_WAITING_REPORTS: usize = 4096;
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct PlaceRequest {
+    pub(crate) service: Arc<str>,
+    pub(crate) account: ClientAccount,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) answer_tokens: u64,
+    pub(crate) first_event_by: Instant,
+    pub(crate) pause: Duration,
+    pub(crate) deadline: Instant,
+    pub(crate) exclude: Vec<HostName>,
+}
+
+/// An ask or stream of this node.
+#[derive(Debug)]
+enum Live {
+    Waiting,
+    Running {
+        service: Arc<str>,
+        stream: RunningStream,
+    },
+}
+
+/// Asks the owner, and keeps it informed.
+pub(crate) struct Placement<N> {
+    node: u64,
+    domain: FailureDomain,
+    owner: Arc<Owner>,
+    peers: PeerClients<N>,
+    snapshots: Snapshots,
+    next: AtomicU64,
+    live: Mutex<HashMap<AskId, Live>>,
+    reports: mpsc::Sender<Report>,
+    /// Grows when the connection to the owner was found dead, so that asks on it start anew.
+    reconnects: watch::Sender<u64>,
+}
+
+impl<N: Network> Placement<N> {
+    /// Starts the reports to the owner.
+    pub(crate) fn spawn(
+        spawner: &Spawner,
+        node: u64,
+        domain: FailureDomain,
+        owner: Arc<Owner>,
+        peers: PeerClients<N>,
+        snapshots: Snapshots,
+    ) -> Arc<Self> {
+        let (reports, reports_rx) = mpsc::channel(MAX_WAITING_REPORTS);
+        let placement = Arc::new(Self {
+            node,
+            domain,
+            owner,
+            peers,
+            snapshots,
+            next: AtomicU64::new(1),
+            live: Mutex::default(),
+            reports,
+            reconnects: watch::Sender::new(0),
+        });
+        spawner.spawn(run_reporter(Arc::clone(&placement), reports_rx));
+        placement
+    }
+
+    /// Waits for engines.
+    ///
+    /// # Errors
+    /// The time after which to come back, where the stream is refused; it did not run.
+    pub(crate) async fn place(
+        self: &Arc<Self>,
+        req: PlaceRequest,
+    ) -> Result<Placed<N>, Duration> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let id = AskId {
+            node: self.node,
+            number,
+        };
+        self.lock().insert(id, Live::Waiting);
+        // From here on the guard forgets the ask when it is dropped.
+        let mut placed = Placed {
+            placement: Arc::clone(self),
+            id,
+            service: Arc::clone(&req.service),
+            lead: HostName::new(""),
+            helpers: Vec::new(),
+            helper_memory_tokens: 0,
+            first_event_in: Duration::ZERO,
+            is_ended: false,
+        };
+        let reply = self.ask_until_decided(id, &req).await;
+        match reply {
+            AskReply::Granted {
+                lead,
+                helpers,
+                helper_memory_tokens,
+                first_event_in,
+            } => {
+                let stream = RunningStream {
+                    id,
+                    lead: lead.clone(),
+                    helpers: helpers.clone(),
+                    helper_memory_tokens,
+                    prompt_tokens: req.prompt_tokens,
+                    answer_tokens: req.answer_tokens,
+                    pause: req.pause,
+                    is_writing: false,
+                };
+                let service = req.service;
+                self.lock().insert(id, Live::Running { service, stream });
+                placed.lead = lead;
+                placed.helpers = helpers;
+                placed.helper_memory_tokens = helper_memory_tokens;
+                placed.first_event_in = first_event_in;
+                Ok(placed)
+            }
+            AskReply::Refused { retry_after } => Err(retry_after),
+            AskReply::Unknown => Err(RETRY_PAUSE),
+        }
+    }
+
+    /// Asks whoever is the owner, anew after each change, until there is a decision.
+    async fn ask_until_decided(&self, id: AskId, req: &PlaceRequest) -> AskReply {
+        let mut owner = self.snapshots.subscribe_owner();
+        let mut reconnects = self.reconnects.subscribe();
+        let mut failing_since: Option<Instant> = None;
+        loop {
+            let now = Instant::now();
+            if now >= req.deadline {
+                return AskReply::Unknown;
+            }
+            let who = *owner.borrow_and_update();
+            reconnects.mark_unchanged();
+            let alone = failing_since.is_some_and(|at| now - at >= OWNER_PATIENCE);
+            let reply = tokio::select! {
+                reply = self.ask_once(who, id, req, alone) => reply,
+                _ = owner.changed() => continue,
+                _ = reconnects.changed() => continue,
+            };
+            match reply {
+                Some(AskReply::Unknown) | None => {
+                    failing_since.get_or_insert(now);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+                Some(reply) => return reply,
+            }
+        }
+    }
+
+    async fn ask_once(
+        &self,
+        who: u64,
+        id: AskId,
+        req: &PlaceRequest,
+        alone: bool,
+    ) -> Option<AskReply> {
+        let now = Instant::now();
+        let ask = AskMessage {
+            id,
+            service: req.service.to_string(),
+            account: req.account.clone(),
+            domain: self.domain.clone(),
+            prompt_tokens: req.prompt_tokens,
+            answer_tokens: req.answer_tokens,
+            first_event_in: req.first_event_by.saturating_duration_since(now),
+            pause: req.pause,
+            time_left: req.deadline.saturating_duration_since(now),
+            exclude: req.exclude.clone(),
+        };
+        if who == self.node || alone {
+            if alone {
+                self.owner.sync(&self.sync_message());
+            }
+            return Some(self.owner.ask(ask).await);
+        }
+        let peer = self.snapshots.load().node(who)?.peer;
+        let timeout = ask.time_left;
+        let reply = self
+            .peers
+            .call(peer, timeout, async |client, cx| client.ask(cx, ask).await)
+            .await;
+        reply.ok()
+    }
+
+    /// All streams of this node.
+    pub(super) fn sync_message(&self) -> SyncMessage {
+        let live = self.lock();
+        let mut running = Vec::new();
+        let mut waiting = Vec::new();
+        for (id, state) in live.iter() {
+            match state {
+                Live::Waiting => waiting.push(*id),
+                Live::Running { service, stream } => {
+                    running.push((service.to_string(), stream.clone()));
+                }
+            }
+        }
+        SyncMessage {
+            node: self.node,
+            running,
+            waiting,
+            up_to: self.next.load(Ordering::Relaxed).saturating_sub(1),
+        }
+    }
+
+    /// Tells the owner what happened to a stream.
+    fn report(&self, id: AskId, service: &Arc<str>, kind: ReportKind) {
+        let report = Report {
+            id,
+            service: service.to_string(),
+            kind,
+        };
+        if self.is_owner() {
+            self.owner.report(vec![report]);
+            return;
+        }
+        if self.reports.try_send(report).is_err() {
+            // The next sync tells the owner.
+            tracing::warn!(part = "placement", "report dropped, queue full");
+        }
+    }
+
+    pub(super) fn is_owner(&self) -> bool {
+        self.snapshots.load().owner == self.node
+    }
+
+    pub(super) fn local_owner(&self) -> &Arc<Owner> {
+        &self.owner
+    }
+
+    pub(super) fn peers(&self) -> &PeerClients<N> {
+        &self.peers
+    }
+
+    pub(super) fn snapshots(&self) -> &Snapshots {
+        &self.snapshots
+    }
+
+    /// Makes asks on the present connection to the owner start anew.
+    pub(super) fn reconnect(&self) {
+        self.reconnects.send_modify(|n| *n += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<AskId, Live>> {
+        self.live.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Engines for a stream, held until it ends.
+pub(crate) struct Placed<N: Network> {
+    placement: Arc<Placement<N>>,
+    id: AskId,
+    service: Arc<str>,
+    pub(crate) lead: HostName,
+    pub(crate) helpers: Vec<HostName>,
+    /// Memory to reserve on each helper, in tokens; 0 for none.
+    pub(crate) helper_memory_tokens: u64,
+    pub(crate) first_event_in: Duration,
+    is_ended: bool,
+}
+
+impl<N: Network> Placed<N> {
+    /// Notes the first event.
+    pub(crate) fn on_first_event(&self) {
+        if let Some(Live::Running { stream, .. }) = self.placement.lock().get_mut(&self.id) {
+            stream.is_writing = true;
+        }
+        self.placement
+            .report(self.id, &self.service, ReportKind::FirstEvent);
+    }
+
+    /// Gives the engines back.
+    pub(crate) fn end(mut self, outcome: PassOutcome) {
+        self.finish(outcome);
+    }
+
+    fn finish(&mut self, outcome: PassOutcome) {
+        if self.is_ended {
+            return;
+        }
+        self.is_ended = true;
+        let was_running = matches!(
+            self.placement.lock().remove(&self.id),
+            Some(Live::Running { .. })
+        );
+        // A waiting ask is withdrawn by its dropped call.
+        if was_running {
+            self.placement
+                .report(self.id, &self.service, ReportKind::Ended(outcome));
+        }
+    }
+}
+
+impl<N: Network> Drop for Placed<N> {
+    fn drop(&mut self) {
+        self.finish(PassOutcome::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -0,0 +1,8 @@
+//! Which engines run a stream: the owner of the pools decides, every node asks it.
+
+mod client;
+mod owner;
+mod reporter;
+
+pub(crate) use client::{PlaceRequest, Placed, Placement};
+pub(crate) use owner::Owner;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -0,0 +1,239 @@
+//! The pools of engines at the node that places streams.
+//!
+//! Every node keeps the pools ready, so that it can take over at once. Nothing rests on there being
+//! one owner: engines refuse what they have no room for, and say so.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{
+    AskId, PassAsk, PassDecision, PassOptions, PassOutcome, PassPool, RunningStream,
+};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+use crate::peer::{AskMessage, AskReply, Report, ReportKind, SyncMessage};
+use crate::snapshot::{Snapshot, Snapshots};
+
+/// The pools of this node.
+pub(crate) struct Owner {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    pools: HashMap<Arc<str>, PassPool>,
+    waiters: HashMap<AskId, oneshot::Sender<PassDecision>>,
+}
+
+impl Owner {
+    /// Starts to follow snapshots and the pools' own timers.
+    pub(crate) fn spawn(spawner: &Spawner, snapshots: &Snapshots) -> Arc<Self> {
+        let owner = Arc::new(Self {
+            state: Mutex::default(),
+            changed: Notify::new(),
+        });
+        spawner.spawn(Arc::clone(&owner).follow(snapshots.clone()));
+        spawner.spawn(Arc::clone(&owner).keep_time());
+        owner
+    }
+
+    /// Keeps the pools' engines as the snapshots have them.
+    async fn follow(self: Arc<Self>, snapshots: Snapshots) {
+        let mut changes = snapshots.subscribe();
+        loop {
+            let snapshot = snapshots.load();
+            self.refresh(&snapshot);
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn refresh(&self, snapshot: &Snapshot) {
+        let Some(configuration) = &snapshot.configuration else {
+            return;
+        };
+        let now = Instant::now();
+        let mut state = self.lock();
+        for service in configuration.services() {
+            let Some(spec) = &service.engine else {
+                continue;
+            };
+            let pool = state
+                .pools
+                .entry(Arc::clone(&service.name))
+                .or_insert_with(|| PassPool::new(PassOptions::default(), spec.clone()));
+            pool.set_spec(spec);
+            for target in snapshot.targets.of_service(&service.name) {
+                pool.upsert_engine(now, &target.id, &target.domain, false);
+            }
+            pool.retain_engines(|id| snapshot.targets.get(id).is_some());
+            pool.retain_nodes(|node| snapshot.node(node).is_some());
+        }
+        state.dispatch(now);
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Dispatches when a pool's own time has come.
+    async fn keep_time(self: Arc<Self>) {
+        loop {
+            let next = self.next_wakeup();
+            tokio::select! {
+                () = sleep_until(next) => self.lock().dispatch(Instant::now()),
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    fn next_wakeup(&self) -> Option<Instant> {
+        let now = Instant::now();
+        let state = self.lock();
+        state.pools.values().filter_map(|p| p.next_wakeup(now)).min()
+    }
+
+    /// Places a stream; withdrawn when the caller drops the future.
+    pub(crate) async fn ask(&self, ask: AskMessage) -> AskReply {
+        let id = ask.id;
+        let Some(rx) = self.enqueue(ask) else {
+            return AskReply::Unknown;
+        };
+        let mut undecided = Undecided {
+            owner: self,
+            id: Some(id),
+        };
+        let decision = rx.await;
+        if decision.is_ok() {
+            undecided.id = None;
+        }
+        match decision {
+            Ok(PassDecision::Granted(grant)) => AskReply::Granted {
+                lead: grant.lead,
+                helpers: grant.helpers,
+                helper_memory_tokens: grant.helper_memory_tokens,
+                first_event_in: grant.first_event_in,
+            },
+            Ok(PassDecision::Refused { retry_after }) => AskReply::Refused { retry_after },
+            Err(_) => AskReply::Unknown,
+        }
+    }
+
+    fn enqueue(&self, ask: AskMessage) -> Option<oneshot::Receiver<PassDecision>> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let pool = state.pools.get_mut(ask.service.as_str())?;
+        pool.enqueue(
+            now,
+            PassAsk {
+                id: ask.id,
+                account: ask.account,
+                domain: ask.domain,
+                prompt_tokens: ask.prompt_tokens,
+                answer_tokens: ask.answer_tokens,
+                first_event_by: now + ask.first_event_in,
+                pause: ask.pause,
+                deadline: now + ask.time_left,
+                exclude: ask.exclude,
+            },
+        );
+        let (tx, rx) = oneshot::channel();
+        state.waiters.insert(ask.id, tx);
+        state.dispatch(now);
+        let waits = state.waiters.contains_key(&ask.id);
+        drop(state);
+        if waits {
+            self.changed.notify_one();
+        }
+        Some(rx)
+    }
+
+    /// Takes news of streams.
+    pub(crate) fn report(&self, reports: Vec<Report>) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        for report in reports {
+            let Some(pool) = state.pools.get_mut(report.service.as_str()) else {
+                continue;
+            };
+            match report.kind {
+                ReportKind::FirstEvent => pool.on_first_event(now, report.id),
+                ReportKind::Ended(outcome) => pool.end(now, report.id, &outcome),
+            }
+        }
+        state.dispatch(now);
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Takes all streams of a node.
+    pub(crate) fn sync(&self, sync: &SyncMessage) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        for (name, pool) in &mut state.pools {
+            let running: Vec<RunningStream> = sync
+                .running
+                .iter()
+                .filter(|(service, _)| **service == **name)
+                .map(|(_, stream)| stream.clone())
+                .collect();
+            let is_known = |id: AskId| id.number > sync.up_to || sync.waiting.contains(&id);
+            pool.sync_node(now, sync.node, &running, is_known);
+        }
+        state.dispatch(now);
+    }
+
+    fn withdraw(&self, id: AskId) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.waiters.remove(&id);
+        for pool in state.pools.values_mut() {
+            pool.end(now, id, &PassOutcome::Cancelled);
+        }
+        state.dispatch(now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Places what can be placed and tells the askers.
+    fn dispatch(&mut self, now: Instant) {
+        let Self { pools, waiters } = self;
+        for pool in pools.values_mut() {
+            pool.dispatch(now);
+            for (id, decision) in pool.take_decisions() {
+                let told = waiters.remove(&id).is_some_and(|tx| tx.send(decision).is_ok());
+                if !told {
+                    // Whoever asked is gone, so nothing will run.
+                    pool.end(now, id, &PassOutcome::Cancelled);
+                }
+            }
+        }
+    }
+}
+
+/// Withdraws an ask whose future is dropped before a decision.
+struct Undecided<'a> {
+    owner: &'a Owner,
+    id: Option<AskId>,
+}
+
+impl Drop for Undecided<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.owner.withdraw(id);
+        }
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/placement/reporter.rs
@@ -0,0 +1,95 @@
+//! Sends reports to the owner, in batches.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior};
+
+use super::client::Placement;
+use crate::peer::Report;
+
+/// Most reports in one message.
+const MAX_BATCH: usize = 256;
+
+/// Time that reports are gathered; a fraction of a pass.
+const GATHER: Duration = Duration::from_millis(3);
+
+/// Longest wait for the owner to take a message.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between two complete listings to the owner; they also find a dead connection.
+const SYNC_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Sends reports, and all streams at every change of owner and from time to time.
+pub(super) async fn run_reporter<N: Network>(
+    placement: Arc<Placement<N>>,
+    mut reports: mpsc::Receiver<Report>,
+) {
+    let mut owner = placement.snapshots().subscribe_owner();
+    let mut sync = tokio::time::interval_at(Instant::now() + SYNC_INTERVAL, SYNC_INTERVAL);
+    sync.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut batch = Vec::new();
+    loop {
+        tokio::select! {
+            _ = owner.changed() => send_sync(&placement).await,
+            _ = sync.tick() => send_sync(&placement).await,
+            Some(first) = reports.recv() => {
+                batch.push(first);
+                tokio::time::sleep(GATHER).await;
+                while batch.len() < MAX_BATCH && let Ok(report) = reports.try_recv() {
+                    batch.push(report);
+                }
+                send_reports(&placement, std::mem::take(&mut batch)).await;
+            }
+        }
+    }
+}
+
+async fn send_sync<N: Network>(placement: &Placement<N>) {
+    let message = placement.sync_message();
+    if placement.is_owner() {
+        placement.local_owner().sync(&message);
+        return;
+    }
+    let Some(peer) = owner_addr(placement) else {
+        return;
+    };
+    let sent = placement
+        .peers()
+        .call(peer, TIMEOUT, async |client, cx| {
+            client.sync(cx, message).await
+        })
+        .await;
+    if let Err(e) = sent {
+        tracing::info!(part = "placement", %peer, error = %e, "owner not reached");
+        placement.reconnect();
+    }
+}
+
+async fn send_reports<N: Network>(placement: &Placement<N>, batch: Vec<Report>) {
+    if placement.is_owner() {
+        placement.local_owner().report(batch);
+        return;
+    }
+    let Some(peer) = owner_addr(placement) else {
+        return;
+    };
+    let sent = placement
+        .peers()
+        .call(peer, TIMEOUT, async |client, cx| {
+            client.report(cx, batch).await
+        })
+        .await;
+    if let Err(e) = sent {
+        // The next sync tells the owner what the reports said.
+        tracing::info!(part = "placement", %peer, error = %e, "reports not delivered");
+        placement.reconnect();
+    }
+}
+
+fn owner_addr<N: Network>(placement: &Placement<N>) -> Option<std::net::SocketAddr> {
+    let snapshot = placement.snapshots().load();
+    snapshot.node(snapshot.owner).map(|n| n.peer)
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -0,0 +1,125 @@
+//! What control publishes to traffic.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use azuresaddle_core::deployment::{Configuration, TargetEntry};
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::Item;
+use tokio::sync::watch;
+
+/// A node that answers heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LiveNode {
+    pub(crate) incarnation: u64,
+    /// Where callers connect.
+    pub(crate) callers: SocketAddr,
+    /// Where nodes call it.
+    pub(crate) peer: SocketAddr,
+    /// Whether callers may be sent there.
+    pub(crate) takes_callers: bool,
+}
+
+/// Targets by service; those that take no new work are left out.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TargetSet {
+    by_service: HashMap<Arc<str>, Vec<Arc<TargetEntry>>>,
+    by_id: HashMap<HostName, Arc<TargetEntry>>,
+}
+
+impl TargetSet {
+    pub(crate) fn new(targets: impl Iterator<Item = Arc<TargetEntry>>) -> Self {
+        let mut set = Self::default();
+        for target in targets {
+            let service = Arc::clone(&target.service);
+            set.by_id.insert(target.id.clone(), Arc::clone(&target));
+            set.by_service.entry(service).or_default().push(target);
+        }
+        for targets in set.by_service.values_mut() {
+            targets.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+        set
+    }
+
+    pub(crate) fn of_service(&self, service: &str) -> &[Arc<TargetEntry>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn get(&self, id: &HostName) -> Option<&Arc<TargetEntry>> {
+        self.by_id.get(id)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+}
+
+/// What control believes, at one moment.
+#[derive(Clone, Debug)]
+pub(crate) struct Snapshot {
+    /// The configuration in force; `None` until one is known.
+    pub(crate) configuration: Option<Arc<Configuration>>,
+    /// The configuration as the operator wrote it, for other nodes.
+    pub(crate) raw_configuration: Option<Arc<Vec<u8>>>,
+    pub(crate) targets: Arc<TargetSet>,
+    /// Entries of targets as they were written, for other nodes.
+    pub(crate) raw_targets: Arc<Vec<Item>>,
+    /// Live nodes, this one among them.
+    pub(crate) nodes: Arc<Vec<LiveNode>>,
+    /// Incarnation of the node that places streams.
+    pub(crate) owner: u64,
+    /// Whether this node is stopping.
+    pub(crate) leaving: bool,
+}
+
+impl Snapshot {
+    pub(crate) fn node(&self, incarnation: u64) -> Option<&LiveNode> {
+        self.nodes.iter().find(|n| n.incarnation == incarnation)
+    }
+}
+
+/// The latest snapshot and news of a new one; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Snapshots {
+    latest: Arc<ArcSwap<Snapshot>>,
+    version: Arc<watch::Sender<u64>>,
+    owner: Arc<watch::Sender<u64>>,
+}
+
+impl Snapshots {
+    pub(crate) fn new(first: Snapshot) -> Self {
+        let owner = first.owner;
+        Self {
+            latest: Arc::new(ArcSwap::from_pointee(first)),
+            version: Arc::new(watch::Sender::new(0)),
+            owner: Arc::new(watch::Sender::new(owner)),
+        }
+    }
+
+    pub(crate) fn load(&self) -> Arc<Snapshot> {
+        self.latest.load_full()
+    }
+
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        let owner = snapshot.owner;
+        self.latest.store(Arc::new(snapshot));
+        self.version.send_modify(|v| *v += 1);
+        self.owner.send_if_modified(|o| {
+            let changed = *o != owner;
+            *o = owner;
+            changed
+        });
+    }
+
+    /// Tells of every new snapshot.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// Tells which node places streams.
+    pub(crate) fn subscribe_owner(&self) -> watch::Receiver<u64> {
+        self.owner.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/targets/connections.rs
@@ -0,0 +1,228 @@
+//! Connections to targets, kept for the next request.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Longest wait for a connection: many times a round trip and the time that targets take for one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time for which a connection is kept where the target does not say.
+const DEFAULT_KEEP: Duration = Duration::from_millis(800);
+
+/// Time kept before the end that the target says, so that its close does not cross a request.
+const KEEP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Part of a target's connections that the nodes together may use; the rest covers nodes that have
+/// not heard of each other.
+const CONNECTION_SHARE: f64 = 0.8;
+
+/// Fewest connections to a target that a node may have.
+const MIN_CONNECTIONS: usize = 2;
+
+/// No connection to a target; nothing was sent.
+#[derive(Debug, Error)]
+pub(crate) enum ConnectError {
+    /// The node's share of the target's connections is in use.
+    #[error("all connections to the target are in use")]
+    Limit,
+    /// The target does not accept.
+    #[error("connect failed: {0}")]
+    Refused(#[source] std::io::Error),
+    /// The target does not answer.
+    #[error("connect timed out")]
+    Timeout,
+    /// The connection broke at once.
+    #[error("connection broke: {0}")]
+    Broken(#[source] hyper::Error),
+}
+
+/// Connections to all targets.
+pub(crate) struct Connections<N> {
+    net: N,
+    spawner: Spawner,
+    targets: Arc<Mutex<HashMap<HostName, Kept>>>,
+}
+
+/// Connections to one target.
+#[derive(Default)]
+struct Kept {
+    idle: Vec<Idle>,
+    open: usize,
+}
+
+struct Idle {
+    tx: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    retire_at: Instant,
+}
+
+impl Drop for Idle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl<N: Network> Connections<N> {
+    pub(crate) fn new(net: N, spawner: Spawner) -> Self {
+        Self {
+            net,
+            spawner,
+            targets: Arc::default(),
+        }
+    }
+
+    /// Share of a target's connections that one of `nodes` nodes may use.
+    pub(crate) fn share(max_connections: u32, nodes: usize) -> usize {
+        let share = f64::from(max_connections) * CONNECTION_SHARE / nodes.max(1) as f64;
+        (share as usize).max(MIN_CONNECTIONS)
+    }
+
+    /// A kept or new connection.
+    ///
+    /// # Errors
+    /// Where there is none; nothing was sent.
+    pub(crate) async fn checkout(
+        &self,
+        target: &HostName,
+        addr: SocketAddr,
+        share: usize,
+    ) -> Result<Connection, ConnectError> {
+        let slot = match self.take_idle(target, share)? {
+            Taken::Kept(connection) => return Ok(*connection),
+            Taken::Slot(slot) => slot,
+        };
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.net.connect(addr))
+            .await
+            .map_err(|_| ConnectError::Timeout)?
+            .map_err(ConnectError::Refused)?;
+        let (tx, conn) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(ConnectError::Broken)?;
+        let task = self.spawner.spawn_abortable(async move {
+            // A broken connection shows up at the sender and the body.
+            let _ = conn.await;
+        });
+        Ok(Connection {
+            idle: Some(Idle {
+                tx,
+                task,
+                retire_at: Instant::now(),
+            }),
+            is_reused: false,
+            slot,
+        })
+    }
+
+    fn take_idle(&self, target: &HostName, share: usize) -> Result<Taken, ConnectError> {
+        let now = Instant::now();
+        let mut targets = lock(&self.targets);
+        let kept = targets.entry(target.clone()).or_default();
+        let before = kept.idle.len();
+        kept.idle.retain(|i| !i.tx.is_closed() && i.retire_at > now);
+        kept.open -= before - kept.idle.len();
+        let slot = |targets: &Arc<Mutex<HashMap<HostName, Kept>>>| Slot {
+            targets: Arc::clone(targets),
+            target: target.clone(),
+        };
+        // The last one used is the least likely to be closed by now.
+        if let Some(at) = kept.idle.iter().rposition(|i| i.tx.is_ready()) {
+            return Ok(Taken::Kept(Box::new(Connection {
+                idle: Some(kept.idle.remove(at)),
+                is_reused: true,
+                slot: slot(&self.targets),
+            })));
+        }
+        if kept.open >= share {
+            return Err(ConnectError::Limit);
+        }
+        kept.open += 1;
+        Ok(Taken::Slot(slot(&self.targets)))
+    }
+
+    /// Drops the idle connections to a target, where one of them has gone silent.
+    pub(crate) fn drop_idle(&self, target: &HostName) {
+        if let Some(kept) = lock(&self.targets).get_mut(target) {
+            kept.open -= kept.idle.len();
+            kept.idle.clear();
+        }
+    }
+
+    /// Forgets targets that `keep` does not name and that have no connection in use.
+    pub(crate) fn retain(&self, keep: impl Fn(&HostName) -> bool) {
+        lock(&self.targets).retain(|target, kept| {
+            if !keep(target) {
+                kept.open -= kept.idle.len();
+                kept.idle.clear();
+            }
+            keep(target) || kept.open > 0
+        });
+    }
+}
+
+enum Taken {
+    Kept(Box<Connection>),
+    Slot(Slot),
+}
+
+/// One of a target's connections in use; counted until it is dropped.
+struct Slot {
+    targets: Arc<Mutex<HashMap<HostName, Kept>>>,
+    target: HostName,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if let Some(kept) = lock(&self.targets).get_mut(&self.target) {
+            kept.open = kept.open.saturating_sub(1);
+        }
+    }
+}
+
+/// A connection for one request; closed on drop unless it is given back.
+pub(crate) struct Connection {
+    idle: Option<Idle>,
+    /// Whether it has carried a request before.
+    pub(crate) is_reused: bool,
+    slot: Slot,
+}
+
+impl Connection {
+    /// The sender of the request.
+    pub(crate) fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        &mut self.idle.as_mut().expect("held until it is given back").tx
+    }
+
+    /// Keeps the connection for the next request, for the time that the target says.
+    pub(crate) fn give_back(mut self, keep_alive: Option<Duration>) {
+        let Some(mut idle) = self.idle.take() else {
+            return;
+        };
+        let keep = match keep_alive {
+            Some(told) => told.saturating_sub(KEEP_MARGIN).max(told / 2),
+            None => DEFAULT_KEEP,
+        };
+        idle.retire_at = Instant::now() + keep;
+        let mut targets = lock(&self.slot.targets);
+        if let Some(kept) = targets.get_mut(&self.slot.target) {
+            kept.idle.push(idle);
+            // The slot's drop below takes one off.
+            kept.open += 1;
+        }
+    }
+}
+
+fn lock(targets: &Mutex<HashMap<HostName, Kept>>) -> MutexGuard<'_, HashMap<HostName, Kept>> {
+    targets.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -0,0 +1,160 @@
+//! What this node has seen of plain targets: load, failures, addresses that belong to others.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azuresaddle_core::deployment::TargetEntry;
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::Breaker;
+use rand::Rng;
+use tokio::time::Instant;
+
+/// Age at which a load that a target told says nothing any more.
+const LOAD_KEPT: Duration = Duration::from_millis(300);
+
+/// Pause of a target that turned a request away.
+const REFUSED_PAUSE: Duration = Duration::from_millis(120);
+
+/// Preference for a target in the node's own failure domain, in requests: it decides among equals.
+const SAME_DOMAIN: f64 = 0.5;
+
+/// Weight of one answer in a target's mean time.
+const TIME_WEIGHT: f64 = 0.2;
+
+/// What this node has seen of its targets.
+#[derive(Default)]
+pub(crate) struct TargetHealth {
+    seen: Mutex<HashMap<HostName, Seen>>,
+}
+
+#[derive(Default)]
+struct Seen {
+    in_flight: u32,
+    /// Requests that the target told, and when.
+    load: Option<(u32, Instant)>,
+    breaker: Breaker,
+    paused_until: Option<Instant>,
+    /// Whether another server answers at its address.
+    is_gone: bool,
+    /// Mean time of its answers, in milliseconds.
+    mean_ms: Option<f64>,
+}
+
+impl TargetHealth {
+    /// The target with the least expected wait that is not excluded.
+    pub(crate) fn pick(
+        self: &Arc<Self>,
+        targets: &[Arc<TargetEntry>],
+        exclude: &[HostName],
+        domain: &FailureDomain,
+    ) -> Option<(Arc<TargetEntry>, Busy)> {
+        let now = Instant::now();
+        let mut seen = self.lock();
+        let usable = |t: &&Arc<TargetEntry>, open: bool| {
+            let state = seen.get(&t.id);
+            !exclude.contains(&t.id)
+                && state.is_none_or(|s| !s.is_gone && (!open || s.is_open(now)))
+        };
+        let mut candidates: Vec<&Arc<TargetEntry>> =
+            targets.iter().filter(|t| usable(t, true)).collect();
+        if candidates.is_empty() {
+            // A suspected target is better than none.
+            candidates = targets.iter().filter(|t| usable(t, false)).collect();
+        }
+        let cost = |t: &TargetEntry| {
+            let state = seen.get(&t.id);
+            let busy = state.map_or(0.0, |s| s.expected(now));
+            let pace = state.and_then(|s| s.mean_ms).unwrap_or(1.0).max(1.0);
+            let local = if t.domain == *domain { SAME_DOMAIN } else { 0.0 };
+            // The random part spreads nodes that see the same.
+            (busy + 1.0 - local + rand::rng().random_range(0.0..0.2)) * pace
+        };
+        let costs: Vec<f64> = candidates.iter().map(|t| cost(t)).collect();
+        let best = (0..candidates.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))?;
+        let target = Arc::clone(candidates[best]);
+        seen.entry(target.id.clone()).or_default().in_flight += 1;
+        let busy = Busy {
+            health: Arc::clone(self),
+            target: target.id.clone(),
+        };
+        Some((target, busy))
+    }
+
+    /// Notes an answer and its time.
+    pub(crate) fn on_answer(&self, target: &HostName, took: Duration) {
+        let mut seen = self.lock();
+        let state = seen.entry(target.clone()).or_default();
+        state.breaker.on_success();
+        let ms = took.as_secs_f64() * 1000.0;
+        let mean = state.mean_ms.map_or(ms, |m| m + (ms - m) * TIME_WEIGHT);
+        state.mean_ms = Some(mean);
+    }
+
+    /// Notes what a target told of its load.
+    pub(crate) fn on_load(&self, target: &HostName, requests: u32) {
+        let load = Some((requests, Instant::now()));
+        self.lock().entry(target.clone()).or_default().load = load;
+    }
+
+    /// Notes a broken, silent or unreadable answer.
+    pub(crate) fn on_failure(&self, target: &HostName) {
+        let mut seen = self.lock();
+        let state = seen.entry(target.clone()).or_default();
+        state.breaker.on_failure(Instant::now());
+    }
+
+    /// Notes that a target turned a request away.
+    pub(crate) fn on_refused(&self, target: &HostName) {
+        let until = Instant::now() + REFUSED_PAUSE;
+        self.lock().entry(target.clone()).or_default().paused_until = Some(until);
+    }
+
+    /// Notes that another server answers at the target's address.
+    pub(crate) fn on_gone(&self, target: &HostName) {
+        self.lock().entry(target.clone()).or_default().is_gone = true;
+    }
+
+    /// Whether another server answers at the target's address.
+    pub(crate) fn is_gone(&self, target: &HostName) -> bool {
+        self.lock().get(target).is_some_and(|s| s.is_gone)
+    }
+
+    /// Forgets targets that `keep` does not name and that nothing is in flight to.
+    pub(crate) fn retain(&self, keep: impl Fn(&HostName) -> bool) {
+        self.lock()
+            .retain(|target, s| keep(target) || s.in_flight > 0);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<HostName, Seen>> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Seen {
+    fn is_open(&self, now: Instant) -> bool {
+        self.paused_until.is_none_or(|until| now >= until)
+            && self.breaker.allows(now, self.in_flight as usize)
+    }
+
+    /// Requests that are expected before a new one.
+    fn expected(&self, now: Instant) -> f64 {
+        let told = self.load.filter(|(_, at)| now - *at < LOAD_KEPT);
+        let told = told.map_or(0, |(requests, _)| requests);
+        f64::from(told.max(self.in_flight))
+    }
+}
+
+/// A request in flight to a target.
+pub(crate) struct Busy {
+    health: Arc<TargetHealth>,
+    target: HostName,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        if let Some(state) = self.health.lock().get_mut(&self.target) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+}
--- a/crates/azuresaddle-node/src/node.rs
+++ b/crates/azuresaddle-node/src/node.rs
@@ -103,7 +103,7 @@
         let burn = Arc::new(BurnLedger::default());
         let control = parts.spawn_control(peer_addr, Arc::clone(&burn));
         let traffic = Arc::new(parts.traffic(control.clone(), burn));
-        serve_peers(peers, parts.control_spawner.clone(), control.clone());
+        serve_peers(peers, &parts.control_spawner, control.clone());
         let handler = Arc::new(CallerHandler::new(Arc::clone(&traffic)));
         serve(callers, spawner.clone(), limits, handler);
         let handler = Arc::new(AdminHandler::new(traffic));
--- /dev/null
+++ b/crates/azuresaddle-rpc/src/clients.rs
@@ -0,0 +1,120 @@
+//! Connections to other nodes.
+
+use std::collections::HashMap;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use azuresaddle_core::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::client::{self, Channel};
+use tarpc::context;
+
+use crate::error::RpcError;
+use crate::transport::transport;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Keeps one connection to each other node, and opens a new one after every failure, since a
+/// connection can go silent while new ones work.
+pub struct RpcClients<N, C, Req, Resp> {
+    net: N,
+    spawner: Spawner,
+    channels: Arc<Mutex<HashMap<SocketAddr, Channel<Req, Resp>>>>,
+    client: PhantomData<fn() -> C>,
+}
+
+impl<N: Clone, C, Req, Resp> Clone for RpcClients<N, C, Req, Resp> {
+    fn clone(&self) -> Self {
+        Self {
+            net: self.net.clone(),
+            spawner: self.spawner.clone(),
+            channels: Arc::clone(&self.channels),
+            client: PhantomData,
+        }
+    }
+}
+
+impl<N, C, Req, Resp> RpcClients<N, C, Req, Resp>
+where
+    N: Network,
+    C: From<Channel<Req, Resp>>,
+    Req: Serialize + tarpc::RequestName + Send + 'static,
+    Resp: DeserializeOwned + Send + 'static,
+{
+    /// No connections yet.
+    pub fn new(net: N, spawner: Spawner) -> Self {
+        Self {
+            net,
+            spawner,
+            channels: Arc::default(),
+            client: PhantomData,
+        }
+    }
+
+    /// Makes a call with a timeout; `call` gets the service's client `C`.
+    ///
+    /// # Errors
+    /// Where no connection is made or no answer comes in time.
+    pub async fn call<T, F>(
+        &self,
+        addr: SocketAddr,
+        timeout: Duration,
+        call: F,
+    ) -> Result<T, RpcError>
+    where
+        F: AsyncFnOnce(C, context::Context) -> Result<T, client::RpcError>,
+    {
+        let channel = self.channel(addr, timeout).await?;
+        let mut cx = context::current();
+        // tarpc keeps its own deadline by the system's clock; the runtime's clock decides here.
+        cx.deadline = Instant::now() + timeout * 2;
+        match tokio::time::timeout(timeout, call(C::from(channel), cx)).await {
+            Ok(Ok(value)) => Ok(value),
+            _ => {
+                self.forget(addr);
+                Err(RpcError::NoAnswer)
+            }
+        }
+    }
+
+    /// Drops the connection to a node; calls in flight on it fail.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
+    async fn channel(
+        &self,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Channel<Req, Resp>, RpcError> {
+        if let Some(channel) = self.lock().get(&addr) {
+            return Ok(channel.clone());
+        }
+        let wait = CONNECT_TIMEOUT.min(timeout);
+        let stream = tokio::time::timeout(wait, self.net.connect(addr))
+            .await
+            .map_err(|_| RpcError::Unreachable)?
+            .map_err(|_| RpcError::Unreachable)?;
+        let mut channels = self.lock();
+        // Another call may have connected meanwhile.
+        if let Some(channel) = channels.get(&addr) {
+            return Ok(channel.clone());
+        }
+        let new = client::new(client::Config::default(), transport(stream));
+        let dispatch = new.dispatch;
+        self.spawner.spawn(async move {
+            // A broken connection shows up at the callers.
+            let _ = dispatch.await;
+        });
+        channels.insert(addr, new.client.clone());
+        Ok(new.client)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Channel<Req, Resp>>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/azuresaddle-sched/src/lib.rs
+++ b/crates/azuresaddle-sched/src/lib.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod options;
 mod outcome;
+pub mod passes;
 mod pool;
 mod pool_digest;
 mod prefix_index;
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/ask.rs
@@ -0,0 +1,100 @@
+//! What a pool of engines is asked and answers.
+
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// Identifies an ask over all nodes.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct AskId {
+    /// Incarnation of the node that asks.
+    pub node: u64,
+    /// Number of the ask at that node.
+    pub number: u64,
+}
+
+/// Asks for engines to run a stream on.
+#[derive(Clone, Debug)]
+pub struct PassAsk {
+    /// The ask.
+    pub id: AskId,
+    /// Who asks.
+    pub account: ClientAccount,
+    /// Failure domain of the node that will relay the answer.
+    pub domain: FailureDomain,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Expected length of the answer, in tokens.
+    pub answer_tokens: u64,
+    /// When the first event is late.
+    pub first_event_by: Instant,
+    /// Longest pause between events.
+    pub pause: Duration,
+    /// When the request must have ended.
+    pub deadline: Instant,
+    /// Targets that must not be used, since an earlier attempt failed there.
+    pub exclude: Vec<HostName>,
+}
+
+/// Decision about an ask.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PassDecision {
+    /// Send it now.
+    Granted(PassGrant),
+    /// It has its final answer; it did not run.
+    Refused {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// Engines for a stream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PassGrant {
+    /// The engine that receives the request and writes the answer.
+    pub lead: HostName,
+    /// Engines that read a part of the prompt besides.
+    pub helpers: Vec<HostName>,
+    /// Memory to reserve on each helper before the request is sent, in tokens; 0 for none.
+    pub helper_memory_tokens: u64,
+    /// Expected time to the first event.
+    pub first_event_in: Duration,
+}
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PassOutcome {
+    /// The answer is whole.
+    Done,
+    /// The caller left, or the ask was withdrawn.
+    Cancelled,
+    /// A target said that it does not run the stream.
+    TargetRefused(HostName),
+    /// A target broke off or fell silent.
+    TargetFailed(HostName),
+}
+
+/// A stream that a node relays, as a new owner of the pool is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningStream {
+    /// The ask.
+    pub id: AskId,
+    /// The engine that writes.
+    pub lead: HostName,
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<HostName>,
+    /// Memory on each helper, in tokens.
+    pub helper_memory_tokens: u64,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Expected length of the answer, in tokens.
+    pub answer_tokens: u64,
+    /// Longest pause between events.
+    pub pause: Duration,
+    /// Whether the first event has come.
+    pub is_writing: bool,
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -0,0 +1,168 @@
+//! What is believed of one engine.
+
+use std::time::Duration;
+
+use azuresaddle_core::deployment::EngineSpec;
+use azuresaddle_core::prelude::*;
+use slotmap::new_key_type;
+use tokio::time::Instant;
+
+use super::ask::AskId;
+use crate::breaker::Breaker;
+
+new_key_type! {
+    /// Key of an engine in its pool.
+    pub(super) struct EngineId;
+}
+
+/// Part of the longest pause that a pass may take; the rest covers the way to the caller and the
+/// error of the estimate.
+const PAUSE_SHARE: f64 = 0.72;
+
+/// Time kept of each pause for the node and the network, in milliseconds.
+const PAUSE_MARGIN_MS: f64 = 12.0;
+
+/// A stream whose answer an engine writes, or will.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lead {
+    pub(super) id: AskId,
+    /// Memory that it may come to hold here, in tokens.
+    pub(super) memory_tokens: u64,
+    /// Context that each of its steps costs, in tokens.
+    pub(super) context_tokens: u64,
+    pub(super) pause: Duration,
+    pub(super) is_writing: bool,
+}
+
+/// A part of a prompt that an engine reads for another.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Help {
+    pub(super) id: AskId,
+    /// Memory held here for the stream, in tokens.
+    pub(super) memory_tokens: u64,
+    /// Whether the first event has come, so that only the memory is still used.
+    pub(super) is_read: bool,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) name: HostName,
+    pub(super) domain: FailureDomain,
+    pub(super) leads: Vec<Lead>,
+    pub(super) helps: Vec<Help>,
+    /// When the pass that is believed to run ends; in the past where none runs.
+    pub(super) pass_ends: Instant,
+    /// Reading that waits for the next pass, in milliseconds.
+    pub(super) next_read_ms: f64,
+    /// Time of its work against that of a usual engine.
+    pub(super) pace: f64,
+    pub(super) leaving: bool,
+    pub(super) breaker: Breaker,
+}
+
+impl Engine {
+    pub(super) fn new(now: Instant, name: HostName, domain: FailureDomain) -> Self {
+        Self {
+            name,
+            domain,
+            leads: Vec::new(),
+            helps: Vec::new(),
+            pass_ends: now,
+            next_read_ms: 0.0,
+            pace: 1.0,
+            leaving: false,
+            breaker: Breaker::default(),
+        }
+    }
+
+    /// Whether new work may go here.
+    pub(super) fn is_open(&self, now: Instant) -> bool {
+        !self.leaving && self.breaker.allows(now, self.leads.len() + self.helps.len())
+    }
+
+    /// Memory that is not promised, in tokens.
+    pub(super) fn free_tokens(&self, spec: &EngineSpec) -> u64 {
+        let led: u64 = self.leads.iter().map(|l| l.memory_tokens).sum();
+        let lent: u64 = self.helps.iter().map(|h| h.memory_tokens).sum();
+        spec.memory_tokens.saturating_sub(led + lent)
+    }
+
+    pub(super) fn has_slot(&self, spec: &EngineSpec) -> bool {
+        self.leads.len() < spec.slots as usize
+    }
+
+    /// Whether one more part may be read here for another engine.
+    pub(super) fn can_help(&self, spec: &EngineSpec) -> bool {
+        let reading = self.helps.iter().filter(|h| !h.is_read).count();
+        reading < spec.slots as usize
+    }
+
+    /// Time of a pass's token steps once all present streams write, in milliseconds.
+    pub(super) fn write_ms(&self, spec: &EngineSpec) -> f64 {
+        let context = self.leads.iter().map(|l| l.context_tokens).sum();
+        spec.write_ms(self.leads.len(), context) * self.pace
+    }
+
+    /// Longest pass that keeps the pauses of all streams here, in milliseconds.
+    pub(super) fn longest_pass_ms(&self) -> f64 {
+        let pauses = self.leads.iter().map(|l| l.pause);
+        pauses.min().map_or(f64::INFINITY, longest_pass_ms)
+    }
+
+    /// Streams here whose pause is at most `pause`.
+    pub(super) fn count_with_pause(&self, pause: Duration) -> usize {
+        self.leads.iter().filter(|l| l.pause <= pause).count()
+    }
+
+    /// Brings the estimate of passes up to `now`.
+    pub(super) fn advance(&mut self, now: Instant, spec: &EngineSpec) {
+        while self.pass_ends <= now {
+            let writers = self.leads.iter().filter(|l| l.is_writing);
+            let (count, context) = writers.fold((0, 0), |(n, c), l| (n + 1, c + l.context_tokens));
+            let idle = count == 0;
+            if idle && self.next_read_ms == 0.0 {
+                return;
+            }
+            let ms = spec.write_ms(count, context) * self.pace + self.next_read_ms;
+            self.next_read_ms = 0.0;
+            let start = if idle { now } else { self.pass_ends };
+            let length = Duration::from_secs_f64(ms.max(1.0) / 1000.0);
+            // A stretch that was not followed is made up by whole passes.
+            self.pass_ends = start + length;
+            if self.pass_ends <= now && self.next_read_ms == 0.0 {
+                let behind = now.duration_since(start).as_secs_f64();
+                let passes = (behind / length.as_secs_f64()).floor();
+                self.pass_ends = start + length.mul_f64(passes + 1.0);
+            }
+        }
+    }
+
+    /// Time until the next pass begins.
+    pub(super) fn next_pass_in(&self, now: Instant) -> Duration {
+        self.pass_ends.saturating_duration_since(now)
+    }
+
+    /// Takes a part of a prompt for the next pass.
+    pub(super) fn add_read(&mut self, now: Instant, spec: &EngineSpec, read_ms: f64) {
+        self.next_read_ms += read_ms * self.pace;
+        self.advance(now, spec);
+    }
+
+    /// Time of the next pass with `read_ms` more to read and all present streams writing, in
+    /// milliseconds.
+    pub(super) fn next_pass_ms(&self, spec: &EngineSpec, read_ms: f64) -> f64 {
+        self.write_ms(spec) + self.next_read_ms + read_ms * self.pace
+    }
+
+    /// Reading that the next pass can still take, in milliseconds.
+    pub(super) fn room_ms(&self, spec: &EngineSpec, longest_pass_ms: f64) -> f64 {
+        let longest = longest_pass_ms.min(self.longest_pass_ms());
+        (longest - self.write_ms(spec) - self.next_read_ms) / self.pace
+    }
+}
+
+/// Longest pass that keeps a pause, in milliseconds.
+pub(super) fn longest_pass_ms(pause: Duration) -> f64 {
+    pause.as_secs_f64() * 1000.0 * PAUSE_SHARE - PAUSE_MARGIN_MS
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -0,0 +1,199 @@
+//! Placement of prompts that are split over several engines.
+//!
+//! Answers the pattern of prompts that take seconds to read: one after the other is read by as many
+//! engines as end it soonest, which delays the others less than reading several side by side, and
+//! every part must fit in a pass that the streams of its engine can bear.
+
+use azuresaddle_core::deployment::EngineSpec;
+use azuresaddle_core::prelude::*;
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use super::ask::PassAsk;
+use super::engine::{Engine, EngineId, longest_pass_ms};
+
+/// Engines that one prompt may be read by beside the first, by the engines' interface.
+const MAX_HELPERS: usize = 16;
+
+/// Time by which one more engine must bring the end nearer, in milliseconds: its own share of
+/// waiting for a pass and of messages.
+const HELPER_COST_MS: f64 = 6.0;
+
+/// Longest time until all engines of a plan begin; a plan further ahead waits, so that a quicker
+/// prompt that arrives meanwhile can go first.
+const MAX_START_MS: f64 = 60.0;
+
+/// Engines for a long prompt.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct LongPlan {
+    /// The first engine leads.
+    pub(super) engines: Vec<EngineId>,
+    /// Reading on each engine, in milliseconds.
+    pub(super) part_ms: f64,
+    /// Milliseconds until the last engine begins.
+    pub(super) start_ms: f64,
+    /// Milliseconds to the first event.
+    pub(super) first_event_ms: f64,
+    /// Memory to reserve on each helper, in tokens.
+    pub(super) helper_memory_tokens: u64,
+}
+
+impl LongPlan {
+    /// Whether to begin now rather than to wait.
+    pub(super) fn is_due(&self) -> bool {
+        self.start_ms <= MAX_START_MS
+    }
+}
+
+/// An engine that could read a part.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    key: EngineId,
+    /// Milliseconds until its next pass.
+    start_ms: f64,
+    /// Time of that pass without the part, in milliseconds.
+    base_ms: f64,
+    /// Longest part that it can take, in milliseconds.
+    room_ms: f64,
+    /// Longest part that it can take as the engine that writes the answer.
+    lead_room_ms: f64,
+    free_tokens: u64,
+    can_lead: bool,
+    same_domain: bool,
+}
+
+/// The engines that end the reading soonest; `None` where no set of engines can bear it.
+pub(super) fn plan_long(
+    now: Instant,
+    spec: &EngineSpec,
+    engines: &SlotMap<EngineId, Engine>,
+    ask: &PassAsk,
+    read_ms: f64,
+) -> Option<LongPlan> {
+    let mut candidates = candidates(now, spec, engines, ask);
+    // Soonest first; among equals the ones with most room, which run no short streams.
+    candidates.sort_by(|a, b| {
+        let by_start = a.start_ms.total_cmp(&b.start_ms);
+        by_start.then(b.room_ms.total_cmp(&a.room_ms))
+    });
+    let memory = ask.prompt_tokens + ask.answer_tokens;
+    let most = candidates.len().min(MAX_HELPERS + 1);
+    let mut best: Option<(f64, LongPlan)> = None;
+    for count in 1..=most {
+        let part_ms = read_ms / count as f64;
+        let Some(plan) = plan_with(&candidates, spec, memory, count, part_ms) else {
+            continue;
+        };
+        let cost = plan.first_event_ms + HELPER_COST_MS * count as f64;
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, plan));
+        }
+    }
+    best.map(|(_, plan)| plan)
+}
+
+fn candidates(
+    now: Instant,
+    spec: &EngineSpec,
+    engines: &SlotMap<EngineId, Engine>,
+    ask: &PassAsk,
+) -> Vec<Candidate> {
+    let longest = longest_pass_ms(ask.pause);
+    engines
+        .iter()
+        .filter(|(_, e)| e.is_open(now) && !ask.exclude.contains(&e.name))
+        .filter(|(_, e)| e.can_help(spec))
+        .map(|(key, e)| Candidate {
+            key,
+            start_ms: e.next_pass_in(now).as_secs_f64() * 1000.0,
+            base_ms: e.next_pass_ms(spec, 0.0),
+            room_ms: e.room_ms(spec, f64::INFINITY),
+            lead_room_ms: if e.leads.is_empty() {
+                f64::INFINITY
+            } else {
+                e.room_ms(spec, longest)
+            },
+            free_tokens: e.free_tokens(spec),
+            can_lead: e.has_slot(spec),
+            same_domain: e.domain == ask.domain,
+        })
+        .collect()
+}
+
+/// A plan with exactly `count` engines.
+fn plan_with(
+    candidates: &[Candidate],
+    spec: &EngineSpec,
+    memory: u64,
+    count: usize,
+    part_ms: f64,
+) -> Option<LongPlan> {
+    let bears = |c: &&Candidate| c.room_ms >= part_ms;
+    let mut chosen: Vec<Candidate> = candidates.iter().filter(bears).take(count).copied().collect();
+    if chosen.len() < count {
+        return None;
+    }
+    let helper_memory_tokens = if memory <= spec.memory_tokens {
+        0
+    } else {
+        memory.div_ceil(count as u64)
+    };
+    let lead_memory = if helper_memory_tokens > 0 {
+        memory.saturating_sub(helper_memory_tokens * (count as u64 - 1))
+    } else {
+        memory
+    };
+    if helper_memory_tokens > 0 && chosen.iter().any(|c| c.free_tokens < helper_memory_tokens) {
+        return None;
+    }
+    let can_lead = |c: &Candidate| {
+        c.can_lead && c.free_tokens >= lead_memory && c.lead_room_ms >= part_ms
+    };
+    let lead = match best_lead(&chosen, can_lead) {
+        Some(at) => at,
+        None => {
+            // None of the soonest can hold the stream: one that can takes the last place.
+            let other = candidates
+                .iter()
+                .find(|c| can_lead(c) && chosen.iter().all(|o| o.key != c.key))?;
+            let last = chosen.len() - 1;
+            chosen[last] = *other;
+            last
+        }
+    };
+    chosen.swap(0, lead);
+    let start_ms = chosen.iter().map(|c| c.start_ms).fold(0.0, f64::max);
+    let first_event_ms = chosen
+        .iter()
+        .map(|c| c.start_ms + c.base_ms + part_ms)
+        .fold(0.0, f64::max);
+    Some(LongPlan {
+        engines: chosen.iter().map(|c| c.key).collect(),
+        part_ms,
+        start_ms,
+        first_event_ms,
+        helper_memory_tokens,
+    })
+}
+
+/// Position of the engine that should write: most room, then the node's own failure domain.
+fn best_lead(chosen: &[Candidate], can_lead: impl Fn(&Candidate) -> bool) -> Option<usize> {
+    let able = chosen.iter().enumerate().filter(|(_, c)| can_lead(c));
+    let rank = |c: &Candidate| (c.lead_room_ms, c.same_domain, c.free_tokens);
+    able.max_by(|(_, a), (_, b)| {
+        let (a, b) = (rank(a), rank(b));
+        a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2)))
+    })
+    .map(|(at, _)| at)
+}
+
+/// Names of a plan's helpers.
+pub(super) fn helper_names(
+    engines: &SlotMap<EngineId, Engine>,
+    plan: &LongPlan,
+) -> Vec<HostName> {
+    plan.engines[1..]
+        .iter()
+        .map(|key| engines[*key].name.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -0,0 +1,15 @@
+//! Placement on engines that work in passes.
+//!
+//! A pass with writing streams runs a fixed number of token steps, and every prompt part that is
+//! read in it makes the pass longer for all of them. So a placement is a question of which passes
+//! may grow, and by how much.
+
+mod ask;
+mod engine;
+mod long_plan;
+mod pool;
+mod queue;
+mod short_plan;
+
+pub use ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
+pub use pool::{PassOptions, PassPool};
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -0,0 +1,79 @@
+//! Asks that wait for engines.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::ask::{AskId, PassAsk};
+
+/// Order of waiting asks: less reading first, then arrival.
+type Rank = (u64, u64);
+
+/// A waiting ask.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) ask: PassAsk,
+    /// Time to read the prompt on one engine, in milliseconds.
+    pub(super) read_ms: f64,
+}
+
+/// Waiting asks, the quickest to read first.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    by_rank: BTreeMap<Rank, Waiting>,
+    ranks: HashMap<AskId, Rank>,
+    arrivals: u64,
+    read_ms: f64,
+}
+
+impl Queue {
+    pub(super) fn push(&mut self, waiting: Waiting) {
+        self.arrivals += 1;
+        // Microseconds keep the order of prompts that differ by a few tokens.
+        let rank = ((waiting.read_ms * 1000.0) as u64, self.arrivals);
+        self.read_ms += waiting.read_ms;
+        self.ranks.insert(waiting.ask.id, rank);
+        self.by_rank.insert(rank, waiting);
+    }
+
+    pub(super) fn remove(&mut self, id: AskId) -> Option<Waiting> {
+        let rank = self.ranks.remove(&id)?;
+        let waiting = self.by_rank.remove(&rank)?;
+        self.read_ms -= waiting.read_ms;
+        if self.by_rank.is_empty() {
+            self.read_ms = 0.0;
+        }
+        Some(waiting)
+    }
+
+    pub(super) fn contains(&self, id: AskId) -> bool {
+        self.ranks.contains_key(&id)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.by_rank.values()
+    }
+
+    /// Time to read all waiting prompts on one engine, in milliseconds.
+    pub(super) fn read_ms(&self) -> f64 {
+        self.read_ms
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_rank.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_rank.is_empty()
+    }
+
+    pub(super) fn retain_nodes(&mut self, mut keep: impl FnMut(u64) -> bool) {
+        let gone: Vec<AskId> = self
+            .ranks
+            .keys()
+            .filter(|id| !keep(id.node))
+            .copied()
+            .collect();
+        for id in gone {
+            self.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/short_plan.rs
@@ -0,0 +1,94 @@
+//! Placement of prompts that are read in a fraction of a pass.
+//!
+//! Answers the pattern of many short prompts beside few long ones: short streams are packed on as
+//! few engines as keep their pauses, so that the others stay free to read long prompts without a
+//! pass that somebody waits for.
+
+use azuresaddle_core::deployment::EngineSpec;
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use super::ask::PassAsk;
+use super::engine::{Engine, EngineId, longest_pass_ms};
+
+/// Part of the time to the first event that the wait for a pass and the read may take; the rest
+/// covers the node, the network and the error of the estimate.
+const FIRST_EVENT_SHARE: f64 = 0.62;
+
+/// An engine for a short prompt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct ShortPlan {
+    pub(super) engine: EngineId,
+    /// Milliseconds to the first event.
+    pub(super) first_event_ms: f64,
+}
+
+/// The engine for a short prompt: the fullest one that keeps every pause and is on time.
+///
+/// With `any` a late one goes where its first event comes soonest.
+pub(super) fn plan_short(
+    now: Instant,
+    spec: &EngineSpec,
+    engines: &SlotMap<EngineId, Engine>,
+    ask: &PassAsk,
+    read_ms: f64,
+    any: bool,
+) -> Option<ShortPlan> {
+    let memory = ask.prompt_tokens + ask.answer_tokens;
+    let left_ms = ask.first_event_by.saturating_duration_since(now).as_secs_f64() * 1000.0;
+    let longest = longest_pass_ms(ask.pause);
+    let mut best: Option<(Rank, ShortPlan)> = None;
+    for (key, engine) in engines {
+        let fits = engine.is_open(now)
+            && engine.has_slot(spec)
+            && engine.free_tokens(spec) >= memory
+            && !ask.exclude.contains(&engine.name);
+        if !fits {
+            continue;
+        }
+        let wait_ms = engine.next_pass_in(now).as_secs_f64() * 1000.0;
+        let first_event_ms = wait_ms + engine.next_pass_ms(spec, read_ms);
+        let is_on_time = first_event_ms <= left_ms * FIRST_EVENT_SHARE;
+        let keeps_pauses = engine.room_ms(spec, longest) >= read_ms;
+        if !any && !(is_on_time && keeps_pauses) {
+            continue;
+        }
+        let rank = Rank {
+            on_time: is_on_time && keeps_pauses,
+            packed: engine.count_with_pause(ask.pause),
+            same_domain: engine.domain == ask.domain,
+            soon: -first_event_ms,
+        };
+        let plan = ShortPlan {
+            engine: key,
+            first_event_ms,
+        };
+        if best.as_ref().is_none_or(|(b, _)| rank.is_better_than(b)) {
+            best = Some((rank, plan));
+        }
+    }
+    best.map(|(_, plan)| plan)
+}
+
+/// Order of engines for a short prompt.
+#[derive(Clone, Copy, Debug)]
+struct Rank {
+    on_time: bool,
+    /// Streams of the same kind that write there.
+    packed: usize,
+    same_domain: bool,
+    soon: f64,
+}
+
+impl Rank {
+    fn is_better_than(&self, other: &Self) -> bool {
+        if self.on_time != other.on_time {
+            return self.on_time;
+        }
+        if !self.on_time {
+            return self.soon > other.soon;
+        }
+        let by = (self.packed, self.same_domain).cmp(&(other.packed, other.same_domain));
+        by.then(self.soon.total_cmp(&other.soon)).is_gt()
+    }
+}
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,106 @@
+//! `serve`: the daemon on the platform.
+
+use std::path::PathBuf;
+
+use anyhow::{Result, anyhow};
+use azuresaddle_core::net::TcpNetwork;
+use azuresaddle_core::prelude::*;
+use azuresaddle_edge::Node;
+use azuresaddle_platform::{SETTINGS_PATH_VARIABLE, read_settings};
+use clap::{Arg, ArgMatches, Command};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+
+use super::BadInput;
+
+/// Log lines that wait to be written; more are dropped and counted.
+const MAX_WAITING_LINES: usize = 4096;
+
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("serve")
+        .about("Runs a node on the platform, by the settings file that the platform places")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .env(SETTINGS_PATH_VARIABLE)
+                .value_name("FILE")
+                .value_parser(clap::value_parser!(PathBuf))
+                .required(true)
+                .help("Path of the settings file"),
+        )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .env("AZURESADDLE_LOG_LEVEL")
+                .value_parser(["error", "warn", "info", "debug"])
+                .default_value("info")
+                .help("Least severe level that is logged"),
+        )
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let path = args
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires it");
+    let settings = read_settings(path).map_err(|e| anyhow!(BadInput(e.to_string())))?;
+    let _log = init_log(args);
+    // A host lets one thread run at a time, so traffic and control have one each.
+    let traffic = current_thread()?;
+    let control = current_thread()?;
+    let control_handle = control.handle().clone();
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control.block_on(std::future::pending::<()>()))?;
+    traffic.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let name = settings.name.clone();
+        let node = Node::open(settings, TcpNetwork, Spawner::current(), control_handle).await?;
+        tracing::info!(part = "node", host = %name, "started");
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => reload(path),
+            }
+        }
+        node.stop().await;
+        Ok(())
+    })
+}
+
+/// Reads the settings file again. Addresses and bounds hold for the life of a process, so a change
+/// of them is only told.
+fn reload(path: &std::path::Path) {
+    match read_settings(path) {
+        Ok(settings) => tracing::info!(part = "node", host = %settings.name, "settings read again"),
+        Err(e) => tracing::error!(part = "node", error = %e, "settings not read, the last stay"),
+    }
+}
+
+fn current_thread() -> Result<Runtime> {
+    Ok(Builder::new_current_thread().enable_all().build()?)
+}
+
+/// Writes structured lines to standard output from a thread of their own, so that no request waits
+/// for whoever reads them.
+fn init_log(args: &ArgMatches) -> WorkerGuard {
+    let level = args
+        .get_one::<String>("log-level")
+        .map_or("info", String::as_str);
+    let filter = format!("error,azuresaddle={level},azuresaddle_edge={level}");
+    let (writer, guard): (NonBlocking, WorkerGuard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(MAX_WAITING_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_writer(writer)
+        .with_env_filter(tracing_subscriber::EnvFilter::new(filter))
+        .init();
+    guard
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
         Some(("pools", args)) => cmd::pools::execute(args),
         Some(("burn", args)) => cmd::burn::execute(args),
         Some(("ask", args)) => cmd::ask::execute(args),
+        Some(("serve", args)) => cmd::serve::execute(args),
         _ => unreachable!("clap requires a subcommand"),
     };
     match result {
@@ -49,4 +50,5 @@
         .subcommand(cmd::node::make_subcommand())
         .subcommand(cmd::pools::make_subcommand())
         .subcommand(cmd::rules::make_subcommand())
+        .subcommand(cmd::serve::make_subcommand())
 }
