--- a/crates/azuresaddle-edge/src/forward/stream.rs
+++ b/crates/azuresaddle-edge/src/forward/stream.rs
@@ -81,6 +81,7 @@
         runs: 0,
         declined: 0,
         last_failure: None,
+        first_event_ms: None,
     };
     left.spawn(async move {
         tokio::select! {
@@ -163,6 +164,8 @@
     runs: u32,
     declined: u32,
     last_failure: Option<Box<Response<ProxyBody>>>,
+    /// Time from the arrival to the first event.
+    first_event_ms: Option<u64>,
 }
 
 impl<N: Network> Relay<N> {
@@ -264,6 +267,20 @@
                 // A prompt that waits for a dead helper is declined after that time.
                 self.cx.bounds.target_stall
             };
+            tracing::info!(
+                part = "forward",
+                request = ?self.req.head.attempt_id,
+                route = %self.req.route.name,
+                target = %target.id,
+                helpers = helpers.len(),
+                reserved_tokens = placed.helper_memory_tokens,
+                prompt_tokens,
+                configuration = snapshot.configuration.as_ref().map_or(0, |c| c.version.0),
+                owner = snapshot.owner,
+                waited_ms = self.req.arrived.elapsed().as_millis() as u64,
+                expected_ms = placed.first_event_in.as_millis() as u64,
+                "placed"
+            );
             let first_event_patience = placed.first_event_in.mul_f64(FIRST_EVENT_PATIENCE)
                 + FIRST_EVENT_SLACK
                 + stall;
@@ -391,6 +408,7 @@
             next_by = Instant::now() + silence;
             if !seen_first {
                 seen_first = true;
+                self.first_event_ms.get_or_insert(self.req.arrived.elapsed().as_millis() as u64);
                 place.on_first_event();
             }
             let Some(bytes) = self.next_in_order(events.bytes, &events.ids) else {
@@ -530,8 +548,9 @@
             runs = self.runs,
             declined = self.declined,
             last_event = ?self.last_id,
+            first_event_ms = ?self.first_event_ms,
             age_ms = self.req.arrived.elapsed().as_millis() as u64,
-            what
+            "{what}"
         );
     }
 }
