--- a/crates/azuresaddle-edge/src/forward/stream.rs
+++ b/crates/azuresaddle-edge/src/forward/stream.rs
@@ -550,6 +550,8 @@
             last_event = ?self.last_id,
             first_event_ms = ?self.first_event_ms,
             age_ms = self.req.arrived.elapsed().as_millis() as u64,
+            left_ms = until(self.req.deadline).as_millis() as u64,
+            tokens = ?self.req.tokens(),
             "{what}"
         );
     }
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -138,6 +138,16 @@
         }
     }
 
+    /// Whether a part for another engine would delay a prompt that this engine reads for itself.
+    ///
+    /// Engines read parts for others first, and without writing streams their passes are short, so
+    /// such a part pushes aside what is half read: a prompt expected after 0.5 s came after 3.1 s.
+    pub(super) fn would_push_aside(&self, now: Instant) -> bool {
+        let reads_own = self.leads.iter().any(|l| !l.is_writing);
+        let writes = self.leads.iter().any(|l| l.is_writing);
+        reads_own && !writes && self.pass_ends > now
+    }
+
     /// Time until the next pass begins.
     pub(super) fn next_pass_in(&self, now: Instant) -> Duration {
         self.pass_ends.saturating_duration_since(now)
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -4,6 +4,8 @@
 //! engines as end it soonest, which delays the others less than reading several side by side, and
 //! every part must fit in a pass that the streams of its engine can bear.
 
+use std::time::Duration;
+
 use azuresaddle_core::deployment::EngineSpec;
 use azuresaddle_core::prelude::*;
 use slotmap::SlotMap;
@@ -11,6 +13,7 @@
 
 use super::ask::PassAsk;
 use super::engine::{Engine, EngineId, longest_pass_ms};
+use super::round::Round;
 
 /// Engines that one prompt may be read by beside the first, by the engines' interface.
 const MAX_HELPERS: usize = 16;
@@ -19,6 +22,13 @@
 /// waiting for a pass and of messages.
 const HELPER_COST_MS: f64 = 6.0;
 
+/// Longest part of a prompt that is late anyway, in milliseconds; it waits for more engines rather
+/// than keep a few from prompts that can still be on time.
+const MAX_LATE_PART_MS: f64 = 1000.0;
+
+/// Time before the deadline from which a late prompt takes any engines that end it in time.
+const LAST_CHANCE: Duration = Duration::from_secs(4);
+
 /// Longest time until all engines of a plan begin; a plan further ahead waits, so that a quicker
 /// prompt that arrives meanwhile can go first.
 const MAX_START_MS: f64 = 60.0;
@@ -39,9 +49,27 @@
 }
 
 impl LongPlan {
-    /// Whether to begin now rather than to wait.
-    pub(super) fn is_due(&self) -> bool {
-        self.start_ms <= MAX_START_MS
+    /// Whether to begin now rather than to wait for more or sooner engines.
+    ///
+    /// A prompt that was left whole on the only free engine kept it for 4 to 10 s, so one that such
+    /// a plan makes late waits while more engines could still bring it home in time.
+    pub(super) fn is_due(&self, now: Instant, ask: &PassAsk, engines: usize) -> bool {
+        if self.start_ms > MAX_START_MS {
+            return false;
+        }
+        let first_event_at = now + Duration::from_secs_f64(self.first_event_ms / 1000.0);
+        if first_event_at <= ask.first_event_by {
+            return true;
+        }
+        let read_ms = self.part_ms * self.engines.len() as f64;
+        let most = engines.min(MAX_HELPERS + 1).max(1);
+        let least = Duration::from_secs_f64(read_ms / most as f64 / 1000.0);
+        if now + least <= ask.first_event_by {
+            return false;
+        }
+        let usual_part_ms = read_ms / most as f64;
+        self.part_ms <= MAX_LATE_PART_MS.max(usual_part_ms * 1.5)
+            || first_event_at + LAST_CHANCE >= ask.deadline
     }
 }
 
@@ -63,25 +91,24 @@
 }
 
 /// The engines that end the reading soonest; `None` where no set of engines can bear it.
-pub(super) fn plan_long(
-    now: Instant,
-    spec: &EngineSpec,
-    engines: &SlotMap<EngineId, Engine>,
-    ask: &PassAsk,
-    read_ms: f64,
-) -> Option<LongPlan> {
-    let mut candidates = candidates(now, spec, engines, ask);
+pub(super) fn plan_long(round: &Round<'_>, ask: &PassAsk, read_ms: f64) -> Option<LongPlan> {
+    let mut candidates = candidates(round, ask);
     // Soonest first; among equals the ones with most room, which run no short streams.
     candidates.sort_by(|a, b| {
         let by_start = a.start_ms.total_cmp(&b.start_ms);
         by_start.then(b.room_ms.total_cmp(&a.room_ms))
     });
     let memory = ask.prompt_tokens + ask.answer_tokens;
-    let most = candidates.len().min(MAX_HELPERS + 1);
+    let fewest = memory.div_ceil(round.spec.memory_tokens.max(1)) as usize;
+    let most = candidates.len().min(if round.options.split_long {
+        MAX_HELPERS + 1
+    } else {
+        fewest
+    });
     let mut best: Option<(f64, LongPlan)> = None;
     for count in 1..=most {
         let part_ms = read_ms / count as f64;
-        let Some(plan) = plan_with(&candidates, spec, memory, count, part_ms) else {
+        let Some(plan) = plan_with(&candidates, round.spec, memory, count, part_ms) else {
             continue;
         };
         let cost = plan.first_event_ms + HELPER_COST_MS * count as f64;
@@ -92,23 +119,29 @@
     best.map(|(_, plan)| plan)
 }
 
-fn candidates(
-    now: Instant,
-    spec: &EngineSpec,
-    engines: &SlotMap<EngineId, Engine>,
-    ask: &PassAsk,
-) -> Vec<Candidate> {
+fn candidates(round: &Round<'_>, ask: &PassAsk) -> Vec<Candidate> {
+    let Round {
+        now,
+        spec,
+        engines,
+        options,
+    } = *round;
     let longest = longest_pass_ms(ask.pause);
     engines
         .iter()
         .filter(|(_, e)| e.is_open(now) && !ask.exclude.contains(&e.name))
         .filter(|(_, e)| e.can_help(spec))
+        .filter(|(_, e)| !options.protect_reads || !e.would_push_aside(now))
         .map(|(key, e)| Candidate {
             key,
             start_ms: e.next_pass_in(now).as_secs_f64() * 1000.0,
             base_ms: e.next_pass_ms(spec, 0.0),
-            room_ms: e.room_ms(spec, f64::INFINITY),
-            lead_room_ms: if e.leads.is_empty() {
+            room_ms: if options.check_pauses {
+                e.room_ms(spec, f64::INFINITY)
+            } else {
+                f64::INFINITY
+            },
+            lead_room_ms: if e.leads.is_empty() || !options.check_pauses {
                 f64::INFINITY
             } else {
                 e.room_ms(spec, longest)
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -7,9 +7,12 @@
 mod ask;
 mod engine;
 mod long_plan;
+mod options;
 mod pool;
 mod queue;
+mod round;
 mod short_plan;
 
 pub use ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
-pub use pool::{PassOptions, PassPool};
+pub use options::PassOptions;
+pub use pool::PassPool;
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -0,0 +1,35 @@
+//! Options of a pool of engines.
+
+/// What a pool does; each idea can be switched off to measure it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PassOptions {
+    /// Longest read that counts as short, in milliseconds.
+    pub short_read_ms: f64,
+    /// Pack short streams on few engines; spread them otherwise.
+    pub pack_short: bool,
+    /// Place parts only where every pause is kept.
+    pub check_pauses: bool,
+    /// Split long prompts over engines; only what needs the memory of several otherwise.
+    pub split_long: bool,
+    /// Long prompts that read quickest first; in the order of arrival otherwise.
+    pub shortest_first: bool,
+    /// Let long prompts wait for more engines while that keeps them on time.
+    pub wait_for_engines: bool,
+    /// Keep parts from engines that are reading a prompt of their own.
+    pub protect_reads: bool,
+}
+
+impl Default for PassOptions {
+    fn default() -> Self {
+        Self {
+            // Two short prompts of the usual length; what takes longer is better split.
+            short_read_ms: 60.0,
+            pack_short: true,
+            check_pauses: true,
+            split_long: true,
+            shortest_first: true,
+            wait_for_engines: true,
+            protect_reads: true,
+        }
+    }
+}
--- a/crates/azuresaddle-sched/src/passes/pool.rs
+++ b/crates/azuresaddle-sched/src/passes/pool.rs
@@ -11,7 +11,9 @@
 use super::ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
 use super::engine::{Engine, EngineId, Help, Lead};
 use super::long_plan::{LongPlan, helper_names, plan_long};
+use super::options::PassOptions;
 use super::queue::{Queue, Waiting};
+use super::round::Round;
 use super::short_plan::plan_short;
 
 /// Shortest time between two rounds of placement while asks wait; a pass takes ten times that.
@@ -29,22 +31,6 @@
 /// Longest time to come back that is told.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
-/// What a pool does; each idea can be switched off to measure it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PassOptions {
-    /// Longest read that counts as short, in milliseconds.
-    pub short_read_ms: f64,
-}
-
-impl Default for PassOptions {
-    fn default() -> Self {
-        Self {
-            // Two short prompts of the usual length; what takes longer is better split.
-            short_read_ms: 60.0,
-        }
-    }
-}
-
 /// Engines of a running stream.
 #[derive(Debug)]
 struct Run {
@@ -125,7 +111,13 @@
             self.decisions.push((ask.id, refused));
             return;
         }
-        self.queue.push(Waiting { ask, read_ms });
+        let order = if self.options.shortest_first { read_ms } else { 0.0 };
+        let order = if self.is_short(read_ms) { 0.0 } else { 1.0 + order };
+        self.queue.push(Waiting {
+            ask,
+            read_ms,
+            order,
+        });
     }
 
     /// Withdraws an ask or ends its stream.
@@ -290,6 +282,15 @@
         self.runs.len()
     }
 
+    fn round(&self, now: Instant) -> Round<'_> {
+        Round {
+            now,
+            spec: &self.spec,
+            engines: &self.engines,
+            options: &self.options,
+        }
+    }
+
     fn is_short(&self, read_ms: f64) -> bool {
         read_ms <= self.options.short_read_ms
     }
@@ -308,7 +309,7 @@
                 continue;
             };
             let ask = &waiting.ask;
-            let plan = plan_short(now, &self.spec, &self.engines, ask, waiting.read_ms, any);
+            let plan = plan_short(&self.round(now), ask, waiting.read_ms, any);
             let Some(plan) = plan else {
                 self.queue.push(waiting);
                 continue;
@@ -326,16 +327,18 @@
 
     /// Places long prompts; first those that can still be on time, then the others.
     fn place_long(&mut self, now: Instant, on_time: bool) {
+        let open = self.engines.values().filter(|e| e.is_open(now)).count();
         loop {
+            let round = self.round(now);
             let found = self
                 .queue
                 .iter()
                 .filter(|w| !self.is_short(w.read_ms))
                 .filter(|w| on_time == (w.ask.first_event_by > now))
                 .find_map(|w| {
-                    let plan =
-                        plan_long(now, &self.spec, &self.engines, &w.ask, w.read_ms)?;
-                    plan.is_due().then_some((w.ask.id, plan))
+                    let plan = plan_long(&round, &w.ask, w.read_ms)?;
+                    let is_due = !self.options.wait_for_engines || plan.is_due(now, &w.ask, open);
+                    is_due.then_some((w.ask.id, plan))
                 });
             let Some((id, plan)) = found else {
                 return;
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -4,7 +4,7 @@
 
 use super::ask::{AskId, PassAsk};
 
-/// Order of waiting asks: less reading first, then arrival.
+/// Order of waiting asks: their own order, then arrival.
 type Rank = (u64, u64);
 
 /// A waiting ask.
@@ -13,9 +13,11 @@
     pub(super) ask: PassAsk,
     /// Time to read the prompt on one engine, in milliseconds.
     pub(super) read_ms: f64,
+    /// Place in the queue, lowest first, in milliseconds of reading.
+    pub(super) order: f64,
 }
 
-/// Waiting asks, the quickest to read first.
+/// Waiting asks in their order.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     by_rank: BTreeMap<Rank, Waiting>,
@@ -28,7 +30,7 @@
     pub(super) fn push(&mut self, waiting: Waiting) {
         self.arrivals += 1;
         // Microseconds keep the order of prompts that differ by a few tokens.
-        let rank = ((waiting.read_ms * 1000.0) as u64, self.arrivals);
+        let rank = ((waiting.order * 1000.0) as u64, self.arrivals);
         self.read_ms += waiting.read_ms;
         self.ranks.insert(waiting.ask.id, rank);
         self.by_rank.insert(rank, waiting);
--- a/crates/azuresaddle-sched/src/passes/short_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/short_plan.rs
@@ -4,12 +4,9 @@
 //! few engines as keep their pauses, so that the others stay free to read long prompts without a
 //! pass that somebody waits for.
 
-use azuresaddle_core::deployment::EngineSpec;
-use slotmap::SlotMap;
-use tokio::time::Instant;
-
 use super::ask::PassAsk;
-use super::engine::{Engine, EngineId, longest_pass_ms};
+use super::engine::{EngineId, longest_pass_ms};
+use super::round::Round;
 
 /// Part of the time to the first event that the wait for a pass and the read may take; the rest
 /// covers the node, the network and the error of the estimate.
@@ -27,13 +24,17 @@
 ///
 /// With `any` a late one goes where its first event comes soonest.
 pub(super) fn plan_short(
-    now: Instant,
-    spec: &EngineSpec,
-    engines: &SlotMap<EngineId, Engine>,
+    round: &Round<'_>,
     ask: &PassAsk,
     read_ms: f64,
     any: bool,
 ) -> Option<ShortPlan> {
+    let Round {
+        now,
+        spec,
+        engines,
+        options,
+    } = *round;
     let memory = ask.prompt_tokens + ask.answer_tokens;
     let left_ms = ask.first_event_by.saturating_duration_since(now).as_secs_f64() * 1000.0;
     let longest = longest_pass_ms(ask.pause);
@@ -49,13 +50,17 @@
         let wait_ms = engine.next_pass_in(now).as_secs_f64() * 1000.0;
         let first_event_ms = wait_ms + engine.next_pass_ms(spec, read_ms);
         let is_on_time = first_event_ms <= left_ms * FIRST_EVENT_SHARE;
-        let keeps_pauses = engine.room_ms(spec, longest) >= read_ms;
+        let keeps_pauses = !options.check_pauses || engine.room_ms(spec, longest) >= read_ms;
         if !any && !(is_on_time && keeps_pauses) {
             continue;
         }
         let rank = Rank {
             on_time: is_on_time && keeps_pauses,
-            packed: engine.count_with_pause(ask.pause),
+            packed: if options.pack_short {
+                engine.count_with_pause(ask.pause)
+            } else {
+                0
+            },
             same_domain: engine.domain == ask.domain,
             soon: -first_event_ms,
         };
--- a/crates/azuresaddle-standin/src/cmd/mod.rs
+++ b/crates/azuresaddle-standin/src/cmd/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod experiment;
 pub(crate) mod hosts;
 pub(crate) mod load;
+pub(crate) mod passes;
 pub(crate) mod service;
 pub(crate) mod store;
--- /dev/null
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -0,0 +1,121 @@
+//! `passes`: policies of placement on engines that work in passes.
+
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use azuresaddle_standin::passes::{DayResults, PassPolicy, Sheet, play_day};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use super::args::say;
+
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("passes")
+        .about("Measures policies of placement on engines that work in passes, in virtual time")
+        .arg(
+            Arg::new("sheet")
+                .long("sheet")
+                .value_parser(["sabarmati", "aguaclara"])
+                .default_value("sabarmati")
+                .help("Kinds of requests and engines"),
+        )
+        .arg(
+            Arg::new("load")
+                .long("load")
+                .value_name("PART")
+                .value_parser(value_parser!(f64))
+                .default_value("0.82")
+                .help("Part of the whole rate"),
+        )
+        .arg(
+            Arg::new("policy")
+                .long("policy")
+                .value_name("POLICY")
+                .action(ArgAction::Append)
+                .value_parser(|text: &str| text.parse::<PassPolicy>())
+                .help("A policy to run; may be given several times; all unless given"),
+        )
+        .arg(
+            Arg::new("days")
+                .long("days")
+                .value_name("N")
+                .value_parser(value_parser!(u64).range(1..))
+                .default_value("10")
+                .help("Number of days, with the seeds 1 to N"),
+        )
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write an SVG plot of worth by policy and day"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print the figures as JSON"),
+        )
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let load: f64 = super::args::get(args, "load");
+    let name: String = super::args::get(args, "sheet");
+    let sheet = match name.as_str() {
+        "aguaclara" => Sheet::aguaclara(load),
+        _ => Sheet::sabarmati(load),
+    };
+    let policies: Vec<PassPolicy> = args
+        .get_many("policy")
+        .map_or_else(|| PassPolicy::ALL.to_vec(), |all| all.copied().collect());
+    let days: u64 = super::args::get(args, "days");
+    let rows: Vec<Vec<DayResults>> = policies
+        .iter()
+        .map(|policy| (1..=days).map(|seed| play_day(&sheet, *policy, seed)).collect())
+        .collect();
+    if let Some(path) = args.get_one::<PathBuf>("plot") {
+        let svg = azuresaddle_standin::passes::plot_worth(&rows)?;
+        std::fs::write(path, svg).with_context(|| format!("--plot {}", path.display()))?;
+    }
+    if args.get_flag("json") {
+        say(&serde_json::to_string_pretty(&rows)?);
+    } else {
+        print_table(&rows);
+    }
+    Ok(())
+}
+
+fn print_table(rows: &[Vec<DayResults>]) {
+    say(&format!(
+        "{:<16} {:>6} {:>6} {:>7}   on time / served / largest tenth served / first event p50 p95, by kind",
+        "policy", "worth", "day", "windows",
+    ));
+    for days in rows {
+        let Some(first) = days.first() else {
+            continue;
+        };
+        let mean = |of: &dyn Fn(&DayResults) -> f64| days.iter().map(of).sum::<f64>() / days.len() as f64;
+        let mut line = format!(
+            "{:<16} {:>6.3} {:>6.3} {:>7.3}",
+            first.policy,
+            mean(&|d| d.worth),
+            mean(&|d| d.day),
+            mean(&|d| d.windows),
+        );
+        for k in 0..first.kinds.len() {
+            let share = |n: &dyn Fn(&DayResults) -> usize| {
+                let asked: usize = days.iter().map(|d| d.kinds[k].asked).sum();
+                days.iter().map(n).sum::<usize>() as f64 / asked.max(1) as f64
+            };
+            line.push_str(&format!(
+                "   {} {:.2}/{:.2}/{:.2}/{:.0} {:.0}",
+                first.kinds[k].name,
+                share(&|d| d.kinds[k].on_time),
+                share(&|d| d.kinds[k].served),
+                mean(&|d| d.kinds[k].largest_served),
+                mean(&|d| d.kinds[k].first_event_ms[0]),
+                mean(&|d| d.kinds[k].first_event_ms[1]),
+            ));
+        }
+        say(&line);
+    }
+}
--- a/crates/azuresaddle-standin/src/lib.rs
+++ b/crates/azuresaddle-standin/src/lib.rs
@@ -13,5 +13,6 @@
 mod http_util;
 pub mod load;
 pub mod net;
+pub mod passes;
 pub mod service;
 pub mod store;
--- a/crates/azuresaddle-standin/src/main.rs
+++ b/crates/azuresaddle-standin/src/main.rs
@@ -18,6 +18,7 @@
         Some(("experiment", args)) => cmd::experiment::execute(args),
         Some(("hosts", args)) => cmd::hosts::execute(args),
         Some(("load", args)) => cmd::load::execute(args),
+        Some(("passes", args)) => cmd::passes::execute(args),
         Some(("service", args)) => cmd::service::execute(args),
         Some(("store", args)) => cmd::store::execute(args),
         _ => unreachable!("clap requires a subcommand"),
@@ -43,6 +44,7 @@
         .subcommand(cmd::experiment::make_subcommand())
         .subcommand(cmd::hosts::make_subcommand())
         .subcommand(cmd::load::make_subcommand())
+        .subcommand(cmd::passes::make_subcommand())
         .subcommand(cmd::service::make_subcommand())
         .subcommand(cmd::store::make_subcommand())
 }
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/baseline.rs
@@ -0,0 +1,31 @@
+//! Baselines that place each request at once, on one engine or as many as its memory needs.
+
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::engine::EngineModel;
+use super::policy::PassPolicy;
+
+/// Engines for a request, the first leads.
+pub(super) fn place(
+    policy: PassPolicy,
+    engines: &[EngineModel],
+    members: usize,
+    rng: &mut StdRng,
+) -> Vec<usize> {
+    let mut order: Vec<(f64, usize)> = engines
+        .iter()
+        .enumerate()
+        .map(|(i, engine)| {
+            let noise = rng.random::<f64>();
+            let cost = match policy {
+                PassPolicy::LeastRequests => engine.load() as f64 + noise,
+                PassPolicy::LeastBacklog => engine.backlog_ms() + noise,
+                _ => noise,
+            };
+            (cost, i)
+        })
+        .collect();
+    order.sort_by(|a, b| a.0.total_cmp(&b.0));
+    order.into_iter().take(members).map(|(_, i)| i).collect()
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/credit.rs
@@ -0,0 +1,136 @@
+//! Worth of a day, by the users' own rules for credit.
+
+use serde::Serialize;
+
+use super::sheet::{Sheet, SheetRequest};
+
+/// Length of the windows of which the two worst count, in milliseconds.
+const WINDOW_MS: f64 = 3000.0;
+
+/// Weights of the whole day, of the worst windows and of the worst kind.
+const WEIGHTS: (f64, f64, f64) = (0.6, 0.25, 0.15);
+
+/// How one request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum End {
+    OnTime,
+    Late,
+    Lost,
+}
+
+/// Figures of one kind of request.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct KindResults {
+    /// Name of the kind.
+    pub name: String,
+    /// Requests.
+    pub asked: usize,
+    /// Answered on time.
+    pub on_time: usize,
+    /// Answered.
+    pub served: usize,
+    /// Credit earned over credit owed.
+    pub worth: f64,
+    /// Share that was answered of the largest tenth.
+    pub largest_served: f64,
+    /// Median, 95th and 99th percentile of the time to the first event, in milliseconds.
+    pub first_event_ms: [f64; 3],
+}
+
+/// Figures of one day.
+#[derive(Clone, Debug, Serialize)]
+pub struct DayResults {
+    /// Policy.
+    pub policy: String,
+    /// Seed.
+    pub seed: u64,
+    /// Whole day, worst windows and worst kind, weighted.
+    pub worth: f64,
+    /// Credit earned over credit owed.
+    pub day: f64,
+    /// The same over the two worst windows.
+    pub windows: f64,
+    /// By kind.
+    pub kinds: Vec<KindResults>,
+}
+
+/// Sums a day up.
+pub(super) fn sum_up(
+    sheet: &Sheet,
+    requests: &[SheetRequest],
+    ends: &[End],
+    first_ms: &[Option<f64>],
+    policy: &str,
+    seed: u64,
+) -> DayResults {
+    let credit = |i: usize| match ends[i] {
+        End::OnTime => requests[i].worth,
+        End::Late => requests[i].late_worth,
+        End::Lost => 0.0,
+    };
+    let ratio = |of: &[usize]| {
+        let owed: f64 = of.iter().map(|i| requests[*i].worth).sum();
+        let earned: f64 = of.iter().map(|i| credit(*i)).sum();
+        if owed == 0.0 { 1.0 } else { earned / owed }
+    };
+    let all: Vec<usize> = (0..requests.len()).collect();
+    let day = ratio(&all);
+    let count = (sheet.length_s * 1000.0 / WINDOW_MS) as usize;
+    let mut windows: Vec<f64> = (0..count)
+        .map(|w| {
+            let begin = w as f64 * WINDOW_MS;
+            let of = |i: &&usize| (begin..begin + WINDOW_MS).contains(&requests[**i].at_ms);
+            ratio(&all.iter().filter(of).copied().collect::<Vec<_>>())
+        })
+        .collect();
+    windows.sort_by(f64::total_cmp);
+    let windows = (windows[0] + windows[1]) / 2.0;
+    let kinds: Vec<KindResults> = sheet
+        .kinds
+        .iter()
+        .enumerate()
+        .map(|(k, kind)| {
+            let of: Vec<usize> = all.iter().filter(|i| requests[**i].kind == k).copied().collect();
+            kind_results(kind.name, requests, ends, first_ms, &of, ratio(&of))
+        })
+        .collect();
+    let worst = kinds.iter().map(|k| k.worth).fold(1.0, f64::min);
+    DayResults {
+        policy: policy.to_owned(),
+        seed,
+        worth: WEIGHTS.0 * day + WEIGHTS.1 * windows + WEIGHTS.2 * worst,
+        day,
+        windows,
+        kinds,
+    }
+}
+
+fn kind_results(
+    name: &str,
+    requests: &[SheetRequest],
+    ends: &[End],
+    first_ms: &[Option<f64>],
+    of: &[usize],
+    worth: f64,
+) -> KindResults {
+    let served = |i: &&usize| ends[**i] != End::Lost;
+    let mut by_size = of.to_vec();
+    by_size.sort_by_key(|i| std::cmp::Reverse(requests[*i].prompt_tokens));
+    by_size.truncate((of.len() / 10).max(1));
+    let largest = by_size.iter().filter(served).count() as f64 / by_size.len().max(1) as f64;
+    let mut firsts: Vec<f64> = of.iter().filter_map(|i| first_ms[*i]).collect();
+    firsts.sort_by(f64::total_cmp);
+    let at = |q: f64| {
+        let last = firsts.len().saturating_sub(1);
+        firsts.get((last as f64 * q) as usize).copied().unwrap_or(0.0)
+    };
+    KindResults {
+        name: name.to_owned(),
+        asked: of.len(),
+        on_time: of.iter().filter(|i| ends[**i] == End::OnTime).count(),
+        served: of.iter().filter(served).count(),
+        worth,
+        largest_served: largest,
+        first_event_ms: [at(0.5), at(0.95), at(0.99)],
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -0,0 +1,107 @@
+//! Policies: the product, the product with single ideas off, and baselines.
+
+use std::str::FromStr;
+
+use azuresaddle_sched::passes::PassOptions;
+
+/// How requests are placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PassPolicy {
+    /// The product.
+    Pool,
+    /// Without packing of short streams.
+    NoPacking,
+    /// Without the check of pauses.
+    NoPauseCheck,
+    /// Without splitting long prompts.
+    NoSplit,
+    /// Long prompts in the order of their arrival.
+    ArrivalOrder,
+    /// Long prompts take whatever engines are free.
+    NoPatience,
+    /// Parts may push aside what an engine reads for itself.
+    PushAside,
+    /// Any engine, at once.
+    Random,
+    /// The engine with the fewest streams, at once.
+    LeastRequests,
+    /// The engine with the least to read, at once.
+    LeastBacklog,
+}
+
+impl PassPolicy {
+    /// All policies.
+    pub const ALL: [Self; 10] = [
+        Self::Pool,
+        Self::NoPacking,
+        Self::NoPauseCheck,
+        Self::NoSplit,
+        Self::ArrivalOrder,
+        Self::NoPatience,
+        Self::PushAside,
+        Self::Random,
+        Self::LeastRequests,
+        Self::LeastBacklog,
+    ];
+
+    /// Name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Pool => "pool",
+            Self::NoPacking => "no-packing",
+            Self::NoPauseCheck => "no-pause-check",
+            Self::NoSplit => "no-split",
+            Self::ArrivalOrder => "arrival-order",
+            Self::NoPatience => "no-patience",
+            Self::PushAside => "push-aside",
+            Self::Random => "random",
+            Self::LeastRequests => "least-requests",
+            Self::LeastBacklog => "least-backlog",
+        }
+    }
+
+    /// Options of the pool; `None` for a baseline.
+    pub(super) fn options(self) -> Option<PassOptions> {
+        let all = PassOptions::default();
+        Some(match self {
+            Self::Pool => all,
+            Self::NoPacking => PassOptions {
+                pack_short: false,
+                ..all
+            },
+            Self::NoPauseCheck => PassOptions {
+                check_pauses: false,
+                ..all
+            },
+            Self::NoSplit => PassOptions {
+                split_long: false,
+                ..all
+            },
+            Self::ArrivalOrder => PassOptions {
+                shortest_first: false,
+                ..all
+            },
+            Self::NoPatience => PassOptions {
+                wait_for_engines: false,
+                ..all
+            },
+            Self::PushAside => PassOptions {
+                protect_reads: false,
+                ..all
+            },
+            Self::Random | Self::LeastRequests | Self::LeastBacklog => return None,
+        })
+    }
+}
+
+impl FromStr for PassPolicy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let names: Vec<&str> = Self::ALL.iter().map(|p| p.name()).collect();
+        Self::ALL
+            .into_iter()
+            .find(|p| p.name() == text)
+            .ok_or_else(|| format!("unknown policy {text:?}; one of {}", names.join(", ")))
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/sheet.rs
@@ -0,0 +1,239 @@
+//! Loads: kinds of requests, their rates over a day, and the requests drawn from them.
+
+use azuresaddle_core::deployment::EngineSpec;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
+
+/// A kind of request.
+#[derive(Clone, Debug)]
+pub struct KindOfRequest {
+    /// Name.
+    pub name: &'static str,
+    /// Requests a second at the whole rate.
+    pub per_s: f64,
+    /// Mean prompt, in tokens.
+    pub prompt_tokens: f64,
+    /// Spread of the prompts: standard deviation of their logarithm.
+    pub prompt_spread: f64,
+    /// Longest prompt, in tokens.
+    pub max_prompt_tokens: f64,
+    /// Mean events of an answer.
+    pub events: f64,
+    /// Spread of the answers.
+    pub events_spread: f64,
+    /// Most events.
+    pub max_events: f64,
+    /// Time to the first event on time, in milliseconds.
+    pub first_event_ms: f64,
+    /// Longest pause between events on time, in milliseconds.
+    pub pause_ms: f64,
+    /// Time by which the answer must have ended, in milliseconds.
+    pub deadline_ms: f64,
+    /// Worth on time.
+    pub worth: f64,
+    /// Worth when late.
+    pub late_worth: f64,
+    /// Factors of the rate in the phases of the day.
+    pub phases: [f64; 3],
+}
+
+/// A deployment's load.
+#[derive(Clone, Debug)]
+pub struct Sheet {
+    /// Name.
+    pub name: &'static str,
+    /// Number of engines.
+    pub engines: usize,
+    /// Speeds and sizes of the engines.
+    pub spec: EngineSpec,
+    /// Kinds of requests.
+    pub kinds: Vec<KindOfRequest>,
+    /// Part of the whole rate.
+    pub load: f64,
+    /// Length of the day, in seconds.
+    pub length_s: f64,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct SheetRequest {
+    /// When it arrives, in milliseconds.
+    pub at_ms: f64,
+    /// Index of its kind.
+    pub kind: usize,
+    /// Length of its prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Length of its answer, in tokens.
+    pub answer_tokens: u64,
+    /// The caller's estimate of that.
+    pub answer_estimate: u64,
+    /// Worth on time, by its size.
+    pub worth: f64,
+    /// Worth when late.
+    pub late_worth: f64,
+}
+
+/// Most times the worth of its kind that a request may have.
+const MAX_SIZE_WORTH: f64 = 4.0;
+
+/// Phases of the day: begin and end of each, in seconds.
+const PHASES: [(f64, f64); 3] = [(1.9, 11.4), (12.0, 21.5), (23.0, 32.5)];
+
+/// Spread of the callers' estimates.
+const ESTIMATE_SPREAD: f64 = 0.5;
+
+impl Sheet {
+    /// Quick questions, reviews and digests on 18 engines.
+    pub fn sabarmati(load: f64) -> Self {
+        Self {
+            name: "sabarmati",
+            engines: 18,
+            spec: usual_engine(),
+            kinds: usual_kinds([39.5, 2.87, 1.19]),
+            load,
+            length_s: 34.0,
+        }
+    }
+
+    /// Summaries, reviews and dossiers on 14 engines.
+    pub fn aguaclara(load: f64) -> Self {
+        Self {
+            name: "aguaclara",
+            engines: 14,
+            spec: usual_engine(),
+            kinds: usual_kinds([30.7, 2.23, 0.922]),
+            load,
+            length_s: 34.0,
+        }
+    }
+}
+
+fn usual_engine() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_pass: 46,
+        step_ms: 0.925,
+        step_ms_per_stream: 0.00483,
+        step_ms_per_1k_context: 0.00254,
+        read_tokens_per_ms: 256.0,
+        ms_per_1m_pairs: 0.0917,
+        max_read_tokens_per_step: 2048,
+        holder_hop_ms: 0.1,
+        report_lag: std::time::Duration::from_millis(200),
+        usual_answer_tokens: 1540,
+    }
+}
+
+fn usual_kinds(per_s: [f64; 3]) -> Vec<KindOfRequest> {
+    vec![
+        KindOfRequest {
+            name: "quick",
+            per_s: per_s[0],
+            prompt_tokens: 4960.0,
+            prompt_spread: 0.9,
+            max_prompt_tokens: 23_800.0,
+            events: 34.9,
+            events_spread: 0.7,
+            max_events: 87.2,
+            first_event_ms: 300.0,
+            pause_ms: 200.0,
+            deadline_ms: 10_000.0,
+            worth: 1.3,
+            late_worth: 0.33,
+            phases: [0.36, 2.5, 0.37],
+        },
+        KindOfRequest {
+            name: "review",
+            per_s: per_s[1],
+            prompt_tokens: 45_000.0,
+            prompt_spread: 0.5,
+            max_prompt_tokens: 110_000.0,
+            events: 20.9,
+            events_spread: 0.6,
+            max_events: 52.3,
+            first_event_ms: 1500.0,
+            pause_ms: 500.0,
+            deadline_ms: 10_000.0,
+            worth: 3.1,
+            late_worth: 0.79,
+            phases: [1.3, 0.5, 1.3],
+        },
+        KindOfRequest {
+            name: "digest",
+            per_s: per_s[2],
+            prompt_tokens: 210_000.0,
+            prompt_spread: 0.55,
+            max_prompt_tokens: 1_000_000.0,
+            events: 17.4,
+            events_spread: 0.5,
+            max_events: 43.6,
+            first_event_ms: 3000.0,
+            pause_ms: 800.0,
+            deadline_ms: 15_000.0,
+            worth: 22.0,
+            late_worth: 5.4,
+            phases: [2.8, 0.05, 2.9],
+        },
+    ]
+}
+
+/// All requests of a day, in the order of their arrival.
+pub fn draw_requests(sheet: &Sheet, seed: u64) -> Vec<SheetRequest> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut requests = Vec::new();
+    for (index, kind) in sheet.kinds.iter().enumerate() {
+        draw_kind(sheet, index, kind, &mut rng, &mut requests);
+    }
+    requests.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    requests
+}
+
+fn draw_kind(
+    sheet: &Sheet,
+    index: usize,
+    kind: &KindOfRequest,
+    rng: &mut StdRng,
+    requests: &mut Vec<SheetRequest>,
+) {
+    let most = kind.phases.iter().copied().fold(1.0, f64::max);
+    let prompts = log_normal(kind.prompt_tokens, kind.prompt_spread);
+    let events = log_normal(kind.events, kind.events_spread);
+    let estimates = LogNormal::new(0.0, ESTIMATE_SPREAD).expect("a spread is finite");
+    let rate = kind.per_s * sheet.load * most;
+    let mut at_s = 0.0;
+    loop {
+        at_s += -(1.0 - rng.random::<f64>()).ln() / rate;
+        if at_s >= sheet.length_s {
+            return;
+        }
+        // Thinning turns the highest rate into that of the phase.
+        if rng.random::<f64>() * most > factor(kind, at_s) {
+            continue;
+        }
+        let prompt = prompts.sample(rng).clamp(100.0, kind.max_prompt_tokens);
+        let events = events.sample(rng).clamp(1.0, kind.max_events).round();
+        let answer = events as u64 * u64::from(sheet.spec.steps_per_pass);
+        let size = (0.3 + 0.7 * prompt / kind.prompt_tokens).min(MAX_SIZE_WORTH);
+        requests.push(SheetRequest {
+            at_ms: at_s * 1000.0,
+            kind: index,
+            prompt_tokens: prompt as u64,
+            answer_tokens: answer,
+            answer_estimate: (answer as f64 * estimates.sample(rng)) as u64,
+            worth: kind.worth * size,
+            late_worth: kind.late_worth * size,
+        });
+    }
+}
+
+fn factor(kind: &KindOfRequest, at_s: f64) -> f64 {
+    let phase = PHASES.iter().position(|(b, e)| (*b..*e).contains(&at_s));
+    phase.map_or(1.0, |p| kind.phases[p])
+}
+
+fn log_normal(mean: f64, spread: f64) -> LogNormal<f64> {
+    let location = mean.ln() - spread * spread / 2.0;
+    LogNormal::new(location, spread).expect("a spread is finite")
+}
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -0,0 +1,287 @@
+//! Plays one day.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, PassPool};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+
+use super::baseline::place;
+use super::credit::{DayResults, End, sum_up};
+use super::engine::EngineModel;
+use super::policy::PassPolicy;
+use super::sheet::{Sheet, SheetRequest, draw_requests};
+
+/// Time from a decision until the engine has the request, in milliseconds.
+const TO_ENGINE_MS: f64 = 3.0;
+
+/// Time from an event until the owner of the pool knows of it, in milliseconds.
+const TO_OWNER_MS: f64 = 4.0;
+
+/// Time between the caller and the node, there and back, in milliseconds.
+const CALLER_MS: f64 = 8.0;
+
+/// What happens next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival(usize),
+    AtEngines(usize),
+    PassEnd(usize),
+    FirstEventKnown(usize),
+    EndKnown(usize),
+    Wake,
+}
+
+/// A request in the day.
+#[derive(Clone, Debug, Default)]
+struct Stream {
+    engines: Vec<usize>,
+    parts_left: usize,
+    first_at: Option<f64>,
+    last_event_at: f64,
+    longest_pause_ms: f64,
+    ended_at: Option<f64>,
+    is_refused: bool,
+}
+
+/// Plays one day with one policy.
+pub fn play_day(sheet: &Sheet, policy: PassPolicy, seed: u64) -> DayResults {
+    let requests = draw_requests(sheet, seed);
+    let mut world = World::new(sheet, policy, &requests, seed);
+    world.run();
+    let ends: Vec<End> = (0..requests.len()).map(|i| world.end(i)).collect();
+    let firsts: Vec<Option<f64>> = world
+        .streams
+        .iter()
+        .zip(&requests)
+        .map(|(s, r)| s.first_at.map(|at| at - r.at_ms + CALLER_MS))
+        .collect();
+    sum_up(sheet, &requests, &ends, &firsts, policy.name(), seed)
+}
+
+struct World<'a> {
+    sheet: &'a Sheet,
+    policy: PassPolicy,
+    requests: &'a [SheetRequest],
+    streams: Vec<Stream>,
+    engines: Vec<EngineModel>,
+    names: Vec<HostName>,
+    pool: Option<PassPool>,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    origin: Instant,
+    rng: StdRng,
+    wake_at: Option<u64>,
+}
+
+impl<'a> World<'a> {
+    fn new(sheet: &'a Sheet, policy: PassPolicy, requests: &'a [SheetRequest], seed: u64) -> Self {
+        let origin = Instant::now();
+        let names: Vec<HostName> = (0..sheet.engines)
+            .map(|i| HostName::new(format!("engine-{i:02}")))
+            .collect();
+        let pool = policy.options().map(|options| {
+            let mut pool = PassPool::new(options, sheet.spec.clone());
+            for name in &names {
+                pool.upsert_engine(origin, name, &FailureDomain::new("d1"), false);
+            }
+            pool
+        });
+        let mut world = Self {
+            sheet,
+            policy,
+            requests,
+            streams: vec![Stream::default(); requests.len()],
+            engines: vec![EngineModel::new(sheet.spec.clone(), 1.0); sheet.engines],
+            names,
+            pool,
+            events: BinaryHeap::new(),
+            origin,
+            rng: StdRng::seed_from_u64(seed),
+            wake_at: None,
+        };
+        for (i, request) in requests.iter().enumerate() {
+            world.push(request.at_ms, Event::Arrival(i));
+        }
+        world
+    }
+
+    fn push(&mut self, at_ms: f64, event: Event) {
+        self.events.push(Reverse(((at_ms * 1000.0) as u64, event)));
+    }
+
+    fn instant(&self, at_ms: f64) -> Instant {
+        self.origin + Duration::from_secs_f64(at_ms / 1000.0)
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((at_us, event))) = self.events.pop() {
+            let at_ms = at_us as f64 / 1000.0;
+            match event {
+                Event::Arrival(i) => self.arrive(at_ms, i),
+                Event::AtEngines(i) => self.reach_engines(at_ms, i),
+                Event::PassEnd(engine) => self.end_pass(at_ms, engine),
+                Event::FirstEventKnown(i) => {
+                    let now = self.instant(at_ms);
+                    if let Some(pool) = &mut self.pool {
+                        pool.on_first_event(now, ask_id(i));
+                    }
+                }
+                Event::EndKnown(i) => {
+                    let now = self.instant(at_ms);
+                    if let Some(pool) = &mut self.pool {
+                        pool.end(now, ask_id(i), &PassOutcome::Done);
+                    }
+                }
+                Event::Wake => self.wake_at = None,
+            }
+            self.dispatch(at_ms);
+        }
+    }
+
+    fn arrive(&mut self, at_ms: f64, i: usize) {
+        let request = &self.requests[i];
+        let kind = &self.sheet.kinds[request.kind];
+        let now = self.instant(at_ms);
+        let Some(pool) = &mut self.pool else {
+            let memory = request.prompt_tokens + request.answer_tokens;
+            let members = memory.div_ceil(self.sheet.spec.memory_tokens) as usize;
+            self.streams[i].engines = place(self.policy, &self.engines, members, &mut self.rng);
+            self.push(at_ms + TO_ENGINE_MS, Event::AtEngines(i));
+            return;
+        };
+        let after = |ms: f64| now + Duration::from_secs_f64(ms / 1000.0);
+        let ask = PassAsk {
+            id: ask_id(i),
+            account: ClientAccount::new("a"),
+            domain: FailureDomain::new("d1"),
+            prompt_tokens: request.prompt_tokens,
+            answer_tokens: request.answer_estimate,
+            first_event_by: after(kind.first_event_ms - 12.0),
+            pause: Duration::from_secs_f64(kind.pause_ms / 1000.0),
+            deadline: after(kind.deadline_ms),
+            exclude: Vec::new(),
+        };
+        pool.enqueue(now, ask);
+    }
+
+    fn dispatch(&mut self, at_ms: f64) {
+        let now = self.instant(at_ms);
+        let Some(pool) = &mut self.pool else {
+            return;
+        };
+        pool.dispatch(now);
+        let decisions = pool.take_decisions();
+        let wake = pool.next_wakeup(now);
+        for (id, decision) in decisions {
+            let i = id.number as usize;
+            match decision {
+                PassDecision::Granted(grant) => self.start(at_ms, i, &grant),
+                PassDecision::Refused { .. } => self.streams[i].is_refused = true,
+            }
+        }
+        if let Some(at) = wake {
+            let at_us = at.duration_since(self.origin).as_micros() as u64;
+            if self.wake_at.is_none_or(|known| at_us < known) {
+                self.wake_at = Some(at_us);
+                self.events.push(Reverse((at_us, Event::Wake)));
+            }
+        }
+    }
+
+    fn start(&mut self, at_ms: f64, i: usize, grant: &PassGrant) {
+        let index = |name: &HostName| self.names.iter().position(|n| n == name);
+        let all = std::iter::once(&grant.lead).chain(&grant.helpers);
+        self.streams[i].engines = all.filter_map(index).collect();
+        self.push(at_ms + TO_ENGINE_MS, Event::AtEngines(i));
+    }
+
+    fn reach_engines(&mut self, at_ms: f64, i: usize) {
+        let engines = self.streams[i].engines.clone();
+        self.streams[i].parts_left = engines.len();
+        for (n, engine) in engines.iter().enumerate() {
+            let tokens = self.requests[i].prompt_tokens;
+            self.engines[*engine].add_read(i, tokens, engines.len(), n > 0);
+            self.begin_pass(at_ms, *engine);
+        }
+    }
+
+    fn begin_pass(&mut self, at_ms: f64, engine: usize) {
+        if self.engines[engine].is_busy() {
+            return;
+        }
+        if let Some(ms) = self.engines[engine].begin_pass() {
+            self.push(at_ms + ms, Event::PassEnd(engine));
+        }
+    }
+
+    fn end_pass(&mut self, at_ms: f64, engine: usize) {
+        let end = self.engines[engine].end_pass();
+        for (i, is_last) in end.events {
+            let stream = &mut self.streams[i];
+            let pause = at_ms - stream.last_event_at;
+            stream.longest_pause_ms = stream.longest_pause_ms.max(pause);
+            stream.last_event_at = at_ms;
+            if is_last {
+                self.finish(at_ms, i);
+            }
+        }
+        for i in end.read {
+            self.streams[i].parts_left -= 1;
+            if self.streams[i].parts_left == 0 {
+                self.first_event(at_ms, i);
+            }
+        }
+        self.begin_pass(at_ms, engine);
+    }
+
+    fn first_event(&mut self, at_ms: f64, i: usize) {
+        let stream = &mut self.streams[i];
+        stream.first_at = Some(at_ms);
+        stream.last_event_at = at_ms;
+        let lead = stream.engines[0];
+        self.push(at_ms + TO_OWNER_MS, Event::FirstEventKnown(i));
+        let request = &self.requests[i];
+        let step = u64::from(self.sheet.spec.steps_per_pass);
+        let left = request.answer_tokens.saturating_sub(step);
+        if left == 0 {
+            return self.finish(at_ms, i);
+        }
+        let context = request.prompt_tokens / self.streams[i].engines.len().max(1) as u64;
+        let fits = request.prompt_tokens <= self.sheet.spec.memory_tokens;
+        let context = if fits { request.prompt_tokens } else { context };
+        self.engines[lead].add_writer(i, context, left);
+        self.begin_pass(at_ms, lead);
+    }
+
+    fn finish(&mut self, at_ms: f64, i: usize) {
+        self.streams[i].ended_at = Some(at_ms);
+        self.push(at_ms + TO_OWNER_MS, Event::EndKnown(i));
+    }
+
+    fn end(&self, i: usize) -> End {
+        let stream = &self.streams[i];
+        let request = &self.requests[i];
+        let kind = &self.sheet.kinds[request.kind];
+        let (Some(first), Some(ended)) = (stream.first_at, stream.ended_at) else {
+            return End::Lost;
+        };
+        let took = |at: f64| at - request.at_ms + CALLER_MS;
+        if stream.is_refused || took(ended) > kind.deadline_ms {
+            return End::Lost;
+        }
+        let is_on_time =
+            took(first) <= kind.first_event_ms && stream.longest_pause_ms <= kind.pause_ms;
+        if is_on_time { End::OnTime } else { End::Late }
+    }
+}
+
+fn ask_id(i: usize) -> AskId {
+    AskId {
+        node: 1,
+        number: i as u64,
+    }
+}
