Answers are written where another stream bounds the parts already

Cause: the engine with most room led, so each review or digest put its own pause on one more free engine, and later parts no longer fitted there.

--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -85,6 +85,8 @@
     room_ms: f64,
     /// Longest part that it can take as the engine that writes the answer.
     lead_room_ms: f64,
+    /// Longest pass that the streams there bear, in milliseconds.
+    longest_pass_ms: f64,
     free_tokens: u64,
     can_lead: bool,
     same_domain: bool,
@@ -146,6 +148,7 @@
             } else {
                 e.room_ms(spec, longest)
             },
+            longest_pass_ms: e.longest_pass_ms(),
             free_tokens: e.free_tokens(spec),
             can_lead: e.has_slot(spec),
             same_domain: e.domain == ask.domain,
@@ -209,13 +212,17 @@
     })
 }
 
-/// Position of the engine that should write: most room, then the node's own failure domain.
+/// Position of the engine that should write the answer.
+///
+/// A writing stream bounds every later part on its engine, so it goes where another stream bounds
+/// them as much already, and engines without streams stay free for the longest parts.
 fn best_lead(chosen: &[Candidate], can_lead: impl Fn(&Candidate) -> bool) -> Option<usize> {
     let able = chosen.iter().enumerate().filter(|(_, c)| can_lead(c));
-    let rank = |c: &Candidate| (c.lead_room_ms, c.same_domain, c.free_tokens);
-    able.max_by(|(_, a), (_, b)| {
+    let rank = |c: &Candidate| (c.longest_pass_ms, c.start_ms + c.base_ms, c.same_domain);
+    able.min_by(|(_, a), (_, b)| {
         let (a, b) = (rank(a), rank(b));
-        a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2)))
+        let by_domain = b.2.cmp(&a.2);
+        a.0.total_cmp(&b.0).then(by_domain).then(a.1.total_cmp(&b.1))
     })
     .map(|(at, _)| at)
 }
