Heartbeats to a few partners and a few followers of the store in large fleets

Ruled out: longer intervals between all pairs, which find a silent owner only after seconds; reading each new configuration from the store. Small fleets as before: they exchange heartbeats between all and all watch.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -9,12 +9,12 @@
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{Item, Kind, PlatformStore, decode_configuration, kind_of};
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
-use super::heartbeat::{Heartbeat, MAX_BYTES};
-use super::members::{HEARTBEAT_INTERVAL, Members};
+use super::heartbeat::{Heartbeat, MAX_BYTES, NodeNews};
+use super::members::{Members, TICK};
 use super::registry::Registry;
 use super::store_watch::{StoreEvent, watch_store};
 use crate::peer::{PeerClients, PeerNews};
@@ -29,6 +29,12 @@
 /// Time that a node gives its own watch to bring what another node already knows.
 const NEWS_PATIENCE: Duration = Duration::from_millis(150);
 
+/// Time of being behind after which all targets are fetched, not only the latest changes.
+const FULL_PATIENCE: Duration = Duration::from_millis(1000);
+
+/// Age of the store's last answer up to which it counts as answering: a watch and its slack.
+const WATCH_FRESH: Duration = Duration::from_millis(2600);
+
 /// Events of the store that wait for the control loop.
 const MAX_WAITING_EVENTS: usize = 64;
 
@@ -43,6 +49,8 @@
     pub(crate) socket: UdpSocket,
     pub(crate) snapshots: Snapshots,
     pub(crate) leaving: CancellationToken,
+    /// Incarnations of nodes that did not answer calls.
+    pub(crate) no_answer: mpsc::Receiver<u64>,
 }
 
 /// State of control.
@@ -60,6 +68,11 @@
     /// Since when another node has known more than this one.
     behind_since: Option<Instant>,
     is_fetching: bool,
+    /// Switches the own watch of the store.
+    watch_enabled: watch::Sender<bool>,
+    /// When the store last answered this node.
+    store_answered_at: Option<Instant>,
+    no_answer: mpsc::Receiver<u64>,
 }
 
 impl<N: Network> Control<N> {
@@ -69,26 +82,28 @@
         let http = HttpClient::new(parts.net.clone(), spawner.clone());
         let store = PlatformStore::new(http, parts.settings.store, STORE_TIMEOUT);
         let (store_tx, store_rx) = mpsc::channel(MAX_WAITING_EVENTS);
-        spawner.spawn(watch_store(store, store_tx));
-        let control = Self::new(parts);
+        let watch_enabled = watch::Sender::new(true);
+        spawner.spawn(watch_store(store, watch_enabled.subscribe(), store_tx));
+        let control = Self::new(parts, watch_enabled);
         spawner.spawn(control.run(store_rx));
     }
 
-    fn new(parts: ControlParts<N>) -> Self {
+    fn new(parts: ControlParts<N>, watch_enabled: watch::Sender<bool>) -> Self {
         let settings = &parts.settings;
-        let own = Heartbeat {
-            name: settings.name.clone(),
+        let own = NodeNews {
+            ip: settings.ip,
             incarnation: parts.incarnation,
+            counter: 0,
             started_ms: parts.started_ms,
             cpu_milli: (settings.cpu_share * 1000.0) as u32,
-            callers: settings.listen.callers,
+            callers_port: settings.listen.callers.port(),
             configuration: 0,
             targets: 0,
-            leaving: false,
-            heard: Vec::new(),
+            targets_hash: 0,
+            is_leaving: false,
+            is_watching: false,
         };
-        let now = Instant::now();
-        let members = Members::new(now, own, settings.ip, settings.peer_port, &settings.seeds);
+        let members = Members::new(Instant::now(), own, settings.peer_port, &settings.seeds);
         Self {
             socket: parts.socket,
             heartbeat_port: settings.heartbeat_port,
@@ -102,12 +117,15 @@
             raw_configuration: None,
             behind_since: None,
             is_fetching: false,
+            watch_enabled,
+            store_answered_at: None,
+            no_answer: parts.no_answer,
         }
     }
 
     async fn run(mut self, mut store: mpsc::Receiver<StoreEvent>) {
         let (news_tx, mut news_rx) = mpsc::channel(4);
-        let mut tick = tokio::time::interval(HEARTBEAT_INTERVAL);
+        let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let leaving = self.leaving.clone();
         let mut buf = [0; MAX_BYTES];
@@ -123,11 +141,16 @@
                 },
                 Some(event) = store.recv() => self.on_store(event),
                 Some(news) = news_rx.recv() => self.on_peer_news(news),
+                Some(node) = self.no_answer.recv() => {
+                    self.members.on_no_answer(Instant::now(), node)
+                }
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&news_tx).await,
             };
-            if changed {
-                self.publish();
+            if changed && self.publish() {
+                // What this node learned spreads at once, not with the next round.
+                let partners = self.members.partners();
+                self.send_heartbeats(Instant::now(), &partners).await;
             }
         }
     }
@@ -148,15 +171,35 @@
         let now = Instant::now();
         let members_changed = self.members.check(now);
         let targets_changed = self.registry.check(now);
-        self.send_heartbeats(now).await;
+        self.update_watch(now);
+        let destinations = self.members.destinations();
+        if !destinations.is_empty() {
+            self.send_heartbeats(now, &destinations).await;
+        }
         self.fetch_if_behind(now, news_tx);
         members_changed || targets_changed
     }
 
-    async fn send_heartbeats(&self, now: Instant) {
+    /// Follows the store where this node is one of those that do.
+    fn update_watch(&mut self, now: Instant) {
+        let should = self.members.should_watch(now);
+        let enabled = self.watch_enabled.send_if_modified(|on| {
+            let changed = *on != should;
+            *on = should;
+            changed
+        });
+        if enabled {
+            tracing::info!(part = "control", watching = should, "watch of the store switched");
+        }
+        let answered = self.store_answered_at;
+        let is_watching = should && answered.is_some_and(|at| now - at < WATCH_FRESH);
+        self.members.update_own(|own| own.is_watching = is_watching);
+    }
+
+    async fn send_heartbeats(&mut self, now: Instant, to: &[Ipv4Addr]) {
         let bytes = self.members.heartbeat(now).encode();
-        for ip in self.members.destinations() {
-            self.send_to(ip, &bytes).await;
+        for ip in to {
+            self.send_to(*ip, &bytes).await;
         }
     }
 
@@ -172,23 +215,34 @@
     fn fetch_if_behind(&mut self, now: Instant, news_tx: &mpsc::Sender<Option<PeerNews>>) {
         let configuration = self.version();
         let targets = self.registry.revision();
-        let is_better =
-            |h: &Heartbeat| h.configuration > configuration || h.targets > targets;
+        let hash = self.registry.hash();
+        let is_better = |n: &NodeNews| {
+            let differs = n.targets == targets && n.targets_hash != hash;
+            n.configuration > configuration || n.targets > targets || differs
+        };
         let Some(addr) = self.members.better_informed(now, is_better) else {
             self.behind_since = None;
             return;
         };
         let since = *self.behind_since.get_or_insert(now);
-        if self.is_fetching || now.saturating_duration_since(since) < NEWS_PATIENCE {
+        let behind = now.saturating_duration_since(since);
+        let patience = if self.members.should_watch(now) {
+            NEWS_PATIENCE
+        } else {
+            Duration::ZERO
+        };
+        if self.is_fetching || behind < patience {
             return;
         }
+        // Where single changes don't bring both to the same targets, everything does.
+        let after = if behind < FULL_PATIENCE { targets } else { 0 };
         self.is_fetching = true;
         let peers = self.peers.clone();
         let tx = news_tx.clone();
         self.spawner.spawn(async move {
             let news = peers
                 .call(addr, PEER_TIMEOUT, async |client, cx| {
-                    client.news(cx, configuration).await
+                    client.news(cx, configuration, after).await
                 })
                 .await;
             if let Err(e) = &news {
@@ -217,6 +271,9 @@
 
     fn on_store(&mut self, event: StoreEvent) -> bool {
         let now = Instant::now();
+        if !matches!(event, StoreEvent::Lost { .. }) {
+            self.store_answered_at = Some(now);
+        }
         match event {
             StoreEvent::Back => {
                 tracing::info!(part = "control", "store regained");
@@ -225,6 +282,7 @@
             }
             StoreEvent::Lost { reason } => {
                 tracing::warn!(part = "control", reason, "store lost");
+                self.store_answered_at = None;
                 false
             }
             StoreEvent::Listing { items, at } => {
@@ -276,7 +334,7 @@
     }
 
     fn on_leaving(&mut self) -> bool {
-        self.members.update_own(|own| own.leaving = true);
+        self.members.update_own(|own| own.is_leaving = true);
         true
     }
 
@@ -284,12 +342,19 @@
         self.configuration.as_ref().map_or(0, |c| c.version.0)
     }
 
-    fn publish(&mut self) {
+    /// Publishes what is believed now; true where this node has something to tell the others.
+    fn publish(&mut self) -> bool {
         let version = self.version();
         let revision = self.registry.revision();
+        let hash = self.registry.hash();
+        let mut has_news = false;
+        let is_leaving = self.members.is_leaving();
         self.members.update_own(|own| {
+            let told = (own.configuration, own.targets, own.targets_hash);
+            has_news = told != (version, revision, hash) || is_leaving;
             own.configuration = version;
             own.targets = revision;
+            own.targets_hash = hash;
         });
         let (nodes, owner) = self.members.live(Instant::now());
         let before = self.snapshots.load();
@@ -304,6 +369,7 @@
             owner,
             leaving: self.members.is_leaving(),
         });
+        has_news
     }
 
     fn log_changes(&self, before: &Snapshot, targets: &TargetSet, nodes: usize, owner: u64) {
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -2,35 +2,59 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use azuresaddle_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// Most bytes of a heartbeat; below the usual limit of an unfragmented datagram.
+/// Most bytes of a datagram; below the usual limit of an unfragmented one.
 pub(super) const MAX_BYTES: usize = 1400;
 
-/// Most addresses of other nodes that a heartbeat names.
-pub(super) const MAX_NAMED: usize = 64;
+/// Most other nodes in a datagram; each takes at most 44 bytes.
+pub(super) const MAX_OTHERS: usize = 28;
 
-/// A sign of life of a node, with the versions of what it knows.
+/// What a node says of itself, and others pass on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Heartbeat {
-    pub(super) name: HostName,
-    /// Random number of this process.
+pub(super) struct NodeNews {
+    /// Address of its host.
+    pub(super) ip: Ipv4Addr,
+    /// Random number of its process.
     pub(super) incarnation: u64,
-    /// Unix time of the start, in milliseconds; orders nodes, and is never compared to a clock.
+    /// Grows with each heartbeat of the process.
+    pub(super) counter: u32,
+    /// Unix time of its start, in milliseconds; orders nodes, and is never compared to a clock.
     pub(super) started_ms: u64,
-    /// Share of a core that the host offers, in thousandths.
+    /// Share of a core that its host offers, in thousandths.
     pub(super) cpu_milli: u32,
-    /// Where callers connect.
-    pub(super) callers: SocketAddr,
+    /// Port where callers connect.
+    pub(super) callers_port: u16,
     /// Version of the configuration in force; 0 for none.
     pub(super) configuration: u64,
-    /// Revision of the last change of targets that is known.
+    /// Revision of the last change of targets that it knows.
     pub(super) targets: u64,
-    /// Whether the node is stopping.
-    pub(super) leaving: bool,
-    /// Hosts of nodes that it has heard.
-    pub(super) heard: Vec<Ipv4Addr>,
+    /// Hash of the targets that it knows.
+    pub(super) targets_hash: u32,
+    /// Whether it is stopping.
+    pub(super) is_leaving: bool,
+    /// Whether it follows the store and the store answers.
+    pub(super) is_watching: bool,
+}
+
+impl NodeNews {
+    /// Where callers connect.
+    pub(super) fn callers(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.callers_port))
+    }
+
+    /// Whether callers may be sent there.
+    pub(super) fn takes_callers(&self) -> bool {
+        !self.is_leaving && self.configuration != 0
+    }
+}
+
+/// A sign of life of one node, with news of others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Heartbeat {
+    pub(super) from: NodeNews,
+    /// Nodes that were heard of last.
+    pub(super) others: Vec<NodeNews>,
 }
 
 impl Heartbeat {
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -1,111 +1,162 @@
 //! Which nodes are alive, and which of them places streams.
+//!
+//! A small fleet exchanges heartbeats between all nodes. In a larger one each node sends to a few
+//! partners, who pass on what they heard, so that its messages don't grow with the fleet.
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::time::Instant;
 
-use super::heartbeat::Heartbeat;
+use super::heartbeat::{Heartbeat, MAX_OTHERS, NodeNews};
 use crate::snapshot::LiveNode;
 
-/// Time between two heartbeats to a node.
-pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two looks at the members.
+pub(super) const TICK: Duration = Duration::from_millis(100);
 
-/// Silence after which a node counts as gone: four lost heartbeats, so that the loss of single
-/// datagrams moves nothing.
-const SILENCE: Duration = Duration::from_millis(450);
+/// Most nodes that exchange heartbeats with all others.
+const MAX_MESH: usize = 12;
 
-/// Silence after which a node is no longer sent heartbeats.
+/// Partners of a heartbeat in a larger fleet: with news of 28 nodes each, what one node says is
+/// known to 86 after about four rounds.
+const PARTNERS: usize = 3;
+
+/// Ticks between two rounds of heartbeats in a larger fleet.
+const TICKS_PER_ROUND: u32 = 2;
+
+/// Silence after which a node of a small fleet counts as gone: four lost heartbeats, so that the
+/// loss of single datagrams moves nothing.
+const MESH_SILENCE: Duration = Duration::from_millis(450);
+
+/// Silence after which a node of a larger fleet counts as gone: ten rounds.
+const GOSSIP_SILENCE: Duration = Duration::from_millis(2000);
+
+/// Silence after which a node is forgotten.
 const FORGET: Duration = Duration::from_secs(20);
 
 /// Delay of the own clock above which silence says nothing, since this process did not run.
 const STALL: Duration = Duration::from_millis(250);
 
+/// Nodes of a larger fleet that follow the store for all.
+const WATCHERS: usize = 4;
+
+/// Fewest nodes that must say that the store answers them before others leave it alone.
+const MIN_WATCHING: usize = 2;
+
+/// Time for which a node that does not answer calls is not taken for the owner.
+const SUSPECT: Duration = Duration::from_secs(2);
+
 /// Another node.
 #[derive(Clone, Debug)]
 struct Member {
-    heartbeat: Heartbeat,
-    ip: Ipv4Addr,
+    news: NodeNews,
     heard_at: Instant,
 }
 
 /// The other nodes by host.
 #[derive(Debug)]
 pub(super) struct Members {
-    own: Heartbeat,
-    own_ip: Ipv4Addr,
+    own: NodeNews,
     peer_port: u16,
     seeds: Vec<Ipv4Addr>,
     members: HashMap<Ipv4Addr, Member>,
-    /// Hosts that others have named, and when.
-    named: HashMap<Ipv4Addr, Instant>,
     checked_at: Instant,
+    ticks: u32,
+    /// A node that did not answer calls, and until when it is passed over.
+    suspect: Option<(u64, Instant)>,
 }
 
 impl Members {
-    pub(super) fn new(
-        now: Instant,
-        own: Heartbeat,
-        own_ip: Ipv4Addr,
-        peer_port: u16,
-        seeds: &[Ipv4Addr],
-    ) -> Self {
+    pub(super) fn new(now: Instant, own: NodeNews, peer_port: u16, seeds: &[Ipv4Addr]) -> Self {
         Self {
+            seeds: seeds.iter().copied().filter(|ip| *ip != own.ip).collect(),
             own,
-            own_ip,
             peer_port,
-            seeds: seeds.iter().copied().filter(|ip| *ip != own_ip).collect(),
             members: HashMap::new(),
-            named: HashMap::new(),
             checked_at: now,
+            ticks: 0,
+            suspect: None,
         }
     }
 
     /// Changes what the next own heartbeat says.
-    pub(super) fn update_own(&mut self, update: impl FnOnce(&mut Heartbeat)) {
+    pub(super) fn update_own(&mut self, update: impl FnOnce(&mut NodeNews)) {
         update(&mut self.own);
     }
 
     /// Whether this node is stopping.
     pub(super) fn is_leaving(&self) -> bool {
-        self.own.leaving
+        self.own.is_leaving
     }
 
-    /// The own heartbeat, with the hosts heard of late.
-    pub(super) fn heartbeat(&self, now: Instant) -> Heartbeat {
-        let mut own = self.own.clone();
-        let heard = self.members.iter().filter(|(_, m)| is_alive(m, now));
-        own.heard = heard
-            .map(|(ip, _)| *ip)
-            .take(super::heartbeat::MAX_NAMED)
-            .collect();
-        own
+    fn is_mesh(&self) -> bool {
+        self.members.len() < MAX_MESH
+    }
+
+    fn silence(&self) -> Duration {
+        if self.is_mesh() {
+            MESH_SILENCE
+        } else {
+            GOSSIP_SILENCE
+        }
+    }
+
+    fn is_alive(&self, member: &Member, now: Instant) -> bool {
+        now.saturating_duration_since(member.heard_at) < self.silence()
     }
 
-    /// Notes a heartbeat; true where it changes who is alive or what it offers.
-    pub(super) fn on_heartbeat(&mut self, now: Instant, ip: Ipv4Addr, heartbeat: Heartbeat) -> bool {
-        if ip == self.own_ip {
+    fn alive(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |m| self.is_alive(m, now))
+    }
+
+    /// The own heartbeat, with news of the nodes heard of last.
+    pub(super) fn heartbeat(&mut self, now: Instant) -> Heartbeat {
+        self.own.counter = self.own.counter.wrapping_add(1);
+        let mut alive: Vec<&Member> = self.alive(now).collect();
+        alive.sort_by_key(|m| std::cmp::Reverse(m.heard_at));
+        Heartbeat {
+            from: self.own.clone(),
+            others: alive
+                .into_iter()
+                .take(MAX_OTHERS)
+                .map(|m| m.news.clone())
+                .collect(),
+        }
+    }
+
+    /// Takes a heartbeat from a host; true where it changes who is alive or what it offers.
+    pub(super) fn on_heartbeat(&mut self, now: Instant, from: Ipv4Addr, beat: Heartbeat) -> bool {
+        if beat.from.ip != from {
             return false;
         }
-        for named in &heartbeat.heard {
-            if *named != self.own_ip {
-                self.named.insert(*named, now);
-            }
+        let mut changed = self.take_news(now, beat.from, true);
+        for news in beat.others {
+            changed |= self.take_news(now, news, false);
+        }
+        changed
+    }
+
+    fn take_news(&mut self, now: Instant, news: NodeNews, is_direct: bool) -> bool {
+        if news.ip == self.own.ip {
+            return false;
         }
-        let before = self.members.get(&ip);
-        let changed = before.is_none_or(|m| {
-            !is_alive(m, now)
-                || m.heartbeat.incarnation != heartbeat.incarnation
-                || m.heartbeat.leaving != heartbeat.leaving
-                || (m.heartbeat.configuration == 0) != (heartbeat.configuration == 0)
+        let known = self.members.get(&news.ip);
+        let is_newer = known.is_none_or(|m| is_newer(&m.news, &news, is_direct));
+        if !is_newer {
+            return false;
+        }
+        let changed = known.is_none_or(|m| {
+            !self.is_alive(m, now)
+                || m.news.incarnation != news.incarnation
+                || m.news.takes_callers() != news.takes_callers()
         });
         let member = Member {
-            heartbeat,
-            ip,
             heard_at: now,
+            news,
         };
-        self.members.insert(ip, member);
+        self.members.insert(member.news.ip, member);
         changed
     }
 
@@ -115,65 +166,120 @@
     /// wait unread.
     pub(super) fn check(&mut self, now: Instant) -> bool {
         let late = now.saturating_duration_since(self.checked_at);
-        if late > HEARTBEAT_INTERVAL + STALL {
+        if late > TICK + STALL {
             for member in self.members.values_mut() {
                 member.heard_at += late;
             }
         }
         let before = self.checked_at;
         self.checked_at = now;
+        self.ticks = self.ticks.wrapping_add(1);
         self.members
             .retain(|_, m| now.saturating_duration_since(m.heard_at) < FORGET);
-        self.named
-            .retain(|_, at| now.saturating_duration_since(*at) < FORGET);
+        let suspicion_ended = self.suspect.is_some_and(|(_, until)| now >= until);
+        if suspicion_ended {
+            self.suspect = None;
+        }
         let mut members = self.members.values();
-        members.any(|m| is_alive(m, before) != is_alive(m, now))
+        members.any(|m| self.is_alive(m, before) != self.is_alive(m, now)) || suspicion_ended
     }
 
-    /// Hosts to send a heartbeat to.
+    /// Notes that a node did not answer calls; true where it was the owner so far.
+    pub(super) fn on_no_answer(&mut self, now: Instant, incarnation: u64) -> bool {
+        let was_owner = self.live(now).1 == incarnation && incarnation != self.own.incarnation;
+        if was_owner {
+            self.suspect = Some((incarnation, now + SUSPECT));
+        }
+        was_owner
+    }
+
+    /// Hosts to send a heartbeat to now.
     pub(super) fn destinations(&self) -> Vec<Ipv4Addr> {
+        if self.is_mesh() {
+            let mut all: Vec<Ipv4Addr> = self.members.keys().copied().collect();
+            all.extend(&self.seeds);
+            all.sort_unstable();
+            all.dedup();
+            return all;
+        }
+        if !self.ticks.is_multiple_of(TICKS_PER_ROUND) {
+            return Vec::new();
+        }
+        self.partners()
+    }
+
+    /// A few hosts at random, for news that should spread at once.
+    pub(super) fn partners(&self) -> Vec<Ipv4Addr> {
         let mut all: Vec<Ipv4Addr> = self.members.keys().copied().collect();
-        all.extend(self.named.keys());
-        all.extend(&self.seeds);
-        all.sort_unstable();
-        all.dedup();
+        all.shuffle(&mut rand::rng());
+        let most = if self.is_mesh() { all.len() } else { PARTNERS };
+        all.truncate(most);
         all
     }
 
     /// Live nodes, this one among them, and the incarnation of the one that places streams.
     pub(super) fn live(&self, now: Instant) -> (Vec<LiveNode>, u64) {
-        let others = self.members.values().filter(|m| is_alive(m, now));
-        let mut all: Vec<(&Heartbeat, Ipv4Addr)> =
-            others.map(|m| (&m.heartbeat, m.ip)).collect();
-        all.push((&self.own, self.own_ip));
-        // The owner is the oldest of the strongest: it changes only when a node goes, and a
-        // restarted node does not take over from one that knows the running streams.
-        all.sort_by_key(|(h, _)| {
-            let able = !h.leaving && h.configuration != 0;
-            (!able, u32::MAX - h.cpu_milli, h.started_ms, h.incarnation)
+        let all = self.ranked(now);
+        let suspected = |n: &&&NodeNews| {
+            self.suspect.is_some_and(|(incarnation, _)| n.incarnation == incarnation)
+        };
+        let owner = all.iter().find(|n| !suspected(n)).unwrap_or(&all[0]);
+        let nodes = all.iter().map(|n| LiveNode {
+            incarnation: n.incarnation,
+            callers: n.callers(),
+            peer: SocketAddr::from((n.ip, self.peer_port)),
+            takes_callers: n.takes_callers(),
         });
-        let owner = all[0].0.incarnation;
-        let nodes = all.iter().map(|(h, ip)| LiveNode {
-            incarnation: h.incarnation,
-            callers: h.callers,
-            peer: SocketAddr::from((*ip, self.peer_port)),
-            takes_callers: !h.leaving && h.configuration != 0,
+        (nodes.collect(), owner.incarnation)
+    }
+
+    /// Live nodes, the best owner first: the oldest of the strongest. So the owner changes only when
+    /// it goes, and a restarted node does not take over from one that knows the running streams.
+    fn ranked(&self, now: Instant) -> Vec<&NodeNews> {
+        let mut all: Vec<&NodeNews> = self.alive(now).map(|m| &m.news).collect();
+        all.push(&self.own);
+        all.sort_by_key(|n| {
+            let strength = u32::MAX - n.cpu_milli;
+            (!n.takes_callers(), strength, n.started_ms, n.incarnation)
         });
-        (nodes.collect(), owner)
+        all
     }
 
-    /// Address of a live node that knows a newer configuration or newer targets.
+    /// Whether this node should follow the store itself: all do in a small fleet, a few in a larger
+    /// one, and more where too few of these are answered.
+    pub(super) fn should_watch(&self, now: Instant) -> bool {
+        let ranked = self.ranked(now);
+        if ranked.len() <= MAX_MESH {
+            return true;
+        }
+        let rank = ranked.iter().position(|n| n.incarnation == self.own.incarnation);
+        let others = ranked
+            .iter()
+            .filter(|n| n.is_watching && n.incarnation != self.own.incarnation);
+        rank.is_some_and(|r| r < WATCHERS) || others.count() < MIN_WATCHING
+    }
+
+    /// Address of a live node that knows more, any of them.
     pub(super) fn better_informed(
         &self,
         now: Instant,
-        is_better: impl Fn(&Heartbeat) -> bool,
+        is_better: impl Fn(&NodeNews) -> bool,
     ) -> Option<SocketAddr> {
-        let mut alive = self.members.values().filter(|m| is_alive(m, now));
-        let member = alive.find(|m| is_better(&m.heartbeat))?;
-        Some(SocketAddr::from((member.ip, self.peer_port)))
+        let better: Vec<Ipv4Addr> = self
+            .alive(now)
+            .filter(|m| is_better(&m.news))
+            .map(|m| m.news.ip)
+            .collect();
+        let ip = *better.choose(&mut rand::rng())?;
+        Some(SocketAddr::from((ip, self.peer_port)))
     }
 }
 
-fn is_alive(member: &Member, now: Instant) -> bool {
-    now.saturating_duration_since(member.heard_at) < SILENCE
+/// Whether news of a node replace older ones.
+fn is_newer(known: &NodeNews, news: &NodeNews, is_direct: bool) -> bool {
+    if known.incarnation == news.incarnation {
+        return news.counter > known.counter;
+    }
+    // A restarted process may have a clock that was set back; what it says itself counts.
+    is_direct || news.started_ms > known.started_ms
 }
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -23,8 +23,8 @@
     item: Item,
     /// The decoded entry; `None` where it was removed.
     entry: Option<Arc<TargetEntry>>,
-    /// When an entry that lapsed is given up.
-    give_up_at: Option<Instant>,
+    /// Removal that is believed later, and when.
+    give_up: Option<(Instant, Item)>,
     /// When the removal was learned.
     removed_at: Option<Instant>,
 }
@@ -70,7 +70,7 @@
         let changed = known.and_then(|h| h.entry.as_ref()) != Some(&entry);
         let held = Held {
             entry: Some(entry),
-            give_up_at: None,
+            give_up: None,
             removed_at: None,
             item,
         };
@@ -84,12 +84,13 @@
             return false;
         };
         if in_grace && held.entry.as_ref().is_some_and(|e| e.state == TargetState::Ready) {
-            held.give_up_at = held.give_up_at.or(self.grace_until);
+            let until = self.grace_until.unwrap_or(now);
+            held.give_up.get_or_insert((until, item));
             return false;
         }
         held.item = item;
         held.removed_at = Some(now);
-        held.give_up_at = None;
+        held.give_up = None;
         held.entry.take().is_some()
     }
 
@@ -123,10 +124,9 @@
     pub(super) fn check(&mut self, now: Instant) -> bool {
         let mut changed = false;
         for held in self.held.values_mut() {
-            if held.give_up_at.is_some_and(|at| now >= at) {
-                held.give_up_at = None;
+            if let Some((_, removal)) = held.give_up.take_if(|(at, _)| now >= *at) {
+                held.item = removal;
                 held.removed_at = Some(now);
-                held.item.value = None;
                 held.entry = None;
                 changed = true;
             }
@@ -144,6 +144,24 @@
         TargetSet::new(entries.filter(|e| e.state == TargetState::Ready))
     }
 
+    /// Hash of the targets that are believed in.
+    ///
+    /// Two nodes that heard of the same changes can still differ for a while, where one takes a
+    /// removal for a lapse of an outage; the hash shows it.
+    pub(super) fn hash(&self) -> u32 {
+        let mut hash = 0;
+        for held in self.held.values() {
+            let Some(entry) = &held.entry else {
+                continue;
+            };
+            let state = u8::from(entry.state == TargetState::Ready);
+            let key = format!("{}/{state}", held.item.key);
+            // Addition makes the order of the entries irrelevant.
+            hash = u32::wrapping_add(hash, xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as u32);
+        }
+        hash
+    }
+
     /// All that is known, for other nodes.
     pub(super) fn items(&self) -> Vec<Item> {
         self.held.values().map(|h| h.item.clone()).collect()
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -5,7 +5,7 @@
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{Item, PlatformStore, StoreError};
 use rand::Rng;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Longest wait of one watch; a connection that went silent is found after that and a little more.
 /// Each watch is a paid call.
@@ -15,7 +15,7 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 
 /// Longest pause after failed calls.
-const MAX_BACKOFF: Duration = Duration::from_millis(1000);
+const MAX_BACKOFF: Duration = Duration::from_millis(1200);
 
 /// Shortest time between two watches, so that quick changes don't turn into a call each.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
@@ -41,15 +41,19 @@
     Changes(Vec<Item>),
 }
 
-/// Reads all, then watches, for ever; ends when nobody listens.
+/// Reads all, then watches while `enabled`, for ever; ends when nobody listens.
 pub(super) async fn watch_store<N: Network>(
     store: PlatformStore<N>,
+    mut enabled: watch::Receiver<bool>,
     tx: mpsc::Sender<StoreEvent>,
 ) {
     let mut position = None;
     let mut is_lost = false;
     let mut backoff = FIRST_BACKOFF;
     while !tx.is_closed() {
+        if position.is_some() && enabled.wait_for(|on| *on).await.is_err() {
+            return;
+        }
         let result = next_event(&store, &mut position).await;
         let event = match result {
             Ok(event) => {
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::runtime::Handle;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -29,6 +30,9 @@
 /// Time kept of the grace for the process to end.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// News of silent nodes that wait for control; it needs one at a time.
+const MAX_NO_ANSWER: usize = 8;
+
 /// Time between two looks whether all answers are finished.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -73,6 +77,7 @@
         let leaving = CancellationToken::new();
         let socket = open_socket(&settings, &control).await?;
         let control_spawner = spawner.on(control);
+        let (no_answer, no_answer_rx) = mpsc::channel(MAX_NO_ANSWER);
         Control::spawn(ControlParts {
             settings: settings.clone(),
             net: net.clone(),
@@ -82,6 +87,7 @@
             socket,
             snapshots: snapshots.clone(),
             leaving: leaving.clone(),
+            no_answer: no_answer_rx,
         });
         let owner = Owner::spawn(&spawner, &snapshots);
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
@@ -94,6 +100,7 @@
             owner,
             PeerClients::new(net.clone(), spawner.clone()),
             snapshots.clone(),
+            no_answer,
         );
         let forwarder = Forwarder::new(
             net.clone(),
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -59,7 +59,7 @@
         self.owner.sync(&sync);
     }
 
-    async fn news(self, _: Context, configuration: u64) -> PeerNews {
+    async fn news(self, _: Context, configuration: u64, targets: u64) -> PeerNews {
         let snapshot = self.snapshots.load();
         let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
         let newer = version > configuration;
@@ -69,7 +69,12 @@
                 .as_deref()
                 .filter(|_| newer)
                 .cloned(),
-            targets: snapshot.raw_targets.iter().map(Into::into).collect(),
+            targets: snapshot
+                .raw_targets
+                .iter()
+                .filter(|item| item.revision > targets)
+                .map(Into::into)
+                .collect(),
         }
     }
 }
--- a/crates/azuresaddle-edge/src/peer/service.rs
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -12,6 +12,7 @@
     async fn report(reports: Vec<Report>);
     /// Tells all streams of a node.
     async fn sync(sync: SyncMessage);
-    /// What is known from the store, beyond a version of the configuration.
-    async fn news(configuration: u64) -> PeerNews;
+    /// What is known from the store, beyond a version of the configuration and a revision of the
+    /// targets.
+    async fn news(configuration: u64, targets: u64) -> PeerNews;
 }
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -59,6 +59,8 @@
     reports: mpsc::Sender<Report>,
     /// Grows when the connection to the owner was found dead, so that asks on it start anew.
     reconnects: watch::Sender<u64>,
+    /// Tells control of an owner that does not answer.
+    no_answer: mpsc::Sender<u64>,
 }
 
 impl<N: Network> Placement<N> {
@@ -70,6 +72,7 @@
         owner: Arc<Owner>,
         peers: PeerClients<N>,
         snapshots: Snapshots,
+        no_answer: mpsc::Sender<u64>,
     ) -> Arc<Self> {
         let (reports, reports_rx) = mpsc::channel(MAX_WAITING_REPORTS);
         let placement = Arc::new(Self {
@@ -82,6 +85,7 @@
             live: Mutex::default(),
             reports,
             reconnects: watch::Sender::new(0),
+            no_answer,
         });
         spawner.spawn(run_reporter(Arc::clone(&placement), reports_rx));
         placement
@@ -163,7 +167,10 @@
             };
             match reply {
                 Some(AskReply::Unknown) | None => {
-                    failing_since.get_or_insert(now);
+                    let since = *failing_since.get_or_insert(now);
+                    if now - since >= OWNER_PATIENCE / 2 {
+                        self.suspect(who);
+                    }
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
                 Some(reply) => return reply,
@@ -260,9 +267,16 @@
         &self.snapshots
     }
 
-    /// Makes asks on the present connection to the owner start anew.
-    pub(super) fn reconnect(&self) {
+    /// Makes asks on the present connection to the owner start anew, and tells control of it.
+    pub(super) fn on_no_answer(&self, owner: u64) {
         self.reconnects.send_modify(|n| *n += 1);
+        self.suspect(owner);
+    }
+
+    /// Control passes over an owner that does not answer for a while.
+    fn suspect(&self, owner: u64) {
+        // A full channel holds the same news already.
+        let _ = self.no_answer.try_send(owner);
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<AskId, Live>> {
--- a/crates/azuresaddle-edge/src/placement/reporter.rs
+++ b/crates/azuresaddle-edge/src/placement/reporter.rs
@@ -1,5 +1,6 @@
 //! Sends reports to the owner, in batches.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -53,7 +54,7 @@
         placement.local_owner().sync(&message);
         return;
     }
-    let Some(peer) = owner_addr(placement) else {
+    let Some((owner, peer)) = owner_addr(placement) else {
         return;
     };
     let sent = placement
@@ -64,7 +65,7 @@
         .await;
     if let Err(e) = sent {
         tracing::info!(part = "placement", %peer, error = %e, "owner not reached");
-        placement.reconnect();
+        placement.on_no_answer(owner);
     }
 }
 
@@ -73,7 +74,7 @@
         placement.local_owner().report(batch);
         return;
     }
-    let Some(peer) = owner_addr(placement) else {
+    let Some((owner, peer)) = owner_addr(placement) else {
         return;
     };
     let sent = placement
@@ -85,11 +86,12 @@
     if let Err(e) = sent {
         // The next sync tells the owner what the reports said.
         tracing::info!(part = "placement", %peer, error = %e, "reports not delivered");
-        placement.reconnect();
+        placement.on_no_answer(owner);
     }
 }
 
-fn owner_addr<N: Network>(placement: &Placement<N>) -> Option<std::net::SocketAddr> {
+fn owner_addr<N: Network>(placement: &Placement<N>) -> Option<(u64, SocketAddr)> {
     let snapshot = placement.snapshots().load();
-    snapshot.node(snapshot.owner).map(|n| n.peer)
+    let node = snapshot.node(snapshot.owner)?;
+    Some((node.incarnation, node.peer))
 }
