Long prompts may make a few short streams late; nothing begins that ends too late; a new owner waits for the nodes

Cause: after a burst a few leftover short streams kept a dozen engines from long prompts for seconds; a prompt near its deadline took the one free engine for 7 s and was lost all the same; a new owner with an empty ledger spread a digest over all engines and made every short stream late for a second.

--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -89,7 +89,7 @@
             leaving: leaving.clone(),
             no_answer: no_answer_rx,
         });
-        let owner = Owner::spawn(&spawner, &snapshots);
+        let owner = Owner::spawn(&spawner, &snapshots, incarnation);
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
         let peers = bind(&net, "calls between nodes", peer_addr).await?;
         serve_peers(peers, &spawner, Arc::clone(&owner), snapshots.clone());
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::owner::Owner;
-use super::reporter::run_reporter;
+use super::reporter::{run_reporter, run_sync};
 use crate::peer::{AskMessage, AskReply, PeerClients, Report, ReportKind, SyncMessage};
 use crate::snapshot::Snapshots;
 
@@ -88,6 +88,7 @@
             no_answer,
         });
         spawner.spawn(run_reporter(Arc::clone(&placement), reports_rx));
+        spawner.spawn(run_sync(Arc::clone(&placement)));
         placement
     }
 
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -3,8 +3,9 @@
 //! Every node keeps the pools ready, so that it can take over at once. Nothing rests on there being
 //! one owner: engines refuse what they have no room for, and say so.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{
@@ -16,6 +17,10 @@
 use crate::peer::{AskMessage, AskReply, Report, ReportKind, SyncMessage};
 use crate::snapshot::{Snapshot, Snapshots};
 
+/// Longest time that a new owner waits for the nodes to tell their streams: many round trips, and
+/// half of the time that a short prompt can wait.
+const HANDOVER: Duration = Duration::from_millis(120);
+
 /// The pools of this node.
 pub(crate) struct Owner {
     state: Mutex<State>,
@@ -26,38 +31,49 @@
 struct State {
     pools: HashMap<Arc<str>, PassPool>,
     waiters: HashMap<AskId, oneshot::Sender<PassDecision>>,
+    is_owner: bool,
+    handover: Option<Handover>,
+}
+
+/// A new owner's wait for the nodes to tell their streams. Without it the first long prompt was
+/// read by all engines, since none seemed to run anything, and every short stream was late.
+struct Handover {
+    /// Nodes that have not told their streams.
+    missing: HashSet<u64>,
+    until: Instant,
 }
 
 impl Owner {
     /// Starts to follow snapshots and the pools' own timers.
-    pub(crate) fn spawn(spawner: &Spawner, snapshots: &Snapshots) -> Arc<Self> {
+    pub(crate) fn spawn(spawner: &Spawner, snapshots: &Snapshots, node: u64) -> Arc<Self> {
         let owner = Arc::new(Self {
             state: Mutex::default(),
             changed: Notify::new(),
         });
-        spawner.spawn(Arc::clone(&owner).follow(snapshots.clone()));
+        spawner.spawn(Arc::clone(&owner).follow(snapshots.clone(), node));
         spawner.spawn(Arc::clone(&owner).keep_time());
         owner
     }
 
     /// Keeps the pools' engines as the snapshots have them.
-    async fn follow(self: Arc<Self>, snapshots: Snapshots) {
+    async fn follow(self: Arc<Self>, snapshots: Snapshots, node: u64) {
         let mut changes = snapshots.subscribe();
         loop {
             let snapshot = snapshots.load();
-            self.refresh(&snapshot);
+            self.refresh(&snapshot, node);
             if changes.changed().await.is_err() {
                 return;
             }
         }
     }
 
-    fn refresh(&self, snapshot: &Snapshot) {
+    fn refresh(&self, snapshot: &Snapshot, node: u64) {
         let Some(configuration) = &snapshot.configuration else {
             return;
         };
         let now = Instant::now();
         let mut state = self.lock();
+        state.note_owner(now, snapshot, node);
         for service in configuration.services() {
             let Some(spec) = &service.engine else {
                 continue;
@@ -92,6 +108,9 @@
     fn next_wakeup(&self) -> Option<Instant> {
         let now = Instant::now();
         let state = self.lock();
+        if let Some(handover) = &state.handover {
+            return Some(handover.until);
+        }
         state.pools.values().filter_map(|p| p.next_wakeup(now)).min()
     }
 
@@ -182,6 +201,7 @@
             let is_known = |id: AskId| id.number > sync.up_to || sync.waiting.contains(&id);
             pool.sync_node(now, sync.node, &running, is_known);
         }
+        state.note_told(sync.node);
         state.dispatch(now);
     }
 
@@ -201,9 +221,47 @@
 }
 
 impl State {
+    /// Begins to wait for the other nodes where this one becomes the owner.
+    fn note_owner(&mut self, now: Instant, snapshot: &Snapshot, node: u64) {
+        let is_owner = snapshot.owner == node;
+        if is_owner && !self.is_owner {
+            let nodes = snapshot.nodes.iter().map(|n| n.incarnation);
+            self.handover = Some(Handover {
+                missing: nodes.collect(),
+                until: now + HANDOVER,
+            });
+            tracing::info!(part = "placement", nodes = snapshot.nodes.len(), "owner now");
+        }
+        if !is_owner {
+            self.handover = None;
+        }
+        self.is_owner = is_owner;
+    }
+
+    fn note_told(&mut self, node: u64) {
+        if let Some(handover) = &mut self.handover {
+            handover.missing.remove(&node);
+        }
+    }
+
+    /// Whether the ledger may lack streams of other nodes.
+    fn is_taking_over(&mut self, now: Instant) -> bool {
+        let goes_on = self
+            .handover
+            .as_ref()
+            .is_some_and(|h| now < h.until && !h.missing.is_empty());
+        if !goes_on {
+            self.handover = None;
+        }
+        goes_on
+    }
+
     /// Places what can be placed and tells the askers.
     fn dispatch(&mut self, now: Instant) {
-        let Self { pools, waiters } = self;
+        if self.is_taking_over(now) {
+            return;
+        }
+        let Self { pools, waiters, .. } = self;
         for pool in pools.values_mut() {
             pool.dispatch(now);
             for (id, decision) in pool.take_decisions() {
--- a/crates/azuresaddle-edge/src/placement/reporter.rs
+++ b/crates/azuresaddle-edge/src/placement/reporter.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::client::Placement;
@@ -23,28 +23,44 @@
 /// Time between two complete listings to the owner; they also find a dead connection.
 const SYNC_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Sends reports, and all streams at every change of owner and from time to time.
-pub(super) async fn run_reporter<N: Network>(
-    placement: Arc<Placement<N>>,
-    mut reports: mpsc::Receiver<Report>,
-) {
+/// Sends all streams at every change of owner and from time to time. It has a task of its own, so
+/// that a new owner does not wait while reports to the old one time out.
+pub(super) async fn run_sync<N: Network>(placement: Arc<Placement<N>>) {
     let mut owner = placement.snapshots().subscribe_owner();
     let mut sync = tokio::time::interval_at(Instant::now() + SYNC_INTERVAL, SYNC_INTERVAL);
     sync.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut batch = Vec::new();
     loop {
         tokio::select! {
-            _ = owner.changed() => send_sync(&placement).await,
-            _ = sync.tick() => send_sync(&placement).await,
-            Some(first) = reports.recv() => {
-                batch.push(first);
-                tokio::time::sleep(GATHER).await;
-                while batch.len() < MAX_BATCH && let Ok(report) = reports.try_recv() {
-                    batch.push(report);
-                }
-                send_reports(&placement, std::mem::take(&mut batch)).await;
-            }
+            _ = owner.changed() => {}
+            _ = sync.tick() => {}
+        }
+        // Anew where the owner changes while the last one does not answer.
+        while owner_changes_before(&mut owner, send_sync(&placement)).await {}
+    }
+}
+
+async fn owner_changes_before(
+    owner: &mut watch::Receiver<u64>,
+    sending: impl Future<Output = ()>,
+) -> bool {
+    tokio::select! {
+        () = sending => false,
+        changed = owner.changed() => changed.is_ok(),
+    }
+}
+
+/// Sends reports, gathered for a moment.
+pub(super) async fn run_reporter<N: Network>(
+    placement: Arc<Placement<N>>,
+    mut reports: mpsc::Receiver<Report>,
+) {
+    while let Some(first) = reports.recv().await {
+        let mut batch = vec![first];
+        tokio::time::sleep(GATHER).await;
+        while batch.len() < MAX_BATCH && let Ok(report) = reports.try_recv() {
+            batch.push(report);
         }
+        send_reports(&placement, batch).await;
     }
 }
 
--- a/crates/azuresaddle-sched/src/passes/ask.rs
+++ b/crates/azuresaddle-sched/src/passes/ask.rs
@@ -40,6 +40,21 @@
     pub exclude: Vec<HostName>,
 }
 
+/// Time to write one token of an answer, in milliseconds: a step of an engine with a full batch.
+const TOKEN_MS: f64 = 1.3;
+
+/// Longest time that an answer is expected to take: callers' estimates of its length are often far
+/// too high, and nothing is refused for that.
+const MAX_WRITING: Duration = Duration::from_millis(2500);
+
+impl PassAsk {
+    /// Expected time from the first event to the end.
+    pub(super) fn writing_time(&self) -> Duration {
+        let expected = Duration::from_secs_f64(self.answer_tokens as f64 * TOKEN_MS / 1000.0);
+        expected.min(MAX_WRITING)
+    }
+}
+
 /// Decision about an ask.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PassDecision {
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -30,8 +30,19 @@
     pub(super) memory_tokens: u64,
     /// Context that each of its steps costs, in tokens.
     pub(super) context_tokens: u64,
+    /// Length of its whole prompt, in tokens; stands for what the answer is worth.
+    pub(super) prompt_tokens: u64,
     pub(super) pause: Duration,
     pub(super) is_writing: bool,
+    /// Whether the answer is late already, so that a longer pause takes nothing more from it.
+    pub(super) is_late: bool,
+}
+
+impl Lead {
+    /// Whether a pass of that time makes the answer late.
+    fn is_broken_by(&self, pass_ms: f64) -> bool {
+        !self.is_late && longest_pass_ms(self.pause) < pass_ms
+    }
 }
 
 /// A part of a prompt that an engine reads for another.
@@ -106,10 +117,24 @@
 
     /// Longest pass that keeps the pauses of all streams here, in milliseconds.
     pub(super) fn longest_pass_ms(&self) -> f64 {
-        let pauses = self.leads.iter().map(|l| l.pause);
+        let on_time = self.leads.iter().filter(|l| !l.is_late);
+        let pauses = on_time.map(|l| l.pause);
         pauses.min().map_or(f64::INFINITY, longest_pass_ms)
     }
 
+    /// Prompt tokens of the streams here that a pass of that time makes late.
+    pub(super) fn broken_tokens(&self, pass_ms: f64) -> u64 {
+        let broken = self.leads.iter().filter(|l| l.is_broken_by(pass_ms));
+        broken.map(|l| l.prompt_tokens).sum()
+    }
+
+    /// Notes that a pass of that time comes.
+    pub(super) fn on_pass_planned(&mut self, pass_ms: f64) {
+        for lead in &mut self.leads {
+            lead.is_late |= lead.is_broken_by(pass_ms);
+        }
+    }
+
     /// Streams here whose pause is at most `pause`.
     pub(super) fn count_with_pause(&self, pause: Duration) -> usize {
         self.leads.iter().filter(|l| l.pause <= pause).count()
@@ -165,10 +190,9 @@
         self.write_ms(spec) + self.next_read_ms + read_ms * self.pace
     }
 
-    /// Reading that the next pass can still take, in milliseconds.
-    pub(super) fn room_ms(&self, spec: &EngineSpec, longest_pass_ms: f64) -> f64 {
-        let longest = longest_pass_ms.min(self.longest_pass_ms());
-        (longest - self.write_ms(spec) - self.next_read_ms) / self.pace
+    /// Reading that the next pass can still take without making a stream late, in milliseconds.
+    pub(super) fn room_ms(&self, spec: &EngineSpec) -> f64 {
+        (self.longest_pass_ms() - self.write_ms(spec) - self.next_read_ms) / self.pace
     }
 }
 
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -6,13 +6,12 @@
 
 use std::time::Duration;
 
-use azuresaddle_core::deployment::EngineSpec;
 use azuresaddle_core::prelude::*;
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
 use super::ask::PassAsk;
-use super::engine::{Engine, EngineId, longest_pass_ms};
+use super::engine::{Engine, EngineId};
 use super::round::Round;
 
 /// Engines that one prompt may be read by beside the first, by the engines' interface.
@@ -20,7 +19,7 @@
 
 /// Time by which one more engine must bring the end nearer, in milliseconds: its own share of
 /// waiting for a pass and of messages.
-const HELPER_COST_MS: f64 = 6.0;
+const HELPER_COST_MS: f64 = 2.0;
 
 /// Longest part of a prompt that is late anyway, in milliseconds; it waits for more engines rather
 /// than keep a few from prompts that can still be on time.
@@ -29,9 +28,12 @@
 /// Time before the deadline from which a late prompt takes any engines that end it in time.
 const LAST_CHANCE: Duration = Duration::from_secs(4);
 
+/// Time that 1,000 prompt tokens of streams made late must bring the end nearer, in milliseconds.
+const BROKEN_COST_MS: f64 = 4.0;
+
 /// Longest time until all engines of a plan begin; a plan further ahead waits, so that a quicker
 /// prompt that arrives meanwhile can go first.
-const MAX_START_MS: f64 = 60.0;
+const MAX_START_MS: f64 = 120.0;
 
 /// Engines for a long prompt.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,18 +48,29 @@
     pub(super) first_event_ms: f64,
     /// Memory to reserve on each helper, in tokens.
     pub(super) helper_memory_tokens: u64,
+    /// Prompt tokens of the streams that become late by it.
+    pub(super) broken_tokens: u64,
 }
 
 impl LongPlan {
+    /// Whether the first event comes in time.
+    pub(super) fn is_on_time(&self, now: Instant, ask: &PassAsk) -> bool {
+        now + Duration::from_secs_f64(self.first_event_ms / 1000.0) <= ask.first_event_by
+    }
+
     /// Whether to begin now rather than to wait for more or sooner engines.
     ///
     /// A prompt that was left whole on the only free engine kept it for 4 to 10 s, so one that such
     /// a plan makes late waits while more engines could still bring it home in time.
+    /// One that would end after its deadline never begins: it would keep engines for nothing.
     pub(super) fn is_due(&self, now: Instant, ask: &PassAsk, engines: usize) -> bool {
         if self.start_ms > MAX_START_MS {
             return false;
         }
         let first_event_at = now + Duration::from_secs_f64(self.first_event_ms / 1000.0);
+        if first_event_at + ask.writing_time() > ask.deadline {
+            return false;
+        }
         if first_event_at <= ask.first_event_by {
             return true;
         }
@@ -81,10 +94,8 @@
     start_ms: f64,
     /// Time of that pass without the part, in milliseconds.
     base_ms: f64,
-    /// Longest part that it can take, in milliseconds.
+    /// Longest part that makes no stream late, in milliseconds.
     room_ms: f64,
-    /// Longest part that it can take as the engine that writes the answer.
-    lead_room_ms: f64,
     /// Longest pass that the streams there bear, in milliseconds.
     longest_pass_ms: f64,
     free_tokens: u64,
@@ -92,8 +103,14 @@
     same_domain: bool,
 }
 
-/// The engines that end the reading soonest; `None` where no set of engines can bear it.
-pub(super) fn plan_long(round: &Round<'_>, ask: &PassAsk, read_ms: f64) -> Option<LongPlan> {
+/// The engines that end the reading soonest, and make streams of at most `broken_tokens` prompt
+/// tokens late by it; `None` where no set of engines can bear it.
+pub(super) fn plan_long(
+    round: &Round<'_>,
+    ask: &PassAsk,
+    read_ms: f64,
+    broken_tokens: u64,
+) -> Option<LongPlan> {
     let mut candidates = candidates(round, ask);
     // Soonest first; among equals the ones with most room, which run no short streams.
     candidates.sort_by(|a, b| {
@@ -110,10 +127,17 @@
     let mut best: Option<(f64, LongPlan)> = None;
     for count in 1..=most {
         let part_ms = read_ms / count as f64;
-        let Some(plan) = plan_with(&candidates, round.spec, memory, count, part_ms) else {
+        let share = Share {
+            memory,
+            count,
+            part_ms,
+            broken_tokens,
+        };
+        let Some(plan) = plan_with(round, &candidates, &share) else {
             continue;
         };
-        let cost = plan.first_event_ms + HELPER_COST_MS * count as f64;
+        let broken_ms = plan.broken_tokens as f64 / 1000.0 * BROKEN_COST_MS;
+        let cost = plan.first_event_ms + HELPER_COST_MS * count as f64 + broken_ms;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, plan));
         }
@@ -128,7 +152,6 @@
         engines,
         options,
     } = *round;
-    let longest = longest_pass_ms(ask.pause);
     engines
         .iter()
         .filter(|(_, e)| e.is_open(now) && !ask.exclude.contains(&e.name))
@@ -138,16 +161,7 @@
             key,
             start_ms: e.next_pass_in(now).as_secs_f64() * 1000.0,
             base_ms: e.next_pass_ms(spec, 0.0),
-            room_ms: if options.check_pauses {
-                e.room_ms(spec, f64::INFINITY)
-            } else {
-                f64::INFINITY
-            },
-            lead_room_ms: if e.leads.is_empty() || !options.check_pauses {
-                f64::INFINITY
-            } else {
-                e.room_ms(spec, longest)
-            },
+            room_ms: e.room_ms(spec),
             longest_pass_ms: e.longest_pass_ms(),
             free_tokens: e.free_tokens(spec),
             can_lead: e.has_slot(spec),
@@ -156,42 +170,39 @@
         .collect()
 }
 
-/// A plan with exactly `count` engines.
-fn plan_with(
-    candidates: &[Candidate],
-    spec: &EngineSpec,
+/// One way to split a prompt.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    /// Memory that the stream needs, in tokens.
     memory: u64,
     count: usize,
     part_ms: f64,
-) -> Option<LongPlan> {
-    let bears = |c: &&Candidate| c.room_ms >= part_ms;
-    let mut chosen: Vec<Candidate> = candidates.iter().filter(bears).take(count).copied().collect();
-    if chosen.len() < count {
-        return None;
-    }
-    let helper_memory_tokens = if memory <= spec.memory_tokens {
+    /// Most prompt tokens of streams that may be made late.
+    broken_tokens: u64,
+}
+
+/// A plan with exactly as many engines.
+fn plan_with(round: &Round<'_>, candidates: &[Candidate], share: &Share) -> Option<LongPlan> {
+    let spec = round.spec;
+    let mut chosen = choose(round, candidates, share)?;
+    let others = share.count as u64 - 1;
+    let helper_memory_tokens = if share.memory <= spec.memory_tokens {
         0
     } else {
-        memory.div_ceil(count as u64)
+        share.memory.div_ceil(share.count as u64)
     };
-    let lead_memory = if helper_memory_tokens > 0 {
-        memory.saturating_sub(helper_memory_tokens * (count as u64 - 1))
-    } else {
-        memory
-    };
-    if helper_memory_tokens > 0 && chosen.iter().any(|c| c.free_tokens < helper_memory_tokens) {
+    let lead_memory = share.memory.saturating_sub(helper_memory_tokens * others);
+    if chosen.iter().any(|c| c.free_tokens < helper_memory_tokens) {
         return None;
     }
-    let can_lead = |c: &Candidate| {
-        c.can_lead && c.free_tokens >= lead_memory && c.lead_room_ms >= part_ms
-    };
+    let can_lead = |c: &Candidate| c.can_lead && c.free_tokens >= lead_memory;
     let lead = match best_lead(&chosen, can_lead) {
         Some(at) => at,
         None => {
             // None of the soonest can hold the stream: one that can takes the last place.
-            let other = candidates
-                .iter()
-                .find(|c| can_lead(c) && chosen.iter().all(|o| o.key != c.key))?;
+            let is_free = |c: &&Candidate| chosen.iter().all(|o| o.key != c.key);
+            let mut others = candidates.iter().filter(is_free);
+            let other = others.find(|c| can_lead(c) && c.room_ms >= share.part_ms)?;
             let last = chosen.len() - 1;
             chosen[last] = *other;
             last
@@ -201,17 +212,55 @@
     let start_ms = chosen.iter().map(|c| c.start_ms).fold(0.0, f64::max);
     let first_event_ms = chosen
         .iter()
-        .map(|c| c.start_ms + c.base_ms + part_ms)
+        .map(|c| c.start_ms + c.base_ms + share.part_ms)
         .fold(0.0, f64::max);
     Some(LongPlan {
         engines: chosen.iter().map(|c| c.key).collect(),
-        part_ms,
+        part_ms: share.part_ms,
         start_ms,
         first_event_ms,
         helper_memory_tokens,
+        broken_tokens: chosen
+            .iter()
+            .map(|c| broken_tokens(round, c, share.part_ms))
+            .sum(),
     })
 }
 
+/// The engines that can begin soonest, those that make no stream late before the others.
+fn choose(round: &Round<'_>, candidates: &[Candidate], share: &Share) -> Option<Vec<Candidate>> {
+    let bears = |c: &&Candidate| !round.options.check_pauses || c.room_ms >= share.part_ms;
+    let free = candidates.iter().filter(bears);
+    let mut chosen: Vec<Candidate> = free.take(share.count).copied().collect();
+    if chosen.len() == share.count {
+        return Some(chosen);
+    }
+    if share.broken_tokens == 0 {
+        return None;
+    }
+    let mut others: Vec<(u64, &Candidate)> = candidates
+        .iter()
+        .filter(|c| c.room_ms < share.part_ms)
+        .map(|c| (broken_tokens(round, c, share.part_ms), c))
+        .collect();
+    others.sort_by_key(|(broken, _)| *broken);
+    let mut left = share.broken_tokens;
+    for (broken, candidate) in others {
+        if chosen.len() == share.count || broken > left {
+            break;
+        }
+        left -= broken;
+        chosen.push(*candidate);
+    }
+    (chosen.len() == share.count).then_some(chosen)
+}
+
+/// Prompt tokens of the streams that a part makes late.
+fn broken_tokens(round: &Round<'_>, candidate: &Candidate, part_ms: f64) -> u64 {
+    let engine = &round.engines[candidate.key];
+    engine.broken_tokens(engine.next_pass_ms(round.spec, part_ms))
+}
+
 /// Position of the engine that should write the answer.
 ///
 /// A writing stream bounds every later part on its engine, so it goes where another stream bounds
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -15,6 +15,8 @@
     pub shortest_first: bool,
     /// Let long prompts wait for more engines while that keeps them on time.
     pub wait_for_engines: bool,
+    /// Make a few short streams late where that brings a long prompt home in time.
+    pub break_pauses: bool,
     /// Keep parts from engines that are reading a prompt of their own.
     pub protect_reads: bool,
 }
@@ -29,6 +31,7 @@
             split_long: true,
             shortest_first: true,
             wait_for_engines: true,
+            break_pauses: true,
             protect_reads: true,
         }
     }
--- a/crates/azuresaddle-sched/src/passes/pool.rs
+++ b/crates/azuresaddle-sched/src/passes/pool.rs
@@ -25,6 +25,13 @@
 /// Part of the time left that the expected wait may take before an ask is refused at once.
 const HOPELESS_SHARE: f64 = 0.9;
 
+/// Part of the time left that a long prompt has waited before others may be made late for it.
+const BREAK_AFTER: f64 = 0.15;
+
+/// Most prompt tokens of streams made late, as a part of the long prompt's own tokens: the worth of
+/// an answer is not stated, so the work that its caller asks for stands for it.
+const BROKEN_SHARE: f64 = 0.2;
+
 /// Shortest time to come back that is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -117,6 +124,7 @@
             ask,
             read_ms,
             order,
+            asked_at: now,
         });
     }
 
@@ -320,6 +328,7 @@
                 start_ms: 0.0,
                 first_event_ms: plan.first_event_ms,
                 helper_memory_tokens: 0,
+                broken_tokens: 0,
             };
             self.start(now, waiting, &plan);
         }
@@ -336,9 +345,8 @@
                 .filter(|w| !self.is_short(w.read_ms))
                 .filter(|w| on_time == (w.ask.first_event_by > now))
                 .find_map(|w| {
-                    let plan = plan_long(&round, &w.ask, w.read_ms)?;
-                    let is_due = !self.options.wait_for_engines || plan.is_due(now, &w.ask, open);
-                    is_due.then_some((w.ask.id, plan))
+                    let plan = self.plan_for(&round, w, open)?;
+                    Some((w.ask.id, plan))
                 });
             let Some((id, plan)) = found else {
                 return;
@@ -350,6 +358,29 @@
         }
     }
 
+    /// A plan for a long prompt that is worth to begin now.
+    fn plan_for(&self, round: &Round<'_>, waiting: &Waiting, open: usize) -> Option<LongPlan> {
+        let Waiting { ask, read_ms, .. } = waiting;
+        let now = round.now;
+        let plan = plan_long(round, ask, *read_ms, 0);
+        let is_due =
+            |p: &LongPlan| !self.options.wait_for_engines || p.is_due(now, ask, open);
+        let plan = plan.filter(is_due);
+        if plan.as_ref().is_some_and(|p| p.is_on_time(now, ask)) || !self.options.break_pauses {
+            return plan;
+        }
+        let waited = now.saturating_duration_since(waiting.asked_at);
+        let left = ask.first_event_by.saturating_duration_since(now);
+        if left.is_zero() || waited < left.mul_f64(BREAK_AFTER) {
+            return plan;
+        }
+        let broken = (ask.prompt_tokens as f64 * BROKEN_SHARE) as u64;
+        let lenient = plan_long(round, ask, *read_ms, broken);
+        lenient
+            .filter(|p| p.is_on_time(now, ask) && is_due(p))
+            .or(plan)
+    }
+
     fn start(&mut self, now: Instant, waiting: Waiting, plan: &LongPlan) {
         let ask = waiting.ask;
         let grant = PassGrant {
@@ -365,7 +396,15 @@
             pause: ask.pause,
             helper_memory_tokens: plan.helper_memory_tokens,
         };
+        for key in &plan.engines {
+            let engine = &mut self.engines[*key];
+            engine.on_pass_planned(engine.next_pass_ms(&self.spec, plan.part_ms));
+        }
         self.hold(&parts, plan.engines[0], plan.engines[1..].to_vec());
+        let first_event = now + grant.first_event_in;
+        if let Some(lead) = self.engines[plan.engines[0]].leads.last_mut() {
+            lead.is_late = first_event > ask.first_event_by;
+        }
         for key in &plan.engines {
             self.engines[*key].add_read(now, &self.spec, plan.part_ms);
         }
@@ -381,8 +420,10 @@
             id: parts.id,
             memory_tokens: at_lead,
             context_tokens: at_lead,
+            prompt_tokens: parts.prompt_tokens,
             pause: parts.pause,
             is_writing: false,
+            is_late: false,
         });
         for key in &helpers {
             self.engines[*key].helps.push(Help {
@@ -426,7 +467,7 @@
             .filter(|w| {
                 let split = if self.is_short(w.read_ms) { 1 } else { open };
                 let needed = Duration::from_secs_f64(w.read_ms / split as f64 / 1000.0);
-                now + needed >= w.ask.deadline
+                now + needed + w.ask.writing_time() >= w.ask.deadline
             })
             .map(|w| w.ask.id)
             .collect();
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use tokio::time::Instant;
+
 use super::ask::{AskId, PassAsk};
 
 /// Order of waiting asks: their own order, then arrival.
@@ -15,6 +17,7 @@
     pub(super) read_ms: f64,
     /// Place in the queue, lowest first, in milliseconds of reading.
     pub(super) order: f64,
+    pub(super) asked_at: Instant,
 }
 
 /// Waiting asks in their order.
--- a/crates/azuresaddle-sched/src/passes/short_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/short_plan.rs
@@ -5,7 +5,7 @@
 //! pass that somebody waits for.
 
 use super::ask::PassAsk;
-use super::engine::{EngineId, longest_pass_ms};
+use super::engine::EngineId;
 use super::round::Round;
 
 /// Part of the time to the first event that the wait for a pass and the read may take; the rest
@@ -37,7 +37,6 @@
     } = *round;
     let memory = ask.prompt_tokens + ask.answer_tokens;
     let left_ms = ask.first_event_by.saturating_duration_since(now).as_secs_f64() * 1000.0;
-    let longest = longest_pass_ms(ask.pause);
     let mut best: Option<(Rank, ShortPlan)> = None;
     for (key, engine) in engines {
         let fits = engine.is_open(now)
@@ -50,7 +49,7 @@
         let wait_ms = engine.next_pass_in(now).as_secs_f64() * 1000.0;
         let first_event_ms = wait_ms + engine.next_pass_ms(spec, read_ms);
         let is_on_time = first_event_ms <= left_ms * FIRST_EVENT_SHARE;
-        let keeps_pauses = !options.check_pauses || engine.room_ms(spec, longest) >= read_ms;
+        let keeps_pauses = !options.check_pauses || engine.room_ms(spec) >= read_ms;
         if !any && !(is_on_time && keeps_pauses) {
             continue;
         }
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -19,6 +19,8 @@
     ArrivalOrder,
     /// Long prompts take whatever engines are free.
     NoPatience,
+    /// Never makes a short stream late for a long prompt.
+    KeepPauses,
     /// Parts may push aside what an engine reads for itself.
     PushAside,
     /// Any engine, at once.
@@ -31,13 +33,14 @@
 
 impl PassPolicy {
     /// All policies.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Pool,
         Self::NoPacking,
         Self::NoPauseCheck,
         Self::NoSplit,
         Self::ArrivalOrder,
         Self::NoPatience,
+        Self::KeepPauses,
         Self::PushAside,
         Self::Random,
         Self::LeastRequests,
@@ -53,6 +56,7 @@
             Self::NoSplit => "no-split",
             Self::ArrivalOrder => "arrival-order",
             Self::NoPatience => "no-patience",
+            Self::KeepPauses => "keep-pauses",
             Self::PushAside => "push-aside",
             Self::Random => "random",
             Self::LeastRequests => "least-requests",
@@ -85,6 +89,10 @@
                 wait_for_engines: false,
                 ..all
             },
+            Self::KeepPauses => PassOptions {
+                break_pauses: false,
+                ..all
+            },
             Self::PushAside => PassOptions {
                 protect_reads: false,
                 ..all
