--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -28,6 +28,10 @@
 /// Time before the deadline from which a late prompt takes any engines that end it in time.
 const LAST_CHANCE: Duration = Duration::from_secs(4);
 
+/// Time by which a plan that writes on an engine of its own must end sooner, in milliseconds: a part
+/// of the passes that it takes from that engine.
+const ALONE_COST_MS: f64 = 200.0;
+
 /// Time that 1,000 prompt tokens of streams made late must bring the end nearer, in milliseconds.
 const BROKEN_COST_MS: f64 = 4.0;
 
@@ -50,6 +54,8 @@
     pub(super) helper_memory_tokens: u64,
     /// Prompt tokens of the streams that become late by it.
     pub(super) broken_tokens: u64,
+    /// Whether nothing else is written on the leading engine.
+    pub(super) lead_writes_alone: bool,
 }
 
 impl LongPlan {
@@ -99,6 +105,8 @@
     /// Longest pass that the streams there bear, in milliseconds.
     longest_pass_ms: f64,
     free_tokens: u64,
+    /// Streams that are written there, or will be.
+    writers: usize,
     can_lead: bool,
     same_domain: bool,
 }
@@ -137,7 +145,8 @@
             continue;
         };
         let broken_ms = plan.broken_tokens as f64 / 1000.0 * BROKEN_COST_MS;
-        let cost = plan.first_event_ms + HELPER_COST_MS * count as f64 + broken_ms;
+        let alone_ms = if plan.lead_writes_alone { ALONE_COST_MS } else { 0.0 };
+        let cost = plan.first_event_ms + HELPER_COST_MS * count as f64 + broken_ms + alone_ms;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, plan));
         }
@@ -164,6 +173,7 @@
             room_ms: e.room_ms(spec),
             longest_pass_ms: e.longest_pass_ms(),
             free_tokens: e.free_tokens(spec),
+            writers: e.leads.len(),
             can_lead: e.has_slot(spec),
             same_domain: e.domain == ask.domain,
         })
@@ -184,7 +194,6 @@
 /// A plan with exactly as many engines.
 fn plan_with(round: &Round<'_>, candidates: &[Candidate], share: &Share) -> Option<LongPlan> {
     let spec = round.spec;
-    let mut chosen = choose(round, candidates, share)?;
     let others = share.count as u64 - 1;
     let helper_memory_tokens = if share.memory <= spec.memory_tokens {
         0
@@ -192,23 +201,23 @@
         share.memory.div_ceil(share.count as u64)
     };
     let lead_memory = share.memory.saturating_sub(helper_memory_tokens * others);
-    if chosen.iter().any(|c| c.free_tokens < helper_memory_tokens) {
+    let can_lead = |c: &&Candidate| c.can_lead && c.free_tokens >= lead_memory;
+    let able: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|c| c.free_tokens >= helper_memory_tokens)
+        .collect();
+    let bearing_leads = able.iter().copied().filter(can_lead);
+    let lead = best_lead(bearing_leads.filter(|c| bears(round, c, share.part_ms)))
+        .or_else(|| best_lead(able.iter().copied().filter(can_lead)))?;
+    let mut left = share.broken_tokens;
+    let broken = broken_tokens(round, lead, share.part_ms);
+    if broken > left && round.options.check_pauses {
         return None;
     }
-    let can_lead = |c: &Candidate| c.can_lead && c.free_tokens >= lead_memory;
-    let lead = match best_lead(&chosen, can_lead) {
-        Some(at) => at,
-        None => {
-            // None of the soonest can hold the stream: one that can takes the last place.
-            let is_free = |c: &&Candidate| chosen.iter().all(|o| o.key != c.key);
-            let mut others = candidates.iter().filter(is_free);
-            let other = others.find(|c| can_lead(c) && c.room_ms >= share.part_ms)?;
-            let last = chosen.len() - 1;
-            chosen[last] = *other;
-            last
-        }
-    };
-    chosen.swap(0, lead);
+    left = left.saturating_sub(broken);
+    let helpers = able.iter().copied().filter(|c| c.key != lead.key);
+    let mut chosen = vec![lead];
+    chosen.extend(choose(round, &helpers.collect::<Vec<_>>(), share, left)?);
     let start_ms = chosen.iter().map(|c| c.start_ms).fold(0.0, f64::max);
     let first_event_ms = chosen
         .iter()
@@ -224,35 +233,44 @@
             .iter()
             .map(|c| broken_tokens(round, c, share.part_ms))
             .sum(),
+        lead_writes_alone: lead.writers == 0,
     })
 }
 
-/// The engines that can begin soonest, those that make no stream late before the others.
-fn choose(round: &Round<'_>, candidates: &[Candidate], share: &Share) -> Option<Vec<Candidate>> {
-    let bears = |c: &&Candidate| !round.options.check_pauses || c.room_ms >= share.part_ms;
-    let free = candidates.iter().filter(bears);
-    let mut chosen: Vec<Candidate> = free.take(share.count).copied().collect();
-    if chosen.len() == share.count {
+fn bears(round: &Round<'_>, candidate: &Candidate, part_ms: f64) -> bool {
+    !round.options.check_pauses || candidate.room_ms >= part_ms
+}
+
+/// The helpers that can begin soonest, those that make no stream late before the others.
+fn choose<'a>(
+    round: &Round<'_>,
+    helpers: &[&'a Candidate],
+    share: &Share,
+    mut broken_left: u64,
+) -> Option<Vec<&'a Candidate>> {
+    let count = share.count - 1;
+    let free = helpers.iter().filter(|c| bears(round, c, share.part_ms));
+    let mut chosen: Vec<&Candidate> = free.take(count).copied().collect();
+    if chosen.len() == count {
         return Some(chosen);
     }
-    if share.broken_tokens == 0 {
+    if broken_left == 0 {
         return None;
     }
-    let mut others: Vec<(u64, &Candidate)> = candidates
+    let mut others: Vec<(u64, &Candidate)> = helpers
         .iter()
         .filter(|c| c.room_ms < share.part_ms)
-        .map(|c| (broken_tokens(round, c, share.part_ms), c))
+        .map(|c| (broken_tokens(round, c, share.part_ms), *c))
         .collect();
     others.sort_by_key(|(broken, _)| *broken);
-    let mut left = share.broken_tokens;
     for (broken, candidate) in others {
-        if chosen.len() == share.count || broken > left {
+        if chosen.len() == count || broken > broken_left {
             break;
         }
-        left -= broken;
-        chosen.push(*candidate);
+        broken_left -= broken;
+        chosen.push(candidate);
     }
-    (chosen.len() == share.count).then_some(chosen)
+    (chosen.len() == count).then_some(chosen)
 }
 
 /// Prompt tokens of the streams that a part makes late.
@@ -261,21 +279,25 @@
     engine.broken_tokens(engine.next_pass_ms(round.spec, part_ms))
 }
 
-/// Position of the engine that should write the answer.
+/// The engine that should write the answer.
 ///
-/// A writing stream bounds every later part on its engine, so it goes where another stream bounds
-/// them as much already, and engines without streams stay free for the longest parts.
-fn best_lead(chosen: &[Candidate], can_lead: impl Fn(&Candidate) -> bool) -> Option<usize> {
-    let able = chosen.iter().enumerate().filter(|(_, c)| can_lead(c));
-    let rank = |c: &Candidate| (c.longest_pass_ms, c.start_ms + c.base_ms, c.same_domain);
-    able.min_by(|(_, a), (_, b)| {
-        let (a, b) = (rank(a), rank(b));
-        let by_domain = b.2.cmp(&a.2);
-        a.0.total_cmp(&b.0)
-            .then(by_domain)
-            .then(a.1.total_cmp(&b.1))
+/// Steps cost nearly the same for one stream as for sixteen, and a writing stream bounds every
+/// later part on its engine. So the answer is written where others are written already, with the
+/// shortest pauses first, and engines without streams stay free for the longest parts: a review
+/// that is written alone takes four times the engine's time that its prompt takes to read.
+fn best_lead<'a>(able: impl Iterator<Item = &'a Candidate>) -> Option<&'a Candidate> {
+    let rank = |c: &Candidate| {
+        let is_late = c.start_ms > MAX_START_MS;
+        (is_late, c.writers == 0, c.longest_pass_ms, c.start_ms + c.base_ms)
+    };
+    able.min_by(|a, b| {
+        let (x, y) = (rank(a), rank(b));
+        (x.0, x.1)
+            .cmp(&(y.0, y.1))
+            .then(x.2.total_cmp(&y.2))
+            .then(b.same_domain.cmp(&a.same_domain))
+            .then(x.3.total_cmp(&y.3))
     })
-    .map(|(at, _)| at)
 }
 
 /// Names of a plan's helpers.
--- a/crates/azuresaddle-sched/src/passes/pool.rs
+++ b/crates/azuresaddle-sched/src/passes/pool.rs
@@ -337,6 +337,7 @@
                 first_event_ms: plan.first_event_ms,
                 helper_memory_tokens: 0,
                 broken_tokens: 0,
+                lead_writes_alone: false,
             };
             self.start(now, waiting, &plan);
         }
