--- a/crates/azuresaddle-edge/src/forward/stream.rs
+++ b/crates/azuresaddle-edge/src/forward/stream.rs
@@ -57,6 +57,15 @@
 /// Shortest such time.
 const MIN_PAUSE_PATIENCE: Duration = Duration::from_millis(700);
 
+/// Shortest time that callers wait for an event, by their own protocol.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Latency targets that callers wait for an event.
+const CALLER_TARGETS: u32 = 4;
+
+/// Longest pauses that callers wait for an event.
+const CALLER_PAUSES: u32 = 8;
+
 /// Time to come back where nothing is known of when a target is free.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -82,6 +91,7 @@
         declined: 0,
         last_failure: None,
         first_event_ms: None,
+        last_event_at: None,
     };
     left.spawn(async move {
         tokio::select! {
@@ -166,6 +176,8 @@
     last_failure: Option<Box<Response<ProxyBody>>>,
     /// Time from the arrival to the first event.
     first_event_ms: Option<u64>,
+    /// When the last event was passed on.
+    last_event_at: Option<Instant>,
 }
 
 impl<N: Network> Relay<N> {
@@ -239,6 +251,7 @@
             answer_tokens,
             first_event_by: first_event_by - FIRST_EVENT_MARGIN,
             pause: self.pause(),
+            give_up_at: self.give_up_at(),
             deadline: self.req.deadline,
             exclude: self.exclude.clone(),
         };
@@ -295,6 +308,16 @@
         }
     }
 
+    /// When the caller gives up if no event comes.
+    fn give_up_at(&self) -> Instant {
+        let targets = self.req.route.latency_target * CALLER_TARGETS;
+        let patience = targets
+            .max(self.pause() * CALLER_PAUSES)
+            .max(CALLER_PATIENCE);
+        let since = self.last_event_at.unwrap_or(self.req.arrived);
+        (since + patience).min(self.req.deadline)
+    }
+
     fn pause(&self) -> Duration {
         self.req.route.pause_target.unwrap_or(DEFAULT_PAUSE)
     }
@@ -406,7 +429,9 @@
             if events.lengths.is_empty() {
                 continue;
             }
-            next_by = Instant::now() + silence;
+            let now = Instant::now();
+            next_by = now + silence;
+            self.last_event_at = Some(now);
             if !seen_first {
                 seen_first = true;
                 self.first_event_ms
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -19,6 +19,8 @@
     /// Time left until the first event is late.
     pub(crate) first_event_in: Duration,
     pub(crate) pause: Duration,
+    /// Time left until the caller gives up if no event has come.
+    pub(crate) give_up_in: Duration,
     /// Time left until the request must have ended.
     pub(crate) time_left: Duration,
     pub(crate) exclude: Vec<HostName>,
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -33,6 +33,8 @@
     pub(crate) answer_tokens: u64,
     pub(crate) first_event_by: Instant,
     pub(crate) pause: Duration,
+    /// When the caller gives up if no event has come.
+    pub(crate) give_up_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) exclude: Vec<HostName>,
 }
@@ -198,6 +200,7 @@
             answer_tokens: req.answer_tokens,
             first_event_in: req.first_event_by.saturating_duration_since(now),
             pause: req.pause,
+            give_up_in: req.give_up_at.saturating_duration_since(now),
             time_left: req.deadline.saturating_duration_since(now),
             exclude: req.exclude.clone(),
         };
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -158,6 +158,7 @@
                 answer_tokens: ask.answer_tokens,
                 first_event_by: now + ask.first_event_in,
                 pause: ask.pause,
+                give_up_at: now + ask.give_up_in,
                 deadline: now + ask.time_left,
                 exclude: ask.exclude,
             },
--- a/crates/azuresaddle-sched/src/passes/ask.rs
+++ b/crates/azuresaddle-sched/src/passes/ask.rs
@@ -32,6 +32,8 @@
     pub first_event_by: Instant,
     /// Longest pause between events.
     pub pause: Duration,
+    /// When the caller gives up if no event has come.
+    pub give_up_at: Instant,
     /// When the request must have ended.
     pub deadline: Instant,
     /// Targets that must not be used, since an earlier attempt failed there.
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -25,7 +25,7 @@
 /// than keep a few from prompts that can still be on time.
 const MAX_LATE_PART_MS: f64 = 1000.0;
 
-/// Time before the deadline from which a late prompt takes any engines that end it in time.
+/// Time before the caller gives up from which a late prompt takes any engines that end it in time.
 const LAST_CHANCE: Duration = Duration::from_secs(4);
 
 /// Time by which a plan that writes on an engine of its own must end sooner, in milliseconds: a part
@@ -74,7 +74,7 @@
             return false;
         }
         let first_event_at = now + Duration::from_secs_f64(self.first_event_ms / 1000.0);
-        if first_event_at + ask.writing_time() > ask.deadline {
+        if first_event_at > ask.give_up_at || first_event_at + ask.writing_time() > ask.deadline {
             return false;
         }
         if first_event_at <= ask.first_event_by {
@@ -88,7 +88,7 @@
         }
         let usual_part_ms = read_ms / most as f64;
         self.part_ms <= MAX_LATE_PART_MS.max(usual_part_ms * 1.5)
-            || first_event_at + LAST_CHANCE >= ask.deadline
+            || first_event_at + LAST_CHANCE >= ask.give_up_at
     }
 }
 
@@ -145,7 +145,11 @@
             continue;
         };
         let broken_ms = plan.broken_tokens as f64 / 1000.0 * BROKEN_COST_MS;
-        let alone_ms = if plan.lead_writes_alone { ALONE_COST_MS } else { 0.0 };
+        let alone_ms = if plan.lead_writes_alone {
+            ALONE_COST_MS
+        } else {
+            0.0
+        };
         let cost = plan.first_event_ms + HELPER_COST_MS * count as f64 + broken_ms + alone_ms;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, plan));
@@ -288,7 +292,12 @@
 fn best_lead<'a>(able: impl Iterator<Item = &'a Candidate>) -> Option<&'a Candidate> {
     let rank = |c: &Candidate| {
         let is_late = c.start_ms > MAX_START_MS;
-        (is_late, c.writers == 0, c.longest_pass_ms, c.start_ms + c.base_ms)
+        (
+            is_late,
+            c.writers == 0,
+            c.longest_pass_ms,
+            c.start_ms + c.base_ms,
+        )
     };
     able.min_by(|a, b| {
         let (x, y) = (rank(a), rank(b));
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -5,6 +5,7 @@
 //! may grow, and by how much.
 
 mod ask;
+mod backlog;
 mod engine;
 mod long_plan;
 mod options;
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -17,6 +17,8 @@
     pub wait_for_engines: bool,
     /// Make a few short streams late where that brings a long prompt home in time.
     pub break_pauses: bool,
+    /// Refuse at once what the load of late gives no chance.
+    pub refuse_early: bool,
     /// Keep parts from engines that are reading a prompt of their own.
     pub protect_reads: bool,
 }
@@ -32,6 +34,7 @@
             shortest_first: true,
             wait_for_engines: true,
             break_pauses: true,
+            refuse_early: true,
             protect_reads: true,
         }
     }
--- a/crates/azuresaddle-sched/src/passes/pool.rs
+++ b/crates/azuresaddle-sched/src/passes/pool.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
+use super::backlog::Backlog;
 use super::engine::{Engine, EngineId, Help, Lead};
 use super::long_plan::{LongPlan, MAX_MEMBERS, helper_names, plan_long};
 use super::options::PassOptions;
@@ -22,9 +23,6 @@
 /// Longest time between two rounds while asks wait, in case an estimate is far off.
 const MAX_ROUND: Duration = Duration::from_millis(50);
 
-/// Part of the time left that the expected wait may take before an ask is refused at once.
-const HOPELESS_SHARE: f64 = 0.9;
-
 /// Part of the time left that a long prompt has waited before others may be made late for it.
 const BREAK_AFTER: f64 = 0.15;
 
@@ -53,6 +51,7 @@
     engines: SlotMap<EngineId, Engine>,
     names: HashMap<HostName, EngineId>,
     queue: Queue,
+    backlog: Backlog,
     runs: HashMap<AskId, Run>,
     decisions: Vec<(AskId, PassDecision)>,
 }
@@ -66,6 +65,7 @@
             engines: SlotMap::with_key(),
             names: HashMap::new(),
             queue: Queue::default(),
+            backlog: Backlog::default(),
             runs: HashMap::new(),
             decisions: Vec::new(),
         }
@@ -118,6 +118,9 @@
             self.decisions.push((ask.id, refused));
             return;
         }
+        if !self.is_short(read_ms) {
+            self.backlog.on_arrival(now, read_ms);
+        }
         let order = if self.options.shortest_first {
             read_ms
         } else {
@@ -345,7 +348,7 @@
 
     /// Places long prompts; first those that can still be on time, then the others.
     fn place_long(&mut self, now: Instant, on_time: bool) {
-        let open = self.engines.values().filter(|e| e.is_open(now)).count();
+        let open = self.open_engines(now);
         loop {
             let round = self.round(now);
             let found = self
@@ -443,9 +446,9 @@
         self.runs.insert(parts.id, Run { lead, helpers });
     }
 
-    /// When to come back, where the deadline can't be met.
+    /// When to come back, where the request can't be served in its time.
     fn hopeless(&self, now: Instant, ask: &PassAsk, read_ms: f64) -> Option<Duration> {
-        let open = self.engines.values().filter(|e| e.is_open(now)).count();
+        let open = self.open_engines(now);
         if open == 0 {
             return Some(MIN_RETRY_AFTER);
         }
@@ -455,44 +458,54 @@
         if memory > members * self.spec.memory_tokens {
             return Some(MAX_RETRY_AFTER);
         }
-        let left = ask.deadline.saturating_duration_since(now);
-        let ahead_ms = if self.is_short(read_ms) {
-            0.0
-        } else {
-            // Prompts that read quicker go first, so only their part of the backlog counts.
-            let quicker = self.queue.iter().take_while(|w| w.read_ms <= read_ms);
-            quicker.map(|w| w.read_ms).sum()
-        };
-        let needed_ms = (ahead_ms + read_ms) / open as f64;
-        let needed = Duration::from_secs_f64(needed_ms / 1000.0);
-        if needed <= left.mul_f64(HOPELESS_SHARE) {
+        let wait = self.expected_wait(now, read_ms, open);
+        let least = self.least_time(read_ms, open);
+        let comes_at = now + wait + least;
+        if comes_at <= ask.give_up_at && comes_at + ask.writing_time() <= ask.deadline {
             return None;
         }
-        let wait = Duration::from_secs_f64(ahead_ms / open as f64 / 1000.0);
         Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 
-    /// Refuses every ask that can't be answered by its deadline.
+    fn open_engines(&self, now: Instant) -> usize {
+        self.engines.values().filter(|e| e.is_open(now)).count()
+    }
+
+    /// Time to read a prompt with all engines that may take part.
+    fn least_time(&self, read_ms: f64, open: usize) -> Duration {
+        let split = if self.is_short(read_ms) {
+            1
+        } else {
+            open.clamp(1, MAX_MEMBERS)
+        };
+        Duration::from_secs_f64(read_ms / split as f64 / 1000.0)
+    }
+
+    /// Expected time until a long prompt begins, from what waits before it and the load of late;
+    /// short ones are not expected to wait.
+    fn expected_wait(&self, now: Instant, read_ms: f64, open: usize) -> Duration {
+        if self.is_short(read_ms) || !self.options.refuse_early {
+            return Duration::ZERO;
+        }
+        let long = self.queue.iter().filter(|w| !self.is_short(w.read_ms));
+        let quicker = long.take_while(|w| w.read_ms < read_ms);
+        let ahead_ms: f64 = quicker.map(|w| w.read_ms).sum();
+        let share = self.backlog.free_share(now, read_ms, open);
+        let wait_ms = (ahead_ms + read_ms) / (open as f64 * share) - read_ms / open as f64;
+        Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
+    }
+
+    /// Refuses every ask that can't be answered in its time any more.
     fn refuse_overdue(&mut self, now: Instant) {
-        let open = self
-            .engines
-            .values()
-            .filter(|e| e.is_open(now))
-            .count()
-            .max(1);
-        let overdue: Vec<AskId> = self
+        let overdue: Vec<(AskId, Duration)> = self
             .queue
             .iter()
-            .filter(|w| {
-                let split = if self.is_short(w.read_ms) { 1 } else { open };
-                let needed = Duration::from_secs_f64(w.read_ms / split as f64 / 1000.0);
-                now + needed + w.ask.writing_time() >= w.ask.deadline
+            .filter_map(|w| {
+                let retry_after = self.hopeless(now, &w.ask, w.read_ms)?;
+                Some((w.ask.id, retry_after))
             })
-            .map(|w| w.ask.id)
             .collect();
-        let wait = Duration::from_secs_f64(self.queue.read_ms() / open as f64 / 1000.0);
-        let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        for id in overdue {
+        for (id, retry_after) in overdue {
             self.queue.remove(id);
             self.decisions
                 .push((id, PassDecision::Refused { retry_after }));
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -26,7 +26,6 @@
     by_rank: BTreeMap<Rank, Waiting>,
     ranks: HashMap<AskId, Rank>,
     arrivals: u64,
-    read_ms: f64,
 }
 
 impl Queue {
@@ -34,7 +33,6 @@
         self.arrivals += 1;
         // Microseconds keep the order of prompts that differ by a few tokens.
         let rank = ((waiting.order * 1000.0) as u64, self.arrivals);
-        self.read_ms += waiting.read_ms;
         self.ranks.insert(waiting.ask.id, rank);
         self.by_rank.insert(rank, waiting);
     }
@@ -42,10 +40,6 @@
     pub(super) fn remove(&mut self, id: AskId) -> Option<Waiting> {
         let rank = self.ranks.remove(&id)?;
         let waiting = self.by_rank.remove(&rank)?;
-        self.read_ms -= waiting.read_ms;
-        if self.by_rank.is_empty() {
-            self.read_ms = 0.0;
-        }
         Some(waiting)
     }
 
@@ -57,11 +51,6 @@
         self.by_rank.values()
     }
 
-    /// Time to read all waiting prompts on one engine, in milliseconds.
-    pub(super) fn read_ms(&self) -> f64 {
-        self.read_ms
-    }
-
     pub(super) fn len(&self) -> usize {
         self.by_rank.len()
     }
--- a/crates/azuresaddle-sched/tests/suite/passes.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes.rs
@@ -62,6 +62,7 @@
         answer_tokens: 800,
         first_event_by: now + Duration::from_millis(first),
         pause: Duration::from_millis(pause),
+        give_up_at: now + Duration::from_secs(12),
         deadline: now + Duration::from_secs(15),
         exclude: Vec::new(),
     }
@@ -191,6 +192,7 @@
     let now = Instant::now();
     let mut pool = pool(now, 1);
     let mut huge = ask(now, 1, 900_000);
+    huge.give_up_at = now + Duration::from_secs(120);
     huge.deadline = now + Duration::from_secs(120);
     pool.enqueue(now, huge);
     pool.dispatch(now);
--- a/crates/azuresaddle-standin/src/cmd/passes.rs
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -90,8 +90,8 @@
 
 fn print_table(rows: &[Vec<DayResults>]) {
     say(&format!(
-        "{:<16} {:>6} {:>6} {:>7}   on time / served / largest tenth served / first event p50 p95, by kind",
-        "policy", "worth", "day", "windows",
+        "{:<16} {:>6} {:>6} {:>7} {:>6}   on time / served / largest tenth served / first event p50 p95, by kind",
+        "policy", "worth", "day", "windows", "held",
     ));
     for days in rows {
         let Some(first) = days.first() else {
@@ -100,11 +100,12 @@
         let mean =
             |of: &dyn Fn(&DayResults) -> f64| days.iter().map(of).sum::<f64>() / days.len() as f64;
         let mut line = format!(
-            "{:<16} {:>6.3} {:>6.3} {:>7.3}",
+            "{:<16} {:>6.3} {:>6.3} {:>7.3} {:>6.3}",
             first.policy,
             mean(&|d| d.worth),
             mean(&|d| d.day),
             mean(&|d| d.windows),
+            mean(&|d| d.held),
         );
         for k in 0..first.kinds.len() {
             let share = |n: &dyn Fn(&DayResults) -> usize| {
--- a/crates/azuresaddle-standin/src/passes/credit.rs
+++ b/crates/azuresaddle-standin/src/passes/credit.rs
@@ -44,25 +44,37 @@
     pub policy: String,
     /// Seed.
     pub seed: u64,
-    /// Whole day, worst windows and worst kind, weighted.
+    /// Whole day, worst windows and worst kind, weighted, less what is lost by holding.
     pub worth: f64,
     /// Credit earned over credit owed.
     pub day: f64,
+    /// Part of the worth that is lost by holding requests without trying them.
+    pub held: f64,
     /// The same over the two worst windows.
     pub windows: f64,
     /// By kind.
     pub kinds: Vec<KindResults>,
 }
 
+/// What happened on a day, by request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlayedDay<'a> {
+    pub(super) requests: &'a [SheetRequest],
+    pub(super) ends: &'a [End],
+    /// Time to the first event, in milliseconds.
+    pub(super) first_ms: &'a [Option<f64>],
+    /// Part of the worth that is lost by holding a request without trying it.
+    pub(super) held: &'a [f64],
+}
+
 /// Sums a day up.
-pub(super) fn sum_up(
-    sheet: &Sheet,
-    requests: &[SheetRequest],
-    ends: &[End],
-    first_ms: &[Option<f64>],
-    policy: &str,
-    seed: u64,
-) -> DayResults {
+pub(super) fn sum_up(sheet: &Sheet, day: &PlayedDay<'_>, policy: &str, seed: u64) -> DayResults {
+    let PlayedDay {
+        requests,
+        ends,
+        first_ms,
+        held,
+    } = *day;
     let credit = |i: usize| match ends[i] {
         End::OnTime => requests[i].worth,
         End::Late => requests[i].late_worth,
@@ -75,6 +87,9 @@
     };
     let all: Vec<usize> = (0..requests.len()).collect();
     let day = ratio(&all);
+    let owed: f64 = requests.iter().map(|r| r.worth).sum();
+    let held: f64 = requests.iter().zip(held).map(|(r, h)| r.worth * h).sum();
+    let held = held / owed;
     let count = (sheet.length_s * 1000.0 / WINDOW_MS) as usize;
     let mut windows: Vec<f64> = (0..count)
         .map(|w| {
@@ -102,8 +117,9 @@
     DayResults {
         policy: policy.to_owned(),
         seed,
-        worth: WEIGHTS.0 * day + WEIGHTS.1 * windows + WEIGHTS.2 * worst,
+        worth: WEIGHTS.0 * day + WEIGHTS.1 * windows + WEIGHTS.2 * worst - held,
         day,
+        held,
         windows,
         kinds,
     }
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -21,6 +21,8 @@
     NoPatience,
     /// Never makes a short stream late for a long prompt.
     KeepPauses,
+    /// Holds every prompt until its caller gives up.
+    HoldAll,
     /// Parts may push aside what an engine reads for itself.
     PushAside,
     /// Any engine, at once.
@@ -33,7 +35,7 @@
 
 impl PassPolicy {
     /// All policies.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Pool,
         Self::NoPacking,
         Self::NoPauseCheck,
@@ -41,6 +43,7 @@
         Self::ArrivalOrder,
         Self::NoPatience,
         Self::KeepPauses,
+        Self::HoldAll,
         Self::PushAside,
         Self::Random,
         Self::LeastRequests,
@@ -57,6 +60,7 @@
             Self::ArrivalOrder => "arrival-order",
             Self::NoPatience => "no-patience",
             Self::KeepPauses => "keep-pauses",
+            Self::HoldAll => "hold-all",
             Self::PushAside => "push-aside",
             Self::Random => "random",
             Self::LeastRequests => "least-requests",
@@ -93,6 +97,10 @@
                 break_pauses: false,
                 ..all
             },
+            Self::HoldAll => PassOptions {
+                refuse_early: false,
+                ..all
+            },
             Self::PushAside => PassOptions {
                 protect_reads: false,
                 ..all
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -11,10 +11,10 @@
 use tokio::time::Instant;
 
 use super::baseline::place;
-use super::credit::{DayResults, End, sum_up};
+use super::credit::{DayResults, End, PlayedDay, sum_up};
 use super::engine::EngineModel;
 use super::policy::PassPolicy;
-use super::sheet::{Sheet, SheetRequest, draw_requests};
+use super::sheet::{KindOfRequest, Sheet, SheetRequest, draw_requests};
 
 /// Time from a decision until the engine has the request, in milliseconds.
 const TO_ENGINE_MS: f64 = 3.0;
@@ -45,7 +45,7 @@
     last_event_at: f64,
     longest_pause_ms: f64,
     ended_at: Option<f64>,
-    is_refused: bool,
+    refused_at: Option<f64>,
 }
 
 /// Plays one day with one policy.
@@ -60,7 +60,14 @@
         .zip(&requests)
         .map(|(s, r)| s.first_at.map(|at| at - r.at_ms + CALLER_MS))
         .collect();
-    sum_up(sheet, &requests, &ends, &firsts, policy.name(), seed)
+    let held: Vec<f64> = (0..requests.len()).map(|i| world.held(i)).collect();
+    let day = PlayedDay {
+        requests: &requests,
+        ends: &ends,
+        first_ms: &firsts,
+        held: &held,
+    };
+    sum_up(sheet, &day, policy.name(), seed)
 }
 
 struct World<'a> {
@@ -162,6 +169,7 @@
             answer_tokens: request.answer_estimate,
             first_event_by: after(kind.first_event_ms - 12.0),
             pause: Duration::from_secs_f64(kind.pause_ms / 1000.0),
+            give_up_at: after(give_up_ms(kind)),
             deadline: after(kind.deadline_ms),
             exclude: Vec::new(),
         };
@@ -180,7 +188,7 @@
             let i = id.number as usize;
             match decision {
                 PassDecision::Granted(grant) => self.start(at_ms, i, &grant),
-                PassDecision::Refused { .. } => self.streams[i].is_refused = true,
+                PassDecision::Refused { .. } => self.streams[i].refused_at = Some(at_ms),
             }
         }
         if let Some(at) = wake {
@@ -262,6 +270,20 @@
         self.push(at_ms + TO_OWNER_MS, Event::EndKnown(i));
     }
 
+    /// Part of a request's worth that is lost because it was held without being tried.
+    fn held(&self, i: usize) -> f64 {
+        let stream = &self.streams[i];
+        if !stream.engines.is_empty() {
+            return 0.0;
+        }
+        let request = &self.requests[i];
+        let kind = &self.sheet.kinds[request.kind];
+        let until = stream.refused_at.unwrap_or(f64::INFINITY) - request.at_ms;
+        let free = kind.first_event_ms / 8.0;
+        let all = give_up_ms(kind) * 0.75;
+        ((until - free) / (all - free)).clamp(0.0, 1.0)
+    }
+
     fn end(&self, i: usize) -> End {
         let stream = &self.streams[i];
         let request = &self.requests[i];
@@ -270,7 +292,7 @@
             return End::Lost;
         };
         let took = |at: f64| at - request.at_ms + CALLER_MS;
-        if stream.is_refused || took(ended) > kind.deadline_ms {
+        if took(first) > give_up_ms(kind) || took(ended) > kind.deadline_ms {
             return End::Lost;
         }
         let is_on_time =
@@ -279,6 +301,13 @@
     }
 }
 
+/// Time after which a caller gives up if no event has come.
+fn give_up_ms(kind: &KindOfRequest) -> f64 {
+    2000f64
+        .max(4.0 * kind.first_event_ms)
+        .max(8.0 * kind.pause_ms)
+}
+
 fn ask_id(i: usize) -> AskId {
     AskId {
         node: 1,
