--- a/crates/azuresaddle-core/src/deployment/engine_spec.rs
+++ b/crates/azuresaddle-core/src/deployment/engine_spec.rs
@@ -37,11 +37,13 @@
 }
 
 impl EngineSpec {
-    /// Time to read a whole prompt on one engine, in milliseconds.
+    /// Time to read a whole prompt on one engine without writing streams, in milliseconds; with them
+    /// the steps are those of the streams.
     pub fn read_ms(&self, tokens: u64) -> f64 {
         let tokens = tokens as f64;
         let pairs = tokens * tokens / 2.0 / 1e6;
-        tokens / self.read_tokens_per_ms + pairs * self.ms_per_1m_pairs
+        let steps = tokens / f64::from(self.max_read_tokens_per_step.max(1));
+        tokens / self.read_tokens_per_ms + pairs * self.ms_per_1m_pairs + steps * self.step_ms
     }
 
     /// Time that a pass spends on token steps, in milliseconds, for `streams` writing streams that
--- a/crates/azuresaddle-edge/src/forward/stream.rs
+++ b/crates/azuresaddle-edge/src/forward/stream.rs
@@ -287,7 +287,7 @@
                 request = ?self.req.head.attempt_id,
                 route = %self.req.route.name,
                 target = %target.id,
-                helpers = helpers.len(),
+                helpers = %names(&helpers),
                 reserved_tokens = placed.helper_memory_tokens,
                 prompt_tokens,
                 configuration = snapshot.configuration.as_ref().map_or(0, |c| c.version.0),
@@ -596,6 +596,12 @@
     }
 }
 
+/// Names of targets for one log line.
+fn names(targets: &[Arc<TargetEntry>]) -> String {
+    let names: Vec<&str> = targets.iter().map(|t| t.id.as_str()).collect();
+    names.join(",")
+}
+
 fn plain_helpers(helpers: &[Arc<TargetEntry>]) -> Vec<HelperRef> {
     let refs = helpers.iter().map(|h| HelperRef {
         addr: h.addr,
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -64,6 +64,8 @@
     pub(super) helps: Vec<Help>,
     /// When the pass that is believed to run ends; in the past where none runs.
     pub(super) pass_ends: Instant,
+    /// When the last pass that reads is believed to end.
+    pub(super) reads_until: Instant,
     /// Reading that waits for the next pass, in milliseconds.
     pub(super) next_read_ms: f64,
     /// Time of its work against that of a usual engine.
@@ -80,6 +82,7 @@
             leads: Vec::new(),
             helps: Vec::new(),
             pass_ends: now,
+            reads_until: now,
             next_read_ms: 0.0,
             pace: 1.0,
             leaving: false,
@@ -153,11 +156,15 @@
                 return;
             }
             let ms = spec.write_ms(count, context) * self.pace + self.next_read_ms;
+            let reads = self.next_read_ms > 0.0;
             self.next_read_ms = 0.0;
             let start = if idle { now } else { self.pass_ends };
             let length = Duration::from_secs_f64(ms.max(1.0) / 1000.0);
             // A stretch that was not followed is made up by whole passes.
             self.pass_ends = start + length;
+            if reads {
+                self.reads_until = self.pass_ends;
+            }
             if self.pass_ends <= now && self.next_read_ms == 0.0 {
                 let behind = now.duration_since(start).as_secs_f64();
                 let passes = (behind / length.as_secs_f64()).floor();
@@ -166,14 +173,13 @@
         }
     }
 
-    /// Whether a part for another engine would delay a prompt that this engine reads for itself.
+    /// Whether a part that is sent now may come to be read in one pass with another.
     ///
-    /// Engines read parts for others first, and without writing streams their passes are short, so
-    /// such a part pushes aside what is half read: a prompt expected after 0.5 s came after 3.1 s.
-    pub(super) fn would_push_aside(&self, now: Instant) -> bool {
-        let reads_own = self.leads.iter().any(|l| !l.is_writing);
-        let writes = self.leads.iter().any(|l| l.is_writing);
-        reads_own && !writes && self.pass_ends > now
+    /// All parts that wait when a pass begins are read in it, and none is done before its end. When
+    /// exactly an engine begins is not known here, so a prompt expected after 0.3 s came after
+    /// 2.4 s where a longer part followed it within a tenth of a second.
+    pub(super) fn is_reading(&self, now: Instant) -> bool {
+        self.next_read_ms > 0.0 || self.reads_until > now
     }
 
     /// Time until the next pass begins.
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -35,6 +35,9 @@
 /// Time that 1,000 prompt tokens of streams made late must bring the end nearer, in milliseconds.
 const BROKEN_COST_MS: f64 = 4.0;
 
+/// Longest part that may come to be read together with another, in milliseconds.
+const MAX_JOINED_MS: f64 = 50.0;
+
 /// Longest time until all engines of a plan begin; a plan further ahead waits, so that a quicker
 /// prompt that arrives meanwhile can go first.
 const MAX_START_MS: f64 = 120.0;
@@ -102,6 +105,8 @@
     base_ms: f64,
     /// Longest part that makes no stream late, in milliseconds.
     room_ms: f64,
+    /// Whether a part may come to be read together with another.
+    is_reading: bool,
     /// Longest pass that the streams there bear, in milliseconds.
     longest_pass_ms: f64,
     free_tokens: u64,
@@ -169,12 +174,16 @@
         .iter()
         .filter(|(_, e)| e.is_open(now) && !ask.exclude.contains(&e.name))
         .filter(|(_, e)| e.can_help(spec))
-        .filter(|(_, e)| !options.protect_reads || !e.would_push_aside(now))
         .map(|(key, e)| Candidate {
             key,
             start_ms: e.next_pass_in(now).as_secs_f64() * 1000.0,
             base_ms: e.next_pass_ms(spec, 0.0),
-            room_ms: e.room_ms(spec),
+            room_ms: if options.protect_reads && e.is_reading(now) {
+                e.room_ms(spec).min(MAX_JOINED_MS)
+            } else {
+                e.room_ms(spec)
+            },
+            is_reading: options.protect_reads && e.is_reading(now),
             longest_pass_ms: e.longest_pass_ms(),
             free_tokens: e.free_tokens(spec),
             writers: e.leads.len(),
@@ -211,8 +220,15 @@
         .filter(|c| c.free_tokens >= helper_memory_tokens)
         .collect();
     let bearing_leads = able.iter().copied().filter(can_lead);
-    let lead = best_lead(bearing_leads.filter(|c| bears(round, c, share.part_ms)))
-        .or_else(|| best_lead(able.iter().copied().filter(can_lead)))?;
+    let lead =
+        best_lead(bearing_leads.filter(|c| bears(round, c, share.part_ms))).or_else(|| {
+            best_lead(
+                able.iter()
+                    .copied()
+                    .filter(can_lead)
+                    .filter(|c| !c.is_reading),
+            )
+        })?;
     let mut left = share.broken_tokens;
     let broken = broken_tokens(round, lead, share.part_ms);
     if broken > left && round.options.check_pauses {
@@ -263,7 +279,7 @@
     }
     let mut others: Vec<(u64, &Candidate)> = helpers
         .iter()
-        .filter(|c| c.room_ms < share.part_ms)
+        .filter(|c| c.room_ms < share.part_ms && !c.is_reading)
         .map(|c| (broken_tokens(round, c, share.part_ms), *c))
         .collect();
     others.sort_by_key(|(broken, _)| *broken);
