--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -17,6 +17,7 @@
 use super::members::{Members, TICK};
 use super::registry::Registry;
 use super::store_watch::{StoreEvent, watch_store};
+use crate::metrics::Metrics;
 use crate::peer::{PeerClients, PeerNews};
 use crate::snapshot::{Snapshot, Snapshots, TargetSet};
 
@@ -51,6 +52,7 @@
     pub(crate) leaving: CancellationToken,
     /// Incarnations of nodes that did not answer calls.
     pub(crate) no_answer: mpsc::Receiver<u64>,
+    pub(crate) metrics: Metrics,
 }
 
 /// State of control.
@@ -73,6 +75,7 @@
     /// When the store last answered this node.
     store_answered_at: Option<Instant>,
     no_answer: mpsc::Receiver<u64>,
+    metrics: Metrics,
 }
 
 impl<N: Network> Control<N> {
@@ -120,6 +123,7 @@
             watch_enabled,
             store_answered_at: None,
             no_answer: parts.no_answer,
+            metrics: parts.metrics,
         }
     }
 
@@ -287,6 +291,7 @@
             StoreEvent::Lost { reason } => {
                 tracing::warn!(part = "control", reason, "store lost");
                 self.store_answered_at = None;
+                self.metrics.store_failures.inc();
                 false
             }
             StoreEvent::Listing { items, at } => {
@@ -365,6 +370,10 @@
         let before = self.snapshots.load();
         let targets = self.registry.targets();
         self.log_changes(&before, &targets, nodes.len(), owner);
+        self.metrics.configuration_version.set(version);
+        self.metrics.targets.set(targets.len() as i64);
+        self.metrics.nodes.set(nodes.len() as i64);
+        self.metrics.is_owner.set(i64::from(owner == self.members.incarnation()));
         self.snapshots.publish(Snapshot {
             configuration: self.configuration.clone(),
             raw_configuration: self.raw_configuration.clone(),
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -92,6 +92,11 @@
         update(&mut self.own);
     }
 
+    /// Random number of this process.
+    pub(super) fn incarnation(&self) -> u64 {
+        self.own.incarnation
+    }
+
     /// Whether this node is stopping.
     pub(super) fn is_leaving(&self) -> bool {
         self.own.is_leaving
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -42,6 +42,17 @@
         }
     }
 
+    /// Name of the failure in metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not-sent",
+            Self::Declined { .. } => "declined",
+            Self::WrongTarget => "wrong-target",
+            Self::Broken(_) => "broken",
+            Self::Silent => "silent",
+        }
+    }
+
     /// Whether the target has seen the request.
     pub(super) fn has_arrived(&self) -> bool {
         !matches!(self, Self::NotSent(_))
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azuresaddle_core::deployment::{Bounds, EngineSpec, TargetEntry};
+use azuresaddle_core::deployment::{Bounds, EngineSpec, EntrySettings, TargetEntry};
 use azuresaddle_core::prelude::*;
 use hyper::Response;
 
@@ -11,6 +11,7 @@
 use super::plain::forward_plain;
 use super::retry_budget::RetryBudget;
 use super::stream::forward_stream;
+use crate::metrics::Metrics;
 use crate::placement::Placement;
 use crate::snapshot::Snapshots;
 use crate::targets::{ConnectError, Connection, Connections, TargetHealth};
@@ -25,19 +26,21 @@
     pub(super) health: Arc<TargetHealth>,
     pub(super) retries: RetryBudget,
     pub(super) bounds: Bounds,
+    pub(super) metrics: Metrics,
 }
 
 impl<N: Network> Forwarder<N> {
     pub(crate) fn new(
         net: N,
         spawner: Spawner,
-        domain: FailureDomain,
-        bounds: Bounds,
+        settings: &EntrySettings,
         snapshots: Snapshots,
         placement: Arc<Placement<N>>,
+        metrics: Metrics,
     ) -> Arc<Self> {
+        let bounds = settings.bounds;
         let forwarder = Arc::new(Self {
-            domain,
+            domain: settings.domain.clone(),
             connections: Connections::new(net, spawner.clone()),
             spawner: spawner.clone(),
             snapshots,
@@ -45,6 +48,7 @@
             health: Arc::default(),
             retries: RetryBudget::new(bounds),
             bounds,
+            metrics,
         });
         spawner.spawn(Arc::clone(&forwarder).follow_targets());
         forwarder
@@ -53,11 +57,16 @@
     /// Relays one request.
     pub(crate) async fn forward(self: &Arc<Self>, req: ForwardRequest) -> Response<ProxyBody> {
         self.retries.on_request(&req.service);
-        if req.route.is_stream {
+        let service = Arc::clone(&req.service);
+        let arrived = req.arrived;
+        let response = if req.route.is_stream {
             forward_stream(Arc::clone(self), req).await
         } else {
             forward_plain(self, &req).await
-        }
+        };
+        let took = arrived.elapsed();
+        self.metrics.on_answer(&service, response.status(), took);
+        response
     }
 
     /// A connection to a target, within this node's share.
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -82,6 +82,7 @@
                 tries.last_failure = Some(answer);
             }
             Ok(answer) => {
+                cx.metrics.on_send(&req.service, "answered");
                 cx.health.on_answer(&target.id, started.elapsed());
                 return answer.into_response();
             }
@@ -181,6 +182,7 @@
     target: &TargetEntry,
     failure: &SendFailure,
 ) {
+    cx.metrics.on_send(&target.service, failure.label());
     match failure {
         SendFailure::WrongTarget => cx.health.on_gone(&target.id),
         SendFailure::Declined { .. } => cx.health.on_refused(&target.id),
--- a/crates/azuresaddle-edge/src/forward/stream.rs
+++ b/crates/azuresaddle-edge/src/forward/stream.rs
@@ -190,6 +190,7 @@
             let lead = place.target.id.clone();
             match self.send(&place).await {
                 Sent::Complete => {
+                    self.cx.metrics.on_send(&self.req.service, "answered");
                     self.log(&lead, "stream complete");
                     return place.end(PassOutcome::Done);
                 }
@@ -256,7 +257,11 @@
             exclude: self.exclude.clone(),
         };
         loop {
+            let asked_at = Instant::now();
             let placed = self.cx.placement.place(ask.clone()).await?;
+            self.cx
+                .metrics
+                .on_placed(&self.req.service, asked_at.elapsed());
             let snapshot = self.cx.snapshots.load();
             let known = snapshot.targets.get(&placed.lead);
             let usable = known.filter(|t| !self.cx.health.is_gone(&t.id));
@@ -434,8 +439,7 @@
             self.last_event_at = Some(now);
             if !seen_first {
                 seen_first = true;
-                self.first_event_ms
-                    .get_or_insert(self.req.arrived.elapsed().as_millis() as u64);
+                self.note_first_event();
                 place.on_first_event();
             }
             let Some(bytes) = self.next_in_order(events.bytes, &events.ids) else {
@@ -457,6 +461,15 @@
         Sent::Complete
     }
 
+    fn note_first_event(&mut self) {
+        if self.first_event_ms.is_some() {
+            return;
+        }
+        let took = self.req.arrived.elapsed();
+        self.first_event_ms = Some(took.as_millis() as u64);
+        self.cx.metrics.on_first_event(&self.req.service, took);
+    }
+
     /// Sends the head on, once for the whole answer; false where the caller left.
     fn begin(&mut self, begin: &mut Option<Begin>) -> bool {
         match (self.head.take(), begin.take()) {
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -8,10 +8,11 @@
 mod directory;
 mod forward;
 mod frontend;
+mod metrics;
 mod node;
 mod peer;
 mod placement;
 mod snapshot;
 mod targets;
 
-pub use node::{Node, OpenError};
+pub use node::{Node, NodeOptions, OpenError};
--- /dev/null
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -0,0 +1,172 @@
+//! Counters and latency histograms, in the text format that scrapers read.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use azuresaddle_core::http::{Body, Handler, full};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Content type of the text format.
+const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Upper bounds of the latency histograms, in seconds: around the usual latency targets of 0.1, 0.3,
+/// 1.5 and 3 s.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 5.0, 10.0, 15.0,
+];
+
+/// Labels of answers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AnswerLabels {
+    service: String,
+    status: u16,
+}
+
+/// Labels of sends to targets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SendLabels {
+    service: String,
+    result: &'static str,
+}
+
+/// Labels of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    service: String,
+}
+
+/// All metrics of a node; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    registry: Arc<Registry>,
+    answers: Family<AnswerLabels, Counter>,
+    sends: Family<SendLabels, Counter>,
+    first_event: Family<ServiceLabels, Histogram>,
+    placement_wait: Family<ServiceLabels, Histogram>,
+    answer_time: Family<ServiceLabels, Histogram>,
+    pub(crate) configuration_version: Gauge<u64, AtomicU64>,
+    pub(crate) targets: Gauge,
+    pub(crate) nodes: Gauge,
+    pub(crate) is_owner: Gauge,
+    pub(crate) store_failures: Counter,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("azuresaddle");
+        let metrics = Self {
+            answers: Family::default(),
+            sends: Family::default(),
+            first_event: Family::new_with_constructor(latency_histogram),
+            placement_wait: Family::new_with_constructor(latency_histogram),
+            answer_time: Family::new_with_constructor(latency_histogram),
+            configuration_version: Gauge::default(),
+            targets: Gauge::default(),
+            nodes: Gauge::default(),
+            is_owner: Gauge::default(),
+            store_failures: Counter::default(),
+            registry: Arc::default(),
+        };
+        metrics.register(&mut registry);
+        Self {
+            registry: Arc::new(registry),
+            ..metrics
+        }
+    }
+
+    fn register(&self, r: &mut Registry) {
+        r.register("answers", "Answers to callers by status", self.answers.clone());
+        r.register("sends", "Sends to targets by result", self.sends.clone());
+        let help = "Time from a request's arrival to its first event";
+        r.register("first_event_seconds", help, self.first_event.clone());
+        let help = "Time that a request waited for engines";
+        r.register("placement_wait_seconds", help, self.placement_wait.clone());
+        let help = "Time from a request's arrival to its answer";
+        r.register("answer_seconds", help, self.answer_time.clone());
+        let help = "Version of the configuration in force; 0 for none";
+        r.register("configuration_version", help, self.configuration_version.clone());
+        r.register("targets", "Targets that take new work", self.targets.clone());
+        r.register("nodes", "Live nodes, this one among them", self.nodes.clone());
+        let help = "1 where this node places streams";
+        r.register("owner", help, self.is_owner.clone());
+        let help = "Times that the store stopped answering";
+        r.register("store_failures", help, self.store_failures.clone());
+    }
+
+    /// Counts an answer to a caller.
+    pub(crate) fn on_answer(&self, service: &str, status: StatusCode, took: Duration) {
+        let labels = AnswerLabels {
+            service: service.to_owned(),
+            status: status.as_u16(),
+        };
+        self.answers.get_or_create(&labels).inc();
+        observe(&self.answer_time, service, took);
+    }
+
+    /// Counts a send to a target.
+    pub(crate) fn on_send(&self, service: &str, result: &'static str) {
+        let labels = SendLabels {
+            service: service.to_owned(),
+            result,
+        };
+        self.sends.get_or_create(&labels).inc();
+    }
+
+    /// Notes the time to a first event.
+    pub(crate) fn on_first_event(&self, service: &str, took: Duration) {
+        observe(&self.first_event, service, took);
+    }
+
+    /// Notes the time that a request waited for engines.
+    pub(crate) fn on_placed(&self, service: &str, waited: Duration) {
+        observe(&self.placement_wait, service, waited);
+    }
+
+    fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS)
+}
+
+fn observe(family: &Family<ServiceLabels, Histogram>, service: &str, took: Duration) {
+    let labels = ServiceLabels {
+        service: service.to_owned(),
+    };
+    family.get_or_create(&labels).observe(took.as_secs_f64());
+}
+
+/// Serves the metrics.
+pub(crate) struct MetricsPage(pub(crate) Metrics);
+
+impl Handler for MetricsPage {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        if req.uri().path() != METRICS_PATH {
+            let mut response = Response::new(full(""));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
+        let mut response = Response::new(full(self.0.text()));
+        let format = HeaderValue::from_static(TEXT_FORMAT);
+        response.headers_mut().insert(CONTENT_TYPE, format);
+        response
+    }
+}
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -19,6 +19,7 @@
 use crate::directory::Directory;
 use crate::forward::{Forwarder, InFlight};
 use crate::frontend::{CallerService, Stopping, serve_callers};
+use crate::metrics::{Metrics, MetricsPage};
 use crate::peer::{PeerClients, serve_peers};
 use crate::placement::{Owner, Placement, PlacementParts};
 use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
@@ -52,6 +53,13 @@
     },
 }
 
+/// What a node is told beside the platform's settings.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeOptions {
+    /// Port of the metrics; `None` serves none.
+    pub metrics_port: Option<u16>,
+}
+
 /// A running node.
 pub struct Node {
     leaving: CancellationToken,
@@ -68,10 +76,12 @@
     /// Where an address can't be bound.
     pub async fn open<N: Network>(
         settings: EntrySettings,
+        options: NodeOptions,
         net: N,
         spawner: Spawner,
         control: Handle,
     ) -> Result<Self, OpenError> {
+        let metrics = Metrics::new();
         let incarnation = rand::random();
         let snapshots = Snapshots::new(first_snapshot(&settings, incarnation));
         let leaving = CancellationToken::new();
@@ -88,6 +98,7 @@
             snapshots: snapshots.clone(),
             leaving: leaving.clone(),
             no_answer: no_answer_rx,
+            metrics: metrics.clone(),
         });
         let owner = Owner::spawn(&spawner, &snapshots, incarnation);
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
@@ -107,10 +118,10 @@
         let forwarder = Forwarder::new(
             net.clone(),
             spawner.clone(),
-            settings.domain.clone(),
-            settings.bounds,
+            &settings,
             snapshots.clone(),
             placement,
+            metrics.clone(),
         );
         let stopping = Arc::new(Stopping::default());
         let in_flight = InFlight::default();
@@ -132,6 +143,9 @@
             let limits = ServerLimits::default();
             serve(listener, spawner.clone(), limits, Arc::clone(&directory));
         }
+        if let Some(port) = options.metrics_port {
+            serve_metrics(&net, &spawner, SocketAddr::from((settings.ip, port)), metrics).await;
+        }
         Ok(Self {
             leaving,
             closed,
@@ -189,6 +203,22 @@
     }
 }
 
+/// Serves the metrics; a node without them still serves callers.
+async fn serve_metrics<N: Network>(
+    net: &N,
+    spawner: &Spawner,
+    addr: SocketAddr,
+    metrics: Metrics,
+) {
+    match bind(net, "metrics", addr).await {
+        Ok(listener) => {
+            let page = Arc::new(MetricsPage(metrics));
+            serve(listener, spawner.clone(), ServerLimits::default(), page);
+        }
+        Err(e) => tracing::warn!(part = "node", error = %e, "no metrics"),
+    }
+}
+
 /// Opens the socket for heartbeats on the runtime that reads it.
 async fn open_socket(settings: &EntrySettings, control: &Handle) -> Result<UdpSocket, OpenError> {
     let addr = SocketAddr::from((settings.ip, settings.heartbeat_port));
--- a/crates/azuresaddle-standin/src/http_util.rs
+++ b/crates/azuresaddle-standin/src/http_util.rs
@@ -62,6 +62,12 @@
     Some(get_small(addr, path).await?.0)
 }
 
+/// Text of a successful `GET`.
+pub(crate) async fn get_text(addr: SocketAddr, path: &str) -> Option<String> {
+    let (status, body) = get_small(addr, path).await?;
+    (status == 200).then(|| String::from_utf8_lossy(&body).into_owned())
+}
+
 /// JSON of a successful `GET`.
 pub(crate) async fn get_json(addr: SocketAddr, path: &str) -> Option<serde_json::Value> {
     let (status, body) = get_small(addr, path).await?;
--- a/crates/azuresaddle-standin/src/soak/process.rs
+++ b/crates/azuresaddle-standin/src/soak/process.rs
@@ -11,7 +11,7 @@
 use nix::unistd::Pid;
 use tokio::time::Instant;
 
-use crate::http_util::get_status;
+use crate::http_util::{get_status, get_text};
 
 /// Longest time until a started node is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -69,6 +69,8 @@
         let child = Command::new(&self.program)
             .arg("serve")
             .env("AZURESADDLE_BOOT", &self.settings)
+            // Fleets of tests share addresses, so each process has a port of its own.
+            .env("AZURESADDLE_METRICS_PORT", (self.port + 9).to_string())
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -88,6 +90,12 @@
         SocketAddr::from((self.ip, self.port + 3))
     }
 
+    /// Text of the metrics; `None` where they are not served.
+    pub async fn metrics(&self) -> Option<String> {
+        let addr = SocketAddr::from((self.ip, self.port + 9));
+        get_text(addr, "/metrics").await
+    }
+
     /// Whether the node says that it is ready.
     pub async fn is_ready(&self) -> bool {
         let addr = SocketAddr::from((self.ip, self.port + 2));
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -5,7 +5,7 @@
 use anyhow::{Result, anyhow};
 use azuresaddle_core::net::TcpNetwork;
 use azuresaddle_core::prelude::*;
-use azuresaddle_edge::Node;
+use azuresaddle_edge::{Node, NodeOptions};
 use azuresaddle_platform::{SETTINGS_PATH_VARIABLE, read_settings};
 use clap::{Arg, ArgMatches, Command};
 use tokio::runtime::{Builder, Runtime};
@@ -29,6 +29,15 @@
                 .required(true)
                 .help("Path of the settings file"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .env("AZURESADDLE_METRICS_PORT")
+                .value_name("PORT")
+                .value_parser(clap::value_parser!(u16))
+                .default_value("9464")
+                .help("Port of the metrics page, at /metrics; 0 serves none"),
+        )
         .arg(
             Arg::new("log-level")
                 .long("log-level")
@@ -45,6 +54,10 @@
         .expect("clap requires it");
     let settings = read_settings(path).map_err(|e| anyhow!(BadInput(e.to_string())))?;
     let _log = init_log(args);
+    let port = args.get_one::<u16>("metrics-port").copied();
+    let options = NodeOptions {
+        metrics_port: port.filter(|p| *p != 0),
+    };
     // A host lets one thread run at a time, so traffic and control have one each.
     let traffic = current_thread()?;
     let control = current_thread()?;
@@ -57,7 +70,7 @@
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
         let name = settings.name.clone();
-        let node = Node::open(settings, TcpNetwork, Spawner::current(), control_handle).await?;
+        let node = Node::open(settings, options, TcpNetwork, Spawner::current(), control_handle).await?;
         tracing::info!(part = "node", host = %name, "started");
         loop {
             tokio::select! {
