--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -373,7 +373,9 @@
         self.metrics.configuration_version.set(version);
         self.metrics.targets.set(targets.len() as i64);
         self.metrics.nodes.set(nodes.len() as i64);
-        self.metrics.is_owner.set(i64::from(owner == self.members.incarnation()));
+        self.metrics
+            .is_owner
+            .set(i64::from(owner == self.members.incarnation()));
         self.snapshots.publish(Snapshot {
             configuration: self.configuration.clone(),
             raw_configuration: self.raw_configuration.clone(),
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/caller_watch.rs
@@ -0,0 +1,53 @@
+//! Tells in the log when a caller leaves before its answer is complete.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use tokio::time::Instant;
+
+/// Logs on drop, unless the answer was complete.
+#[derive(Debug)]
+pub(super) struct CallerWatch {
+    request: String,
+    arrived: Instant,
+    is_done: Arc<AtomicBool>,
+}
+
+/// Marks an answer as complete; cheap to clone.
+#[derive(Clone, Debug)]
+pub(super) struct Completion(Arc<AtomicBool>);
+
+impl CallerWatch {
+    pub(super) fn new(request: &str, arrived: Instant) -> Self {
+        Self {
+            request: request.to_owned(),
+            arrived,
+            is_done: Arc::default(),
+        }
+    }
+
+    pub(super) fn completion(&self) -> Completion {
+        Completion(Arc::clone(&self.is_done))
+    }
+}
+
+impl Completion {
+    /// Notes that the caller has, or is about to get, its final answer.
+    pub(super) fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for CallerWatch {
+    fn drop(&mut self) {
+        if self.is_done.load(Ordering::Relaxed) {
+            return;
+        }
+        tracing::info!(
+            part = "forward",
+            request = self.request,
+            age_ms = self.arrived.elapsed().as_millis() as u64,
+            "caller left"
+        );
+    }
+}
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -7,6 +7,7 @@
 use hyper::Response;
 
 use super::body::ProxyBody;
+use super::caller_watch::CallerWatch;
 use super::head::ForwardRequest;
 use super::plain::forward_plain;
 use super::retry_budget::RetryBudget;
@@ -62,7 +63,10 @@
         let response = if req.route.is_stream {
             forward_stream(Arc::clone(self), req).await
         } else {
-            forward_plain(self, &req).await
+            let watch = CallerWatch::new(req.head.id(), req.arrived);
+            let response = forward_plain(self, &req).await;
+            watch.completion().set();
+            response
         };
         let took = arrived.elapsed();
         self.metrics.on_answer(&service, response.status(), took);
--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -67,6 +67,11 @@
 }
 
 impl RequestHead {
+    /// The attempt's id as text, for logs and names.
+    pub(crate) fn id(&self) -> &str {
+        self.attempt_id.to_str().unwrap_or("")
+    }
+
     /// Takes what is forwarded of a caller's head.
     pub(crate) fn new(
         method: Method,
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod caller_watch;
 mod event_splitter;
 mod forwarder;
 mod head;
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -62,12 +62,12 @@
     let mut tries = Tries::default();
     loop {
         if until(req.deadline).is_zero() {
-            return tries.give_up(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
+            return tries.give_up(req, StatusCode::GATEWAY_TIMEOUT, "no answer in time");
         }
         let snapshot = cx.snapshots.load();
         let targets = snapshot.targets.of_service(&req.service);
         let Some((target, busy)) = cx.health.pick(targets, &tries.exclude, &cx.domain) else {
-            return tries.give_up(StatusCode::BAD_GATEWAY, "no target is available");
+            return tries.give_up(req, StatusCode::BAD_GATEWAY, "no target is available");
         };
         let may_repeat = req.is_idempotent() && tries.runs + 1 < req.route.max_attempts;
         let patience = patience(req, may_repeat);
@@ -83,6 +83,16 @@
             }
             Ok(answer) => {
                 cx.metrics.on_send(&req.service, "answered");
+                tracing::info!(
+                    part = "forward",
+                    request = req.head.id(),
+                    route = %req.route.name,
+                    target = %target.id,
+                    status = answer.status.as_u16(),
+                    sends = tries.runs + tries.declined + 1,
+                    age_ms = req.arrived.elapsed().as_millis() as u64,
+                    "answered"
+                );
                 cx.health.on_answer(&target.id, started.elapsed());
                 return answer.into_response();
             }
@@ -90,14 +100,14 @@
                 note_failure(cx, &target, &failure);
                 tracing::info!(
                     part = "forward",
-                    request = ?req.head.attempt_id,
+                    request = req.head.id(),
                     target = %target.id,
                     failure = %failure,
                     sends = tries.runs + tries.declined + 1,
                     "send failed"
                 );
                 if !tries.may_go_on(cx, req, &target.id, &failure) {
-                    return tries.give_up_after(&failure);
+                    return tries.give_up_after(req, &failure);
                 }
             }
         }
@@ -153,15 +163,32 @@
         allowed && (!failure.has_arrived() || cx.may_repeat(&req.service))
     }
 
-    fn give_up_after(self, failure: &SendFailure) -> Response<ProxyBody> {
+    fn give_up_after(self, req: &ForwardRequest, failure: &SendFailure) -> Response<ProxyBody> {
         match failure {
-            SendFailure::Silent => self.give_up(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            _ => self.give_up(StatusCode::BAD_GATEWAY, "the target broke off"),
+            SendFailure::Silent => {
+                self.give_up(req, StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+            }
+            _ => self.give_up(req, StatusCode::BAD_GATEWAY, "the target broke off"),
         }
     }
 
     /// The final answer: a failure of a target that ran the request, or the node's own.
-    fn give_up(self, status: StatusCode, detail: &str) -> Response<ProxyBody> {
+    fn give_up(
+        self,
+        req: &ForwardRequest,
+        status: StatusCode,
+        detail: &str,
+    ) -> Response<ProxyBody> {
+        tracing::info!(
+            part = "forward",
+            request = req.head.id(),
+            route = %req.route.name,
+            runs = self.runs,
+            declined = self.declined,
+            left_ms = until(req.deadline).as_millis() as u64,
+            reason = detail,
+            "given up"
+        );
         if let Some(answer) = self.last_failure {
             return answer.into_response();
         }
--- a/crates/azuresaddle-edge/src/forward/stream.rs
+++ b/crates/azuresaddle-edge/src/forward/stream.rs
@@ -22,6 +22,7 @@
 use super::answer::{own_answer, refusal};
 use super::attempt::{SendFailure, kept_for, send, until};
 use super::body::{Piece, ProxyBody};
+use super::caller_watch::{CallerWatch, Completion};
 use super::event_splitter::EventSplitter;
 use super::forwarder::Forwarder;
 use super::head::{ForwardRequest, Sending, strip_hop_by_hop};
@@ -79,7 +80,9 @@
     let guard = cancel.clone().drop_guard();
     let (head_tx, head_rx) = oneshot::channel();
     let (pieces_tx, pieces_rx) = mpsc::channel(MAX_WAITING_PIECES);
+    let watch = CallerWatch::new(req.head.id(), req.arrived);
     let relay = Relay {
+        completion: watch.completion(),
         cx,
         last_event_id: req.head.last_event_id.clone(),
         req,
@@ -94,6 +97,8 @@
         last_event_at: None,
     };
     left.spawn(async move {
+        // Dropped after the relay, when the answer is complete or the caller has left.
+        let _watch = watch;
         tokio::select! {
             biased;
             // Dropping the relay closes the connection, which stops the target.
@@ -161,6 +166,7 @@
 
 /// One stream from its request to its end.
 struct Relay<N: Network> {
+    completion: Completion,
     cx: Arc<Forwarder<N>>,
     req: ForwardRequest,
     /// Takes the head of the answer; `None` once it is sent.
@@ -289,7 +295,7 @@
             };
             tracing::info!(
                 part = "forward",
-                request = ?self.req.head.attempt_id,
+                request = self.req.head.id(),
                 route = %self.req.route.name,
                 target = %target.id,
                 helpers = %names(&helpers),
@@ -366,7 +372,7 @@
         if tokens == 0 {
             return Ok(None);
         }
-        let id = self.req.head.attempt_id.to_str().unwrap_or("stream");
+        let id = self.req.head.id();
         let name = format!("{id}-{}", self.runs + self.declined);
         match reserve(&self.cx, &place.helpers, &name, tokens).await {
             Ok(reserved) => Ok(Some(reserved)),
@@ -455,6 +461,7 @@
         if let Some(kept) = kept {
             connection.give_back(kept.0);
         }
+        self.completion.set();
         if !self.begin(&mut begin) || self.pieces.send(Piece::End).await.is_err() {
             return Sent::CallerGone;
         }
@@ -503,10 +510,10 @@
         };
         tracing::info!(
             part = "forward",
-            request = ?self.req.head.attempt_id,
+            request = self.req.head.id(),
             target = %target.id,
             failure = %failure,
-            last_event = ?self.last_id,
+            last_event = self.last_id,
             age_ms = self.req.arrived.elapsed().as_millis() as u64,
             "send failed"
         );
@@ -545,6 +552,7 @@
 
     /// Final answer of a request that no engine takes.
     fn refuse(mut self, retry_after: Duration) {
+        self.completion.set();
         self.log(&HostName::new(""), "stream refused");
         if self.runs > 0 {
             return self.give_up(&SendFailure::Silent);
@@ -562,6 +570,7 @@
 
     /// Final answer after a failed send.
     fn give_up(mut self, failure: &SendFailure) {
+        self.completion.set();
         self.log(&HostName::new(""), "stream given up");
         let Some(tx) = self.head.take() else {
             // A begun answer that stops without its end is seen to be incomplete.
@@ -582,16 +591,16 @@
     fn log(&self, target: &HostName, what: &'static str) {
         tracing::info!(
             part = "forward",
-            request = ?self.req.head.attempt_id,
+            request = self.req.head.id(),
             route = %self.req.route.name,
             target = %target,
             runs = self.runs,
             declined = self.declined,
-            last_event = ?self.last_id,
-            first_event_ms = ?self.first_event_ms,
+            last_event = self.last_id,
+            first_event_ms = self.first_event_ms,
             age_ms = self.req.arrived.elapsed().as_millis() as u64,
             left_ms = until(self.req.deadline).as_millis() as u64,
-            tokens = ?self.req.tokens(),
+            prompt_tokens = self.req.tokens().map(|(prompt, _)| prompt),
             "{what}"
         );
     }
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -153,7 +153,9 @@
     fn reject(&self, map: &HeaderMap, rejection: Rejection) -> Box<Response<ProxyBody>> {
         tracing::info!(
             part = "frontend",
-            request = ?map.get(&headers::ATTEMPT_ID),
+            request = map
+                .get(&headers::ATTEMPT_ID)
+                .and_then(|id| id.to_str().ok()),
             status = rejection.status.as_u16(),
             reason = rejection.detail,
             "request not taken"
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -88,7 +88,11 @@
     }
 
     fn register(&self, r: &mut Registry) {
-        r.register("answers", "Answers to callers by status", self.answers.clone());
+        r.register(
+            "answers",
+            "Answers to callers by status",
+            self.answers.clone(),
+        );
         r.register("sends", "Sends to targets by result", self.sends.clone());
         let help = "Time from a request's arrival to its first event";
         r.register("first_event_seconds", help, self.first_event.clone());
@@ -97,9 +101,21 @@
         let help = "Time from a request's arrival to its answer";
         r.register("answer_seconds", help, self.answer_time.clone());
         let help = "Version of the configuration in force; 0 for none";
-        r.register("configuration_version", help, self.configuration_version.clone());
-        r.register("targets", "Targets that take new work", self.targets.clone());
-        r.register("nodes", "Live nodes, this one among them", self.nodes.clone());
+        r.register(
+            "configuration_version",
+            help,
+            self.configuration_version.clone(),
+        );
+        r.register(
+            "targets",
+            "Targets that take new work",
+            self.targets.clone(),
+        );
+        r.register(
+            "nodes",
+            "Live nodes, this one among them",
+            self.nodes.clone(),
+        );
         let help = "1 where this node places streams";
         r.register("owner", help, self.is_owner.clone());
         let help = "Times that the store stopped answering";
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -144,7 +144,13 @@
             serve(listener, spawner.clone(), limits, Arc::clone(&directory));
         }
         if let Some(port) = options.metrics_port {
-            serve_metrics(&net, &spawner, SocketAddr::from((settings.ip, port)), metrics).await;
+            serve_metrics(
+                &net,
+                &spawner,
+                SocketAddr::from((settings.ip, port)),
+                metrics,
+            )
+            .await;
         }
         Ok(Self {
             leaving,
@@ -204,12 +210,7 @@
 }
 
 /// Serves the metrics; a node without them still serves callers.
-async fn serve_metrics<N: Network>(
-    net: &N,
-    spawner: &Spawner,
-    addr: SocketAddr,
-    metrics: Metrics,
-) {
+async fn serve_metrics<N: Network>(net: &N, spawner: &Spawner, addr: SocketAddr, metrics: Metrics) {
     match bind(net, "metrics", addr).await {
         Ok(listener) => {
             let page = Arc::new(MetricsPage(metrics));
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -56,6 +56,8 @@
     answer_tokens: u64,
     next_event: u64,
     parts_left: usize,
+    /// Whether a fault has silenced it for good.
+    is_mute: bool,
 }
 
 struct State {
@@ -193,6 +195,7 @@
                 answer_tokens: answer_tokens.saturating_sub(last * steps).max(1),
                 next_event: last + 1,
                 parts_left: 1,
+                is_mute: false,
             };
             state.streams.insert(id, stream);
             state.model.add_read(id, prompt_tokens, parts, false);
@@ -291,7 +294,7 @@
             return false;
         };
         match target.fault() {
-            TargetFault::Mute | TargetFault::AnswersLost => return true,
+            TargetFault::Mute | TargetFault::AnswersLost => stream.is_mute = true,
             TargetFault::BreaksOff if stream.next_event > 1 => {
                 let half = Bytes::from(format!("id: {}\nda", stream.next_event));
                 // Dropping the stream breaks the body off inside the event.
@@ -300,6 +303,9 @@
             }
             _ => {}
         }
+        if stream.is_mute {
+            return true;
+        }
         let event = event_text(stream.next_event);
         stream.next_event += 1;
         let mut is_open = stream.pieces.send(Piece::Data(Bytes::from(event))).is_ok();
--- a/crates/azuresaddle-standin/src/soak/report.rs
+++ b/crates/azuresaddle-standin/src/soak/report.rs
@@ -34,6 +34,11 @@
         for (end, count) in &self.ends {
             writeln!(f, "  {count:>6} {end}")?;
         }
+        if !self.is_good() {
+            for fault in &self.faults {
+                writeln!(f, "  fault {fault}")?;
+            }
+        }
         for broken in &self.broken {
             writeln!(f, "  BROKEN {broken}")?;
         }
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,58 @@
+//! `check-settings` and `check-config`: faults by field, without starting anything.
+
+use std::path::PathBuf;
+
+use anyhow::{Context, Result, anyhow};
+use azuresaddle_platform::{decode_configuration, read_settings};
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use super::output::line;
+
+fn file_arg(help: &'static str) -> Arg {
+    Arg::new("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+fn file(args: &ArgMatches) -> &PathBuf {
+    args.get_one("FILE").expect("clap requires it")
+}
+
+pub(crate) fn make_settings_subcommand() -> Command {
+    Command::new("check-settings")
+        .about("Reads a settings file of the platform and says what a node would take from it")
+        .arg(file_arg("Settings file"))
+}
+
+pub(crate) fn execute_settings(args: &ArgMatches) -> Result<()> {
+    let settings = read_settings(file(args)).map_err(|e| anyhow!(e))?;
+    line(format!(
+        "host {}, failure domain {}",
+        settings.name, settings.domain
+    ));
+    line(format!("callers {}", settings.listen.callers));
+    line(format!("directory {}", settings.listen.directory));
+    line(format!("store {}", settings.store));
+    line(format!("grace of a stop {:?}", settings.bounds.stop_grace));
+    Ok(())
+}
+
+pub(crate) fn make_config_subcommand() -> Command {
+    Command::new("check-config")
+        .about("Reads a configuration as the operator writes it and says what it holds")
+        .arg(file_arg("Configuration, as JSON"))
+}
+
+pub(crate) fn execute_config(args: &ArgMatches) -> Result<()> {
+    let path = file(args);
+    let json = std::fs::read(path).with_context(|| path.display().to_string())?;
+    let configuration = decode_configuration(&json).map_err(|e| anyhow!(e))?;
+    line(format!(
+        "version {}, {} routes, {} services",
+        configuration.version,
+        configuration.route_count(),
+        configuration.services().count()
+    ));
+    Ok(())
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod ask;
 mod bad_input;
 pub(crate) mod burn;
+pub(crate) mod check;
 pub(crate) mod hosts;
 pub(crate) mod node;
 mod node_settings;
@@ -12,5 +13,6 @@
 pub(crate) mod rules;
 mod runtime;
 pub(crate) mod serve;
+pub(crate) mod trace;
 
 pub(crate) use bad_input::BadInput;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -70,7 +70,14 @@
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
         let name = settings.name.clone();
-        let node = Node::open(settings, options, TcpNetwork, Spawner::current(), control_handle).await?;
+        let node = Node::open(
+            settings,
+            options,
+            TcpNetwork,
+            Spawner::current(),
+            control_handle,
+        )
+        .await?;
         tracing::info!(part = "node", host = %name, "started");
         loop {
             tokio::select! {
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,9 @@
         Some(("burn", args)) => cmd::burn::execute(args),
         Some(("ask", args)) => cmd::ask::execute(args),
         Some(("serve", args)) => cmd::serve::execute(args),
+        Some(("trace", args)) => cmd::trace::execute(args),
+        Some(("check-settings", args)) => cmd::check::execute_settings(args),
+        Some(("check-config", args)) => cmd::check::execute_config(args),
         _ => unreachable!("clap requires a subcommand"),
     };
     match result {
@@ -51,4 +54,7 @@
         .subcommand(cmd::pools::make_subcommand())
         .subcommand(cmd::rules::make_subcommand())
         .subcommand(cmd::serve::make_subcommand())
+        .subcommand(cmd::trace::make_subcommand())
+        .subcommand(cmd::check::make_settings_subcommand())
+        .subcommand(cmd::check::make_config_subcommand())
 }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod drains;
+mod explain;
 mod faults;
 mod input;
 mod soak;
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -1,4 +1,7 @@
 //! A short soak; seeds that failed once stay here, each with its cause.
+//!
+//! 20: the stand-in engine went on with the next event after it had been silenced for a while, and
+//! ended the stream as complete with events missing. The stand-in was at fault.
 
 use std::time::Duration;
 
@@ -8,10 +11,19 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults_from_outside() {
+    soak(4).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_with_the_seed_that_failed_once() {
+    soak(20).await;
+}
+
+async fn soak(seed: u64) {
     let options = SoakOptions {
         program: program().to_owned(),
-        dir: dir("soak"),
-        seed: 4,
+        dir: dir(&format!("soak-{seed}")),
+        seed,
         callers: 6,
         length: Duration::from_secs(7),
         fleet: FleetOptions::default(),
