--- a/crates/azuresaddle-sched/src/passes/pool.rs
+++ b/crates/azuresaddle-sched/src/passes/pool.rs
@@ -34,7 +34,7 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Longest time to come back that is told.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// Engines of a running stream.
 #[derive(Debug)]
