--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -7,7 +7,7 @@
 use azuresaddle_core::deployment::{Configuration, EntrySettings};
 use azuresaddle_core::http::HttpClient;
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{Item, Kind, PlatformStore, decode_configuration, kind_of};
+use azuresaddle_platform::PlatformStore;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
@@ -24,15 +24,6 @@
 /// Longest wait for an answer of the store, other than of a watch.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Longest wait for news from another node.
-const PEER_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// Time that a node gives its own watch to bring what another node already knows.
-const NEWS_PATIENCE: Duration = Duration::from_millis(150);
-
-/// Time of being behind after which all targets are fetched, not only the latest changes.
-const FULL_PATIENCE: Duration = Duration::from_millis(1000);
-
 /// Age of the store's last answer up to which it counts as answering: a watch and its slack.
 const WATCH_FRESH: Duration = Duration::from_millis(2600);
 
@@ -57,25 +48,25 @@
 
 /// State of control.
 pub(crate) struct Control<N> {
-    socket: UdpSocket,
-    heartbeat_port: u16,
-    peers: PeerClients<N>,
-    spawner: Spawner,
-    snapshots: Snapshots,
-    leaving: CancellationToken,
-    members: Members,
-    registry: Registry,
-    configuration: Option<Arc<Configuration>>,
-    raw_configuration: Option<Arc<Vec<u8>>>,
+    pub(super) socket: UdpSocket,
+    pub(super) heartbeat_port: u16,
+    pub(super) peers: PeerClients<N>,
+    pub(super) spawner: Spawner,
+    pub(super) snapshots: Snapshots,
+    pub(super) leaving: CancellationToken,
+    pub(super) members: Members,
+    pub(super) registry: Registry,
+    pub(super) configuration: Option<Arc<Configuration>>,
+    pub(super) raw_configuration: Option<Arc<Vec<u8>>>,
     /// Since when another node has known more than this one.
-    behind_since: Option<Instant>,
-    is_fetching: bool,
+    pub(super) behind_since: Option<Instant>,
+    pub(super) is_fetching: bool,
     /// Switches the own watch of the store.
-    watch_enabled: watch::Sender<bool>,
+    pub(super) watch_enabled: watch::Sender<bool>,
     /// When the store last answered this node.
-    store_answered_at: Option<Instant>,
-    no_answer: mpsc::Receiver<u64>,
-    metrics: Metrics,
+    pub(super) store_answered_at: Option<Instant>,
+    pub(super) no_answer: mpsc::Receiver<u64>,
+    pub(super) metrics: Metrics,
 }
 
 impl<N: Network> Control<N> {
@@ -219,136 +210,12 @@
         }
     }
 
-    /// Asks a better informed node for its news, once the own watch had its chance.
-    fn fetch_if_behind(&mut self, now: Instant, news_tx: &mpsc::Sender<Option<PeerNews>>) {
-        let configuration = self.version();
-        let targets = self.registry.revision();
-        let hash = self.registry.hash();
-        let is_better = |n: &NodeNews| {
-            let differs = n.targets == targets && n.targets_hash != hash;
-            n.configuration > configuration || n.targets > targets || differs
-        };
-        let Some(addr) = self.members.better_informed(now, is_better) else {
-            self.behind_since = None;
-            return;
-        };
-        let since = *self.behind_since.get_or_insert(now);
-        let behind = now.saturating_duration_since(since);
-        let patience = if self.members.should_watch(now) {
-            NEWS_PATIENCE
-        } else {
-            Duration::ZERO
-        };
-        if self.is_fetching || behind < patience {
-            return;
-        }
-        // Where single changes don't bring both to the same targets, everything does.
-        let after = if behind < FULL_PATIENCE { targets } else { 0 };
-        self.is_fetching = true;
-        let peers = self.peers.clone();
-        let tx = news_tx.clone();
-        self.spawner.spawn(async move {
-            let news = peers
-                .call(addr, PEER_TIMEOUT, async |client, cx| {
-                    client.news(cx, configuration, after).await
-                })
-                .await;
-            if let Err(e) = &news {
-                tracing::debug!(part = "control", %addr, error = %e, "news not fetched");
-            }
-            // The loop outlives this task.
-            let _ = tx.send(news.ok()).await;
-        });
-    }
-
-    fn on_peer_news(&mut self, news: Option<PeerNews>) -> bool {
-        self.is_fetching = false;
-        let Some(news) = news else {
-            return false;
-        };
-        let mut changed = false;
-        if let Some(json) = news.configuration {
-            changed |= self.on_configuration(json, "a node");
-        }
-        let now = Instant::now();
-        for target in news.targets {
-            changed |= self.registry.apply(now, target.into());
-        }
-        changed
-    }
-
-    fn on_store(&mut self, event: StoreEvent) -> bool {
-        let now = Instant::now();
-        if !matches!(event, StoreEvent::Lost { .. }) {
-            self.store_answered_at = Some(now);
-        }
-        match event {
-            StoreEvent::Back => {
-                tracing::info!(part = "control", "store regained");
-                self.registry.on_store_back(now);
-                false
-            }
-            StoreEvent::Lost { reason } => {
-                tracing::warn!(part = "control", reason, "store lost");
-                self.store_answered_at = None;
-                self.metrics.store_failures.inc();
-                false
-            }
-            StoreEvent::Listing { items, at } => {
-                let (targets, others): (Vec<_>, Vec<_>) = items
-                    .into_iter()
-                    .partition(|i| kind_of(&i.key) == Kind::Target);
-                let mut changed = self.registry.apply_listing(now, targets, at);
-                for item in others {
-                    changed |= self.on_item(now, item);
-                }
-                changed
-            }
-            StoreEvent::Changes(items) => items
-                .into_iter()
-                .fold(false, |changed, item| self.on_item(now, item) | changed),
-        }
-    }
-
-    fn on_item(&mut self, now: Instant, item: Item) -> bool {
-        match kind_of(&item.key) {
-            Kind::Target => self.registry.apply(now, item),
-            Kind::Configuration => item
-                .value
-                .is_some_and(|json| self.on_configuration(json, "the store")),
-            Kind::Other => false,
-        }
-    }
-
-    fn on_configuration(&mut self, json: Vec<u8>, source: &str) -> bool {
-        let configuration = match decode_configuration(&json) {
-            Ok(configuration) => configuration,
-            Err(e) => {
-                tracing::error!(part = "control", error = %e, "configuration refused");
-                return false;
-            }
-        };
-        if configuration.version.0 <= self.version() {
-            return false;
-        }
-        tracing::info!(
-            part = "control",
-            version = configuration.version.0,
-            routes = configuration.route_count(),
-            source,
-            "configuration in force"
-        );
-        self.configuration = Some(Arc::new(configuration));
-        self.raw_configuration = Some(Arc::new(json));
-        true
-    }
-
     fn on_leaving(&mut self) -> bool {
         self.members.update_own(|own| own.is_leaving = true);
         true
     }
 
-    fn version(&self) -> u64 {
+    pub(super) fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |c| c.version.0)
     }
 
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod heartbeat;
 mod members;
+mod news;
 mod registry;
 mod store_watch;
 #[cfg(test)]
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -0,0 +1,100 @@
+//! What follows a failed send: another one, or the final answer.
+
+use std::time::Duration;
+
+use azuresaddle_core::deployment::TargetEntry;
+use azuresaddle_core::prelude::*;
+use hyper::StatusCode;
+
+use super::{Begin, MAX_DECLINED, RETRY_AFTER, Relay};
+use crate::forward::answer::{own_answer, refusal};
+use crate::forward::attempt::{SendFailure, until};
+use crate::forward::plain::note_failure;
+
+impl<N: Network> Relay<N> {
+    pub(super) fn note(&mut self, target: &TargetEntry, failure: &SendFailure) {
+        note_failure(&self.cx, target, failure);
+        let at = match failure {
+            SendFailure::Declined { at: Some(at), .. } => self.name_of(at),
+            _ => None,
+        };
+        tracing::info!(
+            part = "forward",
+            request = self.req.head.id(),
+            target = %target.id,
+            failure = %failure,
+            last_event = self.last_id,
+            age_ms = self.req.arrived.elapsed().as_millis() as u64,
+            "send failed"
+        );
+        self.exclude.push(at.unwrap_or_else(|| target.id.clone()));
+    }
+
+    /// The target at an address, or the name itself.
+    pub(super) fn name_of(&self, at: &str) -> Option<HostName> {
+        let snapshot = self.cx.snapshots.load();
+        let targets = snapshot.targets.of_service(&self.req.service);
+        let found = targets
+            .iter()
+            .find(|t| t.id.as_str() == at || t.addr.to_string() == at);
+        found.map(|t| t.id.clone())
+    }
+
+    /// Notes a lost send; whether another one may follow.
+    pub(super) fn may_go_on(&mut self, failure: &SendFailure) -> bool {
+        if failure.verdict() == Verdict::NotRun {
+            self.declined += 1;
+            return self.declined <= MAX_DECLINED
+                && !until(self.req.deadline).is_zero()
+                && (!failure.has_arrived() || self.cx.may_repeat(&self.req.service));
+        }
+        self.runs += 1;
+        self.may_run_again()
+    }
+
+    pub(super) fn may_run_again(&self) -> bool {
+        self.req.is_idempotent()
+            && self.runs < self.req.route.max_attempts
+            && !until(self.req.deadline).is_zero()
+            && (self.head.is_some() || self.last_id.is_some())
+            && self.cx.may_repeat(&self.req.service)
+    }
+
+    /// Final answer of a request that no engine takes.
+    pub(super) fn refuse(mut self, retry_after: Duration) {
+        self.completion.set();
+        self.log(&HostName::new(""), "stream refused");
+        if self.runs > 0 {
+            return self.give_up(&SendFailure::Silent);
+        }
+        match self.head.take() {
+            Some(tx) => {
+                let response = refusal("no engine can serve this in time", retry_after);
+                // The caller may be gone.
+                let _ = tx.send(Begin::Whole(Box::new(response)));
+            }
+            // A begun answer that stops without its end is seen to be incomplete.
+            None => drop(self.pieces),
+        }
+    }
+
+    /// Final answer after a failed send.
+    pub(super) fn give_up(mut self, failure: &SendFailure) {
+        self.completion.set();
+        self.log(&HostName::new(""), "stream given up");
+        let Some(tx) = self.head.take() else {
+            // A begun answer that stops without its end is seen to be incomplete.
+            return;
+        };
+        let response = match (self.last_failure.take(), failure) {
+            (Some(response), _) => *response,
+            (None, _) if self.runs == 0 => refusal("no target took the request", RETRY_AFTER),
+            (None, SendFailure::Silent) => {
+                own_answer(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+            }
+            (None, _) => own_answer(StatusCode::BAD_GATEWAY, "the target broke off"),
+        };
+        // The caller may be gone.
+        let _ = tx.send(Begin::Whole(Box::new(response)));
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -0,0 +1,199 @@
+//! Requests that are answered by a stream of events.
+//!
+//! A relay task sends the request, passes whole events on as they arrive, and goes on at another
+//! target after the last event where the route allows it.
+
+mod finish;
+mod place;
+mod send;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::PassOutcome;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::answer::own_answer;
+use super::attempt::{SendFailure, until};
+use super::body::{Piece, ProxyBody};
+use super::caller_watch::{CallerWatch, Completion};
+use super::forwarder::Forwarder;
+use super::head::ForwardRequest;
+
+/// Pieces of events that wait for a slow caller.
+const MAX_WAITING_PIECES: usize = 32;
+
+/// Most sends that ended without the request being run.
+const MAX_DECLINED: u32 = 5;
+
+/// Pause between events assumed where the route states none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time to come back where nothing is known of when a target is free.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Relays a request that is answered by events.
+pub(super) async fn forward_stream<N: Network>(
+    cx: Arc<Forwarder<N>>,
+    req: ForwardRequest,
+) -> Response<ProxyBody> {
+    let left = cx.spawner.clone();
+    let cancel = CancellationToken::new();
+    let guard = cancel.clone().drop_guard();
+    let (head_tx, head_rx) = oneshot::channel();
+    let (pieces_tx, pieces_rx) = mpsc::channel(MAX_WAITING_PIECES);
+    let watch = CallerWatch::new(req.head.id(), req.arrived);
+    let relay = Relay {
+        completion: watch.completion(),
+        cx,
+        last_event_id: req.head.last_event_id.clone(),
+        req,
+        head: Some(head_tx),
+        pieces: pieces_tx,
+        last_id: None,
+        exclude: Vec::new(),
+        runs: 0,
+        declined: 0,
+        last_failure: None,
+        first_event_ms: None,
+        last_event_at: None,
+    };
+    left.spawn(async move {
+        // Dropped after the relay, when the answer is complete or the caller has left.
+        let _watch = watch;
+        tokio::select! {
+            biased;
+            // Dropping the relay closes the connection, which stops the target.
+            () = cancel.cancelled() => {}
+            () = relay.run() => {}
+        }
+    });
+    match head_rx.await {
+        Ok(Begin::Whole(response)) => *response,
+        Ok(Begin::Events { status, headers }) => {
+            let mut response = Response::new(ProxyBody::relayed(pieces_rx, guard));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+        Err(_) => own_answer(StatusCode::BAD_GATEWAY, "the relay ended"),
+    }
+}
+
+/// How the answer begins.
+enum Begin {
+    /// It is there as a whole.
+    Whole(Box<Response<ProxyBody>>),
+    /// Events follow.
+    Events {
+        status: StatusCode,
+        headers: HeaderMap,
+    },
+}
+
+/// How one send ended.
+enum Sent {
+    /// The answer is complete.
+    Complete,
+    /// The target ran the request and answered with a failure.
+    Failed(Box<Response<ProxyBody>>),
+    /// There was no answer, or it broke off.
+    Lost(SendFailure),
+    /// The caller left.
+    CallerGone,
+}
+
+/// One stream from its request to its end.
+struct Relay<N: Network> {
+    completion: Completion,
+    cx: Arc<Forwarder<N>>,
+    req: ForwardRequest,
+    /// Takes the head of the answer; `None` once it is sent.
+    head: Option<oneshot::Sender<Begin>>,
+    pieces: mpsc::Sender<Piece>,
+    /// Last event that the caller has, by its own word or passed on here.
+    last_event_id: Option<HeaderValue>,
+    /// Id of the last event that was passed on here.
+    last_id: Option<u64>,
+    exclude: Vec<HostName>,
+    runs: u32,
+    declined: u32,
+    last_failure: Option<Box<Response<ProxyBody>>>,
+    /// Time from the arrival to the first event.
+    first_event_ms: Option<u64>,
+    /// When the last event was passed on.
+    last_event_at: Option<Instant>,
+}
+
+impl<N: Network> Relay<N> {
+    async fn run(mut self) {
+        loop {
+            let place = match self.place().await {
+                Ok(place) => place,
+                Err(retry_after) => return self.refuse(retry_after),
+            };
+            let lead = place.target.id.clone();
+            match self.send(&place).await {
+                Sent::Complete => {
+                    self.cx.metrics.on_send(&self.req.service, "answered");
+                    self.log(&lead, "stream complete");
+                    return place.end(PassOutcome::Done);
+                }
+                Sent::CallerGone => return place.end(PassOutcome::Cancelled),
+                Sent::Failed(response) => {
+                    place.end(PassOutcome::TargetFailed(lead));
+                    self.runs += 1;
+                    self.last_failure = Some(response);
+                    if !self.may_run_again() {
+                        return self.give_up(&SendFailure::Broken("target failed".to_owned()));
+                    }
+                }
+                Sent::Lost(failure) => {
+                    self.note(&place.target, &failure);
+                    place.end(outcome_of(lead, &failure));
+                    if !self.may_go_on(&failure) {
+                        return self.give_up(&failure);
+                    }
+                }
+            }
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        self.req.route.pause_target.unwrap_or(DEFAULT_PAUSE)
+    }
+
+    fn log(&self, target: &HostName, what: &'static str) {
+        tracing::info!(
+            part = "forward",
+            request = self.req.head.id(),
+            route = %self.req.route.name,
+            target = %target,
+            runs = self.runs,
+            declined = self.declined,
+            last_event = self.last_id,
+            first_event_ms = self.first_event_ms,
+            age_ms = self.req.arrived.elapsed().as_millis() as u64,
+            left_ms = until(self.req.deadline).as_millis() as u64,
+            prompt_tokens = self.req.tokens().map(|(prompt, _)| prompt),
+            "{what}"
+        );
+    }
+}
+
+fn outcome_of(lead: HostName, failure: &SendFailure) -> PassOutcome {
+    match failure {
+        // The one at fault is excluded for this request; the lead itself did nothing wrong.
+        SendFailure::Declined { at: Some(_), .. } => PassOutcome::Cancelled,
+        SendFailure::Declined { .. } => PassOutcome::TargetRefused(lead),
+        SendFailure::NotSent(_)
+        | SendFailure::WrongTarget
+        | SendFailure::Broken(_)
+        | SendFailure::Silent => PassOutcome::TargetFailed(lead),
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -0,0 +1,214 @@
+//! A pool of engines: one queue, late binding, one ledger of streams.
+
+mod ledger;
+mod placement;
+mod refusals;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::EngineSpec;
+use azuresaddle_core::prelude::*;
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use super::ask::{AskId, PassAsk, PassDecision, PassOutcome};
+use super::backlog::Backlog;
+use super::engine::{Engine, EngineId};
+use super::options::PassOptions;
+use super::queue::{Queue, Waiting};
+
+/// Shortest time between two rounds of placement while asks wait; a pass takes ten times that.
+const MIN_ROUND: Duration = Duration::from_millis(4);
+
+/// Longest time between two rounds while asks wait, in case an estimate is far off.
+const MAX_ROUND: Duration = Duration::from_millis(50);
+
+/// Engines of a running stream.
+#[derive(Debug)]
+struct Run {
+    lead: EngineId,
+    helpers: Vec<EngineId>,
+}
+
+/// Places streams on the engines of one service.
+#[derive(Debug)]
+pub struct PassPool {
+    options: PassOptions,
+    spec: EngineSpec,
+    engines: SlotMap<EngineId, Engine>,
+    names: HashMap<HostName, EngineId>,
+    queue: Queue,
+    backlog: Backlog,
+    runs: HashMap<AskId, Run>,
+    decisions: Vec<(AskId, PassDecision)>,
+}
+
+impl PassPool {
+    /// An empty pool.
+    pub fn new(options: PassOptions, spec: EngineSpec) -> Self {
+        Self {
+            options,
+            spec,
+            engines: SlotMap::with_key(),
+            names: HashMap::new(),
+            queue: Queue::default(),
+            backlog: Backlog::default(),
+            runs: HashMap::new(),
+            decisions: Vec::new(),
+        }
+    }
+
+    /// Takes new speeds and sizes.
+    pub fn set_spec(&mut self, spec: &EngineSpec) {
+        if self.spec != *spec {
+            self.spec = spec.clone();
+        }
+    }
+
+    /// Adds an engine, or notes whether it is leaving.
+    pub fn upsert_engine(
+        &mut self,
+        now: Instant,
+        name: &HostName,
+        domain: &FailureDomain,
+        leaving: bool,
+    ) {
+        if let Some(key) = self.names.get(name) {
+            self.engines[*key].leaving = leaving;
+            return;
+        }
+        let mut engine = Engine::new(now, name.clone(), domain.clone());
+        engine.leaving = leaving;
+        let key = self.engines.insert(engine);
+        self.names.insert(name.clone(), key);
+    }
+
+    /// Removes the engines that `keep` does not name.
+    pub fn retain_engines(&mut self, keep: impl Fn(&HostName) -> bool) {
+        self.names.retain(|name, key| {
+            let kept = keep(name);
+            if !kept {
+                self.engines.remove(*key);
+            }
+            kept
+        });
+    }
+
+    /// Takes an ask; a decision about it follows. A repeated one is ignored.
+    pub fn enqueue(&mut self, now: Instant, ask: PassAsk) {
+        if self.queue.contains(ask.id) || self.runs.contains_key(&ask.id) {
+            return;
+        }
+        let read_ms = self.spec.read_ms(ask.prompt_tokens);
+        if let Some(retry_after) = self.hopeless(now, &ask, read_ms) {
+            let refused = PassDecision::Refused { retry_after };
+            self.decisions.push((ask.id, refused));
+            return;
+        }
+        if !self.is_short(read_ms) {
+            self.backlog.on_arrival(now, read_ms);
+        }
+        let order = if self.options.shortest_first {
+            read_ms
+        } else {
+            0.0
+        };
+        let order = if self.is_short(read_ms) {
+            0.0
+        } else {
+            1.0 + order
+        };
+        self.queue.push(Waiting {
+            ask,
+            read_ms,
+            order,
+            asked_at: now,
+        });
+    }
+
+    /// Withdraws an ask or ends its stream.
+    pub fn end(&mut self, now: Instant, id: AskId, outcome: &PassOutcome) {
+        self.queue.remove(id);
+        match outcome {
+            PassOutcome::TargetRefused(name) | PassOutcome::TargetFailed(name) => {
+                self.note_failure(now, name);
+            }
+            PassOutcome::Done => {
+                let lead = self.runs.get(&id).map(|run| run.lead);
+                if let Some(engine) = lead.and_then(|key| self.engines.get_mut(key)) {
+                    engine.breaker.on_success();
+                }
+            }
+            PassOutcome::Cancelled => {}
+        }
+        self.release(id);
+    }
+
+    /// Notes the first event of a stream: all parts of its prompt are read.
+    pub fn on_first_event(&mut self, now: Instant, id: AskId) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(run.lead) {
+            engine.advance(now, &self.spec);
+            if let Some(lead) = engine.leads.iter_mut().find(|l| l.id == id) {
+                lead.is_writing = true;
+            }
+        }
+        for key in &run.helpers {
+            let Some(engine) = self.engines.get_mut(*key) else {
+                continue;
+            };
+            for help in engine.helps.iter_mut().filter(|h| h.id == id) {
+                help.is_read = true;
+            }
+            engine.helps.retain(|h| !h.is_read || h.memory_tokens > 0);
+        }
+    }
+
+    /// Places all asks that can be placed now, and refuses what can't be served any more.
+    pub fn dispatch(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            return;
+        }
+        for engine in self.engines.values_mut() {
+            engine.advance(now, &self.spec);
+        }
+        self.refuse_overdue(now);
+        self.place_short(now, false);
+        self.place_long(now, true);
+        self.place_short(now, true);
+        self.place_long(now, false);
+    }
+
+    /// Decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<(AskId, PassDecision)> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// When [`Self::dispatch`] has to be called if nothing happens before.
+    pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let ends = self.engines.values().map(|e| e.pass_ends);
+        let next = ends.filter(|at| *at > now).min();
+        let at = next.unwrap_or(now + MAX_ROUND);
+        Some(at.clamp(now + MIN_ROUND, now + MAX_ROUND))
+    }
+
+    /// Number of waiting asks.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Number of running streams.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    fn is_short(&self, read_ms: f64) -> bool {
+        read_ms <= self.options.short_read_ms
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -0,0 +1,144 @@
+//! Placement of waiting asks.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::PassPool;
+use super::ledger::Parts;
+use crate::passes::ask::{AskId, PassDecision, PassGrant};
+use crate::passes::long_plan::{LongPlan, helper_names, plan_long};
+use crate::passes::queue::Waiting;
+use crate::passes::round::Round;
+use crate::passes::short_plan::plan_short;
+
+/// Part of the time left that a long prompt has waited before others may be made late for it.
+const BREAK_AFTER: f64 = 0.15;
+
+/// Most prompt tokens of streams made late, as a part of the long prompt's own tokens: the worth of
+/// an answer is not stated, so the work that its caller asks for stands for it.
+const BROKEN_SHARE: f64 = 0.2;
+
+impl PassPool {
+    pub(super) fn round(&self, now: Instant) -> Round<'_> {
+        Round {
+            now,
+            spec: &self.spec,
+            engines: &self.engines,
+            options: &self.options,
+        }
+    }
+
+    pub(super) fn place_short(&mut self, now: Instant, any: bool) {
+        let due: Vec<AskId> = self
+            .queue
+            .iter()
+            .take_while(|w| self.is_short(w.read_ms))
+            // A late one may go anywhere; one that is still on time waits for a better place.
+            .filter(|w| !any || w.ask.first_event_by <= now)
+            .map(|w| w.ask.id)
+            .collect();
+        for id in due {
+            let Some(waiting) = self.queue.remove(id) else {
+                continue;
+            };
+            let ask = &waiting.ask;
+            let plan = plan_short(&self.round(now), ask, waiting.read_ms, any);
+            let Some(plan) = plan else {
+                self.queue.push(waiting);
+                continue;
+            };
+            let plan = LongPlan {
+                engines: vec![plan.engine],
+                part_ms: waiting.read_ms,
+                start_ms: 0.0,
+                first_event_ms: plan.first_event_ms,
+                helper_memory_tokens: 0,
+                broken_tokens: 0,
+                lead_writes_alone: false,
+            };
+            self.start(now, waiting, &plan);
+        }
+    }
+
+    /// Places long prompts; first those that can still be on time, then the others.
+    pub(super) fn place_long(&mut self, now: Instant, on_time: bool) {
+        let open = self.open_engines(now);
+        loop {
+            let round = self.round(now);
+            let found = self
+                .queue
+                .iter()
+                .filter(|w| !self.is_short(w.read_ms))
+                .filter(|w| on_time == (w.ask.first_event_by > now))
+                .find_map(|w| {
+                    let plan = self.plan_for(&round, w, open)?;
+                    Some((w.ask.id, plan))
+                });
+            let Some((id, plan)) = found else {
+                return;
+            };
+            let Some(waiting) = self.queue.remove(id) else {
+                return;
+            };
+            self.start(now, waiting, &plan);
+        }
+    }
+
+    /// A plan for a long prompt that is worth to begin now.
+    pub(super) fn plan_for(
+        &self,
+        round: &Round<'_>,
+        waiting: &Waiting,
+        open: usize,
+    ) -> Option<LongPlan> {
+        let Waiting { ask, read_ms, .. } = waiting;
+        let now = round.now;
+        let plan = plan_long(round, ask, *read_ms, 0);
+        let is_due = |p: &LongPlan| !self.options.wait_for_engines || p.is_due(now, ask, open);
+        let plan = plan.filter(is_due);
+        if plan.as_ref().is_some_and(|p| p.is_on_time(now, ask)) || !self.options.break_pauses {
+            return plan;
+        }
+        let waited = now.saturating_duration_since(waiting.asked_at);
+        let left = ask.first_event_by.saturating_duration_since(now);
+        if left.is_zero() || waited < left.mul_f64(BREAK_AFTER) {
+            return plan;
+        }
+        let broken = (ask.prompt_tokens as f64 * BROKEN_SHARE) as u64;
+        let lenient = plan_long(round, ask, *read_ms, broken);
+        lenient
+            .filter(|p| p.is_on_time(now, ask) && is_due(p))
+            .or(plan)
+    }
+
+    pub(super) fn start(&mut self, now: Instant, waiting: Waiting, plan: &LongPlan) {
+        let ask = waiting.ask;
+        let grant = PassGrant {
+            lead: self.engines[plan.engines[0]].name.clone(),
+            helpers: helper_names(&self.engines, plan),
+            helper_memory_tokens: plan.helper_memory_tokens,
+            first_event_in: Duration::from_secs_f64(plan.first_event_ms / 1000.0),
+        };
+        let parts = Parts {
+            id: ask.id,
+            prompt_tokens: ask.prompt_tokens,
+            answer_tokens: ask.answer_tokens,
+            pause: ask.pause,
+            helper_memory_tokens: plan.helper_memory_tokens,
+        };
+        for key in &plan.engines {
+            let engine = &mut self.engines[*key];
+            engine.on_pass_planned(engine.next_pass_ms(&self.spec, plan.part_ms));
+        }
+        self.hold(&parts, plan.engines[0], plan.engines[1..].to_vec());
+        let first_event = now + grant.first_event_in;
+        if let Some(lead) = self.engines[plan.engines[0]].leads.last_mut() {
+            lead.is_late = first_event > ask.first_event_by;
+        }
+        for key in &plan.engines {
+            self.engines[*key].add_read(now, &self.spec, plan.part_ms);
+        }
+        self.decisions.push((ask.id, PassDecision::Granted(grant)));
+    }
+}
