--- a/crates/azuresaddle-edge/src/placement/reporter.rs
+++ b/crates/azuresaddle-edge/src/placement/reporter.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::client::Placement;
-use crate::peer::Report;
+use crate::peer::{Report, SyncMessage};
 
 /// Most reports in one message.
 const MAX_BATCH: usize = 256;
@@ -62,34 +62,28 @@
         {
             batch.push(report);
         }
-        send_reports(&placement, batch).await;
+        tell_owner(&placement, Message::Reports(batch)).await;
     }
 }
 
+/// Something for the owner.
+enum Message {
+    Sync(SyncMessage),
+    Reports(Vec<Report>),
+}
+
 async fn send_sync<N: Network>(placement: &Placement<N>) {
-    let message = placement.sync_message();
-    if placement.is_owner() {
-        placement.local_owner().sync(&message);
-        return;
-    }
-    let Some((owner, peer)) = owner_addr(placement) else {
-        return;
-    };
-    let sent = placement
-        .peers()
-        .call(peer, TIMEOUT, async |client, cx| {
-            client.sync(cx, message).await
-        })
-        .await;
-    if let Err(e) = sent {
-        tracing::info!(part = "placement", %peer, error = %e, "owner not reached");
-        placement.on_no_answer(owner);
-    }
+    let message = Message::Sync(placement.sync_message());
+    tell_owner(placement, message).await;
 }
 
-async fn send_reports<N: Network>(placement: &Placement<N>, batch: Vec<Report>) {
+/// Gives a message to the owner. One that is lost is made up by the next listing.
+async fn tell_owner<N: Network>(placement: &Placement<N>, message: Message) {
     if placement.is_owner() {
-        placement.local_owner().report(batch);
+        match message {
+            Message::Sync(sync) => placement.local_owner().sync(&sync),
+            Message::Reports(reports) => placement.local_owner().report(reports),
+        }
         return;
     }
     let Some((owner, peer)) = owner_addr(placement) else {
@@ -97,13 +91,13 @@
     };
     let sent = placement
         .peers()
-        .call(peer, TIMEOUT, async |client, cx| {
-            client.report(cx, batch).await
+        .call(peer, TIMEOUT, async |client, cx| match message {
+            Message::Sync(sync) => client.sync(cx, sync).await,
+            Message::Reports(reports) => client.report(cx, reports).await,
         })
         .await;
     if let Err(e) = sent {
-        // The next sync tells the owner what the reports said.
-        tracing::info!(part = "placement", %peer, error = %e, "reports not delivered");
+        tracing::info!(part = "placement", %peer, error = %e, "owner not reached");
         placement.on_no_answer(owner);
     }
 }
--- a/crates/azuresaddle-sched/tests/suite/passes.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes.rs
@@ -87,6 +87,16 @@
     all.into_iter().find(|(n, _)| *n == number).map(|(_, g)| g)
 }
 
+fn assert_refused(pool: &mut PassPool, now: Instant, ask: PassAsk) {
+    pool.enqueue(now, ask);
+    pool.dispatch(now);
+    let decisions = pool.take_decisions();
+    assert!(
+        matches!(decisions[..], [(_, PassDecision::Refused { .. })]),
+        "{decisions:?}"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn short_streams_are_packed_and_the_rest_stays_free() {
     let now = Instant::now();
@@ -168,13 +178,7 @@
     let mut late = ask(now, 1, 300_000);
     // 5,300 ms to read on the only engine.
     late.deadline = now + Duration::from_millis(4000);
-    pool.enqueue(now, late);
-    pool.dispatch(now);
-    let decisions = pool.take_decisions();
-    assert!(
-        matches!(decisions[..], [(_, PassDecision::Refused { .. })]),
-        "{decisions:?}"
-    );
+    assert_refused(&mut pool, now, late);
 }
 
 #[tokio::test(start_paused = true)]
@@ -194,13 +198,7 @@
     let mut huge = ask(now, 1, 900_000);
     huge.give_up_at = now + Duration::from_secs(120);
     huge.deadline = now + Duration::from_secs(120);
-    pool.enqueue(now, huge);
-    pool.dispatch(now);
-    let decisions = pool.take_decisions();
-    assert!(
-        matches!(decisions[..], [(_, PassDecision::Refused { .. })]),
-        "{decisions:?}"
-    );
+    assert_refused(&mut pool, now, huge);
 }
 
 #[tokio::test(start_paused = true)]
@@ -241,6 +239,63 @@
     }
 }
 
+/// Parts that meet on an engine are read in one pass, and none is done before its end.
+#[tokio::test(start_paused = true)]
+async fn no_part_is_sent_to_an_engine_that_reads_another() {
+    let now = Instant::now();
+    let mut pool = pool(now, 6);
+    let first = start(&mut pool, now, 1, 250_000).unwrap();
+    let mut busy = vec![first.lead];
+    busy.extend(first.helpers);
+    let soon = now + Duration::from_millis(2);
+    if let Some(second) = start(&mut pool, soon, 2, 300_000) {
+        assert!(!busy.contains(&second.lead));
+        assert!(second.helpers.iter().all(|h| !busy.contains(h)));
+    }
+}
+
+/// A review that is written alone takes four times the engine's time that its prompt takes to read.
+#[tokio::test(start_paused = true)]
+async fn reviews_are_written_where_short_streams_are() {
+    let now = Instant::now();
+    let mut pool = pool(now, 8);
+    let short = start(&mut pool, now, 1, 3000).unwrap();
+    pool.on_first_event(now + Duration::from_millis(60), id(1));
+    for n in 2..6 {
+        let at = now + Duration::from_millis(400 * n);
+        let review = start(&mut pool, at, n, 45_000).unwrap();
+        assert_eq!(review.lead, short.lead);
+        pool.on_first_event(at + Duration::from_millis(150), id(n));
+    }
+}
+
+/// Under a load of quicker prompts that takes all engines, a very long one is told at once.
+#[tokio::test(start_paused = true)]
+async fn what_the_load_of_late_gives_no_chance_is_refused_at_once() {
+    let start = Instant::now();
+    let mut pool = pool(start, 4);
+    let mut now = start;
+    for n in 0..40 {
+        now += Duration::from_millis(100);
+        // 1.4 s of reading ten times a second, on four engines.
+        pool.enqueue(now, ask(now, n, 140_000));
+        grants(&mut pool, now);
+    }
+    let mut long = ask(now, 99, 400_000);
+    long.give_up_at = now + Duration::from_secs(12);
+    pool.enqueue(now, long);
+    pool.dispatch(now);
+    let decisions = pool.take_decisions();
+    let refused = decisions.iter().find_map(|(id, d)| match d {
+        PassDecision::Refused { retry_after } if id.number == 99 => Some(*retry_after),
+        _ => None,
+    });
+    assert!(
+        refused.is_some_and(|wait| wait > Duration::from_secs(1)),
+        "{decisions:?}"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_failing_engine_gets_nothing_for_a_while() {
     let now = Instant::now();
--- a/crates/azuresaddle-standin/tests/suite/main.rs
+++ b/crates/azuresaddle-standin/tests/suite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the stand-ins' tools.
 
 mod experiment;
+mod passes;
--- /dev/null
+++ b/crates/azuresaddle-standin/tests/suite/passes.rs
@@ -0,0 +1,62 @@
+//! Loads replayed in virtual time: what each idea of the pool brings.
+
+use azuresaddle_standin::passes::{EngineModel, PassPolicy, Sheet, play_day};
+
+/// Mean worth of a few days.
+fn worth(sheet: &Sheet, policy: PassPolicy) -> f64 {
+    const SEEDS: [u64; 2] = [1, 2];
+    let days = SEEDS.map(|seed| play_day(sheet, policy, seed).worth);
+    days.iter().sum::<f64>() / days.len() as f64
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_pool_beats_baselines_and_itself_without_its_ideas() {
+    let sheet = Sheet::sabarmati(0.82);
+    let pool = worth(&sheet, PassPolicy::Pool);
+    assert!(pool > 0.86, "{pool}");
+    for (policy, least_gain) in [
+        (PassPolicy::LeastBacklog, 0.2),
+        (PassPolicy::Random, 0.3),
+        (PassPolicy::NoPacking, 0.1),
+        (PassPolicy::NoPauseCheck, 0.1),
+        (PassPolicy::NoSplit, 0.1),
+    ] {
+        let other = worth(&sheet, policy);
+        let name = policy.name();
+        assert!(pool - other > least_gain, "{name}: {other}, pool: {pool}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn under_the_highest_load_early_refusal_serves_more() {
+    let sheet = Sheet::aguaclara(1.0);
+    let pool = worth(&sheet, PassPolicy::Pool);
+    let holding = worth(&sheet, PassPolicy::HoldAll);
+    assert!(pool > holding + 0.02, "{pool} against {holding}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_same_seed_gives_the_same_day() {
+    let sheet = Sheet::sabarmati(1.0);
+    let [one, other] = [0, 1].map(|_| play_day(&sheet, PassPolicy::Pool, 7));
+    assert_eq!(one.worth, other.worth);
+    assert_eq!(one.kinds[2].on_time, other.kinds[2].on_time);
+}
+
+#[test]
+fn a_pass_reads_what_waits_and_writes_one_event_a_stream() {
+    let spec = Sheet::sabarmati(1.0).spec;
+    let mut engine = EngineModel::new(spec.clone(), 1.0);
+    engine.add_writer(1, 5000, 92);
+    engine.add_read(2, 51_200, 2, true);
+    // 46 steps of 0.925 ms, and half of 51,200 tokens: 100 ms and the pairs.
+    let pairs_ms = 51.2 * 51.2 / 2.0 * spec.ms_per_1m_pairs / 2.0;
+    let expected = 46.0 * (0.925 + 0.00483 + 0.00254 * 5.0) + 100.0 + pairs_ms;
+    let took = engine.begin_pass().unwrap();
+    assert!((took - expected).abs() < 0.5, "{took} against {expected}");
+    let end = engine.end_pass();
+    assert_eq!((end.events, end.read), (vec![(1, false)], vec![2]));
+    engine.begin_pass().unwrap();
+    assert_eq!(engine.end_pass().events, [(1, true)]);
+    assert!(engine.begin_pass().is_none());
+}
