--- a/crates/azuresaddle-sched/src/passes/backlog.rs
+++ b/crates/azuresaddle-sched/src/passes/backlog.rs
@@ -1,7 +1,7 @@
 //! Recent arrivals of long prompts, to tell how long a new one would wait.
 //!
-//! Answers the pattern of an overload: prompts that read quicker go first, and while they ask for
-//! nearly all engines, a very long one waits until the load ends. Held to the end it would have
+//! Answers the pattern of an overload: prompts that read quicker find room sooner, and while they ask
+//! for nearly all engines, a very long one waits until the load ends. Held to the end it would have
 //! cost its caller all of its time for nothing.
 
 use std::collections::VecDeque;
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Part of the engines that a prompt can expect, beside those that read quicker and go first.
+    /// Part of the engines that a prompt can expect, beside those that read quicker.
     pub(super) fn free_share(&self, now: Instant, read_ms: f64, engines: usize) -> f64 {
         let recent = self
             .arrivals
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -11,7 +11,8 @@
     pub check_pauses: bool,
     /// Split long prompts over engines; only what needs the memory of several otherwise.
     pub split_long: bool,
-    /// Long prompts that read quickest first; in the order of arrival otherwise.
+    /// Long prompts that read quickest first; in the order of arrival otherwise, which earns as much
+    /// and serves more of the largest tenth (0.68 against 0.56 at the highest load).
     pub shortest_first: bool,
     /// Let long prompts wait for more engines while that keeps them on time.
     pub wait_for_engines: bool,
@@ -31,7 +32,7 @@
             pack_short: true,
             check_pauses: true,
             split_long: true,
-            shortest_first: true,
+            shortest_first: false,
             wait_for_engines: true,
             break_pauses: true,
             refuse_early: true,
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -15,8 +15,8 @@
     NoPauseCheck,
     /// Without splitting long prompts.
     NoSplit,
-    /// Long prompts in the order of their arrival.
-    ArrivalOrder,
+    /// Long prompts that read quickest first.
+    ShortestFirst,
     /// Long prompts take whatever engines are free.
     NoPatience,
     /// Never makes a short stream late for a long prompt.
@@ -40,7 +40,7 @@
         Self::NoPacking,
         Self::NoPauseCheck,
         Self::NoSplit,
-        Self::ArrivalOrder,
+        Self::ShortestFirst,
         Self::NoPatience,
         Self::KeepPauses,
         Self::HoldAll,
@@ -57,7 +57,7 @@
             Self::NoPacking => "no-packing",
             Self::NoPauseCheck => "no-pause-check",
             Self::NoSplit => "no-split",
-            Self::ArrivalOrder => "arrival-order",
+            Self::ShortestFirst => "shortest-first",
             Self::NoPatience => "no-patience",
             Self::KeepPauses => "keep-pauses",
             Self::HoldAll => "hold-all",
@@ -85,8 +85,8 @@
                 split_long: false,
                 ..all
             },
-            Self::ArrivalOrder => PassOptions {
-                shortest_first: false,
+            Self::ShortestFirst => PassOptions {
+                shortest_first: true,
                 ..all
             },
             Self::NoPatience => PassOptions {
