--- /dev/null
+++ b/crates/azuresaddle-sched/benches/passes.rs
@@ -0,0 +1,81 @@
+//! Cost of a placement on engines that work in passes.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::EngineSpec;
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{AskId, PassAsk, PassOptions, PassOutcome, PassPool};
+use criterion::{Criterion, criterion_group, criterion_main};
+use tokio::time::Instant;
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_pass: 46,
+        step_ms: 0.925,
+        step_ms_per_stream: 0.00483,
+        step_ms_per_1k_context: 0.00254,
+        read_tokens_per_ms: 256.0,
+        ms_per_1m_pairs: 0.0917,
+        max_read_tokens_per_step: 2048,
+        holder_hop_ms: 0.1,
+        report_lag: Duration::from_millis(200),
+        usual_answer_tokens: 1540,
+    }
+}
+
+fn ask(now: Instant, number: u64, prompt_tokens: u64) -> PassAsk {
+    PassAsk {
+        id: AskId { node: 1, number },
+        account: ClientAccount::new("a"),
+        domain: FailureDomain::new("d1"),
+        prompt_tokens,
+        answer_tokens: 800,
+        first_event_by: now + Duration::from_secs(300),
+        pause: Duration::from_millis(200),
+        give_up_at: now + Duration::from_secs(86_400),
+        deadline: now + Duration::from_secs(86_400),
+        exclude: Vec::new(),
+    }
+}
+
+/// Arrival, placement, first event and end of a short prompt while long ones wait.
+fn decide(c: &mut Criterion) {
+    for engines in [18, 256] {
+        for waiting in [100, 10_000] {
+            let now = Instant::now();
+            let options = PassOptions {
+                refuse_early: false,
+                ..PassOptions::default()
+            };
+            let mut pool = PassPool::new(options, spec());
+            for n in 0..engines {
+                let name = HostName::new(format!("e{n}"));
+                pool.upsert_engine(now, &name, &FailureDomain::new("d1"), false);
+            }
+            // Far too long to begin, so that all of them stay.
+            for n in 0..waiting {
+                pool.enqueue(now, ask(now, 1_000_000 + n, 4_000_000));
+            }
+            pool.dispatch(now);
+            pool.take_decisions();
+            let mut number = 0;
+            c.bench_function(&format!("{engines} engines, {waiting} waiting"), |b| {
+                b.iter(|| {
+                    number += 1;
+                    let id = AskId { node: 1, number };
+                    pool.enqueue(now, ask(now, number, 3000));
+                    pool.dispatch(now);
+                    black_box(pool.take_decisions());
+                    pool.on_first_event(now, id);
+                    pool.end(now, id, &PassOutcome::Done);
+                });
+            });
+        }
+    }
+}
+
+criterion_group!(benches, decide);
+criterion_main!(benches);
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -42,6 +42,8 @@
     backlog: Backlog,
     runs: HashMap<AskId, Run>,
     decisions: Vec<(AskId, PassDecision)>,
+    /// When all waiting asks are looked at again.
+    next_refusals: Instant,
 }
 
 impl PassPool {
@@ -56,6 +58,7 @@
             backlog: Backlog::default(),
             runs: HashMap::new(),
             decisions: Vec::new(),
+            next_refusals: Instant::now(),
         }
     }
 
@@ -101,7 +104,7 @@
             return;
         }
         let read_ms = self.spec.read_ms(ask.prompt_tokens);
-        if let Some(retry_after) = self.hopeless(now, &ask, read_ms) {
+        if let Some(retry_after) = self.hopeless(now, &ask, read_ms, self.ahead_ms(read_ms)) {
             let refused = PassDecision::Refused { retry_after };
             self.decisions.push((ask.id, refused));
             return;
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -12,6 +12,9 @@
 use crate::passes::round::Round;
 use crate::passes::short_plan::plan_short;
 
+/// Most long prompts that are tried in one round; the ones behind them wait for these.
+const MAX_TRIED: usize = 16;
+
 /// Part of the time left that a long prompt has waited before others may be made late for it.
 const BREAK_AFTER: f64 = 0.15;
 
@@ -71,6 +74,7 @@
                 .iter()
                 .filter(|w| !self.is_short(w.read_ms))
                 .filter(|w| on_time == (w.ask.first_event_by > now))
+                .take(MAX_TRIED)
                 .find_map(|w| {
                     let plan = self.plan_for(&round, w, open)?;
                     Some((w.ask.id, plan))
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -5,8 +5,12 @@
 use tokio::time::Instant;
 
 use super::PassPool;
-use crate::passes::ask::{AskId, PassAsk, PassDecision};
+use crate::passes::ask::{PassAsk, PassDecision};
 use crate::passes::long_plan::MAX_MEMBERS;
+use crate::passes::queue::Waiting;
+
+/// Time between two looks at all waiting asks; a tenth of the time that a short one can wait.
+const REFUSAL_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Shortest time to come back that is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -16,7 +20,13 @@
 
 impl PassPool {
     /// When to come back, where the request can't be served in its time.
-    pub(super) fn hopeless(&self, now: Instant, ask: &PassAsk, read_ms: f64) -> Option<Duration> {
+    pub(super) fn hopeless(
+        &self,
+        now: Instant,
+        ask: &PassAsk,
+        read_ms: f64,
+        ahead_ms: f64,
+    ) -> Option<Duration> {
         let open = self.open_engines(now);
         if open == 0 {
             return Some(MIN_RETRY_AFTER);
@@ -27,7 +37,7 @@
         if memory > members * self.spec.memory_tokens {
             return Some(MAX_RETRY_AFTER);
         }
-        let wait = self.expected_wait(now, read_ms, open);
+        let wait = self.expected_wait(now, read_ms, ahead_ms, open);
         let least = self.least_time(read_ms, open);
         let comes_at = now + wait + least;
         if comes_at <= ask.give_up_at && comes_at + ask.writing_time() <= ask.deadline {
@@ -50,30 +60,44 @@
         Duration::from_secs_f64(read_ms / split as f64 / 1000.0)
     }
 
-    /// Expected time until a long prompt begins, from what waits before it and the load of late;
-    /// short ones are not expected to wait.
-    pub(super) fn expected_wait(&self, now: Instant, read_ms: f64, open: usize) -> Duration {
+    /// Expected time until a long prompt begins, from the reading that waits and finds room sooner
+    /// and from the load of late; short ones are not expected to wait.
+    fn expected_wait(&self, now: Instant, read_ms: f64, ahead_ms: f64, open: usize) -> Duration {
         if self.is_short(read_ms) || !self.options.refuse_early {
             return Duration::ZERO;
         }
-        let long = self.queue.iter().filter(|w| !self.is_short(w.read_ms));
-        let quicker = long.take_while(|w| w.read_ms < read_ms);
-        let ahead_ms: f64 = quicker.map(|w| w.read_ms).sum();
         let share = self.backlog.free_share(now, read_ms, open);
         let wait_ms = (ahead_ms + read_ms) / (open as f64 * share) - read_ms / open as f64;
         Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
     }
 
-    /// Refuses every ask that can't be answered in its time any more.
+    /// Reading that waits and finds room sooner than a prompt, in milliseconds.
+    pub(super) fn ahead_ms(&self, read_ms: f64) -> f64 {
+        let waiting = self.queue.iter().map(|w| w.read_ms);
+        waiting
+            .filter(|ms| *ms < read_ms && !self.is_short(*ms))
+            .sum()
+    }
+
+    /// Refuses every ask that can't be answered in its time any more; looks at all of them, so not
+    /// in every round.
     pub(super) fn refuse_overdue(&mut self, now: Instant) {
-        let overdue: Vec<(AskId, Duration)> = self
-            .queue
-            .iter()
-            .filter_map(|w| {
-                let retry_after = self.hopeless(now, &w.ask, w.read_ms)?;
-                Some((w.ask.id, retry_after))
-            })
-            .collect();
+        if now < self.next_refusals {
+            return;
+        }
+        self.next_refusals = now + REFUSAL_INTERVAL;
+        let mut by_read: Vec<&Waiting> = self.queue.iter().collect();
+        by_read.sort_by(|a, b| a.read_ms.total_cmp(&b.read_ms));
+        let mut ahead_ms = 0.0;
+        let mut overdue = Vec::new();
+        for waiting in by_read {
+            let hopeless = self.hopeless(now, &waiting.ask, waiting.read_ms, ahead_ms);
+            match hopeless {
+                Some(retry_after) => overdue.push((waiting.ask.id, retry_after)),
+                None if self.is_short(waiting.read_ms) => {}
+                None => ahead_ms += waiting.read_ms,
+            }
+        }
         for (id, retry_after) in overdue {
             self.queue.remove(id);
             self.decisions
