--- a/crates/azuresaddle-sched/benches/passes.rs
+++ b/crates/azuresaddle-sched/benches/passes.rs
@@ -1,5 +1,8 @@
 //! Cost of a placement on engines that work in passes.
-#![allow(missing_docs, reason = "criterion generates items without documentation")]
+#![allow(
+    missing_docs,
+    reason = "criterion generates items without documentation"
+)]
 
 use std::hint::black_box;
 use std::time::Duration;
