A silent target ends no answer that can't go on elsewhere; no pass silences a stream for long

Changed: passes of late streams are bounded by 3.5 of their pauses; a target is silent after 6 pauses (4 before), and where no other may take over it is waited for until the deadline.

--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -25,8 +25,9 @@
 /// Longest answer without events that is taken whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 1 << 20;
 
-/// Longest pauses after which a target counts as silent in the middle of a stream.
-const PAUSE_PATIENCE: u32 = 4;
+/// Longest pauses after which a target counts as silent in the middle of a stream; callers wait for
+/// eight, and a pass that placement allows takes up to three and a half.
+const PAUSE_PATIENCE: u32 = 6;
 
 /// Shortest such time.
 const MIN_PAUSE_PATIENCE: Duration = Duration::from_millis(700);
@@ -53,7 +54,7 @@
             helpers: helpers.as_deref(),
         };
         let outgoing = self.req.for_target(&to);
-        let first_event_at = (Instant::now() + place.first_event_patience).min(self.req.deadline);
+        let first_event_at = self.wait_until(place.first_event_patience);
         let id = &self.req.head.attempt_id;
         let response = match send(&mut connection, outgoing, id, until(first_event_at)).await {
             Ok(response) => response,
@@ -140,7 +141,7 @@
                 continue;
             }
             let now = Instant::now();
-            next_by = now + silence;
+            next_by = self.wait_until(silence);
             self.last_event_at = Some(now);
             if !seen_first {
                 seen_first = true;
@@ -167,6 +168,18 @@
         Sent::Complete
     }
 
+    /// Until when a silent target is waited for: where no other one may take over, until the end,
+    /// since a slow target is still at work and a dead one breaks the connection.
+    fn wait_until(&self, patience: Duration) -> Instant {
+        let may_switch = self.req.is_idempotent() && self.runs + 1 < self.req.route.max_attempts;
+        let until = Instant::now() + patience;
+        if may_switch {
+            until.min(self.req.deadline)
+        } else {
+            self.req.deadline
+        }
+    }
+
     fn note_first_event(&mut self) {
         if self.first_event_ms.is_some() {
             return;
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -19,6 +19,10 @@
 /// error of the estimate.
 const PAUSE_SHARE: f64 = 0.72;
 
+/// Longest pauses that a pass may take although its streams are late: nodes take a target that is
+/// silent for nearly twice as long for dead.
+const MAX_SILENT_PAUSES: f64 = 3.5;
+
 /// Time kept of each pause for the node and the network, in milliseconds.
 const PAUSE_MARGIN_MS: f64 = 12.0;
 
@@ -128,6 +132,15 @@
         pauses.min().map_or(f64::INFINITY, longest_pass_ms)
     }
 
+    /// Longest pass that lets no stream here fall silent for long, late ones among them, in
+    /// milliseconds.
+    pub(super) fn silent_pass_ms(&self) -> f64 {
+        let pauses = self.leads.iter().map(|l| l.pause);
+        pauses.min().map_or(f64::INFINITY, |pause| {
+            pause.as_secs_f64() * 1000.0 * MAX_SILENT_PAUSES
+        })
+    }
+
     /// Prompt tokens of the streams here that a pass of that time makes late.
     pub(super) fn broken_tokens(&self, pass_ms: f64) -> u64 {
         let broken = self.leads.iter().filter(|l| l.is_broken_by(pass_ms));
@@ -201,7 +214,13 @@
 
     /// Reading that the next pass can still take without making a stream late, in milliseconds.
     pub(super) fn room_ms(&self, spec: &EngineSpec) -> f64 {
-        (self.longest_pass_ms() - self.write_ms(spec) - self.next_read_ms) / self.pace
+        let longest = self.longest_pass_ms().min(self.silent_pass_ms());
+        (longest - self.write_ms(spec) - self.next_read_ms) / self.pace
+    }
+
+    /// Reading that the next pass can still take without silencing a stream, in milliseconds.
+    pub(super) fn silent_room_ms(&self, spec: &EngineSpec) -> f64 {
+        (self.silent_pass_ms() - self.write_ms(spec) - self.next_read_ms) / self.pace
     }
 }
 
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -105,6 +105,8 @@
     base_ms: f64,
     /// Longest part that makes no stream late, in milliseconds.
     room_ms: f64,
+    /// Longest part that silences no stream, in milliseconds.
+    silent_room_ms: f64,
     /// Whether a part may come to be read together with another.
     is_reading: bool,
     /// Longest pass that the streams there bear, in milliseconds.
@@ -183,6 +185,7 @@
             } else {
                 e.room_ms(spec)
             },
+            silent_room_ms: e.silent_room_ms(spec),
             is_reading: options.protect_reads && e.is_reading(now),
             longest_pass_ms: e.longest_pass_ms(),
             free_tokens: e.free_tokens(spec),
@@ -226,7 +229,7 @@
                 able.iter()
                     .copied()
                     .filter(can_lead)
-                    .filter(|c| !c.is_reading),
+                    .filter(|c| !c.is_reading && c.silent_room_ms >= share.part_ms),
             )
         })?;
     let mut left = share.broken_tokens;
@@ -280,6 +283,7 @@
     let mut others: Vec<(u64, &Candidate)> = helpers
         .iter()
         .filter(|c| c.room_ms < share.part_ms && !c.is_reading)
+        .filter(|c| c.silent_room_ms >= share.part_ms)
         .map(|c| (broken_tokens(round, c, share.part_ms), *c))
         .collect();
     others.sort_by_key(|(broken, _)| *broken);
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -20,6 +20,9 @@
 use super::target::{Target, TargetFault, Work, text_of};
 use crate::passes::EngineModel;
 
+/// Time that a stalling engine adds to each pass.
+const STALL: Duration = Duration::from_millis(1600);
+
 /// Most reservations of memory at a time.
 const MAX_RESERVATIONS: usize = 64;
 
@@ -126,6 +129,9 @@
                 continue;
             };
             tokio::time::sleep(Duration::from_secs_f64(ms / 1000.0)).await;
+            if target.fault() == TargetFault::Stalls {
+                tokio::time::sleep(STALL).await;
+            }
             self.end_pass(target);
         }
     }
--- a/crates/azuresaddle-standin/src/platform/target.rs
+++ b/crates/azuresaddle-standin/src/platform/target.rs
@@ -34,6 +34,8 @@
     BreaksOff,
     /// Answers with the id of another request.
     Crossed,
+    /// Works much slower: each pass takes 1.6 s more.
+    Stalls,
 }
 
 /// What the targets of one kind do with a request that they may run.
--- a/tests/testsuite/platform/faults.rs
+++ b/tests/testsuite/platform/faults.rs
@@ -91,3 +91,16 @@
         assert_eq!(status(&fleet.nodes[0], &asked).await, 200);
     }
 }
+
+/// A target that is slow is still at work: an answer that can't go on elsewhere is waited for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_target_ends_no_answer_that_can_not_go_on_elsewhere() {
+    let fleet = fleet("stalls", 1).await;
+    for engine in &fleet.world.engines {
+        engine.set_fault(TargetFault::Stalls);
+    }
+    for path in ["/ask-once/1", "/ask/1"] {
+        let asked = stream(path, 1000, 2);
+        assert_eq!(status(&fleet.nodes[0], &asked).await, 200, "{path}");
+    }
+}
