--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/passes/ledger.rs
@@ -0,0 +1,105 @@
+//! The ledger.
+
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{PassDecision, PassOutcome};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+use super::*;
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_gone_leaves_nothing_behind() {
+    let now = Instant::now();
+    let mut pool = pool(now, 2);
+    for n in 0..5 {
+        assert!(start(&mut pool, now, n, 3000).is_some());
+    }
+    assert_eq!(pool.running(), 5);
+    pool.retain_nodes(|node| node != 1);
+    assert_eq!(pool.running(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_listing_replaces_what_is_known_of_a_node_but_not_newer_grants() {
+    let now = Instant::now();
+    let mut pool = pool(now, 2);
+    for n in 1..=3 {
+        assert!(start(&mut pool, now, n, 3000).is_some());
+    }
+    // The node knew the asks 1 and 2 when it made the listing, and only 2 still runs.
+    let mut still = running(1, 0);
+    still.id = id(2);
+    pool.sync_node(now, 1, &[still], |id| id.number > 2);
+    assert_eq!(pool.running(), 2);
+}
+
+/// Whatever happens, every ask gets exactly one decision and nothing is left in the ledger.
+#[tokio::test(start_paused = true)]
+async fn every_ask_gets_one_decision_and_the_ledger_empties() {
+    for seed in 0..30 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut pool = pool(start, 5);
+        let mut now = start;
+        let mut live = Vec::new();
+        let mut decided = std::collections::HashMap::new();
+        let mut asked = 0;
+        for _ in 0..400 {
+            now += Duration::from_millis(rng.random_range(1..60));
+            match rng.random_range(0..10) {
+                0..=4 => {
+                    asked += 1;
+                    let tokens = [2000, 9000, 45_000, 210_000, 700_000][rng.random_range(0..5)];
+                    pool.enqueue(now, ask(now, asked, tokens));
+                }
+                5..=6 if !live.is_empty() => {
+                    let at = rng.random_range(0..live.len());
+                    pool.on_first_event(now, id(live[at]));
+                }
+                7 => pool.upsert_engine(
+                    now,
+                    &name(rng.random_range(0..5)),
+                    &FailureDomain::new("d1"),
+                    rng.random(),
+                ),
+                _ if !live.is_empty() => {
+                    let number = live.swap_remove(rng.random_range(0..live.len()));
+                    let failed = PassOutcome::TargetFailed(name(rng.random_range(0..5)));
+                    let outcome = if rng.random_range(0..8) == 0 {
+                        failed
+                    } else {
+                        PassOutcome::Done
+                    };
+                    pool.end(now, id(number), &outcome);
+                }
+                _ => {}
+            }
+            pool.dispatch(now);
+            for (id, decision) in pool.take_decisions() {
+                assert!(
+                    decided.insert(id.number, ()).is_none(),
+                    "seed {seed}: two decisions"
+                );
+                if matches!(decision, PassDecision::Granted(_)) {
+                    live.push(id.number);
+                }
+            }
+        }
+        for number in live {
+            pool.end(now, id(number), &PassOutcome::Done);
+        }
+        now += Duration::from_secs(60);
+        pool.dispatch(now);
+        for (id, _) in pool.take_decisions() {
+            assert!(
+                decided.insert(id.number, ()).is_none(),
+                "seed {seed}: two decisions"
+            );
+        }
+        assert_eq!(decided.len() as u64, asked, "seed {seed}");
+        assert_eq!((pool.running(), pool.waiting()), (0, 0), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -0,0 +1,113 @@
+//! Placement on engines that work in passes.
+
+mod ledger;
+mod long;
+mod short;
+
+use std::time::Duration;
+
+use azuresaddle_core::deployment::EngineSpec;
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{
+    AskId, PassAsk, PassDecision, PassGrant, PassOptions, PassPool, RunningStream,
+};
+use tokio::time::Instant;
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_pass: 46,
+        step_ms: 0.925,
+        step_ms_per_stream: 0.00483,
+        step_ms_per_1k_context: 0.00254,
+        read_tokens_per_ms: 256.0,
+        ms_per_1m_pairs: 0.0917,
+        max_read_tokens_per_step: 2048,
+        holder_hop_ms: 0.1,
+        report_lag: Duration::from_millis(200),
+        usual_answer_tokens: 1540,
+    }
+}
+
+fn name(n: usize) -> HostName {
+    HostName::new(format!("e{n:02}"))
+}
+
+fn pool_with(now: Instant, engines: usize, options: PassOptions) -> PassPool {
+    let mut pool = PassPool::new(options, spec());
+    for n in 0..engines {
+        pool.upsert_engine(now, &name(n), &FailureDomain::new("d1"), false);
+    }
+    pool
+}
+
+fn pool(now: Instant, engines: usize) -> PassPool {
+    pool_with(now, engines, PassOptions::default())
+}
+
+fn id(number: u64) -> AskId {
+    AskId { node: 1, number }
+}
+
+fn ask(now: Instant, number: u64, prompt_tokens: u64) -> PassAsk {
+    let (first, pause) = match prompt_tokens {
+        0..30_000 => (300, 200),
+        30_000..110_000 => (1500, 500),
+        _ => (3000, 800),
+    };
+    PassAsk {
+        id: id(number),
+        account: ClientAccount::new("a"),
+        domain: FailureDomain::new("d1"),
+        prompt_tokens,
+        answer_tokens: 800,
+        first_event_by: now + Duration::from_millis(first),
+        pause: Duration::from_millis(pause),
+        give_up_at: now + Duration::from_secs(12),
+        deadline: now + Duration::from_secs(15),
+        exclude: Vec::new(),
+    }
+}
+
+/// Dispatches and returns the grants by number.
+fn grants(pool: &mut PassPool, now: Instant) -> Vec<(u64, PassGrant)> {
+    pool.dispatch(now);
+    let granted = |(id, decision): (AskId, PassDecision)| match decision {
+        PassDecision::Granted(grant) => Some((id.number, grant)),
+        PassDecision::Refused { .. } => None,
+    };
+    pool.take_decisions()
+        .into_iter()
+        .filter_map(granted)
+        .collect()
+}
+
+fn start(pool: &mut PassPool, now: Instant, number: u64, tokens: u64) -> Option<PassGrant> {
+    pool.enqueue(now, ask(now, number, tokens));
+    let all = grants(pool, now);
+    all.into_iter().find(|(n, _)| *n == number).map(|(_, g)| g)
+}
+
+fn assert_refused(pool: &mut PassPool, now: Instant, ask: PassAsk) {
+    pool.enqueue(now, ask);
+    pool.dispatch(now);
+    let decisions = pool.take_decisions();
+    assert!(
+        matches!(decisions[..], [(_, PassDecision::Refused { .. })]),
+        "{decisions:?}"
+    );
+}
+
+fn running(node: u64, engine: usize) -> RunningStream {
+    RunningStream {
+        id: AskId { node, number: 1 },
+        lead: name(engine),
+        helpers: Vec::new(),
+        helper_memory_tokens: 0,
+        prompt_tokens: 3000,
+        answer_tokens: 800,
+        pause: Duration::from_millis(200),
+        is_writing: true,
+    }
+}
