--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -12,7 +12,7 @@
     /// Split long prompts over engines; only what needs the memory of several otherwise.
     pub split_long: bool,
     /// Long prompts that read quickest first; in the order of arrival otherwise, which earns as much
-    /// and serves more of the largest tenth (0.68 against 0.56 at the highest load).
+    /// (worth 0.856 against 0.849 at the highest load).
     pub shortest_first: bool,
     /// Let long prompts wait for more engines while that keeps them on time.
     pub wait_for_engines: bool,
