--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -42,7 +42,7 @@
     cx: Arc<Forwarder<N>>,
     req: ForwardRequest,
 ) -> Response<ProxyBody> {
-    let left = cx.spawner.clone();
+    let tasks = cx.spawner.clone();
     let cancel = CancellationToken::new();
     let guard = cancel.clone().drop_guard();
     let (head_tx, head_rx) = oneshot::channel();
@@ -63,7 +63,7 @@
         first_event_ms: None,
         last_event_at: None,
     };
-    left.spawn(async move {
+    tasks.spawn(async move {
         // Dropped after the relay, when the answer is complete or the caller has left.
         let _watch = watch;
         tokio::select! {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -10,13 +10,20 @@
 use clap::{Arg, ArgMatches, Command};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
-use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 
 use super::BadInput;
 
 /// Log lines that wait to be written; more are dropped and counted.
 const MAX_WAITING_LINES: usize = 4096;
 
+/// The running log; the last lines are written when it is dropped.
+struct Log {
+    /// Lines that found the queue full.
+    dropped: ErrorCounter,
+    _guard: WorkerGuard,
+}
+
 pub(crate) fn make_subcommand() -> Command {
     Command::new("serve")
         .about("Runs a node on the platform, by the settings file that the platform places")
@@ -53,7 +60,7 @@
         .get_one::<PathBuf>("settings")
         .expect("clap requires it");
     let settings = read_settings(path).map_err(|e| anyhow!(BadInput(e.to_string())))?;
-    let _log = init_log(args);
+    let log = init_log(args);
     let port = args.get_one::<u16>("metrics-port").copied();
     let options = NodeOptions {
         metrics_port: port.filter(|p| *p != 0),
@@ -87,6 +94,10 @@
             }
         }
         node.stop().await;
+        let dropped = log.dropped.dropped_lines();
+        if dropped > 0 {
+            tracing::warn!(part = "node", dropped, "log lines dropped");
+        }
         Ok(())
     })
 }
@@ -106,7 +117,7 @@
 
 /// Writes structured lines to standard output from a thread of their own, so that no request waits
 /// for whoever reads them.
-fn init_log(args: &ArgMatches) -> WorkerGuard {
+fn init_log(args: &ArgMatches) -> Log {
     let level = args
         .get_one::<String>("log-level")
         .map_or("info", String::as_str);
@@ -115,6 +126,7 @@
         .buffered_lines_limit(MAX_WAITING_LINES)
         .lossy(true)
         .finish(std::io::stdout());
+    let dropped = writer.error_counter();
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
@@ -122,5 +134,8 @@
         .with_writer(writer)
         .with_env_filter(tracing_subscriber::EnvFilter::new(filter))
         .init();
-    guard
+    Log {
+        dropped,
+        _guard: guard,
+    }
 }
