A new owner learns of the reads under way

The nodes told the new owner which streams run, but not until when their prompts are read, so the four engines seemed idle: they got parts of every long prompt and all short ones until 24.6 s, and each of these waited for the end of that pass ('no answer in time' for 31 streams). Ruled out: dead or draining engines (both left the list 2 s before their end, no send reached them), slow engines, a wrong estimate by the first owner (8.5 s expected, 8.4 s taken). Change: a running stream carries the expected time to its first event; the new owner takes its engines as reading until then, or until the first event comes. Tests, seen failing first: a_new_owner_knows_which_engines_are_reading, changes_of_the_owner_cost_little.

--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -46,6 +46,8 @@
     Running {
         service: Arc<str>,
         stream: RunningStream,
+        /// When the first event is expected.
+        first_event_at: Instant,
     },
 }
 
@@ -138,9 +140,14 @@
                     answer_tokens: req.answer_tokens,
                     pause: req.pause,
                     is_writing: false,
+                    first_event_in,
                 };
-                let service = req.service;
-                self.lock().insert(id, Live::Running { service, stream });
+                let running = Live::Running {
+                    service: req.service,
+                    stream,
+                    first_event_at: Instant::now() + first_event_in,
+                };
+                self.lock().insert(id, running);
                 placed.lead = lead;
                 placed.helpers = helpers;
                 placed.helper_memory_tokens = helper_memory_tokens;
@@ -221,14 +228,23 @@
 
     /// All streams of this node.
     pub(super) fn sync_message(&self) -> SyncMessage {
+        let now = Instant::now();
         let live = self.lock();
         let mut running = Vec::new();
         let mut waiting = Vec::new();
         for (id, state) in live.iter() {
             match state {
                 Live::Waiting => waiting.push(*id),
-                Live::Running { service, stream } => {
-                    running.push((service.to_string(), stream.clone()));
+                Live::Running {
+                    service,
+                    stream,
+                    first_event_at,
+                } => {
+                    let mut stream = stream.clone();
+                    if !stream.is_writing {
+                        stream.first_event_in = first_event_at.saturating_duration_since(now);
+                    }
+                    running.push((service.to_string(), stream));
                 }
             }
         }
@@ -308,6 +324,7 @@
     pub(crate) fn on_first_event(&self) {
         if let Some(Live::Running { stream, .. }) = self.placement.lock().get_mut(&self.id) {
             stream.is_writing = true;
+            stream.first_event_in = Duration::ZERO;
         }
         self.placement
             .report(self.id, &self.service, ReportKind::FirstEvent);
--- a/crates/azuresaddle-sched/src/passes/ask.rs
+++ b/crates/azuresaddle-sched/src/passes/ask.rs
@@ -112,4 +112,6 @@
     pub pause: Duration,
     /// Whether the first event has come.
     pub is_writing: bool,
+    /// Expected time until the first event; zero where it has come or is overdue.
+    pub first_event_in: Duration,
 }
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -72,6 +72,8 @@
     pub(super) reads_until: Instant,
     /// Reading that waits for the next pass, in milliseconds.
     pub(super) next_read_ms: f64,
+    /// A read that was begun for an earlier owner, and when it is expected to end.
+    adopted_read: Option<(AskId, Instant)>,
     /// Time of its work against that of a usual engine.
     pub(super) pace: f64,
     pub(super) leaving: bool,
@@ -88,6 +90,7 @@
             pass_ends: now,
             reads_until: now,
             next_read_ms: 0.0,
+            adopted_read: None,
             pace: 1.0,
             leaving: false,
             breaker: Breaker::default(),
@@ -195,6 +198,34 @@
         self.next_read_ms > 0.0 || self.reads_until > now
     }
 
+    /// Notes a read that was begun for an earlier owner.
+    ///
+    /// Engines that seemed idle got parts of every prompt for as long as the read went on: after a
+    /// change of owner the short streams of two seconds were late.
+    pub(super) fn adopt_read(&mut self, id: AskId, ends: Instant) {
+        if ends <= self.reads_until {
+            return;
+        }
+        self.pass_ends = self.pass_ends.max(ends);
+        self.reads_until = ends;
+        self.adopted_read = Some((id, ends));
+    }
+
+    /// Notes that a read for an earlier owner is over, where it was still expected to go on.
+    pub(super) fn end_adopted_read(&mut self, now: Instant, id: AskId) {
+        let Some((adopted, ends)) = self.adopted_read else {
+            return;
+        };
+        if adopted != id {
+            return;
+        }
+        self.adopted_read = None;
+        if self.reads_until == ends && ends > now {
+            self.reads_until = now;
+            self.pass_ends = now;
+        }
+    }
+
     /// Time until the next pass begins.
     pub(super) fn next_pass_in(&self, now: Instant) -> Duration {
         self.pass_ends.saturating_duration_since(now)
--- a/crates/azuresaddle-sched/src/passes/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/ledger.rs
@@ -58,7 +58,7 @@
         }
         for stream in streams {
             if !self.runs.contains_key(&stream.id) {
-                self.adopt(stream);
+                self.adopt(now, stream);
             }
             if stream.is_writing {
                 self.on_first_event(now, stream.id);
@@ -66,7 +66,7 @@
         }
     }
 
-    pub(super) fn adopt(&mut self, stream: &RunningStream) {
+    pub(super) fn adopt(&mut self, now: Instant, stream: &RunningStream) {
         self.queue.remove(stream.id);
         let Some(lead) = self.names.get(&stream.lead).copied() else {
             return;
@@ -83,6 +83,12 @@
             pause: stream.pause,
             helper_memory_tokens: stream.helper_memory_tokens,
         };
+        if !stream.is_writing {
+            let ends = now + stream.first_event_in;
+            for key in std::iter::once(&lead).chain(&helpers) {
+                self.engines[*key].adopt_read(stream.id, ends);
+            }
+        }
         self.hold(&parts, lead, helpers);
     }
 
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -154,6 +154,7 @@
             return;
         };
         if let Some(engine) = self.engines.get_mut(run.lead) {
+            engine.end_adopted_read(now, id);
             engine.advance(now, &self.spec);
             if let Some(lead) = engine.leads.iter_mut().find(|l| l.id == id) {
                 lead.is_writing = true;
@@ -163,6 +164,7 @@
             let Some(engine) = self.engines.get_mut(*key) else {
                 continue;
             };
+            engine.end_adopted_read(now, id);
             for help in engine.helps.iter_mut().filter(|h| h.id == id) {
                 help.is_read = true;
             }
--- a/crates/azuresaddle-sched/tests/suite/passes/ledger.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/ledger.rs
@@ -36,6 +36,28 @@
     assert_eq!(pool.running(), 2);
 }
 
+/// An owner that took over believed engines idle that were in the middle of an 8 s read, and gave
+/// them parts of every prompt that came.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_knows_which_engines_are_reading() {
+    let now = Instant::now();
+    let mut pool = pool(now, 3);
+    let mut reading = running(1, 0);
+    reading.helpers = vec![name(1)];
+    reading.prompt_tokens = 400_000;
+    reading.is_writing = false;
+    reading.first_event_in = Duration::from_secs(4);
+    pool.sync_node(now, 1, &[reading], |_| false);
+
+    let long = start(&mut pool, now, 2, 60_000).unwrap();
+    assert_eq!((long.lead, long.helpers), (name(2), Vec::new()));
+
+    // The first event ends the read sooner than expected.
+    pool.on_first_event(now, AskId { node: 1, number: 1 });
+    let next = start(&mut pool, now, 3, 60_000).unwrap();
+    assert_eq!((next.lead, next.helpers), (name(1), Vec::new()));
+}
+
 /// Whatever happens, every ask gets exactly one decision and nothing is left in the ledger.
 #[tokio::test(start_paused = true)]
 async fn every_ask_gets_one_decision_and_the_ledger_empties() {
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -109,5 +109,6 @@
         answer_tokens: 800,
         pause: Duration::from_millis(200),
         is_writing: true,
+        first_event_in: Duration::ZERO,
     }
 }
--- a/crates/azuresaddle-standin/src/cmd/passes.rs
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use anyhow::{Context, Result};
-use azuresaddle_standin::passes::{DayResults, PassPolicy, Sheet, play_day};
+use azuresaddle_standin::passes::{DayResults, PassPolicy, Sheet, Troubles, play_day};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use super::args::say;
@@ -26,6 +26,14 @@
                 .default_value("0.82")
                 .help("Part of the whole rate"),
         )
+        .arg(
+            Arg::new("trouble")
+                .long("trouble")
+                .value_name("TROUBLE")
+                .action(ArgAction::Append)
+                .value_parser(Troubles::NAMES)
+                .help("Something that goes wrong; may be given several times"),
+        )
         .arg(
             Arg::new("policy")
                 .long("policy")
@@ -60,10 +68,13 @@
 pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
     let load: f64 = super::args::get(args, "load");
     let name: String = super::args::get(args, "sheet");
-    let sheet = match name.as_str() {
+    let mut sheet = match name.as_str() {
         "aguaclara" => Sheet::aguaclara(load),
         _ => Sheet::sabarmati(load),
     };
+    for trouble in args.get_many::<String>("trouble").into_iter().flatten() {
+        sheet.troubles.add(trouble);
+    }
     let policies: Vec<PassPolicy> = args
         .get_many("policy")
         .map_or_else(|| PassPolicy::ALL.to_vec(), |all| all.copied().collect());
--- a/crates/azuresaddle-standin/src/passes/mod.rs
+++ b/crates/azuresaddle-standin/src/passes/mod.rs
@@ -10,6 +10,7 @@
 mod plot;
 mod policy;
 mod sheet;
+mod troubles;
 mod world;
 
 pub use credit::{DayResults, KindResults};
@@ -17,4 +18,5 @@
 pub use plot::plot_worth;
 pub use policy::PassPolicy;
 pub use sheet::{KindOfRequest, Sheet, SheetRequest, draw_requests};
+pub use troubles::{SlowEngines, Troubles};
 pub use world::play_day;
--- a/crates/azuresaddle-standin/src/passes/sheet.rs
+++ b/crates/azuresaddle-standin/src/passes/sheet.rs
@@ -5,6 +5,8 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 
+use super::troubles::Troubles;
+
 /// A kind of request.
 #[derive(Clone, Debug)]
 pub struct KindOfRequest {
@@ -53,6 +55,8 @@
     pub load: f64,
     /// Length of the day, in seconds.
     pub length_s: f64,
+    /// What goes wrong.
+    pub troubles: Troubles,
 }
 
 /// A request.
@@ -93,6 +97,7 @@
             kinds: usual_kinds([39.5, 2.87, 1.19]),
             load,
             length_s: 34.0,
+            troubles: Troubles::default(),
         }
     }
 
@@ -105,6 +110,7 @@
             kinds: usual_kinds([30.7, 2.23, 0.922]),
             load,
             length_s: 34.0,
+            troubles: Troubles::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/troubles.rs
@@ -0,0 +1,48 @@
+//! What goes wrong on a day in virtual time.
+
+/// Troubles of a day; none unless set.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Troubles {
+    /// Time after which another node places, over and over, in seconds.
+    pub owner_term_s: Option<f64>,
+    /// Engines that are slow all day.
+    pub slow: Option<SlowEngines>,
+}
+
+/// Engines that are slower than the others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowEngines {
+    /// Their number.
+    pub count: usize,
+    /// Time of their work against that of a usual engine.
+    pub pace: f64,
+}
+
+impl Troubles {
+    /// Names of the troubles that [`Troubles::add`] knows.
+    pub const NAMES: [&'static str; 2] = ["owner-changes", "slow-engines"];
+
+    /// Adds a trouble in its usual strength; a name that is not known changes nothing.
+    pub fn add(&mut self, name: &str) {
+        match name {
+            // Restarts in series change the owner as often.
+            "owner-changes" => self.owner_term_s = Some(4.0),
+            // About a sixth of the engines.
+            "slow-engines" => {
+                self.slow = Some(SlowEngines {
+                    count: 3,
+                    pace: 3.0,
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Time of an engine's work against that of a usual engine.
+    pub(super) fn pace(&self, engine: usize) -> f64 {
+        match self.slow {
+            Some(slow) if engine < slow.count => slow.pace,
+            _ => 1.0,
+        }
+    }
+}
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::passes::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, PassPool};
+use azuresaddle_sched::passes::{
+    AskId, PassAsk, PassDecision, PassGrant, PassOutcome, PassPool, RunningStream,
+};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
@@ -25,6 +27,9 @@
 /// Time between the caller and the node, there and back, in milliseconds.
 const CALLER_MS: f64 = 8.0;
 
+/// The node that asks.
+const NODE: u64 = 1;
+
 /// What happens next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -33,12 +38,17 @@
     PassEnd(usize),
     FirstEventKnown(usize),
     EndKnown(usize),
+    OwnerChange,
     Wake,
 }
 
 /// A request in the day.
 #[derive(Clone, Debug, Default)]
 struct Stream {
+    /// What was asked, until the end is known.
+    ask: Option<PassAsk>,
+    /// Where it runs, and when its first event is expected.
+    grant: Option<(PassGrant, Instant)>,
     engines: Vec<usize>,
     parts_left: usize,
     first_at: Option<f64>,
@@ -90,32 +100,80 @@
         let names: Vec<HostName> = (0..sheet.engines)
             .map(|i| HostName::new(format!("engine-{i:02}")))
             .collect();
-        let pool = policy.options().map(|options| {
-            let mut pool = PassPool::new(options, sheet.spec.clone());
-            for name in &names {
-                pool.upsert_engine(origin, name, &FailureDomain::new("d1"), false);
-            }
-            pool
-        });
+        let engine = |i| EngineModel::new(sheet.spec.clone(), sheet.troubles.pace(i));
         let mut world = Self {
             sheet,
             policy,
             requests,
             streams: vec![Stream::default(); requests.len()],
-            engines: vec![EngineModel::new(sheet.spec.clone(), 1.0); sheet.engines],
+            engines: (0..sheet.engines).map(engine).collect(),
             names,
-            pool,
+            pool: None,
             events: BinaryHeap::new(),
             origin,
             rng: StdRng::seed_from_u64(seed),
             wake_at: None,
         };
+        world.pool = world.new_pool(origin);
         for (i, request) in requests.iter().enumerate() {
             world.push(request.at_ms, Event::Arrival(i));
         }
+        if let Some(term_s) = sheet.troubles.owner_term_s {
+            let terms = (sheet.length_s / term_s) as usize;
+            for term in 1..=terms {
+                world.push(term as f64 * term_s * 1000.0, Event::OwnerChange);
+            }
+        }
         world
     }
 
+    /// The pool of a node that becomes the owner; `None` for a baseline.
+    fn new_pool(&self, now: Instant) -> Option<PassPool> {
+        let options = self.policy.options()?;
+        let mut pool = PassPool::new(options, self.sheet.spec.clone());
+        for name in &self.names {
+            pool.upsert_engine(now, name, &FailureDomain::new("d1"), false);
+        }
+        Some(pool)
+    }
+
+    /// Another node places from now on, by what the nodes tell it of their streams.
+    fn change_owner(&mut self, at_ms: f64) {
+        let now = self.instant(at_ms);
+        let Some(mut pool) = self.new_pool(now) else {
+            return;
+        };
+        let running: Vec<RunningStream> = (0..self.streams.len())
+            .filter_map(|i| self.running(now, at_ms, i))
+            .collect();
+        pool.sync_node(now, NODE, &running, |_| false);
+        for stream in &self.streams {
+            if let (Some(ask), None) = (&stream.ask, &stream.grant) {
+                pool.enqueue(now, ask.clone());
+            }
+        }
+        self.pool = Some(pool);
+    }
+
+    /// What a node tells a new owner of a stream.
+    fn running(&self, now: Instant, at_ms: f64, i: usize) -> Option<RunningStream> {
+        let stream = &self.streams[i];
+        let ask = stream.ask.as_ref()?;
+        let (grant, first_event_at) = stream.grant.as_ref()?;
+        let is_writing = stream.first_at.is_some_and(|at| at + TO_OWNER_MS <= at_ms);
+        Some(RunningStream {
+            id: ask.id,
+            lead: grant.lead.clone(),
+            helpers: grant.helpers.clone(),
+            helper_memory_tokens: grant.helper_memory_tokens,
+            prompt_tokens: ask.prompt_tokens,
+            answer_tokens: ask.answer_tokens,
+            pause: ask.pause,
+            is_writing,
+            first_event_in: first_event_at.saturating_duration_since(now),
+        })
+    }
+
     fn push(&mut self, at_ms: f64, event: Event) {
         self.events.push(Reverse(((at_ms * 1000.0) as u64, event)));
     }
@@ -142,7 +200,9 @@
                     if let Some(pool) = &mut self.pool {
                         pool.end(now, ask_id(i), &PassOutcome::Done);
                     }
+                    self.streams[i].ask = None;
                 }
+                Event::OwnerChange => self.change_owner(at_ms),
                 Event::Wake => self.wake_at = None,
             }
             self.dispatch(at_ms);
@@ -173,6 +233,7 @@
             deadline: after(kind.deadline_ms),
             exclude: Vec::new(),
         };
+        self.streams[i].ask = Some(ask.clone());
         pool.enqueue(now, ask);
     }
 
@@ -188,7 +249,10 @@
             let i = id.number as usize;
             match decision {
                 PassDecision::Granted(grant) => self.start(at_ms, i, &grant),
-                PassDecision::Refused { .. } => self.streams[i].refused_at = Some(at_ms),
+                PassDecision::Refused { .. } => {
+                    self.streams[i].refused_at = Some(at_ms);
+                    self.streams[i].ask = None;
+                }
             }
         }
         if let Some(at) = wake {
@@ -204,6 +268,8 @@
         let index = |name: &HostName| self.names.iter().position(|n| n == name);
         let all = std::iter::once(&grant.lead).chain(&grant.helpers);
         self.streams[i].engines = all.filter_map(index).collect();
+        let first_event_at = self.instant(at_ms) + grant.first_event_in;
+        self.streams[i].grant = Some((grant.clone(), first_event_at));
         self.push(at_ms + TO_ENGINE_MS, Event::AtEngines(i));
     }
 
@@ -310,7 +376,7 @@
 
 fn ask_id(i: usize) -> AskId {
     AskId {
-        node: 1,
+        node: NODE,
         number: i as u64,
     }
 }
--- a/crates/azuresaddle-standin/tests/suite/passes.rs
+++ b/crates/azuresaddle-standin/tests/suite/passes.rs
@@ -27,6 +27,15 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn changes_of_the_owner_cost_little() {
+    let mut sheet = Sheet::aguaclara(1.0);
+    let calm = worth(&sheet, PassPolicy::Pool);
+    sheet.troubles.add("owner-changes");
+    let changing = worth(&sheet, PassPolicy::Pool);
+    assert!(changing > calm - 0.03, "{changing} against {calm}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn under_the_highest_load_early_refusal_serves_more() {
     let sheet = Sheet::aguaclara(1.0);
