Slow engines are found by overdue first events and asked for their pace

Cause: an engine that turns slow answers everything, late; every prompt with a part there waited for it. Change: the owner suspects all engines of a stream whose first event is 25 % and 45 ms overdue, asks each for its report at most each 400 ms, places by the pace told, and asks slow ones again each second. The call of orders became one function for calls to targets. Tests: passes::pace (five), slow_engines_are_found_by_overdue_events; on the code before there is no such call.

--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -5,15 +5,17 @@
 use azuresaddle_core::deployment::{Bounds, EngineSpec, EntrySettings, TargetEntry};
 use azuresaddle_core::prelude::*;
 use hyper::Response;
+use tokio::sync::mpsc;
 
 use super::body::ProxyBody;
 use super::caller_watch::CallerWatch;
 use super::head::ForwardRequest;
+use super::pace_check::run_pace_checks;
 use super::plain::forward_plain;
 use super::retry_budget::RetryBudget;
 use super::stream::forward_stream;
 use crate::metrics::Metrics;
-use crate::placement::Placement;
+use crate::placement::{Owner, Placement};
 use crate::snapshot::Snapshots;
 use crate::targets::{ConnectError, Connection, Connections, TargetHealth};
 
@@ -55,6 +57,16 @@
         forwarder
     }
 
+    /// Asks engines for their pace wherever the owner of their pool wants to know it.
+    pub(crate) fn check_paces(
+        self: &Arc<Self>,
+        owner: Arc<Owner>,
+        questions: mpsc::Receiver<HostName>,
+    ) {
+        let checks = run_pace_checks(Arc::clone(self), owner, questions);
+        self.spawner.spawn(checks);
+    }
+
     /// Relays one request.
     pub(crate) async fn forward(self: &Arc<Self>, req: ForwardRequest) -> Response<ProxyBody> {
         self.retries.on_request(&req.service);
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -7,10 +7,12 @@
 mod event_splitter;
 mod forwarder;
 mod head;
+mod pace_check;
 mod plain;
 mod reservations;
 mod retry_budget;
 mod stream;
+mod target_call;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/pace_check.rs
@@ -0,0 +1,47 @@
+//! Asks engines for their pace where the owner of their pool suspects them.
+
+use std::sync::Arc;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::{REPORT_PATH, decode_report};
+use tokio::sync::mpsc;
+
+use super::attempt::SendFailure;
+use super::forwarder::Forwarder;
+use super::target_call::{TargetCall, call_target};
+use crate::placement::Owner;
+
+/// Asks each engine that comes, side by side, and tells the owner.
+pub(super) async fn run_pace_checks<N: Network>(
+    cx: Arc<Forwarder<N>>,
+    owner: Arc<Owner>,
+    mut questions: mpsc::Receiver<HostName>,
+) {
+    while let Some(engine) = questions.recv().await {
+        let cx = Arc::clone(&cx);
+        let owner = Arc::clone(&owner);
+        let tasks = cx.spawner.clone();
+        tasks.spawn(async move {
+            match ask(&cx, &engine).await {
+                Ok(pace) => owner.on_pace(&engine, pace),
+                Err(e) => tracing::info!(
+                    part = "placement",
+                    target = %engine,
+                    failure = %e,
+                    "pace not known"
+                ),
+            }
+        });
+    }
+}
+
+async fn ask<N: Network>(cx: &Arc<Forwarder<N>>, engine: &HostName) -> Result<f64, SendFailure> {
+    let snapshot = cx.snapshots.load();
+    let target = snapshot
+        .targets
+        .get(engine)
+        .ok_or_else(|| SendFailure::NotSent("the target is gone".to_owned()))?;
+    let answer = call_target(cx, target, TargetCall::get(REPORT_PATH)).await?;
+    let report = decode_report(&answer).map_err(|e| SendFailure::Broken(e.to_string()))?;
+    Ok(report.pace)
+}
--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -6,17 +6,14 @@
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{
-    HelperRef, ORDER_PATH, decode_order_answer, encode_release, encode_reserve, headers,
+    HelperRef, ORDER_PATH, decode_order_answer, encode_release, encode_reserve,
 };
-use bytes::Bytes;
 use futures::future::join_all;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Request, StatusCode};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use super::attempt::{SendFailure, kept_for};
+use super::attempt::SendFailure;
 use super::forwarder::Forwarder;
+use super::target_call::{TargetCall, call_target};
 
 /// Time for which memory is held without renewal: a node that dies leaves it for no longer.
 const HOLD: Duration = Duration::from_millis(3000);
@@ -24,12 +21,6 @@
 /// Time between renewals; two may fail before the hold ends.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Longest wait for an answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Longest answer to an order, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 10;
-
 /// Memory reserved on helpers; renewed until dropped, then released.
 pub(super) struct Reservations {
     pub(super) helpers: Vec<HelperRef>,
@@ -129,43 +120,8 @@
     target: &TargetEntry,
     body: Vec<u8>,
 ) -> Result<(), SendFailure> {
-    let exchange = async {
-        let mut connection = cx
-            .connect(target)
-            .await
-            .map_err(|e| SendFailure::NotSent(e.to_string()))?;
-        let mut req = Request::new(Full::new(Bytes::from(body)));
-        *req.method_mut() = hyper::Method::POST;
-        *req.uri_mut() = hyper::Uri::from_static(ORDER_PATH);
-        let host = HeaderValue::try_from(target.addr.to_string()).expect("an address is ASCII");
-        let map = req.headers_mut();
-        map.insert(HOST, host);
-        map.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Ok(id) = HeaderValue::from_str(target.id.as_str()) {
-            map.insert(headers::EXPECTED_TARGET, id);
-        }
-        let response = connection
-            .sender()
-            .send_request(req)
-            .await
-            .map_err(|e| SendFailure::Broken(e.to_string()))?;
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|e| SendFailure::Broken(e.to_string()))?;
-        if let Some(kept) = kept_for(&parts.headers) {
-            connection.give_back(kept.0);
-        }
-        if parts.status != StatusCode::OK {
-            return Err(SendFailure::Declined {
-                status: parts.status,
-                at: None,
-            });
-        }
-        decode_order_answer(&body.to_bytes())
-            .map(|_| ())
-            .map_err(|e| SendFailure::Broken(e.to_string()))
-    };
-    tokio::time::timeout(ORDER_TIMEOUT, exchange)
-        .await
-        .unwrap_or(Err(SendFailure::Silent))
+    let answer = call_target(cx, target, TargetCall::post(ORDER_PATH, body)).await?;
+    decode_order_answer(&answer)
+        .map(|_| ())
+        .map_err(|e| SendFailure::Broken(e.to_string()))
 }
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/target_call.rs
@@ -0,0 +1,106 @@
+//! Calls to a target itself: orders and reports, not requests of callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::TargetEntry;
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::headers;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode, Uri};
+
+use super::attempt::{SendFailure, kept_for};
+use super::forwarder::Forwarder;
+
+/// Longest wait for an answer: targets answer these at once, and a prompt may wait for it.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// A call to a target itself.
+pub(super) struct TargetCall {
+    method: Method,
+    path: &'static str,
+    body: Vec<u8>,
+}
+
+impl TargetCall {
+    pub(super) fn get(path: &'static str) -> Self {
+        Self {
+            method: Method::GET,
+            path,
+            body: Vec::new(),
+        }
+    }
+
+    pub(super) fn post(path: &'static str, body: Vec<u8>) -> Self {
+        Self {
+            method: Method::POST,
+            path,
+            body,
+        }
+    }
+
+    fn into_request(self, target: &TargetEntry) -> Request<Full<Bytes>> {
+        let has_body = !self.body.is_empty();
+        let mut req = Request::new(Full::new(Bytes::from(self.body)));
+        *req.method_mut() = self.method;
+        *req.uri_mut() = Uri::from_static(self.path);
+        let host = HeaderValue::try_from(target.addr.to_string()).expect("an address is ASCII");
+        let map = req.headers_mut();
+        map.insert(HOST, host);
+        if has_body {
+            map.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
+        if let Ok(id) = HeaderValue::from_str(target.id.as_str()) {
+            map.insert(headers::EXPECTED_TARGET, id);
+        }
+        req
+    }
+}
+
+/// Calls a target and returns the body of its answer.
+///
+/// # Errors
+/// Where there is no answer in time, or one with another status than 200.
+pub(super) async fn call_target<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    target: &TargetEntry,
+    call: TargetCall,
+) -> Result<Bytes, SendFailure> {
+    tokio::time::timeout(TIMEOUT, exchange(cx, target, call))
+        .await
+        .unwrap_or(Err(SendFailure::Silent))
+}
+
+async fn exchange<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    target: &TargetEntry,
+    call: TargetCall,
+) -> Result<Bytes, SendFailure> {
+    let mut connection = cx
+        .connect(target)
+        .await
+        .map_err(|e| SendFailure::NotSent(e.to_string()))?;
+    let response = connection
+        .sender()
+        .send_request(call.into_request(target))
+        .await
+        .map_err(|e| SendFailure::Broken(e.to_string()))?;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|e| SendFailure::Broken(e.to_string()))?;
+    if let Some(kept) = kept_for(&parts.headers) {
+        connection.give_back(kept.0);
+    }
+    if parts.status != StatusCode::OK {
+        return Err(SendFailure::Declined {
+            status: parts.status,
+            at: None,
+        });
+    }
+    Ok(body.to_bytes())
+}
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -34,6 +34,9 @@
 /// News of silent nodes that wait for control; it needs one at a time.
 const MAX_NO_ANSWER: usize = 8;
 
+/// Engines that wait to be asked for their pace; a pool that suspects more of them asks again.
+const MAX_PACE_QUESTIONS: usize = 64;
+
 /// Time between two looks whether all answers are finished.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -100,7 +103,8 @@
             no_answer: no_answer_rx,
             metrics: metrics.clone(),
         });
-        let owner = Owner::spawn(&spawner, &snapshots, incarnation);
+        let (pace_questions, pace_questions_rx) = mpsc::channel(MAX_PACE_QUESTIONS);
+        let owner = Owner::spawn(&spawner, &snapshots, incarnation, pace_questions);
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
         let peers = bind(&net, "calls between nodes", peer_addr).await?;
         serve_peers(peers, &spawner, Arc::clone(&owner), snapshots.clone());
@@ -109,7 +113,7 @@
             PlacementParts {
                 node: incarnation,
                 domain: settings.domain.clone(),
-                owner,
+                owner: Arc::clone(&owner),
                 peers: PeerClients::new(net.clone(), spawner.clone()),
                 snapshots: snapshots.clone(),
                 no_answer,
@@ -123,6 +127,7 @@
             placement,
             metrics.clone(),
         );
+        forwarder.check_paces(owner, pace_questions_rx);
         let stopping = Arc::new(Stopping::default());
         let in_flight = InFlight::default();
         let closed = CancellationToken::new();
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -11,7 +11,7 @@
 use azuresaddle_sched::passes::{
     AskId, PassAsk, PassDecision, PassOptions, PassOutcome, PassPool, RunningStream,
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
 use crate::peer::{AskMessage, AskReply, Report, ReportKind, SyncMessage};
@@ -25,6 +25,8 @@
 pub(crate) struct Owner {
     state: Mutex<State>,
     changed: Notify,
+    /// Engines that should be asked for their pace.
+    pace_questions: mpsc::Sender<HostName>,
 }
 
 #[derive(Default)]
@@ -45,10 +47,19 @@
 
 impl Owner {
     /// Starts to follow snapshots and the pools' own timers.
-    pub(crate) fn spawn(spawner: &Spawner, snapshots: &Snapshots, node: u64) -> Arc<Self> {
+    ///
+    /// Engines that should be asked for their pace come out of `pace_questions`; the answers go
+    /// into [`Self::on_pace`].
+    pub(crate) fn spawn(
+        spawner: &Spawner,
+        snapshots: &Snapshots,
+        node: u64,
+        pace_questions: mpsc::Sender<HostName>,
+    ) -> Arc<Self> {
         let owner = Arc::new(Self {
             state: Mutex::default(),
             changed: Notify::new(),
+            pace_questions,
         });
         spawner.spawn(Arc::clone(&owner).follow(snapshots.clone(), node));
         spawner.spawn(Arc::clone(&owner).keep_time());
@@ -166,6 +177,7 @@
         let (tx, rx) = oneshot::channel();
         state.waiters.insert(ask.id, tx);
         state.dispatch(now);
+        self.ask_paces(&mut state, now);
         let waits = state.waiters.contains_key(&ask.id);
         drop(state);
         if waits {
@@ -188,10 +200,29 @@
             }
         }
         state.dispatch(now);
+        self.ask_paces(&mut state, now);
         drop(state);
         self.changed.notify_one();
     }
 
+    fn ask_paces(&self, state: &mut State, now: Instant) {
+        for engine in state.take_pace_questions(now) {
+            // A question that finds no room comes again with the next overdue event.
+            let _ = self.pace_questions.try_send(engine);
+        }
+    }
+
+    /// Takes an engine's own word of its pace.
+    pub(crate) fn on_pace(&self, engine: &HostName, pace: f64) {
+        let now = Instant::now();
+        tracing::info!(part = "placement", target = %engine, pace, "pace told");
+        let mut state = self.lock();
+        for pool in state.pools.values_mut() {
+            pool.on_pace(now, engine, pace);
+        }
+        state.dispatch(now);
+    }
+
     /// Takes all streams of a node.
     pub(crate) fn sync(&self, sync: &SyncMessage) {
         let now = Instant::now();
@@ -265,6 +296,15 @@
         goes_on
     }
 
+    /// Engines that should be asked for their pace; none where another node places.
+    fn take_pace_questions(&mut self, now: Instant) -> Vec<HostName> {
+        if !self.is_owner {
+            return Vec::new();
+        }
+        let pools = self.pools.values_mut();
+        pools.flat_map(|p| p.take_pace_questions(now)).collect()
+    }
+
     /// Places what can be placed and tells the askers.
     fn dispatch(&mut self, now: Instant) {
         if self.is_taking_over(now) {
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::ask::AskId;
+use super::pace::Pace;
 use crate::breaker::Breaker;
 
 new_key_type! {
@@ -74,8 +75,7 @@
     pub(super) next_read_ms: f64,
     /// A read that was begun for an earlier owner, and when it is expected to end.
     adopted_read: Option<(AskId, Instant)>,
-    /// Time of its work against that of a usual engine.
-    pub(super) pace: f64,
+    pub(super) pace: Pace,
     pub(super) leaving: bool,
     pub(super) breaker: Breaker,
 }
@@ -91,7 +91,7 @@
             reads_until: now,
             next_read_ms: 0.0,
             adopted_read: None,
-            pace: 1.0,
+            pace: Pace::default(),
             leaving: false,
             breaker: Breaker::default(),
         }
@@ -125,7 +125,7 @@
     /// Time of a pass's token steps once all present streams write, in milliseconds.
     pub(super) fn write_ms(&self, spec: &EngineSpec) -> f64 {
         let context = self.leads.iter().map(|l| l.context_tokens).sum();
-        spec.write_ms(self.leads.len(), context) * self.pace
+        spec.write_ms(self.leads.len(), context) * self.pace.factor()
     }
 
     /// Longest pass that keeps the pauses of all streams here, in milliseconds.
@@ -171,7 +171,7 @@
             if idle && self.next_read_ms == 0.0 {
                 return;
             }
-            let ms = spec.write_ms(count, context) * self.pace + self.next_read_ms;
+            let ms = spec.write_ms(count, context) * self.pace.factor() + self.next_read_ms;
             let reads = self.next_read_ms > 0.0;
             self.next_read_ms = 0.0;
             let start = if idle { now } else { self.pass_ends };
@@ -233,25 +233,25 @@
 
     /// Takes a part of a prompt for the next pass.
     pub(super) fn add_read(&mut self, now: Instant, spec: &EngineSpec, read_ms: f64) {
-        self.next_read_ms += read_ms * self.pace;
+        self.next_read_ms += read_ms * self.pace.factor();
         self.advance(now, spec);
     }
 
     /// Time of the next pass with `read_ms` more to read and all present streams writing, in
     /// milliseconds.
     pub(super) fn next_pass_ms(&self, spec: &EngineSpec, read_ms: f64) -> f64 {
-        self.write_ms(spec) + self.next_read_ms + read_ms * self.pace
+        self.write_ms(spec) + self.next_read_ms + read_ms * self.pace.factor()
     }
 
     /// Reading that the next pass can still take without making a stream late, in milliseconds.
     pub(super) fn room_ms(&self, spec: &EngineSpec) -> f64 {
         let longest = self.longest_pass_ms().min(self.silent_pass_ms());
-        (longest - self.write_ms(spec) - self.next_read_ms) / self.pace
+        (longest - self.write_ms(spec) - self.next_read_ms) / self.pace.factor()
     }
 
     /// Reading that the next pass can still take without silencing a stream, in milliseconds.
     pub(super) fn silent_room_ms(&self, spec: &EngineSpec) -> f64 {
-        (self.silent_pass_ms() - self.write_ms(spec) - self.next_read_ms) / self.pace
+        (self.silent_pass_ms() - self.write_ms(spec) - self.next_read_ms) / self.pace.factor()
     }
 }
 
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -112,6 +112,9 @@
     /// Longest pass that the streams there bear, in milliseconds.
     longest_pass_ms: f64,
     free_tokens: u64,
+    /// Time of its work against that of a usual engine.
+    pace: f64,
+    is_slow: bool,
     /// Streams that are written there, or will be.
     writers: usize,
     can_lead: bool,
@@ -127,9 +130,11 @@
     broken_tokens: u64,
 ) -> Option<LongPlan> {
     let mut candidates = candidates(round, ask);
-    // Soonest first; among equals the ones with most room, which run no short streams.
+    // Soonest first, slow ones last, since all parts wait for the slowest; among equals the ones
+    // with most room, which run no short streams.
     candidates.sort_by(|a, b| {
-        let by_start = a.start_ms.total_cmp(&b.start_ms);
+        let by_pace = a.is_slow.cmp(&b.is_slow);
+        let by_start = by_pace.then(a.start_ms.total_cmp(&b.start_ms));
         by_start.then(b.room_ms.total_cmp(&a.room_ms))
     });
     let memory = ask.prompt_tokens + ask.answer_tokens;
@@ -189,6 +194,8 @@
             is_reading: options.protect_reads && e.is_reading(now),
             longest_pass_ms: e.longest_pass_ms(),
             free_tokens: e.free_tokens(spec),
+            pace: e.pace.factor(),
+            is_slow: e.pace.is_slow(),
             writers: e.leads.len(),
             can_lead: e.has_slot(spec),
             same_domain: e.domain == ask.domain,
@@ -244,7 +251,7 @@
     let start_ms = chosen.iter().map(|c| c.start_ms).fold(0.0, f64::max);
     let first_event_ms = chosen
         .iter()
-        .map(|c| c.start_ms + c.base_ms + share.part_ms)
+        .map(|c| c.start_ms + c.base_ms + share.part_ms * c.pace)
         .fold(0.0, f64::max);
     Some(LongPlan {
         engines: chosen.iter().map(|c| c.key).collect(),
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod long_plan;
 mod options;
+mod pace;
 mod pool;
 mod queue;
 mod round;
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -22,6 +22,8 @@
     pub refuse_early: bool,
     /// Keep parts from engines that are reading a prompt of their own.
     pub protect_reads: bool,
+    /// Ask engines for their pace where first events are overdue.
+    pub check_pace: bool,
 }
 
 impl Default for PassOptions {
@@ -37,6 +39,7 @@
             break_pauses: true,
             refuse_early: true,
             protect_reads: true,
+            check_pace: true,
         }
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/ledger.rs
@@ -8,6 +8,7 @@
 use super::{PassPool, Run};
 use crate::passes::ask::{AskId, RunningStream};
 use crate::passes::engine::{EngineId, Help, Lead};
+use crate::passes::pace::overdue_at;
 
 /// What the ledger needs to know of a stream.
 pub(super) struct Parts {
@@ -16,6 +17,8 @@
     pub(super) answer_tokens: u64,
     pub(super) pause: std::time::Duration,
     pub(super) helper_memory_tokens: u64,
+    /// When the first event counts as overdue.
+    pub(super) overdue_at: Option<Instant>,
 }
 
 impl PassPool {
@@ -82,6 +85,7 @@
             answer_tokens: stream.answer_tokens,
             pause: stream.pause,
             helper_memory_tokens: stream.helper_memory_tokens,
+            overdue_at: (!stream.is_writing).then(|| overdue_at(now, stream.first_event_in)),
         };
         if !stream.is_writing {
             let ends = now + stream.first_event_in;
@@ -127,6 +131,11 @@
                 is_read: false,
             });
         }
-        self.runs.insert(parts.id, Run { lead, helpers });
+        let run = Run {
+            lead,
+            helpers,
+            overdue_at: parts.overdue_at,
+        };
+        self.runs.insert(parts.id, run);
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -3,6 +3,7 @@
 mod ledger;
 mod placement;
 mod refusals;
+mod slowness;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -29,6 +30,8 @@
 struct Run {
     lead: EngineId,
     helpers: Vec<EngineId>,
+    /// When the first event counts as overdue; `None` once it has come or was found overdue.
+    overdue_at: Option<Instant>,
 }
 
 /// Places streams on the engines of one service.
@@ -44,6 +47,8 @@
     decisions: Vec<(AskId, PassDecision)>,
     /// When all waiting asks are looked at again.
     next_refusals: Instant,
+    /// When all running streams are looked at again for overdue first events.
+    next_look: Instant,
 }
 
 impl PassPool {
@@ -59,6 +64,7 @@
             runs: HashMap::new(),
             decisions: Vec::new(),
             next_refusals: Instant::now(),
+            next_look: Instant::now(),
         }
     }
 
@@ -150,9 +156,10 @@
 
     /// Notes the first event of a stream: all parts of its prompt are read.
     pub fn on_first_event(&mut self, now: Instant, id: AskId) {
-        let Some(run) = self.runs.get(&id) else {
+        let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
+        run.overdue_at = None;
         if let Some(engine) = self.engines.get_mut(run.lead) {
             engine.end_adopted_read(now, id);
             engine.advance(now, &self.spec);
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -8,6 +8,7 @@
 use super::ledger::Parts;
 use crate::passes::ask::{AskId, PassDecision, PassGrant};
 use crate::passes::long_plan::{LongPlan, helper_names, plan_long};
+use crate::passes::pace::overdue_at;
 use crate::passes::queue::Waiting;
 use crate::passes::round::Round;
 use crate::passes::short_plan::plan_short;
@@ -130,6 +131,7 @@
             answer_tokens: ask.answer_tokens,
             pause: ask.pause,
             helper_memory_tokens: plan.helper_memory_tokens,
+            overdue_at: Some(overdue_at(now, grant.first_event_in)),
         };
         for key in &plan.engines {
             let engine = &mut self.engines[*key];
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -2,6 +2,7 @@
 
 mod ledger;
 mod long;
+mod pace;
 mod short;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/passes/pace.rs
@@ -0,0 +1,78 @@
+//! Slow engines.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::*;
+
+const SLOW: f64 = 4.0;
+
+#[tokio::test(start_paused = true)]
+async fn an_overdue_first_event_leads_to_a_question() {
+    let now = Instant::now();
+    let mut pool = pool(now, 3);
+    let grant = start(&mut pool, now, 1, 3000).unwrap();
+    assert_eq!(pool.take_pace_questions(now), []);
+    let late = now + grant.first_event_in * 2 + Duration::from_millis(60);
+    assert_eq!(
+        pool.take_pace_questions(late),
+        std::slice::from_ref(&grant.lead)
+    );
+    // One answer settles it.
+    pool.on_pace(late, &grant.lead, 1.0);
+    let later = late + Duration::from_secs(5);
+    assert_eq!(pool.take_pace_questions(later), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_first_event_in_time_raises_no_question() {
+    let now = Instant::now();
+    let mut pool = pool(now, 3);
+    let grant = start(&mut pool, now, 1, 3000).unwrap();
+    pool.on_first_event(now + grant.first_event_in, id(1));
+    let later = now + Duration::from_secs(5);
+    assert_eq!(pool.take_pace_questions(later), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_engine_is_avoided_and_asked_again() {
+    let now = Instant::now();
+    let mut pool = pool(now, 3);
+    pool.on_pace(now, &name(0), SLOW);
+    for number in 1..=6 {
+        let grant = start(&mut pool, now, number, 3000).unwrap();
+        assert_ne!(grant.lead, name(0));
+    }
+    let long = start(&mut pool, now, 7, 60_000).unwrap();
+    assert!(!long.helpers.contains(&name(0)), "{long:?}");
+
+    assert_eq!(pool.take_pace_questions(now), [name(0)]);
+    let later = now + Duration::from_secs(2);
+    assert!(pool.take_pace_questions(later).contains(&name(0)));
+    pool.on_pace(later, &name(0), 1.0);
+    let after = later + Duration::from_secs(2);
+    assert!(!pool.take_pace_questions(after).contains(&name(0)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_expectation_counts_the_pace() {
+    let now = Instant::now();
+    let mut slow = pool(now, 1);
+    slow.on_pace(now, &name(0), SLOW);
+    let usual = start(&mut pool(now, 1), now, 1, 45_000).unwrap();
+    let slow = start(&mut slow, now, 1, 45_000).unwrap();
+    let ratio = slow.first_event_in.as_secs_f64() / usual.first_event_in.as_secs_f64();
+    assert!((ratio - SLOW).abs() < 0.1, "{ratio}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_pace_that_makes_no_sense_changes_nothing() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    for factor in [f64::NAN, -1.0, 0.0, f64::INFINITY] {
+        pool.on_pace(now, &name(0), factor);
+    }
+    let grant = start(&mut pool, now, 1, 3000).unwrap();
+    assert!(grant.first_event_in < Duration::from_millis(100));
+}
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -25,6 +25,8 @@
     HoldAll,
     /// Parts may push aside what an engine reads for itself.
     PushAside,
+    /// Never asks engines for their pace.
+    NoPace,
     /// Any engine, at once.
     Random,
     /// The engine with the fewest streams, at once.
@@ -35,7 +37,7 @@
 
 impl PassPolicy {
     /// All policies.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Pool,
         Self::NoPacking,
         Self::NoPauseCheck,
@@ -45,6 +47,7 @@
         Self::KeepPauses,
         Self::HoldAll,
         Self::PushAside,
+        Self::NoPace,
         Self::Random,
         Self::LeastRequests,
         Self::LeastBacklog,
@@ -62,6 +65,7 @@
             Self::KeepPauses => "keep-pauses",
             Self::HoldAll => "hold-all",
             Self::PushAside => "push-aside",
+            Self::NoPace => "no-pace",
             Self::Random => "random",
             Self::LeastRequests => "least-requests",
             Self::LeastBacklog => "least-backlog",
@@ -105,6 +109,10 @@
                 protect_reads: false,
                 ..all
             },
+            Self::NoPace => PassOptions {
+                check_pace: false,
+                ..all
+            },
             Self::Random | Self::LeastRequests | Self::LeastBacklog => return None,
         })
     }
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -39,6 +39,8 @@
     FirstEventKnown(usize),
     EndKnown(usize),
     OwnerChange,
+    /// An engine's answer about its pace.
+    PaceKnown(usize),
     Wake,
 }
 
@@ -202,6 +204,13 @@
                     }
                     self.streams[i].ask = None;
                 }
+                Event::PaceKnown(engine) => {
+                    let now = self.instant(at_ms);
+                    if let Some(pool) = &mut self.pool {
+                        let pace = self.sheet.troubles.pace(engine);
+                        pool.on_pace(now, &self.names[engine], pace);
+                    }
+                }
                 Event::OwnerChange => self.change_owner(at_ms),
                 Event::Wake => self.wake_at = None,
             }
@@ -244,7 +253,13 @@
         };
         pool.dispatch(now);
         let decisions = pool.take_decisions();
+        let questions = pool.take_pace_questions(now);
         let wake = pool.next_wakeup(now);
+        for name in questions {
+            if let Some(engine) = self.names.iter().position(|n| *n == name) {
+                self.push(at_ms + TO_ENGINE_MS + TO_OWNER_MS, Event::PaceKnown(engine));
+            }
+        }
         for (id, decision) in decisions {
             let i = id.number as usize;
             match decision {
--- a/crates/azuresaddle-standin/tests/suite/passes.rs
+++ b/crates/azuresaddle-standin/tests/suite/passes.rs
@@ -36,6 +36,15 @@
     assert!(changing > calm - 0.03, "{changing} against {calm}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn slow_engines_are_found_by_overdue_events() {
+    let mut sheet = Sheet::aguaclara(0.82);
+    sheet.troubles.add("slow-engines");
+    let pool = worth(&sheet, PassPolicy::Pool);
+    let blind = worth(&sheet, PassPolicy::NoPace);
+    assert!(pool > blind + 0.1, "{pool} against {blind}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn under_the_highest_load_early_refusal_serves_more() {
     let sheet = Sheet::aguaclara(1.0);
