--- a/crates/azuresaddle-standin/src/platform/caller.rs
+++ b/crates/azuresaddle-standin/src/platform/caller.rs
@@ -29,6 +29,8 @@
     pub key: String,
     /// Prompt and answer tokens; `None` for a plain request.
     pub tokens: Option<(u64, u64)>,
+    /// Body of the request.
+    pub body: Bytes,
     /// Time that the caller waits.
     pub patience: Duration,
 }
@@ -126,7 +128,7 @@
 }
 
 fn request(asked: &Asked) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::from("{}"));
+    let mut req = Request::new(Full::new(asked.body.clone()));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = asked.path.parse().expect("paths of tests are valid");
     let map = req.headers_mut();
--- a/crates/azuresaddle-standin/src/platform/configuration.rs
+++ b/crates/azuresaddle-standin/src/platform/configuration.rs
@@ -52,6 +52,8 @@
     pub services: Vec<ServiceSpec>,
     /// Client accounts.
     pub accounts: Vec<Tenancy>,
+    /// Longest body that a caller may send.
+    pub max_body_bytes: u64,
 }
 
 impl WrittenConfiguration {
@@ -69,7 +71,7 @@
             "services": services,
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 65536,
+                "max_body_bytes": self.max_body_bytes,
                 "header_timeout_ms": 1000,
                 "idle_timeout_ms": 5000,
             },
--- a/crates/azuresaddle-standin/src/platform/demo.rs
+++ b/crates/azuresaddle-standin/src/platform/demo.rs
@@ -132,6 +132,7 @@
         host: "desk.example".to_owned(),
         key: "key-1".to_owned(),
         tokens,
+        body: "{}".into(),
         patience: Duration::from_secs(8),
     }
 }
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -23,6 +23,12 @@
 /// Time that a stalling engine adds to each pass.
 const STALL: Duration = Duration::from_millis(1600);
 
+/// Time of a slow engine's passes against the usual one.
+const SLOW_PACE: f64 = 4.0;
+
+/// Time after which an order is carried out late.
+const LATE_ORDER: Duration = Duration::from_millis(900);
+
 /// Most reservations of memory at a time.
 const MAX_RESERVATIONS: usize = 64;
 
@@ -128,6 +134,7 @@
                 self.work.notified().await;
                 continue;
             };
+            let ms = ms * pace_of(target);
             tokio::time::sleep(Duration::from_secs_f64(ms / 1000.0)).await;
             if target.fault() == TargetFault::Stalls {
                 tokio::time::sleep(STALL).await;
@@ -240,11 +247,34 @@
             .collect()
     }
 
-    async fn order(&self, req: Request<Incoming>) -> (StatusCode, String) {
+    /// Takes an order, or makes its caller wait in vain.
+    async fn take_order(
+        self: Arc<Self>,
+        target: &Target,
+        req: Request<Incoming>,
+    ) -> (StatusCode, String) {
         let Ok(body) = req.into_body().collect().await else {
             return (StatusCode::BAD_REQUEST, String::new());
         };
-        let Ok(order) = serde_json::from_slice::<Order>(&body.to_bytes()) else {
+        let body = body.to_bytes();
+        match target.fault() {
+            TargetFault::OrdersUnanswered => {
+                self.order(&body);
+            }
+            TargetFault::OrdersLate => {
+                // Goes on after its caller has left.
+                tokio::spawn(async move {
+                    tokio::time::sleep(LATE_ORDER).await;
+                    self.order(&body);
+                });
+            }
+            _ => return self.order(&body),
+        }
+        std::future::pending().await
+    }
+
+    fn order(&self, body: &[u8]) -> (StatusCode, String) {
+        let Ok(order) = serde_json::from_slice::<Order>(body) else {
             return (StatusCode::BAD_REQUEST, String::new());
         };
         let reserved = self.reserved_tokens();
@@ -272,7 +302,7 @@
         (StatusCode::OK, json!({"unallocated": free}).to_string())
     }
 
-    fn report(&self) -> String {
+    fn report(&self, target: &Target) -> String {
         let reserved = self.reserved_tokens();
         let state = self.lock();
         json!({
@@ -283,7 +313,7 @@
             "active": state.streams.len(),
             "kv_used": reserved,
             "kv_total": self.spec.memory_tokens,
-            "pace": 1.0,
+            "pace": pace_of(target),
         })
         .to_string()
     }
@@ -322,6 +352,13 @@
     }
 }
 
+fn pace_of(target: &Target) -> f64 {
+    match target.fault() {
+        TargetFault::Slow => SLOW_PACE,
+        _ => 1.0,
+    }
+}
+
 /// Text of an event.
 pub(super) fn event_text(id: u64) -> String {
     format!("id: {id}\ndata: token {id}\n\n")
@@ -338,12 +375,12 @@
     ) -> Response<PieceBody> {
         match req.uri().path() {
             ORDER_PATH => {
-                let (status, body) = self.0.order(req).await;
+                let (status, body) = Arc::clone(&self.0).take_order(&target, req).await;
                 let mut response = Response::new(PieceBody::whole(body));
                 *response.status_mut() = status;
                 response
             }
-            REPORT_PATH => Response::new(PieceBody::whole(self.0.report())),
+            REPORT_PATH => Response::new(PieceBody::whole(self.0.report(&target))),
             _ => self.0.stream(&target, req).await,
         }
     }
--- a/crates/azuresaddle-standin/src/platform/target.rs
+++ b/crates/azuresaddle-standin/src/platform/target.rs
@@ -36,6 +36,12 @@
     Crossed,
     /// Works much slower: each pass takes 1.6 s more.
     Stalls,
+    /// Each pass takes four times as long, and its report says so.
+    Slow,
+    /// Carries orders out and answers none of them.
+    OrdersUnanswered,
+    /// Carries orders out long after they came, and answers none of them.
+    OrdersLate,
 }
 
 /// What the targets of one kind do with a request that they may run.
--- a/crates/azuresaddle-standin/src/platform/world.rs
+++ b/crates/azuresaddle-standin/src/platform/world.rs
@@ -14,6 +14,7 @@
 use super::configuration::{RouteSpec, ServiceSpec, Tenancy, WrittenConfiguration};
 use super::engine::{Engine, EngineWork, Fleet};
 use super::plain::PlainWork;
+use super::raw::{Arrivals, RawAnswer, serve_raw};
 use super::runs::Runs;
 use super::store::PlatformStoreModel;
 use super::store_server::StoreServer;
@@ -144,6 +145,18 @@
         Ok(())
     }
 
+    /// Starts one more plain target that breaks the protocol; tells what arrives there.
+    ///
+    /// # Errors
+    /// Where no port is free.
+    pub async fn add_raw(&mut self, answer: RawAnswer) -> std::io::Result<Arrivals> {
+        let (listener, target) = self.target("desk").await?;
+        let arrivals = Arrivals::default();
+        serve_raw(listener, Arc::clone(&target), answer, arrivals.clone());
+        self.plain.push(TargetHandle { target });
+        Ok(arrivals)
+    }
+
     async fn target(&mut self, service: &str) -> std::io::Result<(TcpListener, Arc<Target>)> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         self.started += 1;
@@ -287,5 +300,6 @@
             name: "advisers".to_owned(),
             keys: vec!["key-1".to_owned(), "key-2".to_owned()],
         }],
+        max_body_bytes: 64 << 10,
     }
 }
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -128,6 +128,7 @@
         host: "desk.example".to_owned(),
         key: "key-1".to_owned(),
         tokens,
+        body: "{}".into(),
         patience: PATIENCE,
     }
 }
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -95,6 +95,7 @@
             host: "desk.example".to_owned(),
             key: key.to_owned(),
             tokens: None,
+            body: "{}".into(),
             patience: Duration::from_secs(3),
         };
         let mut caller = Caller::default();
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -8,3 +8,4 @@
 mod soak;
 mod support;
 mod way;
+mod wire_faults;
--- a/tests/testsuite/platform/support.rs
+++ b/tests/testsuite/platform/support.rs
@@ -42,6 +42,7 @@
         host: "desk.example".to_owned(),
         key: "key-1".to_owned(),
         tokens: None,
+        body: "{}".into(),
         patience: Duration::from_secs(5),
     }
 }
--- /dev/null
+++ b/tests/testsuite/platform/wire_faults.rs
@@ -0,0 +1,138 @@
+//! Targets that break the protocol: surplus, repeated, unframed, early and unreadable answers, slow
+//! engines, orders without an answer.
+
+use std::time::Duration;
+
+use azuresaddle_standin::platform::{Arrivals, Asked, Caller, RawAnswer, TargetFault};
+use azuresaddle_standin::soak::Fleet;
+
+use super::support::{ask, fleet, plain, status, stream};
+
+/// A node before one plain target that answers that way.
+async fn raw_fleet(test: &str, answer: RawAnswer) -> (Fleet, Arrivals) {
+    let mut fleet = fleet(test, 1).await;
+    for target in &fleet.world.plain {
+        fleet.world.deregister(target);
+    }
+    let arrivals = fleet.world.add_raw(answer).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    (fleet, arrivals)
+}
+
+/// A request whose body is whole only if it is all of one letter.
+fn lettered(path: &str, bytes: usize) -> Asked {
+    Asked {
+        body: vec![b'x'; bytes].into(),
+        ..plain(path)
+    }
+}
+
+/// Sends requests on one connection; their statuses. The caller checks that each successful answer
+/// is its own and whole.
+async fn ask_in_turn(fleet: &Fleet, all: &[Asked]) -> Vec<u16> {
+    let mut caller = Caller::default();
+    let mut statuses = Vec::new();
+    for asked in all {
+        let answer = caller.ask(fleet.nodes[0].callers(), asked).await.unwrap();
+        statuses.push(answer.status.as_u16());
+    }
+    statuses
+}
+
+fn assert_ran_once(fleet: &Fleet, all: &[Asked]) {
+    for asked in all {
+        assert_eq!(fleet.world.runs.of(&asked.attempt).count, 1, "{asked:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn surplus_and_repeated_answers_reach_nobody() {
+    for (test, answer) in [
+        ("surplus", RawAnswer::Surplus),
+        ("repeated", RawAnswer::Repeated),
+    ] {
+        let (fleet, arrivals) = raw_fleet(test, answer).await;
+        let all: Vec<Asked> = (0..6).map(|_| lettered("/post/1", 40)).collect();
+        let statuses = ask_in_turn(&fleet, &all).await;
+        assert_eq!(statuses, [200; 6], "{test}");
+        assert_ran_once(&fleet, &all);
+        assert!(arrivals.all().iter().all(|a| a.is_whole));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_length_is_whole_at_its_end_and_not_after_a_reset() {
+    let (fleet, _) = raw_fleet("unframed", RawAnswer::Unframed).await;
+    assert_eq!(status(&fleet.nodes[0], &lettered("/post/1", 40)).await, 200);
+
+    let (fleet, _) = raw_fleet("unframed-reset", RawAnswer::UnframedReset).await;
+    let asked = lettered("/post/1", 40);
+    assert_eq!(status(&fleet.nodes[0], &asked).await, 502);
+    assert_eq!(fleet.world.runs.of(&asked.attempt).count, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_whose_answer_came_early_is_still_sent_whole() {
+    let (mut fleet, arrivals) = raw_fleet("early", RawAnswer::Early).await;
+    // More than the buffers of a connection hold.
+    let length = 12 << 20;
+    fleet
+        .world
+        .change_configuration(|c| c.max_body_bytes = length as u64);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let all: Vec<Asked> = (0..4).map(|_| lettered("/post/1", length)).collect();
+    assert_eq!(ask_in_turn(&fleet, &all).await, [200; 4]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let arrived = arrivals.all();
+    let known = |attempt: &str| all.iter().any(|a| a.attempt == attempt);
+    assert!(
+        arrived.iter().all(|a| a.is_whole && known(&a.attempt)),
+        "{arrived:?}"
+    );
+    assert_ran_once(&fleet, &all);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_are_no_answer_are_not_passed_on() {
+    let (fleet, _) = raw_fleet("garbage", RawAnswer::Garbage).await;
+    let asked = lettered("/post/1", 40);
+    assert_eq!(status(&fleet.nodes[0], &asked).await, 502);
+    assert_eq!(fleet.world.runs.of(&asked.attempt).count, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_without_an_answer_leave_no_memory() {
+    for (test, fault) in [
+        ("orders-unanswered", TargetFault::OrdersUnanswered),
+        ("orders-late", TargetFault::OrdersLate),
+    ] {
+        let fleet = fleet(test, 1).await;
+        for engine in &fleet.world.engines {
+            engine.set_fault(fault);
+        }
+        // Needs two engines; no reservation is ever answered.
+        let asked = stream("/ask/1", 500_000, 3);
+        let answer = ask(&fleet.nodes[0], &asked).await.unwrap();
+        assert_eq!(answer.status, 503, "{test}");
+        assert!(answer.has_retry_after);
+        assert_eq!(fleet.world.runs.of(&asked.attempt).count, 0);
+        // A reservation holds for three seconds and is not renewed.
+        tokio::time::sleep(Duration::from_millis(4200)).await;
+        assert_eq!(fleet.world.reserved_tokens(), 0, "{test}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_engine_is_asked_for_its_pace_and_avoided() {
+    let fleet = fleet("slow", 1).await;
+    fleet.world.engines[0].set_fault(TargetFault::Slow);
+    let mut late = 0;
+    for _ in 0..12 {
+        let asked = stream("/ask/1", 40_000, 2);
+        let started = std::time::Instant::now();
+        assert_eq!(status(&fleet.nodes[0], &asked).await, 200);
+        // Alone 160 ms to read, on all four engines less; 640 ms on the slow one.
+        late += u32::from(started.elapsed() > Duration::from_millis(450));
+    }
+    assert!(late <= 3, "{late} of 12 waited for the slow engine");
+}
