Waiting prompts take turns by client account; a flood is refused at once; return times are spread

Cause: one account that asks several times what the engines can do filled the queue and, with its late prompts, every engine. Change: start-time fair queueing among short and among long prompts (the clock of the own interface's pool); an account with 6 % of the slots waiting and most of the queue is refused at once; a refusal's time to come back is 1 to 1.5 times the estimate.

--- a/crates/azuresaddle-edge/src/forward/answer.rs
+++ b/crates/azuresaddle-edge/src/forward/answer.rs
@@ -4,10 +4,15 @@
 
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use rand::Rng;
 use serde::Serialize;
 
 use super::body::ProxyBody;
 
+/// Longest time to come back that is told, against the shortest: callers that are refused in one
+/// moment return over half of their wait, not together.
+const RETRY_SPREAD: f64 = 1.5;
+
 #[derive(Serialize)]
 struct ProblemBody<'a> {
     status: u16,
@@ -28,10 +33,12 @@
     response
 }
 
-/// An answer that the request did not run, with the time to come back.
+/// An answer that the request did not run, with the time to come back; a little later for each of
+/// several callers.
 pub(crate) fn refusal(detail: &str, retry_after: Duration) -> Response<ProxyBody> {
     let mut response = own_answer(StatusCode::SERVICE_UNAVAILABLE, detail);
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    let spread = rand::rng().random_range(1.0..RETRY_SPREAD);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64() * spread);
     let value = HeaderValue::try_from(seconds).expect("a number is ASCII");
     response.headers_mut().insert(RETRY_AFTER, value);
     response
--- a/crates/azuresaddle-sched/src/fair_clock.rs
+++ b/crates/azuresaddle-sched/src/fair_clock.rs
@@ -17,7 +17,8 @@
 /// Position of one request in virtual time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FairTag {
-    start: f64,
+    /// When its turn comes, in virtual time.
+    pub(crate) start: f64,
     /// How far the account is ahead of its share.
     pub(crate) ahead: Duration,
 }
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -24,6 +24,8 @@
     pub protect_reads: bool,
     /// Ask engines for their pace where first events are overdue.
     pub check_pace: bool,
+    /// Give waiting prompts their turn by the shares of the client accounts.
+    pub fair_shares: bool,
 }
 
 impl Default for PassOptions {
@@ -40,6 +42,7 @@
             refuse_early: true,
             protect_reads: true,
             check_pace: true,
+            fair_shares: true,
         }
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -17,7 +17,8 @@
 use super::backlog::Backlog;
 use super::engine::{Engine, EngineId};
 use super::options::PassOptions;
-use super::queue::{Queue, Waiting};
+use super::queue::{Order, Queue, Waiting};
+use crate::fair_clock::FairClock;
 
 /// Shortest time between two rounds of placement while asks wait; a pass takes ten times that.
 const MIN_ROUND: Duration = Duration::from_millis(4);
@@ -43,6 +44,8 @@
     names: HashMap<HostName, EngineId>,
     queue: Queue,
     backlog: Backlog,
+    /// Turns of the client accounts among short and among long prompts.
+    fair: [FairClock; 2],
     runs: HashMap<AskId, Run>,
     decisions: Vec<(AskId, PassDecision)>,
     /// When all waiting asks are looked at again.
@@ -61,6 +64,7 @@
             names: HashMap::new(),
             queue: Queue::default(),
             backlog: Backlog::default(),
+            fair: Default::default(),
             runs: HashMap::new(),
             decisions: Vec::new(),
             next_refusals: Instant::now(),
@@ -110,7 +114,8 @@
             return;
         }
         let read_ms = self.spec.read_ms(ask.prompt_tokens);
-        if let Some(retry_after) = self.hopeless(now, &ask, read_ms, self.ahead_ms(read_ms)) {
+        let hopeless = self.hopeless(now, &ask, read_ms, self.ahead_ms(read_ms));
+        if let Some(retry_after) = hopeless.or_else(|| self.is_flooding(&ask)) {
             let refused = PassDecision::Refused { retry_after };
             self.decisions.push((ask.id, refused));
             return;
@@ -118,20 +123,22 @@
         if !self.is_short(read_ms) {
             self.backlog.on_arrival(now, read_ms);
         }
-        let order = if self.options.shortest_first {
+        let is_long = !self.is_short(read_ms);
+        let clock = &mut self.fair[usize::from(is_long)];
+        let turn = clock.tag(&ask.account, read_ms / 1000.0, 1.0);
+        let key = if is_long && self.options.shortest_first {
             read_ms
+        } else if self.options.fair_shares {
+            turn.start
         } else {
             0.0
         };
-        let order = if self.is_short(read_ms) {
-            0.0
-        } else {
-            1.0 + order
-        };
+        let order = Order::new(is_long, key);
         self.queue.push(Waiting {
             ask,
             read_ms,
             order,
+            turn,
             asked_at: now,
         });
     }
@@ -182,6 +189,9 @@
     /// Places all asks that can be placed now, and refuses what can't be served any more.
     pub fn dispatch(&mut self, now: Instant) {
         if self.queue.is_empty() {
+            for clock in &mut self.fair {
+                clock.on_idle();
+            }
             return;
         }
         for engine in self.engines.values_mut() {
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -118,6 +118,8 @@
     }
 
     pub(super) fn start(&mut self, now: Instant, waiting: Waiting, plan: &LongPlan) {
+        let is_long = !self.is_short(waiting.read_ms);
+        self.fair[usize::from(is_long)].on_dispatch(waiting.turn);
         let ask = waiting.ask;
         let grant = PassGrant {
             lead: self.engines[plan.engines[0]].name.clone(),
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -18,7 +18,33 @@
 /// Longest time to come back that is told.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Part of the pool's slots that may wait besides for one client account: with 0.125 a flood left the
+/// others 0.82 of their quick answers served in the largest tenth, with 0.06 0.85.
+const ACCOUNT_WAITING_SHARE: f64 = 0.06;
+
+/// Fewest asks that an account may have waiting.
+const MIN_ACCOUNT_WAITING: usize = 8;
+
+/// Time to come back for an account that floods: its asks that wait are decided by then.
+const FLOOD_RETRY_AFTER: Duration = Duration::from_millis(1000);
+
 impl PassPool {
+    /// When to come back, where one client account has most of the queue and enough of the pool
+    /// waiting.
+    ///
+    /// Answers the pattern of an account that asks several times what the engines can do: its turn
+    /// comes last, but its late asks would still fill every engine.
+    pub(super) fn is_flooding(&self, ask: &PassAsk) -> Option<Duration> {
+        if !self.options.fair_shares {
+            return None;
+        }
+        let waiting = self.queue.count_of(&ask.account);
+        let slots = self.engines.len() * self.spec.slots as usize;
+        let most = (slots as f64 * ACCOUNT_WAITING_SHARE) as usize;
+        let floods = waiting >= most.max(MIN_ACCOUNT_WAITING) && waiting * 2 > self.queue.len();
+        floods.then_some(FLOOD_RETRY_AFTER)
+    }
+
     /// When to come back, where the request can't be served in its time.
     pub(super) fn hopeless(
         &self,
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -2,12 +2,30 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
 use super::ask::{AskId, PassAsk};
+use crate::fair_clock::FairTag;
 
 /// Order of waiting asks: their own order, then arrival.
-type Rank = (u64, u64);
+type Rank = (Order, u64);
+
+/// Place of an ask in the queue; short ones come before all long ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Order {
+    is_long: bool,
+    micros: u64,
+}
+
+impl Order {
+    /// A place among the short or the long ones, lowest first.
+    pub(super) fn new(is_long: bool, key: f64) -> Self {
+        // Millionths keep the order of what differs by a few tokens.
+        let micros = (key * 1e6) as u64;
+        Self { is_long, micros }
+    }
+}
 
 /// A waiting ask.
 #[derive(Debug)]
@@ -15,8 +33,9 @@
     pub(super) ask: PassAsk,
     /// Time to read the prompt on one engine, in milliseconds.
     pub(super) read_ms: f64,
-    /// Place in the queue, lowest first, in milliseconds of reading.
-    pub(super) order: f64,
+    pub(super) order: Order,
+    /// Its turn among the client accounts.
+    pub(super) turn: FairTag,
     pub(super) asked_at: Instant,
 }
 
@@ -26,23 +45,40 @@
     by_rank: BTreeMap<Rank, Waiting>,
     ranks: HashMap<AskId, Rank>,
     arrivals: u64,
+    /// Waiting asks by client account.
+    by_account: HashMap<ClientAccount, usize>,
 }
 
 impl Queue {
     pub(super) fn push(&mut self, waiting: Waiting) {
         self.arrivals += 1;
-        // Microseconds keep the order of prompts that differ by a few tokens.
-        let rank = ((waiting.order * 1000.0) as u64, self.arrivals);
+        let rank = (waiting.order, self.arrivals);
         self.ranks.insert(waiting.ask.id, rank);
+        *self
+            .by_account
+            .entry(waiting.ask.account.clone())
+            .or_insert(0) += 1;
         self.by_rank.insert(rank, waiting);
     }
 
     pub(super) fn remove(&mut self, id: AskId) -> Option<Waiting> {
         let rank = self.ranks.remove(&id)?;
         let waiting = self.by_rank.remove(&rank)?;
+        let account = &waiting.ask.account;
+        if let Some(count) = self.by_account.get_mut(account) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_account.remove(account);
+            }
+        }
         Some(waiting)
     }
 
+    /// Waiting asks of a client account.
+    pub(super) fn count_of(&self, account: &ClientAccount) -> usize {
+        self.by_account.get(account).copied().unwrap_or(0)
+    }
+
     pub(super) fn contains(&self, id: AskId) -> bool {
         self.ranks.contains_key(&id)
     }
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -3,6 +3,7 @@
 mod ledger;
 mod long;
 mod pace;
+mod shares;
 mod short;
 
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use azuresaddle_core::deployment::EngineSpec;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{
-    AskId, PassAsk, PassDecision, PassGrant, PassOptions, PassPool, RunningStream,
+    AskId, PassAsk, PassDecision, PassGrant, PassOptions, PassOutcome, PassPool, RunningStream,
 };
 use tokio::time::Instant;
 
--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/passes/shares.rs
@@ -0,0 +1,75 @@
+//! Shares of client accounts.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::*;
+
+fn ask_of(account: &str, now: Instant, number: u64, tokens: u64) -> PassAsk {
+    PassAsk {
+        account: ClientAccount::new(account),
+        ..ask(now, number, tokens)
+    }
+}
+
+/// Fills the only engine with streams that write, and returns the number of the next ask.
+fn fill(pool: &mut PassPool, now: Instant) -> u64 {
+    let mut number = 1;
+    while start(pool, now, number, 2000).is_some() {
+        pool.on_first_event(now, id(number));
+        number += 1;
+    }
+    pool.end(now, id(number), &PassOutcome::Cancelled);
+    number + 1
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_account_with_much_waiting_lets_others_go_first() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    let first = fill(&mut pool, now);
+    for number in first..first + 6 {
+        pool.enqueue(now, ask_of("busy", now, number, 2000));
+    }
+    let other = first + 6;
+    pool.enqueue(now, ask_of("other", now, other, 2000));
+    assert!(grants(&mut pool, now).is_empty());
+    // Two places become free.
+    pool.end(now, id(1), &PassOutcome::Done);
+    pool.end(now, id(2), &PassOutcome::Done);
+    let later = now + Duration::from_millis(60);
+    let placed: Vec<u64> = grants(&mut pool, later).iter().map(|(n, _)| *n).collect();
+    assert!(placed.contains(&other), "{placed:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_account_that_floods_is_refused_at_once_and_others_are_not() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    let first = fill(&mut pool, now);
+    let mut refused = 0;
+    for number in first..first + 30 {
+        pool.enqueue(now, ask_of("flood", now, number, 2000));
+        let decisions = pool.take_decisions();
+        refused += decisions.len();
+    }
+    assert_eq!(refused, 22);
+    pool.enqueue(now, ask_of("other", now, first + 30, 2000));
+    assert!(pool.take_decisions().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn equal_accounts_keep_the_order_of_arrival() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    let first = fill(&mut pool, now);
+    for number in first..first + 4 {
+        let account = if number % 2 == 0 { "one" } else { "other" };
+        pool.enqueue(now, ask_of(account, now, number, 2000));
+    }
+    pool.end(now, id(1), &PassOutcome::Done);
+    let later = now + Duration::from_millis(60);
+    let placed = grants(&mut pool, later);
+    assert_eq!(placed[0].0, first);
+}
--- a/crates/azuresaddle-standin/src/passes/credit.rs
+++ b/crates/azuresaddle-standin/src/passes/credit.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::sheet::{Sheet, SheetRequest};
+use super::sheet::{FLOODING, Sheet, SheetRequest};
 
 /// Length of the windows of which the two worst count, in milliseconds.
 const WINDOW_MS: f64 = 3000.0;
@@ -107,7 +107,7 @@
         .map(|(k, kind)| {
             let of: Vec<usize> = all
                 .iter()
-                .filter(|i| requests[**i].kind == k)
+                .filter(|i| requests[**i].kind == k && requests[**i].account != FLOODING)
                 .copied()
                 .collect();
             kind_results(kind.name, requests, ends, first_ms, &of, ratio(&of))
--- a/crates/azuresaddle-standin/src/passes/mod.rs
+++ b/crates/azuresaddle-standin/src/passes/mod.rs
@@ -17,6 +17,6 @@
 pub use engine::{EngineModel, PassEnd};
 pub use plot::plot_worth;
 pub use policy::PassPolicy;
-pub use sheet::{KindOfRequest, Sheet, SheetRequest, draw_requests};
-pub use troubles::{SlowEngines, Troubles};
+pub use sheet::{FLOODING, KindOfRequest, Sheet, SheetRequest, draw_requests};
+pub use troubles::{Flood, SlowEngines, Troubles};
 pub use world::play_day;
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -27,6 +27,8 @@
     PushAside,
     /// Never asks engines for their pace.
     NoPace,
+    /// Prompts in the order of their arrival, whoever sent them.
+    NoShares,
     /// Any engine, at once.
     Random,
     /// The engine with the fewest streams, at once.
@@ -37,7 +39,7 @@
 
 impl PassPolicy {
     /// All policies.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Pool,
         Self::NoPacking,
         Self::NoPauseCheck,
@@ -48,6 +50,7 @@
         Self::HoldAll,
         Self::PushAside,
         Self::NoPace,
+        Self::NoShares,
         Self::Random,
         Self::LeastRequests,
         Self::LeastBacklog,
@@ -66,6 +69,7 @@
             Self::HoldAll => "hold-all",
             Self::PushAside => "push-aside",
             Self::NoPace => "no-pace",
+            Self::NoShares => "no-shares",
             Self::Random => "random",
             Self::LeastRequests => "least-requests",
             Self::LeastBacklog => "least-backlog",
@@ -113,6 +117,10 @@
                 check_pace: false,
                 ..all
             },
+            Self::NoShares => PassOptions {
+                fair_shares: false,
+                ..all
+            },
             Self::Random | Self::LeastRequests | Self::LeastBacklog => return None,
         })
     }
--- a/crates/azuresaddle-standin/src/passes/sheet.rs
+++ b/crates/azuresaddle-standin/src/passes/sheet.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 
-use super::troubles::Troubles;
+use super::troubles::{Flood, Troubles};
 
 /// A kind of request.
 #[derive(Clone, Debug)]
@@ -66,6 +66,8 @@
     pub at_ms: f64,
     /// Index of its kind.
     pub kind: usize,
+    /// Number of the client account that sends it; [`FLOODING`] is not counted.
+    pub account: usize,
     /// Length of its prompt, in tokens.
     pub prompt_tokens: u64,
     /// Length of its answer, in tokens.
@@ -78,6 +80,12 @@
     pub late_worth: f64,
 }
 
+/// Client accounts of a sheet; each asks half as much again as the next.
+const ACCOUNTS: usize = 10;
+
+/// The account that floods.
+pub const FLOODING: usize = ACCOUNTS;
+
 /// Most times the worth of its kind that a request may have.
 const MAX_SIZE_WORTH: f64 = 4.0;
 
@@ -192,6 +200,9 @@
     for (index, kind) in sheet.kinds.iter().enumerate() {
         draw_kind(sheet, index, kind, &mut rng, &mut requests);
     }
+    if let Some(flood) = sheet.troubles.flood {
+        draw_flood(sheet, flood, &mut rng, &mut requests);
+    }
     requests.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
     requests
 }
@@ -225,6 +236,7 @@
         requests.push(SheetRequest {
             at_ms: at_s * 1000.0,
             kind: index,
+            account: draw_account(rng),
             prompt_tokens: prompt as u64,
             answer_tokens: answer,
             answer_estimate: (answer as f64 * estimates.sample(rng)) as u64,
@@ -234,6 +246,32 @@
     }
 }
 
+/// Quick questions of one account that count for nothing.
+fn draw_flood(sheet: &Sheet, flood: Flood, rng: &mut StdRng, requests: &mut Vec<SheetRequest>) {
+    let quick = &sheet.kinds[0];
+    let answer = quick.events as u64 * u64::from(sheet.spec.steps_per_pass);
+    let count = ((flood.to_s - flood.from_s) * flood.per_s) as usize;
+    for _ in 0..count {
+        requests.push(SheetRequest {
+            at_ms: rng.random_range(flood.from_s..flood.to_s) * 1000.0,
+            kind: 0,
+            account: FLOODING,
+            prompt_tokens: quick.prompt_tokens as u64,
+            answer_tokens: answer,
+            answer_estimate: answer,
+            worth: 0.0,
+            late_worth: 0.0,
+        });
+    }
+}
+
+fn draw_account(rng: &mut StdRng) -> usize {
+    let last = ACCOUNTS - 1;
+    (0..last)
+        .find(|_| rng.random::<f64>() < 1.0 / 3.0)
+        .unwrap_or(last)
+}
+
 fn factor(kind: &KindOfRequest, at_s: f64) -> f64 {
     let phase = PHASES.iter().position(|(b, e)| (*b..*e).contains(&at_s));
     phase.map_or(1.0, |p| kind.phases[p])
--- a/crates/azuresaddle-standin/src/passes/troubles.rs
+++ b/crates/azuresaddle-standin/src/passes/troubles.rs
@@ -7,6 +7,19 @@
     pub owner_term_s: Option<f64>,
     /// Engines that are slow all day.
     pub slow: Option<SlowEngines>,
+    /// An account that asks far more than the others.
+    pub flood: Option<Flood>,
+}
+
+/// One client account's flood of quick questions; they count for nobody's worth.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Flood {
+    /// When it begins, in seconds.
+    pub from_s: f64,
+    /// When it ends, in seconds.
+    pub to_s: f64,
+    /// Requests a second.
+    pub per_s: f64,
 }
 
 /// Engines that are slower than the others.
@@ -20,7 +33,7 @@
 
 impl Troubles {
     /// Names of the troubles that [`Troubles::add`] knows.
-    pub const NAMES: [&'static str; 2] = ["owner-changes", "slow-engines"];
+    pub const NAMES: [&'static str; 3] = ["owner-changes", "slow-engines", "flood"];
 
     /// Adds a trouble in its usual strength; a name that is not known changes nothing.
     pub fn add(&mut self, name: &str) {
@@ -34,6 +47,14 @@
                     pace: 3.0,
                 });
             }
+            // Several times what all the others ask in that phase.
+            "flood" => {
+                self.flood = Some(Flood {
+                    from_s: 13.0,
+                    to_s: 19.0,
+                    per_s: 300.0,
+                });
+            }
             _ => {}
         }
     }
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -232,7 +232,7 @@
         let after = |ms: f64| now + Duration::from_secs_f64(ms / 1000.0);
         let ask = PassAsk {
             id: ask_id(i),
-            account: ClientAccount::new("a"),
+            account: ClientAccount::new(format!("account-{}", request.account)),
             domain: FailureDomain::new("d1"),
             prompt_tokens: request.prompt_tokens,
             answer_tokens: request.answer_estimate,
--- a/crates/azuresaddle-standin/tests/suite/passes.rs
+++ b/crates/azuresaddle-standin/tests/suite/passes.rs
@@ -45,6 +45,15 @@
     assert!(pool > blind + 0.1, "{pool} against {blind}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_account_that_floods_leaves_the_others_most_of_their_worth() {
+    let mut sheet = Sheet::sabarmati(0.82);
+    sheet.troubles.add("flood");
+    let pool = worth(&sheet, PassPolicy::Pool);
+    let without = worth(&sheet, PassPolicy::NoShares);
+    assert!(pool > without + 0.1, "{pool} against {without}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn under_the_highest_load_early_refusal_serves_more() {
     let sheet = Sheet::aguaclara(1.0);
