--- a/crates/azuresaddle-node/src/burn.rs
+++ b/crates/azuresaddle-core/src/burn.rs
@@ -4,12 +4,13 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use azuresaddle_core::prelude::*;
 use hdrhistogram::Histogram;
 use hdrhistogram::serialization::{Deserializer as HistogramReader, Serializer, V2Serializer};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::prelude::*;
+
 /// Windows over which burn is reported, in minutes.
 pub const WINDOW_MINUTES: [u64; 4] = [5, 30, 60, 360];
 
--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing in this crate takes decisions. The other crates import the common types through
 //! [`prelude`].
 
+pub mod burn;
 pub mod deployment;
 pub mod host_list;
 pub mod http;
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use azuresaddle_core::burn::{BurnLedger, Sample};
 use azuresaddle_core::deployment::{Bounds, EngineSpec, EntrySettings, TargetEntry};
 use azuresaddle_core::prelude::*;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::body::ProxyBody;
 use super::caller_watch::CallerWatch;
@@ -30,6 +32,7 @@
     pub(super) retries: RetryBudget,
     pub(super) bounds: Bounds,
     pub(super) metrics: Metrics,
+    pub(super) burn: Arc<BurnLedger>,
 }
 
 impl<N: Network> Forwarder<N> {
@@ -52,6 +55,7 @@
             retries: RetryBudget::new(bounds),
             bounds,
             metrics,
+            burn: Arc::default(),
         });
         spawner.spawn(Arc::clone(&forwarder).follow_targets());
         forwarder
@@ -78,6 +82,7 @@
             let watch = CallerWatch::new(req.head.id(), req.arrived);
             let response = forward_plain(self, &req).await;
             watch.completion().set();
+            self.record_plain(&req, response.status());
             response
         };
         let took = arrived.elapsed();
@@ -85,6 +90,33 @@
         response
     }
 
+    /// Service-level counts of this node's requests.
+    pub(crate) fn burn(&self) -> Arc<BurnLedger> {
+        Arc::clone(&self.burn)
+    }
+
+    /// Counts a plain request; its answer stands for the first token.
+    fn record_plain(&self, req: &ForwardRequest, status: StatusCode) {
+        let took = req.arrived.elapsed();
+        let answered = status.is_success();
+        self.record(
+            req,
+            &Sample {
+                first_token: answered.then_some(took),
+                first_token_missed: !answered || took > req.route.latency_target,
+                deadline_missed: Instant::now() >= req.deadline,
+                answered,
+                refused: status == StatusCode::SERVICE_UNAVAILABLE,
+            },
+        );
+    }
+
+    pub(super) fn record(&self, req: &ForwardRequest, sample: &Sample) {
+        let account = req.account_name();
+        let route = &req.route.name;
+        self.burn.record(Instant::now(), &account, route, sample);
+    }
+
     /// A connection to a target, within this node's share.
     pub(super) async fn connect(&self, target: &TargetEntry) -> Result<Connection, ConnectError> {
         let snapshot = self.snapshots.load();
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -6,7 +6,7 @@
 use azuresaddle_core::prelude::*;
 use hyper::StatusCode;
 
-use super::{Begin, MAX_DECLINED, RETRY_AFTER, Relay};
+use super::{Begin, MAX_DECLINED, RETRY_AFTER, Relay, StreamEnd};
 use crate::forward::answer::{own_answer, refusal};
 use crate::forward::attempt::{SendFailure, until};
 use crate::forward::plain::note_failure;
@@ -67,6 +67,7 @@
         if self.runs > 0 {
             return self.give_up(&SendFailure::Silent);
         }
+        self.record(StreamEnd::Refused);
         match self.head.take() {
             Some(tx) => {
                 let response = refusal("no engine can serve this in time", retry_after);
@@ -82,6 +83,11 @@
     pub(super) fn give_up(mut self, failure: &SendFailure) {
         self.completion.set();
         self.log(&HostName::new(""), "stream given up");
+        self.record(if self.runs == 0 {
+            StreamEnd::Refused
+        } else {
+            StreamEnd::Failed
+        });
         let Some(tx) = self.head.take() else {
             // A begun answer that stops without its end is seen to be incomplete.
             return;
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::burn::Sample;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::PassOutcome;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -108,6 +109,17 @@
     CallerGone,
 }
 
+/// How a stream ended, unless its caller left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamEnd {
+    /// The answer is whole.
+    Complete,
+    /// It did not run.
+    Refused,
+    /// It may have run and has no whole answer.
+    Failed,
+}
+
 /// One stream from its request to its end.
 struct Relay<N: Network> {
     completion: Completion,
@@ -142,6 +154,7 @@
                 Sent::Complete => {
                     self.cx.metrics.on_send(&self.req.service, "answered");
                     self.log(&lead, "stream complete");
+                    self.record(StreamEnd::Complete);
                     return place.end(PassOutcome::Done);
                 }
                 Sent::CallerGone => return place.end(PassOutcome::Cancelled),
@@ -168,6 +181,20 @@
         self.req.route.pause_target.unwrap_or(DEFAULT_PAUSE)
     }
 
+    /// Counts the stream for the service-level report.
+    fn record(&self, end: StreamEnd) {
+        let first_token = self.first_event_ms.map(Duration::from_millis);
+        let target = self.req.route.latency_target;
+        let sample = Sample {
+            first_token,
+            first_token_missed: first_token.is_none_or(|took| took > target),
+            deadline_missed: until(self.req.deadline).is_zero(),
+            answered: end == StreamEnd::Complete,
+            refused: end == StreamEnd::Refused,
+        };
+        self.cx.record(&self.req, &sample);
+    }
+
     fn log(&self, target: &HostName, what: &'static str) {
         tracing::info!(
             part = "forward",
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -15,4 +15,5 @@
 mod snapshot;
 mod targets;
 
+pub use metrics::BURN_PATH;
 pub use node::{Node, NodeOptions, OpenError};
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use azuresaddle_core::burn::BurnLedger;
 use azuresaddle_core::http::{Body, Handler, full};
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -15,10 +17,14 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use tokio::time::Instant;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the service-level counts, as JSON for `azuresaddle burn`.
+pub const BURN_PATH: &str = "/burn";
+
 /// Content type of the text format.
 const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -170,19 +176,37 @@
     family.get_or_create(&labels).observe(took.as_secs_f64());
 }
 
-/// Serves the metrics.
-pub(crate) struct MetricsPage(pub(crate) Metrics);
+/// Serves the metrics and the service-level counts.
+pub(crate) struct MetricsPage {
+    pub(crate) metrics: Metrics,
+    pub(crate) burn: Arc<BurnLedger>,
+}
+
+impl MetricsPage {
+    fn burn(&self) -> Response<Body> {
+        let counts = self.burn.counts(Instant::now());
+        let json = serde_json::to_vec(&counts).expect("counts serialize");
+        page(json, "application/json")
+    }
+}
 
 impl Handler for MetricsPage {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
-        if req.uri().path() != METRICS_PATH {
-            let mut response = Response::new(full(""));
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            return response;
+        match req.uri().path() {
+            METRICS_PATH => page(self.metrics.text(), TEXT_FORMAT),
+            BURN_PATH => self.burn(),
+            _ => {
+                let mut response = Response::new(full(""));
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
         }
-        let mut response = Response::new(full(self.0.text()));
-        let format = HeaderValue::from_static(TEXT_FORMAT);
-        response.headers_mut().insert(CONTENT_TYPE, format);
-        response
     }
 }
+
+fn page(body: impl Into<Bytes>, format: &'static str) -> Response<Body> {
+    let mut response = Response::new(full(body));
+    let format = HeaderValue::from_static(format);
+    response.headers_mut().insert(CONTENT_TYPE, format);
+    response
+}
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -128,6 +128,10 @@
             metrics.clone(),
         );
         forwarder.check_paces(owner, pace_questions_rx);
+        let page = Arc::new(MetricsPage {
+            metrics,
+            burn: forwarder.burn(),
+        });
         let stopping = Arc::new(Stopping::default());
         let in_flight = InFlight::default();
         let closed = CancellationToken::new();
@@ -149,13 +153,8 @@
             serve(listener, spawner.clone(), limits, Arc::clone(&directory));
         }
         if let Some(port) = options.metrics_port {
-            serve_metrics(
-                &net,
-                &spawner,
-                SocketAddr::from((settings.ip, port)),
-                metrics,
-            )
-            .await;
+            let addr = SocketAddr::from((settings.ip, port));
+            serve_metrics(&net, &spawner, addr, page).await;
         }
         Ok(Self {
             leaving,
@@ -215,10 +214,14 @@
 }
 
 /// Serves the metrics; a node without them still serves callers.
-async fn serve_metrics<N: Network>(net: &N, spawner: &Spawner, addr: SocketAddr, metrics: Metrics) {
+async fn serve_metrics<N: Network>(
+    net: &N,
+    spawner: &Spawner,
+    addr: SocketAddr,
+    page: Arc<MetricsPage>,
+) {
     match bind(net, "metrics", addr).await {
         Ok(listener) => {
-            let page = Arc::new(MetricsPage(metrics));
             serve(listener, spawner.clone(), ServerLimits::default(), page);
         }
         Err(e) => tracing::warn!(part = "node", error = %e, "no metrics"),
--- a/crates/azuresaddle-node/src/control/handle.rs
+++ b/crates/azuresaddle-node/src/control/handle.rs
@@ -1,5 +1,6 @@
 //! Access to control for traffic and for other nodes.
 
+use azuresaddle_core::burn::{BurnCounts, BurnLedger};
 use std::sync::Arc;
 
 use azuresaddle_store::RulesRecord;
@@ -7,7 +8,6 @@
 use tokio::time::Instant;
 
 use super::command::Command;
-use crate::burn::{BurnCounts, BurnLedger};
 use crate::peer::{Heartbeat, HeartbeatReply, Report, ReserveReply, ReserveRequest, TakeOver};
 use crate::snapshot::SharedSnapshot;
 
--- a/crates/azuresaddle-node/src/lib.rs
+++ b/crates/azuresaddle-node/src/lib.rs
@@ -3,7 +3,6 @@
 //! Traffic runs on many threads; control state is kept by one task on a thread of its own. Control
 //! publishes immutable [`snapshot::Snapshot`]s, traffic sends [`control::Command`]s.
 
-pub mod burn;
 pub mod control;
 pub mod engine;
 pub mod host_client;
--- a/crates/azuresaddle-node/src/node.rs
+++ b/crates/azuresaddle-node/src/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use azuresaddle_core::burn::BurnLedger;
 use azuresaddle_core::http::{HttpClient, ServerLimits, serve};
 use azuresaddle_core::prelude::*;
 use azuresaddle_store::{Claims, HttpStore};
@@ -12,7 +13,6 @@
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 
-use crate::burn::BurnLedger;
 use crate::control::{Command, Control, ControlHandle, ControlParts, LiveStreams};
 use crate::engine::EngineClient;
 use crate::metrics::Metrics;
--- a/crates/azuresaddle-node/src/peer/server.rs
+++ b/crates/azuresaddle-node/src/peer/server.rs
@@ -1,5 +1,6 @@
 //! Serves other nodes.
 
+use azuresaddle_core::burn::BurnCounts;
 use azuresaddle_core::prelude::*;
 use azuresaddle_rpc::serve_rpc;
 use futures::StreamExt;
@@ -9,7 +10,6 @@
 
 use super::messages::{Heartbeat, HeartbeatReply, Report, ReserveReply, ReserveRequest, TakeOver};
 use super::service::Peer;
-use crate::burn::BurnCounts;
 use crate::control::ControlHandle;
 
 /// Accepts other nodes until the spawner is killed.
--- a/crates/azuresaddle-node/src/peer/service.rs
+++ b/crates/azuresaddle-node/src/peer/service.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs, reason = "tarpc generates items without documentation")]
 
 use super::messages::{Heartbeat, HeartbeatReply, Report, ReserveReply, ReserveRequest, TakeOver};
-use crate::burn::BurnCounts;
+use azuresaddle_core::burn::BurnCounts;
 
 /// Calls between nodes.
 #[tarpc::service]
--- a/crates/azuresaddle-node/src/traffic/admin_messages.rs
+++ b/crates/azuresaddle-node/src/traffic/admin_messages.rs
@@ -1,12 +1,11 @@
 //! Messages of the operators' interface.
 
+use azuresaddle_core::burn::BurnCounts;
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::rules::{Explanation, RulesDocument};
 use azuresaddle_sched::PoolDigest;
 use serde::{Deserialize, Serialize};
 
-use crate::burn::BurnCounts;
-
 /// A change of the rules.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/azuresaddle-node/src/traffic/run_job.rs
+++ b/crates/azuresaddle-node/src/traffic/run_job.rs
@@ -1,5 +1,6 @@
 //! Runs an admitted request on one target after another until its answer is whole.
 
+use azuresaddle_core::burn::Sample;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::Outcome;
 use tokio::time::Instant;
@@ -10,7 +11,6 @@
 use super::reserve::Placement;
 use super::sink::CallerSink;
 use super::state::Traffic;
-use crate::burn::Sample;
 use crate::engine::EngineFailure;
 use crate::peer::{Report, ReportKind};
 
--- a/crates/azuresaddle-node/src/traffic/state.rs
+++ b/crates/azuresaddle-node/src/traffic/state.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
+use azuresaddle_core::burn::BurnLedger;
 use azuresaddle_core::http::HttpClient;
 use azuresaddle_core::prelude::*;
 use azuresaddle_store::{Claims, HttpStore};
 use tokio::sync::Semaphore;
 
 use super::reporter::ReportSender;
-use crate::burn::BurnLedger;
 use crate::control::{ControlHandle, LiveStreams};
 use crate::engine::EngineClient;
 use crate::metrics::Metrics;
--- a/crates/azuresaddle-standin/src/soak/process.rs
+++ b/crates/azuresaddle-standin/src/soak/process.rs
@@ -92,8 +92,12 @@
 
     /// Text of the metrics; `None` where they are not served.
     pub async fn metrics(&self) -> Option<String> {
-        let addr = SocketAddr::from((self.ip, self.port + 9));
-        get_text(addr, "/metrics").await
+        get_text(self.metrics_addr(), "/metrics").await
+    }
+
+    /// Where the metrics are served.
+    pub fn metrics_addr(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.port + 9))
     }
 
     /// Whether the node says that it is ready.
--- a/src/cmd/admin.rs
+++ b/src/cmd/admin.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// A client of an address that asks for no token; needs a runtime.
+    pub(crate) fn at(addr: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::new(TcpNetwork, Spawner::current()),
+            addr,
+            token: None,
+        }
+    }
+
     /// Reads a value.
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         self.call(Method::GET, path, &()).await?.success()
@@ -103,7 +112,7 @@
             .http
             .send(self.addr, req, TIMEOUT)
             .await
-            .with_context(|| format!("--admin {}", self.addr))?;
+            .with_context(|| format!("node {}", self.addr))?;
         let status = resp.status();
         let body = read_limited(resp.into_body(), MAX_BYTES, TIMEOUT).await?;
         Ok(AdminAnswer { status, body })
--- a/src/cmd/burn.rs
+++ b/src/cmd/burn.rs
@@ -1,11 +1,17 @@
 //! `burn`: service-level burn by client account and rule.
 
-use anyhow::Result;
-use azuresaddle_node::burn::{BurnRow, Counts, WINDOW_MINUTES};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use anyhow::{Context, Result};
+use azuresaddle_core::burn::{BurnCounts, BurnRow, Counts, WINDOW_MINUTES};
+use azuresaddle_core::prelude::*;
+use azuresaddle_edge::BURN_PATH;
 use azuresaddle_node::traffic::BurnReply;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use super::admin::{self, AdminClient};
+use super::burn_plot;
 use super::output;
 use super::runtime::client_runtime;
 
@@ -26,21 +32,36 @@
                 .action(ArgAction::SetTrue)
                 .help("Print the merged counts as JSON"),
         )
+        .arg(
+            Arg::new("node")
+                .long("node")
+                .value_name("ADDR")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Metrics address of a node on the platform; may be given several times"),
+        )
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write an SVG plot of the burn of each account and rule"),
+        )
         .args(admin::args())
 }
 
 /// What is asked of every request.
 #[derive(Clone, Copy)]
-enum Objective {
+pub(super) enum Objective {
     FirstToken,
     Deadline,
     Answered,
 }
 
 impl Objective {
-    const ALL: [Self; 3] = [Self::FirstToken, Self::Deadline, Self::Answered];
+    pub(super) const ALL: [Self; 3] = [Self::FirstToken, Self::Deadline, Self::Answered];
 
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Self::FirstToken => "first token",
             Self::Deadline => "deadline",
@@ -57,7 +78,7 @@
     }
 
     /// How many times as fast as allowed the error budget is spent.
-    fn burn(self, counts: &Counts, budget: f64) -> f64 {
+    pub(super) fn burn(self, counts: &Counts, budget: f64) -> f64 {
         if counts.requests == 0 {
             return 0.0;
         }
@@ -72,8 +93,11 @@
         return Err(super::BadInput(detail).into());
     }
     let budget = 1.0 - percent / 100.0;
-    let reply: BurnReply =
-        client_runtime()?.block_on(async { AdminClient::new(args).get("/admin/v1/burn").await })?;
+    let reply = client_runtime()?.block_on(read_counts(args))?;
+    if let Some(path) = args.get_one::<PathBuf>("plot") {
+        let svg = burn_plot::draw(&reply.counts.rows, budget)?;
+        std::fs::write(path, svg).with_context(|| format!("--plot {}", path.display()))?;
+    }
     if args.get_flag("json") {
         return output::json(&reply);
     }
@@ -81,6 +105,25 @@
     Ok(())
 }
 
+/// Counts of the nodes on the platform that are named, or else of the own interface's nodes.
+async fn read_counts(args: &ArgMatches) -> Result<BurnReply> {
+    let Some(nodes) = args.get_many::<SocketAddr>("node") else {
+        return AdminClient::new(args).get("/admin/v1/burn").await;
+    };
+    let mut counts = BurnCounts::default();
+    let mut missing = Vec::new();
+    for node in nodes {
+        match AdminClient::at(*node).get(BURN_PATH).await {
+            Ok(more) => counts.merge(more),
+            Err(e) => {
+                tracing::warn!(part = "burn", %node, error = %e, "node did not answer");
+                missing.push(HostName::new(node.to_string()));
+            }
+        }
+    }
+    Ok(BurnReply { counts, missing })
+}
+
 fn print_table(reply: &BurnReply, budget: f64) {
     let mut head = format!("{:<14} {:<16} {:<12}", "account", "rule", "objective");
     for minutes in WINDOW_MINUTES {
@@ -102,11 +145,7 @@
 }
 
 fn table_line(row: &BurnRow, objective: Objective, budget: f64) -> String {
-    let rule = if row.rule.is_empty() {
-        "(default)"
-    } else {
-        &row.rule
-    };
+    let rule = rule_name(row);
     let account = row.account.as_str();
     let mut line = format!("{account:<14} {rule:<16} {:<12}", objective.name());
     for counts in &row.windows {
@@ -117,3 +156,11 @@
     line.push_str(&format!(" {requests:>9} {p95:>9}"));
     line
 }
+
+/// Name of a row's rule, or route on the platform.
+pub(super) fn rule_name(row: &BurnRow) -> &str {
+    match row.rule.as_str() {
+        "" => "(default)",
+        rule => rule,
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod ask;
 mod bad_input;
 pub(crate) mod burn;
+mod burn_plot;
 pub(crate) mod check;
 pub(crate) mod hosts;
 pub(crate) mod node;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Node processes before a stand-in platform.
 
+mod burn;
 mod configuration;
 mod drains;
 mod explain;
