A decision no longer grows with the queue or the pool

Cause: each waiting long prompt that was tried built and sorted its own list of engines; late ones were searched in the whole queue; each arrival added up the whole queue. Change: one list a round, of the 64 soonest engines; 128 long prompts at most are looked at; the sum only for long arrivals. The aim of 5 us is not reached: every short prompt still looks at every engine.

--- a/crates/azuresaddle-sched/benches/passes.rs
+++ b/crates/azuresaddle-sched/benches/passes.rs
@@ -33,7 +33,7 @@
 fn ask(now: Instant, number: u64, prompt_tokens: u64) -> PassAsk {
     PassAsk {
         id: AskId { node: 1, number },
-        account: ClientAccount::new("a"),
+        account: ClientAccount::new(format!("account-{}", number % 200)),
         domain: FailureDomain::new("d1"),
         prompt_tokens,
         answer_tokens: 800,
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -4,6 +4,7 @@
 //! engines as end it soonest, which delays the others less than reading several side by side, and
 //! every part must fit in a pass that the streams of its engine can bear.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
@@ -17,6 +18,10 @@
 /// Engines that one prompt may be read by, by the engines' interface: one and 16 helpers.
 pub(super) const MAX_MEMBERS: usize = 17;
 
+/// Engines that are considered for a prompt, the soonest ones: several times as many as may take part,
+/// so that the cost of a plan does not grow with the pool.
+const MAX_CONSIDERED: usize = 64;
+
 /// Time by which one more engine must bring the end nearer, in milliseconds: its own share of
 /// waiting for a pass and of messages.
 const HELPER_COST_MS: f64 = 2.0;
@@ -118,25 +123,50 @@
     /// Streams that are written there, or will be.
     writers: usize,
     can_lead: bool,
-    same_domain: bool,
+}
+
+/// The engines that could read parts, as they are at one moment.
+///
+/// Built once for all prompts that are tried in a round: with a list for each of them a decision at
+/// 256 engines took 188 us, of it most for prompts that found no room.
+#[derive(Clone, Debug)]
+pub(super) struct Candidates(Vec<Candidate>);
+
+impl Candidates {
+    /// All open engines, soonest first, slow ones last, since all parts wait for the slowest; among
+    /// equals the ones with most room, which run no short streams.
+    pub(super) fn new(round: &Round<'_>) -> Self {
+        let mut all = candidates(round);
+        all.sort_by(|a, b| {
+            let by_pace = a.is_slow.cmp(&b.is_slow);
+            let by_start = by_pace.then(a.start_ms.total_cmp(&b.start_ms));
+            by_start.then(b.room_ms.total_cmp(&a.room_ms))
+        });
+        all.truncate(MAX_CONSIDERED);
+        Self(all)
+    }
+
+    /// Those that an ask does not exclude.
+    fn for_ask(&self, round: &Round<'_>, ask: &PassAsk) -> Cow<'_, [Candidate]> {
+        if ask.exclude.is_empty() {
+            return Cow::Borrowed(&self.0);
+        }
+        let excluded = |c: &&Candidate| ask.exclude.contains(&round.engines[c.key].name);
+        let usable = self.0.iter().filter(|c| !excluded(c));
+        Cow::Owned(usable.copied().collect())
+    }
 }
 
 /// The engines that end the reading soonest, and make streams of at most `broken_tokens` prompt
 /// tokens late by it; `None` where no set of engines can bear it.
 pub(super) fn plan_long(
     round: &Round<'_>,
+    candidates: &Candidates,
     ask: &PassAsk,
     read_ms: f64,
     broken_tokens: u64,
 ) -> Option<LongPlan> {
-    let mut candidates = candidates(round, ask);
-    // Soonest first, slow ones last, since all parts wait for the slowest; among equals the ones
-    // with most room, which run no short streams.
-    candidates.sort_by(|a, b| {
-        let by_pace = a.is_slow.cmp(&b.is_slow);
-        let by_start = by_pace.then(a.start_ms.total_cmp(&b.start_ms));
-        by_start.then(b.room_ms.total_cmp(&a.room_ms))
-    });
+    let candidates = candidates.for_ask(round, ask);
     let memory = ask.prompt_tokens + ask.answer_tokens;
     let fewest = memory.div_ceil(round.spec.memory_tokens.max(1)) as usize;
     let most = candidates.len().min(if round.options.split_long {
@@ -152,6 +182,7 @@
             count,
             part_ms,
             broken_tokens,
+            domain: &ask.domain,
         };
         let Some(plan) = plan_with(round, &candidates, &share) else {
             continue;
@@ -170,7 +201,7 @@
     best.map(|(_, plan)| plan)
 }
 
-fn candidates(round: &Round<'_>, ask: &PassAsk) -> Vec<Candidate> {
+fn candidates(round: &Round<'_>) -> Vec<Candidate> {
     let Round {
         now,
         spec,
@@ -179,8 +210,7 @@
     } = *round;
     engines
         .iter()
-        .filter(|(_, e)| e.is_open(now) && !ask.exclude.contains(&e.name))
-        .filter(|(_, e)| e.can_help(spec))
+        .filter(|(_, e)| e.is_open(now) && e.can_help(spec))
         .map(|(key, e)| Candidate {
             key,
             start_ms: e.next_pass_in(now).as_secs_f64() * 1000.0,
@@ -198,24 +228,25 @@
             is_slow: e.pace.is_slow(),
             writers: e.leads.len(),
             can_lead: e.has_slot(spec),
-            same_domain: e.domain == ask.domain,
         })
         .collect()
 }
 
 /// One way to split a prompt.
 #[derive(Clone, Copy, Debug)]
-struct Share {
+struct Share<'a> {
     /// Memory that the stream needs, in tokens.
     memory: u64,
     count: usize,
     part_ms: f64,
     /// Most prompt tokens of streams that may be made late.
     broken_tokens: u64,
+    /// Failure domain of the node that will relay the answer.
+    domain: &'a FailureDomain,
 }
 
 /// A plan with exactly as many engines.
-fn plan_with(round: &Round<'_>, candidates: &[Candidate], share: &Share) -> Option<LongPlan> {
+fn plan_with(round: &Round<'_>, candidates: &[Candidate], share: &Share<'_>) -> Option<LongPlan> {
     let spec = round.spec;
     let others = share.count as u64 - 1;
     let helper_memory_tokens = if share.memory <= spec.memory_tokens {
@@ -229,16 +260,11 @@
         .iter()
         .filter(|c| c.free_tokens >= helper_memory_tokens)
         .collect();
-    let bearing_leads = able.iter().copied().filter(can_lead);
-    let lead =
-        best_lead(bearing_leads.filter(|c| bears(round, c, share.part_ms))).or_else(|| {
-            best_lead(
-                able.iter()
-                    .copied()
-                    .filter(can_lead)
-                    .filter(|c| !c.is_reading && c.silent_room_ms >= share.part_ms),
-            )
-        })?;
+    let is_local = |c: &Candidate| round.engines[c.key].domain == *share.domain;
+    let leads = || able.iter().copied().filter(can_lead);
+    let bearing = leads().filter(|c| bears(round, c, share.part_ms));
+    let silent = leads().filter(|c| !c.is_reading && c.silent_room_ms >= share.part_ms);
+    let lead = best_lead(bearing, is_local).or_else(|| best_lead(silent, is_local))?;
     let mut left = share.broken_tokens;
     let broken = broken_tokens(round, lead, share.part_ms);
     if broken > left && round.options.check_pauses {
@@ -275,7 +301,7 @@
 fn choose<'a>(
     round: &Round<'_>,
     helpers: &[&'a Candidate],
-    share: &Share,
+    share: &Share<'_>,
     mut broken_left: u64,
 ) -> Option<Vec<&'a Candidate>> {
     let count = share.count - 1;
@@ -316,7 +342,10 @@
 /// later part on its engine. So the answer is written where others are written already, with the
 /// shortest pauses first, and engines without streams stay free for the longest parts: a review
 /// that is written alone takes four times the engine's time that its prompt takes to read.
-fn best_lead<'a>(able: impl Iterator<Item = &'a Candidate>) -> Option<&'a Candidate> {
+fn best_lead<'a>(
+    able: impl Iterator<Item = &'a Candidate>,
+    is_local: impl Fn(&Candidate) -> bool,
+) -> Option<&'a Candidate> {
     let rank = |c: &Candidate| {
         let is_late = c.start_ms > MAX_START_MS;
         (
@@ -331,7 +360,7 @@
         (x.0, x.1)
             .cmp(&(y.0, y.1))
             .then(x.2.total_cmp(&y.2))
-            .then(b.same_domain.cmp(&a.same_domain))
+            .then_with(|| is_local(b).cmp(&is_local(a)))
             .then(x.3.total_cmp(&y.3))
     })
 }
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -7,7 +7,7 @@
 use super::PassPool;
 use super::ledger::Parts;
 use crate::passes::ask::{AskId, PassDecision, PassGrant};
-use crate::passes::long_plan::{LongPlan, helper_names, plan_long};
+use crate::passes::long_plan::{Candidates, LongPlan, helper_names, plan_long};
 use crate::passes::pace::overdue_at;
 use crate::passes::queue::Waiting;
 use crate::passes::round::Round;
@@ -16,6 +16,9 @@
 /// Most long prompts that are tried in one round; the ones behind them wait for these.
 const MAX_TRIED: usize = 16;
 
+/// Most long prompts that are looked at in one round, so that its cost does not grow with the queue.
+const MAX_LOOKED_AT: usize = 128;
+
 /// Part of the time left that a long prompt has waited before others may be made late for it.
 const BREAK_AFTER: f64 = 0.15;
 
@@ -67,17 +70,21 @@
 
     /// Places long prompts; first those that can still be on time, then the others.
     pub(super) fn place_long(&mut self, now: Instant, on_time: bool) {
+        if !self.queue.has_long() {
+            return;
+        }
         let open = self.open_engines(now);
         loop {
             let round = self.round(now);
+            let candidates = Candidates::new(&round);
             let found = self
                 .queue
-                .iter()
-                .filter(|w| !self.is_short(w.read_ms))
+                .iter_long()
+                .take(MAX_LOOKED_AT)
                 .filter(|w| on_time == (w.ask.first_event_by > now))
                 .take(MAX_TRIED)
                 .find_map(|w| {
-                    let plan = self.plan_for(&round, w, open)?;
+                    let plan = self.plan_for(&round, &candidates, w, open)?;
                     Some((w.ask.id, plan))
                 });
             let Some((id, plan)) = found else {
@@ -94,12 +101,13 @@
     pub(super) fn plan_for(
         &self,
         round: &Round<'_>,
+        candidates: &Candidates,
         waiting: &Waiting,
         open: usize,
     ) -> Option<LongPlan> {
         let Waiting { ask, read_ms, .. } = waiting;
         let now = round.now;
-        let plan = plan_long(round, ask, *read_ms, 0);
+        let plan = plan_long(round, candidates, ask, *read_ms, 0);
         let is_due = |p: &LongPlan| !self.options.wait_for_engines || p.is_due(now, ask, open);
         let plan = plan.filter(is_due);
         if plan.as_ref().is_some_and(|p| p.is_on_time(now, ask)) || !self.options.break_pauses {
@@ -111,7 +119,7 @@
             return plan;
         }
         let broken = (ask.prompt_tokens as f64 * BROKEN_SHARE) as u64;
-        let lenient = plan_long(round, ask, *read_ms, broken);
+        let lenient = plan_long(round, candidates, ask, *read_ms, broken);
         lenient
             .filter(|p| p.is_on_time(now, ask) && is_due(p))
             .or(plan)
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -97,8 +97,12 @@
         Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
     }
 
-    /// Reading that waits and finds room sooner than a prompt, in milliseconds.
+    /// Reading that waits and finds room sooner than a long prompt, in milliseconds; short ones are
+    /// not expected to wait.
     pub(super) fn ahead_ms(&self, read_ms: f64) -> f64 {
+        if self.is_short(read_ms) {
+            return 0.0;
+        }
         let waiting = self.queue.iter().map(|w| w.read_ms);
         waiting
             .filter(|ms| *ms < read_ms && !self.is_short(*ms))
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -74,6 +74,18 @@
         Some(waiting)
     }
 
+    /// Waiting long prompts.
+    pub(super) fn iter_long(&self) -> impl Iterator<Item = &Waiting> {
+        let first = Order::new(true, 0.0);
+        self.by_rank.range((first, 0)..).map(|(_, w)| w)
+    }
+
+    /// Whether a long prompt waits; they are the last ones.
+    pub(super) fn has_long(&self) -> bool {
+        let last = self.by_rank.last_key_value();
+        last.is_some_and(|((order, _), _)| order.is_long)
+    }
+
     /// Waiting asks of a client account.
     pub(super) fn count_of(&self, account: &ClientAccount) -> usize {
         self.by_account.get(account).copied().unwrap_or(0)
