--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::passes::{AskId, PassOutcome, RunningStream};
+use azuresaddle_sched::passes::{AskId, RunningStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use super::owner::Owner;
+use super::placed::Placed;
 use super::reporter::{run_reporter, run_sync};
 use crate::peer::{AskMessage, AskReply, PeerClients, Report, ReportKind, SyncMessage};
 use crate::snapshot::Snapshots;
@@ -41,7 +42,7 @@
 
 /// An ask or stream of this node.
 #[derive(Debug)]
-enum Live {
+pub(super) enum Live {
     Waiting,
     Running {
         service: Arc<str>,
@@ -179,14 +180,16 @@
             };
             match &reply {
                 Some(AskReply::Unknown) | None => {
+                    if failing_since.is_none() {
+                        tracing::info!(
+                            part = "placement",
+                            owner = who,
+                            waited_ms = now.elapsed().as_millis() as u64,
+                            answered = reply.is_some(),
+                            "owner gave no decision"
+                        );
+                    }
                     let since = *failing_since.get_or_insert(now);
-                    tracing::info!(
-                        part = "placement",
-                        owner = who,
-                        waited_ms = now.elapsed().as_millis() as u64,
-                        known = reply.is_some(),
-                        "owner gave no decision"
-                    );
                     if now - since >= OWNER_PATIENCE / 2 {
                         self.suspect(who);
                     }
@@ -264,7 +267,7 @@
     }
 
     /// Tells the owner what happened to a stream.
-    fn report(&self, id: AskId, service: &Arc<str>, kind: ReportKind) {
+    pub(super) fn report(&self, id: AskId, service: &Arc<str>, kind: ReportKind) {
         let report = Report {
             id,
             service: service.to_string(),
@@ -308,59 +311,7 @@
         let _ = self.no_answer.try_send(owner);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<AskId, Live>> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, HashMap<AskId, Live>> {
         self.live.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Engines for a stream, held until it ends.
-pub(crate) struct Placed<N: Network> {
-    placement: Arc<Placement<N>>,
-    id: AskId,
-    service: Arc<str>,
-    pub(crate) lead: HostName,
-    pub(crate) helpers: Vec<HostName>,
-    /// Memory to reserve on each helper, in tokens; 0 for none.
-    pub(crate) helper_memory_tokens: u64,
-    pub(crate) first_event_in: Duration,
-    is_ended: bool,
-}
-
-impl<N: Network> Placed<N> {
-    /// Notes the first event.
-    pub(crate) fn on_first_event(&self) {
-        if let Some(Live::Running { stream, .. }) = self.placement.lock().get_mut(&self.id) {
-            stream.is_writing = true;
-            stream.first_event_in = Duration::ZERO;
-        }
-        self.placement
-            .report(self.id, &self.service, ReportKind::FirstEvent);
-    }
-
-    /// Gives the engines back.
-    pub(crate) fn end(mut self, outcome: PassOutcome) {
-        self.finish(outcome);
-    }
-
-    fn finish(&mut self, outcome: PassOutcome) {
-        if self.is_ended {
-            return;
-        }
-        self.is_ended = true;
-        let was_running = matches!(
-            self.placement.lock().remove(&self.id),
-            Some(Live::Running { .. })
-        );
-        // A waiting ask is withdrawn by its dropped call.
-        if was_running {
-            self.placement
-                .report(self.id, &self.service, ReportKind::Ended(outcome));
-        }
-    }
-}
-
-impl<N: Network> Drop for Placed<N> {
-    fn drop(&mut self) {
-        self.finish(PassOutcome::Cancelled);
-    }
-}
--- a/crates/azuresaddle-edge/src/placement/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -2,7 +2,10 @@
 
 mod client;
 mod owner;
+mod owner_state;
+mod placed;
 mod reporter;
 
-pub(crate) use client::{PlaceRequest, Placed, Placement, PlacementParts};
+pub(crate) use client::{PlaceRequest, Placement, PlacementParts};
 pub(crate) use owner::Owner;
+pub(crate) use placed::Placed;
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -3,24 +3,16 @@
 //! Every node keeps the pools ready, so that it can take over at once. Nothing rests on there being
 //! one owner: engines refuse what they have no room for, and say so.
 
-use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use azuresaddle_core::deployment::Configuration;
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::passes::{
-    AskId, PassAsk, PassDecision, PassOptions, PassOutcome, PassPool, RunningStream,
-};
+use azuresaddle_sched::passes::{AskId, PassAsk, PassDecision, PassOutcome, RunningStream};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::owner_state::State;
 use crate::peer::{AskMessage, AskReply, Report, ReportKind, SyncMessage};
-use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
-
-/// Longest time that a new owner waits for the nodes to tell their streams: many round trips, and
-/// half of the time that a short prompt can wait.
-const HANDOVER: Duration = Duration::from_millis(120);
+use crate::snapshot::{Snapshot, Snapshots};
 
 /// The pools of this node.
 pub(crate) struct Owner {
@@ -30,26 +22,6 @@
     pace_questions: mpsc::Sender<HostName>,
 }
 
-#[derive(Default)]
-struct State {
-    pools: HashMap<Arc<str>, PassPool>,
-    waiters: HashMap<AskId, oneshot::Sender<PassDecision>>,
-    is_owner: bool,
-    handover: Option<Handover>,
-    /// What the pools were brought up to last.
-    configuration: Option<Arc<Configuration>>,
-    targets: Arc<TargetSet>,
-    nodes: Arc<Vec<LiveNode>>,
-}
-
-/// A new owner's wait for the nodes to tell their streams. Without it the first long prompt was
-/// read by all engines, since none seemed to run anything, and every short stream was late.
-struct Handover {
-    /// Nodes that have not told their streams.
-    missing: HashSet<u64>,
-    until: Instant,
-}
-
 impl Owner {
     /// Starts to follow snapshots and the pools' own timers.
     ///
@@ -248,120 +220,6 @@
     }
 }
 
-impl State {
-    /// Begins to wait for the other nodes where this one becomes the owner.
-    fn note_owner(&mut self, now: Instant, snapshot: &Snapshot, node: u64) {
-        let is_owner = snapshot.owner == node;
-        if is_owner && !self.is_owner {
-            let nodes = snapshot.nodes.iter().map(|n| n.incarnation);
-            self.handover = Some(Handover {
-                missing: nodes.collect(),
-                until: now + HANDOVER,
-            });
-            tracing::info!(
-                part = "placement",
-                nodes = snapshot.nodes.len(),
-                "owner now"
-            );
-        }
-        if !is_owner {
-            self.handover = None;
-        }
-        self.is_owner = is_owner;
-    }
-
-    /// Brings the engines of all pools up to the targets; nearly every snapshot has the same ones.
-    fn follow_targets(
-        &mut self,
-        now: Instant,
-        configuration: &Arc<Configuration>,
-        targets: &Arc<TargetSet>,
-    ) {
-        let is_same = self
-            .configuration
-            .as_ref()
-            .is_some_and(|known| Arc::ptr_eq(known, configuration));
-        if is_same && Arc::ptr_eq(&self.targets, targets) {
-            return;
-        }
-        for service in configuration.services() {
-            let Some(spec) = &service.engine else {
-                continue;
-            };
-            let pool = self
-                .pools
-                .entry(Arc::clone(&service.name))
-                .or_insert_with(|| PassPool::new(PassOptions::default(), spec.clone()));
-            pool.set_spec(spec);
-            for target in targets.of_service(&service.name) {
-                pool.upsert_engine(now, &target.id, &target.domain, false);
-            }
-            pool.retain_engines(|id| targets.get(id).is_some());
-        }
-        self.configuration = Some(Arc::clone(configuration));
-        self.targets = Arc::clone(targets);
-    }
-
-    /// Forgets streams of nodes that are gone.
-    fn follow_nodes(&mut self, nodes: &Arc<Vec<LiveNode>>) {
-        if Arc::ptr_eq(&self.nodes, nodes) {
-            return;
-        }
-        let live: HashSet<u64> = nodes.iter().map(|n| n.incarnation).collect();
-        for pool in self.pools.values_mut() {
-            pool.retain_nodes(|node| live.contains(&node));
-        }
-        self.nodes = Arc::clone(nodes);
-    }
-
-    fn note_told(&mut self, node: u64) {
-        if let Some(handover) = &mut self.handover {
-            handover.missing.remove(&node);
-        }
-    }
-
-    /// Whether the ledger may lack streams of other nodes.
-    fn is_taking_over(&mut self, now: Instant) -> bool {
-        let goes_on = self
-            .handover
-            .as_ref()
-            .is_some_and(|h| now < h.until && !h.missing.is_empty());
-        if !goes_on {
-            self.handover = None;
-        }
-        goes_on
-    }
-
-    /// Engines that should be asked for their pace; none where another node places.
-    fn take_pace_questions(&mut self, now: Instant) -> Vec<HostName> {
-        if !self.is_owner {
-            return Vec::new();
-        }
-        let pools = self.pools.values_mut();
-        pools.flat_map(|p| p.take_pace_questions(now)).collect()
-    }
-
-    /// Places what can be placed and tells the askers.
-    fn dispatch(&mut self, now: Instant) {
-        if self.is_taking_over(now) {
-            return;
-        }
-        let Self { pools, waiters, .. } = self;
-        for pool in pools.values_mut() {
-            pool.dispatch(now);
-            for (id, decision) in pool.take_decisions() {
-                let told = waiters
-                    .remove(&id)
-                    .is_some_and(|tx| tx.send(decision).is_ok());
-                if !told {
-                    // Whoever asked is gone, so nothing will run.
-                    pool.end(now, id, &PassOutcome::Cancelled);
-                }
-            }
-        }
-    }
-}
-
 /// Withdraws an ask whose future is dropped before a decision.
 struct Undecided<'a> {
     owner: &'a Owner,
--- /dev/null
+++ b/crates/azuresaddle-edge/src/placement/owner_state.rs
@@ -0,0 +1,152 @@
+//! The owner's pools, who waits for a decision, and the handover from another owner.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::Configuration;
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{AskId, PassDecision, PassOptions, PassOutcome, PassPool};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::snapshot::{LiveNode, Snapshot, TargetSet};
+
+/// Longest time that a new owner waits for the nodes to tell their streams: many round trips, and
+/// half of the time that a short prompt can wait.
+const HANDOVER: Duration = Duration::from_millis(120);
+
+/// What the owner keeps under its lock.
+#[derive(Default)]
+pub(super) struct State {
+    pub(super) pools: HashMap<Arc<str>, PassPool>,
+    pub(super) waiters: HashMap<AskId, oneshot::Sender<PassDecision>>,
+    pub(super) is_owner: bool,
+    pub(super) handover: Option<Handover>,
+    /// What the pools were brought up to last.
+    pub(super) configuration: Option<Arc<Configuration>>,
+    pub(super) targets: Arc<TargetSet>,
+    pub(super) nodes: Arc<Vec<LiveNode>>,
+}
+
+/// A new owner's wait for the nodes to tell their streams. Without it the first long prompt was
+/// read by all engines, since none seemed to run anything, and every short stream was late.
+pub(super) struct Handover {
+    /// Nodes that have not told their streams.
+    pub(super) missing: HashSet<u64>,
+    pub(super) until: Instant,
+}
+
+impl State {
+    /// Begins to wait for the other nodes where this one becomes the owner.
+    pub(super) fn note_owner(&mut self, now: Instant, snapshot: &Snapshot, node: u64) {
+        let is_owner = snapshot.owner == node;
+        if is_owner && !self.is_owner {
+            let nodes = snapshot.nodes.iter().map(|n| n.incarnation);
+            self.handover = Some(Handover {
+                missing: nodes.collect(),
+                until: now + HANDOVER,
+            });
+            tracing::info!(
+                part = "placement",
+                nodes = snapshot.nodes.len(),
+                "owner now"
+            );
+        }
+        if !is_owner {
+            self.handover = None;
+        }
+        self.is_owner = is_owner;
+    }
+
+    /// Brings the engines of all pools up to the targets; nearly every snapshot has the same ones.
+    pub(super) fn follow_targets(
+        &mut self,
+        now: Instant,
+        configuration: &Arc<Configuration>,
+        targets: &Arc<TargetSet>,
+    ) {
+        let is_same = self
+            .configuration
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, configuration));
+        if is_same && Arc::ptr_eq(&self.targets, targets) {
+            return;
+        }
+        for service in configuration.services() {
+            let Some(spec) = &service.engine else {
+                continue;
+            };
+            let pool = self
+                .pools
+                .entry(Arc::clone(&service.name))
+                .or_insert_with(|| PassPool::new(PassOptions::default(), spec.clone()));
+            pool.set_spec(spec);
+            for target in targets.of_service(&service.name) {
+                pool.upsert_engine(now, &target.id, &target.domain, false);
+            }
+            pool.retain_engines(|id| targets.get(id).is_some());
+        }
+        self.configuration = Some(Arc::clone(configuration));
+        self.targets = Arc::clone(targets);
+    }
+
+    /// Forgets streams of nodes that are gone.
+    pub(super) fn follow_nodes(&mut self, nodes: &Arc<Vec<LiveNode>>) {
+        if Arc::ptr_eq(&self.nodes, nodes) {
+            return;
+        }
+        let live: HashSet<u64> = nodes.iter().map(|n| n.incarnation).collect();
+        for pool in self.pools.values_mut() {
+            pool.retain_nodes(|node| live.contains(&node));
+        }
+        self.nodes = Arc::clone(nodes);
+    }
+
+    pub(super) fn note_told(&mut self, node: u64) {
+        if let Some(handover) = &mut self.handover {
+            handover.missing.remove(&node);
+        }
+    }
+
+    /// Whether the ledger may lack streams of other nodes.
+    pub(super) fn is_taking_over(&mut self, now: Instant) -> bool {
+        let goes_on = self
+            .handover
+            .as_ref()
+            .is_some_and(|h| now < h.until && !h.missing.is_empty());
+        if !goes_on {
+            self.handover = None;
+        }
+        goes_on
+    }
+
+    /// Engines that should be asked for their pace; none where another node places.
+    pub(super) fn take_pace_questions(&mut self, now: Instant) -> Vec<HostName> {
+        if !self.is_owner {
+            return Vec::new();
+        }
+        let pools = self.pools.values_mut();
+        pools.flat_map(|p| p.take_pace_questions(now)).collect()
+    }
+
+    /// Places what can be placed and tells the askers.
+    pub(super) fn dispatch(&mut self, now: Instant) {
+        if self.is_taking_over(now) {
+            return;
+        }
+        let Self { pools, waiters, .. } = self;
+        for pool in pools.values_mut() {
+            pool.dispatch(now);
+            for (id, decision) in pool.take_decisions() {
+                let told = waiters
+                    .remove(&id)
+                    .is_some_and(|tx| tx.send(decision).is_ok());
+                if !told {
+                    // Whoever asked is gone, so nothing will run.
+                    pool.end(now, id, &PassOutcome::Cancelled);
+                }
+            }
+        }
+    }
+}
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -4,7 +4,6 @@
 //! engines as end it soonest, which delays the others less than reading several side by side, and
 //! every part must fit in a pass that the streams of its engine can bear.
 
-use std::borrow::Cow;
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
@@ -12,16 +11,13 @@
 use tokio::time::Instant;
 
 use super::ask::PassAsk;
+use super::candidates::{Candidate, Candidates};
 use super::engine::{Engine, EngineId};
 use super::round::Round;
 
 /// Engines that one prompt may be read by, by the engines' interface: one and 16 helpers.
 pub(super) const MAX_MEMBERS: usize = 17;
 
-/// Engines that are considered for a prompt, the soonest ones: several times as many as may take part,
-/// so that the cost of a plan does not grow with the pool.
-const MAX_CONSIDERED: usize = 64;
-
 /// Time by which one more engine must bring the end nearer, in milliseconds: its own share of
 /// waiting for a pass and of messages.
 const HELPER_COST_MS: f64 = 2.0;
@@ -40,9 +36,6 @@
 /// Time that 1,000 prompt tokens of streams made late must bring the end nearer, in milliseconds.
 const BROKEN_COST_MS: f64 = 4.0;
 
-/// Longest part that may come to be read together with another, in milliseconds.
-const MAX_JOINED_MS: f64 = 50.0;
-
 /// Longest time until all engines of a plan begin; a plan further ahead waits, so that a quicker
 /// prompt that arrives meanwhile can go first.
 const MAX_START_MS: f64 = 120.0;
@@ -100,63 +93,6 @@
     }
 }
 
-/// An engine that could read a part.
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    key: EngineId,
-    /// Milliseconds until its next pass.
-    start_ms: f64,
-    /// Time of that pass without the part, in milliseconds.
-    base_ms: f64,
-    /// Longest part that makes no stream late, in milliseconds.
-    room_ms: f64,
-    /// Longest part that silences no stream, in milliseconds.
-    silent_room_ms: f64,
-    /// Whether a part may come to be read together with another.
-    is_reading: bool,
-    /// Longest pass that the streams there bear, in milliseconds.
-    longest_pass_ms: f64,
-    free_tokens: u64,
-    /// Time of its work against that of a usual engine.
-    pace: f64,
-    is_slow: bool,
-    /// Streams that are written there, or will be.
-    writers: usize,
-    can_lead: bool,
-}
-
-/// The engines that could read parts, as they are at one moment.
-///
-/// Built once for all prompts that are tried in a round: with a list for each of them a decision at
-/// 256 engines took 188 us, of it most for prompts that found no room.
-#[derive(Clone, Debug)]
-pub(super) struct Candidates(Vec<Candidate>);
-
-impl Candidates {
-    /// All open engines, soonest first, slow ones last, since all parts wait for the slowest; among
-    /// equals the ones with most room, which run no short streams.
-    pub(super) fn new(round: &Round<'_>) -> Self {
-        let mut all = candidates(round);
-        all.sort_by(|a, b| {
-            let by_pace = a.is_slow.cmp(&b.is_slow);
-            let by_start = by_pace.then(a.start_ms.total_cmp(&b.start_ms));
-            by_start.then(b.room_ms.total_cmp(&a.room_ms))
-        });
-        all.truncate(MAX_CONSIDERED);
-        Self(all)
-    }
-
-    /// Those that an ask does not exclude.
-    fn for_ask(&self, round: &Round<'_>, ask: &PassAsk) -> Cow<'_, [Candidate]> {
-        if ask.exclude.is_empty() {
-            return Cow::Borrowed(&self.0);
-        }
-        let excluded = |c: &&Candidate| ask.exclude.contains(&round.engines[c.key].name);
-        let usable = self.0.iter().filter(|c| !excluded(c));
-        Cow::Owned(usable.copied().collect())
-    }
-}
-
 /// The engines that end the reading soonest, and make streams of at most `broken_tokens` prompt
 /// tokens late by it; `None` where no set of engines can bear it.
 pub(super) fn plan_long(
@@ -201,37 +137,6 @@
     best.map(|(_, plan)| plan)
 }
 
-fn candidates(round: &Round<'_>) -> Vec<Candidate> {
-    let Round {
-        now,
-        spec,
-        engines,
-        options,
-    } = *round;
-    engines
-        .iter()
-        .filter(|(_, e)| e.is_open(now) && e.can_help(spec))
-        .map(|(key, e)| Candidate {
-            key,
-            start_ms: e.next_pass_in(now).as_secs_f64() * 1000.0,
-            base_ms: e.next_pass_ms(spec, 0.0),
-            room_ms: if options.protect_reads && e.is_reading(now) {
-                e.room_ms(spec).min(MAX_JOINED_MS)
-            } else {
-                e.room_ms(spec)
-            },
-            silent_room_ms: e.silent_room_ms(spec),
-            is_reading: options.protect_reads && e.is_reading(now),
-            longest_pass_ms: e.longest_pass_ms(),
-            free_tokens: e.free_tokens(spec),
-            pace: e.pace.factor(),
-            is_slow: e.pace.is_slow(),
-            writers: e.leads.len(),
-            can_lead: e.has_slot(spec),
-        })
-        .collect()
-}
-
 /// One way to split a prompt.
 #[derive(Clone, Copy, Debug)]
 struct Share<'a> {
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -6,6 +6,7 @@
 
 mod ask;
 mod backlog;
+mod candidates;
 mod engine;
 mod long_plan;
 mod options;
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -1,5 +1,7 @@
 //! Engines that work in passes, in real time.
 
+mod orders;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,7 +13,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
@@ -26,12 +27,6 @@
 /// Time of a slow engine's passes against the usual one.
 const SLOW_PACE: f64 = 4.0;
 
-/// Time after which an order is carried out late.
-const LATE_ORDER: Duration = Duration::from_millis(900);
-
-/// Most reservations of memory at a time.
-const MAX_RESERVATIONS: usize = 64;
-
 /// All engines of a service by address, for prompts that several read.
 #[derive(Clone, Default)]
 pub(super) struct Fleet(Arc<Mutex<HashMap<SocketAddr, Arc<Engine>>>>);
@@ -84,16 +79,6 @@
     work: Notify,
 }
 
-#[derive(Deserialize)]
-struct Order {
-    operation: String,
-    id: String,
-    #[serde(default)]
-    token_count: u64,
-    #[serde(default)]
-    hold_ms: u64,
-}
-
 impl Engine {
     /// Starts an engine.
     pub(super) fn spawn(spec: EngineSpec, fleet: Fleet, target: Arc<Target>) -> Arc<Self> {
@@ -247,61 +232,6 @@
             .collect()
     }
 
-    /// Takes an order, or makes its caller wait in vain.
-    async fn take_order(
-        self: Arc<Self>,
-        target: &Target,
-        req: Request<Incoming>,
-    ) -> (StatusCode, String) {
-        let Ok(body) = req.into_body().collect().await else {
-            return (StatusCode::BAD_REQUEST, String::new());
-        };
-        let body = body.to_bytes();
-        match target.fault() {
-            TargetFault::OrdersUnanswered => {
-                self.order(&body);
-            }
-            TargetFault::OrdersLate => {
-                // Goes on after its caller has left.
-                tokio::spawn(async move {
-                    tokio::time::sleep(LATE_ORDER).await;
-                    self.order(&body);
-                });
-            }
-            _ => return self.order(&body),
-        }
-        std::future::pending().await
-    }
-
-    fn order(&self, body: &[u8]) -> (StatusCode, String) {
-        let Ok(order) = serde_json::from_slice::<Order>(body) else {
-            return (StatusCode::BAD_REQUEST, String::new());
-        };
-        let reserved = self.reserved_tokens();
-        let mut state = self.lock();
-        match order.operation.as_str() {
-            "reserve" => {
-                let free = self.spec.memory_tokens.saturating_sub(reserved);
-                let is_new = !state.reservations.contains_key(&order.id);
-                let is_full = state.reservations.len() >= MAX_RESERVATIONS;
-                if is_new && (order.token_count > free || is_full) {
-                    return (StatusCode::CONFLICT, String::new());
-                }
-                let until = Instant::now() + Duration::from_millis(order.hold_ms);
-                state
-                    .reservations
-                    .insert(order.id, (order.token_count, until));
-            }
-            "release" => {
-                state.reservations.remove(&order.id);
-            }
-            _ => return (StatusCode::BAD_REQUEST, String::new()),
-        }
-        let used: u64 = state.reservations.values().map(|(tokens, _)| tokens).sum();
-        let free = self.spec.memory_tokens.saturating_sub(used);
-        (StatusCode::OK, json!({"unallocated": free}).to_string())
-    }
-
     fn report(&self, target: &Target) -> String {
         let reserved = self.reserved_tokens();
         let state = self.lock();
