--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -115,7 +115,7 @@
         }
         let read_ms = self.spec.read_ms(ask.prompt_tokens);
         let hopeless = self.hopeless(now, &ask, read_ms, self.ahead_ms(read_ms));
-        if let Some(retry_after) = hopeless.or_else(|| self.is_flooding(&ask)) {
+        if let Some(retry_after) = hopeless.or_else(|| self.is_flooding(now, &ask)) {
             let refused = PassDecision::Refused { retry_after };
             self.decisions.push((ask.id, refused));
             return;
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -25,6 +25,10 @@
 /// Fewest asks that an account may have waiting.
 const MIN_ACCOUNT_WAITING: usize = 8;
 
+/// Time for which an account must have had asks waiting: callers that return together after an outage
+/// are no flood, and in a tenth of the time most of them find room.
+const FLOOD_AGE: Duration = Duration::from_millis(500);
+
 /// Time to come back for an account that floods: its asks that wait are decided by then.
 const FLOOD_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
@@ -34,14 +38,16 @@
     ///
     /// Answers the pattern of an account that asks several times what the engines can do: its turn
     /// comes last, but its late asks would still fill every engine.
-    pub(super) fn is_flooding(&self, ask: &PassAsk) -> Option<Duration> {
+    pub(super) fn is_flooding(&self, now: Instant, ask: &PassAsk) -> Option<Duration> {
         if !self.options.fair_shares {
             return None;
         }
-        let waiting = self.queue.count_of(&ask.account);
+        let waiting = self.queue.of_account(&ask.account)?;
         let slots = self.engines.len() * self.spec.slots as usize;
         let most = (slots as f64 * ACCOUNT_WAITING_SHARE) as usize;
-        let floods = waiting >= most.max(MIN_ACCOUNT_WAITING) && waiting * 2 > self.queue.len();
+        let floods = waiting.count >= most.max(MIN_ACCOUNT_WAITING)
+            && waiting.count * 2 > self.queue.len()
+            && now.saturating_duration_since(waiting.since) >= FLOOD_AGE;
         floods.then_some(FLOOD_RETRY_AFTER)
     }
 
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -39,14 +39,21 @@
     pub(super) asked_at: Instant,
 }
 
+/// Waiting asks of one client account.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AccountQueue {
+    pub(super) count: usize,
+    /// Since when there has always been one.
+    pub(super) since: Instant,
+}
+
 /// Waiting asks in their order.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     by_rank: BTreeMap<Rank, Waiting>,
     ranks: HashMap<AskId, Rank>,
     arrivals: u64,
-    /// Waiting asks by client account.
-    by_account: HashMap<ClientAccount, usize>,
+    by_account: HashMap<ClientAccount, AccountQueue>,
 }
 
 impl Queue {
@@ -54,10 +61,12 @@
         self.arrivals += 1;
         let rank = (waiting.order, self.arrivals);
         self.ranks.insert(waiting.ask.id, rank);
-        *self
-            .by_account
-            .entry(waiting.ask.account.clone())
-            .or_insert(0) += 1;
+        let first = AccountQueue {
+            count: 0,
+            since: waiting.asked_at,
+        };
+        let account = waiting.ask.account.clone();
+        self.by_account.entry(account).or_insert(first).count += 1;
         self.by_rank.insert(rank, waiting);
     }
 
@@ -65,9 +74,9 @@
         let rank = self.ranks.remove(&id)?;
         let waiting = self.by_rank.remove(&rank)?;
         let account = &waiting.ask.account;
-        if let Some(count) = self.by_account.get_mut(account) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(queue) = self.by_account.get_mut(account) {
+            queue.count -= 1;
+            if queue.count == 0 {
                 self.by_account.remove(account);
             }
         }
@@ -87,8 +96,8 @@
     }
 
     /// Waiting asks of a client account.
-    pub(super) fn count_of(&self, account: &ClientAccount) -> usize {
-        self.by_account.get(account).copied().unwrap_or(0)
+    pub(super) fn of_account(&self, account: &ClientAccount) -> Option<AccountQueue> {
+        self.by_account.get(account).copied()
     }
 
     pub(super) fn contains(&self, id: AskId) -> bool {
