--- a/crates/azuresaddle-standin/src/passes/sheet.rs
+++ b/crates/azuresaddle-standin/src/passes/sheet.rs
@@ -80,7 +80,7 @@
     pub late_worth: f64,
 }
 
-/// Client accounts of a sheet; each asks half as much again as the next.
+/// Client accounts of a sheet.
 const ACCOUNTS: usize = 10;
 
 /// The account that floods.
@@ -204,6 +204,11 @@
         draw_flood(sheet, flood, &mut rng, &mut requests);
     }
     requests.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    // Drawn apart, so that a seed gives the same requests whoever sends them.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    for request in requests.iter_mut().filter(|r| r.account != FLOODING) {
+        request.account = draw_account(&mut rng);
+    }
     requests
 }
 
@@ -236,7 +241,7 @@
         requests.push(SheetRequest {
             at_ms: at_s * 1000.0,
             kind: index,
-            account: draw_account(rng),
+            account: 0,
             prompt_tokens: prompt as u64,
             answer_tokens: answer,
             answer_estimate: (answer as f64 * estimates.sample(rng)) as u64,
@@ -265,6 +270,7 @@
     }
 }
 
+/// A client account; each asks half as much again as the next.
 fn draw_account(rng: &mut StdRng) -> usize {
     let last = ACCOUNTS - 1;
     (0..last)
