A sign of another state counts only with the whole news

A node that heard a sign of a later heartbeat with another state noted the number, kept the old state, and passed both on; every node that knew better asked it for news, and its answer was as old.

Change: such a sign refreshes nothing until the whole news have come. Test: news_that_come_after_a_later_sign_count, seen failing with the old state under the new number.

--- a/crates/azuresaddle-edge/src/control/spread.rs
+++ b/crates/azuresaddle-edge/src/control/spread.rs
@@ -111,11 +111,14 @@
     }
 
     /// Takes a sign of life of a node that is known; true where it was taken for gone.
+    ///
+    /// One that tells of another state counts only with the whole news: passed on with the old state
+    /// it would make every node that knows better ask again and again.
     fn take_sign(&mut self, now: Instant, sign: &SignOfLife) -> bool {
         let Some(member) = self.members.get(&sign.ip) else {
             return false;
         };
-        if !is_same_process(member, sign) || sign.counter <= member.heard {
+        if differs(member, sign) || sign.counter <= member.heard {
             return false;
         }
         let was_gone = !self.is_alive(member, now);
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -166,9 +166,13 @@
     let mut starting = beat(1, 1);
     starting.from.configuration = 0;
     members.on_heartbeat(now, ip(1), &starting);
+    let stale = SignOfLife::new(&starting.from, 1);
+    let now = now + TICK;
     let mut told = beat(2, 1);
     told.signs = vec![sign(1, 9)];
     members.on_heartbeat(now, ip(2), &told);
+    // What this node passes on meanwhile is as old as what it knows.
+    assert_eq!(members.heartbeat(now).signs, [sign(2, 1), stale]);
     // The sign tells that the node takes callers now, so it is asked for.
     assert_eq!(members.unknown(&told), [ip(1)]);
     assert!(members.on_answer(now, &[news(1, 6)]));
