--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -40,6 +40,10 @@
 /// prompt that arrives meanwhile can go first.
 const MAX_START_MS: f64 = 120.0;
 
+/// Longest time to the first event of a plan that reserves memory, in milliseconds: memory that was not
+/// used for 9 s counts as lost, and it may come to be used only when the prompt is read.
+const MAX_RESERVED_MS: f64 = 7000.0;
+
 /// Engines for a long prompt.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct LongPlan {
@@ -74,6 +78,9 @@
         if self.start_ms > MAX_START_MS {
             return false;
         }
+        if self.helper_memory_tokens > 0 && self.first_event_ms > MAX_RESERVED_MS {
+            return false;
+        }
         let first_event_at = now + Duration::from_secs_f64(self.first_event_ms / 1000.0);
         if first_event_at > ask.give_up_at || first_event_at + ask.writing_time() > ask.deadline {
             return false;
--- a/crates/azuresaddle-sched/tests/suite/passes/long.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/long.rs
@@ -171,3 +171,15 @@
         }
     }
 }
+
+/// Two engines would read a prompt of 531k tokens for 7.6 s, and its memory would lie unused.
+#[tokio::test(start_paused = true)]
+async fn memory_is_not_reserved_for_a_read_of_many_seconds() {
+    let now = Instant::now();
+    let mut few = pool(now, 2);
+    assert_eq!(start(&mut few, now, 1, 531_000), None);
+    let mut more = pool(now, 6);
+    let grant = start(&mut more, now, 1, 531_000).unwrap();
+    assert!(grant.helper_memory_tokens > 0);
+    assert!(grant.first_event_in < Duration::from_secs(7));
+}
