Read again: one usual engine, shared arguments, a named type for what is published

The speeds of the usual engine stood in the tests and in the benchmark, the arguments for plot and JSON in two commands, and what the registry publishes was a tuple. No behaviour changes; no test is eased.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -15,7 +15,7 @@
 
 use super::heartbeat::{Datagram, MAX_BYTES, NodeNews};
 use super::members::{Members, TICK};
-use super::registry::Registry;
+use super::registry::{Published, Registry};
 use super::store_watch::{StoreEvent, watch_store};
 use crate::metrics::Metrics;
 use crate::peer::{PeerClients, PeerNews};
@@ -258,7 +258,11 @@
     fn publish(&mut self) -> bool {
         let version = self.version();
         let revision = self.registry.revision();
-        let (targets, raw_targets, hash) = self.registry.published();
+        let Published {
+            targets,
+            items,
+            hash,
+        } = self.registry.published();
         let mut has_news = false;
         let is_leaving = self.members.is_leaving();
         self.members.update_own(|own| {
@@ -281,7 +285,7 @@
             configuration: self.configuration.clone(),
             raw_configuration: self.raw_configuration.clone(),
             targets,
-            raw_targets,
+            raw_targets: items,
             nodes: Arc::new(nodes),
             owner,
             leaving: self.members.is_leaving(),
--- a/crates/azuresaddle-edge/src/control/news.rs
+++ b/crates/azuresaddle-edge/src/control/news.rs
@@ -31,7 +31,7 @@
     ) {
         let configuration = self.version();
         let targets = self.registry.revision();
-        let (_, _, hash) = self.registry.published();
+        let hash = self.registry.published().hash;
         let is_better = |n: &NodeNews| {
             let differs = n.targets == targets && n.targets_hash != hash;
             n.configuration > configuration || n.targets > targets || differs
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -41,8 +41,16 @@
     published: Option<Published>,
 }
 
-/// Targets that take new work, all that is known as it was written, and the hash of the targets.
-pub(super) type Published = (Arc<TargetSet>, Arc<Vec<Arc<Item>>>, u32);
+/// What other parts and other nodes are told of the targets; cheap to clone.
+#[derive(Clone, Debug)]
+pub(super) struct Published {
+    /// Targets that take new work.
+    pub(super) targets: Arc<TargetSet>,
+    /// All that is known, as it was written.
+    pub(super) items: Arc<Vec<Arc<Item>>>,
+    /// Hash of the targets that are believed in.
+    pub(super) hash: u32,
+}
 
 impl Registry {
     /// Revision of the last change that is known.
@@ -161,7 +169,11 @@
             return published.clone();
         }
         let items = self.held.values().map(|h| Arc::clone(&h.item)).collect();
-        let published = (Arc::new(self.targets()), Arc::new(items), self.hash());
+        let published = Published {
+            targets: Arc::new(self.targets()),
+            items: Arc::new(items),
+            hash: self.hash(),
+        };
         self.published = Some(published.clone());
         published
     }
--- a/crates/azuresaddle-edge/src/control/tests/registry.rs
+++ b/crates/azuresaddle-edge/src/control/tests/registry.rs
@@ -74,7 +74,7 @@
     assert!(registry.check(later));
     assert_eq!(ids(&registry), ["a"]);
     // The other nodes learn of the removal with its own revision.
-    let (_, items, _) = registry.published();
+    let items = registry.published().items;
     let told = items.iter().find(|i| i.key == "servers/b").unwrap();
     assert_eq!((&told.value, told.revision), (&None, 9));
 }
@@ -112,9 +112,9 @@
     for id in ["c", "a", "b"] {
         other.apply(now, item(id, "ready", 1));
     }
-    assert_eq!(one.published().2, other.published().2);
+    assert_eq!(one.published().hash, other.published().hash);
     other.apply(now, item("b", "draining", 2));
-    assert_ne!(one.published().2, other.published().2);
+    assert_ne!(one.published().hash, other.published().hash);
     let id: HostName = "a".into();
     assert!(one.targets().get(&id).is_some());
 }
@@ -124,12 +124,15 @@
     let now = Instant::now();
     let mut registry = Registry::default();
     registry.apply(now, item("a", "ready", 1));
-    let (first, _, hash) = registry.published();
+    let first = registry.published();
     registry.check(now);
     registry.apply(now, item("a", "ready", 1));
-    assert!(std::sync::Arc::ptr_eq(&first, &registry.published().0));
+    assert!(std::sync::Arc::ptr_eq(
+        &first.targets,
+        &registry.published().targets
+    ));
     registry.apply(now, item("a", "draining", 2));
-    let (targets, items, other) = registry.published();
-    assert_eq!((targets.len(), items[0].revision), (0, 2));
-    assert_ne!(hash, other);
+    let second = registry.published();
+    assert_eq!((second.targets.len(), second.items[0].revision), (0, 2));
+    assert_ne!(first.hash, second.hash);
 }
--- a/crates/azuresaddle-node/src/control/handle.rs
+++ b/crates/azuresaddle-node/src/control/handle.rs
@@ -1,8 +1,8 @@
 //! Access to control for traffic and for other nodes.
 
-use azuresaddle_core::burn::{BurnCounts, BurnLedger};
 use std::sync::Arc;
 
+use azuresaddle_core::burn::{BurnCounts, BurnLedger};
 use azuresaddle_store::RulesRecord;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
--- a/crates/azuresaddle-node/src/peer/service.rs
+++ b/crates/azuresaddle-node/src/peer/service.rs
@@ -1,9 +1,10 @@
 //! The service that every node offers to the others.
 #![allow(missing_docs, reason = "tarpc generates items without documentation")]
 
-use super::messages::{Heartbeat, HeartbeatReply, Report, ReserveReply, ReserveRequest, TakeOver};
 use azuresaddle_core::burn::BurnCounts;
 
+use super::messages::{Heartbeat, HeartbeatReply, Report, ReserveReply, ReserveRequest, TakeOver};
+
 /// Calls between nodes.
 #[tarpc::service]
 pub trait Peer {
--- a/crates/azuresaddle-sched/benches/passes.rs
+++ b/crates/azuresaddle-sched/benches/passes.rs
@@ -7,28 +7,15 @@
 use std::hint::black_box;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::EngineSpec;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{AskId, PassAsk, PassOptions, PassOutcome, PassPool};
 use criterion::{Criterion, criterion_group, criterion_main};
 use tokio::time::Instant;
 
-fn spec() -> EngineSpec {
-    EngineSpec {
-        slots: 16,
-        memory_tokens: 450_000,
-        steps_per_pass: 46,
-        step_ms: 0.925,
-        step_ms_per_stream: 0.00483,
-        step_ms_per_1k_context: 0.00254,
-        read_tokens_per_ms: 256.0,
-        ms_per_1m_pairs: 0.0917,
-        max_read_tokens_per_step: 2048,
-        holder_hop_ms: 0.1,
-        report_lag: Duration::from_millis(200),
-        usual_answer_tokens: 1540,
-    }
-}
+#[path = "../tests/suite/passes/usual_engine.rs"]
+mod usual_engine;
+
+use usual_engine::spec;
 
 fn ask(now: Instant, number: u64, prompt_tokens: u64) -> PassAsk {
     PassAsk {
--- a/crates/azuresaddle-standin/src/cmd/args.rs
+++ b/crates/azuresaddle-standin/src/cmd/args.rs
@@ -1,9 +1,10 @@
 //! Arguments that several subcommands share.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use anyhow::Result;
-use clap::{Arg, ArgMatches, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, value_parser};
 use tokio::runtime::Runtime;
 
 /// The address to listen on.
@@ -26,6 +27,23 @@
         .help("Seed of everything that is random")
 }
 
+/// Where to write a plot.
+pub(crate) fn plot(help: &'static str) -> Arg {
+    Arg::new("plot")
+        .long("plot")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+/// Whether to print JSON in place of a table.
+pub(crate) fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Print the figures as JSON")
+}
+
 /// A required or defaulted value.
 pub(crate) fn get<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
     args.get_one::<T>(name)
--- a/crates/azuresaddle-standin/src/cmd/experiment.rs
+++ b/crates/azuresaddle-standin/src/cmd/experiment.rs
@@ -48,19 +48,10 @@
                 .action(ArgAction::SetTrue)
                 .help("Print the mix as JSON, as a start for a file of one's own, and exit"),
         )
-        .arg(
-            Arg::new("plot")
-                .long("plot")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .help("Write an SVG plot of short prompts' first-token times (first seed)"),
-        )
-        .arg(
-            Arg::new("json")
-                .long("json")
-                .action(ArgAction::SetTrue)
-                .help("Print the figures as JSON"),
-        )
+        .arg(super::args::plot(
+            "Write an SVG plot of short prompts' first-token times (first seed)",
+        ))
+        .arg(super::args::json())
 }
 
 pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
--- a/crates/azuresaddle-standin/src/cmd/passes.rs
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -50,19 +50,10 @@
                 .default_value("10")
                 .help("Number of days, with the seeds 1 to N"),
         )
-        .arg(
-            Arg::new("plot")
-                .long("plot")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .help("Write an SVG plot of worth by policy and day"),
-        )
-        .arg(
-            Arg::new("json")
-                .long("json")
-                .action(ArgAction::SetTrue)
-                .help("Print the figures as JSON"),
-        )
+        .arg(super::args::plot(
+            "Write an SVG plot of worth by policy and day",
+        ))
+        .arg(super::args::json())
 }
 
 pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
