--- a/crates/azuresaddle-core/src/deployment/mod.rs
+++ b/crates/azuresaddle-core/src/deployment/mod.rs
@@ -20,4 +20,4 @@
 pub use request_limits::RequestLimits;
 pub use route::{Repeat, Route, WeightedService};
 pub use service::Service;
-pub use target_entry::{TargetEntry, TargetState};
+pub use target_entry::{TargetEntry, TargetStart, TargetState};
--- a/crates/azuresaddle-core/src/deployment/target_entry.rs
+++ b/crates/azuresaddle-core/src/deployment/target_entry.rs
@@ -14,10 +14,23 @@
     Draining,
 }
 
-/// One incarnation of a target.
+/// When a target started: Unix time in milliseconds by the target's own clock; 0 where it does not say.
+///
+/// A target may start again under its name; a later start knows nothing of an earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetStart(pub u64);
+
+impl TargetStart {
+    /// Whether the target says when it started.
+    pub fn is_known(self) -> bool {
+        self.0 > 0
+    }
+}
+
+/// One start of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetEntry {
-    /// Name of the incarnation; a restart has another.
+    /// Name, which a later start may bear again.
     pub id: HostName,
     /// Service that it offers.
     pub service: Arc<str>,
@@ -29,4 +42,19 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: TargetState,
+    /// When it started.
+    pub started: TargetStart,
+    /// Number of the entry among those of one start; a lower one was written earlier.
+    pub sequence: u64,
+}
+
+impl TargetEntry {
+    /// Whether both say the same but for their number, which grows all the time.
+    pub fn is_same_state(&self, other: &Self) -> bool {
+        let renumbered = Self {
+            sequence: other.sequence,
+            ..self.clone()
+        };
+        renumbered == *other
+    }
 }
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::{TargetEntry, TargetState};
-use azuresaddle_platform::{Item, decode_target};
+use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
+use azuresaddle_platform::{DecodeError, Item, decode_target};
 use tokio::time::Instant;
 
 use crate::snapshot::TargetSet;
@@ -21,8 +21,12 @@
 #[derive(Debug)]
 struct Held {
     item: Arc<Item>,
-    /// The decoded entry; `None` where it was removed.
+    /// The decoded entry; `None` where it was removed or names no target.
     entry: Option<Arc<TargetEntry>>,
+    /// Start and number of the latest entry that was read, also after its removal.
+    latest: (TargetStart, u64),
+    /// Whether the present value can't be read, so that this is logged once.
+    is_unreadable: bool,
     /// Removal that is believed later, and when.
     give_up: Option<(Instant, Arc<Item>)>,
     /// When the removal was learned.
@@ -77,15 +81,20 @@
         };
         let entry = match decode_target(&item.key, value) {
             Ok(entry) => Arc::new(entry),
-            Err(e) => {
-                // The last good state stays in force.
-                tracing::warn!(part = "control", error = %e, "unreadable target entry ignored");
-                return false;
-            }
+            Err(e) => return self.on_unreadable(item, &e),
         };
-        let changed = known.and_then(|h| h.entry.as_ref()) != Some(&entry);
+        let latest = (entry.started, entry.sequence);
+        if known.is_some_and(|h| latest < h.latest) {
+            // A write that was carried out long after it was sent.
+            tracing::info!(part = "control", target = %entry.id, "older target entry ignored");
+            return false;
+        }
+        let before = known.and_then(|h| h.entry.as_ref());
+        let changed = before.is_none_or(|b| !b.is_same_state(&entry));
         let held = Held {
             entry: Some(entry),
+            latest,
+            is_unreadable: false,
             give_up: None,
             removed_at: None,
             item,
@@ -94,6 +103,24 @@
         changed
     }
 
+    /// Takes an entry of another writer: it names no target to use, whatever the key named before.
+    fn on_unreadable(&mut self, item: Arc<Item>, error: &DecodeError) -> bool {
+        let known = self.held.remove(&item.key);
+        if known.as_ref().is_none_or(|h| !h.is_unreadable) {
+            tracing::warn!(part = "control", %error, "target entry not readable");
+        }
+        let held = Held {
+            entry: None,
+            latest: known.as_ref().map(|h| h.latest).unwrap_or_default(),
+            is_unreadable: true,
+            give_up: None,
+            removed_at: None,
+            item,
+        };
+        self.held.insert(held.item.key.clone(), held);
+        known.is_some_and(|h| h.entry.is_some())
+    }
+
     fn remove(&mut self, now: Instant, item: Arc<Item>) -> bool {
         let in_grace = self.grace_until.is_some_and(|until| now < until);
         let Some(held) = self.held.get_mut(&item.key) else {
@@ -112,6 +139,7 @@
         held.item = item;
         held.removed_at = Some(now);
         held.give_up = None;
+        held.is_unreadable = false;
         held.entry.take().is_some()
     }
 
@@ -195,7 +223,7 @@
                 continue;
             };
             let state = u8::from(entry.state == TargetState::Ready);
-            let key = format!("{}/{state}", held.item.key);
+            let key = format!("{}/{state}/{}", held.item.key, entry.started.0);
             // Addition makes the order of the entries irrelevant.
             hash = u32::wrapping_add(hash, xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as u32);
         }
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -144,7 +144,7 @@
         configuration.service(service)?.engine.clone()
     }
 
-    /// Forgets targets that are gone.
+    /// Forgets targets that are gone, and what is known of an earlier start of one.
     async fn follow_targets(self: Arc<Self>) {
         let mut changes = self.snapshots.subscribe();
         let mut known = Arc::clone(&self.snapshots.load().targets);
@@ -153,10 +153,15 @@
             if Arc::ptr_eq(&known, &snapshot.targets) {
                 continue;
             }
-            known = Arc::clone(&snapshot.targets);
+            let before = std::mem::replace(&mut known, Arc::clone(&snapshot.targets));
             let is_known = |id: &HostName| snapshot.targets.get(id).is_some();
             self.connections.retain(is_known);
             self.health.retain(is_known);
+            for target in snapshot.targets.restarted_since(&before) {
+                tracing::info!(part = "forward", %target, "target started again");
+                self.connections.drop_idle(&target);
+                self.health.forget(&target);
+            }
         }
     }
 }
--- a/crates/azuresaddle-edge/src/forward/pace_check.rs
+++ b/crates/azuresaddle-edge/src/forward/pace_check.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{REPORT_PATH, decode_report};
+use azuresaddle_platform::{EngineReport, REPORT_PATH, decode_report};
 use tokio::sync::mpsc;
 
 use super::attempt::SendFailure;
@@ -23,7 +23,7 @@
         let tasks = cx.spawner.clone();
         tasks.spawn(async move {
             match ask(&cx, &engine).await {
-                Ok(pace) => owner.on_pace(&engine, pace),
+                Ok(report) => owner.on_pace(&engine, &report),
                 Err(e) => tracing::info!(
                     part = "placement",
                     target = %engine,
@@ -35,13 +35,15 @@
     }
 }
 
-async fn ask<N: Network>(cx: &Arc<Forwarder<N>>, engine: &HostName) -> Result<f64, SendFailure> {
+async fn ask<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    engine: &HostName,
+) -> Result<EngineReport, SendFailure> {
     let snapshot = cx.snapshots.load();
     let target = snapshot
         .targets
         .get(engine)
         .ok_or_else(|| SendFailure::NotSent("the target is gone".to_owned()))?;
     let answer = call_target(cx, target, TargetCall::get(REPORT_PATH)).await?;
-    let report = decode_report(&answer).map_err(|e| SendFailure::Broken(e.to_string()))?;
-    Ok(report.pace)
+    decode_report(&answer).map_err(|e| SendFailure::Broken(e.to_string()))
 }
--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -80,7 +80,7 @@
 /// Renews until it is stopped, then releases.
 async fn renew<N: Network>(
     cx: Arc<Forwarder<N>>,
-    helpers: Vec<Arc<TargetEntry>>,
+    mut helpers: Vec<Arc<TargetEntry>>,
     name: String,
     tokens: u64,
     stopped: CancellationToken,
@@ -90,13 +90,24 @@
             () = stopped.cancelled() => break,
             () = tokio::time::sleep(RENEW_INTERVAL) => {}
         }
+        // A helper that has started again holds nothing; renewing would reserve memory for nobody.
+        let snapshot = cx.snapshots.load();
+        helpers.retain(|h| !snapshot.targets.has_restarted(h));
         let body = encode_reserve(&name, tokens, hold_ms(), false);
-        let orders = helpers.iter().map(|h| order(&cx, h, body.clone()));
-        note_failures(&helpers, &name, &join_all(orders).await);
+        order_all(&cx, &helpers, &name, &body).await;
     }
-    let body = encode_release(&name);
-    let orders = helpers.iter().map(|h| order(&cx, h, body.clone()));
-    note_failures(&helpers, &name, &join_all(orders).await);
+    order_all(&cx, &helpers, &name, &encode_release(&name)).await;
+}
+
+/// Sends one order to all helpers.
+async fn order_all<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    helpers: &[Arc<TargetEntry>],
+    name: &str,
+    body: &[u8],
+) {
+    let orders = helpers.iter().map(|h| order(cx, h, body.to_vec()));
+    note_failures(helpers, name, &join_all(orders).await);
 }
 
 /// The hold ends by itself, so a lost order needs no more than a line.
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use azuresaddle_core::prelude::*;
+use azuresaddle_platform::EngineReport;
 use azuresaddle_sched::passes::{AskId, PassAsk, PassDecision, PassOutcome, RunningStream};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
@@ -176,13 +177,18 @@
         }
     }
 
-    /// Takes an engine's own word of its pace.
-    pub(crate) fn on_pace(&self, engine: &HostName, pace: f64) {
+    /// Takes an engine's own word of its pace, and of its start: while the store is away a restart is
+    /// learned of here first.
+    pub(crate) fn on_pace(&self, engine: &HostName, report: &EngineReport) {
         let now = Instant::now();
-        tracing::info!(part = "placement", target = %engine, pace, "pace told");
+        let pace = report.pace;
+        let started = report.started.0;
+        tracing::info!(part = "placement", target = %engine, pace, started, "pace told");
         let mut state = self.lock();
         for pool in state.pools.values_mut() {
-            pool.on_pace(now, engine, pace);
+            if pool.note_start(now, engine, report.started) {
+                pool.on_pace(now, engine, pace);
+            }
         }
         state.dispatch(now);
     }
--- a/crates/azuresaddle-edge/src/placement/owner_state.rs
+++ b/crates/azuresaddle-edge/src/placement/owner_state.rs
@@ -84,6 +84,7 @@
             pool.set_spec(spec);
             for target in targets.of_service(&service.name) {
                 pool.upsert_engine(now, &target.id, &target.domain, false);
+                pool.note_start(now, &target.id, target.started);
             }
             pool.retain_engines(|id| targets.get(id).is_some());
         }
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -51,6 +51,19 @@
         self.by_id.get(id)
     }
 
+    /// Whether a later start of the target is known.
+    pub(crate) fn has_restarted(&self, target: &TargetEntry) -> bool {
+        let known = self.get(&target.id);
+        known.is_some_and(|k| k.started > target.started)
+    }
+
+    /// Targets that are here and in an earlier set, and have started again since.
+    pub(crate) fn restarted_since(&self, before: &Self) -> Vec<HostName> {
+        let all = before.by_id.values();
+        let restarted = all.filter(|t| self.has_restarted(t));
+        restarted.map(|t| t.id.clone()).collect()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.by_id.len()
     }
--- a/crates/azuresaddle-edge/src/targets/health.rs
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -124,10 +124,23 @@
         self.lock().get(target).is_some_and(|s| s.is_gone)
     }
 
+    /// Forgets what was seen of a target that has started again; requests to its earlier start still
+    /// count until they end.
+    pub(crate) fn forget(&self, target: &HostName) {
+        if let Some(state) = self.lock().get_mut(target) {
+            state.forget();
+        }
+    }
+
     /// Forgets targets that `keep` does not name and that nothing is in flight to.
     pub(crate) fn retain(&self, keep: impl Fn(&HostName) -> bool) {
-        self.lock()
-            .retain(|target, s| keep(target) || s.in_flight > 0);
+        self.lock().retain(|target, s| {
+            let is_kept = keep(target);
+            if !is_kept {
+                s.forget();
+            }
+            is_kept || s.in_flight > 0
+        });
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<HostName, Seen>> {
@@ -136,6 +149,13 @@
 }
 
 impl Seen {
+    fn forget(&mut self) {
+        *self = Self {
+            in_flight: self.in_flight,
+            ..Self::default()
+        };
+    }
+
     fn is_open(&self, now: Instant) -> bool {
         self.paused_until.is_none_or(|until| now >= until)
             && self.breaker.allows(now, self.in_flight as usize)
--- a/crates/azuresaddle-edge/src/targets/mod.rs
+++ b/crates/azuresaddle-edge/src/targets/mod.rs
@@ -2,6 +2,8 @@
 
 mod connections;
 mod health;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use connections::{ConnectError, Connection, Connections};
 pub(crate) use health::{Busy, TargetHealth};
--- /dev/null
+++ b/crates/azuresaddle-edge/src/targets/tests/health.rs
@@ -0,0 +1,59 @@
+//! Which target a plain request goes to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
+use azuresaddle_core::prelude::*;
+
+use crate::targets::TargetHealth;
+
+fn target(id: &str) -> Arc<TargetEntry> {
+    Arc::new(TargetEntry {
+        id: id.into(),
+        service: "s".into(),
+        addr: ([10, 0, 0, 1], 80).into(),
+        domain: "d1".into(),
+        slots: 6,
+        state: TargetState::Ready,
+        started: TargetStart::default(),
+        sequence: 1,
+    })
+}
+
+fn picked(health: &Arc<TargetHealth>, targets: &[Arc<TargetEntry>]) -> HostName {
+    let picked = health.pick(targets, &[], &"d1".into());
+    picked.expect("one is usable").0.id.clone()
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_held_against_a_target_that_has_started_again() {
+    let health = Arc::<TargetHealth>::default();
+    let targets = [target("a"), target("b")];
+    let a = &targets[0].id;
+    health.on_answer(&targets[1].id, Duration::from_millis(30));
+    for _ in 0..2 {
+        health.on_failure(a);
+    }
+    health.on_answer(a, Duration::from_millis(900));
+    health.on_gone(a);
+    for _ in 0..20 {
+        assert_eq!(picked(&health, &targets), targets[1].id);
+    }
+    health.forget(a);
+    assert!(!health.is_gone(a));
+    let times = (0..20).filter(|_| picked(&health, &targets) == *a).count();
+    assert!(times > 0, "the new start gets its part");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_left_while_a_request_ran_comes_back_unknown() {
+    let health = Arc::<TargetHealth>::default();
+    let targets = [target("a")];
+    let (_, busy) = health.pick(&targets, &[], &"d1".into()).unwrap();
+    health.on_gone(&targets[0].id);
+    health.retain(|_| false);
+    assert!(!health.is_gone(&targets[0].id));
+    drop(busy);
+    assert_eq!(picked(&health, &targets), targets[0].id);
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/targets/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of what a node has seen of its targets.
+
+mod health;
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azuresaddle_core::deployment::EngineSpec;
+use azuresaddle_core::deployment::{EngineSpec, TargetStart};
 use azuresaddle_core::prelude::*;
 use slotmap::new_key_type;
 use tokio::time::Instant;
@@ -65,6 +65,8 @@
 pub(super) struct Engine {
     pub(super) name: HostName,
     pub(super) domain: FailureDomain,
+    /// The start that all of this is about.
+    pub(super) started: TargetStart,
     pub(super) leads: Vec<Lead>,
     pub(super) helps: Vec<Help>,
     /// When the pass that is believed to run ends; in the past where none runs.
@@ -85,6 +87,7 @@
         Self {
             name,
             domain,
+            started: TargetStart::default(),
             leads: Vec::new(),
             helps: Vec::new(),
             pass_ends: now,
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::EngineSpec;
+use azuresaddle_core::deployment::{EngineSpec, TargetStart};
 use azuresaddle_core::prelude::*;
 use slotmap::SlotMap;
 use tokio::time::Instant;
@@ -97,6 +97,36 @@
         self.names.insert(name.clone(), key);
     }
 
+    /// Notes which start of an engine says something of itself; false where it is an earlier one than
+    /// is known, whose word is worth nothing any more.
+    ///
+    /// An engine that has started again holds none of its streams and none of its memory, and what was
+    /// learned of its speed and its failures is about another process.
+    pub fn note_start(&mut self, now: Instant, name: &HostName, started: TargetStart) -> bool {
+        let Some(key) = self.names.get(name).copied() else {
+            return false;
+        };
+        let known = &self.engines[key];
+        if !started.is_known() || started == known.started {
+            return true;
+        }
+        if started < known.started {
+            return false;
+        }
+        if !known.started.is_known() {
+            self.engines[key].started = started;
+            return true;
+        }
+        let mut engine = Engine::new(now, known.name.clone(), known.domain.clone());
+        engine.leaving = known.leaving;
+        engine.started = started;
+        self.engines.remove(key);
+        // Under a new key, so that what ends later for the streams of the earlier start finds nothing.
+        let key = self.engines.insert(engine);
+        self.names.insert(name.clone(), key);
+        true
+    }
+
     /// Removes the engines that `keep` does not name.
     pub fn retain_engines(&mut self, keep: impl Fn(&HostName) -> bool) {
         self.names.retain(|name, key| {
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -3,6 +3,7 @@
 mod ledger;
 mod long;
 mod pace;
+mod restart;
 mod shares;
 mod short;
 mod usual_engine;
--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Result, bail};
 use azuresaddle_standin::soak::{FleetOptions, SoakOptions, run_soak};
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use super::args::{get, say};
 
@@ -32,6 +32,12 @@
         .arg(number("seeds", "1", "Number of seeds, one after the other"))
         .arg(number("seconds", "15", "Time of the faults, in seconds"))
         .arg(number("callers", "12", "Callers that ask without pause"))
+        .arg(
+            Arg::new("restarts")
+                .long("restarts")
+                .action(ArgAction::SetTrue)
+                .help("Targets also start again under their names"),
+        )
         .arg(
             Arg::new("nodes")
                 .long("nodes")
@@ -71,6 +77,7 @@
                 nodes: get(args, "nodes"),
                 ..FleetOptions::default()
             },
+            has_restarts: args.get_flag("restarts"),
         };
         let report = runtime.block_on(run_soak(&options))?;
         say(report.to_string().trim_end());
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -237,6 +237,7 @@
         let state = self.lock();
         json!({
             "phase": "unified",
+            "born": target.born,
             "busy": false,
             "sequence": 0,
             "queued": 0,
--- a/crates/azuresaddle-standin/src/platform/store_server.rs
+++ b/crates/azuresaddle-standin/src/platform/store_server.rs
@@ -9,6 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -202,7 +203,8 @@
 
 fn query_of(query: &str) -> HashMap<String, String> {
     let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect()
+    let decoded = |v: &str| percent_decode_str(v).decode_utf8_lossy().into_owned();
+    pairs.map(|(k, v)| (k.to_owned(), decoded(v))).collect()
 }
 
 async fn body_of<T: serde::de::DeserializeOwned>(req: Request<Incoming>) -> Option<T> {
--- a/crates/azuresaddle-standin/src/platform/target.rs
+++ b/crates/azuresaddle-standin/src/platform/target.rs
@@ -59,6 +59,8 @@
     pub(super) id: String,
     pub(super) service: String,
     pub(super) addr: SocketAddr,
+    /// Unix milliseconds of its start.
+    pub(super) born: u64,
     pub(super) runs: Runs,
     pub(super) fault: Mutex<TargetFault>,
     pub(super) stopped: CancellationToken,
@@ -71,7 +73,7 @@
 }
 
 impl TargetHandle {
-    /// Name of the incarnation.
+    /// Name, which a later start may bear again.
     pub fn id(&self) -> &str {
         &self.target.id
     }
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -38,6 +38,8 @@
     pub length: Duration,
     /// Sizes.
     pub fleet: FleetOptions,
+    /// Whether targets also start again under their names.
+    pub has_restarts: bool,
 }
 
 /// Runs callers and faults, then looks whether everything is well again.
@@ -65,7 +67,7 @@
     let mut rng = StdRng::seed_from_u64(options.seed);
     let end = Instant::now() + options.length;
     while Instant::now() < end {
-        strike(&mut fleet, &shared, &mut rng).await;
+        strike(&mut fleet, &shared, &mut rng, options.has_restarts).await;
     }
     shared.stopped.cancel();
     for caller in callers {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod command_line;
+mod days;
 mod operators;
 mod platform;
 mod processes;
--- a/tests/testsuite/platform/faults.rs
+++ b/tests/testsuite/platform/faults.rs
@@ -2,10 +2,78 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::platform::{CallerError, TargetFault};
+use azuresaddle_standin::platform::{Caller, CallerError, TargetFault};
+use nix::sys::signal::Signal;
 
 use super::support::{ask, fleet, plain, status, stream};
 
+/// The first of two plain targets loses answers until its breaker is open, then starts again: nothing
+/// is held against the new start, and its kept connections are not used any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_starts_again_under_its_name_serves_at_once() {
+    let mut fleet = fleet("again-born", 1).await;
+    let node = fleet.nodes[0].callers();
+    for n in 0..2 {
+        fleet.world.plain[n].set_fault(TargetFault::AnswersLost);
+    }
+    for _ in 0..8 {
+        let _ = Caller::default().ask(node, &plain("/post/1")).await;
+    }
+    for n in 0..2 {
+        fleet.world.restart_plain(n).await.unwrap();
+    }
+    for n in 0..4 {
+        fleet.world.restart_engine(n).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for _ in 0..20 {
+        let asked = plain("/post/1");
+        assert_eq!(status(&fleet.nodes[0], &asked).await, 200);
+        assert_eq!(fleet.world.runs.of(&asked.attempt).count, 1);
+    }
+    let answer = ask(&fleet.nodes[0], &stream("/ask/1", 2000, 4)).await;
+    assert_eq!(answer.unwrap().status, 200);
+}
+
+/// Entries by another writer stand beside those of the targets, before, between and after them, and
+/// over one of them until it writes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_other_writers_hide_no_target() {
+    let fleet = fleet("foreign", 1).await;
+    for (key, value) in [
+        ("servers/", "{}"),
+        ("servers/ a?b&c=%41#", "not JSON"),
+        ("servers/i-0000", r#"{"service":"desk","address":5}"#),
+        ("servers/\u{7f}\u{e9}", r#"{"service":"desk"}"#),
+        ("servers/zz", "\u{0}\u{1}"),
+        ("op/config2", "{}"),
+    ] {
+        fleet.world.store.put(key, value.to_owned());
+    }
+    // More than a page of them: the next one begins after such a key.
+    for n in 0..600 {
+        let key = format!("servers/ &prefix=x {n}");
+        fleet.world.store.put(&key, "odd".to_owned());
+    }
+    let hidden = fleet.world.plain[0].clone();
+    let key = format!("servers/{}", hidden.id());
+    fleet.world.store.put(&key, "[]".to_owned());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for _ in 0..10 {
+        assert_eq!(status(&fleet.nodes[0], &plain("/post/1")).await, 200);
+        let answer = ask(&fleet.nodes[0], &stream("/ask/1", 2000, 2)).await;
+        assert_eq!(answer.unwrap().status, 200);
+    }
+    // A node that starts now reads all of it in a listing.
+    let mut fleet = fleet;
+    fleet.nodes[0].signal(Signal::SIGKILL);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.nodes[0].start().unwrap();
+    fleet.nodes[0].until_ready().await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(status(&fleet.nodes[0], &plain("/post/1")).await, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_have_run_is_not_sent_again() {
     let fleet = fleet("once", 1).await;
