losses: says why requests lost worth, out of the logs of all nodes

Cause: what binds was guessed from tables; nothing told why a request was late. Relays log queue, expectation, longest pause and targets at the end of a stream; 'azuresaddle losses' puts the lines of all nodes together by route, reason, second and size.

--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deployment;
 pub mod host_list;
 pub mod http;
+pub mod losses;
 pub mod names;
 pub mod net;
 pub mod pool_id;
--- /dev/null
+++ b/crates/azuresaddle-core/src/losses/account.rs
@@ -0,0 +1,206 @@
+//! The account of all requests.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::line::LogLine;
+use super::reason::Reason;
+use super::request::Request;
+
+/// Part of a request's worth that does not depend on its size, by the users' formula.
+const FIXED_WORTH: f64 = 0.3;
+
+/// Part that grows with its size against the mean of its route.
+const SIZED_WORTH: f64 = 0.7;
+
+/// Most that a request is worth, in requests of its route's mean size.
+const MAX_WORTH: f64 = 4.0;
+
+/// The largest of a route's requests, as one part in this many.
+const LARGEST: usize = 10;
+
+/// The ones below them, as one part in this many.
+const LARGE: usize = 5;
+
+/// Requests of one route that ended for one reason.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// The route.
+    pub route: String,
+    /// The reason.
+    pub reason: Reason,
+    /// Requests.
+    pub count: usize,
+    /// Their worth.
+    pub worth: f64,
+}
+
+/// Requests that arrived in one second.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Second {
+    /// Seconds since the first request of all.
+    pub at: i64,
+    /// Requests.
+    pub count: usize,
+    /// Worth of all of them.
+    pub worth: f64,
+    /// Worth that was lost, by reason.
+    pub lost: BTreeMap<Reason, f64>,
+}
+
+/// Requests of one route and size.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SizeClass {
+    /// The route.
+    pub route: String,
+    /// Name of the size.
+    pub size: &'static str,
+    /// Requests.
+    pub count: usize,
+    /// Requests on time.
+    pub on_time: usize,
+}
+
+/// One request with what it is worth.
+#[derive(Clone, Debug)]
+struct Judged {
+    route: String,
+    prompt_tokens: u64,
+    arrived_ms: i64,
+    reason: Reason,
+    worth: f64,
+}
+
+/// All requests out of the logs.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    judged: Vec<Judged>,
+}
+
+impl Account {
+    /// Puts the account together from log lines of all nodes, in any order.
+    ///
+    /// `worth_of` says what a request of a route's mean size is worth. Requests that no route was found
+    /// for are left out.
+    pub fn new<'a>(lines: impl Iterator<Item = &'a str>, worth_of: impl Fn(&str) -> f64) -> Self {
+        let mut requests: HashMap<String, Request> = HashMap::new();
+        for line in lines.filter_map(LogLine::read) {
+            if let Some(id) = line.request.clone() {
+                requests.entry(id).or_default().take(line);
+            }
+        }
+        let known = requests.into_values().filter(|r| r.route.is_some());
+        let known: Vec<Request> = known.collect();
+        let means = mean_sizes(&known);
+        let judged = known.into_iter().map(|r| {
+            let reason = r.reason();
+            let route = r.route.unwrap_or_default();
+            let mean = means.get(&route).copied().unwrap_or(0.0);
+            Judged {
+                worth: worth_of(&route) * worth_by_size(r.prompt_tokens, mean),
+                route,
+                prompt_tokens: r.prompt_tokens,
+                arrived_ms: r.arrived_ms,
+                reason,
+            }
+        });
+        Self {
+            judged: judged.collect(),
+        }
+    }
+
+    /// Number of requests.
+    pub fn len(&self) -> usize {
+        self.judged.len()
+    }
+
+    /// Whether no request was found.
+    pub fn is_empty(&self) -> bool {
+        self.judged.is_empty()
+    }
+
+    /// Counts and worth by route and reason.
+    pub fn rows(&self) -> Vec<Row> {
+        let mut rows: BTreeMap<(String, usize), Row> = BTreeMap::new();
+        for request in &self.judged {
+            let rank = Reason::ALL.iter().position(|r| *r == request.reason);
+            let key = (request.route.clone(), rank.unwrap_or(Reason::ALL.len()));
+            let row = rows.entry(key).or_insert_with(|| Row {
+                route: request.route.clone(),
+                reason: request.reason,
+                count: 0,
+                worth: 0.0,
+            });
+            row.count += 1;
+            row.worth += request.worth;
+        }
+        rows.into_values().collect()
+    }
+
+    /// Requests by the second of their arrival.
+    pub fn seconds(&self) -> Vec<Second> {
+        let Some(first) = self.judged.iter().map(|r| r.arrived_ms).min() else {
+            return Vec::new();
+        };
+        let mut seconds: BTreeMap<i64, Second> = BTreeMap::new();
+        for request in &self.judged {
+            let at = (request.arrived_ms - first) / 1000;
+            let second = seconds.entry(at).or_default();
+            second.at = at;
+            second.count += 1;
+            second.worth += request.worth;
+            if request.reason != Reason::OnTime {
+                *second.lost.entry(request.reason).or_default() += request.worth;
+            }
+        }
+        seconds.into_values().collect()
+    }
+
+    /// Requests on time by route and size: the largest tenth, the fifth below it, the others.
+    pub fn size_classes(&self) -> Vec<SizeClass> {
+        let mut by_route: BTreeMap<&str, Vec<&Judged>> = BTreeMap::new();
+        for request in &self.judged {
+            by_route.entry(&request.route).or_default().push(request);
+        }
+        let mut classes = Vec::new();
+        for (route, mut requests) in by_route {
+            requests.sort_by_key(|r| std::cmp::Reverse(r.prompt_tokens));
+            let largest = requests.len().div_ceil(LARGEST);
+            let large = (largest + requests.len().div_ceil(LARGE)).min(requests.len());
+            for (size, part) in [
+                ("largest tenth", &requests[..largest]),
+                ("fifth below", &requests[largest..large]),
+                ("others", &requests[large..]),
+            ] {
+                classes.push(SizeClass {
+                    route: route.to_owned(),
+                    size,
+                    count: part.len(),
+                    on_time: part.iter().filter(|r| r.reason == Reason::OnTime).count(),
+                });
+            }
+        }
+        classes
+    }
+}
+
+fn mean_sizes(requests: &[Request]) -> HashMap<String, f64> {
+    let mut sums: HashMap<String, (f64, f64)> = HashMap::new();
+    for request in requests {
+        let route = request.route.clone().unwrap_or_default();
+        let (sum, count) = sums.entry(route).or_default();
+        *sum += request.prompt_tokens as f64;
+        *count += 1.0;
+    }
+    let means = sums
+        .into_iter()
+        .map(|(route, (sum, count))| (route, sum / count));
+    means.collect()
+}
+
+/// Worth of a request against one of the mean size; 1 where sizes are not told.
+fn worth_by_size(tokens: u64, mean: f64) -> f64 {
+    if mean <= 0.0 {
+        return 1.0;
+    }
+    (FIXED_WORTH + SIZED_WORTH * tokens as f64 / mean).min(MAX_WORTH)
+}
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -90,6 +90,7 @@
                     target = %target.id,
                     status = answer.status.as_u16(),
                     sends = tries.runs + tries.declined + 1,
+                    target_ms = req.route.latency_target.as_millis() as u64,
                     age_ms = req.arrived.elapsed().as_millis() as u64,
                     "answered"
                 );
@@ -185,6 +186,8 @@
             route = %req.route.name,
             runs = self.runs,
             declined = self.declined,
+            target_ms = req.route.latency_target.as_millis() as u64,
+            age_ms = req.arrived.elapsed().as_millis() as u64,
             left_ms = until(req.deadline).as_millis() as u64,
             reason = detail,
             "given up"
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -63,6 +63,8 @@
         last_failure: None,
         first_event_ms: None,
         last_event_at: None,
+        longest_pause: Duration::ZERO,
+        first_place: None,
     };
     tasks.spawn(async move {
         // Dropped after the relay, when the answer is complete or the caller has left.
@@ -140,6 +142,17 @@
     first_event_ms: Option<u64>,
     /// When the last event was passed on.
     last_event_at: Option<Instant>,
+    /// Longest time between two events so far.
+    longest_pause: Duration,
+    /// What the first placement cost and promised.
+    first_place: Option<FirstPlace>,
+}
+
+/// What a request waited for its first engines, and what was expected of them.
+#[derive(Clone, Copy, Debug)]
+struct FirstPlace {
+    waited: Duration,
+    first_event_in: Duration,
 }
 
 impl<N: Network> Relay<N> {
@@ -205,6 +218,11 @@
             declined = self.declined,
             last_event = self.last_id,
             first_event_ms = self.first_event_ms,
+            target_ms = self.req.route.latency_target.as_millis() as u64,
+            queued_ms = self.first_place.map(|p| p.waited.as_millis() as u64),
+            expected_ms = self.first_place.map(|p| p.first_event_in.as_millis() as u64),
+            longest_pause_ms = self.longest_pause.as_millis() as u64,
+            pause_target_ms = self.pause().as_millis() as u64,
             age_ms = self.req.arrived.elapsed().as_millis() as u64,
             left_ms = until(self.req.deadline).as_millis() as u64,
             prompt_tokens = self.req.tokens().map(|(prompt, _)| prompt),
--- a/crates/azuresaddle-edge/src/forward/stream/place.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/place.rs
@@ -8,7 +8,7 @@
 use azuresaddle_sched::passes::PassOutcome;
 use tokio::time::Instant;
 
-use super::{MAX_DECLINED, RETRY_AFTER, Relay};
+use super::{FirstPlace, MAX_DECLINED, RETRY_AFTER, Relay};
 use crate::forward::attempt::until;
 use crate::placement::{PlaceRequest, Placed};
 use crate::targets::Busy;
@@ -142,6 +142,10 @@
                 expected_ms = placed.first_event_in.as_millis() as u64,
                 "placed"
             );
+            self.first_place.get_or_insert(FirstPlace {
+                waited: self.req.arrived.elapsed(),
+                first_event_in: placed.first_event_in,
+            });
             let first_event_patience =
                 placed.first_event_in.mul_f64(FIRST_EVENT_PATIENCE) + FIRST_EVENT_SLACK + stall;
             return Ok(Place {
--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -142,7 +142,9 @@
             }
             let now = Instant::now();
             next_by = self.wait_until(silence);
-            self.last_event_at = Some(now);
+            if let Some(last) = self.last_event_at.replace(now) {
+                self.longest_pause = self.longest_pause.max(now - last);
+            }
             if !seen_first {
                 seen_first = true;
                 self.note_first_event();
--- a/crates/azuresaddle-standin/src/cmd/passes.rs
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -14,7 +14,7 @@
         .arg(
             Arg::new("sheet")
                 .long("sheet")
-                .value_parser(["sabarmati", "aguaclara"])
+                .value_parser(Sheet::NAMES)
                 .default_value("sabarmati")
                 .help("Kinds of requests and engines"),
         )
@@ -59,10 +59,7 @@
 pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
     let load: f64 = super::args::get(args, "load");
     let name: String = super::args::get(args, "sheet");
-    let mut sheet = match name.as_str() {
-        "aguaclara" => Sheet::aguaclara(load),
-        _ => Sheet::sabarmati(load),
-    };
+    let mut sheet = Sheet::named(&name, load).expect("clap allows known names only");
     for trouble in args.get_many::<String>("trouble").into_iter().flatten() {
         sheet.troubles.add(trouble);
     }
--- a/crates/azuresaddle-standin/src/passes/sheet.rs
+++ b/crates/azuresaddle-standin/src/passes/sheet.rs
@@ -121,6 +121,69 @@
             troubles: Troubles::default(),
         }
     }
+
+    /// Briefings, summaries and archives on 14 engines that read slower and hold less.
+    pub fn surf(load: f64) -> Self {
+        Self {
+            name: "surf",
+            engines: 14,
+            spec: surf_engine(),
+            kinds: surf_kinds(),
+            load,
+            length_s: 34.0,
+            troubles: Troubles::default(),
+        }
+    }
+
+    /// All sheets by name.
+    pub const NAMES: [&'static str; 3] = ["sabarmati", "aguaclara", "surf"];
+
+    /// The sheet of a name; `None` where there is none.
+    pub fn named(name: &str, load: f64) -> Option<Self> {
+        match name {
+            "sabarmati" => Some(Self::sabarmati(load)),
+            "aguaclara" => Some(Self::aguaclara(load)),
+            "surf" => Some(Self::surf(load)),
+            _ => None,
+        }
+    }
+}
+
+fn surf_engine() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: 315_000,
+        steps_per_pass: 51,
+        step_ms: 0.85,
+        step_ms_per_stream: 0.00425,
+        step_ms_per_1k_context: 0.00285,
+        read_tokens_per_ms: 177.0,
+        ms_per_1m_pairs: 0.184,
+        max_read_tokens_per_step: 2048,
+        holder_hop_ms: 0.05,
+        report_lag: std::time::Duration::from_millis(200),
+        usual_answer_tokens: 1622,
+    }
+}
+
+fn surf_kinds() -> Vec<KindOfRequest> {
+    let mut kinds = usual_kinds([28.7, 1.45, 0.88]);
+    for (kind, (events, pause_ms)) in
+        kinds
+            .iter_mut()
+            .zip([(32.9, 250.0), (19.7, 600.0), (16.5, 1000.0)])
+    {
+        kind.events = events;
+        kind.max_events = events * 2.5;
+        kind.pause_ms = pause_ms;
+    }
+    kinds[1].worth = 4.2;
+    kinds[1].late_worth = 1.0;
+    kinds[2].prompt_tokens = 154_000.0;
+    kinds[2].max_prompt_tokens = 700_000.0;
+    kinds[2].worth = 21.0;
+    kinds[2].late_worth = 5.2;
+    kinds
 }
 
 fn usual_engine() -> EngineSpec {
--- /dev/null
+++ b/src/cmd/losses.rs
@@ -0,0 +1,149 @@
+//! `losses`: where requests lost their worth, out of the logs of all nodes.
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+
+use anyhow::{Context, Result, bail};
+use azuresaddle_core::losses::{Account, Reason, Row, Second};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use super::output::line;
+
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("losses")
+        .about("Says why requests were late, refused or lost, by route, second and size")
+        .after_help(
+            "Each try of a caller counts as a request. A request is worth 0.3 + 0.7 x its prompt \
+             against the mean of its route, at most 4, times the worth of the route.",
+        )
+        .arg(
+            Arg::new("FILE")
+                .required(true)
+                .action(ArgAction::Append)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Log of a node, one JSON object a line"),
+        )
+        .arg(
+            Arg::new("worth")
+                .long("worth")
+                .value_name("ROUTE=WORTH")
+                .action(ArgAction::Append)
+                .value_parser(parse_worth)
+                .help("What a request of a route is worth [default: 1]"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .value_parser(value_parser!(usize))
+                .default_value("10")
+                .help("Number of seconds to list, the dearest first"),
+        )
+}
+
+fn parse_worth(text: &str) -> Result<(String, f64), String> {
+    let (route, worth) = text.split_once('=').ok_or("expected ROUTE=WORTH")?;
+    let worth: f64 = worth
+        .parse()
+        .map_err(|_| format!("{worth:?} is no number"))?;
+    if !(worth.is_finite() && worth >= 0.0) {
+        return Err("a worth is a number of 0 or more".to_owned());
+    }
+    Ok((route.to_owned(), worth))
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let mut text = String::new();
+    for file in args.get_many::<PathBuf>("FILE").expect("clap requires it") {
+        let log = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+        text.push_str(&log);
+        text.push('\n');
+    }
+    let told = args.get_many::<(String, f64)>("worth");
+    let worth: HashMap<String, f64> = told.into_iter().flatten().cloned().collect();
+    let account = Account::new(text.lines(), |route| {
+        worth.get(route).copied().unwrap_or(1.0)
+    });
+    if account.is_empty() {
+        bail!("no line tells of a request with a route");
+    }
+    print_rows(&account);
+    print_sizes(&account);
+    print_seconds(
+        &account,
+        *args.get_one("seconds").expect("it has a default"),
+    );
+    Ok(())
+}
+
+fn print_rows(account: &Account) {
+    let rows = account.rows();
+    let total: f64 = rows.iter().map(|r| r.worth).sum();
+    line(format!("{} requests", account.len()));
+    line(format!(
+        "{:<14} {:<26} {:>7} {:>9} {:>7}",
+        "route", "reason", "count", "worth", "share"
+    ));
+    for Row {
+        route,
+        reason,
+        count,
+        worth,
+    } in &rows
+    {
+        let share = worth / total;
+        line(format!(
+            "{route:<14} {reason:<26} {count:>7} {worth:>9.1} {share:>7.4}"
+        ));
+    }
+    for reason in Reason::ALL {
+        let same = rows.iter().filter(|r| r.reason == reason);
+        let (count, worth) = same.fold((0, 0.0), |(n, w), r| (n + r.count, w + r.worth));
+        if count > 0 {
+            let share = worth / total;
+            line(format!(
+                "{:<14} {reason:<26} {count:>7} {worth:>9.1} {share:>7.4}",
+                "all"
+            ));
+        }
+    }
+}
+
+fn print_sizes(account: &Account) {
+    line(format!(
+        "\n{:<14} {:<14} {:>7} {:>8}",
+        "route", "prompts", "count", "on time"
+    ));
+    for class in account.size_classes() {
+        let share = class.on_time as f64 / class.count.max(1) as f64;
+        line(format!(
+            "{:<14} {:<14} {:>7} {share:>8.3}",
+            class.route, class.size, class.count
+        ));
+    }
+}
+
+fn print_seconds(account: &Account, most: usize) {
+    let mut seconds = account.seconds();
+    let lost = |s: &Second| s.lost.values().sum::<f64>();
+    seconds.sort_by(|a, b| lost(b).total_cmp(&lost(a)));
+    line(format!(
+        "\n{:>7} {:>7} {:>9} {:>9}  lost most by",
+        "second", "count", "worth", "lost"
+    ));
+    for second in seconds.iter().take(most) {
+        let mut reasons: Vec<(&Reason, &f64)> = second.lost.iter().collect();
+        reasons.sort_by(|a, b| b.1.total_cmp(a.1));
+        let named = reasons.iter().take(3).map(|(r, w)| format!("{r} {w:.1}"));
+        let named: Vec<String> = named.collect();
+        line(format!(
+            "{:>7} {:>7} {:>9.1} {:>9.1}  {}",
+            second.at,
+            second.count,
+            second.worth,
+            lost(second),
+            named.join(", ")
+        ));
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,7 @@
         Some(("burn", args)) => cmd::burn::execute(args),
         Some(("ask", args)) => cmd::ask::execute(args),
         Some(("serve", args)) => cmd::serve::execute(args),
+        Some(("losses", args)) => cmd::losses::execute(args),
         Some(("trace", args)) => cmd::trace::execute(args),
         Some(("check-settings", args)) => cmd::check::execute_settings(args),
         Some(("check-config", args)) => cmd::check::execute_config(args),
@@ -50,6 +51,7 @@
         .subcommand(cmd::ask::make_subcommand())
         .subcommand(cmd::burn::make_subcommand())
         .subcommand(cmd::hosts::make_subcommand())
+        .subcommand(cmd::losses::make_subcommand())
         .subcommand(cmd::node::make_subcommand())
         .subcommand(cmd::pools::make_subcommand())
         .subcommand(cmd::rules::make_subcommand())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod command_line;
 mod days;
+mod losses;
 mod operators;
 mod platform;
 mod processes;
