--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -27,7 +27,7 @@
 /// Age of the store's last answer up to which it counts as answering: a watch and its slack.
 const WATCH_FRESH: Duration = Duration::from_millis(2600);
 
-/// Shortest time between two snapshots; what changes meanwhile is published with the next tick.
+/// Shortest time between two snapshots; what changes meanwhile is published together.
 /// A thousand targets that register within a second would each cost a snapshot otherwise.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -134,6 +134,7 @@
         let leaving = self.leaving.clone();
         let mut buf = [0; MAX_BYTES];
         loop {
+            let publish_at = self.published_at + MIN_PUBLISH_INTERVAL;
             let changed = tokio::select! {
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.on_datagram(from, &buf[..len]).await,
@@ -150,9 +151,12 @@
                 }
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&news_tx).await,
+                // Without it a change soon after another one waited for the next tick: a node that had
+                // just started knew all targets 85 ms before its traffic did.
+                () = tokio::time::sleep_until(publish_at), if self.has_changes => false,
             };
             self.has_changes |= changed;
-            if self.has_changes && self.published_at.elapsed() >= MIN_PUBLISH_INTERVAL {
+            if self.has_changes && Instant::now() >= self.published_at + MIN_PUBLISH_INTERVAL {
                 self.publish_and_tell().await;
             }
         }
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -88,14 +88,14 @@
         let snapshot = self.snapshots.load();
         let Some(configuration) = &snapshot.configuration else {
             let detail = "the node has no configuration yet";
-            return Err(Box::new(refusal(detail, STARTING_RETRY_AFTER)));
+            return Err(refuse(req.headers(), detail, STARTING_RETRY_AFTER));
         };
         let (parts, body) = req.into_parts();
         let admitted = admit(configuration, &parts.uri, &parts.headers)
             .map_err(|rejection| self.reject(&parts.headers, rejection))?;
         if self.stopping.stage() == Stage::Refusing {
             let detail = "the node is stopping";
-            return Err(Box::new(refusal(detail, STOPPING_RETRY_AFTER)));
+            return Err(refuse(&parts.headers, detail, STOPPING_RETRY_AFTER));
         }
         let attempt_id = parts.headers.get(&headers::ATTEMPT_ID).cloned();
         let attempt_id = attempt_id.ok_or_else(|| {
@@ -110,7 +110,7 @@
         let at = rand::rng().random_range(0.0..1.0);
         let service = admitted.route.pick_service(at).cloned().ok_or_else(|| {
             let detail = "the route sends to no service";
-            Box::new(refusal(detail, STARTING_RETRY_AFTER))
+            refuse(&parts.headers, detail, STARTING_RETRY_AFTER)
         })?;
         Ok(ForwardRequest {
             head: RequestHead::new(parts.method, parts.uri, parts.headers, attempt_id),
@@ -173,6 +173,24 @@
     }
 }
 
+/// Refuses a request that has gone no further than this node, with a line in the log.
+fn refuse(
+    map: &HeaderMap,
+    detail: &'static str,
+    retry_after: Duration,
+) -> Box<Response<ProxyBody>> {
+    tracing::info!(
+        part = "frontend",
+        request = map
+            .get(&headers::ATTEMPT_ID)
+            .and_then(|id| id.to_str().ok()),
+        status = StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+        reason = detail,
+        "request not taken"
+    );
+    Box::new(refusal(detail, retry_after))
+}
+
 /// Time from the arrival until the caller or the operator gives up.
 fn time_allowed(admitted: &Admitted, map: &HeaderMap) -> Duration {
     let told = map.get(&headers::TIME_LEFT_MS).and_then(headers::number_of);
