--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -183,7 +183,8 @@
         let now = Instant::now();
         let pace = report.pace;
         let started = report.started.0;
-        tracing::info!(part = "placement", target = %engine, pace, started, "pace told");
+        let streams = report.streams;
+        tracing::info!(part = "placement", target = %engine, pace, streams, started, "pace told");
         let mut state = self.lock();
         for pool in state.pools.values_mut() {
             if pool.note_start(now, engine, report.started) {
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod queue;
 mod round;
+mod short_load;
 mod short_plan;
 
 pub use ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -20,6 +20,8 @@
     pub break_pauses: bool,
     /// Refuse at once what the load of late gives no chance.
     pub refuse_early: bool,
+    /// Refuse short prompts at once while so many wait that a new one would be late.
+    pub refuse_crowded: bool,
     /// Keep parts from engines that are reading a prompt of their own.
     pub protect_reads: bool,
     /// Ask engines for their pace where first events are overdue.
@@ -40,6 +42,7 @@
             wait_for_engines: true,
             break_pauses: true,
             refuse_early: true,
+            refuse_crowded: true,
             protect_reads: true,
             check_pace: true,
             fair_shares: true,
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -18,6 +18,7 @@
 use super::engine::{Engine, EngineId};
 use super::options::PassOptions;
 use super::queue::{Order, Queue, Waiting};
+use super::short_load::ShortLoad;
 use crate::fair_clock::FairClock;
 
 /// Shortest time between two rounds of placement while asks wait; a pass takes ten times that.
@@ -44,6 +45,7 @@
     names: HashMap<HostName, EngineId>,
     queue: Queue,
     backlog: Backlog,
+    short_load: ShortLoad,
     /// Turns of the client accounts among short and among long prompts.
     fair: [FairClock; 2],
     runs: HashMap<AskId, Run>,
@@ -64,6 +66,7 @@
             names: HashMap::new(),
             queue: Queue::default(),
             backlog: Backlog::default(),
+            short_load: ShortLoad::default(),
             fair: Default::default(),
             runs: HashMap::new(),
             decisions: Vec::new(),
@@ -145,7 +148,10 @@
         }
         let read_ms = self.spec.read_ms(ask.prompt_tokens);
         let hopeless = self.hopeless(now, &ask, read_ms, self.ahead_ms(read_ms));
-        if let Some(retry_after) = hopeless.or_else(|| self.is_flooding(now, &ask)) {
+        let refused = hopeless
+            .or_else(|| self.is_flooding(now, &ask))
+            .or_else(|| self.is_crowded(now, &ask, read_ms));
+        if let Some(retry_after) = refused {
             let refused = PassDecision::Refused { retry_after };
             self.decisions.push((ask.id, refused));
             return;
@@ -228,9 +234,9 @@
             engine.advance(now, &self.spec);
         }
         self.refuse_overdue(now);
-        self.place_short(now, false);
-        self.place_long(now, true);
         self.place_short(now, true);
+        self.place_long(now, true);
+        self.place_short(now, false);
         self.place_long(now, false);
     }
 
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -6,13 +6,13 @@
 
 use super::PassPool;
 use super::ledger::Parts;
-use crate::passes::ask::{AskId, PassDecision, PassGrant};
+use crate::passes::ask::{AskId, PassAsk, PassDecision, PassGrant};
 use crate::passes::candidates::Candidates;
 use crate::passes::long_plan::{LongPlan, helper_names, plan_long};
 use crate::passes::pace::overdue_at;
 use crate::passes::queue::Waiting;
 use crate::passes::round::Round;
-use crate::passes::short_plan::plan_short;
+use crate::passes::short_plan::{ShortNeed, plan_short};
 
 /// Most long prompts that are tried in one round; the ones behind them wait for these.
 const MAX_TRIED: usize = 16;
@@ -27,6 +27,19 @@
 /// an answer is not stated, so the work that its caller asks for stands for it.
 const BROKEN_SHARE: f64 = 0.2;
 
+/// Time before its caller gives up from which a late short prompt takes any engine.
+const SHORT_LAST_CHANCE: Duration = Duration::from_millis(600);
+
+fn need_of(now: Instant, ask: &PassAsk) -> ShortNeed {
+    if ask.first_event_by > now {
+        ShortNeed::OnTime
+    } else if ask.give_up_at > now + SHORT_LAST_CHANCE {
+        ShortNeed::Pauses
+    } else {
+        ShortNeed::Nothing
+    }
+}
+
 impl PassPool {
     pub(super) fn round(&self, now: Instant) -> Round<'_> {
         Round {
@@ -37,21 +50,23 @@
         }
     }
 
-    pub(super) fn place_short(&mut self, now: Instant, any: bool) {
-        let due: Vec<AskId> = self
+    /// Places short prompts: those that can still be on time, or the late ones.
+    ///
+    /// A late one waits for a place where it makes no other late, until its caller is about to give up.
+    pub(super) fn place_short(&mut self, now: Instant, on_time: bool) {
+        let due: Vec<(AskId, ShortNeed)> = self
             .queue
             .iter()
             .take_while(|w| self.is_short(w.read_ms))
-            // A late one may go anywhere; one that is still on time waits for a better place.
-            .filter(|w| !any || w.ask.first_event_by <= now)
-            .map(|w| w.ask.id)
+            .filter(|w| on_time == (w.ask.first_event_by > now))
+            .map(|w| (w.ask.id, need_of(now, &w.ask)))
             .collect();
-        for id in due {
+        for (id, need) in due {
             let Some(waiting) = self.queue.remove(id) else {
                 continue;
             };
             let ask = &waiting.ask;
-            let plan = plan_short(&self.round(now), ask, waiting.read_ms, any);
+            let plan = plan_short(&self.round(now), ask, waiting.read_ms, need);
             let Some(plan) = plan else {
                 self.queue.push(waiting);
                 continue;
@@ -128,6 +143,9 @@
 
     pub(super) fn start(&mut self, now: Instant, waiting: Waiting, plan: &LongPlan) {
         let is_long = !self.is_short(waiting.read_ms);
+        if !is_long {
+            self.short_load.on_start(now);
+        }
         self.fair[usize::from(is_long)].on_dispatch(waiting.turn);
         let ask = waiting.ask;
         let grant = PassGrant {
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -32,6 +32,18 @@
 /// Time to come back for an account that floods: its asks that wait are decided by then.
 const FLOOD_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
+/// Short prompts that may wait whatever the expectation: it is worth little for a few.
+const MIN_CROWD: usize = 6;
+
+/// Part of the time to the first event that a short prompt may be expected to wait.
+const CROWD_WAIT_SHARE: f64 = 0.7;
+
+/// Expected wait up to which a short prompt that is late already may still wait.
+const MIN_CROWD_WAIT: Duration = Duration::from_millis(200);
+
+/// Time to come back after that: streams of two to three seconds have ended by then.
+const CROWD_RETRY_AFTER: Duration = Duration::from_millis(2000);
+
 impl PassPool {
     /// When to come back, where one client account has most of the queue and enough of the pool
     /// waiting.
@@ -51,6 +63,26 @@
         floods.then_some(FLOOD_RETRY_AFTER)
     }
 
+    /// When to come back, where so many short prompts wait that a new one would be late.
+    pub(super) fn is_crowded(
+        &self,
+        now: Instant,
+        ask: &PassAsk,
+        read_ms: f64,
+    ) -> Option<Duration> {
+        if !self.options.refuse_crowded || !self.is_short(read_ms) {
+            return None;
+        }
+        let ahead = self.queue.count_short();
+        if ahead < MIN_CROWD {
+            return None;
+        }
+        let open = self.open_engines(now);
+        let wait = self.short_load.expected_wait(now, ahead, open);
+        let left = ask.first_event_by.saturating_duration_since(now);
+        (wait > left.mul_f64(CROWD_WAIT_SHARE).max(MIN_CROWD_WAIT)).then_some(CROWD_RETRY_AFTER)
+    }
+
     /// When to come back, where the request can't be served in its time.
     pub(super) fn hopeless(
         &self,
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -53,6 +53,7 @@
     by_rank: BTreeMap<Rank, Waiting>,
     ranks: HashMap<AskId, Rank>,
     arrivals: u64,
+    short: usize,
     by_account: HashMap<ClientAccount, AccountQueue>,
 }
 
@@ -61,6 +62,7 @@
         self.arrivals += 1;
         let rank = (waiting.order, self.arrivals);
         self.ranks.insert(waiting.ask.id, rank);
+        self.short += usize::from(!waiting.order.is_long);
         let first = AccountQueue {
             count: 0,
             since: waiting.asked_at,
@@ -73,6 +75,7 @@
     pub(super) fn remove(&mut self, id: AskId) -> Option<Waiting> {
         let rank = self.ranks.remove(&id)?;
         let waiting = self.by_rank.remove(&rank)?;
+        self.short -= usize::from(!waiting.order.is_long);
         let account = &waiting.ask.account;
         if let Some(queue) = self.by_account.get_mut(account) {
             queue.count -= 1;
@@ -89,6 +92,11 @@
         self.by_rank.range((first, 0)..).map(|(_, w)| w)
     }
 
+    /// Number of waiting short prompts; they are the first ones.
+    pub(super) fn count_short(&self) -> usize {
+        self.short
+    }
+
     /// Whether a long prompt waits; they are the last ones.
     pub(super) fn has_long(&self) -> bool {
         let last = self.by_rank.last_key_value();
--- a/crates/azuresaddle-sched/src/passes/short_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/short_plan.rs
@@ -20,14 +20,23 @@
     pub(super) first_event_ms: f64,
 }
 
-/// The engine for a short prompt: the fullest one that keeps every pause and is on time.
-///
-/// With `any` a late one goes where its first event comes soonest.
+/// What an engine for a short prompt must keep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ShortNeed {
+    /// Every pause, and the prompt's own first event on time.
+    OnTime,
+    /// Every pause; the prompt is late already.
+    Pauses,
+    /// Nothing: the prompt's caller is about to give up.
+    Nothing,
+}
+
+/// The engine for a short prompt: the fullest one that keeps what is needed.
 pub(super) fn plan_short(
     round: &Round<'_>,
     ask: &PassAsk,
     read_ms: f64,
-    any: bool,
+    need: ShortNeed,
 ) -> Option<ShortPlan> {
     let Round {
         now,
@@ -54,12 +63,12 @@
         let first_event_ms = wait_ms + engine.next_pass_ms(spec, read_ms);
         let is_on_time = first_event_ms <= left_ms * FIRST_EVENT_SHARE;
         let keeps_pauses = !options.check_pauses || engine.room_ms(spec) >= read_ms;
-        let is_good = is_on_time && keeps_pauses;
-        if !any && !is_good {
+        let is_good = keeps_pauses && (is_on_time || need != ShortNeed::OnTime);
+        if need != ShortNeed::Nothing && !is_good {
             continue;
         }
         let rank = Rank {
-            on_time: is_good,
+            is_good,
             packed: if options.pack_short {
                 engine.count_with_pause(ask.pause)
             } else {
@@ -82,7 +91,7 @@
 /// Order of engines for a short prompt.
 #[derive(Clone, Copy, Debug)]
 struct Rank {
-    on_time: bool,
+    is_good: bool,
     /// Streams of the same kind that write there.
     packed: usize,
     same_domain: bool,
@@ -91,10 +100,10 @@
 
 impl Rank {
     fn is_better_than(&self, other: &Self) -> bool {
-        if self.on_time != other.on_time {
-            return self.on_time;
+        if self.is_good != other.is_good {
+            return self.is_good;
         }
-        if !self.on_time {
+        if !self.is_good {
             return self.soon > other.soon;
         }
         let by = (self.packed, self.same_domain).cmp(&(other.packed, other.same_domain));
--- a/crates/azuresaddle-standin/src/passes/sheet.rs
+++ b/crates/azuresaddle-standin/src/passes/sheet.rs
@@ -282,7 +282,11 @@
     rng: &mut StdRng,
     requests: &mut Vec<SheetRequest>,
 ) {
-    let most = kind.phases.iter().copied().fold(1.0, f64::max);
+    let burst = match sheet.troubles.quick_burst {
+        0.0 => 1.0,
+        times => times,
+    };
+    let most = kind.phases.iter().copied().fold(1.0, f64::max) * burst;
     let prompts = log_normal(kind.prompt_tokens, kind.prompt_spread);
     let events = log_normal(kind.events, kind.events_spread);
     let estimates = LogNormal::new(0.0, ESTIMATE_SPREAD).expect("a spread is finite");
@@ -294,7 +298,8 @@
             return;
         }
         // Thinning turns the highest rate into that of the phase.
-        if rng.random::<f64>() * most > factor(kind, at_s) {
+        let times = if index == 0 { burst } else { 1.0 };
+        if rng.random::<f64>() * most > factor(kind, at_s) * times {
             continue;
         }
         let prompt = prompts.sample(rng).clamp(100.0, kind.max_prompt_tokens);
--- a/crates/azuresaddle-standin/src/passes/troubles.rs
+++ b/crates/azuresaddle-standin/src/passes/troubles.rs
@@ -9,6 +9,10 @@
     pub slow: Option<SlowEngines>,
     /// An account that asks far more than the others.
     pub flood: Option<Flood>,
+    /// Part of the engines that is gone for good.
+    pub gone_share: f64,
+    /// Times that quick questions come as often in their own phase of the day; 0 for the usual.
+    pub quick_burst: f64,
 }
 
 /// One client account's flood of quick questions; they count for nobody's worth.
@@ -33,7 +37,13 @@
 
 impl Troubles {
     /// Names of the troubles that [`Troubles::add`] knows.
-    pub const NAMES: [&'static str; 3] = ["owner-changes", "slow-engines", "flood"];
+    pub const NAMES: [&'static str; 5] = [
+        "owner-changes",
+        "slow-engines",
+        "flood",
+        "few-engines",
+        "quick-burst",
+    ];
 
     /// Adds a trouble in its usual strength; a name that is not known changes nothing.
     pub fn add(&mut self, name: &str) {
@@ -55,10 +65,18 @@
                     per_s: 300.0,
                 });
             }
+            "few-engines" => self.gone_share = 0.3,
+            // With few engines about twice what these can do.
+            "quick-burst" => self.quick_burst = 1.4,
             _ => {}
         }
     }
 
+    /// Engines that are left of a number.
+    pub(super) fn engines_left(&self, engines: usize) -> usize {
+        engines - (engines as f64 * self.gone_share) as usize
+    }
+
     /// Time of an engine's work against that of a usual engine.
     pub(super) fn pace(&self, engine: usize) -> f64 {
         match self.slow {
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -99,7 +99,8 @@
 impl<'a> World<'a> {
     fn new(sheet: &'a Sheet, policy: PassPolicy, requests: &'a [SheetRequest], seed: u64) -> Self {
         let origin = Instant::now();
-        let names: Vec<HostName> = (0..sheet.engines)
+        let engines = sheet.troubles.engines_left(sheet.engines);
+        let names: Vec<HostName> = (0..engines)
             .map(|i| HostName::new(format!("engine-{i:02}")))
             .collect();
         let engine = |i| EngineModel::new(sheet.spec.clone(), sheet.troubles.pace(i));
@@ -108,7 +109,7 @@
             policy,
             requests,
             streams: vec![Stream::default(); requests.len()],
-            engines: (0..sheet.engines).map(engine).collect(),
+            engines: (0..engines).map(engine).collect(),
             names,
             pool: None,
             events: BinaryHeap::new(),
