A removal after an outage's changes are known has left; crowds of short prompts are refused at once

Ruled out: the check of entries' numbers (no such line in the log), publishing when due. Now only what the first answer after the return tells may be a lapse. Test: what_is_removed_after_the_changes_of_an_outage_are_known_has_left.

Short prompts: with more of them than slots all became late and the last were held until their callers left.

--- a/crates/azuresaddle-edge/src/control/news.rs
+++ b/crates/azuresaddle-edge/src/control/news.rs
@@ -106,18 +106,24 @@
                 let (targets, others): (Vec<_>, Vec<_>) = items
                     .into_iter()
                     .partition(|i| kind_of(&i.key) == Kind::Target);
-                let mut changed = self.registry.apply_listing(now, targets, at);
-                for item in others {
-                    changed |= self.on_item(now, item);
-                }
+                let changed = self.registry.apply_listing(now, targets, at);
+                self.registry.on_caught_up();
+                self.on_items(now, others) | changed
+            }
+            StoreEvent::Page(items) => self.on_items(now, items),
+            StoreEvent::Changes(items) => {
+                let changed = self.on_items(now, items);
+                self.registry.on_caught_up();
                 changed
             }
-            StoreEvent::Changes(items) => items
-                .into_iter()
-                .fold(false, |changed, item| self.on_item(now, item) | changed),
         }
     }
 
+    fn on_items(&mut self, now: Instant, items: Vec<Item>) -> bool {
+        let all = items.into_iter();
+        all.fold(false, |changed, item| self.on_item(now, item) | changed)
+    }
+
     pub(super) fn on_item(&mut self, now: Instant, item: Item) -> bool {
         match kind_of(&item.key) {
             Kind::Target => self.registry.apply(now, item),
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -38,7 +38,8 @@
 pub(super) struct Registry {
     held: HashMap<String, Held>,
     revision: u64,
-    /// Until when removals are taken for lapses of an outage.
+    /// Until when removals are taken for lapses of an outage; `None` once all that happened in it is
+    /// known.
     grace_until: Option<Instant>,
     /// What was published last; `None` once something has changed. Building it anew takes
     /// milliseconds at 3,000 targets, and membership changes far more often than they do.
@@ -67,6 +68,14 @@
         self.grace_until = Some(now + RETURN_GRACE);
     }
 
+    /// Notes that all changes of an outage are known: what is removed from now on has left.
+    ///
+    /// Held like a lapse, the removal of a target that left right after a node had regained the store
+    /// was believed 2.1 s later, and work was sent there past its time.
+    pub(super) fn on_caught_up(&mut self) {
+        self.grace_until = None;
+    }
+
     /// Takes one change; true where the targets are different now.
     pub(super) fn apply(&mut self, now: Instant, item: Item) -> bool {
         let item = Arc::new(item);
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -37,7 +37,9 @@
         /// Revision at which they were read.
         at: u64,
     },
-    /// Changes.
+    /// A page of a listing that is not the last.
+    Page(Vec<Item>),
+    /// All changes since the last ones, or since the listing.
     Changes(Vec<Item>),
 }
 
@@ -140,7 +142,7 @@
             *after = page.next;
             if after.is_some() {
                 items.extend(page.items.iter().cloned());
-                return Ok(StoreEvent::Changes(page.items));
+                return Ok(StoreEvent::Page(page.items));
             }
             items.extend(page.items);
             let items = std::mem::take(items);
--- a/crates/azuresaddle-edge/src/control/tests/registry.rs
+++ b/crates/azuresaddle-edge/src/control/tests/registry.rs
@@ -88,6 +88,26 @@
     assert_eq!((&told.value, told.revision), (&None, 9));
 }
 
+#[tokio::test(start_paused = true)]
+async fn what_is_removed_after_the_changes_of_an_outage_are_known_has_left() {
+    let start = Instant::now();
+    let mut registry = Registry::default();
+    registry.apply(start, item("a", "ready", 1));
+    registry.apply(start, item("b", "ready", 2));
+    registry.on_store_back(start);
+    assert!(
+        !registry.apply(start, removed("a", 8)),
+        "it may have lapsed"
+    );
+    registry.on_caught_up();
+    let later = start + Duration::from_millis(120);
+    assert!(registry.apply(later, removed("b", 9)));
+    assert_eq!(ids(&registry), ["a"]);
+    // What may have lapsed still has its time.
+    assert!(!registry.check(start + Duration::from_millis(2100)));
+    assert!(registry.check(start + Duration::from_millis(2300)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_listing_removes_what_it_lacks() {
     let now = Instant::now();
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -64,12 +64,7 @@
     }
 
     /// When to come back, where so many short prompts wait that a new one would be late.
-    pub(super) fn is_crowded(
-        &self,
-        now: Instant,
-        ask: &PassAsk,
-        read_ms: f64,
-    ) -> Option<Duration> {
+    pub(super) fn is_crowded(&self, now: Instant, ask: &PassAsk, read_ms: f64) -> Option<Duration> {
         if !self.options.refuse_crowded || !self.is_short(read_ms) {
             return None;
         }
@@ -83,6 +78,15 @@
         (wait > left.mul_f64(CROWD_WAIT_SHARE).max(MIN_CROWD_WAIT)).then_some(CROWD_RETRY_AFTER)
     }
 
+    /// When to come back, where a short prompt has become late while enough others can still be on
+    /// time.
+    fn is_crowded_out(&self, now: Instant, waiting: &Waiting) -> Option<Duration> {
+        let is_late = waiting.ask.first_event_by <= now;
+        let is_crowd = self.queue.count_short() >= MIN_CROWD;
+        let applies = self.options.refuse_crowded && self.is_short(waiting.read_ms);
+        (applies && is_late && is_crowd).then_some(CROWD_RETRY_AFTER)
+    }
+
     /// When to come back, where the request can't be served in its time.
     pub(super) fn hopeless(
         &self,
@@ -159,7 +163,9 @@
         let mut ahead_ms = 0.0;
         let mut overdue = Vec::new();
         for waiting in by_read {
-            let hopeless = self.hopeless(now, &waiting.ask, waiting.read_ms, ahead_ms);
+            let hopeless = self
+                .hopeless(now, &waiting.ask, waiting.read_ms, ahead_ms)
+                .or_else(|| self.is_crowded_out(now, waiting));
             match hopeless {
                 Some(retry_after) => overdue.push((waiting.ask.id, retry_after)),
                 None if self.is_short(waiting.read_ms) => {}
