--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -8,6 +8,7 @@
 use azuresaddle_core::deployment::EntrySettings;
 use azuresaddle_core::http::{ServerLimits, serve};
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{Mechanism, PassOptions};
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::runtime::Handle;
@@ -57,10 +58,12 @@
 }
 
 /// What a node is told beside the platform's settings.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct NodeOptions {
     /// Port of the metrics; `None` serves none.
     pub metrics_port: Option<u16>,
+    /// Mechanisms of placement that are switched off.
+    pub without: Vec<Mechanism>,
 }
 
 /// A running node.
@@ -104,7 +107,9 @@
             metrics: metrics.clone(),
         });
         let (pace_questions, pace_questions_rx) = mpsc::channel(MAX_PACE_QUESTIONS);
-        let owner = Owner::spawn(&spawner, &snapshots, incarnation, pace_questions);
+        let all = PassOptions::default();
+        let placing = options.without.iter().fold(all, |o, m| o.without(*m));
+        let owner = Owner::spawn(&spawner, &snapshots, incarnation, placing, pace_questions);
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
         let peers = bind(&net, "calls between nodes", peer_addr).await?;
         serve_peers(peers, &spawner, Arc::clone(&owner), snapshots.clone());
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -7,7 +7,9 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::EngineReport;
-use azuresaddle_sched::passes::{AskId, PassAsk, PassDecision, PassOutcome, RunningStream};
+use azuresaddle_sched::passes::{
+    AskId, PassAsk, PassDecision, PassOptions, PassOutcome, RunningStream,
+};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -32,10 +34,15 @@
         spawner: &Spawner,
         snapshots: &Snapshots,
         node: u64,
+        options: PassOptions,
         pace_questions: mpsc::Sender<HostName>,
     ) -> Arc<Self> {
+        let state = State {
+            options,
+            ..State::default()
+        };
         let owner = Arc::new(Self {
-            state: Mutex::default(),
+            state: Mutex::new(state),
             changed: Notify::new(),
             pace_questions,
         });
--- a/crates/azuresaddle-edge/src/placement/owner_state.rs
+++ b/crates/azuresaddle-edge/src/placement/owner_state.rs
@@ -19,6 +19,8 @@
 /// What the owner keeps under its lock.
 #[derive(Default)]
 pub(super) struct State {
+    /// What its pools do.
+    pub(super) options: PassOptions,
     pub(super) pools: HashMap<Arc<str>, PassPool>,
     pub(super) waiters: HashMap<AskId, oneshot::Sender<PassDecision>>,
     pub(super) is_owner: bool,
@@ -73,7 +75,8 @@
     pub(super) fn note_owner(&mut self, now: Instant, snapshot: &Snapshot, node: u64) {
         let is_owner = snapshot.owner == node;
         if is_owner && !self.is_owner {
-            self.handover = Some(Handover::new(now, snapshot));
+            let waits = self.options.handover_wait;
+            self.handover = waits.then(|| Handover::new(now, snapshot));
             tracing::info!(
                 part = "placement",
                 nodes = snapshot.nodes.len(),
@@ -110,7 +113,7 @@
             let pool = self
                 .pools
                 .entry(Arc::clone(&service.name))
-                .or_insert_with(|| PassPool::new(PassOptions::default(), spec.clone()));
+                .or_insert_with(|| PassPool::new(self.options.clone(), spec.clone()));
             pool.set_spec(spec);
             for target in targets.of_service(&service.name) {
                 pool.upsert_engine(now, &target.id, &target.domain, false);
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/mechanism.rs
@@ -0,0 +1,112 @@
+//! Mechanisms of a pool that can be switched off.
+
+use std::fmt;
+use std::str::FromStr;
+
+use super::options::PassOptions;
+
+/// A mechanism of a pool, by its name for operators.
+///
+/// All are on; one is switched off to measure what it is worth, or where it does harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Short streams share few engines.
+    Packing,
+    /// Parts are placed only where every pause is kept.
+    PauseCheck,
+    /// Long prompts are read by several engines.
+    Splitting,
+    /// Long prompts wait for more engines while that keeps them on time.
+    WaitForEngines,
+    /// A few short streams are made late where that brings a long prompt home.
+    BreakPauses,
+    /// What the load of late gives no chance is refused at once.
+    EarlyRefusal,
+    /// Short prompts are refused at once while so many wait that a new one would be late.
+    CrowdRefusal,
+    /// Late short prompts wait for a place where they make no other late.
+    LateShortWait,
+    /// No part is sent to an engine that reads another.
+    ReadProtection,
+    /// Engines with overdue first events are asked for their pace.
+    PaceChecks,
+    /// Waiting prompts take turns by client account, and floods are refused.
+    FairShares,
+    /// A new owner waits for the nodes to tell their streams.
+    HandoverWait,
+}
+
+impl Mechanism {
+    /// All mechanisms.
+    pub const ALL: [Self; 12] = [
+        Self::Packing,
+        Self::PauseCheck,
+        Self::Splitting,
+        Self::WaitForEngines,
+        Self::BreakPauses,
+        Self::EarlyRefusal,
+        Self::CrowdRefusal,
+        Self::LateShortWait,
+        Self::ReadProtection,
+        Self::PaceChecks,
+        Self::FairShares,
+        Self::HandoverWait,
+    ];
+
+    /// Name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Packing => "packing",
+            Self::PauseCheck => "pause-check",
+            Self::Splitting => "splitting",
+            Self::WaitForEngines => "wait-for-engines",
+            Self::BreakPauses => "break-pauses",
+            Self::EarlyRefusal => "early-refusal",
+            Self::CrowdRefusal => "crowd-refusal",
+            Self::LateShortWait => "late-short-wait",
+            Self::ReadProtection => "read-protection",
+            Self::PaceChecks => "pace-checks",
+            Self::FairShares => "fair-shares",
+            Self::HandoverWait => "handover-wait",
+        }
+    }
+}
+
+impl fmt::Display for Mechanism {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for Mechanism {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let names: Vec<&str> = Self::ALL.iter().map(|m| m.name()).collect();
+        let found = Self::ALL.into_iter().find(|m| m.name() == text);
+        found.ok_or_else(|| format!("unknown mechanism {text:?}; one of {}", names.join(", ")))
+    }
+}
+
+impl PassOptions {
+    /// The same with a mechanism switched off.
+    #[must_use]
+    pub fn without(mut self, mechanism: Mechanism) -> Self {
+        let switch = match mechanism {
+            Mechanism::Packing => &mut self.pack_short,
+            Mechanism::PauseCheck => &mut self.check_pauses,
+            Mechanism::Splitting => &mut self.split_long,
+            Mechanism::WaitForEngines => &mut self.wait_for_engines,
+            Mechanism::BreakPauses => &mut self.break_pauses,
+            Mechanism::EarlyRefusal => &mut self.refuse_early,
+            Mechanism::CrowdRefusal => &mut self.refuse_crowded,
+            Mechanism::LateShortWait => &mut self.late_short_wait,
+            Mechanism::ReadProtection => &mut self.protect_reads,
+            Mechanism::PaceChecks => &mut self.check_pace,
+            Mechanism::FairShares => &mut self.fair_shares,
+            Mechanism::HandoverWait => &mut self.handover_wait,
+        };
+        *switch = false;
+        self
+    }
+}
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod engine;
 mod long_plan;
+mod mechanism;
 mod options;
 mod pace;
 mod pool;
@@ -18,5 +19,6 @@
 mod short_plan;
 
 pub use ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
+pub use mechanism::Mechanism;
 pub use options::PassOptions;
 pub use pool::PassPool;
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -28,6 +28,10 @@
     pub check_pace: bool,
     /// Give waiting prompts their turn by the shares of the client accounts.
     pub fair_shares: bool,
+    /// Let late short prompts wait for a place where they make no other late.
+    pub late_short_wait: bool,
+    /// Let a new owner of the pool wait for the nodes to tell their streams.
+    pub handover_wait: bool,
 }
 
 impl Default for PassOptions {
@@ -46,6 +50,8 @@
             protect_reads: true,
             check_pace: true,
             fair_shares: true,
+            late_short_wait: true,
+            handover_wait: true,
         }
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -30,17 +30,17 @@
 /// Time before its caller gives up from which a late short prompt takes any engine.
 const SHORT_LAST_CHANCE: Duration = Duration::from_millis(600);
 
-fn need_of(now: Instant, ask: &PassAsk) -> ShortNeed {
-    if ask.first_event_by > now {
-        ShortNeed::OnTime
-    } else if ask.give_up_at > now + SHORT_LAST_CHANCE {
-        ShortNeed::Pauses
-    } else {
-        ShortNeed::Nothing
+impl PassPool {
+    fn need_of(&self, now: Instant, ask: &PassAsk) -> ShortNeed {
+        if ask.first_event_by > now {
+            ShortNeed::OnTime
+        } else if self.options.late_short_wait && ask.give_up_at > now + SHORT_LAST_CHANCE {
+            ShortNeed::Pauses
+        } else {
+            ShortNeed::Nothing
+        }
     }
-}
 
-impl PassPool {
     pub(super) fn round(&self, now: Instant) -> Round<'_> {
         Round {
             now,
@@ -59,7 +59,7 @@
             .iter()
             .take_while(|w| self.is_short(w.read_ms))
             .filter(|w| on_time == (w.ask.first_event_by > now))
-            .map(|w| (w.ask.id, need_of(now, &w.ask)))
+            .map(|w| (w.ask.id, self.need_of(now, &w.ask)))
             .collect();
         for (id, need) in due {
             let Some(waiting) = self.queue.remove(id) else {
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -2,7 +2,7 @@
 
 use std::str::FromStr;
 
-use azuresaddle_sched::passes::PassOptions;
+use azuresaddle_sched::passes::{Mechanism, PassOptions};
 
 /// How requests are placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +23,8 @@
     KeepPauses,
     /// Holds every prompt until its caller gives up.
     HoldAll,
+    /// Lets short prompts wait however many there are.
+    HoldCrowds,
     /// Parts may push aside what an engine reads for itself.
     PushAside,
     /// Never asks engines for their pace.
@@ -39,7 +41,7 @@
 
 impl PassPolicy {
     /// All policies.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Pool,
         Self::NoPacking,
         Self::NoPauseCheck,
@@ -48,6 +50,7 @@
         Self::NoPatience,
         Self::KeepPauses,
         Self::HoldAll,
+        Self::HoldCrowds,
         Self::PushAside,
         Self::NoPace,
         Self::NoShares,
@@ -67,6 +70,7 @@
             Self::NoPatience => "no-patience",
             Self::KeepPauses => "keep-pauses",
             Self::HoldAll => "hold-all",
+            Self::HoldCrowds => "hold-crowds",
             Self::PushAside => "push-aside",
             Self::NoPace => "no-pace",
             Self::NoShares => "no-shares",
@@ -81,46 +85,20 @@
         let all = PassOptions::default();
         Some(match self {
             Self::Pool => all,
-            Self::NoPacking => PassOptions {
-                pack_short: false,
-                ..all
-            },
-            Self::NoPauseCheck => PassOptions {
-                check_pauses: false,
-                ..all
-            },
-            Self::NoSplit => PassOptions {
-                split_long: false,
-                ..all
-            },
+            Self::NoPacking => all.without(Mechanism::Packing),
+            Self::NoPauseCheck => all.without(Mechanism::PauseCheck),
+            Self::NoSplit => all.without(Mechanism::Splitting),
             Self::ShortestFirst => PassOptions {
                 shortest_first: true,
                 ..all
             },
-            Self::NoPatience => PassOptions {
-                wait_for_engines: false,
-                ..all
-            },
-            Self::KeepPauses => PassOptions {
-                break_pauses: false,
-                ..all
-            },
-            Self::HoldAll => PassOptions {
-                refuse_early: false,
-                ..all
-            },
-            Self::PushAside => PassOptions {
-                protect_reads: false,
-                ..all
-            },
-            Self::NoPace => PassOptions {
-                check_pace: false,
-                ..all
-            },
-            Self::NoShares => PassOptions {
-                fair_shares: false,
-                ..all
-            },
+            Self::NoPatience => all.without(Mechanism::WaitForEngines),
+            Self::KeepPauses => all.without(Mechanism::BreakPauses),
+            Self::HoldAll => all.without(Mechanism::EarlyRefusal),
+            Self::HoldCrowds => all.without(Mechanism::CrowdRefusal),
+            Self::PushAside => all.without(Mechanism::ReadProtection),
+            Self::NoPace => all.without(Mechanism::PaceChecks),
+            Self::NoShares => all.without(Mechanism::FairShares),
             Self::Random | Self::LeastRequests | Self::LeastBacklog => return None,
         })
     }
--- a/crates/azuresaddle-standin/tests/suite/passes.rs
+++ b/crates/azuresaddle-standin/tests/suite/passes.rs
@@ -62,6 +62,59 @@
     assert!(pool > holding + 0.01, "{pool} against {holding}");
 }
 
+/// More quick questions than the engines have slots for, on engines and lengths of each sheet.
+#[tokio::test(start_paused = true)]
+async fn a_crowd_of_short_prompts_is_refused_at_once_rather_than_held() {
+    for name in Sheet::NAMES {
+        let mut sheet = Sheet::named(name, 1.0).expect("a sheet of that name");
+        sheet.troubles.add("quick-burst");
+        sheet.troubles.add("few-engines");
+        let pool = worth(&sheet, PassPolicy::Pool);
+        let holding = worth(&sheet, PassPolicy::HoldCrowds);
+        assert!(pool > holding + 0.04, "{name}: {pool} against {holding}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_a_crowd_nothing_is_refused_for_one() {
+    for name in Sheet::NAMES {
+        let sheet = Sheet::named(name, 0.8).expect("a sheet of that name");
+        let pool = worth(&sheet, PassPolicy::Pool);
+        let holding = worth(&sheet, PassPolicy::HoldCrowds);
+        assert!((pool - holding).abs() < 0.01, "{name}: {pool}, {holding}");
+    }
+}
+
+/// Other shapes than any sheet: fewer or more engines, other lengths, other pauses.
+#[tokio::test(start_paused = true)]
+async fn the_ideas_pay_on_other_shapes_too() {
+    for (engines, length, pause) in [(9, 0.6, 2.0), (28, 1.5, 1.0), (40, 0.8, 0.8)] {
+        let mut sheet = Sheet::surf(0.8);
+        let times = f64::from(engines) / sheet.engines as f64;
+        sheet.engines = engines as usize;
+        for kind in &mut sheet.kinds {
+            kind.prompt_tokens *= length;
+            kind.max_prompt_tokens *= length;
+            // Long prompts cost by the square of their length.
+            kind.per_s *= times / (length * length);
+            kind.pause_ms *= pause;
+        }
+        let pool = worth(&sheet, PassPolicy::Pool);
+        for policy in [
+            PassPolicy::NoSplit,
+            PassPolicy::NoPauseCheck,
+            PassPolicy::LeastBacklog,
+        ] {
+            let other = worth(&sheet, policy);
+            let name = policy.name();
+            assert!(
+                pool > other + 0.02,
+                "{engines}: {name} {other}, pool {pool}"
+            );
+        }
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_same_seed_gives_the_same_day() {
     let sheet = Sheet::sabarmati(1.0);
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -7,7 +7,9 @@
 use azuresaddle_core::prelude::*;
 use azuresaddle_edge::{Node, NodeOptions};
 use azuresaddle_platform::{SETTINGS_PATH_VARIABLE, read_settings};
-use clap::{Arg, ArgMatches, Command};
+use azuresaddle_sched::passes::Mechanism;
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
@@ -45,6 +47,18 @@
                 .default_value("9464")
                 .help("Port of the metrics page, at /metrics; 0 serves none"),
         )
+        .arg(
+            Arg::new("without")
+                .long("without")
+                .env("AZURESADDLE_WITHOUT")
+                .value_name("MECHANISM")
+                .action(ArgAction::Append)
+                .value_delimiter(',')
+                .value_parser(PossibleValuesParser::new(
+                    Mechanism::ALL.map(Mechanism::name),
+                ))
+                .help("Mechanism of placement to switch off; may be given several times"),
+        )
         .arg(
             Arg::new("log-level")
                 .long("log-level")
@@ -64,7 +78,10 @@
     let port = args.get_one::<u16>("metrics-port").copied();
     let options = NodeOptions {
         metrics_port: port.filter(|p| *p != 0),
+        without: switched_off(args)?,
     };
+    let without = options.without.iter().map(|m| m.name());
+    let without = without.collect::<Vec<_>>().join(",");
     // A host lets one thread run at a time, so traffic and control have one each.
     let traffic = current_thread()?;
     let control = current_thread()?;
@@ -85,7 +102,7 @@
             control_handle,
         )
         .await?;
-        tracing::info!(part = "node", host = %name, "started");
+        tracing::info!(part = "node", host = %name, without, "started");
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
@@ -102,6 +119,12 @@
     })
 }
 
+fn switched_off(args: &ArgMatches) -> Result<Vec<Mechanism>> {
+    let names = args.get_many::<String>("without").into_iter().flatten();
+    let parsed = names.map(|n| n.parse().map_err(|e| anyhow!(BadInput(e))));
+    parsed.collect()
+}
+
 /// Reads the settings file again. Addresses and bounds hold for the life of a process, so a change
 /// of them is only told.
 fn reload(path: &std::path::Path) {
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -21,7 +21,9 @@
 
 #[test]
 fn help_documents_every_flag() {
-    for command in ["node", "ask", "burn", "pools", "hosts", "rules", "losses"] {
+    for command in [
+        "node", "ask", "burn", "pools", "hosts", "rules", "losses", "serve",
+    ] {
         let output = azuresaddle(&[command, "--help"]);
         assert_eq!(output.status.code(), Some(0));
         insta::assert_snapshot!(format!("help_{command}"), stdout(&output));
