--- a/crates/azuresaddle-standin/src/passes/mod.rs
+++ b/crates/azuresaddle-standin/src/passes/mod.rs
@@ -10,6 +10,7 @@
 mod plot;
 mod policy;
 mod sheet;
+mod sheets;
 mod troubles;
 mod world;
 
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/sheets.rs
@@ -0,0 +1,167 @@
+//! The sheets of the users' deployments.
+
+use azuresaddle_core::deployment::EngineSpec;
+
+use super::sheet::{KindOfRequest, Sheet};
+use super::troubles::Troubles;
+
+impl Sheet {
+    /// Quick questions, reviews and digests on 18 engines.
+    pub fn sabarmati(load: f64) -> Self {
+        Self {
+            name: "sabarmati",
+            engines: 18,
+            spec: usual_engine(),
+            kinds: usual_kinds([39.5, 2.87, 1.19]),
+            load,
+            length_s: 34.0,
+            troubles: Troubles::default(),
+        }
+    }
+
+    /// Summaries, reviews and dossiers on 14 engines.
+    pub fn aguaclara(load: f64) -> Self {
+        Self {
+            name: "aguaclara",
+            engines: 14,
+            spec: usual_engine(),
+            kinds: usual_kinds([30.7, 2.23, 0.922]),
+            load,
+            length_s: 34.0,
+            troubles: Troubles::default(),
+        }
+    }
+
+    /// Briefings, summaries and archives on 14 engines that read slower and hold less.
+    pub fn surf(load: f64) -> Self {
+        Self {
+            name: "surf",
+            engines: 14,
+            spec: surf_engine(),
+            kinds: surf_kinds(),
+            load,
+            length_s: 34.0,
+            troubles: Troubles::default(),
+        }
+    }
+
+    /// All sheets by name.
+    pub const NAMES: [&'static str; 3] = ["sabarmati", "aguaclara", "surf"];
+
+    /// The sheet of a name; `None` where there is none.
+    pub fn named(name: &str, load: f64) -> Option<Self> {
+        match name {
+            "sabarmati" => Some(Self::sabarmati(load)),
+            "aguaclara" => Some(Self::aguaclara(load)),
+            "surf" => Some(Self::surf(load)),
+            _ => None,
+        }
+    }
+}
+
+fn surf_engine() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: 315_000,
+        steps_per_pass: 51,
+        step_ms: 0.85,
+        step_ms_per_stream: 0.00425,
+        step_ms_per_1k_context: 0.00285,
+        read_tokens_per_ms: 177.0,
+        ms_per_1m_pairs: 0.184,
+        max_read_tokens_per_step: 2048,
+        holder_hop_ms: 0.05,
+        report_lag: std::time::Duration::from_millis(200),
+        usual_answer_tokens: 1622,
+    }
+}
+
+fn surf_kinds() -> Vec<KindOfRequest> {
+    let mut kinds = usual_kinds([28.7, 1.45, 0.88]);
+    for (kind, (events, pause_ms)) in
+        kinds
+            .iter_mut()
+            .zip([(32.9, 250.0), (19.7, 600.0), (16.5, 1000.0)])
+    {
+        kind.events = events;
+        kind.max_events = events * 2.5;
+        kind.pause_ms = pause_ms;
+    }
+    kinds[1].worth = 4.2;
+    kinds[1].late_worth = 1.0;
+    kinds[2].prompt_tokens = 154_000.0;
+    kinds[2].max_prompt_tokens = 700_000.0;
+    kinds[2].worth = 21.0;
+    kinds[2].late_worth = 5.2;
+    kinds
+}
+
+fn usual_engine() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_pass: 46,
+        step_ms: 0.925,
+        step_ms_per_stream: 0.00483,
+        step_ms_per_1k_context: 0.00254,
+        read_tokens_per_ms: 256.0,
+        ms_per_1m_pairs: 0.0917,
+        max_read_tokens_per_step: 2048,
+        holder_hop_ms: 0.1,
+        report_lag: std::time::Duration::from_millis(200),
+        usual_answer_tokens: 1540,
+    }
+}
+
+fn usual_kinds(per_s: [f64; 3]) -> Vec<KindOfRequest> {
+    vec![
+        KindOfRequest {
+            name: "quick",
+            per_s: per_s[0],
+            prompt_tokens: 4960.0,
+            prompt_spread: 0.9,
+            max_prompt_tokens: 23_800.0,
+            events: 34.9,
+            events_spread: 0.7,
+            max_events: 87.2,
+            first_event_ms: 300.0,
+            pause_ms: 200.0,
+            deadline_ms: 10_000.0,
+            worth: 1.3,
+            late_worth: 0.33,
+            phases: [0.36, 2.5, 0.37],
+        },
+        KindOfRequest {
+            name: "review",
+            per_s: per_s[1],
+            prompt_tokens: 45_000.0,
+            prompt_spread: 0.5,
+            max_prompt_tokens: 110_000.0,
+            events: 20.9,
+            events_spread: 0.6,
+            max_events: 52.3,
+            first_event_ms: 1500.0,
+            pause_ms: 500.0,
+            deadline_ms: 10_000.0,
+            worth: 3.1,
+            late_worth: 0.79,
+            phases: [1.3, 0.5, 1.3],
+        },
+        KindOfRequest {
+            name: "digest",
+            per_s: per_s[2],
+            prompt_tokens: 210_000.0,
+            prompt_spread: 0.55,
+            max_prompt_tokens: 1_000_000.0,
+            events: 17.4,
+            events_spread: 0.5,
+            max_events: 43.6,
+            first_event_ms: 3000.0,
+            pause_ms: 800.0,
+            deadline_ms: 15_000.0,
+            worth: 22.0,
+            late_worth: 5.4,
+            phases: [2.8, 0.05, 2.9],
+        },
+    ]
+}
--- a/crates/azuresaddle-standin/src/platform/world.rs
+++ b/crates/azuresaddle-standin/src/platform/world.rs
@@ -1,9 +1,10 @@
 //! A platform with its store, targets and configuration, on loopback addresses.
 
+mod restart;
+
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use azuresaddle_core::http::{ServerLimits, serve};
 use azuresaddle_core::net::TcpNetwork;
@@ -27,12 +28,6 @@
 /// Unix milliseconds that targets tell as their first start; only the order of starts counts.
 const FIRST_START_MS: u64 = 1_790_000_000_000;
 
-/// Most tries to bind the port of an ended target.
-const MAX_BINDS: u32 = 100;
-
-/// Pause between them.
-const BIND_PAUSE: Duration = Duration::from_millis(10);
-
 /// Sizes of a world.
 #[derive(Clone, Copy, Debug)]
 pub struct WorldOptions {
@@ -153,57 +148,6 @@
         engine
     }
 
-    /// Ends an engine and starts it again under its name and address; it holds nothing then.
-    ///
-    /// # Errors
-    /// Where the port can't be bound again.
-    pub async fn restart_engine(&mut self, n: usize) -> std::io::Result<()> {
-        let (listener, target) = self.start_again(&self.engines[n].clone()).await?;
-        self.models[n] = self.serve_engine(listener, &target);
-        self.engines[n] = TargetHandle { target };
-        Ok(())
-    }
-
-    /// Ends a plain target and starts it again under its name and address.
-    ///
-    /// # Errors
-    /// Where the port can't be bound again.
-    pub async fn restart_plain(&mut self, n: usize) -> std::io::Result<()> {
-        let (listener, target) = self.start_again(&self.plain[n].clone()).await?;
-        serve_target(listener, Arc::clone(&target), Arc::new(PlainWork));
-        self.plain[n] = TargetHandle { target };
-        Ok(())
-    }
-
-    async fn start_again(
-        &mut self,
-        handle: &TargetHandle,
-    ) -> std::io::Result<(TcpListener, Arc<Target>)> {
-        let old = &handle.target;
-        handle.kill();
-        let mut tries = 0;
-        let listener = loop {
-            match TcpListener::bind(old.addr).await {
-                Ok(listener) => break listener,
-                // The ended start lets go of its port a moment later.
-                Err(_) if tries < MAX_BINDS => tries += 1,
-                Err(e) => return Err(e),
-            }
-            tokio::time::sleep(BIND_PAUSE).await;
-        };
-        let target = Arc::new(Target {
-            id: old.id.clone(),
-            service: old.service.clone(),
-            addr: old.addr,
-            born: old.born + 1_000,
-            runs: self.runs.clone(),
-            fault: Mutex::new(TargetFault::None),
-            stopped: CancellationToken::new(),
-        });
-        self.register(&target, "ready");
-        Ok((listener, target))
-    }
-
     /// Starts one more plain target.
     ///
     /// # Errors
--- a/src/cmd/losses.rs
+++ b/src/cmd/losses.rs
@@ -1,12 +1,12 @@
 //! `losses`: where requests lost their worth, out of the logs of all nodes.
 
 use std::collections::HashMap;
-use std::path::PathBuf;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Result, bail};
 use azuresaddle_core::losses::{Account, Reason, Row, Second};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use super::log_files;
 use super::output::line;
 
 pub(crate) fn make_subcommand() -> Command {
@@ -16,14 +16,7 @@
             "Each try of a caller counts as a request. A request is worth 0.3 + 0.7 x its prompt \
              against the mean of its route, at most 4, times the worth of the route.",
         )
-        .arg(
-            Arg::new("FILE")
-                .required(true)
-                .action(ArgAction::Append)
-                .num_args(1..)
-                .value_parser(value_parser!(PathBuf))
-                .help("Log of a node, one JSON object a line"),
-        )
+        .arg(log_files::arg())
         .arg(
             Arg::new("worth")
                 .long("worth")
@@ -54,15 +47,10 @@
 }
 
 pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
-    let mut text = String::new();
-    for file in args.get_many::<PathBuf>("FILE").expect("clap requires it") {
-        let log = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
-        text.push_str(&log);
-        text.push('\n');
-    }
+    let logs = log_files::read(args)?;
     let told = args.get_many::<(String, f64)>("worth");
     let worth: HashMap<String, f64> = told.into_iter().flatten().cloned().collect();
-    let account = Account::new(text.lines(), |route| {
+    let account = Account::new(logs.iter().flat_map(|log| log.text.lines()), |route| {
         worth.get(route).copied().unwrap_or(1.0)
     });
     if account.is_empty() {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod burn_plot;
 pub(crate) mod check;
 pub(crate) mod hosts;
+mod log_files;
 pub(crate) mod losses;
 pub(crate) mod node;
 mod node_settings;
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -1,11 +1,10 @@
 //! `trace`: one request's life out of the logs of several nodes.
 
-use std::path::PathBuf;
-
-use anyhow::{Context, Result, bail};
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use anyhow::{Result, bail};
+use clap::{Arg, ArgMatches, Command};
 use serde_json::{Map, Value};
 
+use super::log_files;
 use super::output::line;
 
 /// Fields that begin a line; the others follow in the order of their names.
@@ -19,25 +18,20 @@
                 .required(true)
                 .help("Id of the request, as the caller sent it"),
         )
-        .arg(
-            Arg::new("FILE")
-                .required(true)
-                .action(ArgAction::Append)
-                .num_args(1..)
-                .value_parser(value_parser!(PathBuf))
-                .help("Log of a node, one JSON object a line"),
-        )
+        .arg(log_files::arg())
 }
 
 pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
     let id: &String = args.get_one("REQUEST-ID").expect("clap requires it");
-    let files = args.get_many::<PathBuf>("FILE").expect("clap requires it");
     let mut lines = Vec::new();
-    for file in files {
-        let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
-        let name = file.file_stem().map(|s| s.to_string_lossy().into_owned());
+    for log in log_files::read(args)? {
+        let name = log
+            .path
+            .file_stem()
+            .map(|s| s.to_string_lossy().into_owned());
         let name = name.unwrap_or_default();
-        lines.extend(text.lines().filter_map(|text| matching(text, id, &name)));
+        let text = log.text.lines();
+        lines.extend(text.filter_map(|text| matching(text, id, &name)));
     }
     if lines.is_empty() {
         bail!("no line names the request {id:?}");
