--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -1,5 +1,6 @@
 //! Plays one day.
 
+mod judge;
 mod takeover;
 
 use std::cmp::Reverse;
@@ -304,36 +305,6 @@
         self.streams[i].ended_at = Some(at_ms);
         self.push(at_ms + TO_OWNER_MS, Event::EndKnown(i));
     }
-
-    /// Part of a request's worth that is lost because it was held without being tried.
-    fn held(&self, i: usize) -> f64 {
-        let stream = &self.streams[i];
-        if !stream.engines.is_empty() {
-            return 0.0;
-        }
-        let request = &self.requests[i];
-        let kind = &self.sheet.kinds[request.kind];
-        let until = stream.refused_at.unwrap_or(f64::INFINITY) - request.at_ms;
-        let free = kind.first_event_ms / 8.0;
-        let all = give_up_ms(kind) * 0.75;
-        ((until - free) / (all - free)).clamp(0.0, 1.0)
-    }
-
-    fn end(&self, i: usize) -> End {
-        let stream = &self.streams[i];
-        let request = &self.requests[i];
-        let kind = &self.sheet.kinds[request.kind];
-        let (Some(first), Some(ended)) = (stream.first_at, stream.ended_at) else {
-            return End::Lost;
-        };
-        let took = |at: f64| at - request.at_ms + CALLER_MS;
-        if took(first) > give_up_ms(kind) || took(ended) > kind.deadline_ms {
-            return End::Lost;
-        }
-        let is_on_time =
-            took(first) <= kind.first_event_ms && stream.longest_pause_ms <= kind.pause_ms;
-        if is_on_time { End::OnTime } else { End::Late }
-    }
 }
 
 /// Time after which a caller gives up if no event has come.
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/world/judge.rs
@@ -0,0 +1,36 @@
+//! How a request of a played day ended, and what holding it cost.
+
+use super::{CALLER_MS, World, give_up_ms};
+use crate::passes::credit::End;
+
+impl World<'_> {
+    /// Part of a request's worth that is lost because it was held without being tried.
+    pub(super) fn held(&self, i: usize) -> f64 {
+        let stream = &self.streams[i];
+        if !stream.engines.is_empty() {
+            return 0.0;
+        }
+        let request = &self.requests[i];
+        let kind = &self.sheet.kinds[request.kind];
+        let until = stream.refused_at.unwrap_or(f64::INFINITY) - request.at_ms;
+        let free = kind.first_event_ms / 8.0;
+        let all = give_up_ms(kind) * 0.75;
+        ((until - free) / (all - free)).clamp(0.0, 1.0)
+    }
+
+    pub(super) fn end(&self, i: usize) -> End {
+        let stream = &self.streams[i];
+        let request = &self.requests[i];
+        let kind = &self.sheet.kinds[request.kind];
+        let (Some(first), Some(ended)) = (stream.first_at, stream.ended_at) else {
+            return End::Lost;
+        };
+        let took = |at: f64| at - request.at_ms + CALLER_MS;
+        if took(first) > give_up_ms(kind) || took(ended) > kind.deadline_ms {
+            return End::Lost;
+        }
+        let is_on_time =
+            took(first) <= kind.first_event_ms && stream.longest_pause_ms <= kind.pause_ms;
+        if is_on_time { End::OnTime } else { End::Late }
+    }
+}
