--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -21,4 +21,4 @@
 pub use ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
 pub use mechanism::Mechanism;
 pub use options::PassOptions;
-pub use pool::PassPool;
+pub use pool::{PassPool, PoolLoad};
--- /dev/null
+++ b/crates/azuresaddle-sched/src/passes/pool/load.rs
@@ -0,0 +1,57 @@
+//! What a pool tells nodes that choose between pools.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::PassPool;
+
+/// Load of a pool at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolLoad {
+    /// Slots of the engines that take new work.
+    pub slots: usize,
+    /// Engines that take new work.
+    pub engines: usize,
+    /// Streams that run or wait for a slot.
+    pub streams: usize,
+    /// Reading that was begun or waits, over all engines.
+    pub reading: Duration,
+}
+
+impl PoolLoad {
+    /// Part of the slots that is taken or waited for; above one where more is asked than there is.
+    pub fn stream_share(&self) -> f64 {
+        self.streams as f64 / self.slots.max(1) as f64
+    }
+
+    /// Reading for each engine, in milliseconds.
+    pub fn reading_ms_per_engine(&self) -> f64 {
+        self.reading.as_secs_f64() * 1000.0 / self.engines.max(1) as f64
+    }
+}
+
+impl PassPool {
+    /// The load at this moment.
+    pub fn load(&self, now: Instant) -> PoolLoad {
+        let engines = self.open_engines(now);
+        let waiting = self.queue.iter();
+        let waiting_ms: f64 = waiting
+            .filter(|w| !self.is_short(w.read_ms))
+            .map(|w| w.read_ms)
+            .sum();
+        let begun = self.engines.values();
+        let begun_ms: f64 = begun
+            .map(|e| {
+                let read = e.reads_until.saturating_duration_since(now);
+                e.next_read_ms + read.as_secs_f64() * 1000.0
+            })
+            .sum();
+        PoolLoad {
+            slots: engines * self.spec.slots as usize,
+            engines,
+            streams: self.runs.len() + self.queue.len(),
+            reading: Duration::from_secs_f64((waiting_ms + begun_ms) / 1000.0),
+        }
+    }
+}
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -1,6 +1,7 @@
 //! A pool of engines: one queue, late binding, one ledger of streams.
 
 mod ledger;
+mod load;
 mod placement;
 mod refusals;
 mod slowness;
@@ -13,6 +14,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+pub use self::load::PoolLoad;
 use super::ask::{AskId, PassAsk, PassDecision, PassOutcome};
 use super::backlog::Backlog;
 use super::engine::{Engine, EngineId};
--- a/crates/azuresaddle-standin/src/cmd/passes.rs
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use anyhow::{Context, Result};
-use azuresaddle_standin::passes::{DayResults, PassPolicy, Sheet, Troubles, play_day};
+use azuresaddle_standin::passes::{DayResults, PassPolicy, Placers, Sheet, Troubles, play_day};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use super::args::say;
@@ -34,6 +34,14 @@
                 .value_parser(Troubles::NAMES)
                 .help("Something that goes wrong; may be given several times"),
         )
+        .arg(
+            Arg::new("placers")
+                .long("placers")
+                .value_name("PLACERS")
+                .value_parser(|text: &str| text.parse::<Placers>())
+                .default_value("one")
+                .help("Who places on which engines: one, domains or pools-N"),
+        )
         .arg(
             Arg::new("policy")
                 .long("policy")
@@ -63,6 +71,7 @@
     for trouble in args.get_many::<String>("trouble").into_iter().flatten() {
         sheet.troubles.add(trouble);
     }
+    sheet.placers = super::args::get(args, "placers");
     let policies: Vec<PassPolicy> = args
         .get_many("policy")
         .map_or_else(|| PassPolicy::ALL.to_vec(), |all| all.copied().collect());
--- a/crates/azuresaddle-standin/src/passes/mod.rs
+++ b/crates/azuresaddle-standin/src/passes/mod.rs
@@ -7,6 +7,7 @@
 mod baseline;
 mod credit;
 mod engine;
+mod placers;
 mod plot;
 mod policy;
 mod sheet;
@@ -16,8 +17,9 @@
 
 pub use credit::{DayResults, KindResults};
 pub use engine::{EngineModel, PassEnd};
+pub use placers::Placers;
 pub use plot::plot_worth;
 pub use policy::PassPolicy;
 pub use sheet::{FLOODING, KindOfRequest, Sheet, SheetRequest, draw_requests};
-pub use troubles::{Flood, SlowEngines, Troubles};
+pub use troubles::{CutOff, Flood, SlowEngines, SplitOwner, Stall, Troubles};
 pub use world::play_day;
--- a/crates/azuresaddle-standin/src/passes/sheet.rs
+++ b/crates/azuresaddle-standin/src/passes/sheet.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 
+use super::placers::Placers;
 use super::troubles::{Flood, Troubles};
 
 /// A kind of request.
@@ -55,6 +56,10 @@
     pub load: f64,
     /// Length of the day, in seconds.
     pub length_s: f64,
+    /// Failure domains that the engines are spread over evenly.
+    pub domains: usize,
+    /// Who places on which engines.
+    pub placers: Placers,
     /// What goes wrong.
     pub troubles: Troubles,
 }
--- a/crates/azuresaddle-standin/src/passes/sheets.rs
+++ b/crates/azuresaddle-standin/src/passes/sheets.rs
@@ -2,6 +2,7 @@
 
 use azuresaddle_core::deployment::EngineSpec;
 
+use super::placers::Placers;
 use super::sheet::{KindOfRequest, Sheet};
 use super::troubles::Troubles;
 
@@ -15,6 +16,8 @@
             kinds: usual_kinds([39.5, 2.87, 1.19]),
             load,
             length_s: 34.0,
+            domains: 3,
+            placers: Placers::One,
             troubles: Troubles::default(),
         }
     }
@@ -28,6 +31,8 @@
             kinds: usual_kinds([30.7, 2.23, 0.922]),
             load,
             length_s: 34.0,
+            domains: 3,
+            placers: Placers::One,
             troubles: Troubles::default(),
         }
     }
@@ -41,12 +46,48 @@
             kinds: surf_kinds(),
             load,
             length_s: 34.0,
+            domains: 3,
+            placers: Placers::One,
+            troubles: Troubles::default(),
+        }
+    }
+
+    /// Questions, reviews and digests on 150 engines in five failure domains.
+    pub fn large(load: f64) -> Self {
+        let mut kinds = usual_kinds([217.0, 23.2, 5.32]);
+        let answers = [(24.3, 250.0), (14.6, 600.0), (12.2, 1000.0)];
+        for (kind, (events, pause_ms)) in kinds.iter_mut().zip(answers) {
+            kind.events = events;
+            kind.max_events = events * 2.5;
+            kind.pause_ms = pause_ms;
+        }
+        kinds[0].worth = 1.4;
+        kinds[0].late_worth = 0.34;
+        kinds[1].worth = 2.3;
+        kinds[1].late_worth = 0.58;
+        kinds[2].prompt_tokens = 300_000.0;
+        kinds[2].first_event_ms = 4000.0;
+        kinds[2].worth = 26.0;
+        kinds[2].late_worth = 6.6;
+        Self {
+            name: "large",
+            engines: 150,
+            spec: EngineSpec {
+                slots: 10,
+                steps_per_pass: 73,
+                ..usual_engine()
+            },
+            kinds,
+            load,
+            length_s: 34.0,
+            domains: 5,
+            placers: Placers::One,
             troubles: Troubles::default(),
         }
     }
 
     /// All sheets by name.
-    pub const NAMES: [&'static str; 3] = ["sabarmati", "aguaclara", "surf"];
+    pub const NAMES: [&'static str; 4] = ["sabarmati", "aguaclara", "surf", "large"];
 
     /// The sheet of a name; `None` where there is none.
     pub fn named(name: &str, load: f64) -> Option<Self> {
@@ -54,6 +95,7 @@
             "sabarmati" => Some(Self::sabarmati(load)),
             "aguaclara" => Some(Self::aguaclara(load)),
             "surf" => Some(Self::surf(load)),
+            "large" => Some(Self::large(load)),
             _ => None,
         }
     }
--- a/crates/azuresaddle-standin/src/passes/troubles.rs
+++ b/crates/azuresaddle-standin/src/passes/troubles.rs
@@ -13,6 +13,57 @@
     pub gone_share: f64,
     /// Times that quick questions come as often in their own phase of the day; 0 for the usual.
     pub quick_burst: f64,
+    /// The owner of a pool decides nothing for a while, over and over.
+    pub stall: Option<Stall>,
+    /// Two nodes place in the same pool for a while.
+    pub split_owner: Option<SplitOwner>,
+    /// Nodes that reach engines and callers, but no other node.
+    pub cut_off: Option<CutOff>,
+}
+
+/// Stalls of an owner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stall {
+    /// Time from one to the next, in seconds.
+    pub every_s: f64,
+    /// Time of one, in seconds.
+    pub for_s: f64,
+}
+
+/// Two owners at a time; each gets half of the requests and knows only of these.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SplitOwner {
+    /// When it begins, in seconds.
+    pub from_s: f64,
+    /// When all nodes agree again, in seconds.
+    pub to_s: f64,
+}
+
+impl SplitOwner {
+    /// Whether there are two owners at a moment.
+    pub(super) fn applies(&self, at_ms: f64) -> bool {
+        (self.from_s * 1000.0..self.to_s * 1000.0).contains(&at_ms)
+    }
+}
+
+/// Nodes that are cut off from all others, each alone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CutOff {
+    /// Their number.
+    pub nodes: usize,
+    /// Part of the requests that they get.
+    pub share: f64,
+    /// When it begins, in seconds.
+    pub from_s: f64,
+    /// When it ends, in seconds.
+    pub to_s: f64,
+}
+
+impl CutOff {
+    /// Whether nodes are cut off at a moment.
+    pub(super) fn applies(&self, at_ms: f64) -> bool {
+        (self.from_s * 1000.0..self.to_s * 1000.0).contains(&at_ms)
+    }
 }
 
 /// One client account's flood of quick questions; they count for nobody's worth.
@@ -37,12 +88,16 @@
 
 impl Troubles {
     /// Names of the troubles that [`Troubles::add`] knows.
-    pub const NAMES: [&'static str; 5] = [
+    pub const NAMES: [&'static str; 9] = [
         "owner-changes",
         "slow-engines",
         "flood",
         "few-engines",
         "quick-burst",
+        "short-stalls",
+        "long-stalls",
+        "split-owner",
+        "cut-off",
     ];
 
     /// Adds a trouble in its usual strength; a name that is not known changes nothing.
@@ -68,6 +123,35 @@
             "few-engines" => self.gone_share = 0.3,
             // With few engines about twice what these can do.
             "quick-burst" => self.quick_burst = 1.4,
+            // What it takes to notice a killed owner.
+            "short-stalls" => {
+                self.stall = Some(Stall {
+                    every_s: 8.0,
+                    for_s: 0.3,
+                });
+            }
+            // A frozen owner that is waited for.
+            "long-stalls" => {
+                self.stall = Some(Stall {
+                    every_s: 8.0,
+                    for_s: 2.0,
+                });
+            }
+            "split-owner" => {
+                self.split_owner = Some(SplitOwner {
+                    from_s: 15.0,
+                    to_s: 18.0,
+                });
+            }
+            // A third of the nodes of a large fleet.
+            "cut-off" => {
+                self.cut_off = Some(CutOff {
+                    nodes: 100,
+                    share: 0.33,
+                    from_s: 1.0,
+                    to_s: 13.0,
+                });
+            }
             _ => {}
         }
     }
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -1,6 +1,7 @@
 //! Plays one day.
 
 mod judge;
+mod placer;
 mod takeover;
 
 use std::cmp::Reverse;
@@ -8,11 +9,12 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::passes::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, PassPool};
+use azuresaddle_sched::passes::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
+use self::placer::Placer;
 use super::baseline::place;
 use super::credit::{DayResults, End, PlayedDay, sum_up};
 use super::engine::EngineModel;
@@ -40,9 +42,16 @@
     FirstEventKnown(usize),
     EndKnown(usize),
     OwnerChange,
-    /// An engine's answer about its pace.
-    PaceKnown(usize),
-    Wake,
+    /// An engine's answer about its pace, to a placer.
+    PaceKnown(usize, usize),
+    /// The nodes learn of the pools' loads.
+    Publish,
+    /// A placer stops deciding for a while.
+    Stall,
+    /// Two owners of a pool become one again.
+    SplitEnds,
+    /// A placer's own timer.
+    Wake(usize),
 }
 
 /// A request in the day.
@@ -50,6 +59,8 @@
 struct Stream {
     /// What was asked, until the end is known.
     ask: Option<PassAsk>,
+    /// The placer that was asked.
+    placer: usize,
     /// Where it runs, and when its first event is expected.
     grant: Option<(PassGrant, Instant)>,
     engines: Vec<usize>,
@@ -90,11 +101,10 @@
     streams: Vec<Stream>,
     engines: Vec<EngineModel>,
     names: Vec<HostName>,
-    pool: Option<PassPool>,
+    placers: Vec<Placer>,
     events: BinaryHeap<Reverse<(u64, Event)>>,
     origin: Instant,
     rng: StdRng,
-    wake_at: Option<u64>,
 }
 
 impl<'a> World<'a> {
@@ -112,13 +122,12 @@
             streams: vec![Stream::default(); requests.len()],
             engines: (0..engines).map(engine).collect(),
             names,
-            pool: None,
+            placers: Vec::new(),
             events: BinaryHeap::new(),
             origin,
             rng: StdRng::seed_from_u64(seed),
-            wake_at: None,
         };
-        world.pool = world.new_pool(origin);
+        world.add_placers(origin);
         for (i, request) in requests.iter().enumerate() {
             world.push(request.at_ms, Event::Arrival(i));
         }
@@ -128,6 +137,14 @@
                 world.push(term as f64 * term_s * 1000.0, Event::OwnerChange);
             }
         }
+        if let Some(stall) = sheet.troubles.stall {
+            for n in 1..=(sheet.length_s / stall.every_s) as usize {
+                world.push(n as f64 * stall.every_s * 1000.0, Event::Stall);
+            }
+        }
+        if let Some(split) = sheet.troubles.split_owner {
+            world.push(split.to_s * 1000.0, Event::SplitEnds);
+        }
         world
     }
 
@@ -148,26 +165,28 @@
                 Event::PassEnd(engine) => self.end_pass(at_ms, engine),
                 Event::FirstEventKnown(i) => {
                     let now = self.instant(at_ms);
-                    if let Some(pool) = &mut self.pool {
-                        pool.on_first_event(now, ask_id(i));
+                    if let Some(placer) = self.placer_of(i) {
+                        placer.pool.on_first_event(now, ask_id(i));
                     }
                 }
                 Event::EndKnown(i) => {
                     let now = self.instant(at_ms);
-                    if let Some(pool) = &mut self.pool {
-                        pool.end(now, ask_id(i), &PassOutcome::Done);
+                    if let Some(placer) = self.placer_of(i) {
+                        placer.pool.end(now, ask_id(i), &PassOutcome::Done);
                     }
                     self.streams[i].ask = None;
                 }
-                Event::PaceKnown(engine) => {
+                Event::PaceKnown(engine, placer) => {
                     let now = self.instant(at_ms);
-                    if let Some(pool) = &mut self.pool {
-                        let pace = self.sheet.troubles.pace(engine);
-                        pool.on_pace(now, &self.names[engine], pace);
-                    }
+                    let pace = self.sheet.troubles.pace(engine);
+                    let placer = &mut self.placers[placer];
+                    placer.pool.on_pace(now, &self.names[engine], pace);
                 }
+                Event::Publish => self.publish(at_ms),
+                Event::Stall => self.stall(at_ms),
+                Event::SplitEnds => self.end_split(at_ms),
                 Event::OwnerChange => self.change_owner(at_ms),
-                Event::Wake => self.wake_at = None,
+                Event::Wake(placer) => self.placers[placer].wake_at = None,
             }
             self.dispatch(at_ms);
         }
@@ -177,13 +196,13 @@
         let request = &self.requests[i];
         let kind = &self.sheet.kinds[request.kind];
         let now = self.instant(at_ms);
-        let Some(pool) = &mut self.pool else {
+        if self.placers.is_empty() {
             let memory = request.prompt_tokens + request.answer_tokens;
             let members = memory.div_ceil(self.sheet.spec.memory_tokens) as usize;
             self.streams[i].engines = place(self.policy, &self.engines, members, &mut self.rng);
             self.push(at_ms + TO_ENGINE_MS, Event::AtEngines(i));
             return;
-        };
+        }
         let after = |ms: f64| now + Duration::from_secs_f64(ms / 1000.0);
         let ask = PassAsk {
             id: ask_id(i),
@@ -197,22 +216,37 @@
             deadline: after(kind.deadline_ms),
             exclude: Vec::new(),
         };
+        let placer = self.route(at_ms, i);
+        self.streams[i].placer = placer;
         self.streams[i].ask = Some(ask.clone());
-        pool.enqueue(now, ask);
+        self.placers[placer].pool.enqueue(now, ask);
+    }
+
+    /// The placer that has a stream in its ledger; `None` for a baseline.
+    fn placer_of(&mut self, i: usize) -> Option<&mut Placer> {
+        let placer = self.streams[i].placer;
+        self.placers.get_mut(placer)
     }
 
     fn dispatch(&mut self, at_ms: f64) {
+        for index in 0..self.placers.len() {
+            if at_ms >= self.placers[index].stalled_until_ms {
+                self.dispatch_pool(at_ms, index);
+            }
+        }
+    }
+
+    fn dispatch_pool(&mut self, at_ms: f64, index: usize) {
         let now = self.instant(at_ms);
-        let Some(pool) = &mut self.pool else {
-            return;
-        };
+        let pool = &mut self.placers[index].pool;
         pool.dispatch(now);
         let decisions = pool.take_decisions();
         let questions = pool.take_pace_questions(now);
         let wake = pool.next_wakeup(now);
         for name in questions {
             if let Some(engine) = self.names.iter().position(|n| *n == name) {
-                self.push(at_ms + TO_ENGINE_MS + TO_OWNER_MS, Event::PaceKnown(engine));
+                let known_at = at_ms + TO_ENGINE_MS + TO_OWNER_MS;
+                self.push(known_at, Event::PaceKnown(engine, index));
             }
         }
         for (id, decision) in decisions {
@@ -227,9 +261,10 @@
         }
         if let Some(at) = wake {
             let at_us = at.duration_since(self.origin).as_micros() as u64;
-            if self.wake_at.is_none_or(|known| at_us < known) {
-                self.wake_at = Some(at_us);
-                self.events.push(Reverse((at_us, Event::Wake)));
+            let placer = &mut self.placers[index];
+            if placer.wake_at.is_none_or(|known| at_us < known) {
+                placer.wake_at = Some(at_us);
+                self.events.push(Reverse((at_us, Event::Wake(index))));
             }
         }
     }
--- /dev/null
+++ b/crates/azuresaddle-standin/src/passes/world/placer.rs
@@ -0,0 +1,148 @@
+//! The nodes that place in a day, and which of them gets a request.
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::{PassPool, PoolLoad};
+use rand::Rng;
+use rand::seq::index::sample;
+use tokio::time::Instant;
+
+use super::{Event, World};
+use crate::passes::placers::Placers;
+
+/// Time between two publications of a pool's load, in milliseconds: two rounds of heartbeats.
+const PUBLISH_MS: f64 = 400.0;
+
+/// Times that the own failure domain's pool may be as loaded as another before requests spill over.
+const SPILL: f64 = 1.3;
+
+/// A node that places.
+pub(super) struct Placer {
+    pub(super) pool: PassPool,
+    /// The load that other nodes know.
+    pub(super) published: PoolLoad,
+    /// Until when it decides nothing, in milliseconds.
+    pub(super) stalled_until_ms: f64,
+    /// When its own timer is set for, in microseconds.
+    pub(super) wake_at: Option<u64>,
+}
+
+impl World<'_> {
+    /// A pool that knows of no stream, over the engines that belong to it.
+    pub(super) fn new_pool(&self, now: Instant, index: usize) -> Option<PassPool> {
+        let options = self.policy.options()?;
+        let mut pool = PassPool::new(options, self.sheet.spec.clone());
+        let Self { sheet, names, .. } = self;
+        for (i, name) in names.iter().enumerate() {
+            let is_member =
+                index >= self.pools() || sheet.placers.pool_of(i, sheet.domains) == index;
+            if is_member {
+                let domain = FailureDomain::new(format!("d{}", i % sheet.domains));
+                pool.upsert_engine(now, name, &domain, false);
+            }
+        }
+        Some(pool)
+    }
+
+    /// Pools that share the engines; placers beyond them place on all engines.
+    pub(super) fn pools(&self) -> usize {
+        self.sheet.placers.pools(self.sheet.domains)
+    }
+
+    pub(super) fn add_placers(&mut self, now: Instant) {
+        let lone = self.sheet.troubles.cut_off.map_or(0, |cut| cut.nodes);
+        let rivals = usize::from(self.sheet.troubles.split_owner.is_some());
+        for index in 0..self.pools() + rivals + lone {
+            let Some(pool) = self.new_pool(now, index) else {
+                return;
+            };
+            let published = pool.load(now);
+            self.placers.push(Placer {
+                pool,
+                published,
+                stalled_until_ms: 0.0,
+                wake_at: None,
+            });
+        }
+        self.push(PUBLISH_MS, Event::Publish);
+    }
+
+    /// All nodes learn of the pools' loads.
+    pub(super) fn publish(&mut self, at_ms: f64) {
+        let now = self.instant(at_ms);
+        for placer in &mut self.placers {
+            placer.published = placer.pool.load(now);
+        }
+        if at_ms < self.sheet.length_s * 1000.0 {
+            self.push(at_ms + PUBLISH_MS, Event::Publish);
+        }
+    }
+
+    /// The placer that a request goes to.
+    pub(super) fn route(&mut self, at_ms: f64, i: usize) -> usize {
+        let pools = self.pools();
+        if let Some(cut) = self.sheet.troubles.cut_off
+            && cut.applies(at_ms)
+            && self.rng.random::<f64>() < cut.share
+        {
+            return self.placers.len() - 1 - self.rng.random_range(0..cut.nodes);
+        }
+        let domain = self.rng.random_range(0..self.sheet.domains);
+        let chosen = match self.sheet.placers {
+            Placers::One => 0,
+            Placers::Pools(_) => self.best_of_two(i),
+            Placers::Domains => self.own_or_best(i, domain),
+        };
+        let split = self.sheet.troubles.split_owner;
+        if chosen == 0 && split.is_some_and(|s| s.applies(at_ms)) && self.rng.random::<bool>() {
+            return pools;
+        }
+        chosen
+    }
+
+    fn is_long(&self, i: usize) -> bool {
+        // Only the first kind of a sheet is read in a fraction of a pass.
+        self.requests[i].kind > 0
+    }
+
+    fn cost(&self, placer: usize, is_long: bool) -> f64 {
+        let load = &self.placers[placer].published;
+        if is_long {
+            load.reading_ms_per_engine()
+        } else {
+            load.stream_share()
+        }
+    }
+
+    fn best_of_two(&mut self, i: usize) -> usize {
+        let pools = self.pools();
+        if self.is_long(i) {
+            return self.least(true);
+        }
+        if pools < 2 {
+            return 0;
+        }
+        let two = sample(&mut self.rng, pools, 2);
+        let (a, b) = (two.index(0), two.index(1));
+        if self.cost(b, false) < self.cost(a, false) {
+            b
+        } else {
+            a
+        }
+    }
+
+    fn own_or_best(&self, i: usize, domain: usize) -> usize {
+        let is_long = self.is_long(i);
+        let best = self.least(is_long);
+        if self.cost(domain, is_long) > self.cost(best, is_long) * SPILL {
+            best
+        } else {
+            domain
+        }
+    }
+
+    fn least(&self, is_long: bool) -> usize {
+        let all = 0..self.pools();
+        let least = all.min_by(|a, b| self.cost(*a, is_long).total_cmp(&self.cost(*b, is_long)));
+        least.unwrap_or(0)
+    }
+}
--- a/crates/azuresaddle-standin/src/passes/world/takeover.rs
+++ b/crates/azuresaddle-standin/src/passes/world/takeover.rs
@@ -1,38 +1,57 @@
 //! Another node takes over the pool in the middle of a day.
 
-use azuresaddle_core::prelude::*;
-use azuresaddle_sched::passes::{PassPool, RunningStream};
+use azuresaddle_sched::passes::RunningStream;
 use tokio::time::Instant;
 
-use super::{NODE, TO_OWNER_MS, World};
+use super::{Event, NODE, Stream, TO_OWNER_MS, World};
 
 impl World<'_> {
-    /// The pool of a node that becomes the owner; `None` for a baseline.
-    pub(super) fn new_pool(&self, now: Instant) -> Option<PassPool> {
-        let options = self.policy.options()?;
-        let mut pool = PassPool::new(options, self.sheet.spec.clone());
-        for name in &self.names {
-            pool.upsert_engine(now, name, &FailureDomain::new("d1"), false);
+    /// Another node places in each pool from now on, by what the nodes tell it of their streams.
+    pub(super) fn change_owner(&mut self, at_ms: f64) {
+        for index in 0..self.placers.len() {
+            self.take_over(at_ms, index, &[index]);
         }
-        Some(pool)
     }
 
-    /// Another node places from now on, by what the nodes tell it of their streams.
-    pub(super) fn change_owner(&mut self, at_ms: f64) {
+    /// A new owner of a pool takes over the streams of some placers.
+    fn take_over(&mut self, at_ms: f64, index: usize, from: &[usize]) {
         let now = self.instant(at_ms);
-        let Some(mut pool) = self.new_pool(now) else {
+        let Some(mut pool) = self.new_pool(now, index) else {
             return;
         };
-        let running: Vec<RunningStream> = (0..self.streams.len())
+        let is_taken = |s: &Stream| from.contains(&s.placer);
+        let all = 0..self.streams.len();
+        let running: Vec<RunningStream> = all
+            .filter(|i| is_taken(&self.streams[*i]))
             .filter_map(|i| self.running(now, at_ms, i))
             .collect();
         pool.sync_node(now, NODE, &running, |_| false);
-        for stream in &self.streams {
+        for stream in self.streams.iter_mut().filter(|s| is_taken(s)) {
+            stream.placer = index;
             if let (Some(ask), None) = (&stream.ask, &stream.grant) {
                 pool.enqueue(now, ask.clone());
             }
         }
-        self.pool = Some(pool);
+        self.placers[index].pool = pool;
+    }
+
+    /// The owner of the first pool decides nothing for a while.
+    pub(super) fn stall(&mut self, at_ms: f64) {
+        let (Some(stall), Some(first)) = (self.sheet.troubles.stall, self.placers.first_mut())
+        else {
+            return;
+        };
+        let until_ms = at_ms + stall.for_s * 1000.0;
+        first.stalled_until_ms = until_ms;
+        self.push(until_ms, Event::Wake(0));
+    }
+
+    /// All nodes agree on one owner of the first pool again.
+    pub(super) fn end_split(&mut self, at_ms: f64) {
+        let rival = self.pools();
+        if rival < self.placers.len() {
+            self.take_over(at_ms, 0, &[0, rival]);
+        }
     }
 
     /// What a node tells a new owner of a stream.
