An owner that does not answer is replaced by the word of several nodes, with a term

A reset of 2,000 connections at 12.6 s made 100 nodes leave an owner that was well; from 13.8 to 15.8 s a fifth of the streams was placed by another node, neither knowing the other's. Now a node tells its word to the one that would succeed, which takes over when three agree (most of a small fleet), with a higher term, and tells all; an owner that hears a higher term yields, and passes on asks that still come to it; a call whose connection broke is made once more before anybody is suspected. Ruled out: that nodes were cut off from each other. The test of the owner that is passed over for a while is replaced by tests/succession: the owner does not come back after 2 s any more, since each change costs a handover; what it asked besides (silent owner replaced at once) is asked again.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -103,6 +103,7 @@
             targets_hash: 0,
             is_leaving: false,
             is_watching: false,
+            term: 0,
         };
         let members = Members::new(Instant::now(), own, settings.peer_port, &settings.seeds);
         Self {
@@ -146,9 +147,7 @@
                 },
                 Some(event) = store.recv() => self.on_store(event),
                 Some(news) = news_rx.recv() => self.on_peer_news(news),
-                Some(node) = self.no_answer.recv() => {
-                    self.members.on_no_answer(Instant::now(), node)
-                }
+                Some(node) = self.no_answer.recv() => self.on_no_answer(node).await,
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&news_tx).await,
                 // Without it a change soon after another one waited for the next tick: a node that had
@@ -189,6 +188,11 @@
                 false
             }
             Some(Datagram::Answer(news)) => self.members.on_answer(now, &news),
+            Some(Datagram::Vote(vote)) => {
+                let claimed = self.members.on_vote(now, vote);
+                self.tell_claim(now, claimed).await;
+                claimed
+            }
             None => {
                 tracing::debug!(part = "control", %from, "unreadable datagram ignored");
                 false
@@ -198,7 +202,10 @@
 
     async fn on_tick(&mut self, news_tx: &mpsc::Sender<Option<PeerNews>>) -> bool {
         let now = Instant::now();
+        let term = self.members.own.term;
         let members_changed = self.members.check(now);
+        self.tell_claim(now, self.members.own.term != term).await;
+        self.send_vote(now).await;
         let targets_changed = self.registry.check(now);
         self.update_watch(now);
         let destinations = self.members.destinations();
@@ -209,6 +216,37 @@
         members_changed || targets_changed
     }
 
+    /// Notes that the owner did not answer, and tells the node that would succeed.
+    async fn on_no_answer(&mut self, node: u64) -> bool {
+        let now = Instant::now();
+        let claimed = self.members.on_no_answer(now, node);
+        self.tell_claim(now, claimed).await;
+        if !claimed {
+            self.send_vote(now).await;
+        }
+        claimed
+    }
+
+    /// Tells the successor that the owner is silent, again with each tick, since datagrams get lost.
+    async fn send_vote(&self, now: Instant) {
+        if let Some((ip, vote)) = self.members.vote(now) {
+            self.send_to(ip, &Datagram::Vote(vote).encode()).await;
+        }
+    }
+
+    /// Tells all nodes at once that this one places streams now: by the usual way some would ask the
+    /// earlier owner for a second.
+    async fn tell_claim(&mut self, now: Instant, claimed: bool) {
+        if !claimed {
+            return;
+        }
+        self.metrics.owner_claims.inc();
+        let bytes = Datagram::Heartbeat(self.members.bare_heartbeat()).encode();
+        for ip in self.members.alive_hosts(now) {
+            self.send_to(ip, &bytes).await;
+        }
+    }
+
     /// Follows the store where this node is one of those that do.
     fn update_watch(&mut self, now: Instant) {
         let should = self.members.should_watch(now);
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -7,7 +7,7 @@
 /// Most bytes of a datagram; below the usual limit of an unfragmented one.
 pub(super) const MAX_BYTES: usize = 1400;
 
-/// Most nodes whose whole news are in a heartbeat; each takes at most 44 bytes.
+/// Most nodes whose whole news are in a heartbeat; each takes at most 49 bytes.
 pub(super) const MAX_OTHERS: usize = 8;
 
 /// Most signs of life in a heartbeat; each takes at most 13 bytes. With whole news of 28 nodes in
@@ -42,6 +42,8 @@
     pub(super) is_leaving: bool,
     /// Whether it follows the store and the store answers.
     pub(super) is_watching: bool,
+    /// Term of its claim to place streams; 0 for none. The highest one among live nodes counts.
+    pub(super) term: u32,
 }
 
 impl NodeNews {
@@ -97,6 +99,17 @@
     Question(Vec<Ipv4Addr>),
     /// The answer to that.
     Answer(Vec<NodeNews>),
+    /// Tells the node that would succeed that the owner does not answer.
+    Vote(Vote),
+}
+
+/// One node's word that the owner does not answer it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Vote {
+    /// Incarnation of the node that says so.
+    pub(super) voter: u64,
+    /// Incarnation of the owner.
+    pub(super) owner: u64,
 }
 
 impl Datagram {
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -3,6 +3,7 @@
 //! A small fleet exchanges heartbeats between all nodes. In a larger one each node sends to a few
 //! partners, who pass on what they heard, so that its messages don't grow with the fleet.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::heartbeat::NodeNews;
+use super::succession::Succession;
 use crate::snapshot::LiveNode;
 
 /// Time between two looks at the members.
@@ -45,9 +47,6 @@
 /// Fewest nodes that must say that the store answers them before others leave it alone.
 const MIN_WATCHING: usize = 2;
 
-/// Time for which a node that does not answer calls is not taken for the owner.
-const SUSPECT: Duration = Duration::from_secs(2);
-
 /// Another node.
 #[derive(Clone, Debug)]
 pub(super) struct Member {
@@ -68,8 +67,7 @@
     pub(super) members: HashMap<Ipv4Addr, Member>,
     checked_at: Instant,
     pub(super) ticks: u32,
-    /// A node that did not answer calls, and until when it is passed over.
-    suspect: Option<(u64, Instant)>,
+    pub(super) succession: Succession,
     /// Chooses partners; seeded by the incarnation, so that tests repeat.
     pub(super) rng: SmallRng,
 }
@@ -84,7 +82,7 @@
             members: HashMap::new(),
             checked_at: now,
             ticks: 0,
-            suspect: None,
+            succession: Succession::default(),
         }
     }
 
@@ -146,48 +144,40 @@
         self.ticks = self.ticks.wrapping_add(1);
         self.members
             .retain(|_, m| now.saturating_duration_since(m.heard_at) < FORGET);
-        let suspicion_ended = self.suspect.is_some_and(|(_, until)| now >= until);
-        if suspicion_ended {
-            self.suspect = None;
-        }
+        let claimed = self.follow_suspicion(now);
         let mut members = self.members.values();
-        members.any(|m| self.is_alive(m, before) != self.is_alive(m, now)) || suspicion_ended
-    }
-
-    /// Notes that a node did not answer calls; true where it was the owner so far.
-    pub(super) fn on_no_answer(&mut self, now: Instant, incarnation: u64) -> bool {
-        let was_owner = self.live(now).1 == incarnation && incarnation != self.own.incarnation;
-        if was_owner {
-            self.suspect = Some((incarnation, now + SUSPECT));
-        }
-        was_owner
+        members.any(|m| self.is_alive(m, before) != self.is_alive(m, now)) || claimed
     }
 
     /// Live nodes, this one among them, and the incarnation of the one that places streams.
     pub(super) fn live(&self, now: Instant) -> (Vec<LiveNode>, u64) {
         let all = self.ranked(now);
-        let suspected = |n: &&&NodeNews| {
-            self.suspect
-                .is_some_and(|(incarnation, _)| n.incarnation == incarnation)
-        };
-        let owner = all.iter().find(|n| !suspected(n)).unwrap_or(&all[0]);
+        let owner = all[0].incarnation;
         let nodes = all.iter().map(|n| LiveNode {
             incarnation: n.incarnation,
             callers: n.callers(),
             peer: SocketAddr::from((n.ip, self.peer_port)),
             takes_callers: n.takes_callers(),
         });
-        (nodes.collect(), owner.incarnation)
+        (nodes.collect(), owner)
     }
 
-    /// Live nodes, the best owner first: the oldest of the strongest. So the owner changes only when
-    /// it goes, and a restarted node does not take over from one that knows the running streams.
-    fn ranked(&self, now: Instant) -> Vec<&NodeNews> {
+    /// Live nodes, the best owner first: the latest to have claimed, else the oldest of the strongest. So
+    /// the owner changes only when it goes or several nodes agree, and a restarted node does not take
+    /// over from one that knows the running streams.
+    pub(super) fn ranked(&self, now: Instant) -> Vec<&NodeNews> {
         let mut all: Vec<&NodeNews> = self.alive(now).map(|m| &m.news).collect();
         all.push(&self.own);
         all.sort_by_key(|n| {
             let strength = u32::MAX - n.cpu_milli;
-            (!n.takes_callers(), strength, n.started_ms, n.incarnation)
+            let claim = Reverse(n.term);
+            (
+                !n.takes_callers(),
+                claim,
+                strength,
+                n.started_ms,
+                n.incarnation,
+            )
         });
         all
     }
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod registry;
 mod spread;
 mod store_watch;
+mod succession;
 #[cfg(test)]
 mod tests;
 
--- a/crates/azuresaddle-edge/src/control/spread.rs
+++ b/crates/azuresaddle-edge/src/control/spread.rs
@@ -47,6 +47,22 @@
         }
     }
 
+    /// The own heartbeat without news of others.
+    pub(super) fn bare_heartbeat(&mut self) -> Heartbeat {
+        self.own.counter = self.own.counter.wrapping_add(1);
+        Heartbeat {
+            from: self.own.clone(),
+            others: Vec::new(),
+            signs: Vec::new(),
+        }
+    }
+
+    /// Hosts of all live nodes but this one.
+    pub(super) fn alive_hosts(&self, now: Instant) -> Vec<Ipv4Addr> {
+        let alive = self.members.values().filter(|m| self.is_alive(m, now));
+        alive.map(|m| m.news.ip).collect()
+    }
+
     /// Takes a heartbeat from a host; true where it changes who is alive or what it offers.
     pub(super) fn on_heartbeat(&mut self, now: Instant, from: Ipv4Addr, beat: &Heartbeat) -> bool {
         if beat.from.ip != from {
@@ -97,7 +113,8 @@
         // A later sign of life may have come before these news.
         let later_sign = same_process.filter(|m| m.heard >= news.counter);
         let (heard, heard_at) = later_sign.map_or((news.counter, now), |m| (m.heard, m.heard_at));
-        let same_offer = same_process.filter(|m| m.news.takes_callers() == news.takes_callers());
+        let same_offer = same_process
+            .filter(|m| m.news.takes_callers() == news.takes_callers() && m.news.term == news.term);
         let changed = !same_offer.is_some_and(|m| self.is_alive(m, now));
         let same_state = same_offer.filter(|m| m.news.is_watching == news.is_watching);
         let member = Member {
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/succession.rs
@@ -0,0 +1,163 @@
+//! Who places streams after an owner that does not answer.
+//!
+//! Answers the pattern of an owner that stalls, or that some nodes can't reach, in a fleet of hundreds.
+//! Each node on its own took the next one for the owner, for as long as it liked: for seconds two nodes
+//! placed on the same engines, each without knowledge of the other's streams, and half of the short
+//! prompts were late. Now a node tells its word to the one that would succeed. That one takes over when
+//! several agree, with a higher term, and tells everybody; an earlier owner that hears of the term yields.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::heartbeat::{NodeNews, Vote};
+use super::members::Members;
+
+/// Most votes that it takes to replace an owner: one node, or two behind one broken switch port, say
+/// more of themselves than of the owner.
+const MAX_VOTES: usize = 3;
+
+/// Age up to which a vote counts: nodes find the silence with their own calls, within two reports.
+const VOTE_KEPT: Duration = Duration::from_millis(1000);
+
+/// Time after its last call without an answer for which a node suspects the owner.
+const SUSPICION_KEPT: Duration = Duration::from_millis(1000);
+
+/// Time that a successor gets to take over before the next one is asked: many round trips.
+const SUCCESSOR_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Time for which a successor that did not take over is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(2);
+
+/// What is known of an owner that may have gone silent.
+#[derive(Debug, Default)]
+pub(super) struct Succession {
+    /// The own suspicion.
+    suspicion: Option<Suspicion>,
+    /// Successors that did not take over, and until when they are passed over.
+    passed_over: HashMap<u64, Instant>,
+    /// Owner that the votes are about.
+    votes_on: u64,
+    /// When each node gave its word.
+    votes: HashMap<u64, Instant>,
+}
+
+/// An owner that did not answer this node.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    owner: u64,
+    /// When the present successor was first told.
+    since: Instant,
+    /// When the owner last gave no answer.
+    renewed_at: Instant,
+}
+
+impl Members {
+    /// Notes that the owner did not answer a call; true where this node takes over by it.
+    pub(super) fn on_no_answer(&mut self, now: Instant, incarnation: u64) -> bool {
+        let is_owner = self.ranked(now)[0].incarnation == incarnation;
+        if !is_owner || incarnation == self.own.incarnation {
+            return false;
+        }
+        let known = self.succession.suspicion;
+        let since = known.filter(|s| s.owner == incarnation).map(|s| s.since);
+        self.succession.suspicion = Some(Suspicion {
+            owner: incarnation,
+            since: since.unwrap_or(now),
+            renewed_at: now,
+        });
+        self.follow_suspicion(now)
+    }
+
+    /// Where to tell of the silent owner, and what; `None` where this node suspects nobody.
+    pub(super) fn vote(&self, now: Instant) -> Option<(Ipv4Addr, Vote)> {
+        let suspicion = self.succession.suspicion?;
+        let successor = self.successor(now, suspicion.owner)?;
+        let vote = Vote {
+            voter: self.own.incarnation,
+            owner: suspicion.owner,
+        };
+        (successor.incarnation != self.own.incarnation).then_some((successor.ip, vote))
+    }
+
+    /// Takes a node's word that the owner does not answer it; true where this node takes over.
+    pub(super) fn on_vote(&mut self, now: Instant, vote: Vote) -> bool {
+        let owner = self.ranked(now)[0].incarnation;
+        if vote.owner != owner || owner == self.own.incarnation || !self.own.takes_callers() {
+            return false;
+        }
+        let needed = self.votes_needed(now);
+        let succession = &mut self.succession;
+        if succession.votes_on != owner {
+            succession.votes_on = owner;
+            succession.votes.clear();
+        }
+        succession.votes.insert(vote.voter, now);
+        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < VOTE_KEPT;
+        succession.votes.retain(|_, at| is_fresh(at));
+        if succession.votes.len() < needed {
+            return false;
+        }
+        self.claim(now);
+        true
+    }
+
+    /// Follows the own suspicion as time passes; true where this node takes over.
+    pub(super) fn follow_suspicion(&mut self, now: Instant) -> bool {
+        self.succession.passed_over.retain(|_, until| now < *until);
+        let Some(suspicion) = self.succession.suspicion else {
+            return false;
+        };
+        let is_owner = self.ranked(now)[0].incarnation == suspicion.owner;
+        if !is_owner || now.saturating_duration_since(suspicion.renewed_at) >= SUSPICION_KEPT {
+            self.succession.suspicion = None;
+            return false;
+        }
+        let successor = self.successor(now, suspicion.owner).map(|n| n.incarnation);
+        if successor == Some(self.own.incarnation) {
+            let voter = self.own.incarnation;
+            let owner = suspicion.owner;
+            return self.on_vote(now, Vote { voter, owner });
+        }
+        if now.saturating_duration_since(suspicion.since) >= SUCCESSOR_PATIENCE {
+            let until = now + PASSED_OVER;
+            let succession = &mut self.succession;
+            succession.passed_over.extend(successor.map(|s| (s, until)));
+            succession.suspicion = Some(Suspicion {
+                since: now,
+                ..suspicion
+            });
+        }
+        false
+    }
+
+    /// Places streams from now on, by a term above all that are known.
+    fn claim(&mut self, now: Instant) {
+        let highest = self.members.values().map(|m| m.news.term).max();
+        self.own.term = highest.unwrap_or(0).max(self.own.term) + 1;
+        let votes = self.succession.votes.len();
+        tracing::info!(
+            part = "control",
+            term = self.own.term,
+            votes,
+            "owner claims"
+        );
+        self.succession = Succession::default();
+        debug_assert_eq!(self.ranked(now)[0].incarnation, self.own.incarnation);
+    }
+
+    /// The node that would place if the owner were gone.
+    fn successor(&self, now: Instant, owner: u64) -> Option<&NodeNews> {
+        let passed_over = &self.succession.passed_over;
+        let mut others = self.ranked(now).into_iter();
+        others.find(|n| n.incarnation != owner && !passed_over.contains_key(&n.incarnation))
+    }
+
+    /// Votes that it takes: most of a small fleet without its owner.
+    fn votes_needed(&self, now: Instant) -> usize {
+        let others = self.ranked(now).len() - 1;
+        others.div_ceil(2).clamp(1, MAX_VOTES)
+    }
+}
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod members;
 mod registry;
+mod succession;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/tests/succession.rs
@@ -0,0 +1,154 @@
+//! When an owner that does not answer is replaced, and by whom.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::members::{beat, ip, members, pass};
+use crate::control::heartbeat::Vote;
+use crate::control::members::{Members, TICK};
+
+/// A fleet whose nodes know of each other; node `n` has the incarnation `n * 1000` and the lowest one
+/// places.
+fn fleet(now: Instant, nodes: u16) -> Vec<Members> {
+    let informed = |own: u16| {
+        let mut members = members(now, own);
+        for other in (1..=nodes).filter(|n| *n != own) {
+            members.on_heartbeat(now, ip(other), &beat(other, 0));
+        }
+        members
+    };
+    (1..=nodes).map(informed).collect()
+}
+
+fn vote(voter: u16, owner: u16) -> Vote {
+    Vote {
+        voter: u64::from(voter) * 1000,
+        owner: u64::from(owner) * 1000,
+    }
+}
+
+/// Brings a node's claim to all others.
+fn tell(fleet: &mut [Members], claimant: u16, now: Instant) {
+    let beat = fleet[usize::from(claimant) - 1].bare_heartbeat();
+    for members in fleet {
+        members.on_heartbeat(now, ip(claimant), &beat);
+    }
+}
+
+fn owners(fleet: &[Members], now: Instant) -> Vec<u64> {
+    let mut all: Vec<u64> = fleet.iter().map(|m| m.live(now).1).collect();
+    all.sort_unstable();
+    all.dedup();
+    all
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_does_not_answer_is_replaced_and_yields() {
+    let start = Instant::now();
+    let mut fleet = fleet(start, 2);
+    assert!(fleet[1].on_no_answer(start, 1000));
+    assert_eq!(fleet[1].live(start).1, 2000);
+    tell(&mut fleet, 2, start);
+    assert_eq!(owners(&fleet, start), [2000], "the earlier owner yields");
+    // It answers again; a second change would cost a second handover.
+    let mut now = start;
+    for counter in 2..26 {
+        now = pass(&mut fleet[1], now, TICK);
+        fleet[1].on_heartbeat(now, ip(1), &beat(1, counter));
+    }
+    assert_eq!(fleet[1].live(now).1, 2000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_word_of_one_or_two_nodes_replaces_no_owner_of_300() {
+    let now = Instant::now();
+    let mut fleet = fleet(now, 300);
+    for _ in 0..10 {
+        assert!(!fleet[1].on_vote(now, vote(7, 1)));
+        assert!(!fleet[1].on_vote(now, vote(8, 1)));
+    }
+    assert!(fleet[1].on_vote(now, vote(9, 1)), "three agree");
+}
+
+#[tokio::test(start_paused = true)]
+async fn votes_of_long_ago_do_not_count() {
+    let start = Instant::now();
+    let mut fleet = fleet(start, 20);
+    assert!(!fleet[1].on_vote(start, vote(7, 1)));
+    assert!(!fleet[1].on_vote(start, vote(8, 1)));
+    let later = start + Duration::from_millis(1500);
+    assert!(!fleet[1].on_vote(later, vote(9, 1)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn votes_on_an_earlier_owner_do_not_count() {
+    let now = Instant::now();
+    let mut fleet = fleet(now, 20);
+    for voter in 7..10 {
+        fleet[1].on_vote(now, vote(voter, 1));
+    }
+    tell(&mut fleet, 2, now);
+    for voter in 10..14 {
+        assert!(!fleet[2].on_vote(now, vote(voter, 1)));
+    }
+    assert_eq!(owners(&fleet, now), [2000]);
+}
+
+/// A third of the nodes can't reach the owner, all in the same moment.
+#[tokio::test(start_paused = true)]
+async fn all_of_300_agree_on_one_owner_whoever_suspects_it() {
+    let now = Instant::now();
+    let mut fleet = fleet(now, 300);
+    let mut claims = Vec::new();
+    for n in 200..300 {
+        assert!(!fleet[n].on_no_answer(now, 1000), "no node acts alone");
+        let (to, vote) = fleet[n].vote(now).expect("a vote");
+        let index = usize::from(to.octets()[3]) - 1;
+        if fleet[index].on_vote(now, vote) {
+            claims.push(index + 1);
+        }
+    }
+    assert_eq!(claims, [2], "one takes over, once");
+    assert!(owners(&fleet, now).len() <= 2);
+    tell(&mut fleet, 2, now);
+    assert_eq!(owners(&fleet, now), [2000]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_successor_that_does_not_take_over_is_passed_over() {
+    let start = Instant::now();
+    let mut fleet = fleet(start, 20);
+    fleet[9].on_no_answer(start, 1000);
+    assert_eq!(fleet[9].vote(start).map(|v| v.0), Some(ip(2)));
+    let mut now = start;
+    while now < start + Duration::from_millis(600) {
+        now = pass(&mut fleet[9], now, TICK);
+        fleet[9].on_no_answer(now, 1000);
+    }
+    assert_eq!(fleet[9].vote(now).map(|v| v.0), Some(ip(3)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_answers_again_is_suspected_no_more() {
+    let start = Instant::now();
+    let mut fleet = fleet(start, 20);
+    fleet[9].on_no_answer(start, 1000);
+    let now = pass(&mut fleet[9], start, Duration::from_millis(1200));
+    assert_eq!(fleet[9].vote(now), None);
+    assert_eq!(fleet[9].live(now).1, 1000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_that_take_over_at_once_are_told_apart_by_rank() {
+    let now = Instant::now();
+    let mut fleet = fleet(now, 20);
+    for claimant in [2, 3] {
+        for voter in 7..10 {
+            fleet[claimant].on_vote(now, vote(voter, 1));
+        }
+    }
+    tell(&mut fleet, 3, now);
+    tell(&mut fleet, 4, now);
+    assert_eq!(owners(&fleet, now), [3000]);
+}
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -68,6 +68,7 @@
     pub(crate) nodes: Gauge,
     pub(crate) is_owner: Gauge,
     pub(crate) store_failures: Counter,
+    pub(crate) owner_claims: Counter,
 }
 
 impl Metrics {
@@ -84,6 +85,7 @@
             nodes: Gauge::default(),
             is_owner: Gauge::default(),
             store_failures: Counter::default(),
+            owner_claims: Counter::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -126,6 +128,8 @@
         r.register("owner", help, self.is_owner.clone());
         let help = "Times that the store stopped answering";
         r.register("store_failures", help, self.store_failures.clone());
+        let help = "Times that this node took over from an owner that did not answer";
+        r.register("owner_claims", help, self.owner_claims.clone());
     }
 
     /// Counts an answer to a caller.
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -112,7 +112,8 @@
         let owner = Owner::spawn(&spawner, &snapshots, incarnation, placing, pace_questions);
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
         let peers = bind(&net, "calls between nodes", peer_addr).await?;
-        serve_peers(peers, &spawner, Arc::clone(&owner), snapshots.clone());
+        let served = Arc::clone(&owner);
+        serve_peers(peers, &spawner, served, snapshots.clone(), incarnation);
         let placement = Placement::spawn(
             &spawner,
             PlacementParts {
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
@@ -24,6 +25,8 @@
     /// Time left until the request must have ended.
     pub(crate) time_left: Duration,
     pub(crate) exclude: Vec<HostName>,
+    /// Whether another node passed it on, so that it is decided here whoever the owner is.
+    pub(crate) is_redirected: bool,
 }
 
 /// The owner's decision.
@@ -40,6 +43,11 @@
     Refused { retry_after: Duration },
     /// The node does not know the service; ask again.
     Unknown,
+    /// Another node places streams; ask there.
+    Moved {
+        /// Where nodes call it.
+        peer: SocketAddr,
+    },
 }
 
 /// What happened to a stream.
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -1,5 +1,6 @@
 //! Serves other nodes.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use azuresaddle_core::prelude::*;
@@ -20,6 +21,7 @@
     spawner: &Spawner,
     owner: Arc<Owner>,
     snapshots: Snapshots,
+    node: u64,
 ) where
     L: Listener,
     L::Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
@@ -29,6 +31,7 @@
         let server = PeerServer {
             owner: Arc::clone(&owner),
             snapshots: snapshots.clone(),
+            node,
         };
         let requests = tasks.clone();
         tasks.spawn(async move {
@@ -44,11 +47,27 @@
 struct PeerServer {
     owner: Arc<Owner>,
     snapshots: Snapshots,
+    /// Incarnation of this node.
+    node: u64,
+}
+
+impl PeerServer {
+    /// Where the owner is called, where it is another node.
+    fn other_owner(&self) -> Option<SocketAddr> {
+        let snapshot = self.snapshots.load();
+        let owner = snapshot.node(snapshot.owner)?;
+        (owner.incarnation != self.node).then_some(owner.peer)
+    }
 }
 
 impl EdgePeer for PeerServer {
     async fn ask(self, _: Context, ask: AskMessage) -> AskReply {
-        self.owner.ask(ask).await
+        // An owner that was replaced while it stalled would place without knowledge of the other's
+        // streams for as long as nodes ask it.
+        match self.other_owner() {
+            Some(peer) if !ask.is_redirected => AskReply::Moved { peer },
+            _ => self.owner.ask(ask).await,
+        }
     }
 
     async fn report(self, _: Context, reports: Vec<Report>) {
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -1,6 +1,7 @@
 //! Asks the owner where a stream may run.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -156,7 +157,7 @@
                 Ok(placed)
             }
             AskReply::Refused { retry_after } => Err(retry_after),
-            AskReply::Unknown => Err(RETRY_PAUSE),
+            AskReply::Unknown | AskReply::Moved { .. } => Err(RETRY_PAUSE),
         }
     }
 
@@ -179,7 +180,7 @@
                 _ = reconnects.changed() => continue,
             };
             match &reply {
-                Some(AskReply::Unknown) | None => {
+                Some(AskReply::Unknown | AskReply::Moved { .. }) | None => {
                     if failing_since.is_none() {
                         tracing::info!(
                             part = "placement",
@@ -220,6 +221,7 @@
             give_up_in: req.give_up_at.saturating_duration_since(now),
             time_left: req.deadline.saturating_duration_since(now),
             exclude: req.exclude.clone(),
+            is_redirected: false,
         };
         if who == self.node || alone {
             if alone {
@@ -228,6 +230,20 @@
             return Some(self.owner.ask(ask).await);
         }
         let peer = self.snapshots.load().node(who)?.peer;
+        match self.ask_peer(peer, ask.clone()).await? {
+            AskReply::Moved { peer } => {
+                let is_redirected = true;
+                let ask = AskMessage {
+                    is_redirected,
+                    ..ask
+                };
+                self.ask_peer(peer, ask).await
+            }
+            reply => Some(reply),
+        }
+    }
+
+    async fn ask_peer(&self, peer: SocketAddr, ask: AskMessage) -> Option<AskReply> {
         let timeout = ask.time_left;
         let reply = self
             .peers
--- a/crates/azuresaddle-edge/src/placement/reporter.rs
+++ b/crates/azuresaddle-edge/src/placement/reporter.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
+use azuresaddle_rpc::RpcError;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
@@ -17,8 +18,9 @@
 /// Time that reports are gathered; a fraction of a pass.
 const GATHER: Duration = Duration::from_millis(3);
 
-/// Longest wait for the owner to take a message.
-const TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the owner to take a message: a hundred times the usual way there and back, and the
+/// time to the first event of a short prompt. After it this node says that the owner is silent.
+const TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time between two complete listings to the owner; they also find a dead connection.
 const SYNC_INTERVAL: Duration = Duration::from_millis(700);
@@ -67,6 +69,7 @@
 }
 
 /// Something for the owner.
+#[derive(Clone)]
 enum Message {
     Sync(SyncMessage),
     Reports(Vec<Report>),
@@ -89,19 +92,32 @@
     let Some((owner, peer)) = owner_addr(placement) else {
         return;
     };
-    let sent = placement
-        .peers()
-        .call(peer, TIMEOUT, async |client, cx| match message {
-            Message::Sync(sync) => client.sync(cx, sync).await,
-            Message::Reports(reports) => client.report(cx, reports).await,
-        })
-        .await;
+    let mut sent = send(placement, peer, &message).await;
+    if sent == Err(RpcError::Broken) {
+        // A connection that was reset says nothing of the owner: a switch that reset two thousand of them
+        // made 100 nodes leave an owner that was well.
+        sent = send(placement, peer, &message).await;
+    }
     if let Err(e) = sent {
         tracing::info!(part = "placement", %peer, error = %e, "owner not reached");
         placement.on_no_answer(owner);
     }
 }
 
+async fn send<N: Network>(
+    placement: &Placement<N>,
+    peer: SocketAddr,
+    message: &Message,
+) -> Result<(), RpcError> {
+    placement
+        .peers()
+        .call(peer, TIMEOUT, async |client, cx| match message.clone() {
+            Message::Sync(sync) => client.sync(cx, sync).await,
+            Message::Reports(reports) => client.report(cx, reports).await,
+        })
+        .await
+}
+
 fn owner_addr<N: Network>(placement: &Placement<N>) -> Option<(u64, SocketAddr)> {
     let snapshot = placement.snapshots().load();
     let node = snapshot.node(snapshot.owner)?;
--- a/crates/azuresaddle-rpc/src/clients.rs
+++ b/crates/azuresaddle-rpc/src/clients.rs
@@ -74,7 +74,11 @@
         cx.deadline = Instant::now() + timeout * 2;
         match tokio::time::timeout(timeout, call(C::from(channel), cx)).await {
             Ok(Ok(value)) => Ok(value),
-            _ => {
+            Ok(Err(_)) => {
+                self.forget(addr);
+                Err(RpcError::Broken)
+            }
+            Err(_) => {
                 self.forget(addr);
                 Err(RpcError::NoAnswer)
             }
--- a/crates/azuresaddle-rpc/src/error.rs
+++ b/crates/azuresaddle-rpc/src/error.rs
@@ -8,6 +8,9 @@
     /// No connection was made, so nothing was sent.
     #[error("node unreachable")]
     Unreachable,
+    /// The connection broke before the answer came.
+    #[error("connection to the node broke")]
+    Broken,
     /// No answer came in time.
     #[error("no answer from the node")]
     NoAnswer,
