--- a/crates/azuresaddle-sched/src/passes/pace.rs
+++ b/crates/azuresaddle-sched/src/passes/pace.rs
@@ -66,21 +66,27 @@
         }
     }
 
-    /// Whether the engine should be asked now; it then counts as asked.
-    pub(super) fn take_question(&mut self, now: Instant) -> bool {
+    /// Whether the engine should be asked now.
+    pub(super) fn is_question_due(&self, now: Instant) -> bool {
         let since = self.asked_at.map(|at| now.saturating_duration_since(at));
-        let is_due = match since {
+        match since {
             None => self.is_suspected || self.is_slow(),
             Some(since) => {
                 (self.is_suspected && since >= MIN_INTERVAL)
                     || (self.is_slow() && since >= RECHECK_INTERVAL)
             }
-        };
-        if is_due {
-            self.is_suspected = false;
-            self.asked_at = Some(now);
         }
-        is_due
+    }
+
+    /// When the engine was last asked.
+    pub(super) fn asked_at(&self) -> Option<Instant> {
+        self.asked_at
+    }
+
+    /// Notes that the engine is asked.
+    pub(super) fn on_question(&mut self, now: Instant) {
+        self.is_suspected = false;
+        self.asked_at = Some(now);
     }
 }
 
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 pub use self::load::PoolLoad;
+use self::slowness::QuestionBudget;
 use super::ask::{AskId, PassAsk, PassDecision, PassOutcome};
 use super::backlog::Backlog;
 use super::engine::{Engine, EngineId};
@@ -58,6 +59,7 @@
     next_refusals: Instant,
     /// When all running streams are looked at again for overdue first events.
     next_look: Instant,
+    questions: QuestionBudget,
 }
 
 impl PassPool {
@@ -77,6 +79,7 @@
             decisions: Vec::new(),
             next_refusals: Instant::now(),
             next_look: Instant::now(),
+            questions: QuestionBudget::new(Instant::now()),
         }
     }
 
--- a/crates/azuresaddle-sched/tests/suite/passes/pace.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/pace.rs
@@ -76,3 +76,31 @@
     let grant = start(&mut pool, now, 1, 3000).unwrap();
     assert!(grant.first_event_in < Duration::from_millis(100));
 }
+
+/// The owner was held up, so every first event seems overdue.
+#[tokio::test(start_paused = true)]
+async fn questions_to_all_engines_at_once_are_spread_and_leave_none_out() {
+    const ENGINES: usize = 150;
+    let now = Instant::now();
+    let mut pool = pool(now, ENGINES);
+    for number in 0..ENGINES as u64 {
+        let mut ask = ask(now, number, 100_000);
+        ask.first_event_by = now + Duration::from_millis(100_000);
+        pool.enqueue(now, ask);
+        pool.dispatch(now);
+    }
+    let late = now + Duration::from_secs(20);
+    let mut asked = Vec::new();
+    let mut in_first_second = 0;
+    for tick in 0..100 {
+        let now = late + Duration::from_millis(tick * 40);
+        asked.extend(pool.take_pace_questions(now));
+        if tick < 25 {
+            in_first_second = asked.len();
+        }
+    }
+    assert!(in_first_second <= 80, "{in_first_second} in a second");
+    asked.sort();
+    asked.dedup();
+    assert!(asked.len() > 100, "{} engines asked", asked.len());
+}
