--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -25,7 +25,8 @@
     /// Time left until the request must have ended.
     pub(crate) time_left: Duration,
     pub(crate) exclude: Vec<HostName>,
-    /// Whether another node passed it on, so that it is decided here whoever the owner is.
+    /// Whether another node named this one as the owner; it is then decided here, so that two nodes that
+    /// each take the other for the owner don't send it to and fro.
     pub(crate) is_redirected: bool,
 }
 
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -238,12 +238,11 @@
         let peer = self.snapshots.load().node(who)?.peer;
         match self.ask_peer(peer, ask.clone()).await? {
             AskReply::Moved { peer } => {
-                let is_redirected = true;
-                let ask = AskMessage {
-                    is_redirected,
+                let redirected = AskMessage {
+                    is_redirected: true,
                     ..ask
                 };
-                self.ask_peer(peer, ask).await
+                self.ask_peer(peer, redirected).await
             }
             reply => Some(reply),
         }
--- a/crates/azuresaddle-edge/src/placement/owner_state.rs
+++ b/crates/azuresaddle-edge/src/placement/owner_state.rs
@@ -37,7 +37,7 @@
     pub(super) next_round: Option<Instant>,
     /// Whether something happened since the last round.
     pub(super) is_round_due: bool,
-    /// Rounds so far.
+    /// Rounds so far; tests bound their number.
     pub(super) rounds: u64,
 }
 
