--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -123,7 +123,7 @@
     Vote(Vote),
 }
 
-/// One node's word that the owner does not answer it.
+/// One node's vote against an owner that does not answer it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Vote {
     /// Incarnation of the node that says so.
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -47,9 +47,11 @@
 /// Fewest nodes that must say that the store answers them before others leave it alone.
 const MIN_WATCHING: usize = 2;
 
-/// Nodes that follow the store at once where too few are answered, and most that do: enough that several
-/// reach a store that turns a third of the nodes away, and few enough for one that is down.
+/// Nodes that follow the store at once where too few are answered: enough that several reach a store that
+/// turns a third of the nodes away.
 const STANDBY_WATCHERS: usize = 16;
+
+/// Most nodes that follow the store: a store that is down is not to be met by all of a large fleet.
 const MAX_WATCHERS: usize = 64;
 
 /// Time after which twice as many nodes try.
--- a/crates/azuresaddle-edge/src/control/succession.rs
+++ b/crates/azuresaddle-edge/src/control/succession.rs
@@ -2,8 +2,9 @@
 //!
 //! Answers the pattern of an owner that stalls, or that some nodes can't reach, in a fleet of hundreds.
 //! When each node on its own took the next one for the owner, two nodes placed on the same engines for two
-//! seconds, neither with knowledge of the other's streams, a fifth of the streams by the second. So a node tells its word to the one that would succeed. That one takes over when
-//! several agree, with a higher term, and tells everybody; an earlier owner that hears of the term yields.
+//! seconds, neither with knowledge of the other's streams, a fifth of the streams by the second. So a node
+//! votes with the one that would succeed. That one takes over when several agree, with a higher term, and
+//! tells everybody; an earlier owner that hears of the term yields.
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -43,7 +44,7 @@
     passed_over: HashMap<u64, Instant>,
     /// Owner that the votes are about.
     votes_on: u64,
-    /// When each node gave its word.
+    /// When each node voted last.
     votes: HashMap<u64, Instant>,
 }
 
@@ -85,7 +86,7 @@
         (successor.incarnation != self.own.incarnation).then_some((successor.ip, vote))
     }
 
-    /// Takes a node's word that the owner does not answer it; true where this node takes over.
+    /// Takes a vote against an owner that does not answer; true where this node takes over.
     pub(super) fn on_vote(&mut self, now: Instant, vote: Vote) -> bool {
         let owner = self.ranked(now)[0].incarnation;
         if vote.owner != owner || owner == self.own.incarnation || !self.own.takes_callers() {
@@ -139,7 +140,7 @@
     /// Whether this node, which has just started, should wait for a claim rather than take the best of the
     /// few nodes that it knows for the owner.
     ///
-    /// In a fleet that starts as a whole these changed 30 times in the first second, each without
+    /// In a fleet that starts as a whole that node changes with each one that is heard of, and none has
     /// knowledge of the streams that the others placed.
     pub(super) fn awaits_claim(&self, now: Instant, first: &NodeNews) -> bool {
         first.term == 0 && now < self.claim_patience_ends()
@@ -153,7 +154,7 @@
     /// Claims where nobody has and this node comes first; true where it does.
     ///
     /// Without a claim the owner of a fleet that starts as a whole was whoever was the best of those that
-    /// had a configuration by then: 29 owners in the first second. A weak host claims nothing while a
+    /// had a configuration by then: 29 owners in the first second of 295 nodes (logs of one run). A weak host claims nothing while a
     /// stronger one lives, since a claim lasts.
     pub(super) fn claim_first(&mut self, now: Instant) -> bool {
         let is_first = self.ranked(now)[0].incarnation == self.own.incarnation;
--- a/crates/azuresaddle-sched/src/passes/pool/load.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/load.rs
@@ -1,4 +1,6 @@
-//! What a pool tells nodes that choose between pools.
+//! How loaded a pool is, as nodes that choose between pools would be told.
+//!
+//! The product has one pool a service; simulated runs weigh it against several by this figure.
 
 use std::time::Duration;
 
--- a/crates/azuresaddle-standin/src/passes/mod.rs
+++ b/crates/azuresaddle-standin/src/passes/mod.rs
@@ -21,5 +21,5 @@
 pub use plot::plot_worth;
 pub use policy::PassPolicy;
 pub use sheet::{FLOODING, KindOfRequest, Sheet, SheetRequest, draw_requests};
-pub use troubles::{CutOff, Flood, SlowEngines, SplitOwner, Stall, Troubles};
+pub use troubles::{CutOff, Flood, SlowEngines, Span, SplitOwner, Stall, Troubles};
 pub use world::play_day;
--- a/crates/azuresaddle-standin/src/passes/troubles.rs
+++ b/crates/azuresaddle-standin/src/passes/troubles.rs
@@ -33,15 +33,22 @@
 /// Two owners at a time; each gets half of the requests and knows only of these.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SplitOwner {
+    /// Until all nodes agree again.
+    pub span: Span,
+}
+
+/// A part of a day.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Span {
     /// When it begins, in seconds.
     pub from_s: f64,
-    /// When all nodes agree again, in seconds.
+    /// When it ends, in seconds.
     pub to_s: f64,
 }
 
-impl SplitOwner {
-    /// Whether there are two owners at a moment.
-    pub(super) fn applies(&self, at_ms: f64) -> bool {
+impl Span {
+    /// Whether a moment, in milliseconds, is in it.
+    pub(super) fn contains(&self, at_ms: f64) -> bool {
         (self.from_s * 1000.0..self.to_s * 1000.0).contains(&at_ms)
     }
 }
@@ -53,17 +60,8 @@
     pub nodes: usize,
     /// Part of the requests that they get.
     pub share: f64,
-    /// When it begins, in seconds.
-    pub from_s: f64,
-    /// When it ends, in seconds.
-    pub to_s: f64,
-}
-
-impl CutOff {
-    /// Whether nodes are cut off at a moment.
-    pub(super) fn applies(&self, at_ms: f64) -> bool {
-        (self.from_s * 1000.0..self.to_s * 1000.0).contains(&at_ms)
-    }
+    /// While they are cut off.
+    pub span: Span,
 }
 
 /// One client account's flood of quick questions; they count for nobody's worth.
@@ -139,8 +137,10 @@
             }
             "split-owner" => {
                 self.split_owner = Some(SplitOwner {
-                    from_s: 15.0,
-                    to_s: 18.0,
+                    span: Span {
+                        from_s: 15.0,
+                        to_s: 18.0,
+                    },
                 });
             }
             // A third of the nodes of a large fleet.
@@ -148,8 +148,10 @@
                 self.cut_off = Some(CutOff {
                     nodes: 100,
                     share: 0.33,
-                    from_s: 1.0,
-                    to_s: 13.0,
+                    span: Span {
+                        from_s: 1.0,
+                        to_s: 13.0,
+                    },
                 });
             }
             _ => {}
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -144,7 +144,7 @@
             }
         }
         if let Some(split) = sheet.troubles.split_owner {
-            world.push(split.to_s * 1000.0, Event::SplitEnds);
+            world.push(split.span.to_s * 1000.0, Event::SplitEnds);
         }
         world
     }
--- a/crates/azuresaddle-standin/src/passes/world/placer.rs
+++ b/crates/azuresaddle-standin/src/passes/world/placer.rs
@@ -81,7 +81,7 @@
     pub(super) fn route(&mut self, at_ms: f64, i: usize) -> usize {
         let pools = self.pools();
         if let Some(cut) = self.sheet.troubles.cut_off
-            && cut.applies(at_ms)
+            && cut.span.contains(at_ms)
             && self.rng.random::<f64>() < cut.share
         {
             return self.placers.len() - 1 - self.rng.random_range(0..cut.nodes);
@@ -93,7 +93,8 @@
             Placers::Domains => self.own_or_best(i, domain),
         };
         let split = self.sheet.troubles.split_owner;
-        if chosen == 0 && split.is_some_and(|s| s.applies(at_ms)) && self.rng.random::<bool>() {
+        if chosen == 0 && split.is_some_and(|s| s.span.contains(at_ms)) && self.rng.random::<bool>()
+        {
             return pools;
         }
         chosen
