--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one module a subject.
 
 mod bad_input;
+mod ci;
 mod command_line;
 mod days;
 mod losses;
