Sight: the fingerprint of a request, and whether a target has ended under it

Logs named the attempt, not the request that comes again, and did not tell a target that ended from a connection that broke. A failed send is now logged with the fingerprint of its request (account, host, method, path, body); where an answer broke off a new connection is tried, and a refused one is logged as 'target ended' and counted (azuresaddle_target_crashes_total). Nothing is decided by it yet.

--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod burn;
 pub mod deployment;
+pub mod fingerprint;
 pub mod host_list;
 pub mod http;
 pub mod losses;
--- a/crates/azuresaddle-core/src/prelude.rs
+++ b/crates/azuresaddle-core/src/prelude.rs
@@ -1,5 +1,6 @@
 //! Types that nearly every module uses.
 
+pub use crate::fingerprint::Fingerprint;
 pub use crate::names::{ClientAccount, FailureDomain, HostName, Model};
 pub use crate::net::{Listener, Network};
 pub use crate::pool_id::PoolId;
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -119,16 +119,21 @@
 
     /// A connection to a target, within this node's share.
     pub(super) async fn connect(&self, target: &TargetEntry) -> Result<Connection, ConnectError> {
+        let share = self.connection_share(target);
+        self.connections
+            .checkout(&target.id, target.addr, share)
+            .await
+    }
+
+    /// Connections to a target that this node may have.
+    pub(super) fn connection_share(&self, target: &TargetEntry) -> usize {
         let snapshot = self.snapshots.load();
         let service = snapshot
             .configuration
             .as_ref()
             .and_then(|c| c.service(&target.service));
         let most = service.map_or(u32::MAX, |s| s.max_connections);
-        let share = Connections::<N>::share(most, snapshot.nodes.len());
-        self.connections
-            .checkout(&target.id, target.addr, share)
-            .await
+        Connections::<N>::share(most, snapshot.nodes.len())
     }
 
     /// Takes one repeat from the node's share of the budget.
--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Uri};
 use tokio::time::Instant;
@@ -105,6 +105,29 @@
     pub(crate) arrived: Instant,
     /// When the caller, or the operator, gives up.
     pub(crate) deadline: Instant,
+    /// Tells that the request comes again, in whichever attempt.
+    pub(crate) fingerprint: Fingerprint,
+}
+
+/// Fingerprint of a request: the caller's account, what it asks for, and the body.
+pub(crate) fn fingerprint_of(
+    head: &RequestHead,
+    account: Option<&Account>,
+    body: &[u8],
+) -> Fingerprint {
+    let account = account.map_or("", |a| a.name.as_str());
+    let host = head
+        .headers
+        .get(HOST)
+        .map_or(&b""[..], HeaderValue::as_bytes);
+    let path = head.uri.path_and_query().map_or("", |p| p.as_str());
+    Fingerprint::of(&[
+        account.as_bytes(),
+        host,
+        head.method.as_str().as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
 }
 
 impl ForwardRequest {
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -15,6 +15,7 @@
 use super::answer::{own_answer, refusal};
 use super::attempt::{SendFailure, kept_for, send, until};
 use super::body::ProxyBody;
+use super::crash_check::note_crash;
 use super::forwarder::Forwarder;
 use super::head::{ForwardRequest, Sending, strip_hop_by_hop};
 
@@ -99,9 +100,11 @@
             }
             Err(failure) => {
                 note_failure(cx, &target, &failure);
+                note_crash(cx, req, &target, &failure).await;
                 tracing::info!(
                     part = "forward",
                     request = req.head.id(),
+                    fingerprint = %req.fingerprint,
                     target = %target.id,
                     failure = %failure,
                     sends = tries.runs + tries.declined + 1,
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -9,11 +9,13 @@
 use super::{Begin, MAX_DECLINED, RETRY_AFTER, Relay, StreamEnd};
 use crate::forward::answer::{own_answer, refusal};
 use crate::forward::attempt::{SendFailure, until};
+use crate::forward::crash_check::note_crash;
 use crate::forward::plain::note_failure;
 
 impl<N: Network> Relay<N> {
-    pub(super) fn note(&mut self, target: &TargetEntry, failure: &SendFailure) {
+    pub(super) async fn note(&mut self, target: &TargetEntry, failure: &SendFailure) {
         note_failure(&self.cx, target, failure);
+        note_crash(&self.cx, &self.req, target, failure).await;
         let at = match failure {
             SendFailure::Declined { at: Some(at), .. } => self.name_of(at),
             _ => None,
@@ -21,6 +23,7 @@
         tracing::info!(
             part = "forward",
             request = self.req.head.id(),
+            fingerprint = %self.req.fingerprint,
             target = %target.id,
             failure = %failure,
             last_event = self.last_id,
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -180,7 +180,7 @@
                     }
                 }
                 Sent::Lost(failure) => {
-                    self.note(&place.target, &failure);
+                    self.note(&place.target, &failure).await;
                     place.end(outcome_of(lead, &failure));
                     if !self.may_go_on(&failure) {
                         return self.give_up(&failure);
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -17,7 +17,8 @@
 use super::admission::{Admitted, Rejection, admit};
 use super::stopping::{Stage, Stopping};
 use crate::forward::{
-    ForwardRequest, Forwarder, InFlight, ProxyBody, RequestHead, own_answer, refusal,
+    ForwardRequest, Forwarder, InFlight, ProxyBody, RequestHead, fingerprint_of, own_answer,
+    refusal,
 };
 use crate::snapshot::{Snapshot, Snapshots};
 
@@ -122,8 +123,10 @@
             let detail = "the route sends to no service";
             refuse(&parts.headers, detail, STARTING_RETRY_AFTER)
         })?;
+        let head = RequestHead::new(parts.method, parts.uri, parts.headers, attempt_id);
         Ok(ForwardRequest {
-            head: RequestHead::new(parts.method, parts.uri, parts.headers, attempt_id),
+            fingerprint: fingerprint_of(&head, admitted.account.as_deref(), &body),
+            head,
             body,
             route: admitted.route,
             service,
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -60,6 +60,7 @@
     registry: Arc<Registry>,
     answers: Family<AnswerLabels, Counter>,
     sends: Family<SendLabels, Counter>,
+    target_crashes: Family<ServiceLabels, Counter>,
     first_event: Family<ServiceLabels, Histogram>,
     placement_wait: Family<ServiceLabels, Histogram>,
     answer_time: Family<ServiceLabels, Histogram>,
@@ -77,6 +78,7 @@
         let metrics = Self {
             answers: Family::default(),
             sends: Family::default(),
+            target_crashes: Family::default(),
             first_event: Family::new_with_constructor(latency_histogram),
             placement_wait: Family::new_with_constructor(latency_histogram),
             answer_time: Family::new_with_constructor(latency_histogram),
@@ -102,6 +104,8 @@
             self.answers.clone(),
         );
         r.register("sends", "Sends to targets by result", self.sends.clone());
+        let help = "Requests under which a target has ended";
+        r.register("target_crashes", help, self.target_crashes.clone());
         let help = "Time from a request's arrival to its first event";
         r.register("first_event_seconds", help, self.first_event.clone());
         let help = "Time that a request waited for engines";
@@ -151,6 +155,14 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a request under which a target has ended.
+    pub(crate) fn on_target_crash(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.target_crashes.get_or_create(&labels).inc();
+    }
+
     /// Notes the time to a first event.
     pub(crate) fn on_first_event(&self, service: &str, took: Duration) {
         observe(&self.first_event, service, took);
--- a/crates/azuresaddle-edge/src/targets/connections.rs
+++ b/crates/azuresaddle-edge/src/targets/connections.rs
@@ -98,10 +98,27 @@
         addr: SocketAddr,
         share: usize,
     ) -> Result<Connection, ConnectError> {
-        let slot = match self.take_idle(target, share)? {
-            Taken::Kept(connection) => return Ok(*connection),
-            Taken::Slot(slot) => slot,
-        };
+        match self.take_idle(target, share)? {
+            Taken::Kept(connection) => Ok(*connection),
+            Taken::Slot(slot) => self.open(slot, addr).await,
+        }
+    }
+
+    /// A new connection, whatever is kept.
+    ///
+    /// # Errors
+    /// As [`Self::checkout`].
+    pub(crate) async fn checkout_new(
+        &self,
+        target: &HostName,
+        addr: SocketAddr,
+        share: usize,
+    ) -> Result<Connection, ConnectError> {
+        let slot = self.take_slot(lock(&self.targets), target, share)?;
+        self.open(slot, addr).await
+    }
+
+    async fn open(&self, slot: Slot, addr: SocketAddr) -> Result<Connection, ConnectError> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.net.connect(addr))
             .await
             .map_err(|_| ConnectError::Timeout)?
@@ -131,22 +148,36 @@
         let before = kept.idle.len();
         kept.idle.retain(|i| !i.tx.is_closed() && i.retire_at > now);
         kept.open -= before - kept.idle.len();
-        let slot = |targets: &Arc<Mutex<HashMap<HostName, Kept>>>| Slot {
-            targets: Arc::clone(targets),
-            target: target.clone(),
-        };
         // The last one used is the least likely to be closed by now.
         if let Some(at) = kept.idle.iter().rposition(|i| i.tx.is_ready()) {
             return Ok(Taken::Kept(Box::new(Connection {
                 idle: Some(kept.idle.remove(at)),
-                slot: slot(&self.targets),
+                slot: self.slot(target),
             })));
         }
+        self.take_slot(targets, target, share).map(Taken::Slot)
+    }
+
+    /// Counts one more connection to a target.
+    fn take_slot(
+        &self,
+        mut targets: MutexGuard<'_, HashMap<HostName, Kept>>,
+        target: &HostName,
+        share: usize,
+    ) -> Result<Slot, ConnectError> {
+        let kept = targets.entry(target.clone()).or_default();
         if kept.open >= share {
             return Err(ConnectError::Limit);
         }
         kept.open += 1;
-        Ok(Taken::Slot(slot(&self.targets)))
+        Ok(self.slot(target))
+    }
+
+    fn slot(&self, target: &HostName) -> Slot {
+        Slot {
+            targets: Arc::clone(&self.targets),
+            target: target.clone(),
+        }
     }
 
     /// Drops the idle connections to a target, where one of them has gone silent.
