--- /dev/null
+++ b/crates/azuresaddle-standin/src/platform/crashes.rs
@@ -0,0 +1,54 @@
+//! Requests that end the targets that run them.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::target::Target;
+
+/// Time from the beginning of the run to the end of the target.
+const CRASH_AFTER: Duration = Duration::from_millis(5);
+
+/// Time for which an ending target takes no connection while those that it has still stand, so that a caller
+/// whose connection breaks finds its port closed, as after the end of a process.
+const CLOSED_BEFORE: Duration = Duration::from_millis(10);
+
+/// Bodies of requests that end their targets, with the number of targets that each has reached; cheap to
+/// clone.
+#[derive(Clone, Debug, Default)]
+pub struct Crashes(Arc<Mutex<HashMap<Bytes, usize>>>);
+
+impl Crashes {
+    /// Makes every target end that runs a request with this body.
+    pub fn make_crash(&self, body: Bytes) {
+        self.lock().entry(body).or_default();
+    }
+
+    /// Targets that requests with this body have reached.
+    pub fn reached(&self, body: &Bytes) -> usize {
+        self.lock().get(body).copied().unwrap_or(0)
+    }
+
+    /// Ends a target soon where it begins to run such a request; false for any other.
+    pub(super) fn on_run(&self, target: &Arc<Target>, body: &Bytes) -> bool {
+        let mut reached = self.lock();
+        let Some(count) = reached.get_mut(body) else {
+            return false;
+        };
+        *count += 1;
+        let target = Arc::clone(target);
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_AFTER).await;
+            target.closed.cancel();
+            tokio::time::sleep(CLOSED_BEFORE).await;
+            target.stopped.cancel();
+        });
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Bytes, usize>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -10,7 +10,6 @@
 use azuresaddle_core::deployment::EngineSpec;
 use azuresaddle_platform::{ORDER_PATH, REPORT_PATH, headers};
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde_json::json;
@@ -18,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::body::{Piece, PieceBody};
-use super::target::{Target, TargetFault, Work, text_of};
+use super::target::{Target, TargetFault, Work, text_of, whole_body};
 use crate::passes::EngineModel;
 
 /// Time that a stalling engine adds to each pass.
@@ -161,10 +160,9 @@
     }
 
     /// Takes a request: a stream of events.
-    async fn stream(&self, target: &Target, req: Request<Incoming>) -> Response<PieceBody> {
+    async fn stream(&self, target: &Arc<Target>, req: Request<Incoming>) -> Response<PieceBody> {
         let map = req.headers().clone();
-        // A body that breaks off is a request that never came.
-        let _ = req.into_body().collect().await;
+        let body = whole_body(req).await;
         let attempt = text_of(&map, headers::ATTEMPT_ID.as_str());
         let tokens = map.get(headers::TOKENS).and_then(headers::tokens_of);
         let Some((prompt_tokens, answer_tokens)) = tokens else {
@@ -207,6 +205,7 @@
             helper.work.notify_one();
         }
         target.begin(&map);
+        target.crashes.on_run(target, &body);
         self.work.notify_one();
         target.answer(&attempt, PieceBody(rx))
     }
--- a/crates/azuresaddle-standin/src/platform/mod.rs
+++ b/crates/azuresaddle-standin/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod caller;
 mod configuration;
+mod crashes;
 mod demo;
 mod engine;
 mod plain;
@@ -16,6 +17,7 @@
 
 pub use caller::{Answer, Asked, Caller, CallerError};
 pub use configuration::{RouteSpec, ServiceSpec, Tenancy, WrittenConfiguration};
+pub use crashes::Crashes;
 pub use demo::{PlatformDemo, run_platform_demo};
 pub use raw::{Arrival, Arrivals, RawAnswer};
 pub use runs::{Run, Runs};
--- a/crates/azuresaddle-standin/src/platform/plain.rs
+++ b/crates/azuresaddle-standin/src/platform/plain.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use azuresaddle_platform::headers;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 
 use super::body::{Piece, PieceBody};
-use super::target::{Target, TargetFault, Work, text_of};
+use super::target::{Target, TargetFault, Work, text_of, whole_body};
 
 /// Time to work on a request.
 const WORK: Duration = Duration::from_millis(5);
@@ -31,9 +30,11 @@
     ) -> Response<PieceBody> {
         let map = req.headers().clone();
         let attempt = text_of(&map, headers::ATTEMPT_ID.as_str());
-        // A body that breaks off is a request that never came.
-        let _ = req.into_body().collect().await;
+        let body = whole_body(req).await;
         target.begin(&map);
+        if target.crashes.on_run(&target, &body) {
+            return std::future::pending().await;
+        }
         tokio::time::sleep(WORK).await;
         match target.fault() {
             TargetFault::Mute => std::future::pending::<()>().await,
--- a/crates/azuresaddle-standin/src/platform/target.rs
+++ b/crates/azuresaddle-standin/src/platform/target.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use azuresaddle_platform::headers;
+use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
@@ -16,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::body::PieceBody;
+use super::crashes::Crashes;
 use super::runs::Runs;
 
 /// How a target misbehaves.
@@ -62,7 +65,11 @@
     /// Unix milliseconds of its start.
     pub(super) born: u64,
     pub(super) runs: Runs,
+    /// Requests that end it.
+    pub(super) crashes: Crashes,
     pub(super) fault: Mutex<TargetFault>,
+    /// Cancelled when it takes no more connections.
+    pub(super) closed: CancellationToken,
     pub(super) stopped: CancellationToken,
 }
 
@@ -88,6 +95,11 @@
         *self.target.lock_fault() = fault;
     }
 
+    /// Whether the target has ended.
+    pub fn has_ended(&self) -> bool {
+        self.target.stopped.is_cancelled()
+    }
+
     /// Ends the target: all its connections break.
     pub fn kill(&self) {
         self.target.stopped.cancel();
@@ -147,6 +159,12 @@
     value.unwrap_or("").to_owned()
 }
 
+/// Body of a request; empty where it breaks off, as of a request that never came.
+pub(super) async fn whole_body(req: Request<Incoming>) -> Bytes {
+    let body = req.into_body().collect().await;
+    body.map(|b| b.to_bytes()).unwrap_or_default()
+}
+
 /// Serves a target until it is stopped.
 pub(super) fn serve_target<W: Work>(listener: TcpListener, target: Arc<Target>, work: Arc<W>) {
     let stopped = target.stopped.clone();
@@ -154,6 +172,7 @@
         loop {
             let accepted = tokio::select! {
                 () = stopped.cancelled() => return,
+                () = target.closed.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else {
--- a/crates/azuresaddle-standin/src/platform/world.rs
+++ b/crates/azuresaddle-standin/src/platform/world.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::configuration::{RouteSpec, ServiceSpec, Tenancy, WrittenConfiguration};
+use super::crashes::Crashes;
 use super::engine::{Engine, EngineWork, Fleet};
 use super::plain::PlainWork;
 use super::raw::{Arrivals, RawAnswer, serve_raw};
@@ -58,6 +59,8 @@
     pub plain: Vec<TargetHandle>,
     /// What ran.
     pub runs: Runs,
+    /// Requests that end their targets.
+    pub crashes: Crashes,
     /// The configuration that was written last.
     pub configuration: WrittenConfiguration,
     fleet: Fleet,
@@ -91,6 +94,7 @@
             engines: Vec::new(),
             plain: Vec::new(),
             runs: Runs::default(),
+            crashes: Crashes::default(),
             configuration: first_configuration(),
             fleet: Fleet::default(),
             models: Vec::new(),
@@ -180,7 +184,9 @@
             addr: listener.local_addr()?,
             born: FIRST_START_MS,
             runs: self.runs.clone(),
+            crashes: self.crashes.clone(),
             fault: Mutex::new(TargetFault::None),
+            closed: CancellationToken::new(),
             stopped: CancellationToken::new(),
         });
         self.register(&target, "ready");
--- a/crates/azuresaddle-standin/src/platform/world/restart.rs
+++ b/crates/azuresaddle-standin/src/platform/world/restart.rs
@@ -39,6 +39,24 @@
         Ok(())
     }
 
+    /// Starts again every target that has ended by itself.
+    ///
+    /// # Errors
+    /// Where a port can't be bound again.
+    pub async fn restart_ended(&mut self) -> std::io::Result<()> {
+        for n in 0..self.engines.len() {
+            if self.engines[n].has_ended() {
+                self.restart_engine(n).await?;
+            }
+        }
+        for n in 0..self.plain.len() {
+            if self.plain[n].has_ended() {
+                self.restart_plain(n).await?;
+            }
+        }
+        Ok(())
+    }
+
     async fn start_again(
         &mut self,
         handle: &TargetHandle,
@@ -61,7 +79,9 @@
             addr: old.addr,
             born: old.born + 1_000,
             runs: self.runs.clone(),
+            crashes: self.crashes.clone(),
             fault: Mutex::new(TargetFault::None),
+            closed: CancellationToken::new(),
             stopped: CancellationToken::new(),
         });
         self.register(&target, "ready");
--- a/crates/azuresaddle-standin/src/soak/fleet.rs
+++ b/crates/azuresaddle-standin/src/soak/fleet.rs
@@ -28,6 +28,8 @@
     pub nodes: u8,
     /// Targets.
     pub world: WorldOptions,
+    /// Whether a proxy stands before each target; without one a target that has ended refuses connections.
+    pub has_target_proxies: bool,
 }
 
 impl Default for FleetOptions {
@@ -35,6 +37,7 @@
         Self {
             nodes: 3,
             world: WorldOptions::default(),
+            has_target_proxies: true,
         }
     }
 }
@@ -60,9 +63,10 @@
         let mut world = World::open(options.world).await?;
         let mut target_proxies = Vec::new();
         let targets: Vec<_> = world.engines.iter().chain(&world.plain).cloned().collect();
-        for target in targets {
+        let proxied = targets.iter().filter(|_| options.has_target_proxies);
+        for target in proxied {
             let proxy = Proxy::spawn(target.addr()).await?;
-            world.put_behind(&target, proxy.addr);
+            world.put_behind(target, proxy.addr);
             target_proxies.push(proxy);
         }
         let port = next_port();
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod faults;
 mod input;
+mod repeats;
 mod soak;
 mod support;
 mod way;
