--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -8,17 +8,21 @@
 use azuresaddle_core::http::HttpClient;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::PlatformStore;
+use azuresaddle_sched::quarantine::Crash;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
+use super::crash_spread::CrashSpread;
+use super::crash_writer::write_crashes;
 use super::heartbeat::{Datagram, MAX_BYTES, NodeNews};
 use super::members::{Members, TICK};
 use super::registry::{Published, Registry};
 use super::store_watch::{StoreEvent, watch_store};
 use crate::metrics::Metrics;
 use crate::peer::{PeerClients, PeerNews};
+use crate::quarantine::{CrashNews, SharedQuarantine};
 use crate::snapshot::{Snapshot, Snapshots, TargetSet};
 
 /// Longest wait for an answer of the store, other than of a watch.
@@ -34,6 +38,9 @@
 /// Events of the store that wait for the control loop.
 const MAX_WAITING_EVENTS: usize = 64;
 
+/// Crashes of single requests that wait to be written to the store: those of all streams on a few targets.
+const MAX_WAITING_CRASHES: usize = 64;
+
 /// What control needs.
 pub(crate) struct ControlParts<N> {
     pub(crate) settings: EntrySettings,
@@ -47,6 +54,9 @@
     pub(crate) leaving: CancellationToken,
     /// Incarnations of nodes that did not answer calls.
     pub(crate) no_answer: mpsc::Receiver<u64>,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
+    /// What this node's traffic has seen of requests that crash their targets.
+    pub(crate) crashes_seen: mpsc::Receiver<CrashNews>,
     pub(crate) metrics: Metrics,
 }
 
@@ -70,6 +80,11 @@
     /// When the store last answered this node.
     pub(super) store_answered_at: Option<Instant>,
     pub(super) no_answer: mpsc::Receiver<u64>,
+    pub(super) quarantine: Arc<SharedQuarantine>,
+    pub(super) crashes_seen: mpsc::Receiver<CrashNews>,
+    pub(super) crash_spread: CrashSpread,
+    /// Crashes that the store should keep.
+    pub(super) crash_writes: mpsc::Sender<Vec<Crash>>,
     pub(super) metrics: Metrics,
     /// Whether something changed after the last snapshot.
     has_changes: bool,
@@ -84,12 +99,18 @@
         let store = PlatformStore::new(http, parts.settings.store, STORE_TIMEOUT);
         let (store_tx, store_rx) = mpsc::channel(MAX_WAITING_EVENTS);
         let watch_enabled = watch::Sender::new(false);
+        let (crash_writes, crash_writes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
+        spawner.spawn(write_crashes(store.clone(), crash_writes_rx));
         spawner.spawn(watch_store(store, watch_enabled.subscribe(), store_tx));
-        let control = Self::new(parts, watch_enabled);
+        let control = Self::new(parts, watch_enabled, crash_writes);
         spawner.spawn(control.run(store_rx));
     }
 
-    fn new(parts: ControlParts<N>, watch_enabled: watch::Sender<bool>) -> Self {
+    fn new(
+        parts: ControlParts<N>,
+        watch_enabled: watch::Sender<bool>,
+        crash_writes: mpsc::Sender<Vec<Crash>>,
+    ) -> Self {
         let settings = &parts.settings;
         let own = NodeNews {
             ip: settings.ip,
@@ -123,6 +144,10 @@
             watch_enabled,
             store_answered_at: None,
             no_answer: parts.no_answer,
+            quarantine: parts.quarantine,
+            crashes_seen: parts.crashes_seen,
+            crash_spread: CrashSpread::default(),
+            crash_writes,
             metrics: parts.metrics,
             has_changes: false,
             published_at: Instant::now(),
@@ -148,6 +173,10 @@
                 },
                 Some(event) = store.recv() => self.on_store(event),
                 Some(news) = news_rx.recv() => self.on_peer_news(news),
+                Some(news) = self.crashes_seen.recv() => {
+                    self.on_crash_seen(news).await;
+                    false
+                }
                 Some(node) = self.no_answer.recv() => self.on_no_answer(node).await,
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&news_tx).await,
@@ -175,6 +204,7 @@
                 if is_new {
                     // A node that has just started learns of the others within a round trip.
                     self.send_heartbeats(now, &[ip]).await;
+                    self.greet(ip).await;
                 }
                 let unknown = self.members.unknown(&beat);
                 if !unknown.is_empty() {
@@ -188,6 +218,10 @@
                 self.send_to(ip, &Datagram::Answer(news).encode()).await;
                 false
             }
+            Some(Datagram::Crashes(news)) => {
+                self.on_crashes_told(ip, &news).await;
+                false
+            }
             Some(Datagram::Answer(news)) => self.members.on_answer(now, &news),
             Some(Datagram::Vote(vote)) => {
                 let claimed = self.members.on_vote(now, vote);
@@ -207,6 +241,8 @@
         let members_changed = self.members.check(now);
         self.tell_claim(now, self.members.own.term != term).await;
         self.send_vote(now).await;
+        self.tell_crashes().await;
+        self.clean_quarantine();
         let targets_changed = self.registry.check(now);
         self.update_watch(now);
         let destinations = self.members.destinations();
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/crashes.rs
@@ -0,0 +1,144 @@
+//! What control does with news of requests that crash their targets.
+
+use std::net::Ipv4Addr;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::{Item, decode_crash_key};
+use azuresaddle_sched::quarantine::{Crash, TargetLife};
+use tokio::time::Instant;
+
+use super::actor::Control;
+use super::crash_spread::MAX_NEWS;
+use super::heartbeat::Datagram;
+use crate::quarantine::CrashNews;
+
+/// Crashes of a request from which on they are written to the store. Nearly all requests that something is held
+/// against are sound ones which were on a target beside another, and have one.
+const CRASHES_TO_WRITE: usize = 2;
+
+/// Most datagrams that tell a node what is in quarantine.
+const MAX_GREETINGS: usize = 4;
+
+/// Ticks between two looks for records that have ended.
+const TICKS_PER_CLEANUP: u32 = 100;
+
+impl<N: Network> Control<N> {
+    /// Takes what this node has seen itself: all are told, and the store keeps what may become a quarantine.
+    pub(super) async fn on_crash_seen(&mut self, news: CrashNews) {
+        self.crash_spread.push(news);
+        self.tell_crashes().await;
+        if let CrashNews::Crash(crash) = news {
+            let known = self.quarantine.crashes_of(crash.fingerprint);
+            if known.len() >= CRASHES_TO_WRITE {
+                self.write_crashes(known);
+            }
+        }
+    }
+
+    /// Takes news from another node. One that sends a request on which is in quarantine here is told of it.
+    pub(super) async fn on_crashes_told(&mut self, from: Ipv4Addr, all: &[CrashNews]) {
+        for news in all {
+            let known = match news {
+                CrashNews::Crash(crash) => self.quarantine.crashes_of(crash.fingerprint),
+                CrashNews::GoodEnd(_) => Vec::new(),
+            };
+            if !self.quarantine.learn(*news) {
+                continue;
+            }
+            if let CrashNews::Crash(crash) = news {
+                self.write_if_quarantined(crash.fingerprint);
+            }
+            if !self.members.is_mesh() {
+                self.crash_spread.push(*news);
+            }
+            self.send_crashes(from, &known).await;
+        }
+        if !self.members.is_mesh() {
+            self.tell_crashes().await;
+        }
+    }
+
+    /// Takes an entry of the store. A removed one says nothing: entries end with their lease, also in an
+    /// outage, and what is known here ends by itself.
+    pub(super) fn on_crash_item(&mut self, item: &Item) {
+        if item.value.is_none() {
+            return;
+        }
+        let Some((fingerprint, target)) = decode_crash_key(&item.key) else {
+            tracing::warn!(part = "control", key = item.key, "crash entry not readable");
+            return;
+        };
+        let news = CrashNews::Crash(Crash {
+            fingerprint,
+            target: TargetLife(target),
+        });
+        if self.quarantine.learn(news) && !self.members.is_mesh() {
+            // Most nodes of a larger fleet don't follow the store.
+            self.crash_spread.push(news);
+        }
+    }
+
+    /// Tells a node that has just come what is in quarantine.
+    pub(super) async fn greet(&self, ip: Ipv4Addr) {
+        let known = self.quarantine.quarantined();
+        let most = known.len().min(MAX_GREETINGS * MAX_NEWS);
+        self.send_crashes(ip, &known[..most]).await;
+    }
+
+    /// Writes anew what is in quarantine after an outage, in which leases may have ended; one node does.
+    pub(super) fn rewrite_crashes(&self) {
+        let known = self.quarantine.quarantined();
+        if !known.is_empty() && self.places_streams() {
+            self.write_crashes(known);
+        }
+    }
+
+    /// Writes the crashes of a request that others have seen, each perhaps just one; one node does.
+    fn write_if_quarantined(&self, request: Fingerprint) {
+        if self.quarantine.standing(request).is_quarantined() && self.places_streams() {
+            self.write_crashes(self.quarantine.crashes_of(request));
+        }
+    }
+
+    fn places_streams(&self) -> bool {
+        let (_, owner) = self.members.live(Instant::now());
+        owner == self.members.incarnation()
+    }
+
+    /// Tells the next round of news.
+    pub(super) async fn tell_crashes(&mut self) {
+        let news = self.crash_spread.next_round();
+        if news.is_empty() {
+            return;
+        }
+        let bytes = Datagram::Crashes(news).encode();
+        let to = if self.members.is_mesh() {
+            self.members.alive_hosts(Instant::now())
+        } else {
+            self.members.partners()
+        };
+        for ip in to {
+            self.send_to(ip, &bytes).await;
+        }
+    }
+
+    /// Forgets what has ended, now and then.
+    pub(super) fn clean_quarantine(&self) {
+        if self.members.ticks.is_multiple_of(TICKS_PER_CLEANUP) {
+            self.quarantine.forget_old();
+        }
+    }
+
+    async fn send_crashes(&self, ip: Ipv4Addr, crashes: &[Crash]) {
+        for some in crashes.chunks(MAX_NEWS) {
+            let news = some.iter().copied().map(CrashNews::Crash).collect();
+            self.send_to(ip, &Datagram::Crashes(news).encode()).await;
+        }
+    }
+
+    fn write_crashes(&self, crashes: Vec<Crash>) {
+        if self.crash_writes.try_send(crashes).is_err() {
+            tracing::warn!(part = "control", "crashes not written, queue full");
+        }
+    }
+}
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::quarantine::CrashNews;
+
 /// Most bytes of a datagram; below the usual limit of an unfragmented one.
 pub(super) const MAX_BYTES: usize = 1400;
 
@@ -121,6 +123,8 @@
     Answer(Vec<NodeNews>),
     /// Tells the node that would succeed that the owner does not answer.
     Vote(Vote),
+    /// Tells of requests that crash their targets.
+    Crashes(Vec<CrashNews>),
 }
 
 /// One node's vote against an owner that does not answer it.
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -2,6 +2,9 @@
 
 mod actor;
 mod claims;
+mod crash_spread;
+mod crash_writer;
+mod crashes;
 mod heartbeat;
 mod members;
 mod news;
--- a/crates/azuresaddle-edge/src/control/news.rs
+++ b/crates/azuresaddle-edge/src/control/news.rs
@@ -94,6 +94,7 @@
             StoreEvent::Back => {
                 tracing::info!(part = "control", "store regained");
                 self.registry.on_store_back(now);
+                self.rewrite_crashes();
                 false
             }
             StoreEvent::Lost { reason } => {
@@ -130,6 +131,10 @@
             Kind::Configuration => item
                 .value
                 .is_some_and(|json| self.on_configuration(json, "the store")),
+            Kind::Crash => {
+                self.on_crash_item(&item);
+                false
+            }
             Kind::Other => false,
         }
     }
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -12,10 +12,10 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// First pause after a failed call.
-const FIRST_BACKOFF: Duration = Duration::from_millis(150);
+pub(super) const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 
 /// Longest pause after failed calls.
-const MAX_BACKOFF: Duration = Duration::from_millis(1200);
+pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(1200);
 
 /// Shortest time between two watches, so that quick changes don't turn into a call each.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
@@ -161,6 +161,6 @@
 }
 
 /// Between half and all of a pause, so that nodes don't call in step.
-fn jittered(pause: Duration) -> Duration {
+pub(super) fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/tests/crash_spread.rs
@@ -0,0 +1,131 @@
+//! How fast all nodes hear of a request that crashes its targets.
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::quarantine::{Crash, TargetLife};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::mpsc;
+
+use super::fleet::Fleet;
+use super::members::number;
+use crate::control::crash_spread::{CrashSpread, MAX_NEWS};
+use crate::control::heartbeat::{Datagram, MAX_BYTES};
+use crate::control::members::TICK;
+use crate::metrics::Metrics;
+use crate::quarantine::{CrashNews, SharedQuarantine};
+
+/// Time after the third crash within which all nodes keep a request from their targets.
+const CONTACT_TIME: std::time::Duration = std::time::Duration::from_secs(3);
+
+fn crash(request: u8, target: u64) -> CrashNews {
+    CrashNews::Crash(Crash {
+        fingerprint: Fingerprint::of(&[&[request]]),
+        target: TargetLife(target),
+    })
+}
+
+/// A node's quarantine and what it tells of it.
+struct Node {
+    quarantine: std::sync::Arc<SharedQuarantine>,
+    spread: CrashSpread,
+}
+
+/// Passes news on in a fleet of which each node has heard; returns the rounds until all nodes keep the request
+/// from their targets, and the most datagrams of one node in a round.
+fn rounds_until_known(nodes: u16, lost_share: f64) -> (u32, usize) {
+    let mut fleet = Fleet::new(nodes);
+    fleet.pass(std::time::Duration::from_secs(4));
+    let mut rng = SmallRng::seed_from_u64(u64::from(nodes));
+    let mut all: Vec<Node> = (0..nodes)
+        .map(|_| Node {
+            quarantine: SharedQuarantine::new(mpsc::channel(1).0, Metrics::new()),
+            spread: CrashSpread::default(),
+        })
+        .collect();
+    // Each crash is seen by another node.
+    for n in 0..3_u64 {
+        let node = &mut all[usize::from(nodes) * n as usize / 3];
+        let news = crash(1, n);
+        node.quarantine.learn(news);
+        node.spread.push(news);
+    }
+    let request = Fingerprint::of(&[&[1]]);
+    let knows = |n: &Node| n.quarantine.standing(request).is_quarantined();
+    let mut most_sent = 0;
+    for round in 0.. {
+        if all.iter().all(knows) {
+            return (round, most_sent);
+        }
+        assert!(round < 1000, "some node never hears of it");
+        fleet.round();
+        let mut sent = Vec::new();
+        for (node, members) in all.iter_mut().zip(&mut fleet.nodes) {
+            let news = node.spread.next_round();
+            if news.is_empty() {
+                continue;
+            }
+            let to = if members.is_mesh() {
+                members.alive_hosts(fleet.now)
+            } else {
+                members.partners()
+            };
+            most_sent = most_sent.max(to.len());
+            sent.extend(to.into_iter().map(|ip| (ip, news.clone())));
+        }
+        for (ip, news) in sent {
+            if rng.random_bool(lost_share) {
+                continue;
+            }
+            let node = &mut all[number(ip) - 1];
+            for one in news {
+                if node.quarantine.learn(one) && nodes > 12 {
+                    node.spread.push(one);
+                }
+            }
+        }
+    }
+    unreachable!("the loop returns")
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_nodes_know_within_the_contact_time_although_datagrams_are_lost() {
+    for nodes in [3, 9, 90, 300] {
+        let (rounds, most_sent) = rounds_until_known(nodes, 0.1);
+        assert!(TICK * rounds <= CONTACT_TIME, "{nodes} nodes: {rounds}");
+        assert!(most_sent <= 12, "{nodes} nodes: {most_sent} datagrams");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_datagram_fits_and_each_piece_of_news_is_told_three_times() {
+    let mut spread = CrashSpread::default();
+    for n in 0..100 {
+        spread.push(crash(1, u64::MAX - n));
+    }
+    let mut told = 0;
+    loop {
+        let round = spread.next_round();
+        if round.is_empty() {
+            break;
+        }
+        assert!(round.len() <= MAX_NEWS);
+        told += round.len();
+        let bytes = Datagram::Crashes(round).encode();
+        assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
+    }
+    assert_eq!(told, 300);
+}
+
+/// Hundreds of targets end in one moment, each with all its streams.
+#[tokio::test(start_paused = true)]
+async fn news_that_wait_are_bounded() {
+    let mut spread = CrashSpread::default();
+    for n in 0..10_000 {
+        spread.push(crash(1, n));
+    }
+    let mut rounds = 0;
+    while !spread.next_round().is_empty() {
+        rounds += 1;
+    }
+    assert!(rounds <= 1024 * 3 / MAX_NEWS + 1, "{rounds} rounds");
+}
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of what control believes.
 
+mod crash_spread;
 mod fleet;
 mod members;
 mod registry;
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -6,7 +6,7 @@
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 
-use super::attempt::SendFailure;
+use super::attempt::until;
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
 use crate::targets::ConnectError;
@@ -20,9 +20,9 @@
     cx: &Forwarder<N>,
     req: &ForwardRequest,
     target: &TargetEntry,
-    failure: &SendFailure,
 ) {
-    if !matches!(failure, SendFailure::Broken(_)) || !has_ended(cx, target).await {
+    // At its deadline a caller is not kept waiting for more.
+    if until(req.deadline).is_zero() || !has_ended(cx, target).await {
         return;
     }
     cx.metrics.on_target_crash(&req.service);
@@ -33,6 +33,7 @@
         target = %target.id,
         "target ended"
     );
+    cx.quarantine.on_crash(req.fingerprint, target);
 }
 
 /// Whether nothing listens at the target's address any more. A connection that is reset on the way, or an
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -18,9 +18,19 @@
 use super::stream::forward_stream;
 use crate::metrics::Metrics;
 use crate::placement::{Owner, Placement};
+use crate::quarantine::SharedQuarantine;
 use crate::snapshot::Snapshots;
 use crate::targets::{ConnectError, Connection, Connections, TargetHealth};
 
+/// What relaying shares with the other parts of the node.
+pub(crate) struct ForwarderParts<N: Network> {
+    pub(crate) spawner: Spawner,
+    pub(crate) snapshots: Snapshots,
+    pub(crate) placement: Arc<Placement<N>>,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) metrics: Metrics,
+}
+
 /// Relays requests of callers to targets.
 pub(crate) struct Forwarder<N: Network> {
     pub(super) domain: FailureDomain,
@@ -30,20 +40,22 @@
     pub(super) connections: Connections<N>,
     pub(super) health: Arc<TargetHealth>,
     pub(super) retries: RetryBudget,
+    pub(super) quarantine: Arc<SharedQuarantine>,
     pub(super) bounds: Bounds,
     pub(super) metrics: Metrics,
     pub(super) burn: Arc<BurnLedger>,
 }
 
 impl<N: Network> Forwarder<N> {
-    pub(crate) fn new(
-        net: N,
-        spawner: Spawner,
-        settings: &EntrySettings,
-        snapshots: Snapshots,
-        placement: Arc<Placement<N>>,
-        metrics: Metrics,
-    ) -> Arc<Self> {
+    /// Starts to follow the targets.
+    pub(crate) fn spawn(net: N, settings: &EntrySettings, parts: ForwarderParts<N>) -> Arc<Self> {
+        let ForwarderParts {
+            spawner,
+            snapshots,
+            placement,
+            quarantine,
+            metrics,
+        } = parts;
         let bounds = settings.bounds;
         let forwarder = Arc::new(Self {
             domain: settings.domain.clone(),
@@ -53,6 +65,7 @@
             placement,
             health: Arc::default(),
             retries: RetryBudget::new(bounds),
+            quarantine,
             bounds,
             metrics,
             burn: Arc::default(),
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -19,5 +19,5 @@
 
 pub(crate) use answer::{own_answer, refusal};
 pub(crate) use body::{BrokenOff, InFlight, ProxyBody};
-pub(crate) use forwarder::Forwarder;
+pub(crate) use forwarder::{Forwarder, ForwarderParts};
 pub(crate) use head::{ForwardRequest, RequestHead, fingerprint_of};
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -6,6 +6,7 @@
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
+use azuresaddle_sched::quarantine::Standing;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::HeaderMap;
@@ -34,6 +35,9 @@
 /// Time to come back where no target is known.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Tells why a request is not sent on.
+pub(super) const QUARANTINED: &str = "targets crash when they run this request";
+
 /// Whole answer of a target.
 struct TargetAnswer {
     status: StatusCode,
@@ -65,6 +69,10 @@
         if until(req.deadline).is_zero() {
             return tries.give_up(req, StatusCode::GATEWAY_TIMEOUT, "no answer in time");
         }
+        if let Standing::Quarantined { left } = cx.quarantine.standing(req.fingerprint) {
+            note_quarantined(cx, req);
+            return tries.refuse_quarantined(req, left);
+        }
         let snapshot = cx.snapshots.load();
         let targets = snapshot.targets.of_service(&req.service);
         let Some((target, busy)) = cx.health.pick(targets, &tries.exclude, &cx.domain) else {
@@ -75,6 +83,9 @@
         let started = Instant::now();
         let result = send_plain(cx, req, &target, patience).await;
         drop(busy);
+        if result.as_ref().is_ok_and(|a| a.status.is_success()) {
+            cx.quarantine.on_good_end(req.fingerprint);
+        }
         match result {
             Ok(answer) if answer.is_failure() && may_repeat && cx.may_repeat(&req.service) => {
                 cx.health.on_answer(&target.id, started.elapsed());
@@ -100,7 +111,9 @@
             }
             Err(failure) => {
                 note_failure(cx, &target, &failure);
-                note_crash(cx, req, &target, &failure).await;
+                if failure.verdict() == Verdict::MayHaveRun {
+                    note_crash(cx, req, &target).await;
+                }
                 tracing::info!(
                     part = "forward",
                     request = req.head.id(),
@@ -176,6 +189,14 @@
         }
     }
 
+    /// The final answer to a request that crashes its targets.
+    fn refuse_quarantined(self, req: &ForwardRequest, left: Duration) -> Response<ProxyBody> {
+        if self.runs > 0 {
+            return self.give_up(req, StatusCode::BAD_GATEWAY, QUARANTINED);
+        }
+        refusal(QUARANTINED, left)
+    }
+
     /// The final answer: a failure of a target that ran the request, or the node's own.
     fn give_up(
         self,
@@ -210,6 +231,17 @@
     }
 }
 
+/// Notes that a request is not sent on since it crashes its targets.
+pub(super) fn note_quarantined<N: Network>(cx: &Forwarder<N>, req: &ForwardRequest) {
+    cx.metrics.on_quarantine_refusal(&req.service);
+    tracing::info!(
+        part = "forward",
+        request = req.head.id(),
+        fingerprint = %req.fingerprint,
+        "request in quarantine"
+    );
+}
+
 pub(super) fn note_failure<N: Network>(
     cx: &Forwarder<N>,
     target: &TargetEntry,
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -1,25 +1,32 @@
 //! What follows a failed send: another one, or the final answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::quarantine::Standing;
 use hyper::StatusCode;
 
 use super::{Begin, MAX_DECLINED, RETRY_AFTER, Relay, StreamEnd};
 use crate::forward::answer::{own_answer, refusal};
 use crate::forward::attempt::{SendFailure, until};
 use crate::forward::crash_check::note_crash;
-use crate::forward::plain::note_failure;
+use crate::forward::plain::{QUARANTINED, note_failure, note_quarantined};
 
 impl<N: Network> Relay<N> {
     pub(super) async fn note(&mut self, target: &TargetEntry, failure: &SendFailure) {
         note_failure(&self.cx, target, failure);
-        note_crash(&self.cx, &self.req, target, failure).await;
         let at = match failure {
-            SendFailure::Declined { at: Some(at), .. } => self.name_of(at),
+            SendFailure::Declined { at: Some(at), .. } => self.at_fault(at),
             _ => None,
         };
+        if failure.verdict() == Verdict::MayHaveRun {
+            note_crash(&self.cx, &self.req, target).await;
+        } else if let Some(helper) = &at {
+            // It reads a part of the prompt, and may end by it too.
+            note_crash(&self.cx, &self.req, helper).await;
+        }
         tracing::info!(
             part = "forward",
             request = self.req.head.id(),
@@ -30,17 +37,18 @@
             age_ms = self.req.arrived.elapsed().as_millis() as u64,
             "send failed"
         );
-        self.exclude.push(at.unwrap_or_else(|| target.id.clone()));
+        let at = at.as_ref().map_or(&target.id, |helper| &helper.id);
+        self.exclude.push(at.clone());
     }
 
-    /// The target at an address, or the name itself.
-    pub(super) fn name_of(&self, at: &str) -> Option<HostName> {
+    /// The target of a name or at an address.
+    fn at_fault(&self, at: &str) -> Option<Arc<TargetEntry>> {
         let snapshot = self.cx.snapshots.load();
         let targets = snapshot.targets.of_service(&self.req.service);
         let found = targets
             .iter()
             .find(|t| t.id.as_str() == at || t.addr.to_string() == at);
-        found.map(|t| t.id.clone())
+        found.cloned()
     }
 
     /// Notes a lost send; whether another one may follow.
@@ -82,6 +90,26 @@
         }
     }
 
+    /// Final answer to a request that crashes its targets.
+    pub(super) fn refuse_quarantined(mut self) {
+        note_quarantined(&self.cx, &self.req);
+        if self.runs > 0 {
+            return self.give_up(&SendFailure::Broken(QUARANTINED.to_owned()));
+        }
+        self.completion.set();
+        self.record(StreamEnd::Refused);
+        let left = match self.cx.quarantine.standing(self.req.fingerprint) {
+            Standing::Quarantined { left } => left,
+            // A good end elsewhere has settled it in this moment.
+            Standing::Clear | Standing::Suspect => RETRY_AFTER,
+        };
+        if let Some(tx) = self.head.take() {
+            let response = refusal(QUARANTINED, left);
+            // The caller may be gone.
+            let _ = tx.send(Begin::Whole(Box::new(response)));
+        }
+    }
+
     /// Final answer after a failed send.
     pub(super) fn give_up(mut self, failure: &SendFailure) {
         self.completion.set();
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -109,6 +109,16 @@
     Lost(SendFailure),
     /// The caller left.
     CallerGone,
+    /// It was not sent, since it crashes its targets.
+    Quarantined,
+}
+
+/// Why a request is sent nowhere.
+enum NoPlace {
+    /// Nothing takes it now; the time to come back.
+    Later(Duration),
+    /// It crashes its targets.
+    Quarantined,
 }
 
 /// How a stream ended, unless its caller left.
@@ -158,13 +168,19 @@
 impl<N: Network> Relay<N> {
     async fn run(mut self) {
         loop {
-            let place = match self.place().await {
+            let place = match self.place_unless_quarantined().await {
                 Ok(place) => place,
-                Err(retry_after) => return self.refuse(retry_after),
+                Err(NoPlace::Later(retry_after)) => return self.refuse(retry_after),
+                Err(NoPlace::Quarantined) => return self.refuse_quarantined(),
             };
             let lead = place.target.id.clone();
             match self.send(&place).await {
+                Sent::Quarantined => {
+                    place.end(PassOutcome::Cancelled);
+                    return self.refuse_quarantined();
+                }
                 Sent::Complete => {
+                    self.cx.quarantine.on_good_end(self.req.fingerprint);
                     self.cx.metrics.on_send(&self.req.service, "answered");
                     self.log(&lead, "stream complete");
                     self.record(StreamEnd::Complete);
--- a/crates/azuresaddle-edge/src/forward/stream/place.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/place.rs
@@ -8,7 +8,7 @@
 use azuresaddle_sched::passes::PassOutcome;
 use tokio::time::Instant;
 
-use super::{FirstPlace, MAX_DECLINED, RETRY_AFTER, Relay};
+use super::{FirstPlace, MAX_DECLINED, NoPlace, RETRY_AFTER, Relay};
 use crate::forward::attempt::until;
 use crate::placement::{PlaceRequest, Placed};
 use crate::targets::Busy;
@@ -55,8 +55,18 @@
 }
 
 impl<N: Network> Relay<N> {
-    /// Finds a target.
-    pub(super) async fn place(&mut self) -> Result<Place<N>, Duration> {
+    /// Finds a target, unless the request goes into quarantine before there is one.
+    pub(super) async fn place_unless_quarantined(&mut self) -> Result<Place<N>, NoPlace> {
+        let quarantine = Arc::clone(&self.cx.quarantine);
+        let request = self.req.fingerprint;
+        tokio::select! {
+            biased;
+            () = quarantine.until_quarantined(request) => Err(NoPlace::Quarantined),
+            placed = self.place() => placed.map_err(NoPlace::Later),
+        }
+    }
+
+    async fn place(&mut self) -> Result<Place<N>, Duration> {
         let service = Arc::clone(&self.req.service);
         match self.cx.engine_spec(&service) {
             Some(spec) => self.place_on_engines(spec.usual_answer_tokens).await,
@@ -96,6 +106,7 @@
             give_up_at: self.give_up_at(),
             deadline: self.req.deadline,
             exclude: self.exclude.clone(),
+            suspect: self.cx.quarantine.suspect(self.req.fingerprint),
         };
         loop {
             let asked_at = Instant::now();
--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -39,6 +39,15 @@
             Ok(reserved) => reserved,
             Err(failure) => return Sent::Lost(failure),
         };
+        // While memory was reserved, or the owner was asked, another node may have seen more.
+        if self
+            .cx
+            .quarantine
+            .standing(self.req.fingerprint)
+            .is_quarantined()
+        {
+            return Sent::Quarantined;
+        }
         let helpers = match &reserved {
             Some(reserved) => reserved.helpers.clone(),
             None => plain_helpers(&place.helpers),
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod node;
 mod peer;
 mod placement;
+mod quarantine;
 mod snapshot;
 mod targets;
 
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -70,6 +70,8 @@
     pub(crate) is_owner: Gauge,
     pub(crate) store_failures: Counter,
     pub(crate) owner_claims: Counter,
+    pub(crate) quarantines: Counter,
+    quarantine_refusals: Family<ServiceLabels, Counter>,
 }
 
 impl Metrics {
@@ -88,6 +90,8 @@
             is_owner: Gauge::default(),
             store_failures: Counter::default(),
             owner_claims: Counter::default(),
+            quarantines: Counter::default(),
+            quarantine_refusals: Family::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -134,6 +138,14 @@
         r.register("store_failures", help, self.store_failures.clone());
         let help = "Times that this node claimed to place streams: the first of a fleet, or after a silent owner";
         r.register("owner_claims", help, self.owner_claims.clone());
+        let help = "Requests that this node came to keep from all targets, since they crash them";
+        r.register("quarantines", help, self.quarantines.clone());
+        let help = "Requests that were not sent on since they are in quarantine";
+        r.register(
+            "quarantine_refusals",
+            help,
+            self.quarantine_refusals.clone(),
+        );
     }
 
     /// Counts an answer to a caller.
@@ -163,6 +175,14 @@
         self.target_crashes.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was not sent on since it is in quarantine.
+    pub(crate) fn on_quarantine_refusal(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.quarantine_refusals.get_or_create(&labels).inc();
+    }
+
     /// Notes the time to a first event.
     pub(crate) fn on_first_event(&self, service: &str, took: Duration) {
         observe(&self.first_event, service, took);
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -19,11 +19,12 @@
 
 use crate::control::{Control, ControlParts};
 use crate::directory::Directory;
-use crate::forward::{Forwarder, InFlight};
+use crate::forward::{Forwarder, ForwarderParts, InFlight};
 use crate::frontend::{CallerService, Stopping, serve_callers};
 use crate::metrics::{Metrics, MetricsPage};
 use crate::peer::{PeerClients, serve_peers};
 use crate::placement::{Owner, Placement, PlacementParts};
+use crate::quarantine::SharedQuarantine;
 use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, Snapshots, TargetSet};
 
 /// Part of the grace of a stop after which new requests are refused: callers have had their time to
@@ -36,6 +37,9 @@
 /// News of silent nodes that wait for control; it needs one at a time.
 const MAX_NO_ANSWER: usize = 8;
 
+/// Crashes under this node's requests that wait for control: those of a dozen full targets.
+const MAX_CRASHES_SEEN: usize = 256;
+
 /// Engines that wait to be asked for their pace; a pool that suspects more of them asks again.
 const MAX_PACE_QUESTIONS: usize = 64;
 
@@ -95,6 +99,8 @@
         let socket = open_socket(&settings, &control).await?;
         let control_spawner = spawner.on(control);
         let (no_answer, no_answer_rx) = mpsc::channel(MAX_NO_ANSWER);
+        let (crashes, crashes_seen) = mpsc::channel(MAX_CRASHES_SEEN);
+        let quarantine = SharedQuarantine::new(crashes, metrics.clone());
         Control::spawn(ControlParts {
             settings: settings.clone(),
             net: net.clone(),
@@ -105,6 +111,8 @@
             snapshots: snapshots.clone(),
             leaving: leaving.clone(),
             no_answer: no_answer_rx,
+            quarantine: Arc::clone(&quarantine),
+            crashes_seen,
             metrics: metrics.clone(),
         });
         let (pace_questions, pace_questions_rx) = mpsc::channel(MAX_PACE_QUESTIONS);
@@ -126,14 +134,14 @@
                 no_answer,
             },
         );
-        let forwarder = Forwarder::new(
-            net.clone(),
-            spawner.clone(),
-            &settings,
-            snapshots.clone(),
+        let parts = ForwarderParts {
+            spawner: spawner.clone(),
+            snapshots: snapshots.clone(),
             placement,
-            metrics.clone(),
-        );
+            quarantine,
+            metrics: metrics.clone(),
+        };
+        let forwarder = Forwarder::spawn(net.clone(), &settings, parts);
         forwarder.check_paces(owner, pace_questions_rx);
         let page = Arc::new(MetricsPage {
             metrics,
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -25,6 +25,8 @@
     /// Time left until the request must have ended.
     pub(crate) time_left: Duration,
     pub(crate) exclude: Vec<HostName>,
+    /// The request, where a target has ended while it had it.
+    pub(crate) suspect: Option<Fingerprint>,
     /// Whether another node named this one as the owner; it is then decided here, so that two nodes that
     /// each take the other for the owner don't send it to and fro.
     pub(crate) is_redirected: bool,
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -39,6 +39,8 @@
     pub(crate) give_up_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) exclude: Vec<HostName>,
+    /// The request, where a target has ended while it had it.
+    pub(crate) suspect: Option<Fingerprint>,
 }
 
 /// An ask or stream of this node.
@@ -143,6 +145,7 @@
                     pause: req.pause,
                     is_writing: false,
                     first_event_in,
+                    suspect: req.suspect,
                 };
                 let running = Live::Running {
                     service: req.service,
@@ -227,6 +230,7 @@
             give_up_in: req.give_up_at.saturating_duration_since(now),
             time_left: req.deadline.saturating_duration_since(now),
             exclude: req.exclude.clone(),
+            suspect: req.suspect,
             is_redirected: false,
         };
         if who == self.node || alone {
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -131,6 +131,7 @@
                 give_up_at: now + ask.give_up_in,
                 deadline: now + ask.time_left,
                 exclude: ask.exclude,
+                suspect: ask.suspect,
             },
         );
         let (tx, rx) = oneshot::channel();
--- a/crates/azuresaddle-edge/src/placement/tests/rounds.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/rounds.rs
@@ -40,6 +40,7 @@
         give_up_at: now + Duration::from_secs(10),
         deadline: now + Duration::from_secs(15),
         exclude: Vec::new(),
+        suspect: None,
     }
 }
 
--- /dev/null
+++ b/crates/azuresaddle-edge/src/quarantine/news.rs
@@ -0,0 +1,14 @@
+//! What nodes tell each other of requests that crash their targets.
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::quarantine::Crash;
+use serde::{Deserialize, Serialize};
+
+/// Something that is held against a request, or settles it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum CrashNews {
+    /// A target ended while it had the request.
+    Crash(Crash),
+    /// A run of the request came to a good end after all crashes that were known.
+    GoodEnd(Fingerprint),
+}
--- a/crates/azuresaddle-sched/benches/passes.rs
+++ b/crates/azuresaddle-sched/benches/passes.rs
@@ -29,6 +29,7 @@
         give_up_at: now + Duration::from_secs(86_400),
         deadline: now + Duration::from_secs(86_400),
         exclude: Vec::new(),
+        suspect: None,
     }
 }
 
--- a/crates/azuresaddle-sched/src/lib.rs
+++ b/crates/azuresaddle-sched/src/lib.rs
@@ -18,6 +18,7 @@
 mod pool;
 mod pool_digest;
 mod prefix_index;
+pub mod quarantine;
 mod queue;
 mod rate;
 mod reservation;
--- a/crates/azuresaddle-sched/src/passes/ask.rs
+++ b/crates/azuresaddle-sched/src/passes/ask.rs
@@ -38,6 +38,8 @@
     pub deadline: Instant,
     /// Targets that must not be used, since an earlier attempt failed there.
     pub exclude: Vec<HostName>,
+    /// The request, where a target has ended while it had it.
+    pub suspect: Option<Fingerprint>,
 }
 
 /// Time to write one token of an answer, in milliseconds: a step of an engine with a full batch.
@@ -114,4 +116,6 @@
     pub is_writing: bool,
     /// Expected time until the first event; zero where it has come or is overdue.
     pub first_event_in: Duration,
+    /// The request, where a target had ended while it had it.
+    pub suspect: Option<Fingerprint>,
 }
--- a/crates/azuresaddle-sched/src/passes/mechanism.rs
+++ b/crates/azuresaddle-sched/src/passes/mechanism.rs
@@ -32,13 +32,15 @@
     PaceChecks,
     /// Waiting prompts take turns by client account, and floods are refused.
     FairShares,
+    /// A request that a target has ended under is placed apart from others, one copy at a time.
+    SuspectSeparation,
     /// A new owner waits for the nodes to tell their streams.
     HandoverWait,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Packing,
         Self::PauseCheck,
         Self::Splitting,
@@ -50,6 +52,7 @@
         Self::ReadProtection,
         Self::PaceChecks,
         Self::FairShares,
+        Self::SuspectSeparation,
         Self::HandoverWait,
     ];
 
@@ -67,6 +70,7 @@
             Self::ReadProtection => "read-protection",
             Self::PaceChecks => "pace-checks",
             Self::FairShares => "fair-shares",
+            Self::SuspectSeparation => "suspect-separation",
             Self::HandoverWait => "handover-wait",
         }
     }
@@ -104,6 +108,7 @@
             Mechanism::ReadProtection => &mut self.protect_reads,
             Mechanism::PaceChecks => &mut self.check_pace,
             Mechanism::FairShares => &mut self.fair_shares,
+            Mechanism::SuspectSeparation => &mut self.separate_suspects,
             Mechanism::HandoverWait => &mut self.handover_wait,
         };
         *switch = false;
--- a/crates/azuresaddle-sched/src/passes/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/ledger.rs
@@ -19,6 +19,7 @@
     pub(super) helper_memory_tokens: u64,
     /// When the first event counts as overdue.
     pub(super) overdue_at: Option<Instant>,
+    pub(super) suspect: Option<Fingerprint>,
 }
 
 impl PassPool {
@@ -86,6 +87,7 @@
             pause: stream.pause,
             helper_memory_tokens: stream.helper_memory_tokens,
             overdue_at: (!stream.is_writing).then(|| overdue_at(now, stream.first_event_in)),
+            suspect: stream.suspect,
         };
         if !stream.is_writing {
             let ends = now + stream.first_event_in;
@@ -122,6 +124,7 @@
             prompt_tokens: parts.prompt_tokens,
             pause: parts.pause,
             is_writing: false,
+            is_suspect: parts.suspect.is_some(),
             is_late: false,
         });
         for key in &helpers {
@@ -135,6 +138,7 @@
             lead,
             helpers,
             overdue_at: parts.overdue_at,
+            suspect: parts.suspect,
         };
         self.runs.insert(parts.id, run);
     }
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -37,6 +37,8 @@
     helpers: Vec<EngineId>,
     /// When the first event counts as overdue; `None` once it has come or was found overdue.
     overdue_at: Option<Instant>,
+    /// The request, where a target had ended while it had it.
+    suspect: Option<Fingerprint>,
 }
 
 /// Places streams on the engines of one service.
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -41,6 +41,14 @@
         }
     }
 
+    /// Whether the same suspect runs already: whether it ends its target too is told before it is sent to
+    /// another one. Five copies of one request, which came within half a second, ended five engines.
+    fn awaits_verdict(&self, ask: &PassAsk) -> bool {
+        self.options.separate_suspects
+            && ask.suspect.is_some()
+            && self.runs.values().any(|run| run.suspect == ask.suspect)
+    }
+
     pub(super) fn round(&self, now: Instant) -> Round<'_> {
         Round {
             now,
@@ -59,6 +67,7 @@
             .iter()
             .take_while(|w| self.is_short(w.read_ms))
             .filter(|w| on_time == (w.ask.first_event_by > now))
+            .filter(|w| !self.awaits_verdict(&w.ask))
             .map(|w| w.ask.id)
             .collect();
         if due.is_empty() {
@@ -66,6 +75,14 @@
         }
         let mut candidates = ShortCandidates::new(&self.round(now));
         for id in due {
+            // One that was placed in this round may be the same request.
+            if self
+                .queue
+                .get(id)
+                .is_some_and(|w| self.awaits_verdict(&w.ask))
+            {
+                continue;
+            }
             let Some(plan) = self.short_plan(now, &candidates, id) else {
                 continue;
             };
@@ -117,6 +134,7 @@
                 .iter_long()
                 .take(MAX_LOOKED_AT)
                 .filter(|w| on_time == (w.ask.first_event_by > now))
+                .filter(|w| !self.awaits_verdict(&w.ask))
                 .take(MAX_TRIED)
                 .find_map(|w| {
                     let plan = self.plan_for(&round, &candidates, w, open)?;
@@ -180,6 +198,7 @@
             pause: ask.pause,
             helper_memory_tokens: plan.helper_memory_tokens,
             overdue_at: Some(overdue_at(now, grant.first_event_in)),
+            suspect: ask.suspect,
         };
         for key in &plan.engines {
             let engine = &mut self.engines[*key];
--- a/crates/azuresaddle-sched/src/passes/short_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/short_plan.rs
@@ -123,10 +123,15 @@
             if ask.exclude.contains(&engine.name) {
                 continue;
             }
+            let separates = options.separate_suspects;
+            let is_suspect = separates && ask.suspect.is_some();
             let rank = Rank {
                 is_good,
-                packed: if options.pack_short {
-                    engine.count_with_pause(ask.pause)
+                is_safe: !(separates && engine.has_suspect()),
+                packed: if is_suspect {
+                    -(engine.leads.len() as i64)
+                } else if options.pack_short {
+                    engine.count_with_pause(ask.pause) as i64
                 } else {
                     0
                 },
@@ -149,8 +154,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Rank {
     is_good: bool,
-    /// Streams of the same kind that write there.
-    packed: usize,
+    /// Whether no suspect runs there: what ends a target takes its other streams along.
+    is_safe: bool,
+    /// Streams of the same kind that write there; for a suspect the fewest of any kind.
+    packed: i64,
     same_domain: bool,
     soon: f64,
 }
@@ -163,7 +170,10 @@
         if !self.is_good {
             return self.soon > other.soon;
         }
-        let by = (self.packed, self.same_domain).cmp(&(other.packed, other.same_domain));
-        by.then(self.soon.total_cmp(&other.soon)).is_gt()
+        let key = |r: &Self| (r.is_safe, r.packed, r.same_domain);
+        key(self)
+            .cmp(&key(other))
+            .then(self.soon.total_cmp(&other.soon))
+            .is_gt()
     }
 }
--- a/crates/azuresaddle-sched/tests/suite/main.rs
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -8,4 +8,5 @@
 mod pool;
 mod pool_choice;
 mod prefix_index;
+mod quarantine;
 mod support;
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -7,6 +7,7 @@
 mod restart;
 mod shares;
 mod short;
+mod suspects;
 mod usual_engine;
 
 use std::time::Duration;
@@ -56,6 +57,7 @@
         give_up_at: now + Duration::from_secs(12),
         deadline: now + Duration::from_secs(15),
         exclude: Vec::new(),
+        suspect: None,
     }
 }
 
@@ -99,5 +101,6 @@
         pause: Duration::from_millis(200),
         is_writing: true,
         first_event_in: Duration::ZERO,
+        suspect: None,
     }
 }
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -216,6 +216,7 @@
             give_up_at: after(give_up_ms(kind)),
             deadline: after(kind.deadline_ms),
             exclude: Vec::new(),
+            suspect: None,
         };
         let placer = self.route(at_ms, i);
         self.streams[i].placer = placer;
--- a/crates/azuresaddle-standin/src/passes/world/takeover.rs
+++ b/crates/azuresaddle-standin/src/passes/world/takeover.rs
@@ -70,6 +70,7 @@
             pause: ask.pause,
             is_writing,
             first_event_in: first_event_at.saturating_duration_since(now),
+            suspect: ask.suspect,
         })
     }
 }
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -1,4 +1,4 @@
-//! `trace`: one request's life out of the logs of several nodes.
+//! `trace`: the life of one attempt, or of a request that comes again, out of the logs of several nodes.
 
 use anyhow::{Result, bail};
 use clap::{Arg, ArgMatches, Command};
@@ -14,9 +14,9 @@
     Command::new("trace")
         .about("Prints what the logs of several nodes say of one request, in order")
         .arg(
-            Arg::new("REQUEST-ID")
-                .required(true)
-                .help("Id of the request, as the caller sent it"),
+            Arg::new("REQUEST-ID").required(true).help(
+                "Id of one attempt, as the caller sent it, or the fingerprint of all attempts",
+            ),
         )
         .arg(log_files::arg())
 }
@@ -43,18 +43,19 @@
     Ok(())
 }
 
-/// Time and text of a line that names the request; lines that are no JSON are passed over.
+/// Time and text of a line that names the request or its fingerprint; lines that are no JSON are passed over.
 fn matching(text: &str, id: &str, node: &str) -> Option<(String, String)> {
     let start = text.find('{')?;
     let fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
-    if fields.get("request")?.as_str()? != id {
+    let names = |field: &str| fields.get(field).and_then(Value::as_str) == Some(id);
+    if !names("request") && !names("fingerprint") {
         return None;
     }
     let field = |name: &str| fields.get(name).map(plain).unwrap_or_default();
     let (at, part, message) = (field("timestamp"), field("part"), field("message"));
     let mut out = format!("{at} {node} {part}: {message}");
     for (name, value) in &fields {
-        if name != "request" && !FIRST_FIELDS.contains(&name.as_str()) {
+        if value.as_str() != Some(id) && !FIRST_FIELDS.contains(&name.as_str()) {
             out.push_str(&format!(" {name}={}", plain(value)));
         }
     }
--- a/tests/testsuite/platform/explain.rs
+++ b/tests/testsuite/platform/explain.rs
@@ -1,28 +1,11 @@
 //! From a failed request's id to its cause, by the logs alone.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use azuresaddle_standin::platform::{CallerError, TargetFault};
-use azuresaddle_standin::soak::Fleet;
 
-use super::support::{ask, fleet, plain, program, status, stream};
-
-/// What `trace` prints of a request.
-fn trace(fleet: &Fleet, request: &str) -> String {
-    let logs: Vec<PathBuf> = fleet
-        .nodes
-        .iter()
-        .map(|n| n.log_path().to_owned())
-        .collect();
-    let output = std::process::Command::new(program())
-        .args(["trace", request])
-        .args(logs)
-        .output()
-        .unwrap();
-    assert!(output.status.success(), "{output:?}");
-    String::from_utf8(output.stdout).unwrap()
-}
+use super::support::{ask, fleet, plain, program, status, stream, trace};
 
 /// The log is written by a thread of its own.
 async fn settle() {
--- a/tests/testsuite/platform/repeats.rs
+++ b/tests/testsuite/platform/repeats.rs
@@ -9,11 +9,12 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::platform::{Asked, WorldOptions};
+use azuresaddle_standin::platform::{Asked, Caller, StoreFault, WorldOptions};
 use azuresaddle_standin::soak::{Fleet, FleetOptions};
 use bytes::Bytes;
+use nix::sys::signal::Signal;
 
-use super::support::{ask, dir, plain, program, stream};
+use super::support::{ask, dir, plain, program, stream, trace};
 
 /// Crashes after which nobody doubts what ends the targets.
 const CRASHES: usize = 3;
@@ -48,10 +49,7 @@
 async fn repeat(fleet: &mut Fleet, asked: impl Fn() -> Asked, body: &Bytes) -> usize {
     fleet.world.crashes.make_crash(body.clone());
     for n in 0..ATTEMPTS {
-        let asked = Asked {
-            body: body.clone(),
-            ..asked()
-        };
+        let asked = with_body(asked(), body);
         let node = &fleet.nodes[n % fleet.nodes.len()];
         let answer = ask(node, &asked).await;
         assert!(
@@ -84,3 +82,149 @@
         );
     }
 }
+
+/// An attempt of a request that is in quarantine has its answer at once: it has not run.
+async fn assert_quarantined(fleet: &Fleet, node: usize, asked: &Asked) {
+    let reached = fleet.world.crashes.reached(&asked.body);
+    let answer = ask(&fleet.nodes[node], asked).await.unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.has_retry_after);
+    assert_eq!(fleet.world.runs.of(&asked.attempt).count, 0);
+    assert_eq!(fleet.world.crashes.reached(&asked.body), reached);
+}
+
+fn with_body(asked: Asked, body: &Bytes) -> Asked {
+    Asked {
+        body: body.clone(),
+        ..asked
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_start_later_know_it_from_the_others_or_from_the_store() {
+    let mut fleet = fleet_without_proxies("crashing-later").await;
+    let body = Bytes::from_static(b"{\"d\":1}");
+    repeat(&mut fleet, || stream("/ask/1", 1500, 6), &body).await;
+    for killed in [vec![2], vec![0, 1, 2]] {
+        for n in &killed {
+            fleet.nodes[*n].signal(Signal::SIGKILL);
+        }
+        tokio::time::sleep(PAUSE).await;
+        for n in &killed {
+            fleet.nodes[*n].start().unwrap();
+        }
+        for n in killed {
+            fleet.nodes[n].until_ready().await.unwrap();
+            let asked = with_body(stream("/ask/1", 1500, 6), &body);
+            assert_quarantined(&fleet, n, &asked).await;
+            let asked = stream("/ask/1", 1500, 6);
+            assert_eq!(ask(&fleet.nodes[n], &asked).await.unwrap().status, 200);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_tell_each_other_while_the_store_is_down() {
+    let mut fleet = fleet_without_proxies("crashing-store-down").await;
+    // Known to control only after a watch has failed; the nodes keep their targets.
+    fleet.world.store.set_fault(StoreFault::Unavailable);
+    let body = Bytes::from_static(b"{\"e\":1}");
+    let reached = repeat(&mut fleet, || stream("/ask/1", 1500, 6), &body).await;
+    assert!(reached <= CRASHES + MOST_LATER_SENDS, "{reached} engines");
+    for n in 0..3 {
+        let asked = with_body(stream("/ask/1", 1500, 6), &body);
+        assert_quarantined(&fleet, n, &asked).await;
+    }
+    // The store learns of it when it is back.
+    fleet.world.store.set_fault(StoreFault::None);
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    for node in &mut fleet.nodes {
+        node.signal(Signal::SIGKILL);
+    }
+    tokio::time::sleep(PAUSE).await;
+    for n in 0..3 {
+        fleet.nodes[n].start().unwrap();
+        fleet.nodes[n].until_ready().await.unwrap();
+        let asked = with_body(stream("/ask/1", 1500, 6), &body);
+        assert_quarantined(&fleet, n, &asked).await;
+    }
+}
+
+/// Other callers' streams are on the engines that end. They go on elsewhere, or come back once as their
+/// callers do, and none of them is taken for the cause.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_requests_beside_it_are_served() {
+    let mut fleet = fleet_without_proxies("crashing-beside").await;
+    let nodes: Vec<_> = fleet.nodes.iter().map(|n| n.callers()).collect();
+    let callers: Vec<_> = (0..12)
+        .map(|n| {
+            let node = nodes[n % nodes.len()];
+            tokio::spawn(async move {
+                let mut refused = 0;
+                for m in 0..12 {
+                    let body = Bytes::from(format!("{{\"sound\":{n},\"m\":{m}}}"));
+                    let mut served = false;
+                    for _ in 0..4 {
+                        let asked = with_body(stream("/ask/1", 1500, 8), &body);
+                        let answer = Caller::default().ask(node, &asked).await;
+                        let status = answer.map_or(0, |a| a.status.as_u16());
+                        refused += u32::from(status == 503);
+                        served = status == 200;
+                        if served {
+                            break;
+                        }
+                    }
+                    assert!(served, "caller {n}, request {m}");
+                }
+                refused
+            })
+        })
+        .collect();
+    let body = Bytes::from_static(b"{\"f\":1}");
+    repeat(&mut fleet, || stream("/ask/1", 1500, 6), &body).await;
+    for caller in callers {
+        assert_eq!(caller.await.unwrap(), 0, "sound requests refused");
+    }
+    let mut quarantines = 0;
+    for node in &fleet.nodes {
+        let text = node.metrics().await.unwrap();
+        assert!(text.contains("azuresaddle_quarantines_total 1"), "{text}");
+        quarantines += text
+            .matches("azuresaddle_quarantine_refusals_total{")
+            .count();
+    }
+    assert!(quarantines >= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_answer_says_whether_it_has_run_and_the_trace_says_why() {
+    let mut fleet = fleet_without_proxies("crashing-answers").await;
+    let body = Bytes::from_static(b"{\"g\":1}");
+    fleet.world.crashes.make_crash(body.clone());
+    for path in ["/ask/1", "/note/1"] {
+        let mut last = String::new();
+        for n in 0..6 {
+            let asked = match path {
+                "/ask/1" => with_body(stream(path, 1500, 6), &body),
+                _ => with_body(plain(path), &body),
+            };
+            let answer = ask(&fleet.nodes[n % 3], &asked).await;
+            let ran = fleet.world.runs.of(&asked.attempt).count > 0;
+            let refused = matches!(answer, Ok(ref a) if a.status == 503);
+            assert_ne!(ran, refused, "{answer:?}");
+            last = asked.attempt;
+            tokio::time::sleep(PAUSE).await;
+            fleet.world.restart_ended().await.unwrap();
+        }
+        assert_eq!(fleet.world.runs.of(&last).count, 0, "{path}");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let life = trace(&fleet, &last);
+        assert!(life.contains("request in quarantine"), "{life}");
+        let (_, rest) = life.split_once("fingerprint=").unwrap();
+        let request = rest.split_whitespace().next().unwrap();
+        // By the fingerprint: every attempt, the targets that ended, and since when nothing is sent.
+        let history = trace(&fleet, request);
+        assert!(history.contains("target ended"), "{history}");
+        assert!(history.contains("request quarantined"), "{history}");
+    }
+}
--- a/tests/testsuite/platform/support.rs
+++ b/tests/testsuite/platform/support.rs
@@ -64,3 +64,19 @@
 pub(super) async fn status(node: &NodeProcess, asked: &Asked) -> u16 {
     ask(node, asked).await.unwrap().status.as_u16()
 }
+
+/// What `trace` prints of a request, by the id of an attempt or by its fingerprint.
+pub(super) fn trace(fleet: &Fleet, request: &str) -> String {
+    let logs: Vec<PathBuf> = fleet
+        .nodes
+        .iter()
+        .map(|n| n.log_path().to_owned())
+        .collect();
+    let output = std::process::Command::new(program())
+        .args(["trace", request])
+        .args(logs)
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
