Soak: callers whose request crashes its targets, beside all other faults

A soak now may have callers that send such a request again and again to random nodes (--crashers); it is checked that no more than three sends reach targets later than 3 s after the third end. Proxies refuse connections while nothing listens upstream, as a host whose process has ended does, so the tests of repeats go through them. At the end each node must serve a stream, so that no sound request is left in quarantine.

--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -38,6 +38,14 @@
                 .action(ArgAction::SetTrue)
                 .help("Targets also start again under their names"),
         )
+        .arg(
+            Arg::new("crashers")
+                .long("crashers")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Callers that send a request again and again which ends its targets"),
+        )
         .arg(
             Arg::new("nodes")
                 .long("nodes")
@@ -78,6 +86,7 @@
                 ..FleetOptions::default()
             },
             has_restarts: args.get_flag("restarts"),
+            crashers: get(args, "crashers"),
         };
         let report = runtime.block_on(run_soak(&options))?;
         say(report.to_string().trim_end());
--- a/crates/azuresaddle-standin/src/platform/crashes.rs
+++ b/crates/azuresaddle-standin/src/platform/crashes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use super::target::Target;
 
@@ -15,10 +16,9 @@
 /// whose connection breaks finds its port closed, as after the end of a process.
 const CLOSED_BEFORE: Duration = Duration::from_millis(10);
 
-/// Bodies of requests that end their targets, with the number of targets that each has reached; cheap to
-/// clone.
+/// Bodies of requests that end their targets, with the times at which each has reached one; cheap to clone.
 #[derive(Clone, Debug, Default)]
-pub struct Crashes(Arc<Mutex<HashMap<Bytes, usize>>>);
+pub struct Crashes(Arc<Mutex<HashMap<Bytes, Vec<Instant>>>>);
 
 impl Crashes {
     /// Makes every target end that runs a request with this body.
@@ -26,18 +26,23 @@
         self.lock().entry(body).or_default();
     }
 
-    /// Targets that requests with this body have reached.
+    /// Number of targets that requests with this body have reached.
     pub fn reached(&self, body: &Bytes) -> usize {
-        self.lock().get(body).copied().unwrap_or(0)
+        self.lock().get(body).map_or(0, Vec::len)
+    }
+
+    /// When requests with each such body reached targets.
+    pub fn all(&self) -> Vec<Vec<Instant>> {
+        self.lock().values().cloned().collect()
     }
 
     /// Ends a target soon where it begins to run such a request; false for any other.
     pub(super) fn on_run(&self, target: &Arc<Target>, body: &Bytes) -> bool {
         let mut reached = self.lock();
-        let Some(count) = reached.get_mut(body) else {
+        let Some(times) = reached.get_mut(body) else {
             return false;
         };
-        *count += 1;
+        times.push(Instant::now());
         let target = Arc::clone(target);
         tokio::spawn(async move {
             tokio::time::sleep(CRASH_AFTER).await;
@@ -48,7 +53,7 @@
         true
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Bytes, usize>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Bytes, Vec<Instant>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -17,7 +17,7 @@
 use crate::platform::{Asked, Caller, CallerError, Runs};
 
 /// Time that callers wait for an answer.
-const PATIENCE: Duration = Duration::from_secs(6);
+pub(super) const PATIENCE: Duration = Duration::from_secs(6);
 
 /// Time for which a caller keeps the addresses that it was told.
 const KEEP_ADDRESSES: Duration = Duration::from_secs(2);
@@ -41,13 +41,21 @@
         report.broken.push(what);
     }
 
-    fn count(&self, end: &str) {
+    pub(super) fn count(&self, end: &str) {
         self.report
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .count(end);
     }
 
+    /// Notes that something unplanned happens.
+    pub(super) fn disturb(&self) {
+        *self
+            .disturbed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
     fn was_disturbed_since(&self, at: Instant) -> bool {
         *self
             .disturbed
@@ -91,7 +99,11 @@
     }
 }
 
-async fn resolve(shared: &Shared, rng: &mut StdRng, known: Vec<SocketAddr>) -> Vec<SocketAddr> {
+pub(super) async fn resolve(
+    shared: &Shared,
+    rng: &mut StdRng,
+    known: Vec<SocketAddr>,
+) -> Vec<SocketAddr> {
     for _ in 0..3 {
         let Some(directory) = shared.directories.choose(rng) else {
             break;
@@ -110,7 +122,7 @@
     known
 }
 
-fn draw(shared: &Shared, rng: &mut StdRng) -> Asked {
+pub(super) fn draw(shared: &Shared, rng: &mut StdRng) -> Asked {
     let number = shared.attempts.fetch_add(1, Ordering::Relaxed);
     let (path, tokens) = match rng.random_range(0..10) {
         0..=3 => ("/note/1", None),
@@ -134,7 +146,7 @@
 }
 
 /// Checks one answer against what is promised.
-fn judge(
+pub(super) fn judge(
     shared: &Shared,
     asked: &Asked,
     began: Instant,
--- /dev/null
+++ b/crates/azuresaddle-standin/src/soak/crashers.rs
@@ -0,0 +1,68 @@
+//! Callers whose request ends the targets that run it, and who send it again and again.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+use super::callers::{PATIENCE, Shared, draw, judge, resolve};
+use super::fleet::Fleet;
+use crate::platform::{Caller, Crashes};
+
+/// Targets after whose end a request is known for what it does.
+const CRASHES: usize = 3;
+
+/// Time after that within which all nodes know.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Most targets that it may reach later.
+const MOST_LATER: usize = 3;
+
+/// Longest time until the first attempt, so that requests begin in the midst of other faults.
+const MAX_START: Duration = Duration::from_secs(3);
+
+/// Sends one request to random nodes until it is stopped.
+pub(super) async fn run_crasher(shared: Arc<Shared>, crashes: Crashes, number: u64) {
+    let seed = shared.attempts.load(Ordering::Relaxed) ^ number;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let body = Bytes::from(format!("{{\"crash\":{number}}}"));
+    crashes.make_crash(body.clone());
+    tokio::time::sleep(MAX_START.mul_f64(rng.random_range(0.0..1.0))).await;
+    let first = draw(&shared, &mut rng);
+    while !shared.stopped.is_cancelled() {
+        let addresses = resolve(&shared, &mut rng, Vec::new()).await;
+        let mut asked = first.clone();
+        asked.attempt = draw(&shared, &mut rng).attempt;
+        asked.body = body.clone();
+        if let Some(node) = addresses.choose(&mut rng) {
+            let began = Instant::now();
+            shared.disturb();
+            let result = Caller::default().ask(*node, &asked).await;
+            judge(&shared, &asked, began, &result);
+        }
+        tokio::time::sleep(PATIENCE.mul_f64(rng.random_range(0.01..0.06))).await;
+    }
+}
+
+/// Looks whether requests that end their targets were kept from them.
+pub(super) fn check_crashes(fleet: &Fleet, shared: &Shared) {
+    for times in fleet.world.crashes.all() {
+        let Some(third) = times.get(CRASHES - 1) else {
+            continue;
+        };
+        let later = times.iter().filter(|at| **at > *third + CONTACT_TIME);
+        let later = later.count();
+        shared.count(&format!("requests that reached {} targets", times.len()));
+        if later > MOST_LATER {
+            let after: Vec<Duration> = times.iter().map(|at| *at - times[0]).collect();
+            shared.broken(format!(
+                "{later} sends of a request that crashes targets: {after:?}"
+            ));
+        }
+    }
+}
--- a/crates/azuresaddle-standin/src/soak/faults.rs
+++ b/crates/azuresaddle-standin/src/soak/faults.rs
@@ -6,7 +6,6 @@
 use nix::sys::signal::Signal;
 use rand::Rng;
 use rand::rngs::StdRng;
-use tokio::time::Instant;
 
 use super::callers::Shared;
 use super::fleet::Fleet;
@@ -143,13 +142,13 @@
         }
     }
     if is_unplanned(fault) {
-        disturb(shared);
+        shared.disturb();
     }
 }
 
 fn note(shared: &Shared, fault: Fault, length: Duration) {
     if is_unplanned(fault) {
-        disturb(shared);
+        shared.disturb();
     }
     let mut report = shared.report.lock().unwrap_or_else(PoisonError::into_inner);
     report.faults.push(format!("{fault:?} for {length:?}"));
@@ -167,13 +166,6 @@
     )
 }
 
-fn disturb(shared: &Shared) {
-    *shared
-        .disturbed
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner) = Instant::now();
-}
-
 async fn restart(fleet: &mut Fleet, shared: &Shared, n: usize) {
     if let Err(e) = fleet.nodes[n].start() {
         shared.broken(format!("node {n} did not start: {e}"));
--- a/crates/azuresaddle-standin/src/soak/fleet.rs
+++ b/crates/azuresaddle-standin/src/soak/fleet.rs
@@ -28,8 +28,6 @@
     pub nodes: u8,
     /// Targets.
     pub world: WorldOptions,
-    /// Whether a proxy stands before each target; without one a target that has ended refuses connections.
-    pub has_target_proxies: bool,
 }
 
 impl Default for FleetOptions {
@@ -37,7 +35,6 @@
         Self {
             nodes: 3,
             world: WorldOptions::default(),
-            has_target_proxies: true,
         }
     }
 }
@@ -63,10 +60,9 @@
         let mut world = World::open(options.world).await?;
         let mut target_proxies = Vec::new();
         let targets: Vec<_> = world.engines.iter().chain(&world.plain).cloned().collect();
-        let proxied = targets.iter().filter(|_| options.has_target_proxies);
-        for target in proxied {
+        for target in targets {
             let proxy = Proxy::spawn(target.addr()).await?;
-            world.put_behind(target, proxy.addr);
+            world.put_behind(&target, proxy.addr);
             target_proxies.push(proxy);
         }
         let port = next_port();
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! A randomized soak: real node processes, faults from outside, promises checked by callers.
 
 mod callers;
+mod crashers;
 mod faults;
 mod fleet;
 mod process;
--- a/crates/azuresaddle-standin/src/soak/proxy.rs
+++ b/crates/azuresaddle-standin/src/soak/proxy.rs
@@ -4,13 +4,20 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Bytes that are passed on at a time.
 const CHUNK: usize = 16 << 10;
 
+/// Time between two looks whether something listens upstream again.
+const UPSTREAM_POLL: Duration = Duration::from_millis(20);
+
+/// Time for which a proxy whose upstream has ended takes no connection while the ones that it has still stand, as
+/// the port of a process that ends is closed when its connections break.
+const CLOSED_BEFORE: Duration = Duration::from_millis(10);
+
 /// What the proxy does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProxyMode {
@@ -42,12 +49,7 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let addr = listener.local_addr()?;
         let mode = watch::Sender::new(ProxyMode::Pass);
-        let modes = mode.subscribe();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, upstream, modes.clone()));
-            }
-        });
+        tokio::spawn(accept(listener, upstream, mode.subscribe()));
         Ok(Self { addr, mode })
     }
 
@@ -57,31 +59,78 @@
     }
 }
 
-async fn serve(stream: TcpStream, upstream: SocketAddr, modes: watch::Receiver<ProxyMode>) {
+/// Takes connections while something listens upstream, and refuses them while nothing does.
+async fn accept(
+    mut listener: TcpListener,
+    upstream: SocketAddr,
+    modes: watch::Receiver<ProxyMode>,
+) {
+    let Ok(addr) = listener.local_addr() else {
+        return;
+    };
+    let is_open = watch::Sender::new(true);
+    let mut opened = is_open.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                tokio::spawn(serve(stream, upstream, modes.clone(), is_open.clone()));
+                continue;
+            }
+            // The sender lives here.
+            _ = opened.wait_for(|open| !*open) => {}
+        }
+        drop(listener);
+        while TcpStream::connect(upstream).await.is_err() {
+            tokio::time::sleep(UPSTREAM_POLL).await;
+        }
+        let Ok(bound) = TcpListener::bind(addr).await else {
+            return;
+        };
+        listener = bound;
+        is_open.send_replace(true);
+    }
+}
+
+/// Serves one connection; closes the proxy first where the upstream has ended under it.
+async fn serve(
+    mut stream: TcpStream,
+    upstream: SocketAddr,
+    modes: watch::Receiver<ProxyMode>,
+    is_open: watch::Sender<bool>,
+) {
+    relay(&mut stream, upstream, modes).await;
+    if TcpStream::connect(upstream).await.is_err() {
+        is_open.send_replace(false);
+        tokio::time::sleep(CLOSED_BEFORE).await;
+    }
+}
+
+async fn relay(stream: &mut TcpStream, upstream: SocketAddr, modes: watch::Receiver<ProxyMode>) {
     if *modes.borrow() == ProxyMode::Reset {
         return;
     }
-    let Ok(target) = TcpStream::connect(upstream).await else {
+    let Ok(mut target) = TcpStream::connect(upstream).await else {
         return;
     };
     // An unset option only delays bytes.
     let _ = stream.set_nodelay(true);
     let _ = target.set_nodelay(true);
-    let (from_caller, to_caller) = stream.into_split();
-    let (from_target, to_target) = target.into_split();
+    let (from_caller, to_caller) = stream.split();
+    let (from_target, to_target) = target.split();
     let mut reset = modes.clone();
     tokio::select! {
         () = pass(from_caller, to_target, modes.clone(), false) => {}
         () = pass(from_target, to_caller, modes, true) => {}
-        // Dropping both halves breaks the connection.
+        // The connection breaks when it is dropped.
         _ = reset.wait_for(|m| *m == ProxyMode::Reset) => {}
     }
 }
 
 /// Passes one direction on until it ends.
 async fn pass(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut modes: watch::Receiver<ProxyMode>,
     is_back: bool,
 ) {
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::callers::{Shared, run_caller};
+use super::crashers::{check_crashes, run_crasher};
 use super::faults::strike;
 use super::fleet::{Fleet, FleetOptions};
 use super::report::SoakReport;
@@ -40,6 +41,8 @@
     pub fleet: FleetOptions,
     /// Whether targets also start again under their names.
     pub has_restarts: bool,
+    /// Callers that send a request again and again which ends the targets that run it.
+    pub crashers: u64,
 }
 
 /// Runs callers and faults, then looks whether everything is well again.
@@ -64,10 +67,18 @@
     let callers: Vec<_> = (0..options.callers)
         .map(|n| tokio::spawn(run_caller(Arc::clone(&shared), options.seed * 1000 + n)))
         .collect();
+    let mut callers = callers;
+    callers.extend((0..options.crashers).map(|n| {
+        let crashes = fleet.world.crashes.clone();
+        tokio::spawn(run_crasher(Arc::clone(&shared), crashes, n))
+    }));
     let mut rng = StdRng::seed_from_u64(options.seed);
     let end = Instant::now() + options.length;
     while Instant::now() < end {
         strike(&mut fleet, &shared, &mut rng, options.has_restarts).await;
+        if let Err(e) = fleet.world.restart_ended().await {
+            shared.broken(format!("a target did not start again: {e}"));
+        }
     }
     shared.stopped.cancel();
     for caller in callers {
@@ -76,6 +87,7 @@
         }
     }
     check_end(&mut fleet, &shared).await;
+    check_crashes(&fleet, &shared);
     let report = shared.report.lock().unwrap_or_else(PoisonError::into_inner);
     Ok(report.clone())
 }
@@ -88,7 +100,7 @@
         .change_configuration(|c| c.accounts[0].keys.retain(|k| k != "key-2"));
     tokio::time::sleep(APPLY).await;
     for (n, node) in fleet.nodes.iter().enumerate() {
-        let asked = |key: &str, path: &str| Asked {
+        let asked = |key: &str, path: &str, tokens| Asked {
             attempt: format!(
                 "{:016x}",
                 0xffff_0000_u64 + n as u64 * 16 + path.len() as u64
@@ -96,15 +108,22 @@
             path: path.to_owned(),
             host: "desk.example".to_owned(),
             key: key.to_owned(),
-            tokens: None,
+            tokens,
             body: "{}".into(),
             patience: Duration::from_secs(3),
         };
         let mut caller = Caller::default();
-        for (key, status) in [("key-1", 200), ("key-2", 401)] {
-            let answer = caller.ask(node.callers(), &asked(key, "/note/1")).await;
+        for (key, path, tokens, status) in [
+            ("key-1", "/note/1", None, 200),
+            ("key-2", "/note/1", None, 401),
+            ("key-1", "/ask/1", Some((1000, 46)), 200),
+        ] {
+            let asked = asked(key, path, tokens);
+            let answer = caller.ask(node.callers(), &asked).await;
             if answer.as_ref().map(|a| a.status.as_u16()) != Ok(status) {
-                shared.broken(format!("node {n}, {key}: {answer:?}, expected {status}"));
+                shared.broken(format!(
+                    "node {n}, {key}, {path}: {answer:?}, expected {status}"
+                ));
             }
         }
     }
--- a/tests/testsuite/platform/repeats.rs
+++ b/tests/testsuite/platform/repeats.rs
@@ -28,15 +28,14 @@
 /// Time between them.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Nodes before targets that refuse connections once they have ended.
-async fn fleet_without_proxies(test: &str) -> Fleet {
+/// Nodes before enough targets that some are left while others have ended.
+async fn large_fleet(test: &str) -> Fleet {
     let options = FleetOptions {
         nodes: 3,
         world: WorldOptions {
             engines: 6,
             plain: 4,
         },
-        has_target_proxies: false,
     };
     let fleet = Fleet::open(program(), &dir(test), options).await.unwrap();
     // The targets' entries follow the configuration by a moment.
@@ -64,7 +63,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_crashes_its_engines_is_not_sent_on_and_on() {
-    let mut fleet = fleet_without_proxies("crashing-stream").await;
+    let mut fleet = large_fleet("crashing-stream").await;
     let body = Bytes::from_static(b"{\"a\":1}");
     let reached = repeat(&mut fleet, || stream("/ask/1", 1500, 6), &body).await;
     assert!(reached <= CRASHES + MOST_LATER_SENDS, "{reached} engines");
@@ -72,7 +71,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_plain_request_that_crashes_its_targets_is_not_sent_on_and_on() {
-    let mut fleet = fleet_without_proxies("crashing-plain").await;
+    let mut fleet = large_fleet("crashing-plain").await;
     for (path, body) in [("/note/1", "{\"b\":1}"), ("/post/1", "{\"c\":1}")] {
         let body = Bytes::from_static(body.as_bytes());
         let reached = repeat(&mut fleet, || plain(path), &body).await;
@@ -102,7 +101,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_that_start_later_know_it_from_the_others_or_from_the_store() {
-    let mut fleet = fleet_without_proxies("crashing-later").await;
+    let mut fleet = large_fleet("crashing-later").await;
     let body = Bytes::from_static(b"{\"d\":1}");
     repeat(&mut fleet, || stream("/ask/1", 1500, 6), &body).await;
     for killed in [vec![2], vec![0, 1, 2]] {
@@ -125,7 +124,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_tell_each_other_while_the_store_is_down() {
-    let mut fleet = fleet_without_proxies("crashing-store-down").await;
+    let mut fleet = large_fleet("crashing-store-down").await;
     // Known to control only after a watch has failed; the nodes keep their targets.
     fleet.world.store.set_fault(StoreFault::Unavailable);
     let body = Bytes::from_static(b"{\"e\":1}");
@@ -154,7 +153,7 @@
 /// callers do, and none of them is taken for the cause.
 #[tokio::test(flavor = "multi_thread")]
 async fn sound_requests_beside_it_are_served() {
-    let mut fleet = fleet_without_proxies("crashing-beside").await;
+    let mut fleet = large_fleet("crashing-beside").await;
     let nodes: Vec<_> = fleet.nodes.iter().map(|n| n.callers()).collect();
     let callers: Vec<_> = (0..12)
         .map(|n| {
@@ -198,7 +197,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_answer_says_whether_it_has_run_and_the_trace_says_why() {
-    let mut fleet = fleet_without_proxies("crashing-answers").await;
+    let mut fleet = large_fleet("crashing-answers").await;
     let body = Bytes::from_static(b"{\"g\":1}");
     fleet.world.crashes.make_crash(body.clone());
     for path in ["/ask/1", "/note/1"] {
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -11,20 +11,25 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults_from_outside() {
-    soak(4, false).await;
+    soak(4, false, 0).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_with_the_seed_that_failed_once() {
-    soak(20, false).await;
+    soak(20, false, 0).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_where_targets_start_again_under_their_names() {
-    soak(31, true).await;
+    soak(31, true, 0).await;
 }
 
-async fn soak(seed: u64, has_restarts: bool) {
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_their_targets_are_kept_from_them_under_faults() {
+    soak(5, false, 2).await;
+}
+
+async fn soak(seed: u64, has_restarts: bool, crashers: u64) {
     let options = SoakOptions {
         program: program().to_owned(),
         dir: dir(&format!("soak-{seed}")),
@@ -33,6 +38,7 @@
         length: Duration::from_secs(7),
         fleet: FleetOptions::default(),
         has_restarts,
+        crashers,
     };
     let report = run_soak(&options).await.unwrap();
     assert!(report.is_good(), "{report}");
