Quarantine: each life of a target counts, a good end clears for a while, breaks are explained later

A good end now clears a request for 30 s, nodes that know of one object to what others tell, and the store forgets it. A send that begins after an end is known counts as another life. Besides: a break whose target looked alive (something before it takes connections, or nothing answers) counts once that target has started again, within 10 s.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -8,14 +8,13 @@
 use azuresaddle_core::http::HttpClient;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::PlatformStore;
-use azuresaddle_sched::quarantine::Crash;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
 use super::crash_spread::CrashSpread;
-use super::crash_writer::write_crashes;
+use super::crash_writer::{CrashWrite, write_crashes};
 use super::heartbeat::{Datagram, MAX_BYTES, NodeNews};
 use super::members::{Members, TICK};
 use super::registry::{Published, Registry};
@@ -84,7 +83,7 @@
     pub(super) crashes_seen: mpsc::Receiver<CrashNews>,
     pub(super) crash_spread: CrashSpread,
     /// Crashes that the store should keep.
-    pub(super) crash_writes: mpsc::Sender<Vec<Crash>>,
+    pub(super) crash_writes: mpsc::Sender<CrashWrite>,
     pub(super) metrics: Metrics,
     /// Whether something changed after the last snapshot.
     has_changes: bool,
@@ -109,7 +108,7 @@
     fn new(
         parts: ControlParts<N>,
         watch_enabled: watch::Sender<bool>,
-        crash_writes: mpsc::Sender<Vec<Crash>>,
+        crash_writes: mpsc::Sender<CrashWrite>,
     ) -> Self {
         let settings = &parts.settings;
         let own = NodeNews {
--- a/crates/azuresaddle-edge/src/control/crash_writer.rs
+++ b/crates/azuresaddle-edge/src/control/crash_writer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{LeaseId, MAX_WRITES, PlatformStore, StoreError, crash_key};
+use azuresaddle_platform::{CrashKey, LeaseId, MAX_WRITES, PlatformStore, StoreError};
 use azuresaddle_sched::quarantine::Crash;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -24,23 +24,34 @@
 /// Most entries that wait for a store that does not answer; more would outlive their use.
 const MAX_PENDING: usize = 512;
 
+/// What the store should do.
+#[derive(Clone, Debug)]
+pub(super) enum CrashWrite {
+    /// Keep these crashes.
+    Keep(Vec<Crash>),
+    /// Forget all crashes of a request that this node has written; others end with their lease.
+    Forget(Fingerprint),
+}
+
 /// Writes what comes, until nobody sends any more.
 pub(super) async fn write_crashes<N: Network>(
     store: PlatformStore<N>,
-    mut rx: mpsc::Receiver<Vec<Crash>>,
+    mut rx: mpsc::Receiver<CrashWrite>,
 ) {
     let mut writer = Writer {
         store,
         pending: BTreeSet::new(),
+        written: BTreeSet::new(),
+        removals: BTreeSet::new(),
         lease: None,
     };
     let mut backoff = FIRST_BACKOFF;
-    while let Some(crashes) = rx.recv().await {
-        writer.add(&crashes);
+    while let Some(write) = rx.recv().await {
+        writer.take(&write);
         tokio::time::sleep(GATHER).await;
-        while !writer.pending.is_empty() {
+        while writer.has_work() {
             while let Ok(more) = rx.try_recv() {
-                writer.add(&more);
+                writer.take(&more);
             }
             match writer.write_some().await {
                 Ok(()) => backoff = FIRST_BACKOFF,
@@ -58,33 +69,66 @@
     store: PlatformStore<N>,
     /// Keys of entries that are not written.
     pending: BTreeSet<String>,
+    /// Keys of entries that are, the latest [`MAX_PENDING`] at most.
+    written: BTreeSet<String>,
+    /// Keys of entries that are to go.
+    removals: BTreeSet<String>,
     /// The lease for new entries, and when it was asked for.
     lease: Option<(LeaseId, Instant)>,
 }
 
 impl<N: Network> Writer<N> {
-    fn add(&mut self, crashes: &[Crash]) {
+    fn take(&mut self, write: &CrashWrite) {
+        match write {
+            CrashWrite::Keep(crashes) => self.keep(crashes),
+            CrashWrite::Forget(request) => self.forget(*request),
+        }
+    }
+
+    fn keep(&mut self, crashes: &[Crash]) {
         for crash in crashes {
             if self.pending.len() >= MAX_PENDING {
-                tracing::warn!(part = "control", request = %crash.fingerprint, "crash not written, too many wait");
+                tracing::warn!(part = "control", "crash not written, too many wait");
                 return;
             }
-            let key = crash_key(crash.fingerprint, crash.target.0);
-            self.pending.insert(key);
+            self.pending.insert(key_of(crash));
         }
     }
 
-    /// Writes as many entries as one call takes.
+    fn forget(&mut self, request: Fingerprint) {
+        let is_of = |key: &String| CrashKey::decode(key).is_some_and(|k| k.request == request);
+        self.pending.retain(|key| !is_of(key));
+        let written = std::mem::take(&mut self.written);
+        let (gone, kept): (BTreeSet<_>, BTreeSet<_>) = written.into_iter().partition(is_of);
+        self.written = kept;
+        self.removals.extend(gone);
+    }
+
+    fn has_work(&self) -> bool {
+        !self.pending.is_empty() || !self.removals.is_empty()
+    }
+
+    /// Writes and removes as many entries as one call takes.
     async fn write_some(&mut self) -> Result<(), StoreError> {
         let lease = self.lease().await?;
         let keys: Vec<String> = self.pending.iter().take(MAX_WRITES).cloned().collect();
-        if let Err(e) = self.store.write_crashes(&keys, lease).await {
+        let room = MAX_WRITES - keys.len();
+        let removed: Vec<String> = self.removals.iter().take(room).cloned().collect();
+        if let Err(e) = self.store.write_crashes(&keys, lease, &removed).await {
             // It may have ended with an outage of the store.
             self.lease = None;
             return Err(e);
         }
-        for key in &keys {
-            self.pending.remove(key);
+        for key in &removed {
+            self.removals.remove(key);
+        }
+        if self.written.len() >= MAX_PENDING {
+            // What was written so long ago ends with its lease.
+            self.written.clear();
+        }
+        for key in keys {
+            self.pending.remove(&key);
+            self.written.insert(key);
         }
         Ok(())
     }
@@ -101,3 +145,12 @@
         Ok(lease)
     }
 }
+
+fn key_of(crash: &Crash) -> String {
+    let key = CrashKey {
+        request: crash.fingerprint,
+        target: crash.target.target,
+        life: crash.target.number,
+    };
+    key.encode()
+}
--- a/crates/azuresaddle-edge/src/control/crashes.rs
+++ b/crates/azuresaddle-edge/src/control/crashes.rs
@@ -3,12 +3,13 @@
 use std::net::Ipv4Addr;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{Item, decode_crash_key};
-use azuresaddle_sched::quarantine::{Crash, TargetLife};
+use azuresaddle_platform::{CrashKey, Item};
+use azuresaddle_sched::quarantine::{Crash, Learned, TargetLife};
 use tokio::time::Instant;
 
 use super::actor::Control;
 use super::crash_spread::MAX_NEWS;
+use super::crash_writer::CrashWrite;
 use super::heartbeat::Datagram;
 use crate::quarantine::CrashNews;
 
@@ -26,36 +27,67 @@
     /// Takes what this node has seen itself: all are told, and the store keeps what may become a quarantine.
     pub(super) async fn on_crash_seen(&mut self, news: CrashNews) {
         self.crash_spread.push(news);
-        self.tell_crashes().await;
-        if let CrashNews::Crash(crash) = news {
-            let known = self.quarantine.crashes_of(crash.fingerprint);
-            if known.len() >= CRASHES_TO_WRITE {
-                self.write_crashes(known);
+        match news {
+            CrashNews::Crash(crash) => {
+                let known = self.quarantine.crashes_of(crash.fingerprint);
+                if known.len() >= CRASHES_TO_WRITE {
+                    self.write_crashes(CrashWrite::Keep(known));
+                }
+                self.tell_again_if_quarantined(crash.fingerprint);
             }
+            CrashNews::GoodEnd(request) => self.write_crashes(CrashWrite::Forget(request)),
         }
+        self.tell_crashes().await;
     }
 
-    /// Takes news from another node. One that sends a request on which is in quarantine here is told of it.
+    /// Takes news from another node, and passes on what is new.
     pub(super) async fn on_crashes_told(&mut self, from: Ipv4Addr, all: &[CrashNews]) {
         for news in all {
-            let known = match news {
-                CrashNews::Crash(crash) => self.quarantine.crashes_of(crash.fingerprint),
-                CrashNews::GoodEnd(_) => Vec::new(),
+            let is_new = match news {
+                CrashNews::Crash(crash) => self.on_crash_told(from, *crash).await,
+                CrashNews::GoodEnd(request) => self.quarantine.learn_good_end(*request),
             };
-            if !self.quarantine.learn(*news) {
-                continue;
+            if is_new && !self.members.is_mesh() {
+                self.crash_spread.push(*news);
             }
-            if let CrashNews::Crash(crash) = news {
-                self.write_if_quarantined(crash.fingerprint);
+        }
+        self.tell_crashes().await;
+    }
+
+    /// Takes a crash from another node, which is told what it may not know: that the request is in quarantine here, or
+    /// that it came to a good end.
+    async fn on_crash_told(&mut self, from: Ipv4Addr, crash: Crash) -> bool {
+        let request = crash.fingerprint;
+        let was_quarantined = self.quarantine.standing(request).is_quarantined();
+        match self.quarantine.learn_crash(crash) {
+            Learned::Known => false,
+            Learned::Settled => {
+                let news = vec![CrashNews::GoodEnd(request)];
+                self.send_to(from, &Datagram::Crashes(news).encode()).await;
+                false
             }
-            if !self.members.is_mesh() {
-                self.crash_spread.push(*news);
+            Learned::New => {
+                let known = self.quarantine.crashes_of(request);
+                if was_quarantined {
+                    self.send_crashes(from, &known).await;
+                } else if self.tell_again_if_quarantined(request) && self.places_streams() {
+                    // Others may have seen one crash each, and written none.
+                    self.write_crashes(CrashWrite::Keep(known));
+                }
+                true
             }
-            self.send_crashes(from, &known).await;
         }
-        if !self.members.is_mesh() {
-            self.tell_crashes().await;
+    }
+
+    /// Tells all crashes of a request that has just come into quarantine: a node that has seen it end well objects.
+    fn tell_again_if_quarantined(&mut self, request: Fingerprint) -> bool {
+        let is_quarantined = self.quarantine.standing(request).is_quarantined();
+        if is_quarantined {
+            for crash in self.quarantine.crashes_of(request) {
+                self.crash_spread.push(CrashNews::Crash(crash));
+            }
         }
+        is_quarantined
     }
 
     /// Takes an entry of the store. A removed one says nothing: entries end with their lease, also in an
@@ -64,17 +96,20 @@
         if item.value.is_none() {
             return;
         }
-        let Some((fingerprint, target)) = decode_crash_key(&item.key) else {
+        let Some(key) = CrashKey::decode(&item.key) else {
             tracing::warn!(part = "control", key = item.key, "crash entry not readable");
             return;
         };
-        let news = CrashNews::Crash(Crash {
-            fingerprint,
-            target: TargetLife(target),
-        });
-        if self.quarantine.learn(news) && !self.members.is_mesh() {
+        let crash = Crash {
+            fingerprint: key.request,
+            target: TargetLife {
+                target: key.target,
+                number: key.life,
+            },
+        };
+        if self.quarantine.learn_crash(crash) == Learned::New && !self.members.is_mesh() {
             // Most nodes of a larger fleet don't follow the store.
-            self.crash_spread.push(news);
+            self.crash_spread.push(CrashNews::Crash(crash));
         }
     }
 
@@ -89,14 +124,7 @@
     pub(super) fn rewrite_crashes(&self) {
         let known = self.quarantine.quarantined();
         if !known.is_empty() && self.places_streams() {
-            self.write_crashes(known);
-        }
-    }
-
-    /// Writes the crashes of a request that others have seen, each perhaps just one; one node does.
-    fn write_if_quarantined(&self, request: Fingerprint) {
-        if self.quarantine.standing(request).is_quarantined() && self.places_streams() {
-            self.write_crashes(self.quarantine.crashes_of(request));
+            self.write_crashes(CrashWrite::Keep(known));
         }
     }
 
@@ -136,8 +164,8 @@
         }
     }
 
-    fn write_crashes(&self, crashes: Vec<Crash>) {
-        if self.crash_writes.try_send(crashes).is_err() {
+    fn write_crashes(&self, write: CrashWrite) {
+        if self.crash_writes.try_send(write).is_err() {
             tracing::warn!(part = "control", "crashes not written, queue full");
         }
     }
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -1,39 +1,50 @@
-//! Finds whether a target that broke off an answer has ended.
+//! Finds whether a target that gave no answer has ended.
 
 use std::io::ErrorKind;
 use std::time::Duration;
 
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
+use tokio::time::Instant;
 
 use super::attempt::until;
+use super::breaks::Break;
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
 use crate::targets::ConnectError;
 
-/// Longest wait for a connection to a target that broke off: many times a round trip, and the caller waits
+/// Longest wait for a connection to a target that gave no answer: many times a round trip, and the caller waits
 /// meanwhile.
 const TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Notes that a target has ended while it had a request, where it has.
-pub(super) async fn note_crash<N: Network>(
+/// Notes that a target gave no answer to a request that it may have run: it may have ended by it.
+pub(super) async fn check_for_crash<N: Network>(
     cx: &Forwarder<N>,
     req: &ForwardRequest,
     target: &TargetEntry,
+    sent_at: Instant,
 ) {
     // At its deadline a caller is not kept waiting for more.
-    if until(req.deadline).is_zero() || !has_ended(cx, target).await {
-        return;
+    if !until(req.deadline).is_zero() && has_ended(cx, target).await {
+        tracing::info!(
+            part = "forward",
+            request = req.head.id(),
+            fingerprint = %req.fingerprint,
+            target = %target.id,
+            "target ended"
+        );
+        cx.metrics.on_target_crash(&req.service);
+        cx.quarantine.on_crash(req.fingerprint, target, sent_at);
+    } else {
+        let attempt = req.head.id().to_owned();
+        cx.breaks.push(Break {
+            attempt,
+            request: req.fingerprint,
+            target: target.clone(),
+            sent_at,
+            broken_at: Instant::now(),
+        });
     }
-    cx.metrics.on_target_crash(&req.service);
-    tracing::info!(
-        part = "forward",
-        request = req.head.id(),
-        fingerprint = %req.fingerprint,
-        target = %target.id,
-        "target ended"
-    );
-    cx.quarantine.on_crash(req.fingerprint, target);
 }
 
 /// Whether nothing listens at the target's address any more. A connection that is reset on the way, or an
@@ -51,3 +62,20 @@
         Ok(Err(_)) | Err(_) => false,
     }
 }
+
+/// Notes crashes that show only now: a target of an unexplained break has started again.
+pub(super) fn note_late_crashes<N: Network>(cx: &Forwarder<N>) {
+    let snapshot = cx.snapshots.load();
+    for broken in cx.breaks.take_ended(&snapshot.targets) {
+        tracing::info!(
+            part = "forward",
+            request = broken.attempt,
+            fingerprint = %broken.request,
+            target = %broken.target.id,
+            "target had ended"
+        );
+        cx.metrics.on_target_crash(&broken.target.service);
+        cx.quarantine
+            .on_crash(broken.request, &broken.target, broken.sent_at);
+    }
+}
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -10,7 +10,9 @@
 use tokio::time::Instant;
 
 use super::body::ProxyBody;
+use super::breaks::Breaks;
 use super::caller_watch::CallerWatch;
+use super::crash_check::note_late_crashes;
 use super::head::ForwardRequest;
 use super::pace_check::run_pace_checks;
 use super::plain::forward_plain;
@@ -41,6 +43,7 @@
     pub(super) health: Arc<TargetHealth>,
     pub(super) retries: RetryBudget,
     pub(super) quarantine: Arc<SharedQuarantine>,
+    pub(super) breaks: Breaks,
     pub(super) bounds: Bounds,
     pub(super) metrics: Metrics,
     pub(super) burn: Arc<BurnLedger>,
@@ -66,6 +69,7 @@
             health: Arc::default(),
             retries: RetryBudget::new(bounds),
             quarantine,
+            breaks: Breaks::default(),
             bounds,
             metrics,
             burn: Arc::default(),
@@ -171,6 +175,7 @@
             if Arc::ptr_eq(&known, &snapshot.targets) {
                 continue;
             }
+            note_late_crashes(&self);
             let before = std::mem::replace(&mut known, Arc::clone(&snapshot.targets));
             let is_known = |id: &HostName| snapshot.targets.get(id).is_some();
             self.connections.retain(is_known);
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod breaks;
 mod caller_watch;
 mod crash_check;
 mod event_splitter;
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -16,7 +16,7 @@
 use super::answer::{own_answer, refusal};
 use super::attempt::{SendFailure, kept_for, send, until};
 use super::body::ProxyBody;
-use super::crash_check::note_crash;
+use super::crash_check::check_for_crash;
 use super::forwarder::Forwarder;
 use super::head::{ForwardRequest, Sending, strip_hop_by_hop};
 
@@ -112,7 +112,7 @@
             Err(failure) => {
                 note_failure(cx, &target, &failure);
                 if failure.verdict() == Verdict::MayHaveRun {
-                    note_crash(cx, req, &target).await;
+                    check_for_crash(cx, req, &target, started).await;
                 }
                 tracing::info!(
                     part = "forward",
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -7,25 +7,31 @@
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::quarantine::Standing;
 use hyper::StatusCode;
+use tokio::time::Instant;
 
 use super::{Begin, MAX_DECLINED, RETRY_AFTER, Relay, StreamEnd};
 use crate::forward::answer::{own_answer, refusal};
 use crate::forward::attempt::{SendFailure, until};
-use crate::forward::crash_check::note_crash;
+use crate::forward::crash_check::check_for_crash;
 use crate::forward::plain::{QUARANTINED, note_failure, note_quarantined};
 
 impl<N: Network> Relay<N> {
-    pub(super) async fn note(&mut self, target: &TargetEntry, failure: &SendFailure) {
+    pub(super) async fn note(
+        &mut self,
+        target: &TargetEntry,
+        failure: &SendFailure,
+        sent_at: Instant,
+    ) {
         note_failure(&self.cx, target, failure);
         let at = match failure {
             SendFailure::Declined { at: Some(at), .. } => self.at_fault(at),
             _ => None,
         };
         if failure.verdict() == Verdict::MayHaveRun {
-            note_crash(&self.cx, &self.req, target).await;
+            check_for_crash(&self.cx, &self.req, target, sent_at).await;
         } else if let Some(helper) = &at {
             // It reads a part of the prompt, and may end by it too.
-            note_crash(&self.cx, &self.req, helper).await;
+            check_for_crash(&self.cx, &self.req, helper, sent_at).await;
         }
         tracing::info!(
             part = "forward",
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -174,6 +174,7 @@
                 Err(NoPlace::Quarantined) => return self.refuse_quarantined(),
             };
             let lead = place.target.id.clone();
+            let sent_at = Instant::now();
             match self.send(&place).await {
                 Sent::Quarantined => {
                     place.end(PassOutcome::Cancelled);
@@ -196,7 +197,7 @@
                     }
                 }
                 Sent::Lost(failure) => {
-                    self.note(&place.target, &failure).await;
+                    self.note(&place.target, &failure, sent_at).await;
                     place.end(outcome_of(lead, &failure));
                     if !self.may_go_on(&failure) {
                         return self.give_up(&failure);
--- a/crates/azuresaddle-edge/src/quarantine/news.rs
+++ b/crates/azuresaddle-edge/src/quarantine/news.rs
@@ -9,6 +9,6 @@
 pub(crate) enum CrashNews {
     /// A target ended while it had the request.
     Crash(Crash),
-    /// A run of the request came to a good end after all crashes that were known.
+    /// A run of the request came to a good end.
     GoodEnd(Fingerprint),
 }
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -5,7 +5,7 @@
 
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::quarantine::{Crash, Quarantine, Standing, TargetLife};
+use azuresaddle_sched::quarantine::{Crash, Learned, Quarantine, Standing};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -59,71 +59,66 @@
         }
     }
 
-    /// Notes that this node saw a target end while it had a request.
-    pub(crate) fn on_crash(&self, request: Fingerprint, target: &TargetEntry) {
-        let crash = Crash {
-            fingerprint: request,
-            target: life_of(target),
-        };
-        let news = CrashNews::Crash(crash);
-        if self.learn(news) {
-            self.tell(news);
+    /// Notes that this node saw a target end under a send of a request that began at `sent_at`.
+    pub(crate) fn on_crash(&self, request: Fingerprint, target: &TargetEntry, sent_at: Instant) {
+        let crash = self.update(request, |state, now| {
+            state.observe(now, request, hash_of(target), sent_at)
+        });
+        if let Some(crash) = crash {
+            self.tell(CrashNews::Crash(crash));
         }
     }
 
-    /// Notes that this node saw a run of a request come to an end that its target survived.
+    /// Notes that this node saw a run of a request come to a good end.
     pub(crate) fn on_good_end(&self, request: Fingerprint) {
-        if self.known.load(Ordering::Relaxed) == 0 {
-            return;
+        if self.known.load(Ordering::Relaxed) > 0 && self.learn_good_end(request) {
+            self.tell(CrashNews::GoodEnd(request));
         }
-        let news = CrashNews::GoodEnd(request);
-        if self.learn(news) {
-            tracing::info!(part = "forward", fingerprint = %request, "request cleared");
-            self.tell(news);
+    }
+
+    /// Takes a crash that another node has seen.
+    pub(crate) fn learn_crash(&self, crash: Crash) -> Learned {
+        self.update(crash.fingerprint, |state, now| state.on_crash(now, crash))
+    }
+
+    /// Takes a good end, seen here or by another node; true where something was held against the request.
+    pub(crate) fn learn_good_end(&self, request: Fingerprint) -> bool {
+        let was_held = self.update(request, |state, now| state.on_good_end(now, request));
+        if was_held {
+            tracing::info!(part = "control", fingerprint = %request, "request cleared");
         }
+        was_held
     }
 
-    /// Takes news, seen here or told by others; true where they were not known.
-    pub(crate) fn learn(&self, news: CrashNews) -> bool {
+    /// Changes what is known of a request, and tells where that brings it into quarantine.
+    fn update<T>(
+        &self,
+        request: Fingerprint,
+        change: impl FnOnce(&mut Quarantine, Instant) -> T,
+    ) -> T {
         let now = Instant::now();
         let mut state = self.lock();
-        let is_new = match news {
-            CrashNews::Crash(crash) => {
-                let before = state.standing(now, crash.fingerprint);
-                let is_new = state.on_crash(now, crash);
-                let after = state.standing(now, crash.fingerprint);
-                if !before.is_quarantined() && after.is_quarantined() {
-                    self.on_quarantined(crash.fingerprint, &state);
-                }
-                is_new
-            }
-            CrashNews::GoodEnd(request) => state.on_good_end(now, request),
-        };
+        let before = state.standing(now, request);
+        let changed = change(&mut state, now);
+        let after = state.standing(now, request);
         self.known.store(state.len(), Ordering::Relaxed);
-        is_new
+        if after.is_quarantined() && !before.is_quarantined() {
+            let crashes = state.crashes_of(request).len();
+            drop(state);
+            self.on_quarantined(request, crashes);
+        }
+        changed
     }
 
-    fn on_quarantined(&self, request: Fingerprint, state: &Quarantine) {
+    fn on_quarantined(&self, request: Fingerprint, crashes: usize) {
         self.metrics.quarantines.inc();
-        tracing::warn!(
-            part = "control",
-            fingerprint = %request,
-            crashes = state.crashes_of(request).len(),
-            "request quarantined"
-        );
+        tracing::warn!(part = "control", fingerprint = %request, crashes, "request quarantined");
         self.changes.send_modify(|n| *n += 1);
     }
 
     /// Crashes of one request that no good end has settled.
     pub(crate) fn crashes_of(&self, request: Fingerprint) -> Vec<Crash> {
-        let state = self.lock();
-        let crashes = state.crashes_of(request).iter();
-        crashes
-            .map(|target| Crash {
-                fingerprint: request,
-                target: *target,
-            })
-            .collect()
+        self.lock().crashes_of(request)
     }
 
     /// Crashes of all requests in quarantine.
@@ -150,7 +145,7 @@
 }
 
 /// Names a target's start the same way on all nodes.
-fn life_of(target: &TargetEntry) -> TargetLife {
+fn hash_of(target: &TargetEntry) -> u64 {
     let text = format!("{}/{}", target.id, target.started.0);
-    TargetLife(xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
+    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
 }
--- a/crates/azuresaddle-sched/src/quarantine/ledger.rs
+++ b/crates/azuresaddle-sched/src/quarantine/ledger.rs
@@ -5,10 +5,10 @@
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
-use super::crash::{Crash, TargetLife};
+use super::crash::{Crash, Learned, TargetLife};
 use super::record::{Record, Standing};
 
-/// Most requests that something is held against, about 0.5 MB: the streams of 250 targets that end within ten
+/// Most requests that something is held against, about 0.8 MB: the streams of 250 targets that end within ten
 /// minutes, 16 each.
 const MAX_RECORDS: usize = 4096;
 
@@ -21,8 +21,26 @@
 }
 
 impl Quarantine {
-    /// Notes a crash, seen here or told; true where it was not known.
-    pub fn on_crash(&mut self, now: Instant, crash: Crash) -> bool {
+    /// Notes that a target ended under a send of this node that began at `sent_at`. The crash, where it is not known
+    /// and is held against the request.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        target: u64,
+        sent_at: Instant,
+    ) -> Option<Crash> {
+        let known = self.records.get(&request);
+        let first = TargetLife { target, number: 0 };
+        let crash = Crash {
+            fingerprint: request,
+            target: known.map_or(first, |r| r.life_of(target, sent_at)),
+        };
+        (self.on_crash(now, crash) == Learned::New).then_some(crash)
+    }
+
+    /// Notes a crash that another node has seen.
+    pub fn on_crash(&mut self, now: Instant, crash: Crash) -> Learned {
         if !self.records.contains_key(&crash.fingerprint) && self.records.len() >= MAX_RECORDS {
             self.make_room(now);
         }
@@ -31,11 +49,12 @@
         record.on_crash(now, crash.target)
     }
 
-    /// Notes that a run of a request came to a good end; true where something was held against it.
+    /// Notes that a run of a request came to a good end: no crash was its doing. True where something was held
+    /// against it.
     pub fn on_good_end(&mut self, now: Instant, request: Fingerprint) -> bool {
         let was_clear = self.standing(now, request) == Standing::Clear;
         if let Some(record) = self.records.get_mut(&request) {
-            record.on_good_end();
+            record.on_good_end(now);
         }
         !was_clear
     }
@@ -46,23 +65,17 @@
         record.map_or(Standing::Clear, |r| r.standing(now))
     }
 
-    /// Starts of targets that ended under a request.
-    pub fn crashes_of(&self, request: Fingerprint) -> &[TargetLife] {
+    /// Crashes of a request that no good end has settled.
+    pub fn crashes_of(&self, request: Fingerprint) -> Vec<Crash> {
         let record = self.records.get(&request);
-        record.map_or(&[], Record::unsettled)
+        record.map_or(Vec::new(), |r| crashes(request, r).collect())
     }
 
     /// Crashes of all requests in quarantine, for a node that may not know of them.
     pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Crash> {
         let all = self.records.iter();
-        let quarantined = all.filter(move |(_, r)| r.standing(now).is_quarantined());
-        quarantined.flat_map(|(fingerprint, record)| {
-            let crashes = record.unsettled().iter();
-            crashes.map(|target| Crash {
-                fingerprint: *fingerprint,
-                target: *target,
-            })
-        })
+        all.filter(move |(_, r)| r.standing(now).is_quarantined())
+            .flat_map(|(request, r)| crashes(*request, r))
     }
 
     /// Forgets what no longer matters.
@@ -92,3 +105,11 @@
         }
     }
 }
+
+fn crashes(fingerprint: Fingerprint, record: &Record) -> impl Iterator<Item = Crash> {
+    let lives = record.unsettled();
+    lives.map(move |target| Crash {
+        fingerprint,
+        target,
+    })
+}
--- a/crates/azuresaddle-sched/src/quarantine/mod.rs
+++ b/crates/azuresaddle-sched/src/quarantine/mod.rs
@@ -8,6 +8,6 @@
 mod ledger;
 mod record;
 
-pub use crash::{Crash, TargetLife};
+pub use crash::{Crash, Learned, TargetLife};
 pub use ledger::Quarantine;
 pub use record::Standing;
