Quarantine: the request that was on all targets that ended is told apart from those that moved with it

By the logs they were packed on one engine with the request that ends engines, went on packed together at the next one, and their callers came back together to a third: all thirteen had the same three crashes (39 'target ended', 39 'request quarantined'). A request that shares all its crashes with another is not in quarantine; suspects with two crashes share no engine, so the next crash adds to one of them only, and the others' are explained by it.

--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -5,7 +5,7 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::Item;
-use azuresaddle_sched::passes::{AskId, PassOutcome, RunningStream};
+use azuresaddle_sched::passes::{AskId, PassOutcome, RunningStream, Suspect};
 use serde::{Deserialize, Serialize};
 
 /// Asks the owner to place a stream. Times are relative, since clocks differ.
@@ -26,7 +26,7 @@
     pub(crate) time_left: Duration,
     pub(crate) exclude: Vec<HostName>,
     /// The request, where a target has ended while it had it.
-    pub(crate) suspect: Option<Fingerprint>,
+    pub(crate) suspect: Option<Suspect>,
     /// Whether another node named this one as the owner; it is then decided here, so that two nodes that
     /// each take the other for the owner don't send it to and fro.
     pub(crate) is_redirected: bool,
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::passes::{AskId, RunningStream};
+use azuresaddle_sched::passes::{AskId, RunningStream, Suspect};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -40,7 +40,7 @@
     pub(crate) deadline: Instant,
     pub(crate) exclude: Vec<HostName>,
     /// The request, where a target has ended while it had it.
-    pub(crate) suspect: Option<Fingerprint>,
+    pub(crate) suspect: Option<Suspect>,
 }
 
 /// An ask or stream of this node.
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -5,6 +5,7 @@
 
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::Suspect;
 use azuresaddle_sched::quarantine::{Crash, Learned, Quarantine, Standing};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -44,9 +45,17 @@
         self.lock().standing(Instant::now(), request)
     }
 
-    /// The request, where a target has ended while it had it.
-    pub(crate) fn suspect(&self, request: Fingerprint) -> Option<Fingerprint> {
-        (self.standing(request) != Standing::Clear).then_some(request)
+    /// The request as a suspect, where a target has ended while it had it.
+    pub(crate) fn suspect(&self, request: Fingerprint) -> Option<Suspect> {
+        if self.known.load(Ordering::Relaxed) == 0 {
+            return None;
+        }
+        let state = self.lock();
+        let is_suspect = state.standing(Instant::now(), request) != Standing::Clear;
+        is_suspect.then(|| Suspect {
+            request,
+            keeps_apart: state.is_on_last_crash(request),
+        })
     }
 
     /// Waits until a request is in quarantine; for ever where it never is.
--- a/crates/azuresaddle-sched/src/passes/ask.rs
+++ b/crates/azuresaddle-sched/src/passes/ask.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::engine::Engine;
+
 /// Identifies an ask over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AskId {
@@ -15,6 +17,15 @@
     pub number: u64,
 }
 
+/// A request that a target has ended under; it may be the cause, or only have been there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request.
+    pub request: Fingerprint,
+    /// Whether it shares no engine with another such, since the next crash may be its last.
+    pub keeps_apart: bool,
+}
+
 /// Asks for engines to run a stream on.
 #[derive(Clone, Debug)]
 pub struct PassAsk {
@@ -39,7 +50,7 @@
     /// Targets that must not be used, since an earlier attempt failed there.
     pub exclude: Vec<HostName>,
     /// The request, where a target has ended while it had it.
-    pub suspect: Option<Fingerprint>,
+    pub suspect: Option<Suspect>,
 }
 
 /// Time to write one token of an answer, in milliseconds: a step of an engine with a full batch.
@@ -50,6 +61,14 @@
 const MAX_WRITING: Duration = Duration::from_millis(2500);
 
 impl PassAsk {
+    /// Whether an engine is not to be used since another suspect runs there.
+    ///
+    /// Streams of an engine that ends go on together, packed as before, and their callers come back together: twelve
+    /// sound requests were beside the one that ended three engines on each of these, and were taken for the cause.
+    pub(super) fn may_not_share(&self, engine: &Engine) -> bool {
+        self.suspect.is_some_and(|s| s.keeps_apart) && engine.is_kept_apart()
+    }
+
     /// Expected time from the first event to the end.
     pub(super) fn writing_time(&self) -> Duration {
         let expected = Duration::from_secs_f64(self.answer_tokens as f64 * TOKEN_MS / 1000.0);
@@ -117,5 +136,5 @@
     /// Expected time until the first event; zero where it has come or is overdue.
     pub first_event_in: Duration,
     /// The request, where a target had ended while it had it.
-    pub suspect: Option<Fingerprint>,
+    pub suspect: Option<Suspect>,
 }
--- a/crates/azuresaddle-sched/src/passes/candidates.rs
+++ b/crates/azuresaddle-sched/src/passes/candidates.rs
@@ -61,11 +61,14 @@
 
     /// Those that an ask does not exclude.
     pub(super) fn for_ask(&self, round: &Round<'_>, ask: &PassAsk) -> Cow<'_, [Candidate]> {
-        if ask.exclude.is_empty() {
+        if ask.exclude.is_empty() && ask.suspect.is_none() {
             return Cow::Borrowed(&self.0);
         }
-        let excluded = |c: &&Candidate| ask.exclude.contains(&round.engines[c.key].name);
-        let usable = self.0.iter().filter(|c| !excluded(c));
+        let is_usable = |c: &&Candidate| {
+            let engine = &round.engines[c.key];
+            !ask.exclude.contains(&engine.name) && !ask.may_not_share(engine)
+        };
+        let usable = self.0.iter().filter(is_usable);
         Cow::Owned(usable.copied().collect())
     }
 }
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -39,6 +39,8 @@
     pub(super) prompt_tokens: u64,
     pub(super) pause: Duration,
     pub(super) is_writing: bool,
+    /// Whether it shares no engine with another such.
+    pub(super) keeps_apart: bool,
     /// Whether the answer is late already, so that a longer pause takes nothing more from it.
     pub(super) is_late: bool,
 }
@@ -165,6 +167,11 @@
         self.leads.iter().filter(|l| l.pause <= pause).count()
     }
 
+    /// Whether a suspect that keeps apart from others may not come here.
+    pub(super) fn is_kept_apart(&self) -> bool {
+        self.leads.iter().any(|l| l.keeps_apart)
+    }
+
     /// Brings the estimate of passes up to `now`.
     pub(super) fn advance(&mut self, now: Instant, spec: &EngineSpec) {
         while self.pass_ends <= now {
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -18,7 +18,7 @@
 mod short_load;
 mod short_plan;
 
-pub use ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream};
+pub use ask::{AskId, PassAsk, PassDecision, PassGrant, PassOutcome, RunningStream, Suspect};
 pub use mechanism::Mechanism;
 pub use options::PassOptions;
 pub use pool::{PassPool, PoolLoad};
--- a/crates/azuresaddle-sched/src/passes/pool/ledger.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/ledger.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::{PassPool, Run};
-use crate::passes::ask::{AskId, RunningStream};
+use crate::passes::ask::{AskId, RunningStream, Suspect};
 use crate::passes::engine::{EngineId, Help, Lead};
 use crate::passes::pace::overdue_at;
 
@@ -19,7 +19,7 @@
     pub(super) helper_memory_tokens: u64,
     /// When the first event counts as overdue.
     pub(super) overdue_at: Option<Instant>,
-    pub(super) suspect: Option<Fingerprint>,
+    pub(super) suspect: Option<Suspect>,
 }
 
 impl PassPool {
@@ -124,6 +124,7 @@
             prompt_tokens: parts.prompt_tokens,
             pause: parts.pause,
             is_writing: false,
+            keeps_apart: parts.suspect.is_some_and(|s| s.keeps_apart),
             is_late: false,
         });
         for key in &helpers {
@@ -137,7 +138,7 @@
             lead,
             helpers,
             overdue_at: parts.overdue_at,
-            suspect: parts.suspect,
+            suspect: parts.suspect.map(|s| s.request),
         };
         self.runs.insert(parts.id, run);
     }
--- a/crates/azuresaddle-sched/src/passes/short_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/short_plan.rs
@@ -120,7 +120,7 @@
                 continue;
             }
             let engine = &engines[candidate.key];
-            if ask.exclude.contains(&engine.name) {
+            if ask.exclude.contains(&engine.name) || ask.may_not_share(engine) {
                 continue;
             }
             let rank = Rank {
--- a/crates/azuresaddle-sched/src/quarantine/ledger.rs
+++ b/crates/azuresaddle-sched/src/quarantine/ledger.rs
@@ -8,16 +8,21 @@
 use super::crash::{Crash, Learned, TargetLife};
 use super::record::{Record, Standing};
 
-/// Most requests that something is held against, about 0.8 MB: the streams of 250 targets that end within ten
+/// Most requests that something is held against, about 1.2 MB: the streams of 250 targets that end within ten
 /// minutes, 16 each.
 const MAX_RECORDS: usize = 4096;
 
+/// Records that are forgotten when there is no room, so that each new one does not look through all.
+const FORGOTTEN_AT_ONCE: usize = 64;
+
 /// What is held against requests, as one node knows it.
 ///
 /// Nodes that tell each other all crashes hold the same against a request, in whatever order they hear of them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     records: HashMap<Fingerprint, Record>,
+    /// Requests that a target had when it ended.
+    by_life: HashMap<TargetLife, Vec<Fingerprint>>,
 }
 
 impl Quarantine {
@@ -46,7 +51,12 @@
         }
         let record = self.records.entry(crash.fingerprint);
         let record = record.or_insert_with(|| Record::new(now));
-        record.on_crash(now, crash.target)
+        let learned = record.on_crash(now, crash.target);
+        if learned == Learned::New {
+            let there = self.by_life.entry(crash.target).or_default();
+            there.push(crash.fingerprint);
+        }
+        learned
     }
 
     /// Notes that a run of a request came to a good end: no crash was its doing. True where something was held
@@ -61,8 +71,36 @@
 
     /// How a request stands.
     pub fn standing(&self, now: Instant, request: Fingerprint) -> Standing {
+        let Some(record) = self.records.get(&request) else {
+            return Standing::Clear;
+        };
+        match record.standing(now) {
+            Standing::Quarantined { .. } if self.has_companion(request, record) => {
+                Standing::Suspect
+            }
+            standing => standing,
+        }
+    }
+
+    /// Whether another request was on all targets that ended under this one, so that either may be the cause.
+    ///
+    /// Streams of an engine that ends go on together at the next one, and their callers come back together. The next
+    /// crash tells them apart, since suspects don't share an engine then: the cause has one more, and explains
+    /// those of the others.
+    fn has_companion(&self, request: Fingerprint, record: &Record) -> bool {
+        let last = record.unsettled().last();
+        let there = last.and_then(|life| self.by_life.get(&life));
+        let mut others = there.into_iter().flatten().filter(|r| **r != request);
+        others.any(|other| {
+            let other = self.records.get(other);
+            other.is_some_and(|other| other.has_all_of(record))
+        })
+    }
+
+    /// Whether one more crash brings a request into quarantine.
+    pub fn is_on_last_crash(&self, request: Fingerprint) -> bool {
         let record = self.records.get(&request);
-        record.map_or(Standing::Clear, |r| r.standing(now))
+        record.is_some_and(Record::is_on_last_crash)
     }
 
     /// Crashes of a request that no good end has settled.
@@ -74,13 +112,22 @@
     /// Crashes of all requests in quarantine, for a node that may not know of them.
     pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Crash> {
         let all = self.records.iter();
-        all.filter(move |(_, r)| r.standing(now).is_quarantined())
+        all.filter(move |(request, _)| self.standing(now, **request).is_quarantined())
             .flat_map(|(request, r)| crashes(*request, r))
     }
 
     /// Forgets what no longer matters.
     pub fn forget_old(&mut self, now: Instant) {
         self.records.retain(|_, r| now < r.ends_at());
+        self.forget_lives();
+    }
+
+    /// Forgets which requests were on a target, as far as these are forgotten.
+    fn forget_lives(&mut self) {
+        self.by_life.retain(|_, there| {
+            there.retain(|request| self.records.contains_key(request));
+            !there.is_empty()
+        });
     }
 
     /// Number of requests that something is known of.
@@ -93,16 +140,22 @@
         self.records.is_empty()
     }
 
-    /// Forgets the record that ends first; one in quarantine ends after those that are not.
+    /// Forgets the records that end first; those in quarantine end after the others.
     fn make_room(&mut self, now: Instant) {
         self.forget_old(now);
         if self.records.len() < MAX_RECORDS {
             return;
         }
-        let first = self.records.iter().min_by_key(|(_, r)| r.ends_at());
-        if let Some(request) = first.map(|(request, _)| *request) {
-            self.records.remove(&request);
+        let mut ends: Vec<(Instant, Fingerprint)> = self
+            .records
+            .iter()
+            .map(|(f, r)| (r.ends_at(), *f))
+            .collect();
+        ends.sort_unstable();
+        for (_, request) in ends.iter().take(FORGOTTEN_AT_ONCE) {
+            self.records.remove(request);
         }
+        self.forget_lives();
     }
 }
 
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -132,6 +132,18 @@
         }
     }
 
+    /// Whether all targets that ended under another request, as far as nothing has settled it, ended under this one too.
+    pub(super) fn has_all_of(&self, other: &Self) -> bool {
+        other
+            .unsettled()
+            .all(|life| self.unsettled().any(|l| l == life))
+    }
+
+    /// Whether one more crash brings the request into quarantine.
+    pub(super) fn is_on_last_crash(&self) -> bool {
+        self.count() + 1 >= CRASHES_TO_QUARANTINE
+    }
+
     /// Lives of targets that ended, as far as no good end has settled them.
     pub(super) fn unsettled(&self) -> impl Iterator<Item = TargetLife> {
         self.crashes[self.settled..].iter().map(|k| k.target)
