--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -17,12 +17,12 @@
 use super::crash_writer::{CrashWrite, write_crashes};
 use super::heartbeat::{Datagram, MAX_BYTES, NodeNews};
 use super::members::{Members, TICK};
-use super::registry::{Published, Registry};
+use super::registry::Registry;
 use super::store_watch::{StoreEvent, watch_store};
 use crate::metrics::Metrics;
 use crate::peer::{PeerClients, PeerNews};
 use crate::quarantine::{CrashNews, SharedQuarantine};
-use crate::snapshot::{Snapshot, Snapshots, TargetSet};
+use crate::snapshot::Snapshots;
 
 /// Longest wait for an answer of the store, other than of a watch.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -86,8 +86,8 @@
     pub(super) crash_writes: mpsc::Sender<CrashWrite>,
     pub(super) metrics: Metrics,
     /// Whether something changed after the last snapshot.
-    has_changes: bool,
-    published_at: Instant,
+    pub(super) has_changes: bool,
+    pub(super) published_at: Instant,
 }
 
 impl<N: Network> Control<N> {
@@ -272,7 +272,7 @@
         self.members.update_own(|own| own.is_watching = is_watching);
     }
 
-    async fn send_heartbeats(&mut self, now: Instant, to: &[Ipv4Addr]) {
+    pub(super) async fn send_heartbeats(&mut self, now: Instant, to: &[Ipv4Addr]) {
         let bytes = Datagram::Heartbeat(self.members.heartbeat(now)).encode();
         for ip in to {
             self.send_to(*ip, &bytes).await;
@@ -295,70 +295,4 @@
     pub(super) fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |c| c.version.0)
     }
-
-    async fn publish_and_tell(&mut self) {
-        self.has_changes = false;
-        let now = Instant::now();
-        self.published_at = now;
-        let claimed = self.members.claim_first(now);
-        self.tell_claim(now, claimed).await;
-        if self.publish() {
-            // What this node learned spreads at once, not with the next round.
-            let partners = self.members.partners();
-            self.send_heartbeats(Instant::now(), &partners).await;
-        }
-    }
-
-    /// Publishes what is believed now; true where this node has something to tell the others.
-    fn publish(&mut self) -> bool {
-        let version = self.version();
-        let revision = self.registry.revision();
-        let Published {
-            targets,
-            items,
-            hash,
-        } = self.registry.published();
-        let mut has_news = false;
-        let is_leaving = self.members.is_leaving();
-        self.members.update_own(|own| {
-            let told = (own.configuration, own.targets, own.targets_hash);
-            has_news = told != (version, revision, hash) || is_leaving;
-            own.configuration = version;
-            own.targets = revision;
-            own.targets_hash = hash;
-        });
-        let (nodes, owner) = self.members.live(Instant::now());
-        let before = self.snapshots.load();
-        self.log_changes(&before, &targets, nodes.len(), owner);
-        self.metrics.configuration_version.set(version);
-        self.metrics.targets.set(targets.len() as i64);
-        self.metrics.nodes.set(nodes.len() as i64);
-        self.metrics
-            .is_owner
-            .set(i64::from(owner == self.members.incarnation()));
-        self.snapshots.publish(Snapshot {
-            configuration: self.configuration.clone(),
-            raw_configuration: self.raw_configuration.clone(),
-            targets,
-            raw_targets: items,
-            nodes: Arc::new(nodes),
-            owner,
-            leaving: self.members.is_leaving(),
-        });
-        has_news
-    }
-
-    fn log_changes(&self, before: &Snapshot, targets: &TargetSet, nodes: usize, owner: u64) {
-        if before.targets.len() != targets.len() {
-            tracing::info!(
-                part = "control",
-                targets = targets.len(),
-                revision = self.registry.revision(),
-                "targets changed"
-            );
-        }
-        if before.nodes.len() != nodes || before.owner != owner {
-            tracing::info!(part = "control", nodes, owner, "membership changed");
-        }
-    }
 }
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod heartbeat;
 mod members;
 mod news;
+mod publish;
 mod registry;
 mod spread;
 mod store_watch;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/publish.rs
@@ -0,0 +1,79 @@
+//! Publishes to traffic what control believes.
+
+use std::sync::Arc;
+
+use azuresaddle_core::prelude::*;
+use tokio::time::Instant;
+
+use super::actor::Control;
+use super::registry::Published;
+use crate::snapshot::{Snapshot, TargetSet};
+
+impl<N: Network> Control<N> {
+    /// Publishes what has changed, and tells partners what is new here.
+    pub(super) async fn publish_and_tell(&mut self) {
+        self.has_changes = false;
+        let now = Instant::now();
+        self.published_at = now;
+        let claimed = self.members.claim_first(now);
+        self.tell_claim(now, claimed).await;
+        if self.publish() {
+            // What this node learned spreads at once, not with the next round.
+            let partners = self.members.partners();
+            self.send_heartbeats(Instant::now(), &partners).await;
+        }
+    }
+
+    /// Publishes what is believed now; true where this node has something to tell the others.
+    fn publish(&mut self) -> bool {
+        let version = self.version();
+        let revision = self.registry.revision();
+        let Published {
+            targets,
+            items,
+            hash,
+        } = self.registry.published();
+        let mut has_news = false;
+        let is_leaving = self.members.is_leaving();
+        self.members.update_own(|own| {
+            let told = (own.configuration, own.targets, own.targets_hash);
+            has_news = told != (version, revision, hash) || is_leaving;
+            own.configuration = version;
+            own.targets = revision;
+            own.targets_hash = hash;
+        });
+        let (nodes, owner) = self.members.live(Instant::now());
+        let before = self.snapshots.load();
+        self.log_changes(&before, &targets, nodes.len(), owner);
+        self.metrics.configuration_version.set(version);
+        self.metrics.targets.set(targets.len() as i64);
+        self.metrics.nodes.set(nodes.len() as i64);
+        self.metrics
+            .is_owner
+            .set(i64::from(owner == self.members.incarnation()));
+        self.snapshots.publish(Snapshot {
+            configuration: self.configuration.clone(),
+            raw_configuration: self.raw_configuration.clone(),
+            targets,
+            raw_targets: items,
+            nodes: Arc::new(nodes),
+            owner,
+            leaving: self.members.is_leaving(),
+        });
+        has_news
+    }
+
+    fn log_changes(&self, before: &Snapshot, targets: &TargetSet, nodes: usize, owner: u64) {
+        if before.targets.len() != targets.len() {
+            tracing::info!(
+                part = "control",
+                targets = targets.len(),
+                revision = self.registry.revision(),
+                "targets changed"
+            );
+        }
+        if before.nodes.len() != nodes || before.owner != owner {
+            tracing::info!(part = "control", nodes, owner, "membership changed");
+        }
+    }
+}
--- a/crates/azuresaddle-edge/src/control/tests/crash_spread.rs
+++ b/crates/azuresaddle-edge/src/control/tests/crash_spread.rs
@@ -15,7 +15,7 @@
 use crate::quarantine::{CrashNews, SharedQuarantine};
 
 /// Time after the third crash within which all nodes keep a request from their targets.
-const CONTACT_TIME: std::time::Duration = std::time::Duration::from_secs(3);
+const PROPAGATION_TIME: std::time::Duration = std::time::Duration::from_secs(3);
 
 fn crash(request: u8, target: u64) -> Crash {
     Crash {
@@ -91,10 +91,10 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn all_nodes_know_within_the_contact_time_although_datagrams_are_lost() {
+async fn all_nodes_know_within_the_propagation_time_although_datagrams_are_lost() {
     for nodes in [3, 9, 90, 300] {
         let (rounds, most_sent) = rounds_until_known(nodes, 0.1);
-        assert!(TICK * rounds <= CONTACT_TIME, "{nodes} nodes: {rounds}");
+        assert!(TICK * rounds <= PROPAGATION_TIME, "{nodes} nodes: {rounds}");
         assert!(most_sent <= 12, "{nodes} nodes: {most_sent} datagrams");
     }
 }
--- a/crates/azuresaddle-standin/src/soak/crashers.rs
+++ b/crates/azuresaddle-standin/src/soak/crashers.rs
@@ -18,7 +18,7 @@
 const CRASHES: usize = 3;
 
 /// Time after that within which all nodes know.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
+const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 
 /// Most targets that it may reach later.
 const MOST_LATER: usize = 3;
@@ -55,7 +55,7 @@
         let Some(third) = times.get(CRASHES - 1) else {
             continue;
         };
-        let later = times.iter().filter(|at| **at > *third + CONTACT_TIME);
+        let later = times.iter().filter(|at| **at > *third + PROPAGATION_TIME);
         let later = later.count();
         shared.count(&format!("requests that reached {} targets", times.len()));
         if later > MOST_LATER {
