The store's era: positions, records that merge, and a start that waits for those who know

Cause: nodes compared revisions alone, which a store that goes back to an older copy gives out again. An entry written again with a lower one was not believed; a watch went on past what it missed; what the copy lacked was never gone; a node that had just started believed the copy; what had been written to the store was not written again.

- Position (era, revision) is decoded once in platform/ and compared in one place; the era of every answer is looked at, also of refusals.
- A target's record merges the target's own number of the entry with where the store held or removed it, the same in any order, so nodes of two eras end at the same targets.
- What the copy lacks is believed for 2.2 s and then gone; what drained or left does not come back.
- A node that starts asks one that has served for all it knows before a configuration is in force, and takes none that is older than another node's.
- The node that places asks each 0.4 s which copy answers, at a tenth of a call; what is in quarantine and lost is written again, by it at once, by others after 0.2 s.
- A fetch of all targets at most once a second, with a counter; a position that came with news is taken over, so a node asks once.
Before, a node that could never reach a position whose record was forgotten asked with each tick for everything.

Ruled out: comparing eras alone. Without the entries' numbers the model check fails, as without eras. A bound of the tests was changed: what is lost is gone 2.2 s after a node knows of the return, and it knows within a second (a watch whose connection is silent shows it after 2.2 s, so there is a probe).

--- a/crates/azuresaddle-core/src/deployment/target_entry.rs
+++ b/crates/azuresaddle-core/src/deployment/target_entry.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::names::{FailureDomain, HostName};
 
 /// Whether a target takes new work.
@@ -17,7 +19,9 @@
 /// When a target started: Unix time in milliseconds by the target's own clock; 0 where it does not say.
 ///
 /// A target may start again under its name; a later start knows nothing of an earlier one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct TargetStart(pub u64);
 
 impl TargetStart {
--- a/crates/azuresaddle-core/src/http/client.rs
+++ b/crates/azuresaddle-core/src/http/client.rs
@@ -79,7 +79,7 @@
     /// Sends JSON and reads JSON; `None` sends an empty body.
     ///
     /// # Errors
-    /// As [`Self::send`], and where the status is not a success or the body is not the type.
+    /// As [`Self::send`] and [`read_json`].
     pub async fn json<Q: Serialize + Sync, R: DeserializeOwned>(
         &self,
         method: Method,
@@ -88,6 +88,22 @@
         body: Option<&Q>,
         timeout: Duration,
     ) -> Result<R, HttpError> {
+        let resp = self.send_json(method, addr, path, body, timeout).await?;
+        read_json(resp, timeout).await
+    }
+
+    /// Sends JSON and returns the response's head; `None` sends an empty body.
+    ///
+    /// # Errors
+    /// As [`Self::send`].
+    pub async fn send_json<Q: Serialize + Sync>(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Option<&Q>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, HttpError> {
         let bytes = match body {
             Some(value) => serde_json::to_vec(value).expect("wire types serialize"),
             None => Vec::new(),
@@ -98,19 +114,7 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::from(bytes))
             .map_err(|e| HttpError::Body(e.to_string()))?;
-        let resp = self.send(addr, req, timeout).await?;
-        let status = resp.status();
-        let bytes = read_limited(resp.into_body(), MAX_RESPONSE_BYTES, timeout)
-            .await
-            .map_err(|e| HttpError::Body(e.to_string()))?;
-        if !status.is_success() {
-            let body = String::from_utf8_lossy(&bytes);
-            return Err(HttpError::Status {
-                status,
-                body: body.chars().take(MAX_ERROR_CHARS).collect(),
-            });
-        }
-        serde_json::from_slice(&bytes).map_err(|e| HttpError::Body(e.to_string()))
+        self.send(addr, req, timeout).await
     }
 
     /// Reads JSON with `GET`.
@@ -127,3 +131,25 @@
             .await
     }
 }
+
+/// Reads the JSON of a response whose head has come.
+///
+/// # Errors
+/// Where the body does not arrive within `timeout`, the status is not a success or the body is not the type.
+pub async fn read_json<R: DeserializeOwned>(
+    resp: Response<Incoming>,
+    timeout: Duration,
+) -> Result<R, HttpError> {
+    let status = resp.status();
+    let bytes = read_limited(resp.into_body(), MAX_RESPONSE_BYTES, timeout)
+        .await
+        .map_err(|e| HttpError::Body(e.to_string()))?;
+    if !status.is_success() {
+        let body = String::from_utf8_lossy(&bytes);
+        return Err(HttpError::Status {
+            status,
+            body: body.chars().take(MAX_ERROR_CHARS).collect(),
+        });
+    }
+    serde_json::from_slice(&bytes).map_err(|e| HttpError::Body(e.to_string()))
+}
--- a/crates/azuresaddle-core/src/http/mod.rs
+++ b/crates/azuresaddle-core/src/http/mod.rs
@@ -7,7 +7,7 @@
 mod server;
 
 pub use body::{Body, BodyError, full, read_limited};
-pub use client::HttpClient;
+pub use client::{HttpClient, read_json};
 pub use error::HttpError;
 pub use respond::{json, problem};
 pub use server::{Handler, ServerLimits, serve};
--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -7,7 +7,7 @@
 use azuresaddle_core::deployment::{Configuration, EntrySettings};
 use azuresaddle_core::http::HttpClient;
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::PlatformStore;
+use azuresaddle_platform::{PlatformStore, StoreEra, StorePosition};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
@@ -15,12 +15,16 @@
 
 use super::crash_spread::CrashSpread;
 use super::crash_writer::{CrashWrite, write_crashes};
+use super::era_probe::probe_era;
 use super::heartbeat::{Datagram, MAX_BYTES, NodeNews};
 use super::members::{Members, TICK};
+use super::news::Fetched;
 use super::registry::Registry;
+use super::start_gate::StartGate;
 use super::store_watch::{StoreEvent, watch_store};
+use super::stored_crashes::StoredCrashes;
 use crate::metrics::Metrics;
-use crate::peer::{PeerClients, PeerNews};
+use crate::peer::PeerClients;
 use crate::quarantine::{CrashNews, SharedQuarantine};
 use crate::snapshot::Snapshots;
 
@@ -74,14 +78,22 @@
     /// Since when another node has known more than this one.
     pub(super) behind_since: Option<Instant>,
     pub(super) is_fetching: bool,
+    /// When all targets were last asked for.
+    pub(super) full_fetch_at: Option<Instant>,
+    pub(super) start_gate: StartGate,
+    /// The copy of the store that this node knows of.
+    pub(super) known_era: Option<StoreEra>,
     /// Switches the own watch of the store.
     pub(super) watch_enabled: watch::Sender<bool>,
+    /// Switches the search for a store that has gone back.
+    pub(super) probe_enabled: watch::Sender<bool>,
     /// When the store last answered this node.
     pub(super) store_answered_at: Option<Instant>,
     pub(super) no_answer: mpsc::Receiver<u64>,
     pub(super) quarantine: Arc<SharedQuarantine>,
     pub(super) crashes_seen: mpsc::Receiver<CrashNews>,
     pub(super) crash_spread: CrashSpread,
+    pub(super) stored_crashes: StoredCrashes,
     /// Crashes that the store should keep.
     pub(super) crash_writes: mpsc::Sender<CrashWrite>,
     pub(super) metrics: Metrics,
@@ -99,15 +111,18 @@
         let (store_tx, store_rx) = mpsc::channel(MAX_WAITING_EVENTS);
         let watch_enabled = watch::Sender::new(false);
         let (crash_writes, crash_writes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
+        let probe_enabled = watch::Sender::new(false);
         spawner.spawn(write_crashes(store.clone(), crash_writes_rx));
+        spawner.spawn(probe_era(store.clone(), probe_enabled.subscribe()));
         spawner.spawn(watch_store(store, watch_enabled.subscribe(), store_tx));
-        let control = Self::new(parts, watch_enabled, crash_writes);
+        let control = Self::new(parts, watch_enabled, probe_enabled, crash_writes);
         spawner.spawn(control.run(store_rx));
     }
 
     fn new(
         parts: ControlParts<N>,
         watch_enabled: watch::Sender<bool>,
+        probe_enabled: watch::Sender<bool>,
         crash_writes: mpsc::Sender<CrashWrite>,
     ) -> Self {
         let settings = &parts.settings;
@@ -120,7 +135,7 @@
             domain: xxhash_rust::xxh3::xxh3_64(settings.domain.as_str().as_bytes()) as u16,
             callers_port: settings.listen.callers.port(),
             configuration: 0,
-            targets: 0,
+            targets: StorePosition::default(),
             targets_hash: 0,
             is_leaving: false,
             is_watching: false,
@@ -140,12 +155,17 @@
             raw_configuration: None,
             behind_since: None,
             is_fetching: false,
+            full_fetch_at: None,
+            start_gate: StartGate::default(),
+            known_era: None,
             watch_enabled,
+            probe_enabled,
             store_answered_at: None,
             no_answer: parts.no_answer,
             quarantine: parts.quarantine,
             crashes_seen: parts.crashes_seen,
             crash_spread: CrashSpread::default(),
+            stored_crashes: StoredCrashes::default(),
             crash_writes,
             metrics: parts.metrics,
             has_changes: false,
@@ -161,6 +181,8 @@
         let mut buf = [0; MAX_BYTES];
         loop {
             let publish_at = self.published_at + MIN_PUBLISH_INTERVAL;
+            let hearing_ends = self.hearing_ends();
+            let holds_back = self.holds_back() && Instant::now() < hearing_ends;
             let changed = tokio::select! {
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.on_datagram(from, &buf[..len]).await,
@@ -171,7 +193,7 @@
                     }
                 },
                 Some(event) = store.recv() => self.on_store(event),
-                Some(news) = news_rx.recv() => self.on_peer_news(news),
+                Some(fetched) = news_rx.recv() => self.on_fetched(fetched),
                 Some(news) = self.crashes_seen.recv() => {
                     self.on_crash_seen(news).await;
                     false
@@ -179,6 +201,7 @@
                 Some(node) = self.no_answer.recv() => self.on_no_answer(node).await,
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&news_tx).await,
+                () = tokio::time::sleep_until(hearing_ends), if holds_back => self.release_held_back(),
                 // Without it a change soon after another one waited for the next tick: a node that had
                 // just started knew all targets 85 ms before its traffic did.
                 () = tokio::time::sleep_until(publish_at), if self.has_changes => false,
@@ -234,7 +257,7 @@
         }
     }
 
-    async fn on_tick(&mut self, news_tx: &mpsc::Sender<Option<PeerNews>>) -> bool {
+    async fn on_tick(&mut self, news_tx: &mpsc::Sender<Fetched>) -> bool {
         let now = Instant::now();
         let term = self.members.own.term;
         let members_changed = self.members.check(now);
@@ -249,7 +272,9 @@
             self.send_heartbeats(now, &destinations).await;
         }
         self.fetch_if_behind(now, news_tx);
-        members_changed || targets_changed
+        self.rewrite_lost_crashes(now);
+        let has_begun = self.release_held_back();
+        members_changed || targets_changed || has_begun
     }
 
     /// Follows the store where this node is one of those that do.
@@ -267,6 +292,12 @@
                 "watch of the store switched"
             );
         }
+        let should_probe = should && self.places_streams();
+        self.probe_enabled.send_if_modified(|on| {
+            let changed = *on != should_probe;
+            *on = should_probe;
+            changed
+        });
         let answered = self.store_answered_at;
         let is_watching = should && answered.is_some_and(|at| now - at < WATCH_FRESH);
         self.members.update_own(|own| own.is_watching = is_watching);
--- a/crates/azuresaddle-edge/src/control/crash_writer.rs
+++ b/crates/azuresaddle-edge/src/control/crash_writer.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{CrashKey, LeaseId, MAX_WRITES, PlatformStore, StoreError};
+use azuresaddle_platform::{CrashKey, Lease, MAX_WRITES, PlatformStore, StoreError};
 use azuresaddle_sched::quarantine::Crash;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::store_watch::{FIRST_BACKOFF, MAX_BACKOFF, jittered};
+use super::stored_crashes::key_of;
 
 /// Time for which an entry lives without being written again: the longest that the store allows, and as long
 /// as the first quarantine.
@@ -55,6 +56,7 @@
             }
             match writer.write_some().await {
                 Ok(()) => backoff = FIRST_BACKOFF,
+                Err(StoreError::WentBack) => {}
                 Err(e) => {
                     tracing::info!(part = "control", error = %e, "crashes not written");
                     tokio::time::sleep(jittered(backoff)).await;
@@ -74,7 +76,7 @@
     /// Keys of entries that are to go.
     removals: BTreeSet<String>,
     /// The lease for new entries, and when it was asked for.
-    lease: Option<(LeaseId, Instant)>,
+    lease: Option<(Lease, Instant)>,
 }
 
 impl<N: Network> Writer<N> {
@@ -91,7 +93,7 @@
                 tracing::warn!(part = "control", "crash not written, too many wait");
                 return;
             }
-            self.pending.insert(key_of(crash));
+            self.pending.insert(key_of(crash).encode());
         }
     }
 
@@ -133,10 +135,12 @@
         Ok(())
     }
 
-    async fn lease(&mut self) -> Result<LeaseId, StoreError> {
+    async fn lease(&mut self) -> Result<Lease, StoreError> {
         let now = Instant::now();
         if let Some((lease, taken_at)) = self.lease
             && now - taken_at < LEASE_REUSED
+            // An older copy of the store gives its number to another writer.
+            && Some(lease.era) == self.store.era()
         {
             return Ok(lease);
         }
@@ -145,12 +149,3 @@
         Ok(lease)
     }
 }
-
-fn key_of(crash: &Crash) -> String {
-    let key = CrashKey {
-        request: crash.fingerprint,
-        target: crash.target.target,
-        life: crash.target.number,
-    };
-    key.encode()
-}
--- a/crates/azuresaddle-edge/src/control/crashes.rs
+++ b/crates/azuresaddle-edge/src/control/crashes.rs
@@ -1,6 +1,7 @@
 //! What control does with news of requests that crash their targets.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{CrashKey, Item};
@@ -20,6 +21,12 @@
 /// Most datagrams that tell a node what is in quarantine.
 const MAX_GREETINGS: usize = 4;
 
+/// Time that the node which places has to write again what the store has lost, before others do.
+const OTHERS_REWRITE_AFTER: Duration = Duration::from_millis(200);
+
+/// Time after which what was written again is looked for.
+const REWRITE_CHECKED_AFTER: Duration = Duration::from_millis(1000);
+
 /// Ticks between two looks for records that have ended.
 const TICKS_PER_CLEANUP: u32 = 100;
 
@@ -95,16 +102,19 @@
         is_quarantined
     }
 
-    /// Takes an entry of the store. A removed one says nothing: entries end with their lease, also in an
+    /// Takes an entry of the store. A removed one settles nothing: entries end with their lease, also in an
     /// outage, and what is known here ends by itself.
-    pub(super) fn on_crash_item(&mut self, item: &Item) {
-        if item.value.is_none() {
-            return;
-        }
+    pub(super) fn on_crash_item(&mut self, now: Instant, item: &Item) {
         let Some(key) = CrashKey::decode(&item.key) else {
             tracing::warn!(part = "control", key = item.key, "crash entry not readable");
             return;
         };
+        if item.value.is_none() {
+            self.stored_crashes.remove(key);
+            self.check_stored_crashes_soon(now);
+            return;
+        }
+        self.stored_crashes.insert(key);
         let crash = Crash {
             fingerprint: key.request,
             target: TargetLife {
@@ -125,15 +135,45 @@
         self.send_crashes(ip, &known[..most]).await;
     }
 
-    /// Writes anew what is in quarantine after an outage, in which leases may have ended; one node does.
-    pub(super) fn rewrite_crashes(&self) {
-        let known = self.quarantine.quarantined();
-        if !known.is_empty() && self.places_streams() {
-            self.write_crashes(CrashWrite::Keep(known));
+    /// Takes which crashes the store keeps from a listing of all of its items.
+    pub(super) fn on_crash_listing(&mut self, now: Instant, items: &[Item]) {
+        let keys = items.iter().filter_map(|i| CrashKey::decode(&i.key));
+        self.stored_crashes.replace(keys);
+        self.check_stored_crashes_soon(now);
+    }
+
+    /// Looks soon whether the store has lost what is in quarantine; the node that places looks first, so that one
+    /// node writes.
+    fn check_stored_crashes_soon(&mut self, now: Instant) {
+        let delay = if self.places_streams() {
+            Duration::ZERO
+        } else {
+            OTHERS_REWRITE_AFTER
+        };
+        self.stored_crashes.check_at(now + delay);
+    }
+
+    /// Writes again what is in quarantine and the store has lost: with its leases in an outage, or by going back to an
+    /// older copy.
+    pub(super) fn rewrite_lost_crashes(&mut self, now: Instant) {
+        if !self.stored_crashes.is_due(now) {
+            return;
+        }
+        let missing = self.stored_crashes.missing(self.quarantine.quarantined());
+        if missing.is_empty() {
+            return;
         }
+        tracing::info!(
+            part = "control",
+            crashes = missing.len(),
+            "crashes written again"
+        );
+        self.write_crashes(CrashWrite::Keep(missing));
+        self.stored_crashes.check_at(now + REWRITE_CHECKED_AFTER);
     }
 
-    fn places_streams(&self) -> bool {
+    /// Whether this node places streams.
+    pub(super) fn places_streams(&self) -> bool {
         let (_, owner) = self.members.live(Instant::now());
         owner == self.members.incarnation()
     }
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use azuresaddle_platform::StorePosition;
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::CrashNews;
@@ -9,7 +10,7 @@
 /// Most bytes of a datagram; below the usual limit of an unfragmented one.
 pub(super) const MAX_BYTES: usize = 1400;
 
-/// Most nodes whose whole news are in a heartbeat; each takes at most 52 bytes.
+/// Most nodes whose whole news are in a heartbeat; each takes at most 62 bytes.
 pub(super) const MAX_OTHERS: usize = 8;
 
 /// Most signs of life in a heartbeat; each takes at most 13 bytes. With whole news of 28 nodes in
@@ -38,8 +39,8 @@
     pub(super) callers_port: u16,
     /// Version of the configuration in force; 0 for none.
     pub(super) configuration: u64,
-    /// Revision of the last change of targets that it knows.
-    pub(super) targets: u64,
+    /// Position of the last change of targets that it knows.
+    pub(super) targets: StorePosition,
     /// Hash of the targets that it knows.
     pub(super) targets_hash: u32,
     /// Whether it is stopping.
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -247,6 +247,12 @@
         doubled.min(MAX_WATCHERS)
     }
 
+    /// The latest configuration that a live node has in force; 0 where none has any.
+    pub(super) fn newest_configuration(&self, now: Instant) -> u64 {
+        let versions = self.alive(now).map(|m| m.news.configuration);
+        versions.max().unwrap_or(0)
+    }
+
     /// Address of a live node that knows more, one of the own failure domain where there is one: what is
     /// fetched may be large, and the way to other domains is narrow and dear.
     pub(super) fn better_informed(
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -5,15 +5,20 @@
 mod crash_spread;
 mod crash_writer;
 mod crashes;
+mod era_probe;
 mod heartbeat;
 mod members;
 mod news;
 mod publish;
 mod registry;
 mod spread;
+mod start_gate;
 mod store_watch;
+mod stored_crashes;
 mod succession;
+mod target_record;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use actor::{Control, ControlParts};
+pub(crate) use target_record::{TargetNews, TargetRecord};
--- a/crates/azuresaddle-edge/src/control/publish.rs
+++ b/crates/azuresaddle-edge/src/control/publish.rs
@@ -27,19 +27,19 @@
     /// Publishes what is believed now; true where this node has something to tell the others.
     fn publish(&mut self) -> bool {
         let version = self.version();
-        let revision = self.registry.revision();
+        let position = self.registry.position();
         let Published {
             targets,
-            items,
+            records,
             hash,
         } = self.registry.published();
         let mut has_news = false;
         let is_leaving = self.members.is_leaving();
         self.members.update_own(|own| {
             let told = (own.configuration, own.targets, own.targets_hash);
-            has_news = told != (version, revision, hash) || is_leaving;
+            has_news = told != (version, position, hash) || is_leaving;
             own.configuration = version;
-            own.targets = revision;
+            own.targets = position;
             own.targets_hash = hash;
         });
         let (nodes, owner) = self.members.live(Instant::now());
@@ -55,7 +55,8 @@
             configuration: self.configuration.clone(),
             raw_configuration: self.raw_configuration.clone(),
             targets,
-            raw_targets: items,
+            target_records: records,
+            target_position: position,
             nodes: Arc::new(nodes),
             owner,
             leaving: self.members.is_leaving(),
@@ -68,7 +69,8 @@
             tracing::info!(
                 part = "control",
                 targets = targets.len(),
-                revision = self.registry.revision(),
+                era = self.registry.position().era.0,
+                revision = self.registry.position().revision,
                 "targets changed"
             );
         }
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -1,46 +1,49 @@
 //! Targets by their entries in the store, and what the store's outages do to them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
-use azuresaddle_platform::{DecodeError, Item, decode_target};
+use azuresaddle_core::deployment::{TargetEntry, TargetState};
+use azuresaddle_platform::{DecodeError, Item, StoreEra, StorePosition};
 use tokio::time::Instant;
 
+use super::target_record::{TargetNews, TargetRecord};
 use crate::snapshot::TargetSet;
 
-/// Time for which an entry that lapsed while the store was away is still believed: a target that
-/// lives registers again within about two seconds.
+/// Time for which an entry that the store has lost, in an outage or by going back to an older copy, is still believed:
+/// a target that lives registers again within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
 
-/// Time for which a removed entry is remembered, so that older news of it is not believed.
+/// Time for which a removed entry is remembered, so that neither older news of it nor an older copy of the store
+/// bring it back.
 const TOMBSTONE_KEPT: Duration = Duration::from_secs(60);
 
 /// What is known of one entry.
 #[derive(Debug)]
 struct Held {
-    item: Arc<Item>,
-    /// The decoded entry; `None` where it was removed or names no target.
-    entry: Option<Arc<TargetEntry>>,
-    /// Start and number of the latest entry that was read, also after its removal.
-    latest: (TargetStart, u64),
-    /// Whether the present value can't be read, so that this is logged once.
-    is_unreadable: bool,
-    /// Removal that is believed later, and when.
-    give_up: Option<(Instant, Arc<Item>)>,
+    record: Arc<TargetRecord>,
+    /// A removal that is believed later, and when.
+    give_up: Option<(Instant, StorePosition)>,
     /// When the removal was learned.
     removed_at: Option<Instant>,
 }
 
-/// Entries by key; only newer revisions replace older ones.
+/// Entries by key.
 #[derive(Debug, Default)]
 pub(super) struct Registry {
-    held: HashMap<String, Held>,
-    revision: u64,
+    held: HashMap<Arc<str>, Held>,
+    /// Position of the latest change that is known.
+    position: StorePosition,
+    /// Position up to which this node knows all changes from the store itself.
+    followed: StorePosition,
+    /// The latest copy of the store that is known of.
+    era: StoreEra,
     /// Until when removals are taken for lapses of an outage; `None` once all that happened in it is
     /// known.
     grace_until: Option<Instant>,
+    /// Until when what the store's present copy lacks is believed.
+    copy_grace_until: Option<Instant>,
     /// What was published last; `None` once something has changed. Building it anew takes
     /// milliseconds at 3,000 targets, and membership changes far more often than they do.
     published: Option<Published>,
@@ -51,16 +54,16 @@
 pub(super) struct Published {
     /// Targets that take new work.
     pub(super) targets: Arc<TargetSet>,
-    /// All that is known, as it was written.
-    pub(super) items: Arc<Vec<Arc<Item>>>,
+    /// All that is known, for other nodes.
+    pub(super) records: Arc<Vec<Arc<TargetRecord>>>,
     /// Hash of the targets that are believed in.
     pub(super) hash: u32,
 }
 
 impl Registry {
-    /// Revision of the last change that is known.
-    pub(super) fn revision(&self) -> u64 {
-        self.revision
+    /// Position of the latest change that is known.
+    pub(super) fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Notes that the store answers again.
@@ -76,116 +79,187 @@
         self.grace_until = None;
     }
 
+    /// The latest copy of the store that is known of.
+    pub(super) fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Notes which copy of the store answers. What a later one than before lacks is believed for a while.
+    pub(super) fn on_era(&mut self, now: Instant, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        if !self.held.is_empty() {
+            self.copy_grace_until = Some(now + RETURN_GRACE);
+        }
+    }
+
+    /// Notes up to where this node itself has followed the store.
+    pub(super) fn on_followed(&mut self, at: StorePosition) {
+        self.followed = self.followed.max(at);
+    }
+
+    /// Notes that all is known that another node knew.
+    pub(super) fn on_synced(&mut self, at: StorePosition) {
+        self.position = self.position.max(at);
+    }
+
     /// Takes one change; true where the targets are different now.
     pub(super) fn apply(&mut self, now: Instant, item: Item) -> bool {
-        let item = Arc::new(item);
-        let known = self.held.get(&item.key);
-        if known.is_some_and(|h| h.item.revision >= item.revision) {
-            return false;
+        let (record, error) = TargetRecord::of_item(item);
+        if record.is_removed() {
+            return self.remove(now, record.key(), record.position());
         }
-        self.revision = self.revision.max(item.revision);
-        self.published = None;
-        let Some(value) = &item.value else {
-            return self.remove(now, item);
-        };
-        let entry = match decode_target(&item.key, value) {
-            Ok(entry) => Arc::new(entry),
-            Err(e) => return self.on_unreadable(item, &e),
+        if let Some(error) = error {
+            self.log_unreadable(&record, &error);
+        }
+        self.merge(now, record)
+    }
+
+    /// Takes what another node knows; true where the targets are different now.
+    pub(super) fn apply_news(&mut self, now: Instant, news: TargetNews) -> bool {
+        let (record, _) = TargetRecord::of_news(news);
+        let key = Arc::clone(record.key());
+        let is_news = !self.held.contains_key(&key);
+        let position = record.position();
+        let changed = self.merge(now, record);
+        if is_news && position <= self.followed {
+            // This node has read the store since, and it was not there.
+            return self.doubt(now, &key, position) | changed;
+        }
+        changed
+    }
+
+    /// Gives up an entry that the store did not hold when this node read it, after the grace where only an earlier
+    /// copy of the store held it.
+    fn doubt(&mut self, now: Instant, key: &str, position: StorePosition) -> bool {
+        let is_of_this_copy = position.era == self.followed.era;
+        let grace = (!is_of_this_copy).then(|| now + RETURN_GRACE);
+        self.remove_in_grace(now, key, self.followed, grace)
+    }
+
+    fn merge(&mut self, now: Instant, record: TargetRecord) -> bool {
+        self.on_era(now, record.position().era);
+        self.position = self.position.max(record.position());
+        let Some(held) = self.held.get_mut(record.key()) else {
+            let has_entry = record.entry().is_some();
+            let held = Held {
+                removed_at: record.is_removed().then_some(now),
+                record: Arc::new(record),
+                give_up: None,
+            };
+            self.held.insert(Arc::clone(held.record.key()), held);
+            self.published = None;
+            return has_entry;
         };
-        let latest = (entry.started, entry.sequence);
-        if known.is_some_and(|h| latest < h.latest) {
-            // A write that was carried out long after it was sent.
-            tracing::info!(part = "control", target = %entry.id, "older target entry ignored");
+        if record.entry().is_some() {
+            // The store has the entry again.
+            held.give_up.take_if(|(_, at)| record.position() > *at);
+        }
+        let merged = held.record.merged(&record);
+        if record.entry().is_some() && record.number() < merged.number() {
+            // A write that was carried out long after it was sent, or an older copy of the store.
+            tracing::debug!(part = "control", key = %record.key(), "older target entry ignored");
+        }
+        if merged.is_same(&held.record) {
             return false;
         }
-        let before = known.and_then(|h| h.entry.as_ref());
-        let changed = before.is_none_or(|b| !b.is_same_state(&entry));
-        let held = Held {
-            entry: Some(entry),
-            latest,
-            is_unreadable: false,
-            give_up: None,
-            removed_at: None,
-            item,
-        };
-        self.held.insert(held.item.key.clone(), held);
-        changed
+        self.published = None;
+        held.replace(now, merged)
     }
 
-    /// Takes an entry of another writer: it names no target to use, whatever the key named before.
-    fn on_unreadable(&mut self, item: Arc<Item>, error: &DecodeError) -> bool {
-        let known = self.held.remove(&item.key);
-        if known.as_ref().is_none_or(|h| !h.is_unreadable) {
+    fn log_unreadable(&self, record: &TargetRecord, error: &DecodeError) {
+        let known = self.held.get(record.key());
+        if known.is_none_or(|h| !h.record.is_unreadable()) {
             tracing::warn!(part = "control", %error, "target entry not readable");
         }
-        let held = Held {
-            entry: None,
-            latest: known.as_ref().map(|h| h.latest).unwrap_or_default(),
-            is_unreadable: true,
-            give_up: None,
-            removed_at: None,
-            item,
-        };
-        self.held.insert(held.item.key.clone(), held);
-        known.is_some_and(|h| h.entry.is_some())
     }
 
-    fn remove(&mut self, now: Instant, item: Arc<Item>) -> bool {
-        let in_grace = self.grace_until.is_some_and(|until| now < until);
-        let Some(held) = self.held.get_mut(&item.key) else {
+    /// Takes a removal; one that may be a lapse of an outage is believed later.
+    fn remove(&mut self, now: Instant, key: &str, at: StorePosition) -> bool {
+        self.on_era(now, at.era);
+        self.position = self.position.max(at);
+        let grace = self.grace_until.filter(|until| now < *until);
+        self.remove_in_grace(now, key, at, grace)
+    }
+
+    fn remove_in_grace(
+        &mut self,
+        now: Instant,
+        key: &str,
+        at: StorePosition,
+        grace: Option<Instant>,
+    ) -> bool {
+        let Some(held) = self.held.get_mut(key) else {
             return false;
         };
-        if in_grace
-            && held
-                .entry
-                .as_ref()
-                .is_some_and(|e| e.state == TargetState::Ready)
+        if at < held.record.position() || held.record.is_removed() {
+            return false;
+        }
+        if let Some(until) = grace
+            && held.is_ready()
         {
-            let until = self.grace_until.unwrap_or(now);
-            held.give_up.get_or_insert((until, item));
+            let is_of_this_copy = |(_, known): &(Instant, StorePosition)| known.era == at.era;
+            let known = held.give_up.filter(is_of_this_copy);
+            held.give_up = known.or(Some((until, at)));
             return false;
         }
-        held.item = item;
-        held.removed_at = Some(now);
-        held.give_up = None;
-        held.is_unreadable = false;
-        held.entry.take().is_some()
+        self.published = None;
+        let removed = held.record.removed(at);
+        held.replace(now, removed)
     }
 
-    /// Takes a full listing that was read at a revision; true where the targets are different now.
-    pub(super) fn apply_listing(&mut self, now: Instant, items: Vec<Item>, at: u64) -> bool {
-        let listed: std::collections::HashSet<String> =
-            items.iter().map(|i| i.key.clone()).collect();
+    /// Takes a full listing that was read at a position; true where the targets are different now.
+    pub(super) fn apply_listing(
+        &mut self,
+        now: Instant,
+        items: Vec<Item>,
+        at: StorePosition,
+    ) -> bool {
+        self.on_era(now, at.era);
+        let listed: HashSet<String> = items.iter().map(|i| i.key.clone()).collect();
         let mut changed = false;
         for item in items {
             changed |= self.apply(now, item);
         }
-        let missing: Vec<String> = self
-            .held
-            .values()
-            .filter(|h| h.entry.is_some() && !listed.contains(&h.item.key))
-            .filter(|h| h.item.revision < at)
-            .map(|h| h.item.key.clone())
-            .collect();
+        let missing = self.held.iter();
+        let missing =
+            missing.filter(|(key, h)| !h.record.is_removed() && !listed.contains(&***key));
+        let missing: Vec<Arc<str>> = missing.map(|(key, _)| Arc::clone(key)).collect();
         for key in missing {
-            let gone = Item {
-                key,
-                value: None,
-                revision: at,
-            };
-            changed |= self.apply(now, gone);
+            let grace = self.grace_of_missing(now, &key, at.era);
+            changed |= self.remove_in_grace(now, &key, at, grace);
         }
+        self.on_followed(at);
         changed
     }
 
+    /// Until when an entry is believed that a listing lacks.
+    fn grace_of_missing(&self, now: Instant, key: &str, era: StoreEra) -> Option<Instant> {
+        let known = self.held.get(key).map(|h| h.record.position().era);
+        let grace = if known.is_some_and(|known| known < era) {
+            self.copy_grace_until.or(Some(now + RETURN_GRACE))
+        } else {
+            self.grace_until
+        };
+        grace.filter(|until| now < *until)
+    }
+
     /// Gives up entries whose grace is over; true where the targets are different now.
     pub(super) fn check(&mut self, now: Instant) -> bool {
         let mut changed = false;
+        let followed = self.followed;
         for held in self.held.values_mut() {
-            if let Some((_, removal)) = held.give_up.take_if(|(at, _)| now >= *at) {
-                held.item = removal;
-                held.removed_at = Some(now);
-                held.entry = None;
+            if let Some((_, at)) = held.give_up.take_if(|(until, _)| now >= *until) {
+                // It is not there up to here; others take a later change for news.
+                let at = if followed.era == at.era {
+                    at.max(followed)
+                } else {
+                    at
+                };
+                let removed = held.record.removed(at);
+                held.replace(now, removed);
                 changed = true;
             }
         }
@@ -205,10 +279,10 @@
         if let Some(published) = &self.published {
             return published.clone();
         }
-        let items = self.held.values().map(|h| Arc::clone(&h.item)).collect();
+        let records = self.held.values().map(|h| Arc::clone(&h.record)).collect();
         let published = Published {
             targets: Arc::new(self.targets()),
-            items: Arc::new(items),
+            records: Arc::new(records),
             hash: self.hash(),
         };
         self.published = Some(published.clone());
@@ -217,7 +291,7 @@
 
     /// Targets that take new work.
     pub(super) fn targets(&self) -> TargetSet {
-        let entries = self.held.values().filter_map(|h| h.entry.clone());
+        let entries = self.held.values().filter_map(|h| h.record.entry().cloned());
         TargetSet::new(entries.filter(|e| e.state == TargetState::Ready))
     }
 
@@ -228,14 +302,39 @@
     fn hash(&self) -> u32 {
         let mut hash = 0;
         for held in self.held.values() {
-            let Some(entry) = &held.entry else {
+            let Some(entry) = held.record.entry() else {
                 continue;
             };
             let state = u8::from(entry.state == TargetState::Ready);
-            let key = format!("{}/{state}/{}", held.item.key, entry.started.0);
+            let key = format!("{}/{state}/{}", held.record.key(), entry.started.0);
             // Addition makes the order of the entries irrelevant.
             hash = u32::wrapping_add(hash, xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as u32);
         }
         hash
     }
 }
+
+impl Held {
+    fn is_ready(&self) -> bool {
+        let entry = self.record.entry();
+        entry.is_some_and(|e| e.state == TargetState::Ready)
+    }
+
+    /// Takes a later record; true where what it says of the target is different.
+    fn replace(&mut self, now: Instant, record: TargetRecord) -> bool {
+        if record.is_removed() {
+            self.give_up = None;
+        }
+        self.removed_at = record.is_removed().then(|| self.removed_at.unwrap_or(now));
+        let before = std::mem::replace(&mut self.record, Arc::new(record));
+        !is_same_state(before.entry(), self.record.entry())
+    }
+}
+
+fn is_same_state(one: Option<&Arc<TargetEntry>>, other: Option<&Arc<TargetEntry>>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => one.is_same_state(other),
+        (None, None) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/start_gate.rs
@@ -0,0 +1,74 @@
+//! When a node that has just started begins to serve.
+//!
+//! Answers the pattern of a node that starts while the store has gone back to an older copy: what it reads there, a
+//! configuration that is no longer in force and targets that have left, the others know to be old.
+
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use tokio::time::Instant;
+
+use super::actor::Control;
+
+/// Time after its start that a node gives others to make themselves known: a round trip to its seeds, with a
+/// datagram lost.
+const HEARING: Duration = Duration::from_millis(150);
+
+/// Time after its start for which a node waits for the targets that others know. Longer, its callers would be better
+/// served by what it has.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a node holds back until it knows that nobody knows better.
+#[derive(Debug, Default)]
+pub(super) struct StartGate {
+    /// Whether it has all that another node knew of the targets.
+    pub(super) is_synced: bool,
+    /// The latest configuration that it has read.
+    candidate: Option<Vec<u8>>,
+}
+
+impl StartGate {
+    /// Whether a configuration may be the first in force, in a process of some age that hears of `newest` from others:
+    /// none that is older than theirs, and not without knowing which targets have left.
+    pub(super) fn admits(&self, age: Duration, newest: u64, version: u64) -> bool {
+        match newest {
+            0 => age >= HEARING,
+            newest => version >= newest && (self.is_synced || age >= SYNC_TIMEOUT),
+        }
+    }
+}
+
+impl<N: Network> Control<N> {
+    /// Whether the first configuration may be in force here.
+    pub(super) fn may_begin(&self, now: Instant, version: u64) -> bool {
+        let age = now.saturating_duration_since(self.members.started_at);
+        let newest = self.members.newest_configuration(now);
+        self.start_gate.admits(age, newest, version)
+    }
+
+    /// Keeps a configuration that may not be in force yet.
+    pub(super) fn hold_back(&mut self, json: Vec<u8>) {
+        self.start_gate.candidate = Some(json);
+    }
+
+    /// Whether a configuration waits.
+    pub(super) fn holds_back(&self) -> bool {
+        self.start_gate.candidate.is_some()
+    }
+
+    /// When what waits is to be looked at again, where nothing is heard meanwhile.
+    pub(super) fn hearing_ends(&self) -> Instant {
+        self.members.started_at + HEARING
+    }
+
+    /// Looks again at what waits; true where it is in force now.
+    pub(super) fn release_held_back(&mut self) -> bool {
+        let candidate = self.start_gate.candidate.take();
+        candidate.is_some_and(|json| self.on_configuration(json, "the store"))
+    }
+
+    /// Whether everything is to be asked of a node that has served before.
+    pub(super) fn needs_sync(&self) -> bool {
+        self.configuration.is_none() && !self.start_gate.is_synced
+    }
+}
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{Item, PlatformStore, StoreError};
+use azuresaddle_platform::{Item, PlatformStore, StoreEra, StoreError, StorePosition};
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
 
@@ -15,7 +15,7 @@
 pub(super) const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 
 /// Longest pause after failed calls.
-pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(1200);
+pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// Shortest time between two watches, so that quick changes don't turn into a call each.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
@@ -34,13 +34,20 @@
     Listing {
         /// The items.
         items: Vec<Item>,
-        /// Revision at which they were read.
-        at: u64,
+        /// Position at which they were read.
+        at: StorePosition,
     },
     /// A page of a listing that is not the last.
     Page(Vec<Item>),
     /// All changes since the last ones, or since the listing.
-    Changes(Vec<Item>),
+    Changes {
+        /// The changes in their order.
+        items: Vec<Item>,
+        /// Position up to which they are all.
+        at: StorePosition,
+    },
+    /// An answer came from a later copy of the store than all before.
+    Era(StoreEra),
 }
 
 /// Reads all, then watches while `enabled`, for ever; ends when nobody listens.
@@ -50,13 +57,24 @@
     tx: mpsc::Sender<StoreEvent>,
 ) {
     let mut progress = Progress::start();
+    let mut era = store.subscribe_era();
     let mut is_lost = false;
     let mut backoff = FIRST_BACKOFF;
     while !tx.is_closed() {
         if progress.is_watching() && enabled.wait_for(|on| *on).await.is_err() {
             return;
         }
-        let result = next_event(&store, &mut progress).await;
+        let mut later = era.clone();
+        let result = tokio::select! {
+            result = next_event(&store, &mut progress) => result,
+            // A watch that waits on the earlier copy may never be answered.
+            Ok(()) = wait_for_later(&mut later) => Err(StoreError::WentBack),
+        };
+        if let Some(era) = later_era(&mut era)
+            && tx.send(StoreEvent::Era(era)).await.is_err()
+        {
+            return;
+        }
         let event = match result {
             Ok(event) => {
                 backoff = FIRST_BACKOFF;
@@ -66,7 +84,7 @@
                 is_lost = false;
                 event
             }
-            Err(StoreError::Compacted) => {
+            Err(StoreError::Compacted | StoreError::WentBack) => {
                 progress = Progress::start();
                 continue;
             }
@@ -92,18 +110,39 @@
     }
 }
 
+/// Waits until an answer to any call tells a later era than the one that was read last.
+async fn wait_for_later(
+    era: &mut watch::Receiver<Option<StoreEra>>,
+) -> Result<(), watch::error::RecvError> {
+    let known = *era.borrow();
+    match known {
+        Some(known) => era
+            .wait_for(|e| e.is_some_and(|e| e > known))
+            .await
+            .map(|_| ()),
+        // The first answer is no news.
+        None => std::future::pending().await,
+    }
+}
+
+/// The era, where an answer to any call has told a later one than before.
+fn later_era(era: &mut watch::Receiver<Option<StoreEra>>) -> Option<StoreEra> {
+    let has_changed = era.has_changed().unwrap_or(false);
+    has_changed.then(|| *era.borrow_and_update()).flatten()
+}
+
 /// How far the store was read.
 enum Progress {
     /// All is read, page by page.
     Listing {
         items: Vec<Item>,
-        /// Revision of the first page.
-        at: Option<u64>,
+        /// Position of the first page.
+        at: Option<StorePosition>,
         /// Key after which the next page begins.
         after: Option<String>,
     },
-    /// Changes after a revision are waited for.
-    Watching(u64),
+    /// Changes after a position are waited for.
+    Watching(StorePosition),
 }
 
 impl Progress {
@@ -139,6 +178,9 @@
         Progress::Listing { items, at, after } => {
             let page = store.page("", after.as_deref()).await?;
             let first_at = *at.get_or_insert(page.at);
+            if page.at.era != first_at.era {
+                return Err(StoreError::WentBack);
+            }
             *after = page.next;
             if after.is_some() {
                 items.extend(page.items.iter().cloned());
@@ -155,7 +197,10 @@
         Progress::Watching(after) => {
             let news = store.watch("", *after, WATCH_WAIT).await?;
             *after = news.at.max(*after);
-            Ok(StoreEvent::Changes(news.items))
+            Ok(StoreEvent::Changes {
+                items: news.items,
+                at: *after,
+            })
         }
     }
 }
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -4,4 +4,6 @@
 mod fleet;
 mod members;
 mod registry;
+mod store_model;
 mod succession;
+mod target_record;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -54,6 +54,12 @@
     service: String,
 }
 
+/// Labels of fetches from other nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FetchLabels {
+    scope: &'static str,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -69,6 +75,8 @@
     pub(crate) nodes: Gauge,
     pub(crate) is_owner: Gauge,
     pub(crate) store_failures: Counter,
+    pub(crate) store_returns: Counter,
+    fetches: Family<FetchLabels, Counter>,
     pub(crate) owner_claims: Counter,
     pub(crate) quarantines: Counter,
     quarantine_refusals: Family<ServiceLabels, Counter>,
@@ -89,6 +97,8 @@
             nodes: Gauge::default(),
             is_owner: Gauge::default(),
             store_failures: Counter::default(),
+            store_returns: Counter::default(),
+            fetches: Family::default(),
             owner_claims: Counter::default(),
             quarantines: Counter::default(),
             quarantine_refusals: Family::default(),
@@ -136,6 +146,10 @@
         r.register("owner", help, self.is_owner.clone());
         let help = "Times that the store stopped answering";
         r.register("store_failures", help, self.store_failures.clone());
+        let help = "Times that the store came back from an older copy";
+        r.register("store_returns", help, self.store_returns.clone());
+        let help = "Fetches of what other nodes know of the targets, by scope";
+        r.register("target_fetches", help, self.fetches.clone());
         let help = "Times that this node claimed to place streams: the first of a fleet, or after a silent owner";
         r.register("owner_claims", help, self.owner_claims.clone());
         let help = "Requests that this node came to keep from all targets, since they crash them";
@@ -167,6 +181,12 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a fetch of all targets, or of changes, from another node.
+    pub(crate) fn on_fetch(&self, is_full: bool) {
+        let scope = if is_full { "all" } else { "changes" };
+        self.fetches.get_or_create(&FetchLabels { scope }).inc();
+    }
+
     /// Counts a request under which a target has ended.
     pub(crate) fn on_target_crash(&self, service: &str) {
         let labels = ServiceLabels {
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -8,6 +8,7 @@
 use azuresaddle_core::deployment::EntrySettings;
 use azuresaddle_core::http::{ServerLimits, serve};
 use azuresaddle_core::prelude::*;
+use azuresaddle_platform::StorePosition;
 use azuresaddle_sched::passes::{Mechanism, PassOptions};
 use rand::Rng;
 use thiserror::Error;
@@ -221,7 +222,8 @@
         configuration: None,
         raw_configuration: None,
         targets: Arc::new(TargetSet::default()),
-        raw_targets: Arc::default(),
+        target_records: Arc::default(),
+        target_position: StorePosition::default(),
         nodes: Arc::new(vec![own]),
         owner: NO_OWNER,
         leaving: false,
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::Item;
+use azuresaddle_platform::StorePosition;
 use azuresaddle_sched::passes::{AskId, PassOutcome, RunningStream, Suspect};
 use serde::{Deserialize, Serialize};
 
+use crate::control::TargetNews;
+
 /// Asks the owner to place a stream. Times are relative, since clocks differ.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct AskMessage {
@@ -82,38 +84,12 @@
     pub(crate) up_to: u64,
 }
 
-/// An entry of a target as the store has it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct TargetNews {
-    key: String,
-    value: Option<Vec<u8>>,
-    revision: u64,
-}
-
-impl From<TargetNews> for Item {
-    fn from(news: TargetNews) -> Self {
-        Self {
-            key: news.key,
-            value: news.value,
-            revision: news.revision,
-        }
-    }
-}
-
-impl From<&Item> for TargetNews {
-    fn from(item: &Item) -> Self {
-        Self {
-            key: item.key.clone(),
-            value: item.value.clone(),
-            revision: item.revision,
-        }
-    }
-}
-
 /// What a node knows from the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PeerNews {
     /// The configuration, where it is newer than the asking node's.
     pub(crate) configuration: Option<Vec<u8>>,
     pub(crate) targets: Vec<TargetNews>,
+    /// Position of the latest change of targets that the node knows.
+    pub(crate) position: StorePosition,
 }
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use azuresaddle_core::prelude::*;
+use azuresaddle_platform::StorePosition;
 use azuresaddle_rpc::serve_rpc;
 use futures::StreamExt;
 use tarpc::context::Context;
@@ -78,7 +79,12 @@
         self.owner.sync(&sync);
     }
 
-    async fn news(self, _: Context, configuration: u64, targets: u64) -> PeerNews {
+    async fn news(
+        self,
+        _: Context,
+        configuration: u64,
+        targets: Option<StorePosition>,
+    ) -> PeerNews {
         let snapshot = self.snapshots.load();
         let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
         let newer = version > configuration;
@@ -88,11 +94,12 @@
                 .as_deref()
                 .filter(|_| newer)
                 .cloned(),
+            position: snapshot.target_position,
             targets: snapshot
-                .raw_targets
+                .target_records
                 .iter()
-                .filter(|item| item.revision > targets)
-                .map(|item| item.as_ref().into())
+                .filter(|r| targets.is_none_or(|after| r.position() > after))
+                .map(|r| r.news())
                 .collect(),
         }
     }
--- a/crates/azuresaddle-edge/src/peer/service.rs
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -1,6 +1,8 @@
 //! The service that every node offers to the others.
 #![allow(missing_docs, reason = "tarpc generates items without documentation")]
 
+use azuresaddle_platform::StorePosition;
+
 use super::messages::{AskMessage, AskReply, PeerNews, Report, SyncMessage};
 
 /// Calls between nodes.
@@ -12,7 +14,7 @@
     async fn report(reports: Vec<Report>);
     /// Tells all streams of a node.
     async fn sync(sync: SyncMessage);
-    /// What is known from the store, beyond a version of the configuration and a revision of the
-    /// targets.
-    async fn news(configuration: u64, targets: u64) -> PeerNews;
+    /// What is known from the store, beyond a version of the configuration and a position of the
+    /// targets' changes; all of them for `None`.
+    async fn news(configuration: u64, targets: Option<StorePosition>) -> PeerNews;
 }
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -7,9 +7,11 @@
 use arc_swap::ArcSwap;
 use azuresaddle_core::deployment::{Configuration, TargetEntry};
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::Item;
+use azuresaddle_platform::StorePosition;
 use tokio::sync::watch;
 
+use crate::control::TargetRecord;
+
 /// Stands for the owner where none is known yet; no process has this incarnation.
 pub(crate) const NO_OWNER: u64 = 0;
 
@@ -80,8 +82,10 @@
     /// The configuration as the operator wrote it, for other nodes.
     pub(crate) raw_configuration: Option<Arc<Vec<u8>>>,
     pub(crate) targets: Arc<TargetSet>,
-    /// Entries of targets as they were written, for other nodes.
-    pub(crate) raw_targets: Arc<Vec<Arc<Item>>>,
+    /// All that is known of targets, for other nodes.
+    pub(crate) target_records: Arc<Vec<Arc<TargetRecord>>>,
+    /// Position of the latest change of targets that is known.
+    pub(crate) target_position: StorePosition,
     /// Live nodes, this one among them.
     pub(crate) nodes: Arc<Vec<LiveNode>>,
     /// Incarnation of the node that places streams; [`NO_OWNER`] for none.
