--- a/crates/azuresaddle-sched/tests/suite/quarantine.rs
+++ b/crates/azuresaddle-sched/tests/suite/quarantine.rs
@@ -203,3 +203,18 @@
         prop_assert_eq!(standing(&targets), standing(&sorted));
     }
 }
+
+/// One attempt of a request that ends its targets came to a whole answer just before its target was gone. For half a
+/// minute nothing counted against it then, and 35 targets ended.
+#[tokio::test(start_paused = true)]
+async fn one_good_end_hides_no_request_that_ends_its_targets() {
+    let now = Instant::now();
+    let mut quarantine = with_crashes(now, 1);
+    quarantine.on_good_end(now, request(1));
+    let mut ended = 1;
+    while !quarantine.standing(now, request(1)).is_quarantined() {
+        quarantine.on_crash(now, crash(1, 10 + ended));
+        ended += 1;
+        assert!(ended <= 6, "{ended} targets ended");
+    }
+}
