--- a/crates/azuresaddle-edge/src/control/crash_writer.rs
+++ b/crates/azuresaddle-edge/src/control/crash_writer.rs
@@ -20,7 +20,7 @@
 const LEASE_REUSED: Duration = Duration::from_secs(60);
 
 /// Time for which crashes are gathered for one call.
-const GATHER: Duration = Duration::from_millis(20);
+const GATHER: Duration = Duration::from_millis(50);
 
 /// Most entries that wait for a store that does not answer; more would outlive their use.
 const MAX_PENDING: usize = 512;
@@ -30,8 +30,8 @@
 pub(super) enum CrashWrite {
     /// Keep these crashes.
     Keep(Vec<Crash>),
-    /// Forget all crashes of a request that this node has written; others end with their lease.
-    Forget(Fingerprint),
+    /// Forget these crashes.
+    Remove(Vec<CrashKey>),
 }
 
 /// Writes what comes, until nobody sends any more.
@@ -42,7 +42,6 @@
     let mut writer = Writer {
         store,
         pending: BTreeSet::new(),
-        written: BTreeSet::new(),
         removals: BTreeSet::new(),
         lease: None,
     };
@@ -71,8 +70,6 @@
     store: PlatformStore<N>,
     /// Keys of entries that are not written.
     pending: BTreeSet<String>,
-    /// Keys of entries that are, the latest [`MAX_PENDING`] at most.
-    written: BTreeSet<String>,
     /// Keys of entries that are to go.
     removals: BTreeSet<String>,
     /// The lease for new entries, and when it was asked for.
@@ -83,7 +80,7 @@
     fn take(&mut self, write: &CrashWrite) {
         match write {
             CrashWrite::Keep(crashes) => self.keep(crashes),
-            CrashWrite::Forget(request) => self.forget(*request),
+            CrashWrite::Remove(keys) => self.remove(keys),
         }
     }
 
@@ -93,17 +90,18 @@
                 tracing::warn!(part = "control", "crash not written, too many wait");
                 return;
             }
-            self.pending.insert(key_of(crash).encode());
+            let key = key_of(crash).encode();
+            self.removals.remove(&key);
+            self.pending.insert(key);
         }
     }
 
-    fn forget(&mut self, request: Fingerprint) {
-        let is_of = |key: &String| CrashKey::decode(key).is_some_and(|k| k.request == request);
-        self.pending.retain(|key| !is_of(key));
-        let written = std::mem::take(&mut self.written);
-        let (gone, kept): (BTreeSet<_>, BTreeSet<_>) = written.into_iter().partition(is_of);
-        self.written = kept;
-        self.removals.extend(gone);
+    fn remove(&mut self, keys: &[CrashKey]) {
+        for key in keys {
+            let key = key.encode();
+            self.pending.remove(&key);
+            self.removals.insert(key);
+        }
     }
 
     fn has_work(&self) -> bool {
@@ -124,13 +122,8 @@
         for key in &removed {
             self.removals.remove(key);
         }
-        if self.written.len() >= MAX_PENDING {
-            // What was written so long ago ends with its lease.
-            self.written.clear();
-        }
-        for key in keys {
-            self.pending.remove(&key);
-            self.written.insert(key);
+        for key in &keys {
+            self.pending.remove(key);
         }
         Ok(())
     }
--- a/crates/azuresaddle-edge/src/control/crashes.rs
+++ b/crates/azuresaddle-edge/src/control/crashes.rs
@@ -5,7 +5,7 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{CrashKey, Item};
-use azuresaddle_sched::quarantine::{Crash, Learned, TargetLife};
+use azuresaddle_sched::quarantine::{Crash, GoodEnd, Learned, TargetLife};
 use tokio::time::Instant;
 
 use super::actor::Control;
@@ -14,10 +14,6 @@
 use super::heartbeat::Datagram;
 use crate::quarantine::CrashNews;
 
-/// Crashes of a request from which on they are written to the store. Nearly all requests that something is held
-/// against are sound ones which were on a target beside another, and have one.
-const CRASHES_TO_WRITE: usize = 2;
-
 /// Most datagrams that tell a node what is in quarantine.
 const MAX_GREETINGS: usize = 4;
 
@@ -31,18 +27,18 @@
 const TICKS_PER_CLEANUP: u32 = 100;
 
 impl<N: Network> Control<N> {
-    /// Takes what this node has seen itself: all are told, and the store keeps what may become a quarantine.
+    /// Takes what this node has seen itself: all are told, and the store keeps what is in quarantine.
     pub(super) async fn on_crash_seen(&mut self, news: CrashNews) {
         self.crash_spread.push(news);
         match news {
             CrashNews::Crash(crash) => {
-                let known = self.quarantine.crashes_of(crash.fingerprint);
-                if known.len() >= CRASHES_TO_WRITE {
+                if self.tell_again_if_quarantined(crash.fingerprint) {
+                    let known = self.quarantine.crashes_of(crash.fingerprint);
                     self.write_crashes(CrashWrite::Keep(known));
                 }
-                self.tell_again_if_quarantined(crash.fingerprint);
             }
-            CrashNews::GoodEnd(request) => self.write_crashes(CrashWrite::Forget(request)),
+            CrashNews::GoodEnd(end) => self.forget_if_clear(end.fingerprint),
+            CrashNews::Pardon(request) => self.forget_if_clear(request),
         }
         self.tell_crashes().await;
     }
@@ -53,7 +49,12 @@
         for news in all {
             let is_new = match news {
                 CrashNews::Crash(crash) => self.on_crash_told(from, *crash).await,
-                CrashNews::GoodEnd(request) => self.quarantine.learn_good_end(*request),
+                CrashNews::GoodEnd(end) => self.on_good_end_told(*end),
+                CrashNews::Pardon(request) => {
+                    let is_new = self.quarantine.pardon(*request);
+                    self.forget_if_clear(*request);
+                    is_new
+                }
             };
             if is_new && !self.members.is_mesh() {
                 self.crash_spread.push(*news);
@@ -66,32 +67,37 @@
         }
     }
 
+    fn on_good_end_told(&mut self, end: GoodEnd) -> bool {
+        let is_new = self.quarantine.learn_good_end(end);
+        if is_new {
+            self.forget_if_clear(end.fingerprint);
+        }
+        is_new
+    }
+
     /// Takes a crash from another node, which is told what it may not know: that the request is in quarantine here, or
-    /// that it came to a good end.
+    /// which of its runs came to a good end.
     async fn on_crash_told(&mut self, from: Ipv4Addr, crash: Crash) -> bool {
         let request = crash.fingerprint;
         let was_quarantined = self.quarantine.standing(request).is_quarantined();
-        match self.quarantine.learn_crash(crash) {
-            Learned::Known => false,
-            Learned::Settled => {
-                let news = vec![CrashNews::GoodEnd(request)];
-                self.send_to(from, &Datagram::Crashes(news).encode()).await;
-                false
-            }
-            Learned::New => {
-                let known = self.quarantine.crashes_of(request);
-                if was_quarantined {
-                    self.send_crashes(from, &known).await;
-                } else if self.tell_again_if_quarantined(request) && self.places_streams() {
-                    // Others may have seen one crash each, and written none.
-                    self.write_crashes(CrashWrite::Keep(known));
-                }
-                true
-            }
+        if self.quarantine.learn_crash(crash) == Learned::Known {
+            return false;
         }
+        let good_ends = self.quarantine.good_ends_of(request);
+        let good_ends: Vec<CrashNews> = good_ends.into_iter().map(CrashNews::GoodEnd).collect();
+        self.send_crash_news(from, &good_ends).await;
+        if was_quarantined {
+            let known = self.quarantine.crashes_of(request);
+            self.send_crashes(from, &known).await;
+        } else if self.tell_again_if_quarantined(request) && self.places_streams() {
+            // Others may have seen one crash each, and written none.
+            let known = self.quarantine.crashes_of(request);
+            self.write_crashes(CrashWrite::Keep(known));
+        }
+        true
     }
 
-    /// Tells all crashes of a request that has just come into quarantine: a node that has seen it end well objects.
+    /// Tells all crashes of a request that is in quarantine: a node that has seen it end well objects.
     fn tell_again_if_quarantined(&mut self, request: Fingerprint) -> bool {
         let is_quarantined = self.quarantine.standing(request).is_quarantined();
         if is_quarantined {
@@ -102,6 +108,17 @@
         is_quarantined
     }
 
+    /// Lets the store forget a request that is no longer in quarantine; one node does.
+    fn forget_if_clear(&mut self, request: Fingerprint) {
+        if !self.places_streams() || self.quarantine.standing(request).is_quarantined() {
+            return;
+        }
+        let stored = self.stored_crashes.of(request);
+        if !stored.is_empty() {
+            self.write_crashes(CrashWrite::Remove(stored));
+        }
+    }
+
     /// Takes an entry of the store. A removed one settles nothing: entries end with their lease, also in an
     /// outage, and what is known here ends by itself.
     pub(super) fn on_crash_item(&mut self, now: Instant, item: &Item) {
@@ -203,9 +220,14 @@
     }
 
     async fn send_crashes(&self, ip: Ipv4Addr, crashes: &[Crash]) {
-        for some in crashes.chunks(MAX_NEWS) {
-            let news = some.iter().copied().map(CrashNews::Crash).collect();
-            self.send_to(ip, &Datagram::Crashes(news).encode()).await;
+        let news: Vec<CrashNews> = crashes.iter().copied().map(CrashNews::Crash).collect();
+        self.send_crash_news(ip, &news).await;
+    }
+
+    async fn send_crash_news(&self, ip: Ipv4Addr, news: &[CrashNews]) {
+        for some in news.chunks(MAX_NEWS) {
+            let datagram = Datagram::Crashes(some.to_vec());
+            self.send_to(ip, &datagram.encode()).await;
         }
     }
 
--- a/crates/azuresaddle-edge/src/control/stored_crashes.rs
+++ b/crates/azuresaddle-edge/src/control/stored_crashes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use azuresaddle_core::prelude::*;
 use azuresaddle_platform::CrashKey;
 use azuresaddle_sched::quarantine::Crash;
 use tokio::time::Instant;
@@ -30,6 +31,12 @@
         self.keys.remove(&key);
     }
 
+    /// Crashes of a request that the store keeps.
+    pub(super) fn of(&self, request: Fingerprint) -> Vec<CrashKey> {
+        let all = self.keys.iter().copied();
+        all.filter(|key| key.request == request).collect()
+    }
+
     /// Looks at a time for what is lost, if not earlier.
     pub(super) fn check_at(&mut self, at: Instant) {
         self.check_at = Some(self.check_at.map_or(at, |known| known.min(at)));
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -1,10 +1,12 @@
 //! Finds whether a target that gave no answer has ended.
 
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::quarantine::{GoodEnd, SURVIVAL};
 use tokio::time::Instant;
 
 use super::attempt::until;
@@ -47,6 +49,31 @@
     }
 }
 
+/// Notes that a run came to a good end, once it is known whether its target survived it: an answer may be whole although
+/// the target goes down by it right after.
+pub(super) fn note_good_end<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    req: &ForwardRequest,
+    target: &TargetEntry,
+) {
+    let end = GoodEnd {
+        fingerprint: req.fingerprint,
+        run: xxhash_rust::xxh3::xxh3_64(req.head.id().as_bytes()),
+    };
+    if !cx.quarantine.knows(req.fingerprint) {
+        return cx.quarantine.remember_good_end(end, target);
+    }
+    let (cx, target) = (Arc::clone(cx), target.clone());
+    cx.spawner.clone().spawn(async move {
+        tokio::time::sleep(SURVIVAL).await;
+        let has_restarted = cx.snapshots.load().targets.has_restarted(&target);
+        // A target that has ended since says nothing: others may have ended it.
+        if !has_restarted && !has_ended(&cx, &target).await {
+            cx.quarantine.on_good_end(end);
+        }
+    });
+}
+
 /// Whether nothing listens at the target's address any more. A connection that is reset on the way, or an
 /// answer that can't be read, breaks off too, but the target takes a new connection then.
 async fn has_ended<N: Network>(cx: &Forwarder<N>, target: &TargetEntry) -> bool {
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -16,7 +16,7 @@
 use super::answer::{own_answer, refusal};
 use super::attempt::{SendFailure, kept_for, send, until};
 use super::body::ProxyBody;
-use super::crash_check::check_for_crash;
+use super::crash_check::{check_for_crash, note_good_end};
 use super::forwarder::Forwarder;
 use super::head::{ForwardRequest, Sending, strip_hop_by_hop};
 
@@ -61,7 +61,7 @@
 
 /// Relays a request to a plain service.
 pub(super) async fn forward_plain<N: Network>(
-    cx: &Forwarder<N>,
+    cx: &Arc<Forwarder<N>>,
     req: &ForwardRequest,
 ) -> Response<ProxyBody> {
     let mut tries = Tries::default();
@@ -84,7 +84,7 @@
         let result = send_plain(cx, req, &target, patience).await;
         drop(busy);
         if result.as_ref().is_ok_and(|a| a.status.is_success()) {
-            cx.quarantine.on_good_end(req.fingerprint);
+            note_good_end(cx, req, &target);
         }
         match result {
             Ok(answer) if answer.is_failure() && may_repeat && cx.may_repeat(&req.service) => {
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -23,6 +23,7 @@
 use super::attempt::{SendFailure, until};
 use super::body::{Piece, ProxyBody};
 use super::caller_watch::{CallerWatch, Completion};
+use super::crash_check::note_good_end;
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
 
@@ -181,7 +182,7 @@
                     return self.refuse_quarantined();
                 }
                 Sent::Complete => {
-                    self.cx.quarantine.on_good_end(self.req.fingerprint);
+                    note_good_end(&self.cx, &self.req, &place.target);
                     self.cx.metrics.on_send(&self.req.service, "answered");
                     self.log(&lead, "stream complete");
                     self.record(StreamEnd::Complete);
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod frontend;
 mod metrics;
+mod metrics_page;
 mod node;
 mod peer;
 mod placement;
@@ -16,5 +17,6 @@
 mod snapshot;
 mod targets;
 
-pub use metrics::BURN_PATH;
+pub use metrics_page::{BURN_PATH, QUARANTINE_PATH};
 pub use node::{Node, NodeOptions, OpenError};
+pub use quarantine::QuarantinedRequest;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -4,12 +4,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use azuresaddle_core::burn::BurnLedger;
-use azuresaddle_core::http::{Body, Handler, full};
-use bytes::Bytes;
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -17,16 +12,6 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use tokio::time::Instant;
-
-/// Path of the metrics.
-const METRICS_PATH: &str = "/metrics";
-
-/// Path of the service-level counts, as JSON for `azuresaddle burn`.
-pub const BURN_PATH: &str = "/burn";
-
-/// Content type of the text format.
-const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Upper bounds of the latency histograms, in seconds: around the usual latency targets of 0.1, 0.3,
 /// 1.5 and 3 s.
@@ -213,7 +198,8 @@
         observe(&self.placement_wait, service, waited);
     }
 
-    fn text(&self) -> String {
+    /// All of them, in the text format.
+    pub(crate) fn text(&self) -> String {
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &self.registry);
@@ -231,38 +217,3 @@
     };
     family.get_or_create(&labels).observe(took.as_secs_f64());
 }
-
-/// Serves the metrics and the service-level counts.
-pub(crate) struct MetricsPage {
-    pub(crate) metrics: Metrics,
-    pub(crate) burn: Arc<BurnLedger>,
-}
-
-impl MetricsPage {
-    fn burn(&self) -> Response<Body> {
-        let counts = self.burn.counts(Instant::now());
-        let json = serde_json::to_vec(&counts).expect("counts serialize");
-        page(json, "application/json")
-    }
-}
-
-impl Handler for MetricsPage {
-    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
-        match req.uri().path() {
-            METRICS_PATH => page(self.metrics.text(), TEXT_FORMAT),
-            BURN_PATH => self.burn(),
-            _ => {
-                let mut response = Response::new(full(""));
-                *response.status_mut() = StatusCode::NOT_FOUND;
-                response
-            }
-        }
-    }
-}
-
-fn page(body: impl Into<Bytes>, format: &'static str) -> Response<Body> {
-    let mut response = Response::new(full(body));
-    let format = HeaderValue::from_static(format);
-    response.headers_mut().insert(CONTENT_TYPE, format);
-    response
-}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/metrics_page.rs
@@ -0,0 +1,85 @@
+//! What a node tells operators over HTTP, and the one thing that they tell it.
+
+use std::sync::Arc;
+
+use azuresaddle_core::burn::BurnLedger;
+use azuresaddle_core::http::{Body, Handler, full};
+use azuresaddle_core::prelude::*;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::metrics::Metrics;
+use crate::quarantine::SharedQuarantine;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Path of the service-level counts, as JSON for `azuresaddle burn`.
+pub const BURN_PATH: &str = "/burn";
+
+/// Path of the requests in quarantine, as JSON for `azuresaddle quarantine`; one of them below it.
+pub const QUARANTINE_PATH: &str = "/quarantine";
+
+/// Content type of the text format.
+const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Content type of everything else.
+const JSON_FORMAT: &str = "application/json";
+
+/// Serves the metrics, the service-level counts and the quarantine.
+pub(crate) struct MetricsPage {
+    pub(crate) metrics: Metrics,
+    pub(crate) burn: Arc<BurnLedger>,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
+}
+
+impl MetricsPage {
+    fn end_quarantine(&self, request: &str) -> Response<Body> {
+        let Ok(request) = request.parse::<Fingerprint>() else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if self.quarantine.end_by_operator(request) {
+            status(StatusCode::NO_CONTENT)
+        } else {
+            status(StatusCode::NOT_FOUND)
+        }
+    }
+}
+
+impl Handler for MetricsPage {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let path = req.uri().path();
+        let below = |parent: &str| path.strip_prefix(parent)?.strip_prefix('/');
+        match path {
+            METRICS_PATH => page(self.metrics.text(), TEXT_FORMAT),
+            BURN_PATH => json(&self.burn.counts(Instant::now())),
+            QUARANTINE_PATH => json(&self.quarantine.list()),
+            _ => match below(QUARANTINE_PATH) {
+                Some(request) if req.method() == Method::DELETE => self.end_quarantine(request),
+                _ => status(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Response<Body> {
+    let json = serde_json::to_vec(value).expect("values of the page serialize");
+    page(json, JSON_FORMAT)
+}
+
+fn page(body: impl Into<Bytes>, format: &'static str) -> Response<Body> {
+    let mut response = Response::new(full(body));
+    let format = HeaderValue::from_static(format);
+    response.headers_mut().insert(CONTENT_TYPE, format);
+    response
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(full(""));
+    *response.status_mut() = code;
+    response
+}
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -22,7 +22,8 @@
 use crate::directory::Directory;
 use crate::forward::{Forwarder, ForwarderParts, InFlight};
 use crate::frontend::{CallerService, Stopping, serve_callers};
-use crate::metrics::{Metrics, MetricsPage};
+use crate::metrics::Metrics;
+use crate::metrics_page::MetricsPage;
 use crate::peer::{PeerClients, serve_peers};
 use crate::placement::{Owner, Placement, PlacementParts};
 use crate::quarantine::SharedQuarantine;
@@ -139,7 +140,7 @@
             spawner: spawner.clone(),
             snapshots: snapshots.clone(),
             placement,
-            quarantine,
+            quarantine: Arc::clone(&quarantine),
             metrics: metrics.clone(),
         };
         let forwarder = Forwarder::spawn(net.clone(), &settings, parts);
@@ -147,6 +148,7 @@
         let page = Arc::new(MetricsPage {
             metrics,
             burn: forwarder.burn(),
+            quarantine,
         });
         let stopping = Arc::new(Stopping::default());
         let in_flight = InFlight::default();
--- a/crates/azuresaddle-edge/src/quarantine/news.rs
+++ b/crates/azuresaddle-edge/src/quarantine/news.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other of requests that crash their targets.
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::quarantine::Crash;
+use azuresaddle_sched::quarantine::{Crash, GoodEnd};
 use serde::{Deserialize, Serialize};
 
 /// Something that is held against a request, or settles it.
@@ -9,6 +9,8 @@
 pub(crate) enum CrashNews {
     /// A target ended while it had the request.
     Crash(Crash),
-    /// A run of the request came to a good end.
-    GoodEnd(Fingerprint),
+    /// A run of the request came to a good end which its target survived.
+    GoodEnd(GoodEnd),
+    /// An operator has ended the quarantine of the request.
+    Pardon(Fingerprint),
 }
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -6,16 +6,21 @@
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::Suspect;
-use azuresaddle_sched::quarantine::{Crash, Learned, Quarantine, Standing};
+use azuresaddle_sched::quarantine::{
+    Crash, GoodEnd, Learned, Quarantine, RecentGoodEnds, Standing, TargetLife,
+};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::listed::QuarantinedRequest;
 use super::news::CrashNews;
 use crate::metrics::Metrics;
 
 /// The quarantine of this node, asked by traffic and told to other nodes by control.
 pub(crate) struct SharedQuarantine {
     state: Mutex<Quarantine>,
+    /// Good ends of requests of which nothing is known.
+    recent: Mutex<RecentGoodEnds>,
     /// Requests that something is known of; with none of them nobody takes the lock.
     known: AtomicUsize,
     /// Grows with each request that goes into quarantine.
@@ -30,6 +35,7 @@
     pub(crate) fn new(seen: mpsc::Sender<CrashNews>, metrics: Metrics) -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::default(),
+            recent: Mutex::default(),
             known: AtomicUsize::new(0),
             changes: watch::Sender::new(0),
             seen,
@@ -54,7 +60,7 @@
         let is_suspect = state.standing(Instant::now(), request) != Standing::Clear;
         is_suspect.then(|| Suspect {
             request,
-            keeps_apart: state.is_on_last_crash(request),
+            keeps_apart: state.is_on_last_crash(Instant::now(), request),
         })
     }
 
@@ -70,6 +76,14 @@
 
     /// Notes that this node saw a target end under a send of a request that began at `sent_at`.
     pub(crate) fn on_crash(&self, request: Fingerprint, target: &TargetEntry, sent_at: Instant) {
+        let life = TargetLife {
+            target: hash_of(target),
+            number: 0,
+        };
+        self.recall_good_ends(Crash {
+            fingerprint: request,
+            target: life,
+        });
         let crash = self.update(request, |state, now| {
             state.observe(now, request, hash_of(target), sent_at)
         });
@@ -78,23 +92,60 @@
         }
     }
 
-    /// Notes that this node saw a run of a request come to a good end.
-    pub(crate) fn on_good_end(&self, request: Fingerprint) {
-        if self.known.load(Ordering::Relaxed) > 0 && self.learn_good_end(request) {
-            self.tell(CrashNews::GoodEnd(request));
+    /// Whether something is known of a request.
+    pub(crate) fn knows(&self, request: Fingerprint) -> bool {
+        self.known.load(Ordering::Relaxed) > 0 && self.lock().knows(request)
+    }
+
+    /// Remembers a good end for a while, in case something will be held against the request.
+    pub(crate) fn remember_good_end(&self, end: GoodEnd, target: &TargetEntry) {
+        self.lock_recent()
+            .note(Instant::now(), end, hash_of(target));
+    }
+
+    /// Notes that this node saw a run of a request come to a good end which its target survived.
+    pub(crate) fn on_good_end(&self, end: GoodEnd) {
+        if self.learn_good_end(end) {
+            self.tell(CrashNews::GoodEnd(end));
+        }
+    }
+
+    /// Counts what this node has seen for a request against which something is held now.
+    fn recall_good_ends(&self, crash: Crash) {
+        let now = Instant::now();
+        let ended = crash.target.target;
+        let recalled = self.lock_recent().take(now, crash.fingerprint, ended);
+        for end in recalled {
+            self.on_good_end(end);
         }
     }
 
     /// Takes a crash that another node has seen.
     pub(crate) fn learn_crash(&self, crash: Crash) -> Learned {
+        self.recall_good_ends(crash);
         self.update(crash.fingerprint, |state, now| state.on_crash(now, crash))
     }
 
-    /// Takes a good end, seen here or by another node; true where something was held against the request.
-    pub(crate) fn learn_good_end(&self, request: Fingerprint) -> bool {
-        let was_held = self.update(request, |state, now| state.on_good_end(now, request));
+    /// Takes a good end, seen here or by another node; true where it is news.
+    pub(crate) fn learn_good_end(&self, end: GoodEnd) -> bool {
+        self.update(end.fingerprint, |state, now| state.on_good_end(now, end))
+    }
+
+    /// Ends a quarantine by an operator's word, given here or to another node; false where nothing was held against the
+    /// request.
+    pub(crate) fn pardon(&self, request: Fingerprint) -> bool {
+        let was_held = self.update(request, |state, _| state.pardon(request));
         if was_held {
-            tracing::info!(part = "control", fingerprint = %request, "request cleared");
+            tracing::warn!(part = "control", fingerprint = %request, "quarantine ended by an operator");
+        }
+        was_held
+    }
+
+    /// Ends a quarantine by an operator's word, and tells the other nodes.
+    pub(crate) fn end_by_operator(&self, request: Fingerprint) -> bool {
+        let was_held = self.pardon(request);
+        if was_held {
+            self.tell(CrashNews::Pardon(request));
         }
         was_held
     }
@@ -111,6 +162,9 @@
         let changed = change(&mut state, now);
         let after = state.standing(now, request);
         self.known.store(state.len(), Ordering::Relaxed);
+        if before.is_quarantined() && !after.is_quarantined() {
+            tracing::info!(part = "control", fingerprint = %request, "request cleared");
+        }
         if after.is_quarantined() && !before.is_quarantined() {
             let crashes = state.crashes_of(request).len();
             drop(state);
@@ -125,16 +179,42 @@
         self.changes.send_modify(|n| *n += 1);
     }
 
-    /// Crashes of one request that no good end has settled.
+    /// Crashes of one request.
     pub(crate) fn crashes_of(&self, request: Fingerprint) -> Vec<Crash> {
         self.lock().crashes_of(request)
     }
 
+    /// Good ends of one request.
+    pub(crate) fn good_ends_of(&self, request: Fingerprint) -> Vec<GoodEnd> {
+        self.lock().good_ends_of(request)
+    }
+
     /// Crashes of all requests in quarantine.
     pub(crate) fn quarantined(&self) -> Vec<Crash> {
         self.lock().quarantined(Instant::now()).collect()
     }
 
+    /// All requests in quarantine, for operators.
+    pub(crate) fn list(&self) -> Vec<QuarantinedRequest> {
+        let now = Instant::now();
+        let state = self.lock();
+        let mut requests: Vec<Fingerprint> =
+            state.quarantined(now).map(|c| c.fingerprint).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        let listed = requests.into_iter().filter_map(|fingerprint| {
+            let Standing::Quarantined { left } = state.standing(now, fingerprint) else {
+                return None;
+            };
+            Some(QuarantinedRequest {
+                fingerprint,
+                targets_ended: state.crashes_of(fingerprint).len(),
+                left_s: left.as_secs(),
+            })
+        });
+        listed.collect()
+    }
+
     /// Forgets what no longer matters.
     pub(crate) fn forget_old(&self) {
         let mut state = self.lock();
@@ -148,6 +228,10 @@
         }
     }
 
+    fn lock_recent(&self) -> MutexGuard<'_, RecentGoodEnds> {
+        self.recent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Quarantine> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/azuresaddle-sched/src/quarantine/crash.rs
+++ b/crates/azuresaddle-sched/src/quarantine/crash.rs
@@ -1,4 +1,4 @@
-//! A target that ended while it had a request.
+//! A target that ended while it had a request, and a run that its target survived.
 
 use azuresaddle_core::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -24,13 +24,20 @@
     pub target: TargetLife,
 }
 
+/// A run came to a good end, and its target lived on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct GoodEnd {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Identifies the run, so that it is counted once, whoever tells of it.
+    pub run: u64,
+}
+
 /// What a node makes of a crash that it is told of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Learned {
-    /// It was not known, and is held against the request.
+    /// It was not known.
     New,
-    /// It was known.
+    /// It was known, or an operator has ended a quarantine by it.
     Known,
-    /// It is not held against the request, which came to a good end since or shortly before.
-    Settled,
 }
--- a/crates/azuresaddle-sched/src/quarantine/ledger.rs
+++ b/crates/azuresaddle-sched/src/quarantine/ledger.rs
@@ -1,33 +1,49 @@
-//! What is held against which request.
+//! What is known of which request.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
-use super::crash::{Crash, Learned, TargetLife};
+use super::crash::{Crash, GoodEnd, Learned, TargetLife};
+use super::evidence::Evidence;
 use super::record::{Record, Standing};
 
-/// Most requests that something is held against, about 1.2 MB: the streams of 250 targets that end within ten
+/// Most requests that something is known of, about 2 MB: the streams of 250 targets that end within ten
 /// minutes, 16 each.
 const MAX_RECORDS: usize = 4096;
 
 /// Records that are forgotten when there is no room, so that each new one does not look through all.
 const FORGOTTEN_AT_ONCE: usize = 64;
 
+/// Most requests of one target that are held against each other: several times what a target runs.
+const MAX_REQUESTS_OF_END: usize = 64;
+
+/// Age up to which the end of a target says how often targets end by themselves.
+const RECENT: Duration = Duration::from_secs(60);
+
+/// A target that ended.
+#[derive(Clone, Debug)]
+struct End {
+    /// When this node first heard of it.
+    at: Instant,
+    /// Requests that it had.
+    requests: Vec<Fingerprint>,
+}
+
 /// What is held against requests, as one node knows it.
 ///
-/// Nodes that tell each other all crashes hold the same against a request, in whatever order they hear of them.
+/// Nodes that tell each other all crashes and good ends hold the same against a request, in whatever order they hear of
+/// them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     records: HashMap<Fingerprint, Record>,
-    /// Requests that a target had when it ended.
-    by_life: HashMap<TargetLife, Vec<Fingerprint>>,
+    ends: HashMap<TargetLife, End>,
 }
 
 impl Quarantine {
-    /// Notes that a target ended under a send of this node that began at `sent_at`. The crash, where it is not known
-    /// and is held against the request.
+    /// Notes that a target ended under a send of this node that began at `sent_at`. The crash, where it is not known.
     pub fn observe(
         &mut self,
         now: Instant,
@@ -46,27 +62,49 @@
 
     /// Notes a crash that another node has seen.
     pub fn on_crash(&mut self, now: Instant, crash: Crash) -> Learned {
-        if !self.records.contains_key(&crash.fingerprint) && self.records.len() >= MAX_RECORDS {
-            self.make_room(now);
-        }
-        let record = self.records.entry(crash.fingerprint);
-        let record = record.or_insert_with(|| Record::new(now));
-        let learned = record.on_crash(now, crash.target);
+        let learned = self
+            .record(now, crash.fingerprint)
+            .on_crash(now, crash.target);
         if learned == Learned::New {
-            let there = self.by_life.entry(crash.target).or_default();
-            there.push(crash.fingerprint);
+            let end = self.ends.entry(crash.target).or_insert_with(|| End {
+                at: now,
+                requests: Vec::new(),
+            });
+            if end.requests.len() < MAX_REQUESTS_OF_END {
+                end.requests.push(crash.fingerprint);
+            }
         }
         learned
     }
 
-    /// Notes that a run of a request came to a good end: no crash was its doing. True where something was held
-    /// against it.
-    pub fn on_good_end(&mut self, now: Instant, request: Fingerprint) -> bool {
-        let was_clear = self.standing(now, request) == Standing::Clear;
-        if let Some(record) = self.records.get_mut(&request) {
-            record.on_good_end(now);
+    /// Notes that a run of a request came to a good end which its target survived. False where that was known, or
+    /// makes no difference any more.
+    pub fn on_good_end(&mut self, now: Instant, end: GoodEnd) -> bool {
+        self.record(now, end.fingerprint).on_good_end(end.run)
+    }
+
+    /// Ends a quarantine by an operator's word: what is known now is not held against the request again. False where
+    /// nothing was.
+    pub fn pardon(&mut self, request: Fingerprint) -> bool {
+        let Some(record) = self.records.get_mut(&request) else {
+            return false;
+        };
+        let was_held = record.lives().next().is_some();
+        record.pardon();
+        was_held
+    }
+
+    /// Whether something is known of a request.
+    pub fn knows(&self, request: Fingerprint) -> bool {
+        self.records.contains_key(&request)
+    }
+
+    fn record(&mut self, now: Instant, request: Fingerprint) -> &mut Record {
+        if !self.records.contains_key(&request) && self.records.len() >= MAX_RECORDS {
+            self.make_room(now);
         }
-        !was_clear
+        let record = self.records.entry(request);
+        record.or_insert_with(|| Record::new(now))
     }
 
     /// How a request stands.
@@ -74,41 +112,105 @@
         let Some(record) = self.records.get(&request) else {
             return Standing::Clear;
         };
-        match record.standing(now) {
-            Standing::Quarantined { .. } if self.has_companion(request, record) => {
-                Standing::Suspect
+        let evidence = self.unexplained_evidence(request, record);
+        let left = self
+            .beyond_quarantine(now, request, evidence)
+            .map(|beyond| {
+                record
+                    .quarantined_until(beyond)
+                    .saturating_duration_since(now)
+            });
+        match left {
+            Some(left) if !left.is_zero() && !self.has_companion(request, record) => {
+                Standing::Quarantined { left }
             }
-            standing => standing,
+            _ if evidence.is_suspicious() => Standing::Suspect,
+            _ => Standing::Clear,
         }
     }
 
-    /// Whether another request was on all targets that ended under this one, so that either may be the cause.
+    /// What speaks against a request, without the ends of targets that another one there explains better.
+    fn unexplained_evidence(&self, request: Fingerprint, record: &Record) -> Evidence {
+        let own = record.evidence().weight();
+        let is_unexplained = |life: &TargetLife| {
+            let there = self.ends.get(life).into_iter().flat_map(|e| &e.requests);
+            let mut others = there.filter(|r| **r != request);
+            !others.any(|other| self.weight(*other) > own)
+        };
+        record.evidence_of(record.lives().filter(is_unexplained).count())
+    }
+
+    fn weight(&self, request: Fingerprint) -> f64 {
+        let record = self.records.get(&request);
+        record.map_or(0.0, |r| r.evidence().weight())
+    }
+
+    /// Crashes beyond those that it takes for quarantine; `None` where it takes more.
+    fn beyond_quarantine(
+        &self,
+        now: Instant,
+        request: Fingerprint,
+        evidence: Evidence,
+    ) -> Option<u32> {
+        // Most requests are far from it; the ends of others need not be looked through for them.
+        evidence.beyond_quarantine(0)?;
+        evidence.beyond_quarantine(self.unexplained_ends(now, request))
+    }
+
+    /// Targets that ended of late without the request, and without any that was on another one that ended.
+    fn unexplained_ends(&self, now: Instant, request: Fingerprint) -> usize {
+        let is_unexplained = |end: &&End| {
+            now.saturating_duration_since(end.at) < RECENT
+                && !end.requests.contains(&request)
+                && !end.requests.iter().any(|r| self.weight(*r) > 1.0)
+        };
+        self.ends.values().filter(is_unexplained).count()
+    }
+
+    /// Whether another request was on all targets that ended under this one and has as much against it, so that either
+    /// may be the cause.
     ///
     /// Streams of an engine that ends go on together at the next one, and their callers come back together. The next
     /// crash tells them apart, since suspects don't share an engine then: the cause has one more, and explains
     /// those of the others.
     fn has_companion(&self, request: Fingerprint, record: &Record) -> bool {
-        let last = record.unsettled().last();
-        let there = last.and_then(|life| self.by_life.get(&life));
-        let mut others = there.into_iter().flatten().filter(|r| **r != request);
-        others.any(|other| {
+        let last = record.lives().last();
+        let there = last.and_then(|life| self.ends.get(&life));
+        let there = there.into_iter().flat_map(|e| &e.requests);
+        let own = record.evidence().weight();
+        there.filter(|r| **r != request).any(|other| {
             let other = self.records.get(other);
-            other.is_some_and(|other| other.has_all_of(record))
+            other.is_some_and(|other| other.has_all_of(record) && other.evidence().weight() >= own)
         })
     }
 
     /// Whether one more crash brings a request into quarantine.
-    pub fn is_on_last_crash(&self, request: Fingerprint) -> bool {
-        let record = self.records.get(&request);
-        record.is_some_and(Record::is_on_last_crash)
+    pub fn is_on_last_crash(&self, now: Instant, request: Fingerprint) -> bool {
+        let Some(record) = self.records.get(&request) else {
+            return false;
+        };
+        let mut evidence = self.unexplained_evidence(request, record);
+        evidence.crashes += 1;
+        self.beyond_quarantine(now, request, evidence).is_some()
     }
 
-    /// Crashes of a request that no good end has settled.
+    /// Crashes of one request.
     pub fn crashes_of(&self, request: Fingerprint) -> Vec<Crash> {
         let record = self.records.get(&request);
         record.map_or(Vec::new(), |r| crashes(request, r).collect())
     }
 
+    /// Good ends of one request.
+    pub fn good_ends_of(&self, request: Fingerprint) -> Vec<GoodEnd> {
+        let record = self.records.get(&request);
+        let runs = record.into_iter().flat_map(Record::good_runs);
+        runs.map(|run| GoodEnd {
+            fingerprint: request,
+            run,
+        })
+        .collect()
+    }
+
     /// Crashes of all requests in quarantine, for a node that may not know of them.
     pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Crash> {
         let all = self.records.iter();
@@ -118,15 +220,27 @@
 
     /// Forgets what no longer matters.
     pub fn forget_old(&mut self, now: Instant) {
-        self.records.retain(|_, r| now < r.ends_at());
-        self.forget_lives();
+        let ends: HashMap<Fingerprint, Instant> = self.ends_at(now).collect();
+        self.records
+            .retain(|request, _| ends.get(request).is_some_and(|end| now < *end));
+        self.forget_ends();
+    }
+
+    /// When nothing of each request matters any more.
+    fn ends_at(&self, now: Instant) -> impl Iterator<Item = (Fingerprint, Instant)> {
+        self.records.iter().map(move |(request, record)| {
+            let evidence = self.unexplained_evidence(*request, record);
+            let beyond = self.beyond_quarantine(now, *request, evidence);
+            (*request, record.ends_at(beyond))
+        })
     }
 
     /// Forgets which requests were on a target, as far as these are forgotten.
-    fn forget_lives(&mut self) {
-        self.by_life.retain(|_, there| {
-            there.retain(|request| self.records.contains_key(request));
-            !there.is_empty()
+    fn forget_ends(&mut self) {
+        self.ends.retain(|_, end| {
+            end.requests
+                .retain(|request| self.records.contains_key(request));
+            !end.requests.is_empty()
         });
     }
 
@@ -147,20 +261,19 @@
             return;
         }
         let mut ends: Vec<(Instant, Fingerprint)> = self
-            .records
-            .iter()
-            .map(|(f, r)| (r.ends_at(), *f))
+            .ends_at(now)
+            .map(|(request, end)| (end, request))
             .collect();
         ends.sort_unstable();
         for (_, request) in ends.iter().take(FORGOTTEN_AT_ONCE) {
             self.records.remove(request);
         }
-        self.forget_lives();
+        self.forget_ends();
     }
 }
 
 fn crashes(fingerprint: Fingerprint, record: &Record) -> impl Iterator<Item = Crash> {
-    let lives = record.unsettled();
+    let lives = record.lives();
     lives.map(move |target| Crash {
         fingerprint,
         target,
--- /dev/null
+++ b/crates/azuresaddle-sched/src/quarantine/recent.rs
@@ -0,0 +1,76 @@
+//! Good ends of requests against which nothing is held yet.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use tokio::time::Instant;
+
+use super::crash::GoodEnd;
+
+/// Time for which a good end is remembered: callers that ask the same all the time do so several times in it.
+const KEPT: Duration = Duration::from_secs(30);
+
+/// Time after a good end for which its target must have lived on.
+pub const SURVIVAL: Duration = Duration::from_millis(100);
+
+/// Good ends of one request that are remembered.
+const MAX_ENDS: usize = 4;
+
+/// Most requests that are remembered; nearly all come once.
+const MAX_REQUESTS: usize = 2048;
+
+/// A run that came to a good end.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    at: Instant,
+    run: u64,
+    /// Hash of the target's name and start.
+    target: u64,
+}
+
+/// Good ends of late, for the moment in which something is first held against a request: where several targets end
+/// within a second, what speaks for it would come too late otherwise.
+#[derive(Debug, Default)]
+pub struct RecentGoodEnds(HashMap<Fingerprint, VecDeque<Run>>);
+
+impl RecentGoodEnds {
+    /// Notes a good end.
+    pub fn note(&mut self, now: Instant, end: GoodEnd, target: u64) {
+        if self.0.len() >= MAX_REQUESTS && !self.0.contains_key(&end.fingerprint) {
+            self.make_room(now);
+        }
+        let runs = self.0.entry(end.fingerprint).or_default();
+        if runs.len() >= MAX_ENDS {
+            runs.pop_front();
+        }
+        runs.push_back(Run {
+            at: now,
+            run: end.run,
+            target,
+        });
+    }
+
+    /// Takes the good ends of a request which their targets survived, as far as that is known when one has ended.
+    pub fn take(&mut self, now: Instant, request: Fingerprint, ended: u64) -> Vec<GoodEnd> {
+        let runs = self.0.remove(&request).unwrap_or_default();
+        let speaks_for_it = |run: &Run| {
+            let age = now.saturating_duration_since(run.at);
+            run.target != ended && (SURVIVAL..KEPT).contains(&age)
+        };
+        let runs = runs.into_iter().filter(speaks_for_it);
+        runs.map(|run| GoodEnd {
+            fingerprint: request,
+            run: run.run,
+        })
+        .collect()
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        let is_fresh = |run: &Run| now.saturating_duration_since(run.at) < KEPT;
+        self.0.retain(|_, runs| runs.back().is_some_and(is_fresh));
+        if self.0.len() >= MAX_REQUESTS {
+            self.0.clear();
+        }
+    }
+}
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -1,37 +1,35 @@
-//! What is held against one request.
+//! What is known of one request.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::crash::{Learned, TargetLife};
-
-/// Crashes from which on a request is in quarantine. Each costs its target's other streams, up to 16 of them;
-/// but a sound request that goes on elsewhere can meet the same crashing one there, so two prove nothing.
-const CRASHES_TO_QUARANTINE: usize = 3;
+use super::evidence::Evidence;
 
 /// First time in quarantine: callers that repeat a request do so for seconds or minutes, and a fault of targets
 /// is mended in hours.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
 
-/// Most crashes that are told apart; each beyond the third doubles the time in quarantine, so 80 minutes is
-/// the longest.
-const MAX_CRASHES: usize = 6;
+/// Most times that it doubles, with one crash more each; 80 minutes is the longest.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Most crashes that are told apart: more than it takes to stop a request whatever its good ends are.
+const MAX_CRASHES: usize = 16;
+
+/// Good ends that are counted for each crash: enough that a request which most targets survive is never stopped, and
+/// few enough that one which all ask for is not told of with each answer.
+const GOOD_ENDS_PER_CRASH: usize = 4;
 
 /// Time after the last crash, or after a quarantine, for which a record is kept.
 const KEPT: Duration = Duration::from_secs(600);
 
-/// Time for which a request that came to a good end is not held to be the cause of crashes: what its targets have
-/// survived ends them only after a change of theirs. Callers that ask the same all the time were all refused where
-/// three targets ended with some of their requests, each by another cause (two of sixteen runs of 15 s under faults).
-const CLEARED_FOR: Duration = Duration::from_secs(30);
-
 /// How a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// Nothing is held against it.
+    /// Nothing that matters is held against it.
     Clear,
-    /// A target has ended while it had the request.
+    /// Targets have ended while they had the request, and little speaks for it.
     Suspect,
     /// It is sent to no target.
     Quarantined {
@@ -54,23 +52,24 @@
     at: Instant,
 }
 
-/// What is held against one request.
+/// What is known of one request.
 #[derive(Clone, Debug)]
 pub(super) struct Record {
     crashes: Vec<Known>,
-    /// How many of them, the first ones, a good end has settled.
-    settled: usize,
+    /// Runs that came to a good end.
+    good_runs: Vec<u64>,
+    /// Crashes that no longer count since an operator said so.
+    pardoned: Vec<TargetLife>,
     last_crash_at: Instant,
-    good_end_at: Option<Instant>,
 }
 
 impl Record {
     pub(super) fn new(now: Instant) -> Self {
         Self {
             crashes: Vec::new(),
-            settled: 0,
+            good_runs: Vec::new(),
+            pardoned: Vec::new(),
             last_crash_at: now,
-            good_end_at: None,
         }
     }
 
@@ -88,81 +87,74 @@
 
     /// Notes a crash.
     pub(super) fn on_crash(&mut self, now: Instant, target: TargetLife) -> Learned {
-        if let Some(at) = self.crashes.iter().position(|k| k.target == target) {
-            let is_settled = at < self.settled;
-            return if is_settled {
-                Learned::Settled
-            } else {
-                Learned::Known
-            };
+        let is_known = self.lives().any(|life| life == target);
+        if is_known || self.pardoned.contains(&target) {
+            return Learned::Known;
         }
         if self.crashes.len() >= MAX_CRASHES {
-            if self.settled == 0 {
-                // Enough are known.
-                self.last_crash_at = now;
-                return Learned::Known;
-            }
             self.crashes.remove(0);
-            self.settled -= 1;
         }
         self.crashes.push(Known { target, at: now });
-        let is_cleared = self.good_end_at.is_some_and(|at| now - at < CLEARED_FOR);
-        if is_cleared {
-            self.settled = self.crashes.len();
-            return Learned::Settled;
-        }
         self.last_crash_at = now;
         Learned::New
     }
 
-    /// Notes that a run of the request came to a good end.
-    pub(super) fn on_good_end(&mut self, now: Instant) {
-        self.settled = self.crashes.len();
-        self.good_end_at = Some(now);
+    /// Notes that a run of the request came to a good end; false where it was known or no more are counted.
+    pub(super) fn on_good_end(&mut self, run: u64) -> bool {
+        let most = GOOD_ENDS_PER_CRASH * (self.crashes.len() + 1);
+        if self.good_runs.len() >= most || self.good_runs.contains(&run) {
+            return false;
+        }
+        self.good_runs.push(run);
+        true
     }
 
-    pub(super) fn standing(&self, now: Instant) -> Standing {
-        let left = self.quarantined_until().saturating_duration_since(now);
-        if self.count() == 0 {
-            Standing::Clear
-        } else if left.is_zero() {
-            Standing::Suspect
-        } else {
-            Standing::Quarantined { left }
-        }
+    /// Forgets what is held against the request, for good.
+    pub(super) fn pardon(&mut self) {
+        let lives = self.crashes.drain(..).map(|k| k.target);
+        self.pardoned.extend(lives);
+        let surplus = self.pardoned.len().saturating_sub(MAX_CRASHES);
+        self.pardoned.drain(..surplus);
     }
 
-    /// Whether all targets that ended under another request, as far as nothing has settled it, ended under this one too.
-    pub(super) fn has_all_of(&self, other: &Self) -> bool {
-        other
-            .unsettled()
-            .all(|life| self.unsettled().any(|l| l == life))
+    /// All that speaks against the request and for it.
+    pub(super) fn evidence(&self) -> Evidence {
+        self.evidence_of(self.crashes.len())
+    }
+
+    /// The same where only some of the crashes can be its doing.
+    pub(super) fn evidence_of(&self, crashes: usize) -> Evidence {
+        Evidence {
+            crashes,
+            good_ends: self.good_runs.len(),
+        }
     }
 
-    /// Whether one more crash brings the request into quarantine.
-    pub(super) fn is_on_last_crash(&self) -> bool {
-        self.count() + 1 >= CRASHES_TO_QUARANTINE
+    /// End of the quarantine after so many crashes more than it takes: one more crash after it begins another one,
+    /// twice as long.
+    pub(super) fn quarantined_until(&self, beyond: u32) -> Instant {
+        self.last_crash_at + FIRST_QUARANTINE * (1 << beyond.min(MAX_DOUBLINGS))
     }
 
-    /// Lives of targets that ended, as far as no good end has settled them.
-    pub(super) fn unsettled(&self) -> impl Iterator<Item = TargetLife> {
-        self.crashes[self.settled..].iter().map(|k| k.target)
+    /// Whether all targets that ended under another request ended under this one too.
+    pub(super) fn has_all_of(&self, other: &Self) -> bool {
+        other.lives().all(|life| self.lives().any(|l| l == life))
     }
 
-    /// When nothing of it matters any more.
-    pub(super) fn ends_at(&self) -> Instant {
-        self.quarantined_until() + KEPT
+    /// Lives of targets that ended.
+    pub(super) fn lives(&self) -> impl Iterator<Item = TargetLife> {
+        self.crashes.iter().map(|k| k.target)
     }
 
-    fn count(&self) -> usize {
-        self.crashes.len() - self.settled
+    /// Runs that came to a good end.
+    pub(super) fn good_runs(&self) -> impl Iterator<Item = u64> {
+        self.good_runs.iter().copied()
     }
 
-    /// End of the quarantine; one more crash after it begins another one, twice as long.
-    fn quarantined_until(&self) -> Instant {
-        match self.count().checked_sub(CRASHES_TO_QUARANTINE) {
-            Some(beyond) => self.last_crash_at + FIRST_QUARANTINE * (1 << beyond),
-            None => self.last_crash_at,
-        }
+    /// When nothing of it matters any more; `beyond` as for [`Self::quarantined_until`], `None` where it never was in
+    /// quarantine.
+    pub(super) fn ends_at(&self, beyond: Option<u32>) -> Instant {
+        let quarantined_until = beyond.map(|b| self.quarantined_until(b));
+        quarantined_until.unwrap_or(self.last_crash_at) + KEPT
     }
 }
--- a/crates/azuresaddle-sched/tests/suite/passes/suspects.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/suspects.rs
@@ -97,7 +97,7 @@
             let ask = PassAsk {
                 suspect: (crashes > 0).then(|| Suspect {
                     request: request(n),
-                    keeps_apart: quarantine.is_on_last_crash(request(n)),
+                    keeps_apart: quarantine.is_on_last_crash(now, request(n)),
                 }),
                 ..ask(at, number, 3000)
             };
--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::{Result, bail};
-use azuresaddle_standin::soak::{FleetOptions, SoakOptions, run_soak};
+use azuresaddle_standin::soak::{FaultOptions, FleetOptions, SoakOptions, run_soak};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use super::args::{get, say};
@@ -38,6 +38,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Targets also start again under their names"),
         )
+        .arg(
+            Arg::new("store-returns")
+                .long("store-returns")
+                .action(ArgAction::SetTrue)
+                .help("The store also comes back from older copies"),
+        )
         .arg(
             Arg::new("crashers")
                 .long("crashers")
@@ -85,7 +91,10 @@
                 nodes: get(args, "nodes"),
                 ..FleetOptions::default()
             },
-            has_restarts: args.get_flag("restarts"),
+            faults: FaultOptions {
+                has_restarts: args.get_flag("restarts"),
+                has_store_returns: args.get_flag("store-returns"),
+            },
             crashers: get(args, "crashers"),
         };
         let report = runtime.block_on(run_soak(&options))?;
--- a/crates/azuresaddle-standin/src/passes/world.rs
+++ b/crates/azuresaddle-standin/src/passes/world.rs
@@ -228,7 +228,7 @@
             self.streams[i].refused_at = Some(at_ms);
             return;
         }
-        let suspect = self.suspect(i);
+        let suspect = self.suspect(at_ms, i);
         let after = |ms: f64| now + Duration::from_secs_f64(ms / 1000.0);
         let ask = PassAsk {
             id: ask_id(i),
--- a/crates/azuresaddle-standin/src/passes/world/crashes.rs
+++ b/crates/azuresaddle-standin/src/passes/world/crashes.rs
@@ -6,6 +6,7 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{PassOutcome, Suspect};
+use azuresaddle_sched::quarantine::Standing;
 
 use super::{Event, Stream, TO_OWNER_MS, World, ask_id};
 use crate::passes::engine::EngineModel;
@@ -33,13 +34,16 @@
     }
 
     /// The request as a suspect, where an engine has ended under it.
-    pub(super) fn suspect(&self, i: usize) -> Option<Suspect> {
+    pub(super) fn suspect(&self, at_ms: f64, i: usize) -> Option<Suspect> {
         let request = self.fingerprint(i);
-        let crashes = self.quarantine.crashes_of(request);
-        let is_suspect = self.policy.has_quarantine() && !crashes.is_empty();
+        if !self.policy.has_quarantine() || !self.quarantine.knows(request) {
+            return None;
+        }
+        let now = self.instant(at_ms);
+        let is_suspect = self.quarantine.standing(now, request) != Standing::Clear;
         is_suspect.then(|| Suspect {
             request,
-            keeps_apart: self.quarantine.is_on_last_crash(request),
+            keeps_apart: self.quarantine.is_on_last_crash(now, request),
         })
     }
 
@@ -106,7 +110,7 @@
 
     /// A stream whose engine ended goes on elsewhere, where its route allows it.
     pub(super) fn ask_again(&mut self, at_ms: f64, i: usize) {
-        let suspect = self.suspect(i);
+        let suspect = self.suspect(at_ms, i);
         let is_over = self.streams[i].runs >= MAX_RUNS || self.is_quarantined(at_ms, i);
         let now = self.instant(at_ms);
         let Some(ask) = self.streams[i].ask.as_mut() else {
--- a/crates/azuresaddle-standin/src/soak/faults.rs
+++ b/crates/azuresaddle-standin/src/soak/faults.rs
@@ -10,7 +10,7 @@
 use super::callers::Shared;
 use super::fleet::Fleet;
 use super::proxy::ProxyMode;
-use crate::platform::{StoreFault, TargetFault};
+use crate::platform::{StoreFault, StoreReturn, TargetFault};
 
 /// Longest time of a fault.
 const MAX_FAULT: Duration = Duration::from_millis(1800);
@@ -32,13 +32,30 @@
     Configuration,
     /// A target starts again under its name.
     RestartTarget(usize),
+    /// The store comes back from an older copy, once or twice in a row.
+    StoreReturn(StoreReturn, usize),
 }
 
+/// Faults that only some soaks draw from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FaultOptions {
+    /// Whether targets also start again under their names.
+    pub has_restarts: bool,
+    /// Whether the store also comes back from older copies.
+    pub has_store_returns: bool,
+}
+
+/// Age of the oldest copy that the store comes back from.
+const MAX_COPY_AGE: Duration = Duration::from_millis(5000);
+
+/// Longest time for which the store is away before it comes back from a copy.
+const MAX_AWAY: Duration = Duration::from_millis(1500);
+
 /// Kinds of faults that every soak draws from; the kept seeds mean these.
 const KINDS: u32 = 12;
 
 /// Draws a fault.
-fn draw(rng: &mut StdRng, fleet: &Fleet, has_restarts: bool) -> Fault {
+fn draw(rng: &mut StdRng, fleet: &Fleet, options: FaultOptions) -> Fault {
     let node = rng.random_range(0..fleet.nodes.len());
     let target = rng.random_range(0..fleet.target_proxies.len());
     let cuts = [
@@ -48,7 +65,9 @@
         ProxyMode::Delay(Duration::from_millis(150)),
     ];
     let cut = cuts[rng.random_range(0..cuts.len())];
-    match rng.random_range(0..KINDS + u32::from(has_restarts)) {
+    let restarts = u32::from(options.has_restarts);
+    let returns = u32::from(options.has_store_returns);
+    match rng.random_range(0..KINDS + restarts + returns) {
         0 => Fault::Kill(node),
         1 | 2 => Fault::Stop(node),
         3 => Fault::Freeze(node),
@@ -68,18 +87,28 @@
             ][rng.random_range(0..4)],
         ),
         11 => Fault::Configuration,
-        _ => Fault::RestartTarget(target),
+        12 if options.has_restarts => Fault::RestartTarget(target),
+        _ => draw_store_return(rng),
     }
 }
 
+fn draw_store_return(rng: &mut StdRng) -> Fault {
+    let how = StoreReturn {
+        away: MAX_AWAY.mul_f64(rng.random_range(0.0..1.0)),
+        by: MAX_COPY_AGE.mul_f64(rng.random_range(0.0..1.0)),
+        seed: rng.random(),
+    };
+    Fault::StoreReturn(how, rng.random_range(1..3))
+}
+
 /// Strikes once, and waits until the fault is over.
 pub(super) async fn strike(
     fleet: &mut Fleet,
     shared: &Shared,
     rng: &mut StdRng,
-    has_restarts: bool,
+    options: FaultOptions,
 ) {
-    let fault = draw(rng, fleet, has_restarts);
+    let fault = draw(rng, fleet, options);
     let length = MAX_FAULT.mul_f64(rng.random_range(0.3..1.0));
     note(shared, fault, length);
     match fault {
@@ -129,6 +158,11 @@
             targets[n].set_fault(TargetFault::None);
         }
         Fault::Configuration => fleet.world.change_configuration(|_| {}),
+        Fault::StoreReturn(how, times) => {
+            for _ in 0..times {
+                fleet.world.return_store(how).await;
+            }
+        }
         Fault::RestartTarget(n) => {
             let engines = fleet.world.engines.len();
             let restarted = if n < engines {
@@ -163,6 +197,7 @@
             | Fault::StoreCut(..)
             | Fault::Compact
             | Fault::Configuration
+            | Fault::StoreReturn(..)
     )
 }
 
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod report;
 mod run;
 
+pub use faults::FaultOptions;
 pub(crate) use fleet::next_port;
 pub use fleet::{Fleet, FleetOptions};
 pub use process::NodeProcess;
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -13,7 +13,7 @@
 
 use super::callers::{Shared, run_caller};
 use super::crashers::{check_crashes, run_crasher};
-use super::faults::strike;
+use super::faults::{FaultOptions, strike};
 use super::fleet::{Fleet, FleetOptions};
 use super::report::SoakReport;
 use crate::platform::{Asked, Caller};
@@ -39,8 +39,8 @@
     pub length: Duration,
     /// Sizes.
     pub fleet: FleetOptions,
-    /// Whether targets also start again under their names.
-    pub has_restarts: bool,
+    /// Faults beside the usual ones.
+    pub faults: FaultOptions,
     /// Callers that send a request again and again which ends the targets that run it.
     pub crashers: u64,
 }
@@ -75,7 +75,7 @@
     let mut rng = StdRng::seed_from_u64(options.seed);
     let end = Instant::now() + options.length;
     while Instant::now() < end {
-        strike(&mut fleet, &shared, &mut rng, options.has_restarts).await;
+        strike(&mut fleet, &shared, &mut rng, options.faults).await;
         if let Err(e) = fleet.world.restart_ended().await {
             shared.broken(format!("a target did not start again: {e}"));
         }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod node_settings;
 mod output;
 pub(crate) mod pools;
+pub(crate) mod quarantine;
 pub(crate) mod rules;
 mod runtime;
 pub(crate) mod serve;
--- /dev/null
+++ b/src/cmd/quarantine.rs
@@ -0,0 +1,83 @@
+//! `quarantine`: requests that are kept from all targets, since they crash them.
+
+use std::net::SocketAddr;
+
+use anyhow::{Result, bail};
+use azuresaddle_core::prelude::*;
+use azuresaddle_edge::{QUARANTINE_PATH, QuarantinedRequest};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use hyper::{Method, StatusCode};
+
+use super::admin::AdminClient;
+use super::output;
+use super::runtime::client_runtime;
+
+pub(crate) fn make_subcommand() -> Command {
+    let node = Arg::new("node")
+        .long("node")
+        .value_name("ADDR")
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Metrics address of any node on the platform");
+    Command::new("quarantine")
+        .about("Lists requests that are kept from all targets, and ends a quarantine early")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("list")
+                .about("Lists all requests in quarantine, as the node knows them")
+                .arg(node.clone()),
+        )
+        .subcommand(
+            Command::new("end")
+                .about("Ends the quarantine of a request on all nodes; new crashes begin another")
+                .arg(
+                    Arg::new("FINGERPRINT")
+                        .required(true)
+                        .value_parser(value_parser!(Fingerprint))
+                        .help("The request, as the list and the logs name it"),
+                )
+                .arg(node),
+        )
+}
+
+pub(crate) fn execute(args: &ArgMatches) -> Result<()> {
+    let runtime = client_runtime()?;
+    match args.subcommand() {
+        Some(("list", args)) => runtime.block_on(list(args)),
+        Some(("end", args)) => runtime.block_on(end(args)),
+        _ => unreachable!("clap requires a subcommand"),
+    }
+}
+
+fn client(args: &ArgMatches) -> AdminClient {
+    AdminClient::at(*args.get_one("node").expect("is required"))
+}
+
+async fn list(args: &ArgMatches) -> Result<()> {
+    let all: Vec<QuarantinedRequest> = client(args).get(QUARANTINE_PATH).await?;
+    output::line(format!(
+        "{:<32} {:>13} {:>10}",
+        "fingerprint", "targets ended", "left"
+    ));
+    for request in all {
+        output::line(format!(
+            "{:<32} {:>13} {:>8} s",
+            request.fingerprint, request.targets_ended, request.left_s
+        ));
+    }
+    Ok(())
+}
+
+async fn end(args: &ArgMatches) -> Result<()> {
+    let request: Fingerprint = *args.get_one("FINGERPRINT").expect("is required");
+    let path = format!("{QUARANTINE_PATH}/{request}");
+    let answer = client(args).call(Method::DELETE, &path, &()).await?;
+    match answer.status {
+        status if status.is_success() => {
+            output::line(format!("quarantine of {request} ended"));
+            Ok(())
+        }
+        StatusCode::NOT_FOUND => bail!("nothing is held against {request} at this node"),
+        status => bail!("the node answered with status {status}"),
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,7 @@
         Some(("rules", args)) => cmd::rules::execute(args),
         Some(("hosts", args)) => cmd::hosts::execute(args),
         Some(("pools", args)) => cmd::pools::execute(args),
+        Some(("quarantine", args)) => cmd::quarantine::execute(args),
         Some(("burn", args)) => cmd::burn::execute(args),
         Some(("ask", args)) => cmd::ask::execute(args),
         Some(("serve", args)) => cmd::serve::execute(args),
@@ -54,6 +55,7 @@
         .subcommand(cmd::losses::make_subcommand())
         .subcommand(cmd::node::make_subcommand())
         .subcommand(cmd::pools::make_subcommand())
+        .subcommand(cmd::quarantine::make_subcommand())
         .subcommand(cmd::rules::make_subcommand())
         .subcommand(cmd::serve::make_subcommand())
         .subcommand(cmd::trace::make_subcommand())
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -5,39 +5,62 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::soak::{FleetOptions, SoakOptions, run_soak};
+use azuresaddle_standin::soak::{FaultOptions, FleetOptions, SoakOptions, run_soak};
 
 use super::support::{dir, program};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults_from_outside() {
-    soak(4, false, 0).await;
+    soak(4, 3, FaultOptions::default(), 0).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_with_the_seed_that_failed_once() {
-    soak(20, false, 0).await;
+    soak(20, 3, FaultOptions::default(), 0).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_where_targets_start_again_under_their_names() {
-    soak(31, true, 0).await;
+    soak(31, 3, RESTARTS, 0).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_crash_their_targets_are_kept_from_them_under_faults() {
-    soak(5, false, 2).await;
+    soak(5, 3, FaultOptions::default(), 2).await;
 }
 
-async fn soak(seed: u64, has_restarts: bool, crashers: u64) {
+/// With this seed 35 targets ended under one request, after one of its answers was whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_their_targets_are_kept_from_them_by_five_nodes() {
+    soak(77_003, 5, RESTARTS, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_where_the_store_goes_back_beside_other_faults() {
+    let faults = FaultOptions {
+        has_store_returns: true,
+        ..RESTARTS
+    };
+    soak(9, 3, faults, 0).await;
+}
+
+const RESTARTS: FaultOptions = FaultOptions {
+    has_restarts: true,
+    has_store_returns: false,
+};
+
+async fn soak(seed: u64, nodes: u8, faults: FaultOptions, crashers: u64) {
     let options = SoakOptions {
         program: program().to_owned(),
         dir: dir(&format!("soak-{seed}")),
         seed,
         callers: 6,
         length: Duration::from_secs(7),
-        fleet: FleetOptions::default(),
-        has_restarts,
+        fleet: FleetOptions {
+            nodes,
+            ..FleetOptions::default()
+        },
+        faults,
         crashers,
     };
     let report = run_soak(&options).await.unwrap();
