--- a/crates/azuresaddle-edge/src/control/tests/store_model.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_model.rs
@@ -33,11 +33,22 @@
 /// Targets.
 const TARGETS: usize = 4;
 
-/// Nodes.
+/// Nodes of the random series.
 const NODES: usize = 3;
 
-/// Nodes that follow the store.
-const WATCHERS: usize = 2;
+/// Sizes of a fleet.
+#[derive(Clone, Copy, Debug)]
+struct Sizes {
+    nodes: usize,
+    /// Nodes that follow the store.
+    watchers: usize,
+}
+
+/// Those of the random series.
+const SMALL: Sizes = Sizes {
+    nodes: NODES,
+    watchers: 2,
+};
 
 /// What happens between two steps.
 #[derive(Clone, Copy, Debug)]
@@ -149,6 +160,8 @@
     drained: BTreeSet<(String, u64)>,
     /// Since when it differs from a node that has heard of the same changes.
     differs_since: Option<u64>,
+    /// Fetches of everything, and of changes, from other nodes.
+    fetches: (usize, usize),
 }
 
 impl Node {
@@ -164,6 +177,7 @@
             cut_until: 0,
             drained: BTreeSet::new(),
             differs_since: None,
+            fetches: (0, 0),
         }
     }
 }
@@ -189,10 +203,11 @@
     step: u64,
     rng: SmallRng,
     without: Without,
+    sizes: Sizes,
 }
 
 impl World {
-    fn new(seed: u64, without: Without) -> Self {
+    fn new(seed: u64, without: Without, sizes: Sizes) -> Self {
         let start = Instant::now();
         let target = Target {
             born: 1000,
@@ -213,11 +228,12 @@
             targets: vec![target; TARGETS],
             version: 1,
             due: Vec::new(),
-            nodes: (0..NODES).map(|_| Node::new(start)).collect(),
+            nodes: (0..sizes.nodes).map(|_| Node::new(start)).collect(),
             start,
             step: 0,
             rng: SmallRng::seed_from_u64(seed),
             without,
+            sizes,
         };
         for key in world.keys() {
             world.write_now(&key);
@@ -340,12 +356,12 @@
         for (_, key) in due {
             self.write(key);
         }
-        for n in 0..NODES {
+        for n in 0..self.sizes.nodes {
             self.follow(n);
             let now = self.now();
             self.nodes[n].registry.check(now);
         }
-        for n in 0..NODES {
+        for n in 0..self.sizes.nodes {
             self.gossip(n);
             self.begin(n)?;
         }
@@ -365,7 +381,7 @@
         let now = self.now();
         let is_answered =
             self.store.down_until <= self.step && self.nodes[n].cut_until <= self.step;
-        let is_watching = n < WATCHERS || self.nodes[n].followed.is_none();
+        let is_watching = n < self.sizes.watchers || self.nodes[n].followed.is_none();
         if !is_answered {
             self.nodes[n].is_lost = true;
             return;
@@ -435,7 +451,8 @@
 
     /// A node asks another one for what it lacks.
     fn gossip(&mut self, n: usize) {
-        let other = (n + 1 + self.rng.random_range(0..NODES - 1)) % NODES;
+        let nodes = self.sizes.nodes;
+        let other = (n + 1 + self.rng.random_range(0..nodes - 1)) % nodes;
         let now = self.now();
         let told = self.nodes[other].registry.published();
         let position = self.nodes[other].registry.position();
@@ -456,6 +473,10 @@
         } else {
             return;
         };
+        match after {
+            None => node.fetches.0 += 1,
+            Some(_) => node.fetches.1 += 1,
+        }
         let records = told.records.iter();
         for record in records.filter(|r| after.is_none_or(|after| r.position() > after)) {
             node.registry.apply_news(now, record.news());
@@ -553,7 +574,7 @@
 }
 
 fn run(seed: u64, events: &[Event], without: Without) -> Result<(), String> {
-    let mut world = World::new(seed, without);
+    let mut world = World::new(seed, without, SMALL);
     world.pass(5)?;
     for event in events {
         world.take(*event)?;
@@ -616,6 +637,34 @@
     );
 }
 
+/// The store goes back twice in a row before a large fleet, of which four nodes follow it and some start meanwhile.
+#[test]
+fn three_hundred_nodes_end_at_the_same_targets_without_a_storm() {
+    let sizes = Sizes {
+        nodes: 300,
+        watchers: 4,
+    };
+    let mut world = World::new(1, Without::Nothing, sizes);
+    let mut events = vec![Event::Pass(30), Event::Drain(0), Event::Leave(1)];
+    events.extend([Event::Configure, Event::Start(2), Event::GoBack(4)]);
+    events.extend([Event::Pass(5), Event::Drain(3), Event::GoBack(3)]);
+    events.extend((100..110).map(Event::Restart));
+    for event in &events {
+        assert_eq!(world.take(*event), Ok(()));
+    }
+    assert_eq!(world.settle(), Ok(()));
+    // One fetch of everything at its start, and one for each time that the store went back.
+    let most_full = world.nodes.iter().map(|n| n.fetches.0).max();
+    assert!(most_full <= Some(3), "{most_full:?} fetches of everything");
+    // No more than there were changes.
+    let changes = usize::try_from(world.store.revision).expect("a small number") + events.len();
+    let most = world.nodes.iter().map(|n| n.fetches.1).max();
+    assert!(
+        most <= Some(changes),
+        "{most:?} fetches for {changes} changes"
+    );
+}
+
 /// Number of series that fail.
 fn failures(without: Without) -> usize {
     let mut runner = runner(0);
