--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -16,16 +16,16 @@
 use super::crash_spread::CrashSpread;
 use super::crash_writer::{CrashWrite, write_crashes};
 use super::era_probe::probe_era;
-use super::heartbeat::{Datagram, MAX_BYTES, NodeNews};
+use super::fetch::Fetched;
+use super::heartbeat::{Datagram, MAX_BYTES, MemberState};
 use super::members::{Members, TICK};
-use super::news::Fetched;
 use super::registry::Registry;
 use super::start_gate::StartGate;
 use super::store_watch::{StoreEvent, watch_store};
 use super::stored_crashes::StoredCrashes;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
-use crate::quarantine::{CrashNews, SharedQuarantine};
+use crate::quarantine::{CrashUpdate, SharedQuarantine};
 use crate::snapshot::Snapshots;
 
 /// Longest wait for an answer of the store, other than of a watch.
@@ -59,7 +59,7 @@
     pub(crate) no_answer: mpsc::Receiver<u64>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     /// What this node's traffic has seen of requests that crash their targets.
-    pub(crate) crashes_seen: mpsc::Receiver<CrashNews>,
+    pub(crate) crashes_seen: mpsc::Receiver<CrashUpdate>,
     pub(crate) metrics: Metrics,
 }
 
@@ -91,7 +91,7 @@
     pub(super) store_answered_at: Option<Instant>,
     pub(super) no_answer: mpsc::Receiver<u64>,
     pub(super) quarantine: Arc<SharedQuarantine>,
-    pub(super) crashes_seen: mpsc::Receiver<CrashNews>,
+    pub(super) crashes_seen: mpsc::Receiver<CrashUpdate>,
     pub(super) crash_spread: CrashSpread,
     pub(super) stored_crashes: StoredCrashes,
     /// Crashes that the store should keep.
@@ -126,7 +126,7 @@
         crash_writes: mpsc::Sender<CrashWrite>,
     ) -> Self {
         let settings = &parts.settings;
-        let own = NodeNews {
+        let own = MemberState {
             ip: settings.ip,
             incarnation: parts.incarnation,
             counter: 0,
@@ -174,7 +174,7 @@
     }
 
     async fn run(mut self, mut store: mpsc::Receiver<StoreEvent>) {
-        let (news_tx, mut news_rx) = mpsc::channel(4);
+        let (fetched_tx, mut fetched_rx) = mpsc::channel(4);
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let leaving = self.leaving.clone();
@@ -193,14 +193,14 @@
                     }
                 },
                 Some(event) = store.recv() => self.on_store(event),
-                Some(fetched) = news_rx.recv() => self.on_fetched(fetched),
+                Some(fetched) = fetched_rx.recv() => self.on_fetched(fetched),
                 Some(news) = self.crashes_seen.recv() => {
                     self.on_crash_seen(news).await;
                     false
                 }
                 Some(node) = self.no_answer.recv() => self.on_no_answer(node).await,
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
-                _ = tick.tick() => self.on_tick(&news_tx).await,
+                _ = tick.tick() => self.on_tick(&fetched_tx).await,
                 () = tokio::time::sleep_until(hearing_ends), if holds_back => self.release_held_back(),
                 // Without it a change soon after another one waited for the next tick: a node that had
                 // just started knew all targets 85 ms before its traffic did.
@@ -236,7 +236,7 @@
                 changed
             }
             Some(Datagram::Question(hosts)) => {
-                let news = self.members.news_of(now, &hosts);
+                let news = self.members.states_of(now, &hosts);
                 self.send_to(ip, &Datagram::Answer(news).encode()).await;
                 false
             }
@@ -257,7 +257,7 @@
         }
     }
 
-    async fn on_tick(&mut self, news_tx: &mpsc::Sender<Fetched>) -> bool {
+    async fn on_tick(&mut self, fetched_tx: &mpsc::Sender<Fetched>) -> bool {
         let now = Instant::now();
         let term = self.members.own.term;
         let members_changed = self.members.check(now);
@@ -271,7 +271,7 @@
         if !destinations.is_empty() {
             self.send_heartbeats(now, &destinations).await;
         }
-        self.fetch_if_behind(now, news_tx);
+        self.fetch_if_behind(now, fetched_tx);
         self.rewrite_lost_crashes(now);
         let has_begun = self.release_held_back();
         members_changed || targets_changed || has_begun
--- a/crates/azuresaddle-edge/src/control/crash_spread.rs
+++ b/crates/azuresaddle-edge/src/control/crash_spread.rs
@@ -5,14 +5,14 @@
 
 use std::collections::VecDeque;
 
-use crate::quarantine::CrashNews;
+use crate::quarantine::CrashUpdate;
 
 /// Rounds in which news are told: with four partners each, three reach 295 nodes although a tenth of the datagrams
 /// is lost.
 const ROUNDS: u32 = 3;
 
 /// Most news in a datagram, each of at most 31 bytes.
-pub(super) const MAX_NEWS: usize = 40;
+pub(super) const MAX_UPDATES: usize = 40;
 
 /// Most news that wait; beyond, the oldest are dropped. A datagram a round to four partners is all that a node
 /// sends, whatever happens: 56 KB a second while hundreds of targets end, nothing otherwise.
@@ -26,13 +26,13 @@
 
 #[derive(Debug)]
 struct Rumor {
-    news: CrashNews,
+    news: CrashUpdate,
     rounds_left: u32,
 }
 
 impl CrashSpread {
     /// Takes something to tell.
-    pub(super) fn push(&mut self, news: CrashNews) {
+    pub(super) fn push(&mut self, news: CrashUpdate) {
         if self.waiting.len() >= MAX_WAITING {
             self.waiting.pop_front();
         }
@@ -43,8 +43,8 @@
     }
 
     /// What to tell in one round; the news that were told least come first.
-    pub(super) fn next_round(&mut self) -> Vec<CrashNews> {
-        let count = self.waiting.len().min(MAX_NEWS);
+    pub(super) fn next_round(&mut self) -> Vec<CrashUpdate> {
+        let count = self.waiting.len().min(MAX_UPDATES);
         let mut told = Vec::with_capacity(count);
         for _ in 0..count {
             let Some(mut rumor) = self.waiting.pop_front() else {
--- a/crates/azuresaddle-edge/src/control/crashes.rs
+++ b/crates/azuresaddle-edge/src/control/crashes.rs
@@ -9,10 +9,10 @@
 use tokio::time::Instant;
 
 use super::actor::Control;
-use super::crash_spread::MAX_NEWS;
+use super::crash_spread::MAX_UPDATES;
 use super::crash_writer::CrashWrite;
 use super::heartbeat::Datagram;
-use crate::quarantine::CrashNews;
+use crate::quarantine::CrashUpdate;
 
 /// Most datagrams that tell a node what is in quarantine.
 const MAX_GREETINGS: usize = 4;
@@ -28,29 +28,29 @@
 
 impl<N: Network> Control<N> {
     /// Takes what this node has seen itself: all are told, and the store keeps what is in quarantine.
-    pub(super) async fn on_crash_seen(&mut self, news: CrashNews) {
+    pub(super) async fn on_crash_seen(&mut self, news: CrashUpdate) {
         self.crash_spread.push(news);
         match news {
-            CrashNews::Crash(crash) => {
+            CrashUpdate::Crash(crash) => {
                 if self.tell_again_if_quarantined(crash.fingerprint) {
                     let known = self.quarantine.crashes_of(crash.fingerprint);
                     self.write_crashes(CrashWrite::Keep(known));
                 }
             }
-            CrashNews::GoodEnd(end) => self.forget_if_clear(end.fingerprint),
-            CrashNews::Pardon(request) => self.forget_if_clear(request),
+            CrashUpdate::GoodEnd(end) => self.forget_if_clear(end.fingerprint),
+            CrashUpdate::Pardon(request) => self.forget_if_clear(request),
         }
         self.tell_crashes().await;
     }
 
     /// Takes news from another node, and passes on what is new.
-    pub(super) async fn on_crashes_told(&mut self, from: Ipv4Addr, all: &[CrashNews]) {
+    pub(super) async fn on_crashes_told(&mut self, from: Ipv4Addr, all: &[CrashUpdate]) {
         let mut has_news = false;
         for news in all {
             let is_new = match news {
-                CrashNews::Crash(crash) => self.on_crash_told(from, *crash).await,
-                CrashNews::GoodEnd(end) => self.on_good_end_told(*end),
-                CrashNews::Pardon(request) => {
+                CrashUpdate::Crash(crash) => self.on_crash_told(from, *crash).await,
+                CrashUpdate::GoodEnd(end) => self.on_good_end_told(*end),
+                CrashUpdate::Pardon(request) => {
                     let is_new = self.quarantine.pardon(*request);
                     self.forget_if_clear(*request);
                     is_new
@@ -84,7 +84,7 @@
             return false;
         }
         let good_ends = self.quarantine.good_ends_of(request);
-        let good_ends: Vec<CrashNews> = good_ends.into_iter().map(CrashNews::GoodEnd).collect();
+        let good_ends: Vec<CrashUpdate> = good_ends.into_iter().map(CrashUpdate::GoodEnd).collect();
         self.send_crash_news(from, &good_ends).await;
         if was_quarantined {
             let known = self.quarantine.crashes_of(request);
@@ -102,7 +102,7 @@
         let is_quarantined = self.quarantine.standing(request).is_quarantined();
         if is_quarantined {
             for crash in self.quarantine.crashes_of(request) {
-                self.crash_spread.push(CrashNews::Crash(crash));
+                self.crash_spread.push(CrashUpdate::Crash(crash));
             }
         }
         is_quarantined
@@ -141,14 +141,14 @@
         };
         if self.quarantine.learn_crash(crash) == Learned::New && !self.members.is_mesh() {
             // Most nodes of a larger fleet don't follow the store.
-            self.crash_spread.push(CrashNews::Crash(crash));
+            self.crash_spread.push(CrashUpdate::Crash(crash));
         }
     }
 
     /// Tells a node that has just come what is in quarantine.
     pub(super) async fn greet(&self, ip: Ipv4Addr) {
         let known = self.quarantine.quarantined();
-        let most = known.len().min(MAX_GREETINGS * MAX_NEWS);
+        let most = known.len().min(MAX_GREETINGS * MAX_UPDATES);
         self.send_crashes(ip, &known[..most]).await;
     }
 
@@ -220,12 +220,12 @@
     }
 
     async fn send_crashes(&self, ip: Ipv4Addr, crashes: &[Crash]) {
-        let news: Vec<CrashNews> = crashes.iter().copied().map(CrashNews::Crash).collect();
+        let news: Vec<CrashUpdate> = crashes.iter().copied().map(CrashUpdate::Crash).collect();
         self.send_crash_news(ip, &news).await;
     }
 
-    async fn send_crash_news(&self, ip: Ipv4Addr, news: &[CrashNews]) {
-        for some in news.chunks(MAX_NEWS) {
+    async fn send_crash_news(&self, ip: Ipv4Addr, news: &[CrashUpdate]) {
+        for some in news.chunks(MAX_UPDATES) {
             let datagram = Datagram::Crashes(some.to_vec());
             self.send_to(ip, &datagram.encode()).await;
         }
--- a/crates/azuresaddle-edge/src/control/news.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -1,18 +1,16 @@
-//! What the store and other nodes tell.
+//! Fetches from other nodes what they know and this one does not.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{Item, Kind, StoreEra, StorePosition, decode_configuration, kind_of};
+use azuresaddle_platform::{StoreEra, StorePosition};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::actor::Control;
-use super::heartbeat::NodeNews;
-use super::store_watch::StoreEvent;
-use crate::peer::PeerNews;
+use super::heartbeat::MemberState;
+use crate::peer::PeerUpdate;
 
 /// Longest wait for news from another node.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -39,12 +37,12 @@
 #[derive(Debug)]
 pub(super) struct Fetched {
     scope: Scope,
-    news: Option<PeerNews>,
+    news: Option<PeerUpdate>,
 }
 
 impl<N: Network> Control<N> {
     /// Asks a better informed node for its news, once the own watch had its chance.
-    pub(super) fn fetch_if_behind(&mut self, now: Instant, news_tx: &mpsc::Sender<Fetched>) {
+    pub(super) fn fetch_if_behind(&mut self, now: Instant, fetched_tx: &mpsc::Sender<Fetched>) {
         let Some((addr, scope)) = self.next_fetch(now) else {
             return;
         };
@@ -62,7 +60,7 @@
         };
         let configuration = self.version();
         let peers = self.peers.clone();
-        let tx = news_tx.clone();
+        let tx = fetched_tx.clone();
         self.spawner.spawn(async move {
             let news = peers
                 .call(addr, PEER_TIMEOUT, async |client, cx| {
@@ -87,9 +85,9 @@
         let configuration = self.version();
         let targets = self.registry.position();
         let hash = self.registry.published().hash;
-        let is_later = |n: &NodeNews| n.configuration > configuration || n.targets > targets;
+        let is_later = |n: &MemberState| n.configuration > configuration || n.targets > targets;
         let later = self.members.better_informed(now, is_later);
-        let differs = |n: &NodeNews| n.targets == targets && n.targets_hash != hash;
+        let differs = |n: &MemberState| n.targets == targets && n.targets_hash != hash;
         let Some(addr) = later.or_else(|| self.members.better_informed(now, differs)) else {
             self.behind_since = None;
             return None;
@@ -123,7 +121,7 @@
         let era = self.registry.position().era;
         let mut changed = false;
         for target in news.targets {
-            changed |= self.registry.apply_news(now, target);
+            changed |= self.registry.apply_update(now, target);
         }
         self.registry.on_synced(news.position);
         if fetched.scope == Scope::All {
@@ -138,7 +136,7 @@
     }
 
     /// Tells operators where the store has gone back to an older copy.
-    fn note_era(&mut self) {
+    pub(super) fn note_era(&mut self) {
         let era = self.registry.era();
         if era == StoreEra::default() {
             return;
@@ -153,100 +151,4 @@
             self.metrics.store_returns.inc();
         }
     }
-
-    /// Takes what the store tells; true where others are to be told.
-    pub(super) fn on_store(&mut self, event: StoreEvent) -> bool {
-        let era = self.registry.position().era;
-        let changed = self.on_store_event(event);
-        // Nodes that don't reach the store learn from this one that it has gone back.
-        changed || self.registry.position().era != era
-    }
-
-    fn on_store_event(&mut self, event: StoreEvent) -> bool {
-        let now = Instant::now();
-        if !matches!(event, StoreEvent::Lost { .. }) {
-            self.store_answered_at = Some(now);
-        }
-        match event {
-            StoreEvent::Back => {
-                tracing::info!(part = "control", "store regained");
-                self.registry.on_store_back(now);
-                false
-            }
-            StoreEvent::Lost { reason } => {
-                tracing::warn!(part = "control", reason, "store lost");
-                self.store_answered_at = None;
-                self.metrics.store_failures.inc();
-                false
-            }
-            StoreEvent::Era(era) => {
-                self.registry.on_era(now, era);
-                self.note_era();
-                false
-            }
-            StoreEvent::Listing { items, at } => {
-                self.on_crash_listing(now, &items);
-                let (targets, others): (Vec<_>, Vec<_>) = items
-                    .into_iter()
-                    .partition(|i| kind_of(&i.key) == Kind::Target);
-                let changed = self.registry.apply_listing(now, targets, at);
-                self.registry.on_caught_up();
-                self.on_items(now, others) | changed
-            }
-            StoreEvent::Page(items) => self.on_items(now, items),
-            StoreEvent::Changes { items, at } => {
-                let changed = self.on_items(now, items);
-                self.registry.on_followed(at);
-                self.registry.on_caught_up();
-                changed
-            }
-        }
-    }
-
-    fn on_items(&mut self, now: Instant, items: Vec<Item>) -> bool {
-        let all = items.into_iter();
-        all.fold(false, |changed, item| self.on_item(now, item) | changed)
-    }
-
-    pub(super) fn on_item(&mut self, now: Instant, item: Item) -> bool {
-        match kind_of(&item.key) {
-            Kind::Target => self.registry.apply(now, item),
-            Kind::Configuration => item
-                .value
-                .is_some_and(|json| self.on_configuration(json, "the store")),
-            Kind::Crash => {
-                self.on_crash_item(now, &item);
-                false
-            }
-            Kind::Other => false,
-        }
-    }
-
-    pub(super) fn on_configuration(&mut self, json: Vec<u8>, source: &str) -> bool {
-        let configuration = match decode_configuration(&json) {
-            Ok(configuration) => configuration,
-            Err(e) => {
-                tracing::error!(part = "control", error = %e, "configuration refused");
-                return false;
-            }
-        };
-        let version = configuration.version.0;
-        if version <= self.version() {
-            return false;
-        }
-        if self.configuration.is_none() && !self.may_begin(Instant::now(), version) {
-            self.hold_back(json);
-            return false;
-        }
-        tracing::info!(
-            part = "control",
-            version,
-            routes = configuration.route_count(),
-            source,
-            "configuration in force"
-        );
-        self.configuration = Some(Arc::new(configuration));
-        self.raw_configuration = Some(Arc::new(json));
-        true
-    }
 }
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -5,7 +5,7 @@
 use azuresaddle_platform::StorePosition;
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::CrashNews;
+use crate::quarantine::CrashUpdate;
 
 /// Most bytes of a datagram; below the usual limit of an unfragmented one.
 pub(super) const MAX_BYTES: usize = 1400;
@@ -13,16 +13,16 @@
 /// Most nodes whose whole news are in a heartbeat; each takes at most 62 bytes.
 pub(super) const MAX_OTHERS: usize = 8;
 
-/// Most signs of life in a heartbeat; each takes at most 13 bytes. With whole news of 28 nodes in
+/// Most heartbeat digests in a heartbeat; each takes at most 13 bytes. With whole news of 28 nodes in
 /// their stead, nodes of a fleet of 300 missed each other 17 times a second.
-pub(super) const MAX_SIGNS: usize = 70;
+pub(super) const MAX_DIGESTS: usize = 70;
 
 /// Most nodes whose whole news one datagram asks for or answers with.
 pub(super) const MAX_ASKED: usize = 28;
 
 /// What a node says of itself, and others pass on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct NodeNews {
+pub(super) struct MemberState {
     /// Address of its host.
     pub(super) ip: Ipv4Addr,
     /// Random number of its process.
@@ -51,7 +51,7 @@
     pub(super) term: u32,
 }
 
-impl NodeNews {
+impl MemberState {
     /// Where callers connect.
     pub(super) fn callers(&self) -> SocketAddr {
         SocketAddr::from((self.ip, self.callers_port))
@@ -63,19 +63,19 @@
     }
 }
 
-/// A sign of life of one node, with news of others.
+/// A heartbeat digest of one node, with news of others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Heartbeat {
-    pub(super) from: NodeNews,
+    pub(super) from: MemberState,
     /// Nodes that changed last, and a few by chance.
-    pub(super) others: Vec<NodeNews>,
+    pub(super) others: Vec<MemberState>,
     /// Further nodes that were heard of last.
-    pub(super) signs: Vec<SignOfLife>,
+    pub(super) digests: Vec<HeartbeatDigest>,
 }
 
 /// The latest heartbeat of a node, as far as it takes to know that the node lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct SignOfLife {
+pub(super) struct HeartbeatDigest {
     pub(super) ip: Ipv4Addr,
     /// Low bits of the incarnation.
     pub(super) process: u16,
@@ -91,20 +91,20 @@
 pub(super) struct StateTag(u8);
 
 impl StateTag {
-    fn new(news: &NodeNews) -> Self {
+    fn new(news: &MemberState) -> Self {
         let term = (news.term % 128) as u8;
         Self(term << 1 | u8::from(news.takes_callers()))
     }
 
     /// Whether the state of a node is this one.
-    pub(super) fn fits(self, news: &NodeNews) -> bool {
+    pub(super) fn fits(self, news: &MemberState) -> bool {
         self == Self::new(news)
     }
 }
 
-impl SignOfLife {
-    /// The sign of a node whose heartbeat of that number was heard of.
-    pub(super) fn new(news: &NodeNews, counter: u32) -> Self {
+impl HeartbeatDigest {
+    /// The digest of a node whose heartbeat of that number was heard of.
+    pub(super) fn new(news: &MemberState, counter: u32) -> Self {
         Self {
             ip: news.ip,
             process: news.incarnation as u16,
@@ -118,14 +118,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Datagram {
     Heartbeat(Heartbeat),
-    /// Asks for the whole news of hosts of which only signs of life are known.
+    /// Asks for the whole news of hosts of which only heartbeat digests are known.
     Question(Vec<Ipv4Addr>),
     /// The answer to that.
-    Answer(Vec<NodeNews>),
+    Answer(Vec<MemberState>),
     /// Tells the node that would succeed that the owner does not answer.
     Vote(Vote),
     /// Tells of requests that crash their targets.
-    Crashes(Vec<CrashNews>),
+    Crashes(Vec<CrashUpdate>),
 }
 
 /// One node's vote against an owner that does not answer it.
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -13,7 +13,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use super::heartbeat::NodeNews;
+use super::heartbeat::MemberState;
 use super::succession::Succession;
 use crate::snapshot::{LiveNode, NO_OWNER};
 
@@ -64,8 +64,8 @@
 /// Another node.
 #[derive(Clone, Debug)]
 pub(super) struct Member {
-    pub(super) news: NodeNews,
-    /// Number of its latest heartbeat that was heard of, by its news or by a sign of life.
+    pub(super) news: MemberState,
+    /// Number of its latest heartbeat that was heard of, by its news or by a heartbeat digest.
     pub(super) heard: u32,
     pub(super) heard_at: Instant,
     /// When it came, restarted, or began or ceased to take callers or to follow the store.
@@ -75,7 +75,7 @@
 /// The other nodes by host.
 #[derive(Debug)]
 pub(super) struct Members {
-    pub(super) own: NodeNews,
+    pub(super) own: MemberState,
     peer_port: u16,
     pub(super) seeds: Vec<Ipv4Addr>,
     pub(super) members: HashMap<Ipv4Addr, Member>,
@@ -91,7 +91,7 @@
 }
 
 impl Members {
-    pub(super) fn new(now: Instant, own: NodeNews, peer_port: u16, seeds: &[Ipv4Addr]) -> Self {
+    pub(super) fn new(now: Instant, own: MemberState, peer_port: u16, seeds: &[Ipv4Addr]) -> Self {
         Self {
             seeds: seeds.iter().copied().filter(|ip| *ip != own.ip).collect(),
             rng: SmallRng::seed_from_u64(own.incarnation),
@@ -107,7 +107,7 @@
     }
 
     /// Changes what the next own heartbeat says.
-    pub(super) fn update_own(&mut self, update: impl FnOnce(&mut NodeNews)) {
+    pub(super) fn update_own(&mut self, update: impl FnOnce(&mut MemberState)) {
         update(&mut self.own);
     }
 
@@ -193,8 +193,8 @@
     /// Live nodes, the best owner first: the latest to have claimed, else the oldest of the strongest. So
     /// the owner changes only when it goes or several nodes agree, and a restarted node does not take
     /// over from one that knows the running streams.
-    pub(super) fn ranked(&self, now: Instant) -> Vec<&NodeNews> {
-        let mut all: Vec<&NodeNews> = self.alive(now).map(|m| &m.news).collect();
+    pub(super) fn ranked(&self, now: Instant) -> Vec<&MemberState> {
+        let mut all: Vec<&MemberState> = self.alive(now).map(|m| &m.news).collect();
         all.push(&self.own);
         all.sort_by_key(|n| {
             let strength = u32::MAX - n.cpu_milli;
@@ -258,10 +258,10 @@
     pub(super) fn better_informed(
         &mut self,
         now: Instant,
-        is_better: impl Fn(&NodeNews) -> bool,
+        is_better: impl Fn(&MemberState) -> bool,
     ) -> Option<SocketAddr> {
         let alive = self.alive(now).filter(|m| is_better(&m.news));
-        let (near, far): (Vec<&NodeNews>, Vec<&NodeNews>) = alive
+        let (near, far): (Vec<&MemberState>, Vec<&MemberState>) = alive
             .map(|m| &m.news)
             .partition(|n| n.domain == self.own.domain);
         let better = if near.is_empty() { far } else { near };
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -8,7 +8,7 @@
 use azuresaddle_platform::{DecodeError, Item, StoreEra, StorePosition};
 use tokio::time::Instant;
 
-use super::target_record::{TargetNews, TargetRecord};
+use super::target_record::{TargetRecord, TargetUpdate};
 use crate::snapshot::TargetSet;
 
 /// Time for which an entry that the store has lost, in an outage or by going back to an older copy, is still believed:
@@ -118,8 +118,8 @@
     }
 
     /// Takes what another node knows; true where the targets are different now.
-    pub(super) fn apply_news(&mut self, now: Instant, news: TargetNews) -> bool {
-        let (record, _) = TargetRecord::of_news(news);
+    pub(super) fn apply_update(&mut self, now: Instant, news: TargetUpdate) -> bool {
+        let (record, _) = TargetRecord::of_update(news);
         let key = Arc::clone(record.key());
         let is_news = !self.held.contains_key(&key);
         let position = record.position();
--- a/crates/azuresaddle-edge/src/control/spread.rs
+++ b/crates/azuresaddle-edge/src/control/spread.rs
@@ -1,17 +1,19 @@
 //! How news of nodes spread.
 //!
-//! In a larger fleet a heartbeat carries the whole news of a few nodes and signs of life of many.
-//! Whoever gets a sign of a node that it does not know asks the sender for the rest.
+//! In a larger fleet a heartbeat carries the whole news of a few nodes and heartbeat digests of many.
+//! Whoever gets a digest of a node that it does not know asks the sender for the rest.
 
 use std::net::Ipv4Addr;
 
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::time::Instant;
 
-use super::heartbeat::{Heartbeat, MAX_ASKED, MAX_OTHERS, MAX_SIGNS, NodeNews, SignOfLife};
+use super::heartbeat::{
+    Heartbeat, HeartbeatDigest, MAX_ASKED, MAX_DIGESTS, MAX_OTHERS, MemberState,
+};
 use super::members::{Member, Members};
 
-/// Partners of a heartbeat in a larger fleet: with signs of 70 nodes each, what one node says is
+/// Partners of a heartbeat in a larger fleet: with digests of 70 nodes each, what one node says is
 /// known to 90 after about three rounds.
 const PARTNERS: usize = 4;
 
@@ -38,17 +40,19 @@
         // Many are heard of in the same moment; by chance among them none are always crowded out.
         alive.shuffle(&mut self.rng);
         alive.sort_by_key(|m| std::cmp::Reverse(m.heard_at));
-        let signs = alive.iter().take(MAX_SIGNS);
-        let signs = signs.map(|m| SignOfLife::new(&m.news, m.heard)).collect();
+        let digests = alive.iter().take(MAX_DIGESTS);
+        let digests = digests
+            .map(|m| HeartbeatDigest::new(&m.news, m.heard))
+            .collect();
         let by_chance = alive.choose_multiple(&mut self.rng, OTHERS_BY_CHANCE);
-        let mut others: Vec<NodeNews> = by_chance.map(|m| m.news.clone()).collect();
+        let mut others: Vec<MemberState> = by_chance.map(|m| m.news.clone()).collect();
         alive.sort_by_key(|m| std::cmp::Reverse(m.changed_at));
         let changed = alive.iter().take(MAX_OTHERS - others.len());
         others.extend(changed.map(|m| m.news.clone()));
         Heartbeat {
             from: self.own.clone(),
             others,
-            signs,
+            digests,
         }
     }
 
@@ -58,7 +62,7 @@
         Heartbeat {
             from: self.own.clone(),
             others: Vec::new(),
-            signs: Vec::new(),
+            digests: Vec::new(),
         }
     }
 
@@ -73,40 +77,40 @@
         if beat.from.ip != from {
             return false;
         }
-        let mut changed = self.take_news(now, &beat.from, true);
+        let mut changed = self.take_state(now, &beat.from, true);
         for news in &beat.others {
-            changed |= self.take_news(now, news, false);
+            changed |= self.take_state(now, news, false);
         }
-        for sign in &beat.signs {
-            changed |= self.take_sign(now, sign);
+        for digest in &beat.digests {
+            changed |= self.take_digest(now, digest);
         }
         changed
     }
 
     /// Takes whole news of nodes from another one.
-    pub(super) fn on_answer(&mut self, now: Instant, all: &[NodeNews]) -> bool {
+    pub(super) fn on_answer(&mut self, now: Instant, all: &[MemberState]) -> bool {
         all.iter().fold(false, |changed, news| {
-            self.take_news(now, news, false) | changed
+            self.take_state(now, news, false) | changed
         })
     }
 
-    /// Hosts in a heartbeat of which the sender knows more than signs of life.
+    /// Hosts in a heartbeat of which the sender knows more than heartbeat digests.
     pub(super) fn unknown(&self, beat: &Heartbeat) -> Vec<Ipv4Addr> {
-        let is_unknown = |s: &&SignOfLife| {
+        let is_unknown = |s: &&HeartbeatDigest| {
             s.ip != self.own.ip && self.members.get(&s.ip).is_none_or(|m| differs(m, s))
         };
-        let unknown = beat.signs.iter().filter(is_unknown).map(|s| s.ip);
+        let unknown = beat.digests.iter().filter(is_unknown).map(|s| s.ip);
         unknown.take(MAX_ASKED).collect()
     }
 
     /// Whole news of hosts, as far as they are alive.
-    pub(super) fn news_of(&self, now: Instant, hosts: &[Ipv4Addr]) -> Vec<NodeNews> {
+    pub(super) fn states_of(&self, now: Instant, hosts: &[Ipv4Addr]) -> Vec<MemberState> {
         let known = hosts.iter().filter_map(|ip| self.members.get(ip));
         let alive = known.filter(|m| self.is_alive(m, now));
         alive.take(MAX_ASKED).map(|m| m.news.clone()).collect()
     }
 
-    fn take_news(&mut self, now: Instant, news: &NodeNews, is_direct: bool) -> bool {
+    fn take_state(&mut self, now: Instant, news: &MemberState, is_direct: bool) -> bool {
         if news.ip == self.own.ip {
             return false;
         }
@@ -115,7 +119,7 @@
             return false;
         }
         let same_process = known.filter(|m| m.news.incarnation == news.incarnation);
-        // A later sign of life may have come before these news.
+        // A later heartbeat digest may have come before these news.
         let later_sign = same_process.filter(|m| m.heard >= news.counter);
         let (heard, heard_at) = later_sign.map_or((news.counter, now), |m| (m.heard, m.heard_at));
         let same_offer = same_process
@@ -132,20 +136,20 @@
         changed
     }
 
-    /// Takes a sign of life of a node that is known; true where it was taken for gone.
+    /// Takes a heartbeat digest of a node that is known; true where it was taken for gone.
     ///
     /// One that tells of another state counts only with the whole news: passed on with the old state
     /// it would make every node that knows better ask again and again.
-    fn take_sign(&mut self, now: Instant, sign: &SignOfLife) -> bool {
-        let Some(member) = self.members.get(&sign.ip) else {
+    fn take_digest(&mut self, now: Instant, digest: &HeartbeatDigest) -> bool {
+        let Some(member) = self.members.get(&digest.ip) else {
             return false;
         };
-        if differs(member, sign) || sign.counter <= member.heard {
+        if differs(member, digest) || digest.counter <= member.heard {
             return false;
         }
         let was_gone = !self.is_alive(member, now);
-        if let Some(member) = self.members.get_mut(&sign.ip) {
-            member.heard = sign.counter;
+        if let Some(member) = self.members.get_mut(&digest.ip) {
+            member.heard = digest.counter;
             member.heard_at = now;
         }
         was_gone
@@ -168,12 +172,12 @@
 
     /// A few hosts at random, for news that should spread at once.
     pub(super) fn partners(&mut self) -> Vec<Ipv4Addr> {
-        let mut all: Vec<&NodeNews> = self.members.values().map(|m| &m.news).collect();
+        let mut all: Vec<&MemberState> = self.members.values().map(|m| &m.news).collect();
         all.sort_unstable_by_key(|n| n.ip);
         all.shuffle(&mut self.rng);
         if !self.is_mesh() {
-            let is_far = |n: &NodeNews| n.domain != self.own.domain;
-            let (far, near): (Vec<&NodeNews>, Vec<&NodeNews>) =
+            let is_far = |n: &MemberState| n.domain != self.own.domain;
+            let (far, near): (Vec<&MemberState>, Vec<&MemberState>) =
                 all.into_iter().partition(|n| is_far(n));
             // Where one kind is too small the other makes it up.
             let near_count = near.len().min(PARTNERS - FAR_PARTNERS.min(far.len()));
@@ -186,19 +190,19 @@
     }
 }
 
-fn is_same_process(member: &Member, sign: &SignOfLife) -> bool {
-    member.news.incarnation as u16 == sign.process
+fn is_same_process(member: &Member, digest: &HeartbeatDigest) -> bool {
+    member.news.incarnation as u16 == digest.process
 }
 
-/// Whether a sign of life tells of another process or state than the one that is known.
-fn differs(member: &Member, sign: &SignOfLife) -> bool {
-    let is_later = sign.counter > member.news.counter;
-    let same_state = sign.state.fits(&member.news);
-    !is_same_process(member, sign) || (is_later && !same_state)
+/// Whether a heartbeat digest tells of another process or state than the one that is known.
+fn differs(member: &Member, digest: &HeartbeatDigest) -> bool {
+    let is_later = digest.counter > member.news.counter;
+    let same_state = digest.state.fits(&member.news);
+    !is_same_process(member, digest) || (is_later && !same_state)
 }
 
 /// Whether news of a node replace older ones.
-fn is_newer(known: &NodeNews, news: &NodeNews, is_direct: bool) -> bool {
+fn is_newer(known: &MemberState, news: &MemberState, is_direct: bool) -> bool {
     if known.incarnation == news.incarnation {
         return news.counter > known.counter;
     }
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/store_events.rs
@@ -0,0 +1,108 @@
+//! What control does with what the store tells.
+
+use std::sync::Arc;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::{Item, Kind, decode_configuration, kind_of};
+use tokio::time::Instant;
+
+use super::actor::Control;
+use super::store_watch::StoreEvent;
+
+impl<N: Network> Control<N> {
+    /// Takes what the store tells; true where others are to be told.
+    pub(super) fn on_store(&mut self, event: StoreEvent) -> bool {
+        let era = self.registry.position().era;
+        let changed = self.on_store_event(event);
+        // Nodes that don't reach the store learn from this one that it has gone back.
+        changed || self.registry.position().era != era
+    }
+
+    fn on_store_event(&mut self, event: StoreEvent) -> bool {
+        let now = Instant::now();
+        if !matches!(event, StoreEvent::Lost { .. }) {
+            self.store_answered_at = Some(now);
+        }
+        match event {
+            StoreEvent::Back => {
+                tracing::info!(part = "control", "store regained");
+                self.registry.on_store_back(now);
+                false
+            }
+            StoreEvent::Lost { reason } => {
+                tracing::warn!(part = "control", reason, "store lost");
+                self.store_answered_at = None;
+                self.metrics.store_failures.inc();
+                false
+            }
+            StoreEvent::Era(era) => {
+                self.registry.on_era(now, era);
+                self.note_era();
+                false
+            }
+            StoreEvent::Listing { items, at } => {
+                self.on_crash_listing(now, &items);
+                let (targets, others): (Vec<_>, Vec<_>) = items
+                    .into_iter()
+                    .partition(|i| kind_of(&i.key) == Kind::Target);
+                let changed = self.registry.apply_listing(now, targets, at);
+                self.registry.on_caught_up();
+                self.on_items(now, others) | changed
+            }
+            StoreEvent::Page(items) => self.on_items(now, items),
+            StoreEvent::Changes { items, at } => {
+                let changed = self.on_items(now, items);
+                self.registry.on_followed(at);
+                self.registry.on_caught_up();
+                changed
+            }
+        }
+    }
+
+    fn on_items(&mut self, now: Instant, items: Vec<Item>) -> bool {
+        let all = items.into_iter();
+        all.fold(false, |changed, item| self.on_item(now, item) | changed)
+    }
+
+    pub(super) fn on_item(&mut self, now: Instant, item: Item) -> bool {
+        match kind_of(&item.key) {
+            Kind::Target => self.registry.apply(now, item),
+            Kind::Configuration => item
+                .value
+                .is_some_and(|json| self.on_configuration(json, "the store")),
+            Kind::Crash => {
+                self.on_crash_item(now, &item);
+                false
+            }
+            Kind::Other => false,
+        }
+    }
+
+    pub(super) fn on_configuration(&mut self, json: Vec<u8>, source: &str) -> bool {
+        let configuration = match decode_configuration(&json) {
+            Ok(configuration) => configuration,
+            Err(e) => {
+                tracing::error!(part = "control", error = %e, "configuration refused");
+                return false;
+            }
+        };
+        let version = configuration.version.0;
+        if version <= self.version() {
+            return false;
+        }
+        if self.configuration.is_none() && !self.may_begin(Instant::now(), version) {
+            self.hold_back(json);
+            return false;
+        }
+        tracing::info!(
+            part = "control",
+            version,
+            routes = configuration.route_count(),
+            source,
+            "configuration in force"
+        );
+        self.configuration = Some(Arc::new(configuration));
+        self.raw_configuration = Some(Arc::new(json));
+        true
+    }
+}
--- a/crates/azuresaddle-edge/src/control/succession.rs
+++ b/crates/azuresaddle-edge/src/control/succession.rs
@@ -12,7 +12,7 @@
 
 use tokio::time::Instant;
 
-use super::heartbeat::{NodeNews, Vote};
+use super::heartbeat::{MemberState, Vote};
 use super::members::Members;
 
 /// Most votes that it takes to replace an owner: one node, or two behind one broken switch port, say
@@ -142,7 +142,7 @@
     ///
     /// In a fleet that starts as a whole that node changes with each one that is heard of, and none has
     /// knowledge of the streams that the others placed.
-    pub(super) fn awaits_claim(&self, now: Instant, first: &NodeNews) -> bool {
+    pub(super) fn awaits_claim(&self, now: Instant, first: &MemberState) -> bool {
         first.term == 0 && now < self.claim_patience_ends()
     }
 
@@ -186,7 +186,7 @@
     }
 
     /// The node that would place if the owner were gone.
-    fn successor(&self, now: Instant, owner: u64) -> Option<&NodeNews> {
+    fn successor(&self, now: Instant, owner: u64) -> Option<&MemberState> {
         let passed_over = &self.succession.passed_over;
         let mut others = self.ranked(now).into_iter();
         others.find(|n| n.incarnation != owner && !passed_over.contains_key(&n.incarnation))
--- a/crates/azuresaddle-edge/src/control/target_record.rs
+++ b/crates/azuresaddle-edge/src/control/target_record.rs
@@ -69,7 +69,7 @@
 
 /// A record as nodes tell it to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct TargetNews {
+pub(crate) struct TargetUpdate {
     key: String,
     value: Option<Vec<u8>>,
     number: EntryNumber,
@@ -93,7 +93,7 @@
     }
 
     /// A record that another node tells, and why its value can't be read.
-    pub(super) fn of_news(news: TargetNews) -> (Self, Option<DecodeError>) {
+    pub(super) fn of_update(news: TargetUpdate) -> (Self, Option<DecodeError>) {
         let presence = if news.is_removed {
             Presence::Removed(news.last)
         } else {
@@ -136,9 +136,9 @@
     }
 
     /// The record as it is told to other nodes.
-    pub(crate) fn news(&self) -> TargetNews {
+    pub(crate) fn news(&self) -> TargetUpdate {
         let (first, last) = self.seen();
-        TargetNews {
+        TargetUpdate {
             key: self.key.to_string(),
             value: self.value.as_deref().map(<[u8]>::to_vec),
             number: self.number,
--- a/crates/azuresaddle-edge/src/control/tests/crash_spread.rs
+++ b/crates/azuresaddle-edge/src/control/tests/crash_spread.rs
@@ -8,11 +8,11 @@
 
 use super::fleet::Fleet;
 use super::members::number;
-use crate::control::crash_spread::{CrashSpread, MAX_NEWS};
+use crate::control::crash_spread::{CrashSpread, MAX_UPDATES};
 use crate::control::heartbeat::{Datagram, MAX_BYTES};
 use crate::control::members::TICK;
 use crate::metrics::Metrics;
-use crate::quarantine::{CrashNews, SharedQuarantine};
+use crate::quarantine::{CrashUpdate, SharedQuarantine};
 
 /// Time after the third crash within which all nodes keep a request from their targets.
 const PROPAGATION_TIME: std::time::Duration = std::time::Duration::from_secs(3);
@@ -47,7 +47,7 @@
         let node = &mut all[usize::from(nodes) * n as usize / 3];
         let crash = crash(1, n);
         node.quarantine.learn_crash(crash);
-        node.spread.push(CrashNews::Crash(crash));
+        node.spread.push(CrashUpdate::Crash(crash));
     }
     let request = Fingerprint::of(&[&[1]]);
     let knows = |n: &Node| n.quarantine.standing(request).is_quarantined();
@@ -78,7 +78,7 @@
             }
             let node = &mut all[number(ip) - 1];
             for one in news {
-                let CrashNews::Crash(crash) = one else {
+                let CrashUpdate::Crash(crash) = one else {
                     continue;
                 };
                 if node.quarantine.learn_crash(crash) == Learned::New && nodes > 12 {
@@ -103,7 +103,7 @@
 async fn a_full_datagram_fits_and_each_piece_of_news_is_told_three_times() {
     let mut spread = CrashSpread::default();
     for n in 0..100 {
-        spread.push(CrashNews::Crash(crash(1, u64::MAX - n)));
+        spread.push(CrashUpdate::Crash(crash(1, u64::MAX - n)));
     }
     let mut told = 0;
     loop {
@@ -111,7 +111,7 @@
         if round.is_empty() {
             break;
         }
-        assert!(round.len() <= MAX_NEWS);
+        assert!(round.len() <= MAX_UPDATES);
         told += round.len();
         let bytes = Datagram::Crashes(round).encode();
         assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
@@ -124,11 +124,11 @@
 async fn news_that_wait_are_bounded() {
     let mut spread = CrashSpread::default();
     for n in 0..10_000 {
-        spread.push(CrashNews::Crash(crash(1, n)));
+        spread.push(CrashUpdate::Crash(crash(1, n)));
     }
     let mut rounds = 0;
     while !spread.next_round().is_empty() {
         rounds += 1;
     }
-    assert!(rounds <= 1024 * 3 / MAX_NEWS + 1, "{rounds} rounds");
+    assert!(rounds <= 1024 * 3 / MAX_UPDATES + 1, "{rounds} rounds");
 }
--- a/crates/azuresaddle-edge/src/control/tests/fleet.rs
+++ b/crates/azuresaddle-edge/src/control/tests/fleet.rs
@@ -83,7 +83,7 @@
         let members = &mut self.nodes[number(to) - 1];
         let mut changed = members.on_heartbeat(now, from, beat);
         let unknown = members.unknown(beat);
-        let answer = self.nodes[number(from) - 1].news_of(now, &unknown);
+        let answer = self.nodes[number(from) - 1].states_of(now, &unknown);
         let bytes = Datagram::Answer(answer.clone()).encode();
         assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
         changed |= self.nodes[number(to) - 1].on_answer(now, &answer);
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::fleet::Fleet;
-use crate::control::heartbeat::{Heartbeat, NodeNews, SignOfLife};
+use crate::control::heartbeat::{Heartbeat, HeartbeatDigest, MemberState};
 use crate::control::members::{Members, TICK};
 use azuresaddle_platform::{StoreEra, StorePosition};
 
@@ -20,8 +20,8 @@
     usize::from(u16::from_be_bytes([high, low]))
 }
 
-pub(super) fn news(n: u16, counter: u32) -> NodeNews {
-    NodeNews {
+pub(super) fn news(n: u16, counter: u32) -> MemberState {
+    MemberState {
         ip: ip(n),
         incarnation: u64::from(n) * 1000,
         counter,
@@ -42,12 +42,12 @@
     Heartbeat {
         from: news(n, counter),
         others: Vec::new(),
-        signs: Vec::new(),
+        digests: Vec::new(),
     }
 }
 
-fn sign(n: u16, counter: u32) -> SignOfLife {
-    SignOfLife::new(&news(n, counter), counter)
+fn digest(n: u16, counter: u32) -> HeartbeatDigest {
+    HeartbeatDigest::new(&news(n, counter), counter)
 }
 
 /// The members of a node that has run for some time.
@@ -122,7 +122,7 @@
     let told = Heartbeat {
         from: news(2, 1),
         others: vec![old],
-        signs: Vec::new(),
+        digests: Vec::new(),
     };
     members.on_heartbeat(now, ip(2), &told);
     let (nodes, _) = members.live(now);
@@ -149,7 +149,7 @@
     assert_eq!(members.live(now).0.len(), 1);
 }
 
-/// Nodes that only heard signs of life of an owner that had just read its configuration went on to
+/// Nodes that only heard heartbeat digests of an owner that had just read its configuration went on to
 /// take others for the owner for seconds.
 #[tokio::test(start_paused = true)]
 async fn news_that_come_after_a_later_sign_count() {
@@ -158,14 +158,14 @@
     let mut starting = beat(1, 1);
     starting.from.configuration = 0;
     members.on_heartbeat(now, ip(1), &starting);
-    let stale = SignOfLife::new(&starting.from, 1);
+    let stale = HeartbeatDigest::new(&starting.from, 1);
     let now = now + TICK;
     let mut told = beat(2, 1);
-    told.signs = vec![sign(1, 9)];
+    told.digests = vec![digest(1, 9)];
     members.on_heartbeat(now, ip(2), &told);
     // What this node passes on meanwhile is as old as what it knows.
-    assert_eq!(members.heartbeat(now).signs, [sign(2, 1), stale]);
-    // The sign tells that the node takes callers now, so it is asked for.
+    assert_eq!(members.heartbeat(now).digests, [digest(2, 1), stale]);
+    // The digest tells that the node takes callers now, so it is asked for.
     assert_eq!(members.unknown(&told), [ip(1)]);
     assert!(members.on_answer(now, &[news(1, 6)]));
     assert!(members.unknown(&told).is_empty());
@@ -212,13 +212,13 @@
     let now = Instant::now();
     let mut members = members(now, 3);
     let mut told = beat(1, 1);
-    told.signs = vec![sign(9, 5), sign(3, 1)];
+    told.digests = vec![digest(9, 5), digest(3, 1)];
     members.on_heartbeat(now, ip(1), &told);
     assert_eq!(members.unknown(&told), [ip(9)]);
     assert!(members.on_answer(now, &[news(9, 5)]));
     assert!(members.unknown(&told).is_empty());
     // A restarted one too.
-    told.signs[0].process += 1;
+    told.digests[0].process += 1;
     assert_eq!(members.unknown(&told), [ip(9)]);
 }
 
@@ -233,7 +233,7 @@
     let told = Heartbeat {
         from: news(41, 1),
         others: others.collect(),
-        signs: Vec::new(),
+        digests: Vec::new(),
     };
     members.on_heartbeat(now, ip(41), &told);
     members
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -8,7 +8,7 @@
 use azuresaddle_sched::passes::{AskId, PassOutcome, RunningStream, Suspect};
 use serde::{Deserialize, Serialize};
 
-use crate::control::TargetNews;
+use crate::control::TargetUpdate;
 
 /// Asks the owner to place a stream. Times are relative, since clocks differ.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -86,10 +86,10 @@
 
 /// What a node knows from the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct PeerNews {
+pub(crate) struct PeerUpdate {
     /// The configuration, where it is newer than the asking node's.
     pub(crate) configuration: Option<Vec<u8>>,
-    pub(crate) targets: Vec<TargetNews>,
+    pub(crate) targets: Vec<TargetUpdate>,
     /// Position of the latest change of targets that the node knows.
     pub(crate) position: StorePosition,
 }
--- a/crates/azuresaddle-edge/src/peer/mod.rs
+++ b/crates/azuresaddle-edge/src/peer/mod.rs
@@ -4,7 +4,7 @@
 mod server;
 mod service;
 
-pub(crate) use messages::{AskMessage, AskReply, PeerNews, Report, ReportKind, SyncMessage};
+pub(crate) use messages::{AskMessage, AskReply, PeerUpdate, Report, ReportKind, SyncMessage};
 pub(crate) use server::serve_peers;
 use service::{EdgePeerClient, EdgePeerRequest, EdgePeerResponse};
 
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -11,7 +11,7 @@
 use tarpc::server::Channel;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use super::messages::{AskMessage, AskReply, PeerNews, Report, SyncMessage};
+use super::messages::{AskMessage, AskReply, PeerUpdate, Report, SyncMessage};
 use super::service::EdgePeer;
 use crate::placement::Owner;
 use crate::snapshot::Snapshots;
@@ -84,11 +84,11 @@
         _: Context,
         configuration: u64,
         targets: Option<StorePosition>,
-    ) -> PeerNews {
+    ) -> PeerUpdate {
         let snapshot = self.snapshots.load();
         let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
         let newer = version > configuration;
-        PeerNews {
+        PeerUpdate {
             configuration: snapshot
                 .raw_configuration
                 .as_deref()
--- a/crates/azuresaddle-edge/src/peer/service.rs
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -3,7 +3,7 @@
 
 use azuresaddle_platform::StorePosition;
 
-use super::messages::{AskMessage, AskReply, PeerNews, Report, SyncMessage};
+use super::messages::{AskMessage, AskReply, PeerUpdate, Report, SyncMessage};
 
 /// Calls between nodes.
 #[tarpc::service]
@@ -16,5 +16,5 @@
     async fn sync(sync: SyncMessage);
     /// What is known from the store, beyond a version of the configuration and a position of the
     /// targets' changes; all of them for `None`.
-    async fn news(configuration: u64, targets: Option<StorePosition>) -> PeerNews;
+    async fn news(configuration: u64, targets: Option<StorePosition>) -> PeerUpdate;
 }
--- a/crates/azuresaddle-edge/src/quarantine/mod.rs
+++ b/crates/azuresaddle-edge/src/quarantine/mod.rs
@@ -1,9 +1,9 @@
 //! Requests that crash their targets, as traffic and control share them.
 
 mod listed;
-mod news;
 mod shared;
+mod update;
 
 pub use listed::QuarantinedRequest;
-pub(crate) use news::CrashNews;
 pub(crate) use shared::SharedQuarantine;
+pub(crate) use update::CrashUpdate;
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::listed::QuarantinedRequest;
-use super::news::CrashNews;
+use super::update::CrashUpdate;
 use crate::metrics::Metrics;
 
 /// The quarantine of this node, asked by traffic and told to other nodes by control.
@@ -26,13 +26,13 @@
     /// Grows with each request that goes into quarantine.
     changes: watch::Sender<u64>,
     /// What this node has seen itself, for control.
-    seen: mpsc::Sender<CrashNews>,
+    seen: mpsc::Sender<CrashUpdate>,
     metrics: Metrics,
 }
 
 impl SharedQuarantine {
     /// An empty quarantine that tells control of all that this node sees itself.
-    pub(crate) fn new(seen: mpsc::Sender<CrashNews>, metrics: Metrics) -> Arc<Self> {
+    pub(crate) fn new(seen: mpsc::Sender<CrashUpdate>, metrics: Metrics) -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::default(),
             recent: Mutex::default(),
@@ -88,7 +88,7 @@
             state.observe(now, request, hash_of(target), sent_at)
         });
         if let Some(crash) = crash {
-            self.tell(CrashNews::Crash(crash));
+            self.tell(CrashUpdate::Crash(crash));
         }
     }
 
@@ -106,7 +106,7 @@
     /// Notes that this node saw a run of a request come to a good end which its target survived.
     pub(crate) fn on_good_end(&self, end: GoodEnd) {
         if self.learn_good_end(end) {
-            self.tell(CrashNews::GoodEnd(end));
+            self.tell(CrashUpdate::GoodEnd(end));
         }
     }
 
@@ -145,7 +145,7 @@
     pub(crate) fn end_by_operator(&self, request: Fingerprint) -> bool {
         let was_held = self.pardon(request);
         if was_held {
-            self.tell(CrashNews::Pardon(request));
+            self.tell(CrashUpdate::Pardon(request));
         }
         was_held
     }
@@ -222,7 +222,7 @@
         self.known.store(state.len(), Ordering::Relaxed);
     }
 
-    fn tell(&self, news: CrashNews) {
+    fn tell(&self, news: CrashUpdate) {
         if self.seen.try_send(news).is_err() {
             tracing::warn!(part = "forward", ?news, "crash not told, queue full");
         }
--- a/crates/azuresaddle-edge/src/quarantine/news.rs
+++ b/crates/azuresaddle-edge/src/quarantine/update.rs
@@ -6,7 +6,7 @@
 
 /// Something that is held against a request, or settles it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum CrashNews {
+pub(crate) enum CrashUpdate {
     /// A target ended while it had the request.
     Crash(Crash),
     /// A run of the request came to a good end which its target survived.
--- a/crates/azuresaddle-sched/src/quarantine/evidence.rs
+++ b/crates/azuresaddle-sched/src/quarantine/evidence.rs
@@ -15,6 +15,9 @@
 /// Weight from which on a request is handled as a suspect: one crash that no good end speaks against.
 const SUSPECT_WEIGHT: f64 = 1.0;
 
+/// Weight from which on nothing else excuses a request: neither that other targets end, nor another request beside it.
+const CERTAIN_WEIGHT: f64 = 6.0;
+
 /// Crashes from which on a request is in quarantine whatever its good ends are: it may end one kind of target only.
 const MOST_CRASHES: usize = 12;
 
@@ -46,6 +49,17 @@
         self.weight() >= SUSPECT_WEIGHT
     }
 
+    /// Crashes beyond those after which nothing excuses the request; `None` where there are fewer.
+    pub(super) fn beyond_excuse(self) -> Option<u32> {
+        let beyond = self.weight() - CERTAIN_WEIGHT;
+        (beyond >= 0.0).then_some(beyond as u32)
+    }
+
+    /// Whether a target has ever survived the request.
+    pub(super) fn has_good_end(self) -> bool {
+        self.good_ends > 0
+    }
+
     /// Crashes beyond those that it takes for quarantine, where some targets ended for no reason that is known;
     /// `None` where it takes more.
     pub(super) fn beyond_quarantine(self, unexplained_ends: usize) -> Option<u32> {
--- a/crates/azuresaddle-sched/src/quarantine/ledger.rs
+++ b/crates/azuresaddle-sched/src/quarantine/ledger.rs
@@ -112,6 +112,11 @@
         let Some(record) = self.records.get(&request) else {
             return Standing::Clear;
         };
+        let until = |beyond| record.quarantined_until(beyond);
+        let certain = record.evidence().beyond_excuse().map(until);
+        if let Some(until) = certain.filter(|until| *until > now) {
+            return Standing::Quarantined { left: until - now };
+        }
         let evidence = self.unexplained_evidence(request, record);
         let left = self
             .beyond_quarantine(now, request, evidence)
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -14,6 +14,13 @@
 /// Most times that it doubles, with one crash more each; 80 minutes is the longest.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// First time in quarantine of a request that some target has survived: it may be a sound one that all callers ask, on
+/// targets that others end. One copy of it is tried then.
+const FIRST_PROBATION: Duration = Duration::from_secs(3);
+
+/// Most times that this doubles; ten minutes is about the longest.
+const MAX_PROBATION_DOUBLINGS: u32 = 7;
+
 /// Most crashes that are told apart: more than it takes to stop a request whatever its good ends are.
 const MAX_CRASHES: usize = 16;
 
@@ -133,7 +140,12 @@
     /// End of the quarantine after so many crashes more than it takes: one more crash after it begins another one,
     /// twice as long.
     pub(super) fn quarantined_until(&self, beyond: u32) -> Instant {
-        self.last_crash_at + FIRST_QUARANTINE * (1 << beyond.min(MAX_DOUBLINGS))
+        let time = if self.evidence().has_good_end() {
+            FIRST_PROBATION * (1 << beyond.min(MAX_PROBATION_DOUBLINGS))
+        } else {
+            FIRST_QUARANTINE * (1 << beyond.min(MAX_DOUBLINGS))
+        };
+        self.last_crash_at + time
     }
 
     /// Whether all targets that ended under another request ended under this one too.
--- a/crates/azuresaddle-sched/tests/suite/quarantine.rs
+++ b/crates/azuresaddle-sched/tests/suite/quarantine.rs
@@ -130,6 +130,35 @@
     }
 }
 
+/// A request that ends its targets shares all of them with a common one, while others end too.
+#[tokio::test(start_paused = true)]
+async fn nothing_excuses_a_request_that_no_target_survives() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for target in 0..6 {
+        quarantine.on_crash(now, crash(1, target));
+        quarantine.on_crash(now, crash(2, target));
+        quarantine.on_crash(now, crash(2, 50 + target));
+        quarantine.on_crash(now, crash(100, 100 + target));
+    }
+    assert!(quarantine.standing(now, request(1)).is_quarantined());
+}
+
+/// Callers ask the same all the time, on targets that others end one after the other; it is tried again soon.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_some_targets_survived_is_tried_again_soon() {
+    let now = Instant::now();
+    let mut quarantine = with_crashes(now, 6);
+    quarantine.on_good_end(now, good_end(1, 1));
+    assert!(quarantine.standing(now, request(1)).is_quarantined());
+    let later = now + Duration::from_secs(13);
+    assert_eq!(quarantine.standing(later, request(1)), Standing::Suspect);
+    // Another crash of the one that is tried.
+    quarantine.on_crash(later, crash(1, 9));
+    let standing = quarantine.standing(later + Duration::from_secs(12), request(1));
+    assert!(standing.is_quarantined());
+}
+
 /// A good end that several nodes tell of counts once.
 #[tokio::test(start_paused = true)]
 async fn one_good_end_counts_once() {
