Starts of hundreds of nodes: fewer targets are moved between nodes

- A node that is merely behind fetches changes only; everything is for one that differs.
- A node that reads the store itself does not fetch targets meanwhile, only the configuration.
- A node that starts asks one for everything that has served for 3 s; others have nothing to tell.

Also: probation of a request that some target survived is 3 to 6 s until it has cost twelve.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -77,6 +77,8 @@
     pub(super) raw_configuration: Option<Arc<Vec<u8>>>,
     /// Since when another node has known more than this one.
     pub(super) behind_since: Option<Instant>,
+    /// Since when one that has heard of the same changes believes in other targets.
+    pub(super) differs_since: Option<Instant>,
     pub(super) is_fetching: bool,
     /// When all targets were last asked for.
     pub(super) full_fetch_at: Option<Instant>,
@@ -87,6 +89,10 @@
     pub(super) watch_enabled: watch::Sender<bool>,
     /// Switches the search for a store that has gone back.
     pub(super) probe_enabled: watch::Sender<bool>,
+    /// Whether this node has read all of the store.
+    pub(super) is_listed: bool,
+    /// Whether the store has ceased to answer this node.
+    pub(super) is_store_lost: bool,
     /// When the store last answered this node.
     pub(super) store_answered_at: Option<Instant>,
     pub(super) no_answer: mpsc::Receiver<u64>,
@@ -137,6 +143,7 @@
             configuration: 0,
             targets: StorePosition::default(),
             targets_hash: 0,
+            is_settled: false,
             is_leaving: false,
             is_watching: false,
             term: 0,
@@ -154,12 +161,15 @@
             configuration: None,
             raw_configuration: None,
             behind_since: None,
+            differs_since: None,
             is_fetching: false,
             full_fetch_at: None,
             start_gate: StartGate::default(),
             known_era: None,
             watch_enabled,
             probe_enabled,
+            is_listed: false,
+            is_store_lost: false,
             store_answered_at: None,
             no_answer: parts.no_answer,
             quarantine: parts.quarantine,
@@ -273,6 +283,7 @@
         }
         self.fetch_if_behind(now, fetched_tx);
         self.rewrite_lost_crashes(now);
+        self.note_settled(now);
         let has_begun = self.release_held_back();
         members_changed || targets_changed || has_begun
     }
--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -18,15 +18,22 @@
 /// Time that a node gives its own watch to bring what another node already knows.
 const NEWS_PATIENCE: Duration = Duration::from_millis(150);
 
-/// Time of being behind after which all targets are fetched, not only the latest changes.
+/// Time for which a node that has heard of the same changes must differ before all targets are fetched: single changes
+/// don't bring both to the same targets then. A node that is merely behind never fetches all: while thousands of targets
+/// registered, each node of a large fleet did so all the time, and the links had no room for heartbeats.
 const FULL_PATIENCE: Duration = Duration::from_millis(1000);
 
+/// Time after its start for which a node waits for its own reading of the store.
+const LISTING_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Shortest time between two fetches of all targets.
 const FULL_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// How much is fetched from another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Scope {
+    /// The configuration alone.
+    Configuration,
     /// What changed after a position.
     Changes(StorePosition),
     /// Everything.
@@ -57,6 +64,7 @@
                 None
             }
             Scope::Changes(after) => Some(after),
+            Scope::Configuration => Some(StorePosition::LAST),
         };
         let configuration = self.version();
         let peers = self.peers.clone();
@@ -77,34 +85,52 @@
     }
 
     /// Which node to ask, and for how much; `None` where nobody knows more, or the own watch may still tell it.
+    /// Everything is asked of a node that differs although it has heard of the same changes, and by one that starts.
     fn next_fetch(&mut self, now: Instant) -> Option<(SocketAddr, Scope)> {
         if self.needs_sync() {
-            let veteran = self.members.better_informed(now, |n| n.configuration > 0);
-            return veteran.map(|addr| (addr, Scope::All));
+            let settled = self.members.better_informed(now, |n| n.is_settled);
+            if let Some(addr) = settled {
+                return Some((addr, Scope::All));
+            }
         }
         let configuration = self.version();
         let targets = self.registry.position();
-        let hash = self.registry.published().hash;
+        if self.is_listing(now) {
+            let is_newer = |n: &MemberState| n.configuration > configuration;
+            let newer = self.members.better_informed(now, is_newer);
+            return newer.map(|addr| (addr, Scope::Configuration));
+        }
         let is_later = |n: &MemberState| n.configuration > configuration || n.targets > targets;
-        let later = self.members.better_informed(now, is_later);
+        if let Some(addr) = self.members.better_informed(now, is_later) {
+            self.differs_since = None;
+            let since = *self.behind_since.get_or_insert(now);
+            let patience = if self.members.should_watch(now) {
+                NEWS_PATIENCE
+            } else {
+                Duration::ZERO
+            };
+            let is_due = now.saturating_duration_since(since) >= patience;
+            return is_due.then_some((addr, Scope::Changes(targets)));
+        }
+        self.behind_since = None;
+        let hash = self.registry.published().hash;
         let differs = |n: &MemberState| n.targets == targets && n.targets_hash != hash;
-        let Some(addr) = later.or_else(|| self.members.better_informed(now, differs)) else {
-            self.behind_since = None;
+        let Some(addr) = self.members.better_informed(now, differs) else {
+            self.differs_since = None;
             return None;
         };
-        let since = *self.behind_since.get_or_insert(now);
-        let behind = now.saturating_duration_since(since);
-        if behind >= FULL_PATIENCE && self.may_fetch_all(now) {
-            // Where single changes don't bring both to the same targets, everything does.
-            return Some((addr, Scope::All));
-        }
-        let patience = if self.members.should_watch(now) {
-            NEWS_PATIENCE
-        } else {
-            Duration::ZERO
-        };
-        let is_due = later.is_some() && behind >= patience;
-        is_due.then_some((addr, Scope::Changes(targets)))
+        let since = *self.differs_since.get_or_insert(now);
+        let differs_for = now.saturating_duration_since(since);
+        let is_due = differs_for >= FULL_PATIENCE && self.may_fetch_all(now);
+        is_due.then_some((addr, Scope::All))
+    }
+
+    /// Whether this node reads all targets from the store just now, so that it need not have them from others too.
+    ///
+    /// Hundreds that start together had each target twice, over links that some share with callers.
+    fn is_listing(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.members.started_at);
+        !self.is_listed && !self.is_store_lost && age < LISTING_PATIENCE
     }
 
     fn may_fetch_all(&self, now: Instant) -> bool {
@@ -123,7 +149,9 @@
         for target in news.targets {
             changed |= self.registry.apply_update(now, target);
         }
-        self.registry.on_synced(news.position);
+        if fetched.scope != Scope::Configuration {
+            self.registry.on_synced(news.position);
+        }
         if fetched.scope == Scope::All {
             self.start_gate.is_synced = true;
         }
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -43,6 +43,8 @@
     pub(super) targets: StorePosition,
     /// Hash of the targets that it knows.
     pub(super) targets_hash: u32,
+    /// Whether it has served for longer than a fleet takes to start.
+    pub(super) is_settled: bool,
     /// Whether it is stopping.
     pub(super) is_leaving: bool,
     /// Whether it follows the store and the store answers.
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -253,6 +253,11 @@
         versions.max().unwrap_or(0)
     }
 
+    /// Whether a live node has served for longer than a fleet takes to start.
+    pub(super) fn has_settled(&self, now: Instant) -> bool {
+        self.alive(now).any(|m| m.news.is_settled)
+    }
+
     /// Address of a live node that knows more, one of the own failure domain where there is one: what is
     /// fetched may be large, and the way to other domains is narrow and dear.
     pub(super) fn better_informed(
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -90,9 +90,7 @@
             return;
         }
         self.era = era;
-        if !self.held.is_empty() {
-            self.copy_grace_until = Some(now + RETURN_GRACE);
-        }
+        self.copy_grace_until = Some(now + RETURN_GRACE);
     }
 
     /// Notes up to where this node itself has followed the store.
@@ -135,7 +133,8 @@
     /// copy of the store held it.
     fn doubt(&mut self, now: Instant, key: &str, position: StorePosition) -> bool {
         let is_of_this_copy = position.era == self.followed.era;
-        let grace = (!is_of_this_copy).then(|| now + RETURN_GRACE);
+        let grace = self.copy_grace_until.filter(|_| !is_of_this_copy);
+        let grace = grace.filter(|until| now < *until);
         self.remove_in_grace(now, key, self.followed, grace)
     }
 
@@ -239,7 +238,7 @@
     fn grace_of_missing(&self, now: Instant, key: &str, era: StoreEra) -> Option<Instant> {
         let known = self.held.get(key).map(|h| h.record.position().era);
         let grace = if known.is_some_and(|known| known < era) {
-            self.copy_grace_until.or(Some(now + RETURN_GRACE))
+            self.copy_grace_until
         } else {
             self.grace_until
         };
--- a/crates/azuresaddle-edge/src/control/start_gate.rs
+++ b/crates/azuresaddle-edge/src/control/start_gate.rs
@@ -18,6 +18,10 @@
 /// served by what it has.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a node has a configuration in force before others ask it for everything when they start: nodes that
+/// start together have nothing to tell each other, and hundreds would ask the first.
+const SETTLED_AFTER: Duration = Duration::from_secs(3);
+
 /// What a node holds back until it knows that nobody knows better.
 #[derive(Debug, Default)]
 pub(super) struct StartGate {
@@ -25,16 +29,29 @@
     pub(super) is_synced: bool,
     /// The latest configuration that it has read.
     candidate: Option<Vec<u8>>,
+    /// When the first configuration was in force.
+    pub(super) began_at: Option<Instant>,
+}
+
+/// What a node that starts has heard of others.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Heard {
+    /// The latest configuration that another node has in force; 0 for none.
+    pub(super) newest: u64,
+    /// Whether one of them has served for a while, so that it knows what the store may have forgotten.
+    pub(super) has_settled: bool,
 }
 
 impl StartGate {
-    /// Whether a configuration may be the first in force, in a process of some age that hears of `newest` from others:
-    /// none that is older than theirs, and not without knowing which targets have left.
-    pub(super) fn admits(&self, age: Duration, newest: u64, version: u64) -> bool {
-        match newest {
-            0 => age >= HEARING,
-            newest => version >= newest && (self.is_synced || age >= SYNC_TIMEOUT),
-        }
+    /// Whether a configuration may be the first in force, in a process of some age: none that is older than another
+    /// node's, and not without knowing which targets have left.
+    pub(super) fn admits(&self, age: Duration, heard: Heard, version: u64) -> bool {
+        let has_waited = if heard.has_settled {
+            self.is_synced || age >= SYNC_TIMEOUT
+        } else {
+            age >= HEARING
+        };
+        has_waited && version >= heard.newest
     }
 }
 
@@ -42,8 +59,20 @@
     /// Whether the first configuration may be in force here.
     pub(super) fn may_begin(&self, now: Instant, version: u64) -> bool {
         let age = now.saturating_duration_since(self.members.started_at);
-        let newest = self.members.newest_configuration(now);
-        self.start_gate.admits(age, newest, version)
+        let heard = Heard {
+            newest: self.members.newest_configuration(now),
+            has_settled: self.members.has_settled(now),
+        };
+        self.start_gate.admits(age, heard, version)
+    }
+
+    /// Tells others once this node has served for a while.
+    pub(super) fn note_settled(&mut self, now: Instant) {
+        let Some(began_at) = self.start_gate.began_at else {
+            return;
+        };
+        let is_settled = now.saturating_duration_since(began_at) >= SETTLED_AFTER;
+        self.members.update_own(|own| own.is_settled = is_settled);
     }
 
     /// Keeps a configuration that may not be in force yet.
--- a/crates/azuresaddle-edge/src/control/store_events.rs
+++ b/crates/azuresaddle-edge/src/control/store_events.rs
@@ -26,12 +26,14 @@
         match event {
             StoreEvent::Back => {
                 tracing::info!(part = "control", "store regained");
+                self.is_store_lost = false;
                 self.registry.on_store_back(now);
                 false
             }
             StoreEvent::Lost { reason } => {
                 tracing::warn!(part = "control", reason, "store lost");
                 self.store_answered_at = None;
+                self.is_store_lost = true;
                 self.metrics.store_failures.inc();
                 false
             }
@@ -41,6 +43,7 @@
                 false
             }
             StoreEvent::Listing { items, at } => {
+                self.is_listed = true;
                 self.on_crash_listing(now, &items);
                 let (targets, others): (Vec<_>, Vec<_>) = items
                     .into_iter()
@@ -101,6 +104,7 @@
             source,
             "configuration in force"
         );
+        self.start_gate.began_at.get_or_insert_with(Instant::now);
         self.configuration = Some(Arc::new(configuration));
         self.raw_configuration = Some(Arc::new(json));
         true
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -32,6 +32,7 @@
         configuration: 4,
         targets: StorePosition::new(StoreEra(1), 20),
         targets_hash: 1,
+        is_settled: true,
         is_leaving: false,
         is_watching: true,
         term: 0,
--- a/crates/azuresaddle-sched/src/quarantine/evidence.rs
+++ b/crates/azuresaddle-sched/src/quarantine/evidence.rs
@@ -55,9 +55,9 @@
         (beyond >= 0.0).then_some(beyond as u32)
     }
 
-    /// Whether a target has ever survived the request.
-    pub(super) fn has_good_end(self) -> bool {
-        self.good_ends > 0
+    /// Whether one copy of the request is tried again soon: some target has survived it, and it has not cost too many.
+    pub(super) fn allows_probation(self) -> bool {
+        self.good_ends > 0 && self.crashes < MOST_CRASHES
     }
 
     /// Crashes beyond those that it takes for quarantine, where some targets ended for no reason that is known;
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -18,8 +18,8 @@
 /// targets that others end. One copy of it is tried then.
 const FIRST_PROBATION: Duration = Duration::from_secs(3);
 
-/// Most times that this doubles; ten minutes is about the longest.
-const MAX_PROBATION_DOUBLINGS: u32 = 7;
+/// Most times that this doubles: a sound one is not to be held back for long after the targets are well again.
+const MAX_PROBATION_DOUBLINGS: u32 = 1;
 
 /// Most crashes that are told apart: more than it takes to stop a request whatever its good ends are.
 const MAX_CRASHES: usize = 16;
@@ -140,7 +140,7 @@
     /// End of the quarantine after so many crashes more than it takes: one more crash after it begins another one,
     /// twice as long.
     pub(super) fn quarantined_until(&self, beyond: u32) -> Instant {
-        let time = if self.evidence().has_good_end() {
+        let time = if self.evidence().allows_probation() {
             FIRST_PROBATION * (1 << beyond.min(MAX_PROBATION_DOUBLINGS))
         } else {
             FIRST_QUARANTINE * (1 << beyond.min(MAX_DOUBLINGS))
