A node that starts does not take a lapse for a removal; of the configurations that wait the latest is kept

Both seen by reading: what a node had not found in its own reading of the store was taken for gone at once when another told it, also right after an outage, where the others still believed it; and an older configuration that was read later replaced the one that waited.

--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -44,6 +44,8 @@
     grace_until: Option<Instant>,
     /// Until when what the store's present copy lacks is believed.
     copy_grace_until: Option<Instant>,
+    /// Until when what the last listing lacked may be a lapse that others still believe in.
+    listing_grace_until: Option<Instant>,
     /// What was published last; `None` once something has changed. Building it anew takes
     /// milliseconds at 3,000 targets, and membership changes far more often than they do.
     published: Option<Published>,
@@ -129,11 +131,14 @@
         changed
     }
 
-    /// Gives up an entry that the store did not hold when this node read it, after the grace where only an earlier
-    /// copy of the store held it.
+    /// Gives up an entry that the store did not hold when this node read it, after the grace where it may have lapsed in
+    /// an outage, or only an earlier copy of the store held it.
     fn doubt(&mut self, now: Instant, key: &str, position: StorePosition) -> bool {
-        let is_of_this_copy = position.era == self.followed.era;
-        let grace = self.copy_grace_until.filter(|_| !is_of_this_copy);
+        let grace = if position.era == self.followed.era {
+            self.listing_grace_until
+        } else {
+            self.copy_grace_until
+        };
         let grace = grace.filter(|until| now < *until);
         self.remove_in_grace(now, key, self.followed, grace)
     }
@@ -217,6 +222,7 @@
         at: StorePosition,
     ) -> bool {
         self.on_era(now, at.era);
+        self.listing_grace_until = Some(now + RETURN_GRACE);
         let listed: HashSet<String> = items.iter().map(|i| i.key.clone()).collect();
         let mut changed = false;
         for item in items {
--- a/crates/azuresaddle-edge/src/control/start_gate.rs
+++ b/crates/azuresaddle-edge/src/control/start_gate.rs
@@ -27,8 +27,8 @@
 pub(super) struct StartGate {
     /// Whether it has all that another node knew of the targets.
     pub(super) is_synced: bool,
-    /// The latest configuration that it has read.
-    candidate: Option<Vec<u8>>,
+    /// The latest configuration that it has read, by its version.
+    candidate: Option<(u64, Vec<u8>)>,
     /// When the first configuration was in force.
     pub(super) began_at: Option<Instant>,
 }
@@ -75,9 +75,12 @@
         self.members.update_own(|own| own.is_settled = is_settled);
     }
 
-    /// Keeps a configuration that may not be in force yet.
-    pub(super) fn hold_back(&mut self, json: Vec<u8>) {
-        self.start_gate.candidate = Some(json);
+    /// Keeps a configuration that may not be in force yet, unless a later one waits.
+    pub(super) fn hold_back(&mut self, version: u64, json: Vec<u8>) {
+        let waiting = self.start_gate.candidate.as_ref();
+        if waiting.is_none_or(|(known, _)| *known < version) {
+            self.start_gate.candidate = Some((version, json));
+        }
     }
 
     /// Whether a configuration waits.
@@ -93,7 +96,7 @@
     /// Looks again at what waits; true where it is in force now.
     pub(super) fn release_held_back(&mut self) -> bool {
         let candidate = self.start_gate.candidate.take();
-        candidate.is_some_and(|json| self.on_configuration(json, "the store"))
+        candidate.is_some_and(|(_, json)| self.on_configuration(json, "the store"))
     }
 
     /// Whether everything is to be asked of a node that has served before.
--- a/crates/azuresaddle-edge/src/control/store_events.rs
+++ b/crates/azuresaddle-edge/src/control/store_events.rs
@@ -94,7 +94,7 @@
             return false;
         }
         if self.configuration.is_none() && !self.may_begin(Instant::now(), version) {
-            self.hold_back(json);
+            self.hold_back(version, json);
             return false;
         }
         tracing::info!(
--- a/crates/azuresaddle-edge/src/control/tests/registry.rs
+++ b/crates/azuresaddle-edge/src/control/tests/registry.rs
@@ -363,3 +363,26 @@
     let after = registry.published();
     assert_eq!(after.targets.restarted_since(&before.targets), ["a".into()]);
 }
+
+/// A node that starts right after an outage reads the store without an entry that lapsed; the others still believe it.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_starts_does_not_take_a_lapse_for_a_removal() {
+    let now = Instant::now();
+    let mut veteran = three(now);
+    veteran.on_store_back(now);
+    veteran.apply(now, removed("a", 120));
+    let mut starting = Registry::default();
+    let listing = vec![item("b", "ready", 102), item("c", "ready", 103)];
+    starting.apply_listing(now, listing, at(125));
+    for record in veteran.published().records.iter() {
+        starting.apply_update(now, record.news());
+    }
+    assert_eq!(ids(&starting), ["a", "b", "c"]);
+    // It registers again in time, or not.
+    let mut other = veteran;
+    for registry in [&mut starting, &mut other] {
+        registry.apply(now, item("a", "ready", 130));
+        registry.check(now + Duration::from_millis(2300));
+        assert_eq!(ids(registry), ["a", "b", "c"]);
+    }
+}
