--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -5,5 +5,6 @@
 mod members;
 mod registry;
 mod store_model;
+mod store_return;
 mod succession;
 mod target_record;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/tests/store_model/mod.rs
@@ -0,0 +1,162 @@
+//! Three nodes before a store that fails, forgets and goes back, in random series of events.
+//!
+//! Two of the nodes follow the store; the third has read it once and hears of changes from the others.
+
+mod event;
+mod node;
+mod nodes;
+mod store;
+mod world;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+use event::{Event, event};
+use node::Without;
+use world::World;
+
+/// Time between two steps.
+pub(super) const STEP: Duration = Duration::from_millis(100);
+
+/// Steps within which what the store has lost is written again.
+pub(super) const WRITTEN_AGAIN: u64 = 19;
+
+/// Steps for which an entry that the store has lost is believed.
+pub(super) const GRACE: u64 = 22;
+
+/// Steps after which all nodes see what the store holds, once nothing is written any more and no entry is believed
+/// for its grace.
+pub(super) const QUIET: u64 = 20;
+
+/// Targets.
+pub(super) const TARGETS: usize = 4;
+
+/// Nodes of the random series.
+pub(super) const NODES: usize = 3;
+
+/// Sizes of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sizes {
+    pub(super) nodes: usize,
+    /// Nodes that follow the store.
+    pub(super) watchers: usize,
+}
+
+/// Those of the random series.
+pub(super) const SMALL: Sizes = Sizes {
+    nodes: NODES,
+    watchers: 2,
+};
+
+fn run(seed: u64, events: &[Event], without: Without) -> Result<(), String> {
+    let mut world = World::new(seed, without, SMALL);
+    world.pass(5)?;
+    for event in events {
+        world.take(*event)?;
+    }
+    world.settle()
+}
+
+/// Series of events that the test draws, the same ones each time.
+const SERIES: u32 = 1500;
+
+fn runner(cases: u32) -> TestRunner {
+    let config = ProptestConfig {
+        cases,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn series() -> impl Strategy<Value = (u64, Vec<Event>)> {
+    (any::<u64>(), proptest::collection::vec(event(), 1..30))
+}
+
+/// More series by hand: `AZURESADDLE_SERIES=N`.
+#[test]
+fn all_nodes_see_what_the_store_holds_and_none_goes_back() {
+    let asked = std::env::var("AZURESADDLE_SERIES").ok();
+    let cases = asked.and_then(|n| n.parse().ok()).unwrap_or(SERIES);
+    let result = runner(cases).run(&series(), |(seed, events)| {
+        run(seed, &events, Without::Nothing).map_err(TestCaseError::fail)
+    });
+    if let Err(e) = result {
+        panic!("{e}");
+    }
+}
+
+/// A node that has read the store after the removal heard of the target from one that had missed it.
+#[test]
+fn an_entry_that_the_store_no_longer_held_is_not_taken_from_another_node() {
+    let outage = Event::Outage {
+        steps: 1,
+        lapses: true,
+    };
+    let mut events = vec![
+        Event::Pass(3),
+        Event::Beat(0),
+        Event::GoBack(3),
+        Event::Beat(0),
+        Event::Drain(0),
+        Event::Restart(0),
+        Event::Leave(3),
+        Event::Beat(0),
+        outage,
+    ];
+    events.extend([Event::Beat(0); 5]);
+    events.extend([Event::Configure, Event::Beat(0), Event::Restart(1)]);
+    assert_eq!(
+        run(6_701_426_987_596_928_744, &events, Without::Nothing),
+        Ok(())
+    );
+}
+
+/// The store goes back twice in a row before a large fleet, of which four nodes follow it and some start meanwhile.
+#[test]
+fn three_hundred_nodes_end_at_the_same_targets_without_a_storm() {
+    let sizes = Sizes {
+        nodes: 300,
+        watchers: 4,
+    };
+    let mut world = World::new(1, Without::Nothing, sizes);
+    let mut events = vec![Event::Pass(30), Event::Drain(0), Event::Leave(1)];
+    events.extend([Event::Configure, Event::Start(2), Event::GoBack(4)]);
+    events.extend([Event::Pass(5), Event::Drain(3), Event::GoBack(3)]);
+    events.extend((100..110).map(Event::Restart));
+    for event in &events {
+        assert_eq!(world.take(*event), Ok(()));
+    }
+    assert_eq!(world.settle(), Ok(()));
+    // One fetch of everything at its start, and one for each time that the store went back.
+    let most_full = world.nodes.iter().map(|n| n.fetches.0).max();
+    assert!(most_full <= Some(3), "{most_full:?} fetches of everything");
+    // No more than there were changes.
+    let changes = usize::try_from(world.store.revision).expect("a small number") + events.len();
+    let most = world.nodes.iter().map(|n| n.fetches.1).max();
+    assert!(
+        most <= Some(changes),
+        "{most:?} fetches for {changes} changes"
+    );
+}
+
+/// Number of series that fail.
+fn failures(without: Without) -> usize {
+    let mut runner = runner(0);
+    let series = series();
+    let failed = (0..300).filter(|_| {
+        let (seed, events) = series.new_tree(&mut runner).expect("a series").current();
+        run(seed, &events, without).is_err()
+    });
+    failed.count()
+}
+
+#[test]
+fn the_check_fails_without_eras_and_without_numbers() {
+    assert_eq!(failures(Without::Nothing), 0);
+    assert!(failures(Without::Eras) > 0);
+    assert!(failures(Without::Numbers) > 0);
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/tests/store_model/world.rs
@@ -0,0 +1,199 @@
+//! The store, its writers and the nodes, step by step.
+
+use std::collections::BTreeMap;
+
+use azuresaddle_platform::{StoreEra, StorePosition};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+
+use super::event::Event;
+use super::node::{Node, Target, Without};
+use super::store::Store;
+use super::{STEP, Sizes, TARGETS, WRITTEN_AGAIN};
+use crate::control::tests::registry::item_of;
+
+pub(super) struct World {
+    pub(super) store: Store,
+    pub(super) targets: Vec<Target>,
+    pub(super) version: u64,
+    /// Keys that their writers write again, and at which step.
+    pub(super) due: Vec<(u64, String)>,
+    pub(super) nodes: Vec<Node>,
+    pub(super) start: Instant,
+    pub(super) step: u64,
+    pub(super) rng: SmallRng,
+    pub(super) without: Without,
+    pub(super) sizes: Sizes,
+}
+
+impl World {
+    pub(super) fn new(seed: u64, without: Without, sizes: Sizes) -> Self {
+        let start = Instant::now();
+        let target = Target {
+            born: 1000,
+            number: 1,
+            state: Some("ready"),
+        };
+        let store = Store {
+            era: 1,
+            revision: 0,
+            values: BTreeMap::new(),
+            history: Vec::new(),
+            compacted: 0,
+            copies: Vec::new(),
+            down_until: 0,
+        };
+        let mut world = Self {
+            store,
+            targets: vec![target; TARGETS],
+            version: 1,
+            due: Vec::new(),
+            nodes: (0..sizes.nodes).map(|_| Node::new(start)).collect(),
+            start,
+            step: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            without,
+            sizes,
+        };
+        for key in world.keys() {
+            world.write_now(&key);
+        }
+        world
+    }
+
+    pub(super) fn now(&self) -> Instant {
+        self.start + STEP * self.step as u32
+    }
+
+    pub(super) fn keys(&self) -> Vec<String> {
+        let targets = (0..TARGETS).map(|t| format!("servers/t{t}"));
+        targets.chain(["op/config".to_owned()]).collect()
+    }
+
+    /// What a key should hold by its writer's word.
+    pub(super) fn meant(&self, key: &str) -> Option<Vec<u8>> {
+        let Some(name) = key.strip_prefix("servers/") else {
+            return Some(self.version.to_string().into_bytes());
+        };
+        let target = self.targets[name[1..].parse::<usize>().expect("a number")];
+        let number = match self.without {
+            Without::Numbers => 1,
+            _ => target.number,
+        };
+        let entry = item_of(name, target.state?, 1, target.born, number);
+        entry.value
+    }
+
+    pub(super) fn write_now(&mut self, key: &str) {
+        if let Some(n) = key.strip_prefix("servers/t") {
+            self.targets[n.parse::<usize>().expect("a number")].number += 1;
+        }
+        let value = self.meant(key);
+        self.store.write(key, value);
+    }
+
+    /// Writes a key now, or once the store is back.
+    pub(super) fn write(&mut self, key: String) {
+        if self.store.down_until > self.step {
+            let late = self.rng.random_range(1..WRITTEN_AGAIN);
+            self.due.push((self.store.down_until + late, key));
+        } else {
+            self.write_now(&key);
+        }
+    }
+
+    pub(super) fn write_all_again(&mut self, from: u64) {
+        for key in self.keys() {
+            let late = self.rng.random_range(1..WRITTEN_AGAIN);
+            self.due.push((from + late, key));
+        }
+    }
+
+    pub(super) fn take(&mut self, event: Event) -> Result<(), String> {
+        match event {
+            Event::Beat(t) if self.targets[t].state.is_some() => {
+                self.write(format!("servers/t{t}"));
+            }
+            Event::Drain(t) if self.targets[t].state.is_some() => {
+                self.targets[t].state = Some("draining");
+                self.write(format!("servers/t{t}"));
+            }
+            Event::Leave(t) => {
+                self.targets[t].state = None;
+                self.write(format!("servers/t{t}"));
+            }
+            Event::Start(t) => {
+                self.targets[t].born += 1000;
+                self.targets[t].number = 0;
+                self.targets[t].state = Some("ready");
+                self.write(format!("servers/t{t}"));
+            }
+            Event::Beat(_) | Event::Drain(_) => {}
+            Event::Configure => {
+                self.version += 1;
+                self.write("op/config".to_owned());
+            }
+            Event::Outage { steps, lapses } => {
+                self.store.down_until = self.step + steps;
+                if lapses {
+                    for key in self.keys() {
+                        if key != "op/config" && self.rng.random_bool(0.5) {
+                            self.store.write(&key, None);
+                        }
+                    }
+                    self.write_all_again(self.step + steps);
+                }
+                return self.pass(steps);
+            }
+            Event::GoBack(changes) => {
+                let away = self.rng.random_range(0..8);
+                self.store.down_until = self.step + away;
+                self.pass(away)?;
+                self.store.go_back(changes);
+                self.write_all_again(self.step);
+            }
+            Event::Compact => {
+                self.store.compacted = self.store.revision;
+                self.store.history.clear();
+            }
+            Event::Cut { node, steps } => self.nodes[node].cut_until = self.step + steps,
+            Event::Restart(n) => self.nodes[n] = Node::new(self.now()),
+            Event::Pass(steps) => return self.pass(steps),
+        }
+        self.pass(1)
+    }
+
+    pub(super) fn pass(&mut self, steps: u64) -> Result<(), String> {
+        (0..steps).try_for_each(|_| self.one_step())
+    }
+
+    pub(super) fn one_step(&mut self) -> Result<(), String> {
+        self.step += 1;
+        let step = self.step;
+        let (due, later) = self.due.drain(..).partition(|(at, _)| *at <= step);
+        self.due = later;
+        let due: Vec<(u64, String)> = due;
+        for (_, key) in due {
+            self.write(key);
+        }
+        for n in 0..self.sizes.nodes {
+            self.follow(n);
+            let now = self.now();
+            self.nodes[n].registry.check(now);
+        }
+        for n in 0..self.sizes.nodes {
+            self.gossip(n);
+            self.begin(n)?;
+        }
+        self.check()
+    }
+
+    pub(super) fn position(&self, revision: u64) -> StorePosition {
+        let era = match self.without {
+            Without::Eras => 1,
+            _ => self.store.era,
+        };
+        StorePosition::new(StoreEra(era), revision)
+    }
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/tests/store_return.rs
@@ -0,0 +1,124 @@
+//! Which targets are believed in after the store has come back from an older copy.
+
+use std::time::Duration;
+
+use azuresaddle_platform::{Item, StoreEra, StorePosition};
+use tokio::time::Instant;
+
+use super::registry::{at, ids, item, item_of, removed};
+use crate::control::registry::Registry;
+
+/// The same change in the copy that the store went back to.
+fn again(item: Item, revision: u64) -> Item {
+    Item {
+        position: StorePosition::new(StoreEra(2), revision),
+        ..item
+    }
+}
+
+/// A registry that knows three targets and is in the first copy of the store.
+fn three(now: Instant) -> Registry {
+    let mut registry = Registry::default();
+    let all = ["a", "b", "c"];
+    let items = all.iter().zip(101..).map(|(id, n)| item(id, "ready", n));
+    registry.apply_listing(now, items.collect(), at(110));
+    registry.on_caught_up();
+    registry
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_written_again_with_a_lower_revision_is_believed() {
+    let now = Instant::now();
+    let mut registry = three(now);
+    let listing = ["a", "b", "c"].map(|id| again(item(id, "ready", 1), 1));
+    registry.on_era(now, StoreEra(2));
+    assert!(!registry.apply_listing(now, listing.into(), StorePosition::new(StoreEra(2), 9)));
+    assert_eq!(ids(&registry), ["a", "b", "c"]);
+    assert!(registry.apply(now, again(item("b", "draining", 200), 10)));
+    assert_eq!(ids(&registry), ["a", "c"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_copy_brings_back_no_target_that_drained_or_left() {
+    let now = Instant::now();
+    let mut registry = three(now);
+    registry.apply(now, item("a", "draining", 111));
+    registry.apply(now, removed("b", 112));
+    registry.on_era(now, StoreEra(2));
+    let listing = [("a", 1), ("b", 102), ("c", 3)].map(|(id, n)| again(item(id, "ready", n), n));
+    registry.apply_listing(now, listing.into(), StorePosition::new(StoreEra(2), 103));
+    assert_eq!(ids(&registry), ["c"]);
+    // It registers again, with an entry that the copy can't hold.
+    assert!(registry.apply(now, again(item("b", "ready", 113), 104)));
+    assert_eq!(ids(&registry), ["b", "c"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_the_copy_lacks_is_believed_for_the_grace_and_then_gone() {
+    let start = Instant::now();
+    let mut registry = three(start);
+    registry.on_era(start, StoreEra(2));
+    let first = StorePosition::new(StoreEra(2), 50);
+    registry.apply_listing(start, vec![again(item("a", "ready", 101), 40)], first);
+    registry.on_caught_up();
+    assert_eq!(ids(&registry), ["a", "b", "c"]);
+    assert!(!registry.apply(start, again(item("b", "ready", 120), 51)));
+    let later = start + Duration::from_millis(2300);
+    assert!(registry.check(later));
+    assert_eq!(ids(&registry), ["a", "b"]);
+    // Other nodes take the removal for later than what they know.
+    let records = registry.published().records;
+    let gone = records.iter().find(|r| r.is_removed()).unwrap();
+    assert!(gone.position() >= first);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_a_copy_starts_the_grace_anew() {
+    let start = Instant::now();
+    let mut registry = three(start);
+    for era in [2, 3] {
+        let now = start + Duration::from_secs(era - 2);
+        registry.on_era(now, StoreEra(era));
+        let position = StorePosition::new(StoreEra(era), 10);
+        registry.apply_listing(now, Vec::new(), position);
+    }
+    assert!(!registry.check(start + Duration::from_millis(3100)));
+    assert!(registry.check(start + Duration::from_millis(3300)));
+    assert!(ids(&registry).is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_starts_again_meanwhile_is_believed() {
+    let now = Instant::now();
+    let mut registry = three(now);
+    registry.on_era(now, StoreEra(2));
+    let listing = ["a", "b", "c"].map(|id| again(item(id, "ready", 50), 50));
+    registry.apply_listing(now, listing.into(), StorePosition::new(StoreEra(2), 60));
+    let before = registry.published();
+    assert!(registry.apply(now, again(item_of("a", "ready", 61, 2_000, 1), 61)));
+    let after = registry.published();
+    assert_eq!(after.targets.restarted_since(&before.targets), ["a".into()]);
+}
+
+/// A node that starts right after an outage reads the store without an entry that lapsed; the others still believe it.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_starts_does_not_take_a_lapse_for_a_removal() {
+    let now = Instant::now();
+    let mut veteran = three(now);
+    veteran.on_store_back(now);
+    veteran.apply(now, removed("a", 120));
+    let mut starting = Registry::default();
+    let listing = vec![item("b", "ready", 102), item("c", "ready", 103)];
+    starting.apply_listing(now, listing, at(125));
+    for record in veteran.published().records.iter() {
+        starting.apply_update(now, record.news());
+    }
+    assert_eq!(ids(&starting), ["a", "b", "c"]);
+    // It registers again in time, or not.
+    let mut other = veteran;
+    for registry in [&mut starting, &mut other] {
+        registry.apply(now, item("a", "ready", 130));
+        registry.check(now + Duration::from_millis(2300));
+        assert_eq!(ids(registry), ["a", "b", "c"]);
+    }
+}
--- a/crates/azuresaddle-sched/tests/suite/main.rs
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod breaker;
 mod conservation;
+mod evidence;
 mod fallback;
 mod passes;
 mod pool;
