--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -204,8 +204,8 @@
                 },
                 Some(event) = store.recv() => self.on_store(event),
                 Some(fetched) = fetched_rx.recv() => self.on_fetched(fetched),
-                Some(news) = self.crashes_seen.recv() => {
-                    self.on_crash_seen(news).await;
+                Some(update) = self.crashes_seen.recv() => {
+                    self.on_crash_seen(update).await;
                     false
                 }
                 Some(node) = self.no_answer.recv() => self.on_no_answer(node).await,
@@ -246,15 +246,15 @@
                 changed
             }
             Some(Datagram::Question(hosts)) => {
-                let news = self.members.states_of(now, &hosts);
-                self.send_to(ip, &Datagram::Answer(news).encode()).await;
+                let states = self.members.states_of(now, &hosts);
+                self.send_to(ip, &Datagram::Answer(states).encode()).await;
                 false
             }
-            Some(Datagram::Crashes(news)) => {
-                self.on_crashes_told(ip, &news).await;
+            Some(Datagram::Crashes(updates)) => {
+                self.on_crashes_told(ip, &updates).await;
                 false
             }
-            Some(Datagram::Answer(news)) => self.members.on_answer(now, &news),
+            Some(Datagram::Answer(states)) => self.members.on_answer(now, &states),
             Some(Datagram::Vote(vote)) => {
                 let claimed = self.members.on_vote(now, vote);
                 self.tell_claim(now, claimed).await;
--- a/crates/azuresaddle-edge/src/control/crash_spread.rs
+++ b/crates/azuresaddle-edge/src/control/crash_spread.rs
@@ -1,20 +1,20 @@
 //! How nodes tell each other of requests that crash their targets.
 //!
-//! Each piece of news goes to all nodes of a small fleet; in a larger one to a few partners, who pass on what
+//! Each update goes to all nodes of a small fleet; in a larger one to a few partners, who pass on what
 //! is new to them. Datagrams get lost, so it is told in several rounds.
 
 use std::collections::VecDeque;
 
 use crate::quarantine::CrashUpdate;
 
-/// Rounds in which news are told: with four partners each, three reach 295 nodes although a tenth of the datagrams
+/// Rounds in which an update is told: with four partners each, three reach 295 nodes although a tenth of the datagrams
 /// is lost.
 const ROUNDS: u32 = 3;
 
-/// Most news in a datagram, each of at most 31 bytes.
+/// Most updates in a datagram, each of at most 31 bytes.
 pub(super) const MAX_UPDATES: usize = 40;
 
-/// Most news that wait; beyond, the oldest are dropped. A datagram a round to four partners is all that a node
+/// Most updates that wait; beyond, the oldest are dropped. A datagram a round to four partners is all that a node
 /// sends, whatever happens: 56 KB a second while hundreds of targets end, nothing otherwise.
 const MAX_WAITING: usize = 1024;
 
@@ -26,23 +26,23 @@
 
 #[derive(Debug)]
 struct Rumor {
-    news: CrashUpdate,
+    update: CrashUpdate,
     rounds_left: u32,
 }
 
 impl CrashSpread {
     /// Takes something to tell.
-    pub(super) fn push(&mut self, news: CrashUpdate) {
+    pub(super) fn push(&mut self, update: CrashUpdate) {
         if self.waiting.len() >= MAX_WAITING {
             self.waiting.pop_front();
         }
         self.waiting.push_back(Rumor {
-            news,
+            update,
             rounds_left: ROUNDS,
         });
     }
 
-    /// What to tell in one round; the news that were told least come first.
+    /// What to tell in one round; the updates that were told least come first.
     pub(super) fn next_round(&mut self) -> Vec<CrashUpdate> {
         let count = self.waiting.len().min(MAX_UPDATES);
         let mut told = Vec::with_capacity(count);
@@ -50,7 +50,7 @@
             let Some(mut rumor) = self.waiting.pop_front() else {
                 break;
             };
-            told.push(rumor.news);
+            told.push(rumor.update);
             rumor.rounds_left -= 1;
             if rumor.rounds_left > 0 {
                 self.waiting.push_back(rumor);
--- a/crates/azuresaddle-edge/src/control/crashes.rs
+++ b/crates/azuresaddle-edge/src/control/crashes.rs
@@ -1,4 +1,4 @@
-//! What control does with news of requests that crash their targets.
+//! What control does with updates on requests that crash their targets.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -28,9 +28,9 @@
 
 impl<N: Network> Control<N> {
     /// Takes what this node has seen itself: all are told, and the store keeps what is in quarantine.
-    pub(super) async fn on_crash_seen(&mut self, news: CrashUpdate) {
-        self.crash_spread.push(news);
-        match news {
+    pub(super) async fn on_crash_seen(&mut self, update: CrashUpdate) {
+        self.crash_spread.push(update);
+        match update {
             CrashUpdate::Crash(crash) => {
                 if self.tell_again_if_quarantined(crash.fingerprint) {
                     let known = self.quarantine.crashes_of(crash.fingerprint);
@@ -43,11 +43,11 @@
         self.tell_crashes().await;
     }
 
-    /// Takes news from another node, and passes on what is new.
+    /// Takes updates from another node, and passes on what is new.
     pub(super) async fn on_crashes_told(&mut self, from: Ipv4Addr, all: &[CrashUpdate]) {
-        let mut has_news = false;
-        for news in all {
-            let is_new = match news {
+        let mut has_update = false;
+        for update in all {
+            let is_new = match update {
                 CrashUpdate::Crash(crash) => self.on_crash_told(from, *crash).await,
                 CrashUpdate::GoodEnd(end) => self.on_good_end_told(*end),
                 CrashUpdate::Pardon(request) => {
@@ -57,12 +57,12 @@
                 }
             };
             if is_new && !self.members.is_mesh() {
-                self.crash_spread.push(*news);
+                self.crash_spread.push(*update);
             }
-            has_news |= is_new;
+            has_update |= is_new;
         }
         // The later rounds come with the ticks: a link that loses one datagram may lose the next ones too.
-        if has_news {
+        if has_update {
             self.tell_crashes().await;
         }
     }
@@ -85,7 +85,7 @@
         }
         let good_ends = self.quarantine.good_ends_of(request);
         let good_ends: Vec<CrashUpdate> = good_ends.into_iter().map(CrashUpdate::GoodEnd).collect();
-        self.send_crash_news(from, &good_ends).await;
+        self.send_crash_updates(from, &good_ends).await;
         if was_quarantined {
             let known = self.quarantine.crashes_of(request);
             self.send_crashes(from, &known).await;
@@ -195,13 +195,13 @@
         owner == self.members.incarnation()
     }
 
-    /// Tells the next round of news.
+    /// Tells the next round of updates.
     pub(super) async fn tell_crashes(&mut self) {
-        let news = self.crash_spread.next_round();
-        if news.is_empty() {
+        let updates = self.crash_spread.next_round();
+        if updates.is_empty() {
             return;
         }
-        let bytes = Datagram::Crashes(news).encode();
+        let bytes = Datagram::Crashes(updates).encode();
         let to = if self.members.is_mesh() {
             self.members.alive_hosts(Instant::now())
         } else {
@@ -220,12 +220,12 @@
     }
 
     async fn send_crashes(&self, ip: Ipv4Addr, crashes: &[Crash]) {
-        let news: Vec<CrashUpdate> = crashes.iter().copied().map(CrashUpdate::Crash).collect();
-        self.send_crash_news(ip, &news).await;
+        let updates: Vec<CrashUpdate> = crashes.iter().copied().map(CrashUpdate::Crash).collect();
+        self.send_crash_updates(ip, &updates).await;
     }
 
-    async fn send_crash_news(&self, ip: Ipv4Addr, news: &[CrashUpdate]) {
-        for some in news.chunks(MAX_UPDATES) {
+    async fn send_crash_updates(&self, ip: Ipv4Addr, updates: &[CrashUpdate]) {
+        for some in updates.chunks(MAX_UPDATES) {
             let datagram = Datagram::Crashes(some.to_vec());
             self.send_to(ip, &datagram.encode()).await;
         }
--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -12,11 +12,11 @@
 use super::heartbeat::MemberState;
 use crate::peer::PeerUpdate;
 
-/// Longest wait for news from another node.
+/// Longest wait for an update from another node.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time that a node gives its own watch to bring what another node already knows.
-const NEWS_PATIENCE: Duration = Duration::from_millis(150);
+const WATCH_PATIENCE: Duration = Duration::from_millis(150);
 
 /// Time for which a node that has heard of the same changes must differ before all targets are fetched: single changes
 /// don't bring both to the same targets then. A node that is merely behind never fetches all: while thousands of targets
@@ -44,11 +44,11 @@
 #[derive(Debug)]
 pub(super) struct Fetched {
     scope: Scope,
-    news: Option<PeerUpdate>,
+    update: Option<PeerUpdate>,
 }
 
 impl<N: Network> Control<N> {
-    /// Asks a better informed node for its news, once the own watch had its chance.
+    /// Asks a better informed node for what it knows, once the own watch had its chance.
     pub(super) fn fetch_if_behind(&mut self, now: Instant, fetched_tx: &mpsc::Sender<Fetched>) {
         let Some((addr, scope)) = self.next_fetch(now) else {
             return;
@@ -70,17 +70,17 @@
         let peers = self.peers.clone();
         let tx = fetched_tx.clone();
         self.spawner.spawn(async move {
-            let news = peers
+            let update = peers
                 .call(addr, PEER_TIMEOUT, async |client, cx| {
-                    client.news(cx, configuration, after).await
+                    client.updates(cx, configuration, after).await
                 })
                 .await;
-            if let Err(e) = &news {
-                tracing::debug!(part = "control", %addr, error = %e, "news not fetched");
+            if let Err(e) = &update {
+                tracing::debug!(part = "control", %addr, error = %e, "update not fetched");
             }
-            let news = news.ok();
+            let update = update.ok();
             // The loop outlives this task.
-            let _ = tx.send(Fetched { scope, news }).await;
+            let _ = tx.send(Fetched { scope, update }).await;
         });
     }
 
@@ -105,7 +105,7 @@
             self.differs_since = None;
             let since = *self.behind_since.get_or_insert(now);
             let patience = if self.members.should_watch(now) {
-                NEWS_PATIENCE
+                WATCH_PATIENCE
             } else {
                 Duration::ZERO
             };
@@ -140,22 +140,22 @@
 
     pub(super) fn on_fetched(&mut self, fetched: Fetched) -> bool {
         self.is_fetching = false;
-        let Some(news) = fetched.news else {
+        let Some(update) = fetched.update else {
             return false;
         };
         let now = Instant::now();
         let era = self.registry.position().era;
         let mut changed = false;
-        for target in news.targets {
+        for target in update.targets {
             changed |= self.registry.apply_update(now, target);
         }
         if fetched.scope != Scope::Configuration {
-            self.registry.on_synced(news.position);
+            self.registry.on_synced(update.position);
         }
         if fetched.scope == Scope::All {
             self.start_gate.is_synced = true;
         }
-        if let Some(json) = news.configuration {
+        if let Some(json) = update.configuration {
             changed |= self.on_configuration(json, "a node");
         }
         self.note_era();
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -10,14 +10,14 @@
 /// Most bytes of a datagram; below the usual limit of an unfragmented one.
 pub(super) const MAX_BYTES: usize = 1400;
 
-/// Most nodes whose whole news are in a heartbeat; each takes at most 62 bytes.
+/// Most nodes whose whole state is in a heartbeat; each takes at most 62 bytes.
 pub(super) const MAX_OTHERS: usize = 8;
 
-/// Most heartbeat digests in a heartbeat; each takes at most 13 bytes. With whole news of 28 nodes in
-/// their stead, nodes of a fleet of 300 missed each other 17 times a second.
+/// Most heartbeat digests in a heartbeat; each takes at most 13 bytes. With the whole state of a few
+/// nodes in their stead, nodes of a large fleet miss each other.
 pub(super) const MAX_DIGESTS: usize = 70;
 
-/// Most nodes whose whole news one datagram asks for or answers with.
+/// Most nodes whose whole state one datagram asks for or answers with.
 pub(super) const MAX_ASKED: usize = 28;
 
 /// What a node says of itself, and others pass on.
@@ -65,7 +65,7 @@
     }
 }
 
-/// A heartbeat digest of one node, with news of others.
+/// A heartbeat of one node, with the state of others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Heartbeat {
     pub(super) from: MemberState,
@@ -87,31 +87,31 @@
 }
 
 /// Short form of the parts of a node's state that others act on at once: whether it takes callers, and the
-/// term of its claim to place. Another one than is known leads to a question for the whole news: among the
-/// news of 295 nodes that had just started a claim was unknown to some for 1.7 s.
+/// term of its claim to place. Another one than is known leads to a question for the whole state: among
+/// hundreds of nodes that have just started, a claim would be unknown to some for seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct StateTag(u8);
 
 impl StateTag {
-    fn new(news: &MemberState) -> Self {
-        let term = (news.term % 128) as u8;
-        Self(term << 1 | u8::from(news.takes_callers()))
+    fn new(state: &MemberState) -> Self {
+        let term = (state.term % 128) as u8;
+        Self(term << 1 | u8::from(state.takes_callers()))
     }
 
     /// Whether the state of a node is this one.
-    pub(super) fn fits(self, news: &MemberState) -> bool {
-        self == Self::new(news)
+    pub(super) fn fits(self, state: &MemberState) -> bool {
+        self == Self::new(state)
     }
 }
 
 impl HeartbeatDigest {
     /// The digest of a node whose heartbeat of that number was heard of.
-    pub(super) fn new(news: &MemberState, counter: u32) -> Self {
+    pub(super) fn new(state: &MemberState, counter: u32) -> Self {
         Self {
-            ip: news.ip,
-            process: news.incarnation as u16,
+            ip: state.ip,
+            process: state.incarnation as u16,
             counter,
-            state: StateTag::new(news),
+            state: StateTag::new(state),
         }
     }
 }
@@ -120,7 +120,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Datagram {
     Heartbeat(Heartbeat),
-    /// Asks for the whole news of hosts of which only heartbeat digests are known.
+    /// Asks for the whole state of hosts of which only heartbeat digests are known.
     Question(Vec<Ipv4Addr>),
     /// The answer to that.
     Answer(Vec<MemberState>),
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -64,8 +64,8 @@
 /// Another node.
 #[derive(Clone, Debug)]
 pub(super) struct Member {
-    pub(super) news: MemberState,
-    /// Number of its latest heartbeat that was heard of, by its news or by a heartbeat digest.
+    pub(super) state: MemberState,
+    /// Number of its latest heartbeat that was heard of, by its state or by a heartbeat digest.
     pub(super) heard: u32,
     pub(super) heard_at: Instant,
     /// When it came, restarted, or began or ceased to take callers or to follow the store.
@@ -119,7 +119,7 @@
     /// Whether a heartbeat of that process came before.
     pub(super) fn knows(&self, ip: Ipv4Addr, incarnation: u64) -> bool {
         let known = self.members.get(&ip);
-        known.is_some_and(|m| m.news.incarnation == incarnation)
+        known.is_some_and(|m| m.state.incarnation == incarnation)
     }
 
     /// Whether this node is stopping.
@@ -194,7 +194,7 @@
     /// the owner changes only when it goes or several nodes agree, and a restarted node does not take
     /// over from one that knows the running streams.
     pub(super) fn ranked(&self, now: Instant) -> Vec<&MemberState> {
-        let mut all: Vec<&MemberState> = self.alive(now).map(|m| &m.news).collect();
+        let mut all: Vec<&MemberState> = self.alive(now).map(|m| &m.state).collect();
         all.push(&self.own);
         all.sort_by_key(|n| {
             let strength = u32::MAX - n.cpu_milli;
@@ -249,13 +249,13 @@
 
     /// The latest configuration that a live node has in force; 0 where none has any.
     pub(super) fn newest_configuration(&self, now: Instant) -> u64 {
-        let versions = self.alive(now).map(|m| m.news.configuration);
+        let versions = self.alive(now).map(|m| m.state.configuration);
         versions.max().unwrap_or(0)
     }
 
     /// Whether a live node has served for longer than a fleet takes to start.
     pub(super) fn has_settled(&self, now: Instant) -> bool {
-        self.alive(now).any(|m| m.news.is_settled)
+        self.alive(now).any(|m| m.state.is_settled)
     }
 
     /// Address of a live node that knows more, one of the own failure domain where there is one: what is
@@ -265,9 +265,9 @@
         now: Instant,
         is_better: impl Fn(&MemberState) -> bool,
     ) -> Option<SocketAddr> {
-        let alive = self.alive(now).filter(|m| is_better(&m.news));
+        let alive = self.alive(now).filter(|m| is_better(&m.state));
         let (near, far): (Vec<&MemberState>, Vec<&MemberState>) = alive
-            .map(|m| &m.news)
+            .map(|m| &m.state)
             .partition(|n| n.domain == self.own.domain);
         let better = if near.is_empty() { far } else { near };
         let better: Vec<Ipv4Addr> = better.into_iter().map(|n| n.ip).collect();
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -15,7 +15,7 @@
 /// a target that lives registers again within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
 
-/// Time for which a removed entry is remembered, so that neither older news of it nor an older copy of the store
+/// Time for which a removed entry is remembered, so that neither older updates of it nor an older copy of the store
 /// bring it back.
 const TOMBSTONE_KEPT: Duration = Duration::from_secs(60);
 
@@ -118,13 +118,13 @@
     }
 
     /// Takes what another node knows; true where the targets are different now.
-    pub(super) fn apply_update(&mut self, now: Instant, news: TargetUpdate) -> bool {
-        let (record, _) = TargetRecord::of_update(news);
+    pub(super) fn apply_update(&mut self, now: Instant, update: TargetUpdate) -> bool {
+        let (record, _) = TargetRecord::of_update(update);
         let key = Arc::clone(record.key());
-        let is_news = !self.held.contains_key(&key);
+        let is_unknown = !self.held.contains_key(&key);
         let position = record.position();
         let changed = self.merge(now, record);
-        if is_news && position <= self.followed {
+        if is_unknown && position <= self.followed {
             // This node has read the store since, and it was not there.
             return self.doubt(now, &key, position) | changed;
         }
@@ -257,7 +257,7 @@
         let followed = self.followed;
         for held in self.held.values_mut() {
             if let Some((_, at)) = held.give_up.take_if(|(until, _)| now >= *until) {
-                // It is not there up to here; others take a later change for news.
+                // It is not there up to here; others take a later change for an update.
                 let at = if followed.era == at.era {
                     at.max(followed)
                 } else {
--- a/crates/azuresaddle-edge/src/control/spread.rs
+++ b/crates/azuresaddle-edge/src/control/spread.rs
@@ -1,6 +1,6 @@
-//! How news of nodes spread.
+//! How the state of nodes spreads.
 //!
-//! In a larger fleet a heartbeat carries the whole news of a few nodes and heartbeat digests of many.
+//! In a larger fleet a heartbeat carries the whole state of a few nodes and heartbeat digests of many.
 //! Whoever gets a digest of a node that it does not know asks the sender for the rest.
 
 use std::net::Ipv4Addr;
@@ -25,30 +25,30 @@
 /// Ticks between two rounds of heartbeats in a larger fleet.
 const TICKS_PER_ROUND: u32 = 2;
 
-/// Nodes by chance among those whose whole news are told, so that a change that was missed is made
+/// Nodes by chance among those whose whole state is told, so that a change that was missed is made
 /// up although later ones crowd it out.
 const OTHERS_BY_CHANCE: usize = MAX_OTHERS / 2;
 
 impl Members {
-    /// The own heartbeat, with news of other live nodes.
+    /// The own heartbeat, with the state of other live nodes.
     pub(super) fn heartbeat(&mut self, now: Instant) -> Heartbeat {
         self.own.counter = self.own.counter.wrapping_add(1);
         let silence = self.silence();
         let fresh = |m: &&Member| now.saturating_duration_since(m.heard_at) < silence;
         let mut alive: Vec<&Member> = self.members.values().filter(fresh).collect();
-        alive.sort_by_key(|m| m.news.ip);
+        alive.sort_by_key(|m| m.state.ip);
         // Many are heard of in the same moment; by chance among them none are always crowded out.
         alive.shuffle(&mut self.rng);
         alive.sort_by_key(|m| std::cmp::Reverse(m.heard_at));
         let digests = alive.iter().take(MAX_DIGESTS);
         let digests = digests
-            .map(|m| HeartbeatDigest::new(&m.news, m.heard))
+            .map(|m| HeartbeatDigest::new(&m.state, m.heard))
             .collect();
         let by_chance = alive.choose_multiple(&mut self.rng, OTHERS_BY_CHANCE);
-        let mut others: Vec<MemberState> = by_chance.map(|m| m.news.clone()).collect();
+        let mut others: Vec<MemberState> = by_chance.map(|m| m.state.clone()).collect();
         alive.sort_by_key(|m| std::cmp::Reverse(m.changed_at));
         let changed = alive.iter().take(MAX_OTHERS - others.len());
-        others.extend(changed.map(|m| m.news.clone()));
+        others.extend(changed.map(|m| m.state.clone()));
         Heartbeat {
             from: self.own.clone(),
             others,
@@ -56,7 +56,7 @@
         }
     }
 
-    /// The own heartbeat without news of others.
+    /// The own heartbeat without the state of others.
     pub(super) fn bare_heartbeat(&mut self) -> Heartbeat {
         self.own.counter = self.own.counter.wrapping_add(1);
         Heartbeat {
@@ -69,7 +69,7 @@
     /// Hosts of all live nodes but this one.
     pub(super) fn alive_hosts(&self, now: Instant) -> Vec<Ipv4Addr> {
         let alive = self.members.values().filter(|m| self.is_alive(m, now));
-        alive.map(|m| m.news.ip).collect()
+        alive.map(|m| m.state.ip).collect()
     }
 
     /// Takes a heartbeat from a host; true where it changes who is alive or what it offers.
@@ -78,8 +78,8 @@
             return false;
         }
         let mut changed = self.take_state(now, &beat.from, true);
-        for news in &beat.others {
-            changed |= self.take_state(now, news, false);
+        for state in &beat.others {
+            changed |= self.take_state(now, state, false);
         }
         for digest in &beat.digests {
             changed |= self.take_digest(now, digest);
@@ -87,10 +87,10 @@
         changed
     }
 
-    /// Takes whole news of nodes from another one.
+    /// Takes the whole state of nodes from another one.
     pub(super) fn on_answer(&mut self, now: Instant, all: &[MemberState]) -> bool {
-        all.iter().fold(false, |changed, news| {
-            self.take_state(now, news, false) | changed
+        all.iter().fold(false, |changed, state| {
+            self.take_state(now, state, false) | changed
         })
     }
 
@@ -103,42 +103,44 @@
         unknown.take(MAX_ASKED).collect()
     }
 
-    /// Whole news of hosts, as far as they are alive.
+    /// The whole state of hosts, as far as they are alive.
     pub(super) fn states_of(&self, now: Instant, hosts: &[Ipv4Addr]) -> Vec<MemberState> {
         let known = hosts.iter().filter_map(|ip| self.members.get(ip));
         let alive = known.filter(|m| self.is_alive(m, now));
-        alive.take(MAX_ASKED).map(|m| m.news.clone()).collect()
+        alive.take(MAX_ASKED).map(|m| m.state.clone()).collect()
     }
 
-    fn take_state(&mut self, now: Instant, news: &MemberState, is_direct: bool) -> bool {
-        if news.ip == self.own.ip {
+    fn take_state(&mut self, now: Instant, state: &MemberState, is_direct: bool) -> bool {
+        if state.ip == self.own.ip {
             return false;
         }
-        let known = self.members.get(&news.ip);
-        if !known.is_none_or(|m| is_newer(&m.news, news, is_direct)) {
+        let known = self.members.get(&state.ip);
+        if !known.is_none_or(|m| is_newer(&m.state, state, is_direct)) {
             return false;
         }
-        let same_process = known.filter(|m| m.news.incarnation == news.incarnation);
-        // A later heartbeat digest may have come before these news.
-        let later_sign = same_process.filter(|m| m.heard >= news.counter);
-        let (heard, heard_at) = later_sign.map_or((news.counter, now), |m| (m.heard, m.heard_at));
-        let same_offer = same_process
-            .filter(|m| m.news.takes_callers() == news.takes_callers() && m.news.term == news.term);
+        let same_process = known.filter(|m| m.state.incarnation == state.incarnation);
+        // A later heartbeat digest may have come before this state.
+        let later_digest = same_process.filter(|m| m.heard >= state.counter);
+        let (heard, heard_at) =
+            later_digest.map_or((state.counter, now), |m| (m.heard, m.heard_at));
+        let same_offer = same_process.filter(|m| {
+            m.state.takes_callers() == state.takes_callers() && m.state.term == state.term
+        });
         let changed = !same_offer.is_some_and(|m| self.is_alive(m, now));
-        let same_state = same_offer.filter(|m| m.news.is_watching == news.is_watching);
+        let same_state = same_offer.filter(|m| m.state.is_watching == state.is_watching);
         let member = Member {
             heard,
             heard_at,
             changed_at: same_state.map_or(now, |m| m.changed_at),
-            news: news.clone(),
+            state: state.clone(),
         };
-        self.members.insert(member.news.ip, member);
+        self.members.insert(member.state.ip, member);
         changed
     }
 
     /// Takes a heartbeat digest of a node that is known; true where it was taken for gone.
     ///
-    /// One that tells of another state counts only with the whole news: passed on with the old state
+    /// One that tells of another state counts only with the whole state: passed on with the old state
     /// it would make every node that knows better ask again and again.
     fn take_digest(&mut self, now: Instant, digest: &HeartbeatDigest) -> bool {
         let Some(member) = self.members.get(&digest.ip) else {
@@ -170,9 +172,9 @@
         self.partners()
     }
 
-    /// A few hosts at random, for news that should spread at once.
+    /// A few hosts at random, for what should spread at once.
     pub(super) fn partners(&mut self) -> Vec<Ipv4Addr> {
-        let mut all: Vec<&MemberState> = self.members.values().map(|m| &m.news).collect();
+        let mut all: Vec<&MemberState> = self.members.values().map(|m| &m.state).collect();
         all.sort_unstable_by_key(|n| n.ip);
         all.shuffle(&mut self.rng);
         if !self.is_mesh() {
@@ -191,21 +193,21 @@
 }
 
 fn is_same_process(member: &Member, digest: &HeartbeatDigest) -> bool {
-    member.news.incarnation as u16 == digest.process
+    member.state.incarnation as u16 == digest.process
 }
 
 /// Whether a heartbeat digest tells of another process or state than the one that is known.
 fn differs(member: &Member, digest: &HeartbeatDigest) -> bool {
-    let is_later = digest.counter > member.news.counter;
-    let same_state = digest.state.fits(&member.news);
+    let is_later = digest.counter > member.state.counter;
+    let same_state = digest.state.fits(&member.state);
     !is_same_process(member, digest) || (is_later && !same_state)
 }
 
-/// Whether news of a node replace older ones.
-fn is_newer(known: &MemberState, news: &MemberState, is_direct: bool) -> bool {
-    if known.incarnation == news.incarnation {
-        return news.counter > known.counter;
+/// Whether a state of a node replaces an older one.
+fn is_newer(known: &MemberState, state: &MemberState, is_direct: bool) -> bool {
+    if known.incarnation == state.incarnation {
+        return state.counter > known.counter;
     }
     // A restarted process may have a clock that was set back; what it says itself counts.
-    is_direct || news.started_ms > known.started_ms
+    is_direct || state.started_ms > known.started_ms
 }
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -20,7 +20,7 @@
 /// Shortest time between two watches, so that quick changes don't turn into a call each.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
 
-/// News of the store.
+/// What the store tells.
 #[derive(Debug)]
 pub(super) enum StoreEvent {
     /// The store answers again, after it did not.
@@ -120,7 +120,7 @@
             .wait_for(|e| e.is_some_and(|e| e > known))
             .await
             .map(|_| ()),
-        // The first answer is no news.
+        // The first answer is no change.
         None => std::future::pending().await,
     }
 }
@@ -195,10 +195,10 @@
             })
         }
         Progress::Watching(after) => {
-            let news = store.watch("", *after, WATCH_WAIT).await?;
-            *after = news.at.max(*after);
+            let changes = store.watch("", *after, WATCH_WAIT).await?;
+            *after = changes.at.max(*after);
             Ok(StoreEvent::Changes {
-                items: news.items,
+                items: changes.items,
                 at: *after,
             })
         }
--- a/crates/azuresaddle-edge/src/control/succession.rs
+++ b/crates/azuresaddle-edge/src/control/succession.rs
@@ -163,7 +163,7 @@
         }
         let mut others = self.members.values().filter(|m| self.is_alive(m, now));
         let is_alone = others.clone().next().is_none();
-        if is_alone || others.any(|m| m.news.cpu_milli > self.own.cpu_milli) {
+        if is_alone || others.any(|m| m.state.cpu_milli > self.own.cpu_milli) {
             return false;
         }
         self.claim(now);
@@ -172,7 +172,7 @@
 
     /// Places streams from now on, by a term above all that are known.
     fn claim(&mut self, now: Instant) {
-        let highest = self.members.values().map(|m| m.news.term).max();
+        let highest = self.members.values().map(|m| m.state.term).max();
         self.own.term = highest.unwrap_or(0).max(self.own.term) + 1;
         let votes = self.succession.votes.len();
         tracing::info!(
--- a/crates/azuresaddle-edge/src/control/target_record.rs
+++ b/crates/azuresaddle-edge/src/control/target_record.rs
@@ -93,16 +93,16 @@
     }
 
     /// A record that another node tells, and why its value can't be read.
-    pub(super) fn of_update(news: TargetUpdate) -> (Self, Option<DecodeError>) {
-        let presence = if news.is_removed {
-            Presence::Removed(news.last)
+    pub(super) fn of_update(update: TargetUpdate) -> (Self, Option<DecodeError>) {
+        let presence = if update.is_removed {
+            Presence::Removed(update.last)
         } else {
             Presence::Present {
-                first: news.first,
-                last: news.last,
+                first: update.first,
+                last: update.last,
             }
         };
-        Self::decode(news.key, news.value, news.number, presence)
+        Self::decode(update.key, update.value, update.number, presence)
     }
 
     fn decode(
@@ -136,7 +136,7 @@
     }
 
     /// The record as it is told to other nodes.
-    pub(crate) fn news(&self) -> TargetUpdate {
+    pub(crate) fn update(&self) -> TargetUpdate {
         let (first, last) = self.seen();
         TargetUpdate {
             key: self.key.to_string(),
--- a/crates/azuresaddle-edge/src/control/tests/crash_spread.rs
+++ b/crates/azuresaddle-edge/src/control/tests/crash_spread.rs
@@ -30,7 +30,7 @@
     spread: CrashSpread,
 }
 
-/// Passes news on in a fleet of which each node has heard; returns the rounds until all nodes keep the request
+/// Passes updates on in a fleet of which each node has heard; returns the rounds until all nodes keep the request
 /// from their targets, and the most datagrams of one node in a round.
 fn rounds_until_known(nodes: u16, lost_share: f64) -> (u32, usize) {
     let mut fleet = Fleet::new(nodes);
@@ -60,8 +60,8 @@
         fleet.round();
         let mut sent = Vec::new();
         for (node, members) in all.iter_mut().zip(&mut fleet.nodes) {
-            let news = node.spread.next_round();
-            if news.is_empty() {
+            let updates = node.spread.next_round();
+            if updates.is_empty() {
                 continue;
             }
             let to = if members.is_mesh() {
@@ -70,14 +70,14 @@
                 members.partners()
             };
             most_sent = most_sent.max(to.len());
-            sent.extend(to.into_iter().map(|ip| (ip, news.clone())));
+            sent.extend(to.into_iter().map(|ip| (ip, updates.clone())));
         }
-        for (ip, news) in sent {
+        for (ip, updates) in sent {
             if rng.random_bool(lost_share) {
                 continue;
             }
             let node = &mut all[number(ip) - 1];
-            for one in news {
+            for one in updates {
                 let CrashUpdate::Crash(crash) = one else {
                     continue;
                 };
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -20,7 +20,7 @@
     usize::from(u16::from_be_bytes([high, low]))
 }
 
-pub(super) fn news(n: u16, counter: u32) -> MemberState {
+pub(super) fn state(n: u16, counter: u32) -> MemberState {
     MemberState {
         ip: ip(n),
         incarnation: u64::from(n) * 1000,
@@ -41,19 +41,19 @@
 
 pub(super) fn beat(n: u16, counter: u32) -> Heartbeat {
     Heartbeat {
-        from: news(n, counter),
+        from: state(n, counter),
         others: Vec::new(),
         digests: Vec::new(),
     }
 }
 
 fn digest(n: u16, counter: u32) -> HeartbeatDigest {
-    HeartbeatDigest::new(&news(n, counter), counter)
+    HeartbeatDigest::new(&state(n, counter), counter)
 }
 
 /// The members of a node that has run for some time.
 pub(super) fn members(now: Instant, own: u16) -> Members {
-    let mut members = Members::new(now, news(own, 0), 7341, &[ip(1), ip(2)]);
+    let mut members = Members::new(now, state(own, 0), 7341, &[ip(1), ip(2)]);
     members.started_at = now - Duration::from_secs(5);
     members
 }
@@ -118,10 +118,10 @@
     let now = Instant::now();
     let mut members = members(now, 3);
     members.on_heartbeat(now, ip(1), &beat(1, 9));
-    let mut old = news(1, 5);
+    let mut old = state(1, 5);
     old.is_leaving = true;
     let told = Heartbeat {
-        from: news(2, 1),
+        from: state(2, 1),
         others: vec![old],
         digests: Vec::new(),
     };
@@ -153,7 +153,7 @@
 /// Nodes that only heard heartbeat digests of an owner that had just read its configuration went on to
 /// take others for the owner for seconds.
 #[tokio::test(start_paused = true)]
-async fn news_that_come_after_a_later_sign_count() {
+async fn news_that_come_after_a_later_digest_count() {
     let now = Instant::now();
     let mut members = members(now, 3);
     let mut starting = beat(1, 1);
@@ -168,7 +168,7 @@
     assert_eq!(members.heartbeat(now).digests, [digest(2, 1), stale]);
     // The digest tells that the node takes callers now, so it is asked for.
     assert_eq!(members.unknown(&told), [ip(1)]);
-    assert!(members.on_answer(now, &[news(1, 6)]));
+    assert!(members.on_answer(now, &[state(1, 6)]));
     assert!(members.unknown(&told).is_empty());
     assert_eq!(members.live(now).1, 1000);
 }
@@ -216,7 +216,7 @@
     told.digests = vec![digest(9, 5), digest(3, 1)];
     members.on_heartbeat(now, ip(1), &told);
     assert_eq!(members.unknown(&told), [ip(9)]);
-    assert!(members.on_answer(now, &[news(9, 5)]));
+    assert!(members.on_answer(now, &[state(9, 5)]));
     assert!(members.unknown(&told).is_empty());
     // A restarted one too.
     told.digests[0].process += 1;
@@ -227,12 +227,12 @@
 fn unwatched(now: Instant, own: u16) -> Members {
     let mut members = members(now, own);
     let others = (1..=40).filter(|n| *n != own).map(|n| {
-        let mut news = news(n, 1);
-        news.is_watching = false;
-        news
+        let mut state = state(n, 1);
+        state.is_watching = false;
+        state
     });
     let told = Heartbeat {
-        from: news(41, 1),
+        from: state(41, 1),
         others: others.collect(),
         digests: Vec::new(),
     };
@@ -280,7 +280,7 @@
     assert!(members.should_watch(now + Duration::from_millis(600)));
 }
 
-/// Bytes between failure domains are dear, so most partners are of the own one; news still reach all.
+/// Bytes between failure domains are dear, so most partners are of the own one; states still reach all.
 #[tokio::test(start_paused = true)]
 async fn three_of_four_partners_are_of_the_own_failure_domain() {
     let mut fleet = Fleet::new(100);
--- a/crates/azuresaddle-edge/src/control/tests/store_model/nodes.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_model/nodes.rs
@@ -114,7 +114,7 @@
         }
         let records = told.records.iter();
         for record in records.filter(|r| after.is_none_or(|after| r.position() > after)) {
-            node.registry.apply_update(now, record.news());
+            node.registry.apply_update(now, record.update());
         }
         node.registry.on_synced(position);
         let (read, drained) = (
--- a/crates/azuresaddle-edge/src/control/tests/store_return.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_return.rs
@@ -111,7 +111,7 @@
     let listing = vec![item("b", "ready", 102), item("c", "ready", 103)];
     starting.apply_listing(now, listing, at(125));
     for record in veteran.published().records.iter() {
-        starting.apply_update(now, record.news());
+        starting.apply_update(now, record.update());
     }
     assert_eq!(ids(&starting), ["a", "b", "c"]);
     // It registers again in time, or not.
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -79,7 +79,7 @@
         self.owner.sync(&sync);
     }
 
-    async fn news(
+    async fn updates(
         self,
         _: Context,
         configuration: u64,
@@ -99,7 +99,7 @@
                 .target_records
                 .iter()
                 .filter(|r| targets.is_none_or(|after| r.position() > after))
-                .map(|r| r.news())
+                .map(|r| r.update())
                 .collect(),
         }
     }
--- a/crates/azuresaddle-edge/src/peer/service.rs
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -16,5 +16,5 @@
     async fn sync(sync: SyncMessage);
     /// What is known from the store, beyond a version of the configuration and a position of the
     /// targets' changes; all of them for `None`.
-    async fn news(configuration: u64, targets: Option<StorePosition>) -> PeerUpdate;
+    async fn updates(configuration: u64, targets: Option<StorePosition>) -> PeerUpdate;
 }
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -126,7 +126,7 @@
         self.update(crash.fingerprint, |state, now| state.on_crash(now, crash))
     }
 
-    /// Takes a good end, seen here or by another node; true where it is news.
+    /// Takes a good end, seen here or by another node; true where it was not known.
     pub(crate) fn learn_good_end(&self, end: GoodEnd) -> bool {
         self.update(end.fingerprint, |state, now| state.on_good_end(now, end))
     }
@@ -222,9 +222,9 @@
         self.known.store(state.len(), Ordering::Relaxed);
     }
 
-    fn tell(&self, news: CrashUpdate) {
-        if self.seen.try_send(news).is_err() {
-            tracing::warn!(part = "forward", ?news, "crash not told, queue full");
+    fn tell(&self, update: CrashUpdate) {
+        if self.seen.try_send(update).is_err() {
+            tracing::warn!(part = "forward", ?update, "crash not told, queue full");
         }
     }
 
