--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -24,7 +24,7 @@
 const FULL_PATIENCE: Duration = Duration::from_millis(1000);
 
 /// Time after its start for which a node waits for its own reading of the store.
-const LISTING_PATIENCE: Duration = Duration::from_secs(3);
+const LISTING_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Shortest time between two fetches of all targets.
 const FULL_INTERVAL: Duration = Duration::from_millis(1000);
@@ -32,8 +32,6 @@
 /// How much is fetched from another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Scope {
-    /// The configuration alone.
-    Configuration,
     /// What changed after a position.
     Changes(StorePosition),
     /// Everything.
@@ -64,7 +62,6 @@
                 None
             }
             Scope::Changes(after) => Some(after),
-            Scope::Configuration => Some(StorePosition::LAST),
         };
         let configuration = self.version();
         let peers = self.peers.clone();
@@ -93,13 +90,11 @@
                 return Some((addr, Scope::All));
             }
         }
-        let configuration = self.version();
-        let targets = self.registry.position();
         if self.is_listing(now) {
-            let is_newer = |n: &MemberState| n.configuration > configuration;
-            let newer = self.members.better_informed(now, is_newer);
-            return newer.map(|addr| (addr, Scope::Configuration));
+            return None;
         }
+        let configuration = self.version();
+        let targets = self.registry.position();
         let is_later = |n: &MemberState| n.configuration > configuration || n.targets > targets;
         if let Some(addr) = self.members.better_informed(now, is_later) {
             self.differs_since = None;
@@ -149,9 +144,7 @@
         for target in update.targets {
             changed |= self.registry.apply_update(now, target);
         }
-        if fetched.scope != Scope::Configuration {
-            self.registry.on_synced(update.position);
-        }
+        self.registry.on_synced(update.position);
         if fetched.scope == Scope::All {
             self.start_gate.is_synced = true;
         }
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -55,6 +55,7 @@
     cx: &Arc<Forwarder<N>>,
     req: &ForwardRequest,
     target: &TargetEntry,
+    sent_at: Instant,
 ) {
     let end = GoodEnd {
         fingerprint: req.fingerprint,
@@ -67,8 +68,9 @@
     cx.spawner.clone().spawn(async move {
         tokio::time::sleep(SURVIVAL).await;
         let has_restarted = cx.snapshots.load().targets.has_restarted(&target);
-        // A target that has ended since says nothing: others may have ended it.
-        if !has_restarted && !has_ended(&cx, &target).await {
+        if has_restarted || has_ended(&cx, &target).await {
+            cx.quarantine.on_crash(end.fingerprint, &target, sent_at);
+        } else {
             cx.quarantine.on_good_end(end);
         }
     });
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -84,7 +84,7 @@
         let result = send_plain(cx, req, &target, patience).await;
         drop(busy);
         if result.as_ref().is_ok_and(|a| a.status.is_success()) {
-            note_good_end(cx, req, &target);
+            note_good_end(cx, req, &target, started);
         }
         match result {
             Ok(answer) if answer.is_failure() && may_repeat && cx.may_repeat(&req.service) => {
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -182,7 +182,7 @@
                     return self.refuse_quarantined();
                 }
                 Sent::Complete => {
-                    note_good_end(&self.cx, &self.req, &place.target);
+                    note_good_end(&self.cx, &self.req, &place.target, sent_at);
                     self.cx.metrics.on_send(&self.req.service, "answered");
                     self.log(&lead, "stream complete");
                     self.record(StreamEnd::Complete);
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -112,9 +112,12 @@
 
     /// Counts what this node has seen for a request against which something is held now.
     fn recall_good_ends(&self, crash: Crash) {
-        let now = Instant::now();
-        let ended = crash.target.target;
-        let recalled = self.lock_recent().take(now, crash.fingerprint, ended);
+        let state = self.lock();
+        let has_ended = |target| target == crash.target.target || state.knows_end_of(target);
+        let mut recent = self.lock_recent();
+        let recalled = recent.take(Instant::now(), crash.fingerprint, has_ended);
+        drop(recent);
+        drop(state);
         for end in recalled {
             self.on_good_end(end);
         }
--- a/crates/azuresaddle-sched/src/quarantine/ledger.rs
+++ b/crates/azuresaddle-sched/src/quarantine/ledger.rs
@@ -94,6 +94,11 @@
         was_held
     }
 
+    /// Whether the end of a target is known, by the hash of its name and start.
+    pub fn knows_end_of(&self, target: u64) -> bool {
+        self.ends.keys().any(|life| life.target == target)
+    }
+
     /// Whether something is known of a request.
     pub fn knows(&self, request: Fingerprint) -> bool {
         self.records.contains_key(&request)
--- a/crates/azuresaddle-sched/src/quarantine/recent.rs
+++ b/crates/azuresaddle-sched/src/quarantine/recent.rs
@@ -51,12 +51,18 @@
         });
     }
 
-    /// Takes the good ends of a request which their targets survived, as far as that is known when one has ended.
-    pub fn take(&mut self, now: Instant, request: Fingerprint, ended: u64) -> Vec<GoodEnd> {
+    /// Takes the good ends of a request which their targets survived: `has_ended` tells of a target whether it is known
+    /// to have ended since.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        has_ended: impl Fn(u64) -> bool,
+    ) -> Vec<GoodEnd> {
         let runs = self.0.remove(&request).unwrap_or_default();
         let speaks_for_it = |run: &Run| {
             let age = now.saturating_duration_since(run.at);
-            run.target != ended && (SURVIVAL..KEPT).contains(&age)
+            (SURVIVAL..KEPT).contains(&age) && !has_ended(run.target)
         };
         let runs = runs.into_iter().filter(speaks_for_it);
         runs.map(|run| GoodEnd {
--- a/crates/azuresaddle-sched/tests/suite/evidence.rs
+++ b/crates/azuresaddle-sched/tests/suite/evidence.rs
@@ -30,14 +30,14 @@
         recent.note(now, good_end(1, run), run % 3);
     }
     let later = now + Duration::from_secs(1);
-    let recalled = recent.take(later, request(1), 0);
+    let recalled = recent.take(later, request(1), |t| t == 0);
     assert_eq!(recalled.len(), 3, "of the last four, one was on the target");
-    assert!(recent.take(later, request(1), 0).is_empty());
+    assert!(recent.take(later, request(1), |t| t == 0).is_empty());
     // What has just ended may have ended its target too, and what is long ago says little.
     recent.note(now, good_end(2, 1), 5);
-    assert!(recent.take(now, request(2), 0).is_empty());
+    assert!(recent.take(now, request(2), |_| false).is_empty());
     recent.note(now, good_end(2, 1), 5);
-    assert!(recent.take(now + MINUTE, request(2), 0).is_empty());
+    assert!(recent.take(now + MINUTE, request(2), |_| false).is_empty());
 }
 
 /// Its targets survive it now and then.
