--- a/crates/azuresaddle-sched/src/quarantine/evidence.rs
+++ b/crates/azuresaddle-sched/src/quarantine/evidence.rs
@@ -19,7 +19,7 @@
 const CERTAIN_WEIGHT: f64 = 6.0;
 
 /// Crashes from which on a request is in quarantine whatever its good ends are: it may end one kind of target only.
-const MOST_CRASHES: usize = 12;
+const MOST_CRASHES: usize = 16;
 
 /// Targets that ended without the request, and without another that explains it, for which one more crash is asked:
 /// where targets end by themselves, one that was on three of them proves less.
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -21,7 +21,7 @@
 /// Most times that this doubles: a sound one is not to be held back for long after the targets are well again.
 const MAX_PROBATION_DOUBLINGS: u32 = 1;
 
-/// Most crashes that are told apart: more than it takes to stop a request whatever its good ends are.
+/// Most crashes that are told apart: as many as it takes to stop a request whatever its good ends are.
 const MAX_CRASHES: usize = 16;
 
 /// Good ends that are counted for each crash: enough that a request which most targets survive is never stopped, and
