--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -212,8 +212,8 @@
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&fetched_tx).await,
                 () = tokio::time::sleep_until(hearing_ends), if holds_back => self.release_held_back(),
-                // Without it a change soon after another one waited for the next tick: a node that had
-                // just started knew all targets 85 ms before its traffic did.
+                // Without it a change soon after another one waits for the next tick: a node that has just
+                // started knows all targets before its traffic does.
                 () = tokio::time::sleep_until(publish_at), if self.has_changes => false,
             };
             self.has_changes |= changed;
--- a/crates/azuresaddle-edge/src/control/crash_spread.rs
+++ b/crates/azuresaddle-edge/src/control/crash_spread.rs
@@ -7,15 +7,15 @@
 
 use crate::quarantine::CrashUpdate;
 
-/// Rounds in which an update is told: with four partners each, three reach 295 nodes although a tenth of the datagrams
-/// is lost.
+/// Rounds in which an update is told: with four partners each, three reach hundreds of nodes although some datagrams
+/// are lost.
 const ROUNDS: u32 = 3;
 
 /// Most updates in a datagram, each of at most 31 bytes.
 pub(super) const MAX_UPDATES: usize = 40;
 
 /// Most updates that wait; beyond, the oldest are dropped. A datagram a round to four partners is all that a node
-/// sends, whatever happens: 56 KB a second while hundreds of targets end, nothing otherwise.
+/// sends, whatever happens.
 const MAX_WAITING: usize = 1024;
 
 /// News that wait to be told.
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -27,8 +27,8 @@
 /// loss of single datagrams moves nothing.
 const MESH_SILENCE: Duration = Duration::from_millis(450);
 
-/// Silence after which a node of a larger fleet counts as gone: in a fleet of 90 six of a thousand
-/// were wrongly missed after 2 s with three partners, none after 2.5 s with four.
+/// Silence after which a node of a larger fleet counts as gone: many rounds, since a digest takes several hops and
+/// may be crowded out on the way.
 const GOSSIP_SILENCE: Duration = Duration::from_millis(2500);
 
 /// Nodes up to which that silence holds; beyond, each is heard of less often, and the silence grows
@@ -213,8 +213,7 @@
     /// Whether this node should follow the store itself: all do in a small fleet, a few in a larger one,
     /// and more where too few of these are answered.
     ///
-    /// With all of 295 nodes trying at once the store got 4,454 calls on a run in which it was down for 8 s, so
-    /// 1,732 (one run each).
+    /// With all nodes of a large fleet trying at once a store that is down gets several times the calls.
     pub(super) fn should_watch(&mut self, now: Instant) -> bool {
         if now.saturating_duration_since(self.started_at) < WATCH_DELAY {
             return false;
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -76,7 +76,7 @@
     /// Notes that all changes of an outage are known: what is removed from now on has left.
     ///
     /// Held like a lapse, the removal of a target that left right after a node had regained the store
-    /// was believed 2.1 s later, and work was sent there past its time.
+    /// would be believed so late that work is sent there past its time.
     pub(super) fn on_caught_up(&mut self) {
         self.grace_until = None;
     }
--- a/crates/azuresaddle-edge/src/control/spread.rs
+++ b/crates/azuresaddle-edge/src/control/spread.rs
@@ -17,9 +17,8 @@
 /// known to 90 after about three rounds.
 const PARTNERS: usize = 4;
 
-/// Partners among them that are of another failure domain. A domain of 60 nodes still hears of the
-/// others 60 times a round; with all partners by chance 295 nodes moved 0.53 GB between
-/// domains on a run, so 0.20 (one run each).
+/// Partners among them that are of another failure domain: a domain of dozens of nodes still hears of the others dozens
+/// of times a round, and bytes between domains are dear.
 const FAR_PARTNERS: usize = 1;
 
 /// Ticks between two rounds of heartbeats in a larger fleet.
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -169,7 +169,7 @@
 /// Reads the next page or waits for the next changes.
 ///
 /// The items of a page are told at once: the configuration is on the first one, and the other
-/// pages of 3,000 targets took two seconds when 300 nodes started together.
+/// pages of thousands of targets take seconds when hundreds of nodes start together.
 async fn next_event<N: Network>(
     store: &PlatformStore<N>,
     progress: &mut Progress,
--- a/crates/azuresaddle-edge/src/control/succession.rs
+++ b/crates/azuresaddle-edge/src/control/succession.rs
@@ -154,8 +154,8 @@
     /// Claims where nobody has and this node comes first; true where it does.
     ///
     /// Without a claim the owner of a fleet that starts as a whole was whoever was the best of those that
-    /// had a configuration by then: 29 owners in the first second of 295 nodes (logs of one run). A weak host claims nothing while a
-    /// stronger one lives, since a claim lasts.
+    /// had a configuration by then, one after the other. A weak host claims nothing while a stronger one lives, since a
+    /// claim lasts.
     pub(super) fn claim_first(&mut self, now: Instant) -> bool {
         let is_first = self.ranked(now)[0].incarnation == self.own.incarnation;
         if !is_first || self.own.term > 0 || !self.own.takes_callers() {
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -42,9 +42,7 @@
     }
 
     /// Whether another copy of the same suspect runs: how that one ends is known before the next is sent to an
-    /// engine. Five copies that came within half a second ended five engines. In simulated load with such a request
-    /// it raises the worth from 0.869 to 0.879 (mean of two mixes at two loads, 16 seeds each); placing all suspects
-    /// away from packed streams as well lowered it by 0.015 to 0.047.
+    /// engine. Copies that come within half a second would end as many engines.
     fn awaits_verdict(&self, ask: &PassAsk) -> bool {
         let Some(suspect) = ask.suspect.filter(|_| self.options.suspects_in_turn) else {
             return false;
