--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod faults;
 mod input;
+mod quarantine_command;
 mod repeats;
 mod soak;
 mod store_return;
--- /dev/null
+++ b/tests/testsuite/platform/quarantine_command.rs
@@ -0,0 +1,68 @@
+//! What an operator sees of the quarantine, and how one ends early.
+
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use azuresaddle_standin::platform::WorldOptions;
+use azuresaddle_standin::soak::{Fleet, FleetOptions};
+use bytes::Bytes;
+
+use super::support::{ask, dir, program, stream};
+
+/// Time within which all nodes hear of what was told to one.
+const TELLING: Duration = Duration::from_millis(600);
+
+fn quarantine(fleet: &Fleet, args: &[&str]) -> Output {
+    let node = fleet.nodes[0].metrics_addr().to_string();
+    Command::new(program())
+        .arg("quarantine")
+        .args(args)
+        .args(["--node", &node])
+        .output()
+        .unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_lists_and_ends_a_quarantine() {
+    let world = WorldOptions {
+        engines: 6,
+        plain: 2,
+    };
+    let options = FleetOptions { nodes: 3, world };
+    let opened = Fleet::open(program(), &dir("quarantine-command"), options).await;
+    let mut fleet = opened.unwrap();
+    tokio::time::sleep(TELLING).await;
+    let body = Bytes::from_static(b"{\"listed\":1}");
+    fleet.world.crashes.make_crash(body.clone());
+    let asked = || {
+        let mut asked = stream("/ask/1", 1500, 6);
+        asked.body = body.clone();
+        asked
+    };
+    for n in 0..6 {
+        // It never has a whole answer.
+        let answer = ask(&fleet.nodes[n % 3], &asked()).await;
+        assert!(!matches!(answer, Ok(ref a) if a.status == 200));
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        fleet.world.restart_ended().await.unwrap();
+    }
+    let listed = quarantine(&fleet, &["list"]);
+    assert!(listed.status.success(), "{listed:?}");
+    let text = String::from_utf8(listed.stdout).unwrap();
+    let request = text.lines().nth(1).unwrap().split_whitespace().next();
+    let request = request.unwrap().to_owned();
+
+    let reached = fleet.world.crashes.reached(&body);
+    assert_eq!(ask(&fleet.nodes[1], &asked()).await.unwrap().status, 503);
+    assert_eq!(fleet.world.crashes.reached(&body), reached);
+    let ended = quarantine(&fleet, &["end", &request]);
+    assert!(ended.status.success(), "{ended:?}");
+    tokio::time::sleep(TELLING).await;
+    // It is sent to targets again, by another node too.
+    let _ = ask(&fleet.nodes[1], &asked()).await;
+    assert!(fleet.world.crashes.reached(&body) > reached);
+    let again = quarantine(&fleet, &["end", "00000000000000000000000000000001"]);
+    assert_eq!(again.status.code(), Some(1));
+    let wrong = quarantine(&fleet, &["end", "nothing"]);
+    assert_eq!(wrong.status.code(), Some(2));
+}
