--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -191,8 +191,8 @@
         let mut buf = [0; MAX_BYTES];
         loop {
             let publish_at = self.published_at + MIN_PUBLISH_INTERVAL;
-            let hearing_ends = self.hearing_ends();
-            let holds_back = self.holds_back() && Instant::now() < hearing_ends;
+            let discovery_ends = self.discovery_ends();
+            let holds_back = self.holds_back() && Instant::now() < discovery_ends;
             let changed = tokio::select! {
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.on_datagram(from, &buf[..len]).await,
@@ -211,7 +211,7 @@
                 Some(node) = self.no_answer.recv() => self.on_no_answer(node).await,
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&fetched_tx).await,
-                () = tokio::time::sleep_until(hearing_ends), if holds_back => self.release_held_back(),
+                () = tokio::time::sleep_until(discovery_ends), if holds_back => self.release_held_back(),
                 // Without it a change soon after another one waits for the next tick: a node that has just
                 // started knows all targets before its traffic does.
                 () = tokio::time::sleep_until(publish_at), if self.has_changes => false,
--- a/crates/azuresaddle-edge/src/control/start_gate.rs
+++ b/crates/azuresaddle-edge/src/control/start_gate.rs
@@ -12,7 +12,7 @@
 
 /// Time after its start that a node gives others to make themselves known: a round trip to its seeds, with a
 /// datagram lost.
-const HEARING: Duration = Duration::from_millis(150);
+const DISCOVERY_WAIT: Duration = Duration::from_millis(150);
 
 /// Time after its start for which a node waits for the targets that others know. Longer, its callers would be better
 /// served by what it has.
@@ -33,9 +33,9 @@
     pub(super) began_at: Option<Instant>,
 }
 
-/// What a node that starts has heard of others.
+/// What a node that starts knows of the others.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Heard {
+pub(super) struct PeerView {
     /// The latest configuration that another node has in force; 0 for none.
     pub(super) newest: u64,
     /// Whether one of them has served for a while, so that it knows what the store may have forgotten.
@@ -45,13 +45,13 @@
 impl StartGate {
     /// Whether a configuration may be the first in force, in a process of some age: none that is older than another
     /// node's, and not without knowing which targets have left.
-    pub(super) fn admits(&self, age: Duration, heard: Heard, version: u64) -> bool {
-        let has_waited = if heard.has_settled {
+    pub(super) fn admits(&self, age: Duration, view: PeerView, version: u64) -> bool {
+        let has_waited = if view.has_settled {
             self.is_synced || age >= SYNC_TIMEOUT
         } else {
-            age >= HEARING
+            age >= DISCOVERY_WAIT
         };
-        has_waited && version >= heard.newest
+        has_waited && version >= view.newest
     }
 }
 
@@ -59,11 +59,11 @@
     /// Whether the first configuration may be in force here.
     pub(super) fn may_begin(&self, now: Instant, version: u64) -> bool {
         let age = now.saturating_duration_since(self.members.started_at);
-        let heard = Heard {
+        let view = PeerView {
             newest: self.members.newest_configuration(now),
             has_settled: self.members.has_settled(now),
         };
-        self.start_gate.admits(age, heard, version)
+        self.start_gate.admits(age, view, version)
     }
 
     /// Tells others once this node has served for a while.
@@ -89,8 +89,8 @@
     }
 
     /// When what waits is to be looked at again, where nothing is heard meanwhile.
-    pub(super) fn hearing_ends(&self) -> Instant {
-        self.members.started_at + HEARING
+    pub(super) fn discovery_ends(&self) -> Instant {
+        self.members.started_at + DISCOVERY_WAIT
     }
 
     /// Looks again at what waits; true where it is in force now.
--- a/crates/azuresaddle-edge/src/control/tests/store_model/nodes.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_model/nodes.rs
@@ -8,7 +8,7 @@
 
 use super::world::World;
 use super::{GRACE, QUIET, TARGETS};
-use crate::control::start_gate::Heard;
+use crate::control::start_gate::PeerView;
 
 impl World {
     /// One call of a node to the store.
@@ -140,7 +140,7 @@
         let others = || (0..self.nodes.len()).filter(|m| *m != n);
         let newest = others().map(|m| self.nodes[m].configuration).max();
         let newest = newest.unwrap_or(0);
-        let heard = Heard {
+        let view = PeerView {
             newest,
             has_settled: others().any(|m| self.is_settled(m)),
         };
@@ -148,7 +148,7 @@
         let age = now.saturating_duration_since(self.nodes[n].started_at);
         let node = &mut self.nodes[n];
         let is_first = node.configuration == 0;
-        if node.read <= node.configuration || (is_first && !node.gate.admits(age, heard, node.read))
+        if node.read <= node.configuration || (is_first && !node.gate.admits(age, view, node.read))
         {
             return Ok(());
         }
