--- a/crates/azuresaddle-edge/src/control/tests/fleet.rs
+++ b/crates/azuresaddle-edge/src/control/tests/fleet.rs
@@ -3,6 +3,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
 
 use super::members::{members, number};
@@ -15,6 +17,9 @@
     pub(super) now: Instant,
     /// Most heartbeats that a node sent in one round.
     pub(super) most_sent: usize,
+    /// Part of the datagrams that is lost.
+    pub(super) lost_share: f64,
+    rng: SmallRng,
 }
 
 impl Fleet {
@@ -24,6 +29,8 @@
             nodes: (1..=nodes).map(|n| members(now, n)).collect(),
             now,
             most_sent: 0,
+            lost_share: 0.0,
+            rng: SmallRng::seed_from_u64(u64::from(nodes)),
         }
     }
 
@@ -59,6 +66,9 @@
             sent.extend(to.into_iter().map(|ip| (ip, beat.clone())));
         }
         for (to, beat) in claims.into_iter().chain(sent) {
+            if self.rng.random_bool(self.lost_share) {
+                continue;
+            }
             changes += usize::from(self.deliver(to, &beat));
         }
         changes
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -208,6 +208,26 @@
     assert!(changes < 20, "{changes} changes of mind in 3 s");
 }
 
+/// All processes of a large fleet start in one moment, so that their rounds of heartbeats come in step, and some
+/// datagrams are lost.
+#[tokio::test(start_paused = true)]
+async fn nobody_is_missed_in_a_fleet_that_starts_in_step() {
+    for nodes in [300, 420] {
+        let mut fleet = Fleet::new(nodes);
+        fleet.lost_share = 0.01;
+        for members in &mut fleet.nodes {
+            members.update_own(|own| own.configuration = 0);
+        }
+        fleet.pass(Duration::from_millis(600));
+        for members in &mut fleet.nodes {
+            members.update_own(|own| own.configuration = 4);
+        }
+        fleet.pass(Duration::from_secs(8));
+        let changes = fleet.pass(Duration::from_secs(5));
+        assert!(changes < 20, "{nodes}: {changes} changes of mind in 5 s");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_node_that_only_signs_tell_of_is_asked_for() {
     let now = Instant::now();
