Send nothing new to failure domains that the operator drains; limit the rate of cold targets

Cause: nothing read the keys with which the operator drains a failure domain, nor the time that a target says it stays cold. A drained domain got requests for as long as it was drained.

Ruled out: an own path for drains. They go through the registry of targets (watch, listing, updates between nodes, hash, positions), so a node that is cut off from the store, starts in the middle or missed the end because of a compaction learns of them as it learns of targets. A record is decided by its position alone; one that a rolled-back store lacks is kept for the grace period, since the operator writes it again. With every domain drained, requests are refused at once as not run, as without targets.

A cold target has a rate limit of half of what its service states. It goes through the token buckets of announced limits: one owner counts for all, and two owners during a change of owner stay together within it.

Before: four of four tests of tests/testsuite/platform/domain_drains.rs failed on the old node. After: they pass (8.4 s), and eight of the registry.

--- a/crates/azuresaddle-core/src/deployment/rate_limit.rs
+++ b/crates/azuresaddle-core/src/deployment/rate_limit.rs
@@ -14,6 +14,18 @@
         (requests.is_finite() && requests >= 0.0).then_some(Self(requests))
     }
 
+    /// The limit times a factor; the limit itself if the factor is negative or not finite.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self::per_second(self.0 * factor).unwrap_or(self)
+    }
+
+    /// The lower one of two limits.
+    #[must_use]
+    pub fn lower(self, other: Self) -> Self {
+        Self(self.0.min(other.0))
+    }
+
     /// Requests per second.
     pub fn requests_per_second(self) -> f64 {
         self.0
--- a/crates/azuresaddle-core/src/deployment/target_entry.rs
+++ b/crates/azuresaddle-core/src/deployment/target_entry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +49,9 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: TargetState,
+    /// How long it stays cold from when it wrote the entry: it is slow, and a high request rate
+    /// crashes it.
+    pub cold_for: Duration,
     /// When it started.
     pub started: TargetStart,
     /// Sequence number among the entries of one run; a lower one was written earlier.
@@ -55,10 +59,12 @@
 }
 
 impl TargetEntry {
-    /// Whether both are equal except for the sequence number, which grows with every update.
-    pub fn eq_ignoring_sequence(&self, other: &Self) -> bool {
+    /// Whether both are equal except for the sequence number and the time that the target stays
+    /// cold, which change with every update.
+    pub fn eq_ignoring_progress(&self, other: &Self) -> bool {
         let renumbered = Self {
             sequence: other.sequence,
+            cold_for: other.cold_for,
             ..self.clone()
         };
         renumbered == *other
--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -250,7 +250,9 @@
         self.gossip_signals().await;
         self.expire_quarantine();
         self.expire_signals(now);
-        let targets_changed = self.registry.expire_removals(now);
+        let mut targets_changed = self.registry.expire_removals(now);
+        targets_changed |= self.registry.expire_drains(now);
+        targets_changed |= self.registry.expire_cold(now);
         self.update_watch(now);
         let destinations = self.members.heartbeat_destinations();
         if !destinations.is_empty() {
--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -151,6 +151,9 @@
         for target in update.targets {
             changed |= self.registry.apply_update(now, target);
         }
+        for drain in update.domain_drains {
+            changed |= self.registry.apply_drain(now, drain);
+        }
         self.registry.on_synced(update.position);
         if fetched.scope == FetchScope::All {
             self.start_gate.is_synced = true;
--- a/crates/azuresaddle-edge/src/control/publish.rs
+++ b/crates/azuresaddle-edge/src/control/publish.rs
@@ -1,7 +1,9 @@
 //! Publishes snapshots of control's state to traffic.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
+use azuresaddle_core::deployment::RateLimit;
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
@@ -9,6 +11,10 @@
 use super::published_targets::PublishedTargets;
 use crate::snapshot::{Snapshot, TargetSet};
 
+/// Share of the rate that a cold target tolerates. While the owner changes, two nodes may each let
+/// this share through.
+const COLD_RATE_SHARE: f64 = 0.5;
+
 impl<N: Network> Control<N> {
     /// Publishes the changes, and sends heartbeats to gossip peers if this node's state changed.
     pub(super) async fn publish_and_gossip(&mut self) {
@@ -31,6 +37,7 @@
         let PublishedTargets {
             targets,
             records,
+            drains,
             hash,
         } = self.registry.published();
         let mut has_news = false;
@@ -51,13 +58,16 @@
         self.metrics
             .is_owner
             .set(i64::from(owner == self.members.incarnation()));
-        let rate_limits = Arc::new(self.signals.rate_limits(&targets));
+        let drained_domains = self.registry.drained_domains().len();
+        self.metrics.drained_domains.set(drained_domains as i64);
+        let rate_limits = Arc::new(self.rate_limits(&targets));
         self.snapshots.publish(Snapshot {
             rate_limits,
             configuration: self.configuration.clone(),
             raw_configuration: self.raw_configuration.clone(),
             targets,
             target_records: records,
+            domain_drains: drains,
             target_position: position,
             nodes: Arc::new(nodes),
             owner,
@@ -66,6 +76,30 @@
         has_news
     }
 
+    /// Rate limits that targets announced, and those of cold targets.
+    fn rate_limits(&self, targets: &TargetSet) -> HashMap<HostName, RateLimit> {
+        let mut limits = self.signals.rate_limits(targets);
+        let Some(configuration) = &self.configuration else {
+            return limits;
+        };
+        let mut cold_targets = 0;
+        for id in self.registry.cold_targets(Instant::now()) {
+            let Some(target) = targets.get(id) else {
+                continue;
+            };
+            cold_targets += 1;
+            let service = configuration.service(&target.service);
+            let Some(cold) = service.and_then(|s| s.cold_limit) else {
+                continue;
+            };
+            let limit = cold.scaled(COLD_RATE_SHARE);
+            let announced = limits.entry(id.clone()).or_insert(limit);
+            *announced = announced.lower(limit);
+        }
+        self.metrics.cold_targets.set(cold_targets);
+        limits
+    }
+
     fn log_changes(&self, before: &Snapshot, targets: &TargetSet, nodes: usize, owner: u64) {
         if before.targets.len() != targets.len() {
             tracing::info!(
--- a/crates/azuresaddle-edge/src/control/published_targets.rs
+++ b/crates/azuresaddle-edge/src/control/published_targets.rs
@@ -5,7 +5,9 @@
 
 use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
 use azuresaddle_core::prelude::*;
+use tokio::time::Instant;
 
+use super::domain_drain::DomainDrain;
 use super::registry::Registry;
 use super::target_record::TargetRecord;
 use crate::snapshot::TargetSet;
@@ -17,7 +19,9 @@
     pub(super) targets: Arc<TargetSet>,
     /// All records, for other nodes.
     pub(super) records: Arc<Vec<Arc<TargetRecord>>>,
-    /// Hash of the targets with an entry.
+    /// All records of drained failure domains, for other nodes.
+    pub(super) drains: Arc<Vec<DomainDrain>>,
+    /// Hash of the targets with an entry and of the drained failure domains.
     pub(super) hash: u32,
 }
 
@@ -35,6 +39,7 @@
         let published = PublishedTargets {
             targets: Arc::new(self.targets()),
             records: Arc::new(records),
+            drains: Arc::new(self.drains.all().cloned().collect()),
             hash: self.hash(),
         };
         self.published = Some(published.clone());
@@ -68,10 +73,28 @@
             .entries
             .values()
             .filter_map(|h| h.record.entry().cloned());
-        TargetSet::new(entries.filter(|e| e.state == TargetState::Ready && !self.is_draining(e)))
+        TargetSet::new(entries.filter(|e| self.accepts_work(e)))
     }
 
-    /// Hash of the targets with an entry.
+    fn accepts_work(&self, target: &TargetEntry) -> bool {
+        target.state == TargetState::Ready
+            && !self.is_draining(target)
+            && !self.drains.is_active(&target.domain)
+    }
+
+    /// Names of the targets that are cold.
+    pub(super) fn cold_targets(&self, now: Instant) -> impl Iterator<Item = &HostName> {
+        let cold = self.entries.values().filter(move |h| h.is_cold(now));
+        cold.filter_map(|h| h.record.entry()).map(|e| &e.id)
+    }
+
+    /// Ends the cold time of targets where it is over; true if any ended.
+    pub(super) fn expire_cold(&mut self, now: Instant) -> bool {
+        let entries = self.entries.values_mut();
+        entries.fold(false, |changed, h| h.expire_cold(now) | changed)
+    }
+
+    /// Hash of the targets with an entry and of the drained failure domains.
     ///
     /// Two nodes that know the same changes can still differ for a while if one of them treats a
     /// removal as a lapse caused by an outage; the hash reveals this.
@@ -86,6 +109,10 @@
             // Addition makes the hash independent of the order of the entries.
             hash = u32::wrapping_add(hash, xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as u32);
         }
+        for domain in self.drains.active() {
+            let hashed = xxhash_rust::xxh3::xxh3_64(domain.as_str().as_bytes()) as u32;
+            hash = u32::wrapping_add(hash, hashed);
+        }
         hash
     }
 }
--- a/crates/azuresaddle-edge/src/control/registry.rs
+++ b/crates/azuresaddle-edge/src/control/registry.rs
@@ -10,6 +10,7 @@
 use azuresaddle_platform::{DecodeError, StoreEra, StoreItem, StorePosition};
 use tokio::time::Instant;
 
+use super::domain_drains::DomainDrains;
 use super::published_targets::PublishedTargets;
 use super::registry_entry::RegistryEntry;
 use super::target_record::{TargetRecord, TargetUpdate};
@@ -26,6 +27,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Registry {
     pub(super) entries: HashMap<Arc<str>, RegistryEntry>,
+    /// Failure domains that the operator drains.
+    pub(super) drains: DomainDrains,
     /// Position of the latest known change.
     position: StorePosition,
     /// Position up to which this node has read all changes from the store itself.
@@ -67,6 +70,16 @@
         self.outage_grace_until = None;
     }
 
+    /// Position up to which this node has read all changes from the store itself.
+    pub(super) fn read_up_to(&self) -> StorePosition {
+        self.read_up_to
+    }
+
+    /// Until when entries are kept that the store lost in its latest rollback.
+    pub(super) fn rollback_grace_until(&self) -> Option<Instant> {
+        self.rollback_grace_until
+    }
+
     /// Latest known era of the store.
     pub(super) fn era(&self) -> StoreEra {
         self.era
@@ -141,11 +154,7 @@
         self.position = self.position.max(record.position());
         let Some(entry) = self.entries.get_mut(record.key()) else {
             let has_entry = record.entry().is_some();
-            let entry = RegistryEntry {
-                removed_at: record.is_removed().then_some(now),
-                record: Arc::new(record),
-                pending_removal: None,
-            };
+            let entry = RegistryEntry::new(now, record);
             self.entries.insert(Arc::clone(entry.record.key()), entry);
             self.published = None;
             return has_entry;
--- a/crates/azuresaddle-edge/src/control/store_events.rs
+++ b/crates/azuresaddle-edge/src/control/store_events.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{KeyKind, StoreItem, decode_configuration, key_kind};
+use azuresaddle_platform::{KeyKind, StoreItem, decode_configuration, drained_domain, key_kind};
 use tokio::time::Instant;
 
 use super::actor::Control;
@@ -48,7 +48,10 @@
                 let (targets, others): (Vec<_>, Vec<_>) = items
                     .into_iter()
                     .partition(|i| key_kind(&i.key) == KeyKind::Target);
-                let changed = self.registry.apply_listing(now, targets, at);
+                let listed = others.iter().filter_map(|i| drained_domain(&i.key));
+                let listed: Vec<FailureDomain> = listed.collect();
+                let mut changed = self.registry.apply_listing(now, targets, at);
+                changed |= self.registry.end_unlisted_drains(now, &listed, at);
                 self.registry.on_caught_up();
                 self.on_items(now, others) | changed
             }
@@ -70,6 +73,7 @@
     pub(super) fn on_item(&mut self, now: Instant, item: StoreItem) -> bool {
         match key_kind(&item.key) {
             KeyKind::Target => self.registry.apply(now, item),
+            KeyKind::DomainDrain => self.registry.apply_drain_item(now, &item),
             KeyKind::Configuration => item
                 .value
                 .is_some_and(|json| self.on_configuration(json, "the store")),
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the control plane.
 
 mod crash_gossip;
+mod domain_drains;
 mod failover;
 mod fleet;
 mod members;
--- a/crates/azuresaddle-edge/src/control/tests/registry.rs
+++ b/crates/azuresaddle-edge/src/control/tests/registry.rs
@@ -23,9 +23,25 @@
 
 /// Entry of a given start of a target.
 pub(super) fn item_of(id: &str, state: &str, revision: u64, born: u64, sequence: u64) -> StoreItem {
+    entry(id, "d1", state, 0, revision, (born, sequence))
+}
+
+/// Entry of a target in a failure domain that stays cold for a time.
+pub(super) fn item_in(id: &str, domain: &str, cold_ms: u64, revision: u64) -> StoreItem {
+    entry(id, domain, "ready", cold_ms, revision, (1_000, revision))
+}
+
+fn entry(
+    id: &str,
+    domain: &str,
+    state: &str,
+    cold_ms: u64,
+    revision: u64,
+    (born, sequence): (u64, u64),
+) -> StoreItem {
     let value = format!(
-        r#"{{"service":"s","address":"10.0.0.9:80","zone":"d1","version":"v1","slots":6,
-        "state":"{state}","cold_remaining_ms":0,"born":{born},"sequence":{sequence}}}"#
+        r#"{{"service":"s","address":"10.0.0.9:80","zone":"{domain}","version":"v1","slots":6,
+        "state":"{state}","cold_remaining_ms":{cold_ms},"born":{born},"sequence":{sequence}}}"#
     );
     StoreItem {
         key: format!("servers/{id}"),
--- a/crates/azuresaddle-edge/src/forward/tests/broken_sends.rs
+++ b/crates/azuresaddle-edge/src/forward/tests/broken_sends.rs
@@ -20,6 +20,7 @@
         domain: FailureDomain::new("d1"),
         state: TargetState::Ready,
         slots: 16,
+        cold_for: Duration::ZERO,
         started: TargetStart(started),
         sequence: 1,
     }
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -70,6 +70,8 @@
     answer_time: Family<ServiceLabels, Histogram>,
     pub(crate) configuration_version: Gauge<u64, AtomicU64>,
     pub(crate) targets: Gauge,
+    pub(crate) cold_targets: Gauge,
+    pub(crate) drained_domains: Gauge,
     pub(crate) nodes: Gauge,
     pub(crate) is_owner: Gauge,
     pub(crate) store_failures: Counter,
@@ -95,6 +97,8 @@
             answer_time: Family::new_with_constructor(latency_histogram),
             configuration_version: Gauge::default(),
             targets: Gauge::default(),
+            cold_targets: Gauge::default(),
+            drained_domains: Gauge::default(),
             nodes: Gauge::default(),
             is_owner: Gauge::default(),
             store_failures: Counter::default(),
@@ -136,6 +140,10 @@
             help,
             self.configuration_version.clone(),
         );
+        let help = "Targets that are cold after their start";
+        r.register("cold_targets", help, self.cold_targets.clone());
+        let help = "Failure domains that the operator drains";
+        r.register("drained_domains", help, self.drained_domains.clone());
         r.register(
             "targets",
             "Targets that take new work",
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -233,6 +233,7 @@
         targets: Arc::new(TargetSet::default()),
         rate_limits: Arc::default(),
         target_records: Arc::default(),
+        domain_drains: Arc::default(),
         target_position: StorePosition::default(),
         nodes: Arc::new(vec![own]),
         owner: NO_OWNER,
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -9,7 +9,7 @@
 use azuresaddle_sched::passes::{PlacementId, RunningStream, StreamOutcome, Suspect};
 use serde::{Deserialize, Serialize};
 
-use crate::control::TargetUpdate;
+use crate::control::{DomainDrain, TargetUpdate};
 
 /// Requests the placement of a stream from the owner. Times are relative, since the nodes' clocks differ.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -113,6 +113,7 @@
     /// The configuration, if it is newer than the requesting node's.
     pub(crate) configuration: Option<Vec<u8>>,
     pub(crate) targets: Vec<TargetUpdate>,
-    /// Store position of the latest change of targets that the node knows.
+    pub(crate) domain_drains: Vec<DomainDrain>,
+    /// Store position of the latest change of targets or drained failure domains that the node knows.
     pub(crate) position: StorePosition,
 }
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -101,6 +101,12 @@
                 .filter(|_| newer)
                 .cloned(),
             position: snapshot.target_position,
+            domain_drains: snapshot
+                .domain_drains
+                .iter()
+                .filter(|d| targets.is_none_or(|after| d.position > after))
+                .cloned()
+                .collect(),
             targets: snapshot
                 .target_records
                 .iter()
--- a/crates/azuresaddle-edge/src/placement/tests/handover.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/handover.rs
@@ -28,6 +28,7 @@
         targets: Arc::new(TargetSet::default()),
         rate_limits: Arc::default(),
         target_records: Arc::default(),
+        domain_drains: Arc::default(),
         target_position: StorePosition::default(),
         nodes: Arc::new(nodes.iter().map(|n| node(*n)).collect()),
         owner: 1,
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -10,7 +10,7 @@
 use azuresaddle_platform::StorePosition;
 use tokio::sync::watch;
 
-use crate::control::TargetRecord;
+use crate::control::{DomainDrain, TargetRecord};
 
 /// Value of [`Snapshot::owner`] if no owner is known yet; no process has this incarnation.
 pub(crate) const NO_OWNER: u64 = 0;
@@ -86,7 +86,9 @@
     pub(crate) rate_limits: Arc<HashMap<HostName, RateLimit>>,
     /// All records of targets, for other nodes.
     pub(crate) target_records: Arc<Vec<Arc<TargetRecord>>>,
-    /// Store position of the latest known change of targets.
+    /// All records of drained failure domains, for other nodes.
+    pub(crate) domain_drains: Arc<Vec<DomainDrain>>,
+    /// Store position of the latest known change of targets or drained failure domains.
     pub(crate) target_position: StorePosition,
     /// Live nodes, including this one.
     pub(crate) nodes: Arc<Vec<LiveNode>>,
--- a/crates/azuresaddle-edge/src/targets/tests/health.rs
+++ b/crates/azuresaddle-edge/src/targets/tests/health.rs
@@ -16,6 +16,7 @@
         domain: "d1".into(),
         slots: 6,
         state: TargetState::Ready,
+        cold_for: Duration::ZERO,
         started: TargetStart::default(),
         sequence: 1,
     })
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -8,6 +8,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use azuresaddle_core::http::{ServerLimits, serve};
 use azuresaddle_core::net::TcpNetwork;
@@ -34,6 +35,9 @@
 /// Time that targets report for their first start, in Unix milliseconds; only the order of starts matters.
 const FIRST_START_MS: u64 = 1_790_000_000_000;
 
+/// Failure domain of the nodes, and of the targets unless they are moved.
+const FIRST_DOMAIN: &str = "d1";
+
 /// Number of targets of a stand-in platform.
 #[derive(Clone, Copy, Debug)]
 pub struct PlatformOptions {
@@ -75,6 +79,8 @@
     desired_state: DesiredState,
     /// Address of the proxy under which a target is registered, by target id.
     proxy_addrs: HashMap<String, SocketAddr>,
+    /// Failure domains of targets that are not in [`FIRST_DOMAIN`], by target id.
+    domains: HashMap<String, String>,
 }
 
 impl StandInPlatform {
@@ -108,6 +114,7 @@
             desired_state: DesiredState::new(store.clone()),
             store,
             proxy_addrs: HashMap::new(),
+            domains: HashMap::new(),
         };
         for _ in 0..options.engines {
             platform.add_engine().await?;
@@ -207,14 +214,22 @@
     }
 
     fn register(&self, target: &Target, state: &str) {
+        self.write_entry(target, state, Duration::ZERO);
+    }
+
+    fn write_entry(&self, target: &Target, state: &str, cold_for: Duration) {
+        let domain = self
+            .domains
+            .get(&target.id)
+            .map_or(FIRST_DOMAIN, String::as_str);
         let entry = json!({
             "service": target.service,
             "address": self.proxy_addrs.get(&target.id).unwrap_or(&target.addr).to_string(),
-            "zone": "d1",
+            "zone": domain,
             "version": "v1",
             "slots": 16,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": cold_for.as_millis() as u64,
             "born": target.started_ms,
             "sequence": target.entries_written.fetch_add(1, Ordering::Relaxed) + 1,
         });
@@ -230,6 +245,29 @@
         self.register(target, "ready");
     }
 
+    /// Registers a target again, as one in another failure domain.
+    pub fn move_to_domain(&mut self, handle: &TargetHandle, domain: &str) {
+        let id = handle.target.id.clone();
+        self.domains.insert(id, domain.to_owned());
+        self.register(&handle.target, "ready");
+    }
+
+    /// Registers a target as cold for a time.
+    pub fn register_cold(&self, handle: &TargetHandle, cold_for: Duration) {
+        self.write_entry(&handle.target, "ready", cold_for);
+    }
+
+    /// Drains a failure domain: asks for no new requests to its targets.
+    pub fn drain_domain(&self, domain: &str) {
+        self.desired_state
+            .write(&domain_drain_key(domain), "{}".to_owned());
+    }
+
+    /// Ends the drain of a failure domain.
+    pub fn end_domain_drain(&self, domain: &str) {
+        self.desired_state.remove(&domain_drain_key(domain));
+    }
+
     /// Registers a target as draining.
     pub fn drain(&self, handle: &TargetHandle) {
         self.register(&handle.target, "draining");
@@ -273,7 +311,7 @@
 machine_class = "edge"
 serves = ["edge", "control", "registry"]
 ip = "{ip}"
-zone = "d1"
+zone = "{FIRST_DOMAIN}"
 region = "r1"
 internal_port_range = [{inner}, {inner_last}]
 seed_nodes = [{seeds}]
@@ -308,6 +346,10 @@
     }
 }
 
+fn domain_drain_key(domain: &str) -> String {
+    format!("op/evacuate/{domain}")
+}
+
 fn first_configuration() -> ConfigurationSpec {
     let route = |prefix: &str, service: &str, kind, resumable| RouteSpec {
         prefix: prefix.to_owned(),
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -3,6 +3,7 @@
 mod burn;
 mod configuration;
 mod diagnostics;
+mod domain_drains;
 mod drains;
 mod end_to_end;
 mod faults;
