Start of a fleet: one call to the store for each node, the rest stale or from a node

A store of one page is read as before. Of a longer one the pages after the first are left to a node that has been serving for a while, if one is known 0.15 s after the start, else they are read as possibly stale, at a tenth of the price and without a share of the store's rate limit. The listing counts as of the earliest page, and what changed since follows by the watch or from other nodes. A node that later watches the store reads it anew first.

Ruled out: electing readers by random delays, which makes small fleets return later, and stale reads of the configuration, which would have to be mended at the next fetch.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -21,9 +21,10 @@
 use super::registry::Registry;
 use super::signal_records::SignalRecords;
 use super::signals::SignalGossip;
-use super::start_gate::StartGate;
-use super::store_watch::{StoreEvent, watch_store};
+use super::start_gate::{SYNC_TIMEOUT, StartGate};
+use super::store_watch::{StoreEvent, StoreReading, watch_store};
 use super::stored_crashes::StoredCrashes;
+use super::watch_role::WatchRole;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::quarantine::{CrashUpdate, SharedQuarantine};
@@ -47,6 +48,13 @@
 /// Capacity of the queue of crash writes: enough for the crashes of all streams on a few targets.
 const MAX_WAITING_CRASHES: usize = 64;
 
+/// Minimum interval between two watch calls of the first watcher, which the other nodes hear from.
+const LEADING_WATCH_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Minimum interval between two watch calls of the other watchers. They only matter if the first one
+/// ends, so their calls may cover more changes.
+const STANDBY_WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Dependencies of the control loop.
 pub(crate) struct ControlParts<N> {
     pub(crate) settings: NodeSettings,
@@ -91,8 +99,8 @@
     /// Latest known era of the store; each time the store is restored from an older copy a new era
     /// begins.
     pub(super) known_era: Option<StoreEra>,
-    /// Enables the watch of the store.
-    pub(super) watch_enabled: watch::Sender<bool>,
+    /// Whether and how this node reads the store.
+    pub(super) reading: watch::Sender<StoreReading>,
     /// Enables the probe that detects a rollback of the store.
     pub(super) probe_enabled: watch::Sender<bool>,
     /// Whether this node has read the complete store.
@@ -124,19 +132,22 @@
         let http = HttpClient::new(parts.net.clone(), spawner.clone());
         let store = PlatformStore::new(http, parts.settings.store, STORE_TIMEOUT);
         let (store_tx, store_rx) = mpsc::channel(MAX_WAITING_EVENTS);
-        let watch_enabled = watch::Sender::new(false);
+        let reading = watch::Sender::new(StoreReading {
+            watch_interval: None,
+            has_provider: false,
+        });
         let (crash_writes, crash_writes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
         let probe_enabled = watch::Sender::new(false);
         spawner.spawn(write_crashes(store.clone(), crash_writes_rx));
         spawner.spawn(probe_era(store.clone(), probe_enabled.subscribe()));
-        spawner.spawn(watch_store(store, watch_enabled.subscribe(), store_tx));
-        let control = Self::new(parts, watch_enabled, probe_enabled, crash_writes);
+        spawner.spawn(watch_store(store, reading.subscribe(), store_tx));
+        let control = Self::new(parts, reading, probe_enabled, crash_writes);
         spawner.spawn(control.run(store_rx));
     }
 
     fn new(
         parts: ControlParts<N>,
-        watch_enabled: watch::Sender<bool>,
+        reading: watch::Sender<StoreReading>,
         probe_enabled: watch::Sender<bool>,
         crash_writes: mpsc::Sender<CrashWrite>,
     ) -> Self {
@@ -175,7 +186,7 @@
             full_fetch_at: None,
             start_gate: StartGate::default(),
             known_era: None,
-            watch_enabled,
+            reading,
             probe_enabled,
             has_listed_store: false,
             is_store_unreachable: false,
@@ -267,13 +278,14 @@
 
     /// Enables or disables the watch and the probe of the store according to this node's rank.
     fn update_watch(&mut self, now: Instant) {
-        let should = self.members.should_watch(now);
-        let enabled = self.watch_enabled.send_if_modified(|on| {
-            let changed = *on != should;
-            *on = should;
-            changed
-        });
-        if enabled {
+        let role = self.members.watch_role(now);
+        let should = role.is_some();
+        let reading = StoreReading {
+            watch_interval: role.map(watch_interval),
+            has_provider: self.has_provider(now),
+        };
+        let before = self.reading.send_replace(reading);
+        if before.watch_interval.is_some() != should {
             tracing::info!(
                 part = "control",
                 watching = should,
@@ -291,6 +303,13 @@
         self.members.update_own(|own| own.is_watching = is_watching);
     }
 
+    /// Returns whether another node provides the targets to this one, which has just started.
+    fn has_provider(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.members.started_at);
+        let is_synced = self.start_gate.is_synced;
+        is_synced || (self.members.has_settled(now) && age < SYNC_TIMEOUT)
+    }
+
     fn on_leaving(&mut self) -> bool {
         self.members.update_own(|own| own.is_leaving = true);
         true
@@ -300,3 +319,10 @@
         self.configuration.as_ref().map_or(0, |c| c.version.0)
     }
 }
+
+fn watch_interval(role: WatchRole) -> Duration {
+    match role {
+        WatchRole::Leading => LEADING_WATCH_INTERVAL,
+        WatchRole::Standby => STANDBY_WATCH_INTERVAL,
+    }
+}
--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -104,7 +104,7 @@
         if let Some(addr) = self.members.choose_peer(now, is_later) {
             self.differs_since = None;
             let since = *self.behind_since.get_or_insert(now);
-            let head_start = if self.members.should_watch(now) {
+            let head_start = if self.members.watch_role(now).is_some() {
                 WATCH_HEAD_START
             } else {
                 Duration::ZERO
@@ -132,7 +132,8 @@
     /// links that some share with callers.
     fn is_listing_store(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.members.started_at);
-        !self.has_listed_store && !self.is_store_unreachable && age < LISTING_WAIT
+        let has_targets = self.has_listed_store || self.start_gate.is_synced;
+        !has_targets && !self.is_store_unreachable && age < LISTING_WAIT
     }
 
     fn may_fetch_all(&self, now: Instant) -> bool {
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -16,6 +16,7 @@
 
 use super::failover::Failover;
 use super::heartbeat::MemberState;
+use super::watch_role::WatchRole;
 use crate::snapshot::{LiveNode, NO_OWNER};
 
 /// Interval between two ticks of the control loop.
@@ -216,27 +217,33 @@
         all
     }
 
-    /// Returns whether this node should watch the store: all nodes of a small fleet do, a few of a
-    /// larger one, and more if too few of these get answers.
+    /// Returns how this node should watch the store, if at all: all nodes of a small fleet do, a few
+    /// of a larger one, and more if too few of these get answers.
     ///
     /// If all nodes of a large fleet retried at once, a store that is down would receive several
     /// times the calls.
-    pub(super) fn should_watch(&mut self, now: Instant) -> bool {
+    pub(super) fn watch_role(&mut self, now: Instant) -> Option<WatchRole> {
         if now.saturating_duration_since(self.started_at) < WATCH_DELAY {
-            return false;
+            return None;
         }
         let ranked = self.ranked(now);
         if ranked.len() <= MAX_MESH {
-            return true;
+            return Some(WatchRole::Leading);
         }
         let own = self.own.incarnation;
-        let rank = ranked.iter().position(|n| n.incarnation == own);
+        let rank = ranked.iter().position(|n| n.incarnation == own)?;
+        let is_leading = ranked[..rank].iter().all(|n| !n.is_watching);
         let watching = ranked
             .iter()
             .filter(|n| n.is_watching && n.incarnation != own);
         let is_watched = watching.count() >= MIN_WATCHING;
+        let role = if is_leading {
+            WatchRole::Leading
+        } else {
+            WatchRole::Standby
+        };
         let most = self.max_watchers(now, is_watched);
-        rank.is_some_and(|r| r < most)
+        (rank < most).then_some(role)
     }
 
     /// Returns how many of the highest-ranked nodes may watch the store.
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod target_record;
 #[cfg(test)]
 mod tests;
+mod watch_role;
 
 pub(crate) use actor::{Control, ControlParts};
 pub(crate) use domain_drain::DomainDrain;
--- a/crates/azuresaddle-edge/src/control/start_gate.rs
+++ b/crates/azuresaddle-edge/src/control/start_gate.rs
@@ -16,7 +16,7 @@
 
 /// Time after the start of the process for which it waits for the targets that other nodes know.
 /// After a longer wait its callers would be better served with what it has.
-const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time after which a node with a configuration counts as settled, so that starting nodes fetch
 /// everything from it. Nodes that start together have nothing to offer each other, and hundreds of
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{PlatformStore, StoreEra, StoreError, StoreItem, StorePosition};
+use azuresaddle_platform::{
+    Freshness, PlatformStore, StoreEra, StoreError, StoreItem, StorePosition,
+};
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 /// Maximum duration of one watch call; a dead connection is detected shortly after it. Each watch
 /// is a paid call.
@@ -17,8 +20,19 @@
 /// Maximum backoff after failed calls.
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Minimum interval between two watch calls, so that changes in quick succession share a call.
-const MIN_INTERVAL: Duration = Duration::from_millis(40);
+/// Time for which a node that has just started leaves the remaining pages of a long listing to a
+/// node that has been serving for a while, which needs a round trip to the seeds to be known.
+const PEER_DISCOVERY: Duration = Duration::from_millis(150);
+
+/// Whether and how a node reads the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct StoreReading {
+    /// Minimum interval between two watch calls, so that changes in quick succession share a call;
+    /// `None` if other nodes watch.
+    pub(super) watch_interval: Option<Duration>,
+    /// Whether another node provides the remaining pages of the first listing.
+    pub(super) has_provider: bool,
+}
 
 /// An event from the store.
 #[derive(Debug)]
@@ -50,20 +64,36 @@
     Era(StoreEra),
 }
 
-/// Reads the complete store, then watches it while `enabled`. Returns once nobody receives the events
-/// or can enable the watch.
+/// Reads the complete store, then watches it as long as `reading` has an interval. Returns once nobody
+/// receives the events or can enable the watch.
 pub(super) async fn watch_store<N: Network>(
     store: PlatformStore<N>,
-    mut enabled: watch::Receiver<bool>,
+    mut reading: watch::Receiver<StoreReading>,
     tx: mpsc::Sender<StoreEvent>,
 ) {
-    let mut progress = ReadProgress::start();
+    let started_at = Instant::now();
+    let mut progress = ReadProgress::start(Freshness::MayBeStale);
     let mut era = store.subscribe_era();
     let mut is_unreachable = false;
     let mut backoff = FIRST_BACKOFF;
     while !tx.is_closed() {
-        if progress.is_watching() && enabled.wait_for(|on| *on).await.is_err() {
-            return;
+        if progress.is_watching() {
+            let enabled = reading.wait_for(|r| r.watch_interval.is_some()).await;
+            if enabled.is_err() {
+                return;
+            }
+        }
+        if progress.may_be_provided() {
+            tokio::time::sleep_until(started_at + PEER_DISCOVERY).await;
+            let is_provided = reading.borrow().has_provider;
+            let needed = |r: &StoreReading| !r.has_provider || r.watch_interval.is_some();
+            if reading.wait_for(needed).await.is_err() {
+                return;
+            }
+            if is_provided {
+                // The first page is outdated by now.
+                progress = ReadProgress::start(Freshness::Latest);
+            }
         }
         let mut later = era.clone();
         let result = tokio::select! {
@@ -86,7 +116,7 @@
                 event
             }
             Err(StoreError::Compacted | StoreError::RolledBack) => {
-                progress = ReadProgress::start();
+                progress = ReadProgress::start(Freshness::Latest);
                 continue;
             }
             Err(e) => {
@@ -105,8 +135,11 @@
         if tx.send(event).await.is_err() {
             return;
         }
-        if progress.is_watching() {
-            tokio::time::sleep(MIN_INTERVAL).await;
+        let interval = reading.borrow().watch_interval;
+        if let Some(interval) = interval
+            && progress.is_watching()
+        {
+            tokio::time::sleep(interval).await;
         }
     }
 }
@@ -137,24 +170,39 @@
     /// The complete store is being read page by page.
     Listing {
         items: Vec<StoreItem>,
-        /// Position of the first page.
+        /// Earliest position of the pages so far.
         at: Option<StorePosition>,
         /// Key after which the next page starts.
         after: Option<String>,
+        /// How recent the pages after the first one must be.
+        freshness: Freshness,
     },
     /// Changes after a position are being watched.
     Watching(StorePosition),
 }
 
 impl ReadProgress {
-    fn start() -> Self {
+    fn start(freshness: Freshness) -> Self {
         Self::Listing {
             items: Vec::new(),
             at: None,
             after: None,
+            freshness,
         }
     }
 
+    /// Whether the next page is one of the first listing that another node may provide instead.
+    fn may_be_provided(&self) -> bool {
+        matches!(
+            self,
+            Self::Listing {
+                after: Some(_),
+                freshness: Freshness::MayBeStale,
+                ..
+            }
+        )
+    }
+
     fn is_watching(&self) -> bool {
         matches!(self, Self::Watching(_))
     }
@@ -162,7 +210,7 @@
     /// Restarts a listing that failed, since the next attempt may be much later.
     fn on_failure(&mut self) {
         if !self.is_watching() {
-            *self = Self::start();
+            *self = Self::start(Freshness::Latest);
         }
     }
 }
@@ -170,18 +218,30 @@
 /// Reads the next page or waits for the next changes.
 ///
 /// The items of a page are delivered at once: the first page contains the configuration, and the
-/// remaining pages of thousands of targets take seconds when hundreds of nodes start together.
+/// remaining pages of thousands of targets take seconds when hundreds of nodes start together. Those
+/// may be stale in the first listing, since the changes after them follow by the watch or from other
+/// nodes.
 async fn next_event<N: Network>(
     store: &PlatformStore<N>,
     progress: &mut ReadProgress,
 ) -> Result<StoreEvent, StoreError> {
     match progress {
-        ReadProgress::Listing { items, at, after } => {
-            let page = store.page("", after.as_deref()).await?;
-            let first_at = *at.get_or_insert(page.at);
-            if page.at.era != first_at.era {
+        ReadProgress::Listing {
+            items,
+            at,
+            after,
+            freshness,
+        } => {
+            let freshness = match after {
+                Some(_) => *freshness,
+                None => Freshness::Latest,
+            };
+            let page = store.page("", after.as_deref(), freshness).await?;
+            let first_at = at.map_or(page.at, |at| at.min(page.at));
+            if at.is_some_and(|at| at.era != page.at.era) {
                 return Err(StoreError::RolledBack);
             }
+            *at = Some(first_at);
             *after = page.next;
             if after.is_some() {
                 items.extend(page.items.iter().cloned());
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -196,10 +196,7 @@
         assert_eq!((nodes.len(), owner), (usize::from(NODES), 1000));
     }
     let now = fleet.now;
-    let watching = fleet
-        .nodes
-        .iter_mut()
-        .filter_map(|m| m.should_watch(now).then_some(()));
+    let watching = fleet.nodes.iter_mut().filter_map(|m| m.watch_role(now));
     assert_eq!(watching.count(), 4);
 }
 
@@ -273,22 +270,22 @@
 async fn more_nodes_watch_the_store_when_few_get_answers() {
     let now = Instant::now();
     assert!(
-        unwatched(now, 10).should_watch(now),
+        unwatched(now, 10).watch_role(now).is_some(),
         "one of the standby watchers"
     );
     let mut last = unwatched(now, 60);
     assert!(
-        !last.should_watch(now),
+        last.watch_role(now).is_none(),
         "others wait for the standby watchers"
     );
     let later = now + Duration::from_millis(1000);
     assert!(
-        last.should_watch(later),
+        last.watch_role(later).is_some(),
         "after a second all 42 nodes watch"
     );
     // Two nodes with a working watch are enough.
     last.on_heartbeat(later, ip(42), &heartbeat(42, 1));
-    assert!(!last.should_watch(later));
+    assert!(last.watch_role(later).is_none());
 }
 
 #[tokio::test(start_paused = true)]
@@ -301,7 +298,7 @@
     let now = fleet.now;
     let mut count_watching = |at| {
         let all = fleet.nodes.iter_mut();
-        all.filter_map(|m| m.should_watch(at).then_some(())).count()
+        all.filter_map(|m| m.watch_role(at)).count()
     };
     assert_eq!(count_watching(now), 16);
     // 64 nodes, plus a few that do not know all nodes ranked above them.
@@ -314,8 +311,12 @@
     let now = Instant::now();
     let mut members = members(now, 3);
     members.started_at = now;
-    assert!(!members.should_watch(now));
-    assert!(members.should_watch(now + Duration::from_millis(600)));
+    assert!(members.watch_role(now).is_none());
+    assert!(
+        members
+            .watch_role(now + Duration::from_millis(600))
+            .is_some()
+    );
 }
 
 /// Traffic between failure domains is expensive, so most gossip peers are in the own domain; states
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -9,4 +9,5 @@
 mod signals;
 mod store_model;
 mod store_rollback;
+mod store_watch;
 mod target_record;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/tests/store_watch.rs
@@ -0,0 +1,130 @@
+//! Tests of how a node that starts reads a store whose listing has several pages.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azuresaddle_core::http::{Body, Handler, HttpClient, ServerLimits, full, serve};
+use azuresaddle_core::net::TcpNetwork;
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::{PlatformStore, StorePosition};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use serde_json::json;
+use tokio::sync::{mpsc, watch};
+
+use crate::control::store_watch::{StoreEvent, StoreReading, watch_store};
+
+/// Revision of the store, and that of the copy from which it answers reads that may be stale.
+const REVISION: u64 = 30;
+const STALE_REVISION: u64 = 20;
+
+/// A store with three pages of one key each, which keeps the queries of all calls.
+#[derive(Default)]
+struct PagedStore {
+    queries: Mutex<Vec<String>>,
+}
+
+impl PagedStore {
+    fn queries(&self) -> Vec<String> {
+        self.queries.lock().unwrap().clone()
+    }
+}
+
+impl Handler for PagedStore {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        let target = req.uri().to_string();
+        self.queries.lock().unwrap().push(target.clone());
+        if target.starts_with("/kv-watch") {
+            std::future::pending::<()>().await;
+        }
+        let page = match target.split_once("after=") {
+            None => 1,
+            Some((_, after)) => after[after.len() - 1..].parse::<u64>().unwrap() + 1,
+        };
+        let is_stale = target.contains("stale_read=1");
+        let at = if is_stale { STALE_REVISION } else { REVISION };
+        let entry = json!({"key": format!("servers/{page}"), "value": "e30=", "revision": page});
+        let body = json!({"entries": [entry], "has_more": page < 3, "at": at});
+        Response::new(full(body.to_string()))
+    }
+}
+
+struct Running {
+    store: Arc<PagedStore>,
+    reading: watch::Sender<StoreReading>,
+    events: mpsc::Receiver<StoreEvent>,
+}
+
+async fn start(has_provider: bool) -> Running {
+    let store = Arc::new(PagedStore::default());
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpNetwork.bind(addr).await.unwrap();
+    let addr = listener.local_addr();
+    serve(
+        listener,
+        Spawner::current(),
+        ServerLimits::default(),
+        Arc::clone(&store),
+    );
+    let http = HttpClient::new(TcpNetwork, Spawner::current());
+    let client = PlatformStore::new(http, addr, Duration::from_secs(5));
+    let reading = watch::Sender::new(StoreReading {
+        watch_interval: None,
+        has_provider,
+    });
+    let (tx, events) = mpsc::channel(16);
+    Spawner::current().spawn(watch_store(client, reading.subscribe(), tx));
+    Running {
+        store,
+        reading,
+        events,
+    }
+}
+
+impl Running {
+    /// Waits for the complete listing; returns its position.
+    async fn listing(&mut self) -> StorePosition {
+        loop {
+            if let StoreEvent::Listing { items, at } = self.events.recv().await.unwrap() {
+                assert_eq!(items.len(), 3);
+                return at;
+            }
+        }
+    }
+
+    /// Whether each call so far was one that may be answered from an older copy.
+    fn stale(&self) -> Vec<bool> {
+        let queries = self.store.queries();
+        queries.iter().map(|q| q.contains("stale_read=1")).collect()
+    }
+}
+
+#[tokio::test]
+async fn the_first_listing_reads_only_its_first_page_at_the_full_price() {
+    let mut node = start(false).await;
+    // Changes after the earliest page may be missing from the listing.
+    assert_eq!(node.listing().await.revision, STALE_REVISION);
+    assert_eq!(node.stale(), [false, true, true]);
+}
+
+#[tokio::test]
+async fn a_node_that_starts_in_a_running_fleet_reads_one_page() {
+    let mut node = start(true).await;
+    while !matches!(node.events.recv().await, Some(StoreEvent::Page(_))) {}
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(node.stale(), [false]);
+    // Once it watches the store for others it reads everything as it is then.
+    node.reading
+        .send_modify(|r| r.watch_interval = Some(Duration::from_millis(1)));
+    assert_eq!(node.listing().await.revision, REVISION);
+    assert_eq!(node.stale()[..4], [false; 4]);
+}
+
+#[tokio::test]
+async fn a_node_whose_provider_fails_reads_the_rest_itself() {
+    let mut node = start(true).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    node.reading.send_modify(|r| r.has_provider = false);
+    node.listing().await;
+}
--- a/crates/azuresaddle-standin/src/passes/simulation/rate_limits.rs
+++ b/crates/azuresaddle-standin/src/passes/simulation/rate_limits.rs
@@ -11,7 +11,9 @@
 use tokio::time::Instant;
 
 use super::Simulation;
-use crate::rate_limit_check::{ADJUSTMENT_TIME, max_requests_in_window, peak_requests_in_window};
+use crate::rate_limit_check::{
+    ADJUSTMENT_TIME, WINDOW, max_requests_in_window, peak_requests_in_window,
+};
 
 impl Simulation<'_> {
     pub(super) fn change_rate_limits(&mut self, at_ms: f64) {
@@ -51,7 +53,7 @@
             .map(|received_at_ms| {
                 let arrivals = received_at_ms.iter().map(|ms| seconds(ms / 1000.0));
                 let arrivals: Vec<Duration> = arrivals.filter(|at| held.contains(at)).collect();
-                peak_requests_in_window(&arrivals)
+                peak_requests_in_window(&arrivals, WINDOW)
             });
         most.max().unwrap_or(0) as f64 / max_requests_in_window(limited.requests_per_s) as f64
     }
--- a/crates/azuresaddle-standin/src/platform/configuration.rs
+++ b/crates/azuresaddle-standin/src/platform/configuration.rs
@@ -28,6 +28,8 @@
     pub name: String,
     /// Whether its targets are engines.
     pub is_engine: bool,
+    /// Requests per second that a cold target tolerates; 0 for any number.
+    pub cold_rate: f64,
 }
 
 /// A client account.
@@ -103,6 +105,8 @@
         "name": service.name,
         "health_path": "/healthz",
         "max_connections": 200,
+        "cold_start_s": 3.0,
+        "cold_per_s": service.cold_rate,
     });
     if service.is_engine {
         value["engine"] = json!({
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -373,10 +373,12 @@
             ServiceSpec {
                 name: "llm".to_owned(),
                 is_engine: true,
+                cold_rate: 0.0,
             },
             ServiceSpec {
                 name: "desk".to_owned(),
                 is_engine: false,
+                cold_rate: 0.0,
             },
         ],
         accounts: vec![AccountSpec {
--- a/crates/azuresaddle-standin/src/rate_limit_check.rs
+++ b/crates/azuresaddle-standin/src/rate_limit_check.rs
@@ -19,12 +19,12 @@
     (RATE_TOLERANCE * rate * WINDOW.as_secs_f64()) as usize + BURST_ALLOWANCE
 }
 
-/// Largest number of requests that arrived in any one window. The arrival times are sorted and
+/// Largest number of requests that arrived in any one window of the given length. The arrival times are sorted and
 /// relative to any common start.
-pub fn peak_requests_in_window(arrivals: &[Duration]) -> usize {
+pub fn peak_requests_in_window(arrivals: &[Duration], window: Duration) -> usize {
     let in_window = |(n, first): (usize, &Duration)| {
         let rest = arrivals[n..].iter();
-        rest.take_while(|at| **at < *first + WINDOW).count()
+        rest.take_while(|at| **at < *first + window).count()
     };
     arrivals
         .iter()
--- a/crates/azuresaddle-standin/src/soak/signal_checks.rs
+++ b/crates/azuresaddle-standin/src/soak/signal_checks.rs
@@ -8,7 +8,9 @@
 use super::callers::SoakState;
 use super::signals::{Affected, Announcement, RelayedSignals, SignalFault, SignalRecords};
 use crate::platform::ArrivedRequest;
-use crate::rate_limit_check::{ADJUSTMENT_TIME, max_requests_in_window, peak_requests_in_window};
+use crate::rate_limit_check::{
+    ADJUSTMENT_TIME, WINDOW, max_requests_in_window, peak_requests_in_window,
+};
 
 /// Time after which a node must follow a rate limit that it has relayed, or a back-off that it received.
 const RELAY_DELAY: Duration = Duration::from_millis(500);
@@ -64,7 +66,7 @@
         })
         .map(|a| a.at - announcement.began)
         .collect();
-    let most = peak_requests_in_window(&counted);
+    let most = peak_requests_in_window(&counted, WINDOW);
     let allowed = max_requests_in_window(rate);
     (most > allowed).then(|| format!("{most} requests in 4 s, {allowed} allowed"))
 }
--- a/tests/testsuite/platform/signals.rs
+++ b/tests/testsuite/platform/signals.rs
@@ -18,7 +18,7 @@
         .filter(|at| *at >= from)
         .map(|at| at - from)
         .collect();
-    peak_requests_in_window(&arrivals)
+    peak_requests_in_window(&arrivals, WINDOW)
 }
 
 /// Sends requests to all nodes concurrently for `length`; returns the statuses of the answers.
