Start of a large fleet: the first nodes with the store's content provide it to the others

Cause, from the logs of all 984 nodes on the untouched code after all lost power: the first page of the store (configuration of 260 routes and 333 accounts, 500 targets) is asked for by all at once and fills the store's link; 750 nodes got no answer within the timeout of 1 s and asked again. A configuration was in force 1.3 s after the start in the median, 2 s for one in ten, though the first strong nodes had everything after 0.16 s and were known to the others after 0.35 s: a starting node asked no other one in its first second.

A starting node without all targets now asks a node that has them, of its own failure domain if possible, or, without a configuration, any that has one, and abandons its own listing once it has got everything. A node announces a position only when it knows all targets, so others can tell.

Tests: peer::tests::reply_budget, control::tests::store_watch.

--- a/crates/azuresaddle-core/src/deployment/node_settings.rs
+++ b/crates/azuresaddle-core/src/deployment/node_settings.rs
@@ -42,6 +42,8 @@
     pub cpu_share: f64,
     /// Memory limit of the process, in megabytes.
     pub memory_mb: u64,
+    /// Bandwidth of the host's link, in bytes per second.
+    pub link_bytes_per_s: f64,
     /// Limits that the operator sets for the deployment.
     pub bounds: Bounds,
 }
--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -21,8 +21,8 @@
 use super::registry::Registry;
 use super::signal_records::SignalRecords;
 use super::signals::SignalGossip;
-use super::start_gate::{SYNC_TIMEOUT, StartGate};
-use super::store_watch::{StoreEvent, StoreReading, watch_store};
+use super::start_gate::StartGate;
+use super::store_watch::{FirstListing, StoreEvent, StoreReading, watch_store};
 use super::stored_crashes::StoredCrashes;
 use super::watch_role::WatchRole;
 use crate::metrics::Metrics;
@@ -134,7 +134,7 @@
         let (store_tx, store_rx) = mpsc::channel(MAX_WAITING_EVENTS);
         let reading = watch::Sender::new(StoreReading {
             watch_interval: None,
-            has_provider: false,
+            first_listing: FirstListing::Own,
         });
         let (crash_writes, crash_writes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
         let probe_enabled = watch::Sender::new(false);
@@ -282,7 +282,7 @@
         let should = role.is_some();
         let reading = StoreReading {
             watch_interval: role.map(watch_interval),
-            has_provider: self.has_provider(now),
+            first_listing: self.first_listing(now),
         };
         let before = self.reading.send_replace(reading);
         if before.watch_interval.is_some() != should {
@@ -303,13 +303,6 @@
         self.members.update_own(|own| own.is_watching = is_watching);
     }
 
-    /// Returns whether another node provides the targets to this one, which has just started.
-    fn has_provider(&self, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.members.started_at);
-        let is_synced = self.start_gate.is_synced;
-        is_synced || (self.members.has_settled(now) && age < SYNC_TIMEOUT)
-    }
-
     fn on_leaving(&mut self) -> bool {
         self.members.update_own(|own| own.is_leaving = true);
         true
--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -15,6 +15,9 @@
 /// Timeout for fetching an update from another node.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Timeout for fetching everything from another node, which may answer many that start together.
+const FULL_FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// Time for which a node that watches the store waits for its own watch to deliver a change that
 /// another node already knows.
 const WATCH_HEAD_START: Duration = Duration::from_millis(150);
@@ -38,7 +41,10 @@
     /// Changes after a position.
     Changes(StorePosition),
     /// All targets.
-    All,
+    All {
+        /// Whether the other node has been serving for a while.
+        from_settled: bool,
+    },
 }
 
 /// Result of a fetch; `update` is `None` if it failed.
@@ -59,27 +65,33 @@
             return;
         }
         self.is_fetching = true;
-        self.metrics.on_fetch(scope == FetchScope::All);
+        self.metrics
+            .on_fetch(matches!(scope, FetchScope::All { .. }));
         let after = match scope {
-            FetchScope::All => {
+            FetchScope::All { .. } => {
                 self.full_fetch_at = Some(now);
                 None
             }
             FetchScope::Changes(after) => Some(after),
         };
+        let timeout = match scope {
+            FetchScope::All { .. } => FULL_FETCH_TIMEOUT,
+            FetchScope::Changes(_) => PEER_TIMEOUT,
+        };
         let configuration = self.version();
         let peers = self.peers.clone();
         let tx = fetched_tx.clone();
         self.spawner.spawn(async move {
             let update = peers
-                .call(addr, PEER_TIMEOUT, async |client, cx| {
+                .call(addr, timeout, async |client, cx| {
                     client.updates(cx, configuration, after).await
                 })
                 .await;
             if let Err(e) = &update {
                 tracing::debug!(part = "control", %addr, error = %e, "fetching an update failed");
             }
-            let update = update.ok();
+            // The other node may also be too busy to answer.
+            let update = update.ok().flatten();
             // A send fails only if the control loop has ended.
             let _ = tx.send(Fetched { scope, update }).await;
         });
@@ -92,9 +104,13 @@
         if self.needs_sync() {
             let settled = self.members.choose_peer(now, |n| n.is_settled);
             if let Some(addr) = settled {
-                return Some((addr, FetchScope::All));
+                return Some((addr, FetchScope::All { from_settled: true }));
             }
         }
+        if let Some(addr) = self.choose_provider(now) {
+            let from_settled = false;
+            return Some((addr, FetchScope::All { from_settled }));
+        }
         if self.is_listing_store(now) {
             return None;
         }
@@ -122,7 +138,28 @@
         let since = *self.differs_since.get_or_insert(now);
         let differs_for = now.saturating_duration_since(since);
         let is_due = differs_for >= FULL_FETCH_DELAY && self.may_fetch_all(now);
-        is_due.then_some((addr, FetchScope::All))
+        let from_settled = false;
+        is_due.then_some((addr, FetchScope::All { from_settled }))
+    }
+
+    /// Chooses the node that provides everything to this one, which has just started; `None` if this
+    /// node has all targets or no other node can help.
+    ///
+    /// When a large fleet starts as a whole, most nodes get the content of the store sooner from the
+    /// first ones that have read it, since the store's bandwidth is shared by all.
+    fn choose_provider(&mut self, now: Instant) -> Option<SocketAddr> {
+        if self.has_all_targets() {
+            return None;
+        }
+        let newest = self.members.newest_configuration(now);
+        let is_complete = |n: &MemberState| n.has_all_targets() && n.configuration == newest;
+        if let Some(addr) = self.members.choose_peer(now, is_complete) {
+            return Some(addr);
+        }
+        let needs_configuration = self.configuration.is_none() && newest > 0;
+        let has_newest = |n: &MemberState| n.configuration == newest;
+        let has_configuration = needs_configuration.then_some(has_newest)?;
+        self.members.choose_peer(now, has_configuration)
     }
 
     /// Returns whether this node is still reading the complete store, so that it need not fetch the
@@ -132,8 +169,7 @@
     /// links that some share with callers.
     fn is_listing_store(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.members.started_at);
-        let has_targets = self.has_listed_store || self.start_gate.is_synced;
-        !has_targets && !self.is_store_unreachable && age < LISTING_WAIT
+        !self.has_all_targets() && !self.is_store_unreachable && age < LISTING_WAIT
     }
 
     fn may_fetch_all(&self, now: Instant) -> bool {
@@ -148,6 +184,7 @@
         };
         let now = Instant::now();
         let era = self.registry.position().era;
+        let had_all_targets = self.has_all_targets();
         let mut changed = false;
         for target in update.targets {
             changed |= self.registry.apply_update(now, target);
@@ -156,9 +193,13 @@
             changed |= self.registry.apply_drain(now, drain);
         }
         self.registry.on_synced(update.position);
-        if fetched.scope == FetchScope::All {
-            self.start_gate.is_synced = true;
+        if let FetchScope::All { from_settled } = fetched.scope {
+            self.start_gate.is_synced |= from_settled;
+            let is_complete = update.position != StorePosition::default();
+            self.start_gate.has_fetched_all |= is_complete;
         }
+        // Other nodes learn that this one has all targets now.
+        changed |= had_all_targets != self.has_all_targets();
         if let Some(json) = update.configuration {
             changed |= self.on_configuration(json, "a node");
         }
--- a/crates/azuresaddle-edge/src/control/gossip.rs
+++ b/crates/azuresaddle-edge/src/control/gossip.rs
@@ -137,7 +137,10 @@
             m.state.takes_callers() == state.takes_callers() && m.state.term == state.term
         });
         let changed = !same_offer.is_some_and(|m| self.is_alive(m, now));
-        let same_state = same_offer.filter(|m| m.state.is_watching == state.is_watching);
+        let same_state = same_offer.filter(|m| {
+            m.state.is_watching == state.is_watching
+                && m.state.has_all_targets() == state.has_all_targets()
+        });
         let member = Member {
             last_counter,
             heard_at,
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -41,7 +41,8 @@
     pub(super) callers_port: u16,
     /// Version of the configuration in force; 0 if there is none.
     pub(super) configuration: u64,
-    /// Store position of the latest target change that the node knows.
+    /// Store position of the latest target change that the node knows; the default until it knows
+    /// all targets.
     pub(super) targets: StorePosition,
     /// Hash of the targets that the node knows.
     pub(super) targets_hash: u32,
@@ -62,6 +63,11 @@
         SocketAddr::from((self.ip, self.callers_port))
     }
 
+    /// Whether the node can provide the configuration and all targets to others.
+    pub(super) fn has_all_targets(&self) -> bool {
+        self.configuration != 0 && self.targets != StorePosition::default()
+    }
+
     /// Whether the node accepts callers: it has a configuration and is not shutting down.
     pub(super) fn takes_callers(&self) -> bool {
         !self.is_leaving && self.configuration != 0
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -72,7 +72,8 @@
     /// Counter of its latest known heartbeat, from a full state or a digest.
     pub(super) last_counter: u32,
     pub(super) heard_at: Instant,
-    /// When it joined, restarted, or changed whether it accepts callers or watches the store.
+    /// When it joined, restarted, or changed whether it accepts callers, watches the store or has all
+    /// targets.
     pub(super) changed_at: Instant,
 }
 
@@ -271,6 +272,11 @@
         self.alive(now).any(|m| m.state.is_settled)
     }
 
+    /// Returns whether another live node has all targets.
+    pub(super) fn has_provider(&self, now: Instant) -> bool {
+        self.alive(now).any(|m| m.state.has_all_targets())
+    }
+
     /// Chooses a random live node that satisfies the predicate and returns its peer address. Nodes
     /// of the own failure domain take precedence: responses may be large, and bandwidth between
     /// domains is scarce and expensive.
--- a/crates/azuresaddle-edge/src/control/publish.rs
+++ b/crates/azuresaddle-edge/src/control/publish.rs
@@ -5,6 +5,7 @@
 
 use azuresaddle_core::deployment::RateLimit;
 use azuresaddle_core::prelude::*;
+use azuresaddle_platform::StorePosition;
 use tokio::time::Instant;
 
 use super::actor::Control;
@@ -33,7 +34,11 @@
     /// Publishes a snapshot; true if other nodes should learn of this node's new state.
     fn publish(&mut self) -> bool {
         let version = self.version();
-        let position = self.registry.position();
+        let position = if self.has_all_targets() {
+            self.registry.position()
+        } else {
+            StorePosition::default()
+        };
         let PublishedTargets {
             targets,
             records,
--- a/crates/azuresaddle-edge/src/control/start_gate.rs
+++ b/crates/azuresaddle-edge/src/control/start_gate.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::actor::Control;
+use super::store_watch::FirstListing;
 
 /// Time after the start of the process that other nodes get to make themselves known: a round trip
 /// to the seeds, with one lost datagram.
@@ -16,7 +17,7 @@
 
 /// Time after the start of the process for which it waits for the targets that other nodes know.
 /// After a longer wait its callers would be better served with what it has.
-pub(super) const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
+const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time after which a node with a configuration counts as settled, so that starting nodes fetch
 /// everything from it. Nodes that start together have nothing to offer each other, and hundreds of
@@ -26,8 +27,10 @@
 /// State of a starting node: whether it may activate its first configuration.
 #[derive(Debug, Default)]
 pub(super) struct StartGate {
-    /// Whether it has fetched all targets from another node.
+    /// Whether it has fetched all targets from a node that has been serving for a while.
     pub(super) is_synced: bool,
+    /// Whether it has fetched all targets from any node.
+    pub(super) has_fetched_all: bool,
     /// The latest deferred configuration, with its version.
     candidate: Option<(u64, Vec<u8>)>,
     /// When the first configuration came into force.
@@ -103,6 +106,24 @@
         candidate.is_some_and(|(_, json)| self.on_configuration(json, "the store"))
     }
 
+    /// Returns whether this node knows all targets, either from the store or from another node.
+    pub(super) fn has_all_targets(&self) -> bool {
+        let gate = &self.start_gate;
+        self.has_listed_store || gate.is_synced || gate.has_fetched_all
+    }
+
+    /// Returns who reads the content of the store for this node.
+    pub(super) fn first_listing(&self, now: Instant) -> FirstListing {
+        let age = now.saturating_duration_since(self.members.started_at);
+        if self.has_all_targets() {
+            FirstListing::Provided
+        } else if age < SYNC_TIMEOUT && self.members.has_provider(now) {
+            FirstListing::Expected
+        } else {
+            FirstListing::Own
+        }
+    }
+
     /// Returns whether this node should fetch everything from a settled node.
     pub(super) fn needs_sync(&self) -> bool {
         self.configuration.is_none() && !self.start_gate.is_synced
--- a/crates/azuresaddle-edge/src/control/store_events.rs
+++ b/crates/azuresaddle-edge/src/control/store_events.rs
@@ -43,6 +43,7 @@
                 false
             }
             StoreEvent::Listing { items, at } => {
+                let had_all_targets = self.has_all_targets();
                 self.has_listed_store = true;
                 self.on_crash_listing(now, &items);
                 let (targets, others): (Vec<_>, Vec<_>) = items
@@ -53,6 +54,8 @@
                 let mut changed = self.registry.apply_listing(now, targets, at);
                 changed |= self.registry.end_unlisted_drains(now, &listed, at);
                 self.registry.on_caught_up();
+                // Other nodes learn that this one has all targets now.
+                changed |= !had_all_targets;
                 self.on_items(now, others) | changed
             }
             StoreEvent::Page(items) => self.on_items(now, items),
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -20,8 +20,8 @@
 /// Maximum backoff after failed calls.
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Time for which a node that has just started leaves the remaining pages of a long listing to a
-/// node that has been serving for a while, which needs a round trip to the seeds to be known.
+/// Time after the start within which a node that has all targets becomes known: a round trip to the
+/// seeds.
 const PEER_DISCOVERY: Duration = Duration::from_millis(150);
 
 /// Whether and how a node reads the store.
@@ -30,8 +30,20 @@
     /// Minimum interval between two watch calls, so that changes in quick succession share a call;
     /// `None` if other nodes watch.
     pub(super) watch_interval: Option<Duration>,
-    /// Whether another node provides the remaining pages of the first listing.
-    pub(super) has_provider: bool,
+    /// Who reads the content of the store for a node that has just started.
+    pub(super) first_listing: FirstListing,
+}
+
+/// Who reads the content of the store for a node that has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FirstListing {
+    /// The node itself.
+    Own,
+    /// The node itself reads the first page, which contains the configuration. Another node, which
+    /// has all targets, provides the remaining pages.
+    Expected,
+    /// Another node has provided everything.
+    Provided,
 }
 
 /// An event from the store.
@@ -73,33 +85,37 @@
 ) {
     let started_at = Instant::now();
     let mut progress = ReadProgress::start(Freshness::MayBeStale);
+    let mut is_first_listing = true;
     let mut era = store.subscribe_era();
     let mut is_unreachable = false;
     let mut backoff = FIRST_BACKOFF;
     while !tx.is_closed() {
-        if progress.is_watching() {
-            let enabled = reading.wait_for(|r| r.watch_interval.is_some()).await;
-            if enabled.is_err() {
+        if is_first_listing && progress.has_first_page() {
+            tokio::time::sleep_until(started_at + PEER_DISCOVERY).await;
+            let decided = |r: &StoreReading| r.first_listing != FirstListing::Expected;
+            if reading.wait_for(decided).await.is_err() {
                 return;
             }
         }
-        if progress.may_be_provided() {
-            tokio::time::sleep_until(started_at + PEER_DISCOVERY).await;
-            let is_provided = reading.borrow().has_provider;
-            let needed = |r: &StoreReading| !r.has_provider || r.watch_interval.is_some();
-            if reading.wait_for(needed).await.is_err() {
+        if is_first_listing && reading.borrow().first_listing == FirstListing::Provided {
+            is_first_listing = false;
+            // If this node watches the store later, it reads the content as it is then.
+            progress = ReadProgress::start(Freshness::Latest);
+        }
+        if !is_first_listing {
+            let enabled = reading.wait_for(|r| r.watch_interval.is_some()).await;
+            if enabled.is_err() {
                 return;
             }
-            if is_provided {
-                // The first page is outdated by now.
-                progress = ReadProgress::start(Freshness::Latest);
-            }
         }
+        let mut provided = reading.clone();
         let mut later = era.clone();
         let result = tokio::select! {
             result = next_event(&store, &mut progress) => result,
             // A watch that was started before the rollback may never be answered.
             Ok(()) = wait_for_later_era(&mut later) => Err(StoreError::RolledBack),
+            // The answer would only take bandwidth from nodes that still need it.
+            Ok(_) = provided.wait_for(is_provided), if is_first_listing => continue,
         };
         if let Some(era) = take_later_era(&mut era)
             && tx.send(StoreEvent::Era(era)).await.is_err()
@@ -132,6 +148,7 @@
                 }
             }
         };
+        is_first_listing &= !matches!(event, StoreEvent::Listing { .. });
         if tx.send(event).await.is_err() {
             return;
         }
@@ -144,6 +161,10 @@
     }
 }
 
+fn is_provided(reading: &StoreReading) -> bool {
+    reading.first_listing == FirstListing::Provided
+}
+
 /// Waits until an answer to any call reveals a later era than the one last read.
 async fn wait_for_later_era(
     era: &mut watch::Receiver<Option<StoreEra>>,
@@ -191,16 +212,9 @@
         }
     }
 
-    /// Whether the next page is one of the first listing that another node may provide instead.
-    fn may_be_provided(&self) -> bool {
-        matches!(
-            self,
-            Self::Listing {
-                after: Some(_),
-                freshness: Freshness::MayBeStale,
-                ..
-            }
-        )
+    /// Whether the next page of a listing is not its first one.
+    fn has_first_page(&self) -> bool {
+        matches!(self, Self::Listing { after: Some(_), .. })
     }
 
     fn is_watching(&self) -> bool {
--- a/crates/azuresaddle-edge/src/control/target_record.rs
+++ b/crates/azuresaddle-edge/src/control/target_record.rs
@@ -79,6 +79,14 @@
     is_removed: bool,
 }
 
+impl TargetUpdate {
+    /// About the number of bytes that it takes on the wire.
+    pub(crate) fn size(&self) -> usize {
+        let value = self.value.as_ref().map_or(0, Vec::len);
+        self.key.len() + value + size_of::<Self>()
+    }
+}
+
 impl TargetRecord {
     /// Creates a record from a store item. Also returns the error if the value cannot be decoded.
     pub(super) fn from_item(item: StoreItem) -> (Self, Option<DecodeError>) {
--- a/crates/azuresaddle-edge/src/control/tests/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_watch.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
 
-use crate::control::store_watch::{StoreEvent, StoreReading, watch_store};
+use crate::control::store_watch::{FirstListing, StoreEvent, StoreReading, watch_store};
 
 /// Revision of the store, and that of the copy from which it answers reads that may be stale.
 const REVISION: u64 = 30;
@@ -56,7 +56,7 @@
     events: mpsc::Receiver<StoreEvent>,
 }
 
-async fn start(has_provider: bool) -> Running {
+async fn start(first_listing: FirstListing) -> Running {
     let store = Arc::new(PagedStore::default());
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let listener = TcpNetwork.bind(addr).await.unwrap();
@@ -71,7 +71,7 @@
     let client = PlatformStore::new(http, addr, Duration::from_secs(5));
     let reading = watch::Sender::new(StoreReading {
         watch_interval: None,
-        has_provider,
+        first_listing,
     });
     let (tx, events) = mpsc::channel(16);
     Spawner::current().spawn(watch_store(client, reading.subscribe(), tx));
@@ -102,7 +102,7 @@
 
 #[tokio::test]
 async fn the_first_listing_reads_only_its_first_page_at_the_full_price() {
-    let mut node = start(false).await;
+    let mut node = start(FirstListing::Own).await;
     // Changes after the earliest page may be missing from the listing.
     assert_eq!(node.listing().await.revision, STALE_REVISION);
     assert_eq!(node.stale(), [false, true, true]);
@@ -110,10 +110,14 @@
 
 #[tokio::test]
 async fn a_node_that_starts_in_a_running_fleet_reads_one_page() {
-    let mut node = start(true).await;
+    let mut node = start(FirstListing::Expected).await;
     while !matches!(node.events.recv().await, Some(StoreEvent::Page(_))) {}
     tokio::time::sleep(Duration::from_millis(400)).await;
     assert_eq!(node.stale(), [false]);
+    node.reading
+        .send_modify(|r| r.first_listing = FirstListing::Provided);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(node.stale(), [false]);
     // Once it watches the store for others it reads everything as it is then.
     node.reading
         .send_modify(|r| r.watch_interval = Some(Duration::from_millis(1)));
@@ -123,8 +127,16 @@
 
 #[tokio::test]
 async fn a_node_whose_provider_fails_reads_the_rest_itself() {
-    let mut node = start(true).await;
+    let mut node = start(FirstListing::Expected).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
-    node.reading.send_modify(|r| r.has_provider = false);
+    node.reading
+        .send_modify(|r| r.first_listing = FirstListing::Own);
     node.listing().await;
 }
+
+#[tokio::test]
+async fn a_listing_that_another_node_has_provided_is_abandoned() {
+    let mut node = start(FirstListing::Provided).await;
+    let nothing = tokio::time::timeout(Duration::from_millis(300), node.events.recv()).await;
+    assert!(nothing.is_err(), "{nothing:?}");
+}
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -130,7 +130,15 @@
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
         let peers = bind(&net, "calls between nodes", peer_addr).await?;
         let peer_owner = Arc::clone(&owner);
-        serve_peers(peers, &spawner, peer_owner, snapshots.clone(), incarnation);
+        let link = settings.link_bytes_per_s;
+        serve_peers(
+            peers,
+            &spawner,
+            peer_owner,
+            snapshots.clone(),
+            incarnation,
+            link,
+        );
         let placement = PlacementClient::spawn(
             &spawner,
             PlacementClientParts {
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -114,6 +114,16 @@
     pub(crate) configuration: Option<Vec<u8>>,
     pub(crate) targets: Vec<TargetUpdate>,
     pub(crate) domain_drains: Vec<DomainDrain>,
-    /// Store position of the latest change of targets or drained failure domains that the node knows.
+    /// Store position of the latest change of targets or drained failure domains that the node knows; the default until
+    /// it knows all of them.
     pub(crate) position: StorePosition,
 }
+
+impl PeerUpdate {
+    /// About the number of bytes that it takes on the wire.
+    pub(crate) fn size(&self) -> usize {
+        let configuration = self.configuration.as_ref().map_or(0, Vec::len);
+        let targets = self.targets.iter().map(TargetUpdate::size);
+        configuration + targets.sum::<usize>()
+    }
+}
--- a/crates/azuresaddle-edge/src/peer/mod.rs
+++ b/crates/azuresaddle-edge/src/peer/mod.rs
@@ -1,8 +1,11 @@
 //! Calls between nodes.
 
 mod messages;
+mod reply_budget;
 mod server;
 mod service;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use messages::{
     PeerUpdate, PermitReply, PermitRequest, PlaceMessage, PlaceReply, ReportKind, StreamReport,
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -1,7 +1,7 @@
 //! Server for calls from other nodes.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::StorePosition;
@@ -10,10 +10,12 @@
 use tarpc::context::Context;
 use tarpc::server::Channel;
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::time::Instant;
 
 use super::messages::{
     PeerUpdate, PermitReply, PermitRequest, PlaceMessage, PlaceReply, StreamReport, SyncMessage,
 };
+use super::reply_budget::ReplyBudget;
 use super::service::EdgePeer;
 use crate::placement::Owner;
 use crate::snapshot::Snapshots;
@@ -25,16 +27,20 @@
     owner: Arc<Owner>,
     snapshots: Snapshots,
     node: u64,
+    link_bytes_per_s: f64,
 ) where
     L: Listener,
     L::Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
     let tasks = spawner.clone();
+    let replies = ReplyBudget::new(Instant::now(), link_bytes_per_s);
+    let replies = Arc::new(Mutex::new(replies));
     serve_rpc(listener, spawner, move |channel| {
         let server = PeerServer {
             owner: Arc::clone(&owner),
             snapshots: snapshots.clone(),
             node,
+            replies: Arc::clone(&replies),
         };
         let requests = tasks.clone();
         tasks.spawn(async move {
@@ -52,9 +58,16 @@
     snapshots: Snapshots,
     /// Incarnation of this node.
     node: u64,
+    /// Bandwidth of complete answers, shared by all connections.
+    replies: Arc<Mutex<ReplyBudget>>,
 }
 
 impl PeerServer {
+    fn may_send(&self, bytes: usize) -> bool {
+        let mut replies = self.replies.lock().unwrap_or_else(PoisonError::into_inner);
+        replies.accept(Instant::now(), bytes)
+    }
+
     /// Address of the owner; `None` if that is this node or unknown.
     fn other_owner(&self) -> Option<SocketAddr> {
         let snapshot = self.snapshots.load();
@@ -90,11 +103,11 @@
         _: Context,
         configuration: u64,
         targets: Option<StorePosition>,
-    ) -> PeerUpdate {
+    ) -> Option<PeerUpdate> {
         let snapshot = self.snapshots.load();
         let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
         let newer = version > configuration;
-        PeerUpdate {
+        let update = PeerUpdate {
             configuration: snapshot
                 .raw_configuration
                 .as_deref()
@@ -113,6 +126,8 @@
                 .filter(|r| targets.is_none_or(|after| r.position() > after))
                 .map(|r| r.to_update())
                 .collect(),
-        }
+        };
+        let is_complete = targets.is_none();
+        (!is_complete || self.may_send(update.size())).then_some(update)
     }
 }
--- a/crates/azuresaddle-edge/src/peer/service.rs
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -19,6 +19,7 @@
     /// Sends the complete list of a node's streams.
     async fn sync(sync: SyncMessage);
     /// Returns the configuration, if newer than the version `configuration`, and the changes of targets after the
-    /// position `targets`; all targets for `None`.
-    async fn updates(configuration: u64, targets: Option<StorePosition>) -> PeerUpdate;
+    /// position `targets`; all targets for `None`. Answers nothing if it is sending too many complete answers; another
+    /// node may be asked then.
+    async fn updates(configuration: u64, targets: Option<StorePosition>) -> Option<PeerUpdate>;
 }
--- /dev/null
+++ b/crates/azuresaddle-edge/src/peer/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the calls between nodes.
+
+mod reply_budget;
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -88,7 +88,8 @@
     pub(crate) target_records: Arc<Vec<Arc<TargetRecord>>>,
     /// All records of drained failure domains, for other nodes.
     pub(crate) domain_drains: Arc<Vec<DomainDrain>>,
-    /// Store position of the latest known change of targets or drained failure domains.
+    /// Store position of the latest known change of targets or drained failure domains; the default
+    /// until all of them are known.
     pub(crate) target_position: StorePosition,
     /// Live nodes, including this one.
     pub(crate) nodes: Arc<Vec<LiveNode>>,
