A starting node asks a silent store again as soon as it answers other calls

Ruled out: a shorter timeout, which a slow store or a full link would never meet.

Test: a_listing_that_hangs_is_requested_again_once_the_store_answers.

--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -4,7 +4,7 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{
-    Freshness, PlatformStore, StoreEra, StoreError, StoreItem, StorePosition,
+    Freshness, PageAnswer, PlatformStore, StoreEra, StoreError, StoreItem, StorePosition,
 };
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
@@ -20,6 +20,12 @@
 /// Maximum backoff after failed calls.
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Time without an answer after which a call counts as hanging.
+const HANGING_CALL: Duration = Duration::from_millis(400);
+
+/// Timeout of a probe while a call hangs.
+const HANGING_PROBE: Duration = Duration::from_millis(200);
+
 /// Time after the start within which a node that has all targets becomes known: a round trip to the
 /// seeds.
 const PEER_DISCOVERY: Duration = Duration::from_millis(150);
@@ -250,7 +256,8 @@
                 Some(_) => *freshness,
                 None => Freshness::Latest,
             };
-            let page = store.page("", after.as_deref(), freshness).await?;
+            let answer = request_page(store, after.as_deref(), freshness).await?;
+            let page = answer.read().await?;
             let first_at = at.map_or(page.at, |at| at.min(page.at));
             if at.is_some_and(|at| at.era != page.at.era) {
                 return Err(StoreError::RolledBack);
@@ -280,6 +287,32 @@
     }
 }
 
+/// Requests a page, again as soon as the store answers other calls while this one hangs.
+///
+/// A call that was sent to a silent store is never answered. A node that starts then would otherwise
+/// find out that the store is back only after the timeout.
+async fn request_page<N: Network>(
+    store: &PlatformStore<N>,
+    after: Option<&str>,
+    freshness: Freshness,
+) -> Result<PageAnswer, StoreError> {
+    loop {
+        tokio::select! {
+            answer = store.request_page("", after, freshness) => return answer,
+            () = answers_other_calls(store) => {}
+        }
+    }
+}
+
+/// Waits until a call has hung for a while and the store answers another one.
+async fn answers_other_calls<N: Network>(store: &PlatformStore<N>) {
+    tokio::time::sleep(HANGING_CALL).await;
+    while let Err(e) = store.probe(HANGING_PROBE).await {
+        tracing::debug!(part = "control", error = %e, "store probe failed");
+        tokio::time::sleep(HANGING_PROBE / 2).await;
+    }
+}
+
 /// Returns a random duration between half and all of a pause, so that nodes do not call in step.
 pub(super) fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.5..1.0))
--- a/crates/azuresaddle-edge/src/control/tests/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_watch.rs
@@ -1,6 +1,7 @@
 //! Tests of how a node that starts reads a store whose listing has several pages.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,10 +20,14 @@
 const REVISION: u64 = 30;
 const STALE_REVISION: u64 = 20;
 
+/// Timeout of the node's calls to the store.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A store with three pages of one key each, which keeps the queries of all calls.
 #[derive(Default)]
 struct PagedStore {
     queries: Mutex<Vec<String>>,
+    is_silent: AtomicBool,
 }
 
 impl PagedStore {
@@ -35,7 +40,7 @@
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         let target = req.uri().to_string();
         self.queries.lock().unwrap().push(target.clone());
-        if target.starts_with("/kv-watch") {
+        if target.starts_with("/kv-watch") || self.is_silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
         let page = match target.split_once("after=") {
@@ -57,7 +62,10 @@
 }
 
 async fn start(first_listing: FirstListing) -> Running {
-    let store = Arc::new(PagedStore::default());
+    start_with(first_listing, Arc::default()).await
+}
+
+async fn start_with(first_listing: FirstListing, store: Arc<PagedStore>) -> Running {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let listener = TcpNetwork.bind(addr).await.unwrap();
     let addr = listener.local_addr();
@@ -68,7 +76,7 @@
         Arc::clone(&store),
     );
     let http = HttpClient::new(TcpNetwork, Spawner::current());
-    let client = PlatformStore::new(http, addr, Duration::from_secs(5));
+    let client = PlatformStore::new(http, addr, CALL_TIMEOUT);
     let reading = watch::Sender::new(StoreReading {
         watch_interval: None,
         first_listing,
@@ -140,3 +148,15 @@
     let nothing = tokio::time::timeout(Duration::from_millis(300), node.events.recv()).await;
     assert!(nothing.is_err(), "{nothing:?}");
 }
+
+/// All nodes were killed while the store was silent: each had to wait for its timeout after the store was back.
+#[tokio::test]
+async fn a_listing_that_hangs_is_requested_again_once_the_store_answers() {
+    let store = Arc::new(PagedStore::default());
+    store.is_silent.store(true, Ordering::Relaxed);
+    let mut node = start_with(FirstListing::Own, Arc::clone(&store)).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    store.is_silent.store(false, Ordering::Relaxed);
+    let in_time = tokio::time::timeout(CALL_TIMEOUT / 2, node.listing()).await;
+    assert!(in_time.is_ok());
+}
