Addresses of silent nodes are withdrawn after four seconds whatever the fleet's size

Cause: a node counts as failed after 2.5 s up to 250 nodes and then in proportion, 9.8 s at 984, and until then its address is handed to callers, who keep it for three seconds more. The timeout grows with the fleet, since each heartbeat covers 84 nodes; a wrong verdict there changes the owner.

Whether callers are given an address is decided by a shorter time of its own: any other live node can take the place of one that is left out by mistake. Ruled out: a shorter timeout for all uses (of a node heard of 1.7 times a second, one in a thousand is missed for 4 s), and digests kept for the first 64 nodes, which would lengthen the silence of the others.

Test: callers_get_no_address_of_a_node_that_has_been_silent_for_four_seconds (984 nodes).

--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -17,6 +17,7 @@
 use super::failover::Failover;
 use super::heartbeat::MemberState;
 use super::watch_role::WatchRole;
+use crate::directory::MAX_ADDRESSES;
 use crate::snapshot::{LiveNode, NO_OWNER};
 
 /// Interval between two ticks of the control loop.
@@ -37,6 +38,10 @@
 /// from less often, and the timeout grows in proportion to the fleet.
 const GOSSIP_TIMEOUT_NODES: usize = 250;
 
+/// Maximum time without a heartbeat for which callers are given a node's address. It does not grow
+/// with the fleet: a live node that is left out costs nothing, since any other takes its place.
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Time without a heartbeat after which a node is removed from the member list.
 const MEMBER_RETENTION: Duration = Duration::from_secs(20);
 
@@ -89,6 +94,8 @@
     last_tick_at: Instant,
     pub(super) ticks: u32,
     pub(super) failover: Failover,
+    /// Incarnations of the nodes whose addresses callers are given.
+    offered: Vec<u64>,
     /// Since when too few nodes get answers from the store.
     unwatched_since: Option<Instant>,
     /// Random generator for the choice of peers; seeded with the incarnation to make tests
@@ -108,6 +115,7 @@
             last_tick_at: now,
             ticks: 0,
             failover: Failover::default(),
+            offered: Vec::new(),
             unwatched_since: None,
         }
     }
@@ -150,6 +158,25 @@
         now.saturating_duration_since(member.heard_at) < self.failure_timeout()
     }
 
+    /// Returns whether callers may be given the node's address.
+    fn is_offered(&self, node: &MemberState, now: Instant) -> bool {
+        let timeout = self.failure_timeout().min(ADDRESS_TIMEOUT);
+        let is_recent = |m: &Member| now.saturating_duration_since(m.heard_at) < timeout;
+        let is_own = node.ip == self.own.ip;
+        let is_recent = is_own || self.members.get(&node.ip).is_some_and(is_recent);
+        node.takes_callers() && is_recent
+    }
+
+    /// Updates the nodes whose addresses callers are given; true if they changed.
+    fn update_offered(&mut self, now: Instant) -> bool {
+        let ranked = self.ranked(now);
+        let offered = ranked.iter().filter(|n| self.is_offered(n, now));
+        let offered: Vec<u64> = offered.take(MAX_ADDRESSES).map(|n| n.incarnation).collect();
+        let changed = self.offered != offered;
+        self.offered = offered;
+        changed
+    }
+
     fn alive(&self, now: Instant) -> impl Iterator<Item = &Member> {
         self.members.values().filter(move |m| self.is_alive(m, now))
     }
@@ -175,6 +202,7 @@
         let claim_wait_ended = before < claim_wait_ends && claim_wait_ends <= now;
         let mut members = self.members.values();
         let alive_changed = members.any(|m| self.is_alive(m, before) != self.is_alive(m, now));
+        let alive_changed = alive_changed | self.update_offered(now);
         alive_changed || claimed || claim_wait_ended
     }
 
@@ -191,7 +219,7 @@
             incarnation: n.incarnation,
             callers_addr: n.callers(),
             peer_addr: SocketAddr::from((n.ip, self.peer_port)),
-            takes_callers: n.takes_callers(),
+            takes_callers: self.is_offered(n, now),
         });
         (nodes.collect(), owner)
     }
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -342,3 +342,33 @@
     }
     assert_eq!(members.gossip_peers().len(), 4);
 }
+
+/// In a fleet of a thousand nodes a failed one counts as live for ten seconds, and callers that were given its address
+/// keep it for three more.
+#[tokio::test(start_paused = true)]
+async fn callers_get_no_address_of_a_node_that_has_been_silent_for_four_seconds() {
+    let now = Instant::now();
+    let mut members = members(now, 1);
+    let relayed = Heartbeat {
+        from: state(2, 1),
+        others: (3..=984).map(|n| state(n, 1)).collect(),
+        digests: Vec::new(),
+    };
+    members.on_heartbeat(now, ip(2), &relayed);
+    let offered = |members: &Members, now| {
+        let (nodes, _) = members.live_nodes(now);
+        assert_eq!(nodes.len(), 984);
+        nodes.iter().filter(|n| n.takes_callers).count()
+    };
+    let mut later = now;
+    for _ in 0..39 {
+        later += TICK;
+        members.on_tick(later);
+    }
+    assert_eq!(offered(&members, later), 984);
+    members.on_heartbeat(later, ip(2), &heartbeat(2, 2));
+    let silent = later + TICK;
+    // The nodes that have been heard of are published anew.
+    assert!(members.on_tick(silent));
+    assert_eq!(offered(&members, silent), 2);
+}
--- a/crates/azuresaddle-edge/src/directory.rs
+++ b/crates/azuresaddle-edge/src/directory.rs
@@ -16,7 +16,7 @@
 const ADDRESS_TTL: Duration = Duration::from_secs(3);
 
 /// Most addresses in an answer.
-const MAX_ADDRESSES: usize = 64;
+pub(crate) const MAX_ADDRESSES: usize = 64;
 
 /// Serves the addresses of the nodes and this node's readiness from the latest snapshot.
 pub(crate) struct Directory {
