--- a/crates/azuresaddle-edge/src/control/target_record.rs
+++ b/crates/azuresaddle-edge/src/control/target_record.rs
@@ -79,14 +79,6 @@
     is_removed: bool,
 }
 
-impl TargetUpdate {
-    /// About the number of bytes that it takes on the wire.
-    pub(crate) fn size(&self) -> usize {
-        let value = self.value.as_ref().map_or(0, Vec::len);
-        self.key.len() + value + size_of::<Self>()
-    }
-}
-
 impl TargetRecord {
     /// Creates a record from a store item. Also returns the error if the value cannot be decoded.
     pub(super) fn from_item(item: StoreItem) -> (Self, Option<DecodeError>) {
@@ -148,6 +140,12 @@
         }
     }
 
+    /// About the number of bytes that it takes as an update for other nodes.
+    pub(crate) fn size(&self) -> usize {
+        let value = self.value.as_ref().map_or(0, |v| v.len());
+        self.key.len() + value + size_of::<TargetUpdate>()
+    }
+
     /// Converts the record to an update for other nodes.
     pub(crate) fn to_update(&self) -> TargetUpdate {
         let (first, last) = self.seen();
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -118,12 +118,3 @@
     /// it knows all of them.
     pub(crate) position: StorePosition,
 }
-
-impl PeerUpdate {
-    /// About the number of bytes that it takes on the wire.
-    pub(crate) fn size(&self) -> usize {
-        let configuration = self.configuration.as_ref().map_or(0, Vec::len);
-        let targets = self.targets.iter().map(TargetUpdate::size);
-        configuration + targets.sum::<usize>()
-    }
-}
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -18,7 +18,7 @@
 use super::reply_budget::ReplyBudget;
 use super::service::EdgePeer;
 use crate::placement::Owner;
-use crate::snapshot::Snapshots;
+use crate::snapshot::{Snapshot, Snapshots};
 
 /// Accepts connections from other nodes until the spawner is killed.
 pub(crate) fn serve_peers<L>(
@@ -63,7 +63,10 @@
 }
 
 impl PeerServer {
-    fn may_send(&self, bytes: usize) -> bool {
+    /// Whether the bandwidth suffices for an answer with the configuration and all targets.
+    fn may_send_all(&self, snapshot: &Snapshot, configuration: Option<&Vec<u8>>) -> bool {
+        let records = snapshot.target_records.iter().map(|r| r.size());
+        let bytes = records.sum::<usize>() + configuration.map_or(0, Vec::len);
         let mut replies = self.replies.lock().unwrap_or_else(PoisonError::into_inner);
         replies.accept(Instant::now(), bytes)
     }
@@ -107,12 +110,12 @@
         let snapshot = self.snapshots.load();
         let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
         let newer = version > configuration;
-        let update = PeerUpdate {
-            configuration: snapshot
-                .raw_configuration
-                .as_deref()
-                .filter(|_| newer)
-                .cloned(),
+        let configuration = snapshot.raw_configuration.as_deref().filter(|_| newer);
+        if targets.is_none() && !self.may_send_all(&snapshot, configuration) {
+            return None;
+        }
+        Some(PeerUpdate {
+            configuration: configuration.cloned(),
             position: snapshot.target_position,
             domain_drains: snapshot
                 .domain_drains
@@ -126,8 +129,6 @@
                 .filter(|r| targets.is_none_or(|after| r.position() > after))
                 .map(|r| r.to_update())
                 .collect(),
-        };
-        let is_complete = targets.is_none();
-        (!is_complete || self.may_send(update.size())).then_some(update)
+        })
     }
 }
