Start of a large fleet: weak nodes leave the pages after the first one to strong ones

The pages after the first one are asked for after a random delay that is short on strong hosts; who gets the targets from one of them meanwhile does not ask. A node that was provided with the targets watches from their position in place of reading everything anew.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -135,12 +135,15 @@
         let reading = watch::Sender::new(StoreReading {
             watch_interval: None,
             first_listing: FirstListing::Own,
+            position: StorePosition::default(),
         });
         let (crash_writes, crash_writes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
         let probe_enabled = watch::Sender::new(false);
         spawner.spawn(write_crashes(store.clone(), crash_writes_rx));
         spawner.spawn(probe_era(store.clone(), probe_enabled.subscribe()));
-        spawner.spawn(watch_store(store, reading.subscribe(), store_tx));
+        let cpu_share = parts.settings.cpu_share;
+        let watching = watch_store(store, reading.subscribe(), cpu_share, store_tx);
+        spawner.spawn(watching);
         let control = Self::new(parts, reading, probe_enabled, crash_writes);
         spawner.spawn(control.run(store_rx));
     }
@@ -283,6 +286,7 @@
         let reading = StoreReading {
             watch_interval: role.map(watch_interval),
             first_listing: self.first_listing(now),
+            position: self.registry.position(),
         };
         let before = self.reading.send_replace(reading);
         if before.watch_interval.is_some() != should {
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -30,6 +30,10 @@
 /// seeds.
 const PEER_DISCOVERY: Duration = Duration::from_millis(150);
 
+/// Time over which the nodes of a fleet that starts as a whole spread their requests for the pages
+/// after the first one, so that most nodes get them from the first ones that have read them.
+const REST_SPREAD: Duration = Duration::from_secs(2);
+
 /// Whether and how a node reads the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct StoreReading {
@@ -38,6 +42,8 @@
     pub(super) watch_interval: Option<Duration>,
     /// Who reads the content of the store for a node that has just started.
     pub(super) first_listing: FirstListing,
+    /// Position from which a node watches whose first listing another node has provided.
+    pub(super) position: StorePosition,
 }
 
 /// Who reads the content of the store for a node that has just started.
@@ -87,9 +93,11 @@
 pub(super) async fn watch_store<N: Network>(
     store: PlatformStore<N>,
     mut reading: watch::Receiver<StoreReading>,
+    cpu_share: f64,
     tx: mpsc::Sender<StoreEvent>,
 ) {
     let started_at = Instant::now();
+    let rest_delay = PEER_DISCOVERY + rest_spread(cpu_share);
     let mut progress = ReadProgress::start(Freshness::MayBeStale);
     let mut is_first_listing = true;
     let mut era = store.subscribe_era();
@@ -97,21 +105,23 @@
     let mut backoff = FIRST_BACKOFF;
     while !tx.is_closed() {
         if is_first_listing && progress.has_first_page() {
-            tokio::time::sleep_until(started_at + PEER_DISCOVERY).await;
+            // Returns early if another node provides the rest meanwhile.
+            let provided = reading.wait_for(is_provided);
+            let _ = tokio::time::timeout_at(started_at + rest_delay, provided).await;
             let decided = |r: &StoreReading| r.first_listing != FirstListing::Expected;
             if reading.wait_for(decided).await.is_err() {
                 return;
             }
         }
-        if is_first_listing && reading.borrow().first_listing == FirstListing::Provided {
-            is_first_listing = false;
-            // If this node watches the store later, it reads the content as it is then.
-            progress = ReadProgress::start(Freshness::Latest);
-        }
+        let is_now_provided = is_first_listing && is_provided(&reading.borrow());
+        is_first_listing &= !is_now_provided;
         if !is_first_listing {
             let enabled = reading.wait_for(|r| r.watch_interval.is_some()).await;
-            if enabled.is_err() {
+            let Ok(position) = enabled.map(|r| r.position) else {
                 return;
+            };
+            if is_now_provided {
+                progress = ReadProgress::Watching(position);
             }
         }
         let mut provided = reading.clone();
@@ -167,6 +177,13 @@
     }
 }
 
+/// Returns a random delay for the pages after the first one; short on a strong host, which can
+/// provide them to many others.
+fn rest_spread(cpu_share: f64) -> Duration {
+    let weakness = 1.0 - cpu_share.clamp(0.0, 0.9);
+    REST_SPREAD.mul_f64(weakness * rand::rng().random_range(0.4..1.0))
+}
+
 fn is_provided(reading: &StoreReading) -> bool {
     reading.first_listing == FirstListing::Provided
 }
@@ -229,8 +246,8 @@
 
     /// Restarts a listing that failed, since the next attempt may be much later.
     fn on_failure(&mut self) {
-        if !self.is_watching() {
-            *self = Self::start(Freshness::Latest);
+        if let Self::Listing { freshness, .. } = self {
+            *self = Self::start(*freshness);
         }
     }
 }
