Start of a large fleet: weak nodes leave the store to strong ones; fewer heartbeats between domains

Half of the nodes also watched the store for a moment, since they knew too few others to know their rank.

A host with less than a fifth of a core waits 0.45 s for a node that provides the store's content, and asks after up to a second more if there is none; strong hosts ask at once. A node that knows a stronger one decides after 1.2 s in place of 0.5 s whether it watches.

Test: a_weak_host_reads_the_store_only_if_no_other_node_provides_its_content.

--- a/crates/azuresaddle-edge/src/control/gossip.rs
+++ b/crates/azuresaddle-edge/src/control/gossip.rs
@@ -6,6 +6,7 @@
 
 use std::net::Ipv4Addr;
 
+use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::time::Instant;
 
@@ -22,6 +23,10 @@
 /// receive dozens of heartbeats from others per round, and traffic between domains is expensive.
 const CROSS_DOMAIN_FANOUT: usize = 1;
 
+/// Number of nodes of a failure domain that send to another domain in a round, on average. More of
+/// them tell the other domains nothing new.
+const CROSS_DOMAIN_SENDERS: f64 = 60.0;
+
 /// Ticks per gossip round in a larger fleet.
 const TICKS_PER_ROUND: u32 = 2;
 
@@ -195,8 +200,14 @@
             let is_far = |n: &MemberState| n.domain != self.own.domain;
             let (far, near): (Vec<&MemberState>, Vec<&MemberState>) =
                 all.into_iter().partition(|n| is_far(n));
+            let sender_share = CROSS_DOMAIN_SENDERS / near.len().max(1) as f64;
+            let far_count = if self.rng.random_bool(sender_share.min(1.0)) {
+                CROSS_DOMAIN_FANOUT
+            } else {
+                0
+            };
             // If there are too few nodes of one kind, nodes of the other kind take their place.
-            let near_count = near.len().min(FANOUT - CROSS_DOMAIN_FANOUT.min(far.len()));
+            let near_count = near.len().min(FANOUT - far_count.min(far.len()));
             let near = near.into_iter().take(near_count);
             all = near
                 .chain(far.into_iter().take(FANOUT - near_count))
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -70,6 +70,10 @@
 /// then it knows whether other nodes watch.
 const WATCH_DELAY: Duration = Duration::from_millis(500);
 
+/// The same for a node of a larger fleet that knows a stronger one, until it knows most nodes: before
+/// that it would take itself for one of the first.
+const WEAKER_NODE_WATCH_DELAY: Duration = Duration::from_millis(1200);
+
 /// Another node of the fleet.
 #[derive(Clone, Debug)]
 pub(super) struct Member {
@@ -252,7 +256,7 @@
     /// If all nodes of a large fleet retried at once, a store that is down would receive several
     /// times the calls.
     pub(super) fn watch_role(&mut self, now: Instant) -> Option<WatchRole> {
-        if now.saturating_duration_since(self.started_at) < WATCH_DELAY {
+        if now.saturating_duration_since(self.started_at) < self.watch_delay(now) {
             return None;
         }
         let ranked = self.ranked(now);
@@ -275,6 +279,15 @@
         (rank < most).then_some(role)
     }
 
+    fn watch_delay(&self, now: Instant) -> Duration {
+        let is_stronger = |m: &Member| m.state.cpu_milli > self.own.cpu_milli;
+        if !self.is_mesh() && self.alive(now).any(is_stronger) {
+            WEAKER_NODE_WATCH_DELAY
+        } else {
+            WATCH_DELAY
+        }
+    }
+
     /// Returns how many of the highest-ranked nodes may watch the store.
     fn max_watchers(&mut self, now: Instant, is_watched: bool) -> usize {
         if is_watched {
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -30,9 +30,15 @@
 /// seeds.
 const PEER_DISCOVERY: Duration = Duration::from_millis(150);
 
-/// Time over which the nodes of a fleet that starts as a whole spread their requests for the pages
-/// after the first one, so that most nodes get them from the first ones that have read them.
-const REST_SPREAD: Duration = Duration::from_secs(2);
+/// CPU share, in cores, below which a host leaves the store to stronger ones at first.
+const WEAK_CPU_SHARE: f64 = 0.2;
+
+/// Time for which a weak host waits for another node that provides the store's content: by then the
+/// strong hosts of a fleet that starts as a whole have read it and are known.
+const WEAK_HOST_WAIT: Duration = Duration::from_millis(450);
+
+/// Additional time over which weak hosts spread their first calls, in case there is no strong one.
+const WEAK_HOST_SPREAD: Duration = Duration::from_millis(1000);
 
 /// Whether and how a node reads the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,17 +103,27 @@
     tx: mpsc::Sender<StoreEvent>,
 ) {
     let started_at = Instant::now();
-    let rest_delay = PEER_DISCOVERY + rest_spread(cpu_share);
+    let first_page_at = started_at + first_page_delay(cpu_share);
+    let rest_at = first_page_at.max(started_at + PEER_DISCOVERY);
     let mut progress = ReadProgress::start(Freshness::MayBeStale);
     let mut is_first_listing = true;
     let mut era = store.subscribe_era();
     let mut is_unreachable = false;
     let mut backoff = FIRST_BACKOFF;
     while !tx.is_closed() {
+        if is_first_listing {
+            let has_first_page = progress.has_first_page();
+            let may_read_at = if has_first_page {
+                rest_at
+            } else {
+                first_page_at
+            };
+            tokio::select! {
+                () = tokio::time::sleep_until(may_read_at) => {}
+                Ok(_) = reading.wait_for(is_provided) => {}
+            }
+        }
         if is_first_listing && progress.has_first_page() {
-            // Returns early if another node provides the rest meanwhile.
-            let provided = reading.wait_for(is_provided);
-            let _ = tokio::time::timeout_at(started_at + rest_delay, provided).await;
             let decided = |r: &StoreReading| r.first_listing != FirstListing::Expected;
             if reading.wait_for(decided).await.is_err() {
                 return;
@@ -177,11 +193,15 @@
     }
 }
 
-/// Returns a random delay for the pages after the first one; short on a strong host, which can
-/// provide them to many others.
-fn rest_spread(cpu_share: f64) -> Duration {
-    let weakness = 1.0 - cpu_share.clamp(0.0, 0.9);
-    REST_SPREAD.mul_f64(weakness * rand::rng().random_range(0.4..1.0))
+/// Returns the delay after the start before a node reads the store itself.
+///
+/// When all nodes of a large fleet read it at once, the store's link is full for seconds, and hardly
+/// any of them gets an answer in time.
+fn first_page_delay(cpu_share: f64) -> Duration {
+    if cpu_share >= WEAK_CPU_SHARE {
+        return Duration::ZERO;
+    }
+    WEAK_HOST_WAIT + WEAK_HOST_SPREAD.mul_f64(rand::rng().random())
 }
 
 fn is_provided(reading: &StoreReading) -> bool {
--- a/crates/azuresaddle-edge/src/control/tests/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_watch.rs
@@ -65,10 +65,10 @@
 }
 
 async fn start(first_listing: FirstListing) -> Running {
-    start_with(first_listing, Arc::default()).await
+    start_on(1.0, first_listing, Arc::default()).await
 }
 
-async fn start_with(first_listing: FirstListing, store: Arc<PagedStore>) -> Running {
+async fn start_on(cpu_share: f64, first_listing: FirstListing, store: Arc<PagedStore>) -> Running {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let listener = TcpNetwork.bind(addr).await.unwrap();
     let addr = listener.local_addr();
@@ -86,7 +86,7 @@
         position: StorePosition::new(StoreEra(0), PROVIDED_REVISION),
     });
     let (tx, events) = mpsc::channel(16);
-    Spawner::current().spawn(watch_store(client, reading.subscribe(), 1.0, tx));
+    Spawner::current().spawn(watch_store(client, reading.subscribe(), cpu_share, tx));
     Running {
         store,
         reading,
@@ -162,9 +162,23 @@
 async fn a_listing_that_hangs_is_requested_again_once_the_store_answers() {
     let store = Arc::new(PagedStore::default());
     store.is_silent.store(true, Ordering::Relaxed);
-    let mut node = start_with(FirstListing::Own, Arc::clone(&store)).await;
+    let mut node = start_on(1.0, FirstListing::Own, Arc::clone(&store)).await;
     tokio::time::sleep(Duration::from_millis(800)).await;
     store.is_silent.store(false, Ordering::Relaxed);
     let in_time = tokio::time::timeout(CALL_TIMEOUT / 2, node.listing()).await;
     assert!(in_time.is_ok());
 }
+
+/// All nodes of a large fleet were killed: they filled the store's link, and nine in ten got no answer in time.
+#[tokio::test]
+async fn a_weak_host_reads_the_store_only_if_no_other_node_provides_its_content() {
+    let store = Arc::new(PagedStore::default());
+    let node = start_on(0.12, FirstListing::Own, Arc::clone(&store)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    node.reading
+        .send_modify(|r| r.first_listing = FirstListing::Provided);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert!(store.queries().is_empty());
+    let mut alone = start_on(0.12, FirstListing::Own, store).await;
+    alone.listing().await;
+}
