--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -125,13 +125,13 @@
     fn count_remembered_runs(&self, crash: Crash) {
         let now = Instant::now();
         let state = self.lock();
-        let first_crash_after = |target, time| {
+        let first_crash_of = |target| {
             let is_this_one = target == crash.target.target;
-            let known = state.first_crash_after(target, time);
+            let known = state.first_crash_of(target);
             known.or(is_this_one.then_some(now))
         };
         let mut recent = self.lock_recent();
-        let remembered = recent.take(now, crash.fingerprint, first_crash_after);
+        let remembered = recent.take(now, crash.fingerprint, first_crash_of);
         drop(recent);
         drop(state);
         for run in remembered {
--- a/crates/azuresaddle-sched/src/quarantine/recent.rs
+++ b/crates/azuresaddle-sched/src/quarantine/recent.rs
@@ -60,18 +60,18 @@
     /// Removes the runs of a request and returns those that their targets survived. A target that
     /// crashed long after a run did survive it.
     ///
-    /// `first_crash_after` returns when a target, given by its hash, is first known to have crashed
-    /// after a time.
+    /// `first_crash_of` returns when a target, given by its hash, first crashed as far as is known.
+    /// Runs after it do not count: the target has restarted unnoticed, and may have crashed again.
     pub fn take(
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
-        first_crash_after: impl Fn(u64, Instant) -> Option<Instant>,
+        first_crash_of: impl Fn(u64) -> Option<Instant>,
     ) -> Vec<SuccessfulRun> {
         let runs = self.0.remove(&fingerprint).unwrap_or_default();
         let is_evidence = |run: &Run| {
             let age = now.saturating_duration_since(run.at);
-            let crashed_at = first_crash_after(run.target, run.at);
+            let crashed_at = first_crash_of(run.target);
             let survived = crashed_at.is_none_or(|at| at >= run.at + LATE_CRASH_TIME);
             (SURVIVAL_TIME..RETENTION).contains(&age) && survived
         };
--- a/crates/azuresaddle-sched/src/quarantine/state.rs
+++ b/crates/azuresaddle-sched/src/quarantine/state.rs
@@ -131,13 +131,12 @@
         had_crashes
     }
 
-    /// When this node learned of the first crash of a target after a time; the target is given by the
-    /// hash of its name and start.
-    pub fn first_crash_after(&self, target: u64, time: Instant) -> Option<Instant> {
+    /// When this node learned of the first crash of a target, which is given by the hash of its name
+    /// and start.
+    pub fn first_crash_of(&self, target: u64) -> Option<Instant> {
         let crashes = self.crashed_targets.iter();
         let of_target = crashes.filter(|(incarnation, _)| incarnation.target == target);
-        let times = of_target.map(|(_, crashed)| crashed.at);
-        times.filter(|at| *at >= time).min()
+        of_target.map(|(_, crashed)| crashed.at).min()
     }
 
     /// Whether a crash of a target is known from before a send to it, so that a later incarnation got the send.
--- a/crates/azuresaddle-sched/tests/suite/evidence.rs
+++ b/crates/azuresaddle-sched/tests/suite/evidence.rs
@@ -31,19 +31,15 @@
     }
     let later = now + Duration::from_secs(1);
     let soon = now + Duration::from_millis(200);
-    let crashed_soon = |target, _| (target == 0).then_some(soon);
+    let crashed_soon = |target| (target == 0).then_some(soon);
     let recalled = recent.take(later, request(1), crashed_soon);
     assert_eq!(recalled.len(), 3, "of the last four, one was on the target");
     assert!(recent.take(later, request(1), crashed_soon).is_empty());
     // A run that has just completed may still crash its target, and a run long ago is weak evidence.
     recent.record(now, successful_run(2, 1), 5);
-    assert!(recent.take(now, request(2), |_, _| None).is_empty());
+    assert!(recent.take(now, request(2), |_| None).is_empty());
     recent.record(now, successful_run(2, 1), 5);
-    assert!(
-        recent
-            .take(now + MINUTE, request(2), |_, _| None)
-            .is_empty()
-    );
+    assert!(recent.take(now + MINUTE, request(2), |_| None).is_empty());
 }
 
 /// Its targets survive it occasionally.
@@ -196,7 +192,7 @@
         let mut recent = RecentSuccessfulRuns::default();
         recent.record(now, successful_run(1, 1), 0);
         recent
-            .take(later, request(1), |_, _| Some(now + crashed_after))
+            .take(later, request(1), |_| Some(now + crashed_after))
             .len()
     };
     assert_eq!(recall(Duration::from_millis(400)), 0);
