--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -288,8 +288,14 @@
             first_listing: self.first_listing(now),
             position: self.registry.position(),
         };
-        let before = self.reading.send_replace(reading);
-        if before.watch_interval.is_some() != should {
+        let was_watching = self.reading.borrow().watch_interval.is_some();
+        self.reading.send_if_modified(|known| {
+            let before = std::mem::replace(known, reading);
+            // A new position alone wakes nobody.
+            before.watch_interval != reading.watch_interval
+                || before.first_listing != reading.first_listing
+        });
+        if was_watching != should {
             tracing::info!(
                 part = "control",
                 watching = should,
--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -107,8 +107,8 @@
                 return Some((addr, FetchScope::All { from_settled: true }));
             }
         }
+        let from_settled = false;
         if let Some(addr) = self.choose_provider(now) {
-            let from_settled = false;
             return Some((addr, FetchScope::All { from_settled }));
         }
         if self.is_listing_store(now) {
@@ -138,7 +138,6 @@
         let since = *self.differs_since.get_or_insert(now);
         let differs_for = now.saturating_duration_since(since);
         let is_due = differs_for >= FULL_FETCH_DELAY && self.may_fetch_all(now);
-        let from_settled = false;
         is_due.then_some((addr, FetchScope::All { from_settled }))
     }
 
@@ -156,10 +155,10 @@
         if let Some(addr) = self.members.choose_peer(now, is_complete) {
             return Some(addr);
         }
-        let needs_configuration = self.configuration.is_none() && newest > 0;
-        let has_newest = |n: &MemberState| n.configuration == newest;
-        let has_configuration = needs_configuration.then_some(has_newest)?;
-        self.members.choose_peer(now, has_configuration)
+        if self.configuration.is_some() || newest == 0 {
+            return None;
+        }
+        self.members.choose_peer(now, |n| n.configuration == newest)
     }
 
     /// Returns whether this node is still reading the complete store, so that it need not fetch the
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -112,20 +112,12 @@
     let mut backoff = FIRST_BACKOFF;
     while !tx.is_closed() {
         if is_first_listing {
-            let has_first_page = progress.has_first_page();
-            let may_read_at = if has_first_page {
-                rest_at
+            let turn = if progress.has_first_page() {
+                wait_for_rest(&mut reading, rest_at).await
             } else {
-                first_page_at
+                wait_for_first_page(&mut reading, first_page_at).await
             };
-            tokio::select! {
-                () = tokio::time::sleep_until(may_read_at) => {}
-                Ok(_) = reading.wait_for(is_provided) => {}
-            }
-        }
-        if is_first_listing && progress.has_first_page() {
-            let decided = |r: &StoreReading| r.first_listing != FirstListing::Expected;
-            if reading.wait_for(decided).await.is_err() {
+            if turn.is_err() {
                 return;
             }
         }
@@ -204,6 +196,28 @@
     WEAK_HOST_WAIT + WEAK_HOST_SPREAD.mul_f64(rand::rng().random())
 }
 
+/// Waits until a starting node may read the first page, or another node has provided everything.
+async fn wait_for_first_page(
+    reading: &mut watch::Receiver<StoreReading>,
+    read_at: Instant,
+) -> Result<(), watch::error::RecvError> {
+    tokio::select! {
+        () = tokio::time::sleep_until(read_at) => Ok(()),
+        provided = reading.wait_for(is_provided) => provided.map(drop),
+    }
+}
+
+/// Waits until a starting node may read the pages after the first one, or another node has provided
+/// everything.
+async fn wait_for_rest(
+    reading: &mut watch::Receiver<StoreReading>,
+    read_at: Instant,
+) -> Result<(), watch::error::RecvError> {
+    wait_for_first_page(reading, read_at).await?;
+    let is_decided = |r: &StoreReading| r.first_listing != FirstListing::Expected;
+    reading.wait_for(is_decided).await.map(drop)
+}
+
 fn is_provided(reading: &StoreReading) -> bool {
     reading.first_listing == FirstListing::Provided
 }
