--- a/tests/testsuite/platform/domain_drains.rs
+++ b/tests/testsuite/platform/domain_drains.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::platform::{CallerRequest, TargetHandle};
+use azuresaddle_standin::platform::{CallerRequest, StoreRollback, TargetHandle};
 use azuresaddle_standin::soak::{Fleet, NodeProcess, ProxyMode};
 use tokio::time::Instant;
 
@@ -125,3 +125,22 @@
     assert_eq!(status(&fleet.nodes[0], &plain("/post/1")).await, 200);
     assert_eq!(arrived_since(&moved, returned_at), 1);
 }
+
+/// The drain is lost with the store's latest seconds, and the operator writes it again within two seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_holds_while_the_store_returns_from_an_older_copy() {
+    let mut fleet = fleet("domain-drain-rollback", 3).await;
+    let moved = second_domain(&mut fleet).await;
+    let rollback = StoreRollback {
+        outage: Duration::from_millis(700),
+        copy_age: Duration::from_secs(3),
+        seed: 41,
+    };
+    tokio::time::sleep(rollback.copy_age).await;
+    fleet.platform.drain_domain("d2");
+    tokio::time::sleep(TIME_TO_APPLY).await;
+    let began = Instant::now();
+    let returns = fleet.platform.roll_back_store(rollback);
+    tokio::join!(returns, load(&fleet.nodes, Duration::from_secs(6)));
+    assert_eq!(arrived_since(&moved, began), 0);
+}
