Complete answers to other nodes take 4 MB at most while they wait to be sent

What a node may have under way was half of its link for half a second, up to 31 MB on a link of 1 Gbit/s, beside the values it is made from. A strong node still answers more than a hundred a second, since such answers are sent within a tenth of a second.

--- a/crates/azuresaddle-edge/src/peer/reply_budget.rs
+++ b/crates/azuresaddle-edge/src/peer/reply_budget.rs
@@ -10,6 +10,10 @@
 /// Longest time that accepted answers may take to send; below the timeout of the nodes that wait.
 const MAX_BACKLOG: Duration = Duration::from_millis(500);
 
+/// Largest size of the accepted answers that are not sent yet, in bytes, which bounds the memory of a
+/// node with a fast link: an eighth of what control may take, for the answers and their copies.
+const MAX_PENDING_BYTES: f64 = 4e6;
+
 /// Accepts complete answers as long as the link can send them in time.
 ///
 /// When a large fleet starts as a whole, hundreds of nodes ask the first ones that have read the
@@ -36,9 +40,12 @@
         let is_idle = self.sent_at <= now;
         let begin = self.sent_at.max(now);
         let takes = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
-        let is_accepted = is_idle || begin + takes <= now + MAX_BACKLOG;
+        let sent_at = begin + takes;
+        let pending_bytes = (sent_at - now).as_secs_f64() * self.bytes_per_s;
+        let fits = sent_at <= now + MAX_BACKLOG && pending_bytes <= MAX_PENDING_BYTES;
+        let is_accepted = is_idle || fits;
         if is_accepted {
-            self.sent_at = begin + takes;
+            self.sent_at = sent_at;
         }
         is_accepted
     }
