Updates between nodes of this and of earlier builds

Cause: the answer to 'updates' had a new shape, so a node that is not among the watchers got no configuration from nodes of the other build while a fleet is upgraded. The call has its earlier shape again; what is new (drained domains, a busy answer) goes through a call at the end of the list. A node of an earlier build breaks the connection on it and is asked by the earlier call then.

--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -5,12 +5,13 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{StoreEra, StorePosition};
+use azuresaddle_rpc::RpcError;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::actor::Control;
 use super::heartbeat::MemberState;
-use crate::peer::PeerUpdate;
+use crate::peer::{PeerClients, PeerState};
 
 /// Timeout for fetching an update from another node.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -47,11 +48,11 @@
     },
 }
 
-/// Result of a fetch; `update` is `None` if it failed.
+/// Result of a fetch; `state` is `None` if it failed.
 #[derive(Debug)]
 pub(super) struct Fetched {
     scope: FetchScope,
-    update: Option<PeerUpdate>,
+    state: Option<PeerState>,
 }
 
 impl<N: Network> Control<N> {
@@ -82,18 +83,14 @@
         let peers = self.peers.clone();
         let tx = fetched_tx.clone();
         self.spawner.spawn(async move {
-            let update = peers
-                .call(addr, timeout, async |client, cx| {
-                    client.updates(cx, configuration, after).await
-                })
-                .await;
-            if let Err(e) = &update {
+            let state = fetch(&peers, addr, timeout, configuration, after).await;
+            if let Err(e) = &state {
                 tracing::debug!(part = "control", %addr, error = %e, "fetching an update failed");
             }
             // The other node may also be too busy to answer.
-            let update = update.ok().flatten();
+            let state = state.ok().flatten();
             // A send fails only if the control loop has ended.
-            let _ = tx.send(Fetched { scope, update }).await;
+            let _ = tx.send(Fetched { scope, state }).await;
         });
     }
 
@@ -178,7 +175,11 @@
 
     pub(super) fn on_fetched(&mut self, fetched: Fetched) -> bool {
         self.is_fetching = false;
-        let Some(update) = fetched.update else {
+        let Some(PeerState {
+            update,
+            domain_drains,
+        }) = fetched.state
+        else {
             return false;
         };
         let now = Instant::now();
@@ -188,7 +189,7 @@
         for target in update.targets {
             changed |= self.registry.apply_update(now, target);
         }
-        for drain in update.domain_drains {
+        for drain in domain_drains {
             changed |= self.registry.apply_drain(now, drain);
         }
         self.registry.on_synced(update.position);
@@ -224,3 +225,29 @@
         }
     }
 }
+
+/// Fetches what a node knows beyond a configuration version and a position; everything without one.
+/// `None` if it is too busy.
+async fn fetch<N: Network>(
+    peers: &PeerClients<N>,
+    addr: SocketAddr,
+    timeout: Duration,
+    configuration: u64,
+    after: Option<StorePosition>,
+) -> Result<Option<PeerState>, RpcError> {
+    let state = peers
+        .call(addr, timeout, async |client, cx| {
+            client.state_since(cx, configuration, after).await
+        })
+        .await;
+    if state != Err(RpcError::Broken) {
+        return state;
+    }
+    // A node of an earlier build breaks the connection on a call that it does not know.
+    let update = peers
+        .call(addr, timeout, async |client, cx| {
+            client.updates(cx, configuration, after).await
+        })
+        .await;
+    update.map(|update| Some(update.into()))
+}
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -270,7 +270,7 @@
     for n in (1..=1000).filter(|n| *n != 5) {
         members.on_heartbeat(now, ip(n), &heartbeat(n, 1));
     }
-    let is_far = |ip: &Ipv4Addr| number(*ip) as u16 % 5 != 0;
+    let is_far = |ip: &Ipv4Addr| !number(*ip).is_multiple_of(5);
     let rounds = 2_000;
     let far: usize = (0..rounds)
         .map(|_| members.gossip_peers().into_iter().filter(is_far).count())
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -113,8 +113,23 @@
     /// The configuration, if it is newer than the requesting node's.
     pub(crate) configuration: Option<Vec<u8>>,
     pub(crate) targets: Vec<TargetUpdate>,
-    pub(crate) domain_drains: Vec<DomainDrain>,
     /// Store position of the latest change of targets or drained failure domains that the node knows; the default until
     /// it knows all of them.
     pub(crate) position: StorePosition,
 }
+
+/// What a node knows from the store, with the drained failure domains.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PeerState {
+    pub(crate) update: PeerUpdate,
+    pub(crate) domain_drains: Vec<DomainDrain>,
+}
+
+impl From<PeerUpdate> for PeerState {
+    fn from(update: PeerUpdate) -> Self {
+        Self {
+            update,
+            domain_drains: Vec::new(),
+        }
+    }
+}
--- a/crates/azuresaddle-edge/src/peer/mod.rs
+++ b/crates/azuresaddle-edge/src/peer/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 pub(crate) use messages::{
-    PeerUpdate, PermitReply, PermitRequest, PlaceMessage, PlaceReply, ReportKind, StreamReport,
+    PeerState, PermitReply, PermitRequest, PlaceMessage, PlaceReply, ReportKind, StreamReport,
     SyncMessage,
 };
 pub(crate) use server::serve_peers;
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -13,7 +13,8 @@
 use tokio::time::Instant;
 
 use super::messages::{
-    PeerUpdate, PermitReply, PermitRequest, PlaceMessage, PlaceReply, StreamReport, SyncMessage,
+    PeerState, PeerUpdate, PermitReply, PermitRequest, PlaceMessage, PlaceReply, StreamReport,
+    SyncMessage,
 };
 use super::reply_budget::ReplyBudget;
 use super::service::EdgePeer;
@@ -64,9 +65,10 @@
 
 impl PeerServer {
     /// Whether the bandwidth suffices for an answer with the configuration and all targets.
-    fn may_send_all(&self, snapshot: &Snapshot, configuration: Option<&Vec<u8>>) -> bool {
+    fn may_send_all(&self, snapshot: &Snapshot) -> bool {
+        let configuration = snapshot.raw_configuration.as_ref();
         let records = snapshot.target_records.iter().map(|r| r.size());
-        let bytes = records.sum::<usize>() + configuration.map_or(0, Vec::len);
+        let bytes = records.sum::<usize>() + configuration.map_or(0, |json| json.len());
         let mut replies = self.replies.lock().unwrap_or_else(PoisonError::into_inner);
         replies.accept(Instant::now(), bytes)
     }
@@ -106,29 +108,45 @@
         _: Context,
         configuration: u64,
         targets: Option<StorePosition>,
-    ) -> Option<PeerUpdate> {
+    ) -> PeerUpdate {
+        update_since(&self.snapshots.load(), configuration, targets)
+    }
+
+    async fn state_since(
+        self,
+        _: Context,
+        configuration: u64,
+        targets: Option<StorePosition>,
+    ) -> Option<PeerState> {
         let snapshot = self.snapshots.load();
-        let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
-        let newer = version > configuration;
-        let configuration = snapshot.raw_configuration.as_deref().filter(|_| newer);
-        if targets.is_none() && !self.may_send_all(&snapshot, configuration) {
+        if targets.is_none() && !self.may_send_all(&snapshot) {
             return None;
         }
-        Some(PeerUpdate {
-            configuration: configuration.cloned(),
-            position: snapshot.target_position,
-            domain_drains: snapshot
-                .domain_drains
-                .iter()
-                .filter(|d| targets.is_none_or(|after| d.position > after))
-                .cloned()
-                .collect(),
-            targets: snapshot
-                .target_records
-                .iter()
-                .filter(|r| targets.is_none_or(|after| r.position() > after))
-                .map(|r| r.to_update())
-                .collect(),
+        let drains = snapshot.domain_drains.iter();
+        let drains = drains.filter(|d| targets.is_none_or(|after| d.position > after));
+        Some(PeerState {
+            update: update_since(&snapshot, configuration, targets),
+            domain_drains: drains.cloned().collect(),
         })
     }
 }
+
+fn update_since(
+    snapshot: &Snapshot,
+    configuration: u64,
+    targets: Option<StorePosition>,
+) -> PeerUpdate {
+    let version = snapshot.configuration.as_ref().map_or(0, |c| c.version.0);
+    let newer = version > configuration;
+    let records = snapshot.target_records.iter();
+    let records = records.filter(|r| targets.is_none_or(|after| r.position() > after));
+    PeerUpdate {
+        configuration: snapshot
+            .raw_configuration
+            .as_deref()
+            .filter(|_| newer)
+            .cloned(),
+        position: snapshot.target_position,
+        targets: records.map(|r| r.to_update()).collect(),
+    }
+}
--- a/crates/azuresaddle-edge/src/peer/service.rs
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -4,10 +4,11 @@
 use azuresaddle_platform::StorePosition;
 
 use super::messages::{
-    PeerUpdate, PermitReply, PermitRequest, PlaceMessage, PlaceReply, StreamReport, SyncMessage,
+    PeerState, PeerUpdate, PermitReply, PermitRequest, PlaceMessage, PlaceReply, StreamReport,
+    SyncMessage,
 };
 
-/// Calls between nodes.
+/// Calls between nodes. A call is encoded by its place in this list, so new ones come last.
 #[tarpc::service]
 pub(crate) trait EdgePeer {
     /// Requests engines for a stream. Answers when the stream may be sent or is refused.
@@ -19,7 +20,9 @@
     /// Sends the complete list of a node's streams.
     async fn sync(sync: SyncMessage);
     /// Returns the configuration, if newer than the version `configuration`, and the changes of targets after the
-    /// position `targets`; all targets for `None`. Answers nothing if it is sending too many complete answers; another
+    /// position `targets`; all targets for `None`. Nodes of earlier builds call it, and provide nothing else.
+    async fn updates(configuration: u64, targets: Option<StorePosition>) -> PeerUpdate;
+    /// The same with the drained failure domains. Answers nothing if it is sending too many complete answers; another
     /// node may be asked then.
-    async fn updates(configuration: u64, targets: Option<StorePosition>) -> Option<PeerUpdate>;
+    async fn state_since(configuration: u64, targets: Option<StorePosition>) -> Option<PeerState>;
 }
