Settings name the optional parts of a node

Cause: parts that are new act only where a deployment calls for them, and the settings list which of the platform's rules are in force. Features is decoded from that list; nothing reads it yet. The stand-in's settings call for both parts, so that process tests and the soak meet them.

--- a/crates/azuresaddle-core/src/deployment/node_settings.rs
+++ b/crates/azuresaddle-core/src/deployment/node_settings.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use super::Bounds;
+use super::{Bounds, Features};
 use crate::names::{FailureDomain, HostName};
 
 /// Addresses that a node listens on.
@@ -46,4 +46,6 @@
     pub link_bytes_per_s: f64,
     /// Limits that the operator sets for the deployment.
     pub bounds: Bounds,
+    /// Optional parts that the deployment calls for.
+    pub features: Features,
 }
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -256,6 +256,7 @@
 internal_port_range = [{inner}, {inner_last}]
 seed_nodes = [{seeds}]
 heartbeat_ms = {TARGET_HEARTBEAT_MS}
+contracts = ["base", "health", "pool"]
 something_new = true
 [listen]
 frontend = "{ip}:{frontend}"
