--- a/tests/testsuite/days.rs
+++ b/tests/testsuite/days.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 /// Placeholders that stand for the names of a deployment.
-const PLACEHOLDERS: [&str; 7] = ["@c0", "@c1", "@c2", "@s0", "@s1", "@z0", "@z1"];
+const PLACEHOLDERS: [&str; 8] = ["@c0", "@c1", "@c2", "@c3", "@s0", "@s1", "@z0", "@z1"];
 
 /// Kinds of disruptions and planned work that a day may contain.
 const KINDS: [&str; 35] = [
