Plain targets that fail are ejected on all nodes from shared observations

Each node counted only its own failures of a plain target, so a target that was silent for seconds cost every node its own failed sends. Nodes now exchange what they observe and apply the same rules to it; one node probes an ejected target. Enabled by features.shared_health.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -20,18 +20,21 @@
 use super::members::{Members, TICK};
 use super::read_plan::{FirstListing, ReadPlan};
 use super::registry::Registry;
+use super::shared_health::SharedHealth;
 use super::signal_records::SignalRecords;
 use super::signals::SignalGossip;
 use super::start_gate::StartGate;
 use super::store_event::StoreEvent;
 use super::store_watch::watch_store;
 use super::stored_crashes::StoredCrashes;
+use super::target_health::ProbeResult;
 use super::watch_role::WatchRole;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::quarantine::{CrashUpdate, SharedQuarantine};
 use crate::signals::ObservedSignals;
 use crate::snapshot::Snapshots;
+use crate::targets::SendObservations;
 
 /// Timeout of store calls other than watches.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -50,6 +53,9 @@
 /// Capacity of the queue of crash writes: enough for the crashes of all streams on a few targets.
 const MAX_WAITING_CRASHES: usize = 64;
 
+/// Capacity of the queue of probe results; a node probes few targets at a time.
+const MAX_WAITING_PROBES: usize = 64;
+
 /// Minimum interval between two watch calls of the first watcher, which the other nodes hear from.
 const LEADING_WATCH_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -75,11 +81,14 @@
     pub(crate) crashes_observed: mpsc::Receiver<CrashUpdate>,
     /// Target signals in the answers that this node has relayed.
     pub(crate) signals_observed: mpsc::Receiver<ObservedSignals>,
+    /// Outcomes of this node's sends to plain targets.
+    pub(crate) observations: Arc<SendObservations>,
     pub(crate) metrics: Metrics,
 }
 
 /// State of the control loop.
 pub(crate) struct Control<N> {
+    pub(super) net: N,
     pub(super) socket: UdpSocket,
     pub(super) heartbeat_port: u16,
     pub(super) peers: PeerClients<N>,
@@ -117,6 +126,12 @@
     pub(super) signals_observed: mpsc::Receiver<ObservedSignals>,
     pub(super) signals: SignalRecords,
     pub(super) signal_gossip: SignalGossip,
+    pub(super) observations: Arc<SendObservations>,
+    /// Health of plain targets; `None` if nodes don't share it.
+    pub(super) health: Option<SharedHealth>,
+    /// Results of this node's probes of ejected targets.
+    pub(super) probe_results: mpsc::Receiver<ProbeResult>,
+    pub(super) probe_results_tx: mpsc::Sender<ProbeResult>,
     pub(super) crash_gossip: CrashGossip,
     pub(super) stored_crashes: StoredCrashes,
     /// Queue of crashes to store or to remove from the store.
@@ -173,11 +188,15 @@
             is_watching: false,
             term: 0,
         };
+        let shares_health = settings.features.shared_health;
+        let health = shares_health.then(|| SharedHealth::new(Instant::now(), &own));
+        let (probe_results_tx, probe_results) = mpsc::channel(MAX_WAITING_PROBES);
         let members = Members::new(Instant::now(), own, settings.peer_port, &settings.seeds);
         Self {
             socket: parts.socket,
             heartbeat_port: settings.heartbeat_port,
-            peers: PeerClients::new(parts.net, parts.spawner.clone()),
+            peers: PeerClients::new(parts.net.clone(), parts.spawner.clone()),
+            net: parts.net,
             spawner: parts.spawner,
             snapshots: parts.snapshots,
             leaving: parts.leaving,
@@ -202,6 +221,10 @@
             signals_observed: parts.signals_observed,
             signals: SignalRecords::default(),
             signal_gossip: SignalGossip::default(),
+            observations: parts.observations,
+            health,
+            probe_results,
+            probe_results_tx,
             crash_gossip: CrashGossip::default(),
             stored_crashes: StoredCrashes::default(),
             crash_writes,
@@ -222,6 +245,7 @@
             let discovery_ends = self.discovery_ends();
             let has_deferred_configuration =
                 self.has_deferred_configuration() && Instant::now() < discovery_ends;
+            let health_due = self.health_due();
             let changed = tokio::select! {
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.on_datagram(from, &buf[..len]).await,
@@ -239,6 +263,9 @@
                     false
                 }
                 Some(observed) = self.signals_observed.recv() => self.on_signals_observed(&observed).await,
+                () = self.observations.woken() => self.share_health().await,
+                Some(result) = self.probe_results.recv() => self.on_probe_result(&result).await,
+                () = tokio::time::sleep_until(health_due.unwrap_or(publish_at)), if health_due.is_some() => self.share_health().await,
                 Some(node) = self.unresponsive_owners.recv() => self.on_unresponsive_owner(node).await,
                 () = leaving.cancelled(), if !self.members.is_leaving() => self.on_leaving(),
                 _ = tick.tick() => self.on_tick(&fetched_tx).await,
@@ -264,6 +291,7 @@
         self.send_vote(now).await;
         self.gossip_crashes().await;
         self.gossip_signals().await;
+        let health_changed = self.on_health_tick().await;
         self.expire_quarantine();
         self.expire_signals(now);
         let mut targets_changed = self.registry.expire_removals(now);
@@ -278,7 +306,7 @@
         self.rewrite_missing_crashes(now);
         self.update_settled(now);
         let has_started_serving = self.retry_deferred_configuration();
-        members_changed || targets_changed || has_started_serving
+        members_changed || targets_changed || health_changed || has_started_serving
     }
 
     /// Enables or disables the watch and the probe of the store according to this node's rank.
--- a/crates/azuresaddle-edge/src/control/datagrams.rs
+++ b/crates/azuresaddle-edge/src/control/datagrams.rs
@@ -25,6 +25,7 @@
                     self.send_heartbeats(now, &[ip]).await;
                     self.send_quarantine(ip).await;
                     self.send_known_signals(ip).await;
+                    self.send_known_health(ip).await;
                 }
                 let unknown = self.members.hosts_to_request(&heartbeat);
                 if !unknown.is_empty() {
@@ -44,6 +45,7 @@
                 false
             }
             Some(Datagram::Signals(updates)) => self.on_signal_gossip(&updates).await,
+            Some(Datagram::TargetHealth(updates)) => self.on_health_gossip(&updates).await,
             Some(Datagram::StateResponse(states)) => self.members.on_states(now, &states),
             Some(Datagram::Vote(vote)) => {
                 let claimed = self.members.on_vote(now, vote);
--- a/crates/azuresaddle-edge/src/control/gossip_queue.rs
+++ b/crates/azuresaddle-edge/src/control/gossip_queue.rs
@@ -45,6 +45,11 @@
         });
     }
 
+    /// Returns whether there are updates to send.
+    pub(super) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
     /// Returns the updates of the next round; those that were sent least often come first.
     pub(super) fn next_round(&mut self) -> Vec<T> {
         let count = self.queue.len().min(PER_ROUND);
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use azuresaddle_platform::StorePosition;
+use azuresaddle_sched::target_health::HealthUpdate;
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::CrashUpdate;
@@ -141,6 +142,8 @@
     Crashes(Vec<CrashUpdate>),
     /// Draining and rate-limit signals of targets.
     Signals(Vec<SignalUpdate>),
+    /// What nodes observed of plain targets.
+    TargetHealth(Vec<HealthUpdate>),
 }
 
 /// A node's vote to replace an owner that does not answer it.
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod registry;
 mod registry_drains;
 mod registry_entry;
+mod shared_health;
 mod signal_records;
 mod signals;
 mod start_delay;
@@ -29,6 +30,7 @@
 mod store_events;
 mod store_watch;
 mod stored_crashes;
+mod target_health;
 mod target_record;
 #[cfg(test)]
 mod tests;
--- a/crates/azuresaddle-edge/src/control/publish.rs
+++ b/crates/azuresaddle-edge/src/control/publish.rs
@@ -66,8 +66,10 @@
         let drained_domains = self.registry.drained_domains().len();
         self.metrics.drained_domains.set(drained_domains as i64);
         let rate_limits = Arc::new(self.rate_limits(&targets));
+        let target_verdicts = self.update_plain_targets(&targets);
         self.snapshots.publish(Snapshot {
             rate_limits,
+            target_verdicts,
             configuration: self.configuration.clone(),
             raw_configuration: self.raw_configuration.clone(),
             targets,
--- a/crates/azuresaddle-edge/src/forward/choose_target.rs
+++ b/crates/azuresaddle-edge/src/forward/choose_target.rs
@@ -20,7 +20,11 @@
         loop {
             let snapshot = self.snapshots.load();
             let targets = snapshot.targets.of_service(service);
-            let (target, in_flight) = self.health.pick(targets, exclude, &self.domain)?;
+            let verdicts = &snapshot.target_verdicts;
+            let picked = self
+                .health
+                .pick_accepted(targets, verdicts, exclude, &self.domain);
+            let (target, in_flight) = picked?;
             let Some(limit) = snapshot.rate_limits.get(&target.id).copied() else {
                 return Some((target, in_flight));
             };
@@ -38,6 +42,23 @@
         }
     }
 
+    /// Whether a request that was not sent to `target` can go to another target, according to what all nodes observe.
+    /// `false` if nodes don't share that.
+    pub(super) fn has_other_target(
+        &self,
+        service: &str,
+        target: &HostName,
+        exclude: &[HostName],
+    ) -> bool {
+        if !self.observations.is_enabled() {
+            return false;
+        }
+        let snapshot = self.snapshots.load();
+        let verdicts = &snapshot.target_verdicts;
+        let mut targets = snapshot.targets.of_service(service).iter();
+        targets.any(|t| t.id != *target && !exclude.contains(&t.id) && verdicts.accepts(&t.id))
+    }
+
     /// Time until the first target of a service accepts a request; `None` unless all of them are rate-limited or in
     /// back-off.
     pub(super) fn retry_in(&self, service: &str) -> Option<Duration> {
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -5,6 +5,7 @@
 use azuresaddle_core::burn::{BurnRecorder, Sample};
 use azuresaddle_core::deployment::{Bounds, EngineSpec, NodeSettings, TargetEntry};
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::target_health::{SendOutcome, TargetVerdict, TargetVerdicts};
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -23,7 +24,7 @@
 use crate::quarantine::SharedQuarantine;
 use crate::signals::ObservedSignals;
 use crate::snapshot::Snapshots;
-use crate::targets::{ConnectError, Connection, ConnectionPool, TargetHealth};
+use crate::targets::{ConnectError, Connection, ConnectionPool, SendObservations, TargetHealth};
 
 /// Dependencies of [`Forwarder`].
 pub(crate) struct ForwarderParts<N: Network> {
@@ -32,6 +33,7 @@
     pub(crate) placement: Arc<PlacementClient<N>>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) signals: mpsc::Sender<ObservedSignals>,
+    pub(crate) observations: Arc<SendObservations>,
     pub(crate) metrics: Metrics,
 }
 
@@ -47,6 +49,8 @@
     pub(super) quarantine: Arc<SharedQuarantine>,
     /// Sends the signals in targets' answers to control.
     pub(super) signals: mpsc::Sender<ObservedSignals>,
+    /// Passes the outcomes of sends to plain targets on to control.
+    pub(super) observations: Arc<SendObservations>,
     pub(super) broken_sends: BrokenSends,
     pub(super) bounds: Bounds,
     pub(super) metrics: Metrics,
@@ -62,6 +66,7 @@
             placement,
             quarantine,
             signals,
+            observations,
             metrics,
         } = parts;
         let bounds = settings.bounds;
@@ -75,6 +80,7 @@
             retry_budget: RetryBudget::new(bounds),
             quarantine,
             signals,
+            observations,
             broken_sends: BrokenSends::default(),
             bounds,
             metrics,
@@ -165,6 +171,20 @@
         self.retry_budget.try_take(service, nodes)
     }
 
+    /// Records the outcome of a send to a plain target, for the nodes that share what they observe.
+    pub(super) fn observe(&self, target: &TargetEntry, outcome: SendOutcome) {
+        if !self.observations.is_enabled() {
+            return;
+        }
+        self.health.on_outcome(&target.id, outcome);
+        self.observations.record(target, outcome);
+        let verdict = self.snapshots.load().target_verdicts.get(&target.id);
+        if matches!(verdict, TargetVerdict::OnTrial { .. }) {
+            // The outcome ends the trial.
+            self.observations.wake();
+        }
+    }
+
     /// Performance and capacity of a service's engines; `None` for a plain service.
     pub(super) fn engine_spec(&self, service: &str) -> Option<EngineSpec> {
         let snapshot = self.snapshots.load();
@@ -177,12 +197,15 @@
         let mut changes = self.snapshots.subscribe();
         let mut known = Arc::clone(&self.snapshots.load().targets);
         let mut limits = Arc::clone(&self.snapshots.load().rate_limits);
+        let mut verdicts = Arc::clone(&self.snapshots.load().target_verdicts);
         while changes.changed().await.is_ok() {
             let snapshot = self.snapshots.load();
             if limits != snapshot.rate_limits {
                 limits = Arc::clone(&snapshot.rate_limits);
                 self.health.clear_limits();
             }
+            self.follow_verdicts(&verdicts, &snapshot.target_verdicts);
+            verdicts = Arc::clone(&snapshot.target_verdicts);
             if Arc::ptr_eq(&known, &snapshot.targets) {
                 continue;
             }
@@ -198,4 +221,14 @@
             }
         }
     }
+
+    /// Closes idle connections to targets that were ejected, and forgets the failures of those that are back in use.
+    fn follow_verdicts(&self, before: &TargetVerdicts, now: &TargetVerdicts) {
+        for target in now.returned_in(before) {
+            self.connections.drop_idle(target);
+        }
+        for target in before.returned_in(now) {
+            self.health.on_returned(target);
+        }
+    }
 }
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod head;
 mod pace_probes;
 mod plain;
+mod plain_connect;
 mod problem;
 mod reservations;
 mod retry_budget;
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -7,6 +7,7 @@
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
 use azuresaddle_sched::quarantine::RequestStatus;
+use azuresaddle_sched::target_health::SendOutcome;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::HeaderMap;
@@ -18,6 +19,7 @@
 use super::crash_check::{check_for_crash, record_successful_run};
 use super::forwarder::Forwarder;
 use super::head::{ForwardRequest, SendOptions, strip_hop_by_hop};
+use super::plain_connect::{connect_plain, connect_timeout};
 use super::problem::{problem_response, refusal};
 
 /// Longest answer that is accepted, in bytes.
@@ -86,7 +88,21 @@
         let may_retry = req.is_idempotent() && history.runs + 1 < req.route.max_attempts;
         let timeout = send_timeout(req, may_retry);
         let sent_at = Instant::now();
-        let result = send_plain(cx, req, &target, timeout).await;
+        let connect = if cx.has_other_target(&req.service, &target.id, &history.exclude) {
+            connect_timeout(req).min(timeout)
+        } else {
+            timeout
+        };
+        let result = send_observed(
+            cx,
+            req,
+            &target,
+            SendTimeouts {
+                connect,
+                all: timeout,
+            },
+        )
+        .await;
         drop(in_flight);
         if result.as_ref().is_ok_and(|a| a.status.is_success()) {
             record_successful_run(cx, req, &target, sent_at);
@@ -136,6 +152,72 @@
     }
 }
 
+/// Timeouts of one send.
+#[derive(Clone, Copy, Debug)]
+struct SendTimeouts {
+    /// For the connection.
+    connect: Duration,
+    /// For the whole send.
+    all: Duration,
+}
+
+/// Sends a request once and records the outcome for the nodes that share what they observe.
+///
+/// A target is recorded as not answering as soon as an idempotent request would be sent elsewhere, also if this one still
+/// waits: a request that may run only once waits until its deadline.
+async fn send_observed<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    req: &ForwardRequest,
+    target: &Arc<TargetEntry>,
+    timeouts: SendTimeouts,
+) -> Result<TargetAnswer, SendFailure> {
+    let sent_at = Instant::now();
+    let patience = req.route.latency_target.mul_f64(FIRST_SEND_TIMEOUT_FACTOR);
+    let mut sending = std::pin::pin!(send_plain(cx, req, target, timeouts));
+    let result = match tokio::time::timeout_at(sent_at + patience, &mut sending).await {
+        Ok(result) => result,
+        Err(_) => {
+            cx.observe(target, SendOutcome::NoAnswer);
+            let result = sending.await;
+            if result.is_ok() {
+                cx.observe(target, SendOutcome::Slow);
+            }
+            return result;
+        }
+    };
+    if let Some(outcome) = outcome_of(cx, req, target, &result, sent_at.elapsed()) {
+        cx.observe(target, outcome);
+    }
+    result
+}
+
+/// What a send says about its target; `None` if nothing, or if the connection's failure is recorded already.
+fn outcome_of<N: Network>(
+    cx: &Forwarder<N>,
+    req: &ForwardRequest,
+    target: &TargetEntry,
+    result: &Result<TargetAnswer, SendFailure>,
+    took: Duration,
+) -> Option<SendOutcome> {
+    match result {
+        Ok(answer) if answer.is_failure() => Some(SendOutcome::ServerError),
+        Ok(_) if cx.health.is_slow(&target.id, took) => Some(SendOutcome::Slow),
+        Ok(_) => Some(SendOutcome::Answered),
+        Err(SendFailure::Declined { at_fault: None, .. }) => Some(SendOutcome::Refused),
+        Err(SendFailure::Broken(_)) => Some(SendOutcome::NoAnswer),
+        // Shortly before its deadline a request waits for less than answers usually take.
+        Err(SendFailure::TimedOut) => {
+            (took >= req.route.latency_target).then_some(SendOutcome::NoAnswer)
+        }
+        Err(
+            SendFailure::Declined { .. }
+            | SendFailure::NotSent(_)
+            | SendFailure::InBackOff
+            | SendFailure::WrongTarget,
+        ) => None,
+    }
+}
+
 /// Timeout of one send.
 fn send_timeout(req: &ForwardRequest, may_retry: bool) -> Duration {
     let left = time_until(req.deadline);
@@ -156,6 +238,8 @@
     runs: u32,
     /// Sends after which it did not.
     declined: u32,
+    /// Those of the declined sends that got no connection while other targets were left.
+    unsent: u32,
     last_failure: Option<TargetAnswer>,
 }
 
@@ -174,14 +258,19 @@
         } else {
             self.declined += 1;
         }
+        let is_unsent = matches!(failure, SendFailure::NotSent(_));
+        let goes_elsewhere = is_unsent && cx.has_other_target(&req.service, target, &self.exclude);
+        if goes_elsewhere {
+            self.unsent += 1;
+        }
         // A pooled connection may have been closed before the request was written. The first such failure does not
-        // exclude the target.
-        if !matches!(failure, SendFailure::NotSent(_)) || self.declined > 1 {
+        // exclude the target unless another one is left.
+        if !is_unsent || goes_elsewhere || self.declined > 1 {
             self.exclude.push(target.clone());
         }
         let allowed = failure.verdict().may_retry(req.is_idempotent())
             && self.runs < req.route.max_attempts
-            && self.declined < MAX_DECLINED
+            && self.declined - self.unsent < MAX_DECLINED
             && !time_until(req.deadline).is_zero();
         allowed && (!failure.reached_target() || cx.try_take_retry(&req.service))
     }
@@ -288,13 +377,10 @@
     cx: &Forwarder<N>,
     req: &ForwardRequest,
     target: &Arc<TargetEntry>,
-    timeout: Duration,
+    timeouts: SendTimeouts,
 ) -> Result<TargetAnswer, SendFailure> {
-    let give_up_at = Instant::now() + timeout;
-    let mut connection = tokio::time::timeout(timeout, cx.connect(target))
-        .await
-        .map_err(|_| SendFailure::NotSent("connect timed out".to_owned()))?
-        .map_err(|e| SendFailure::NotSent(e.to_string()))?;
+    let give_up_at = Instant::now() + timeouts.all;
+    let mut connection = connect_plain(cx, target, timeouts.connect).await?;
     let options = SendOptions {
         target: &target.id,
         last_event_id: req.head.last_event_id.as_ref(),
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod directory;
+mod ejected_target_info;
 mod forward;
 mod frontend;
 mod metrics;
@@ -19,6 +20,7 @@
 mod snapshot;
 mod targets;
 
+pub use ejected_target_info::EjectedTargetInfo;
 pub use node::{Node, NodeOptions, OpenError};
-pub use operator_endpoints::{BURN_PATH, QUARANTINE_PATH};
+pub use operator_endpoints::{BURN_PATH, QUARANTINE_PATH, TARGETS_PATH};
 pub use quarantine::QuarantinedRequest;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -83,6 +83,8 @@
     target_signals: Family<SignalLabels, Counter>,
     held_back: Family<HeldLabels, Counter>,
     pub(crate) unreadable_signals: Counter,
+    pub(crate) ejected_targets: Gauge,
+    pub(crate) target_ejections: Counter,
 }
 
 impl Metrics {
@@ -110,6 +112,8 @@
             target_signals: Family::default(),
             held_back: Family::default(),
             unreadable_signals: Counter::default(),
+            ejected_targets: Gauge::default(),
+            target_ejections: Counter::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -179,6 +183,10 @@
         r.register("sends_held_back", help, self.held_back.clone());
         let help = "Signal headers of targets with an invalid value";
         r.register("unreadable_signals", help, self.unreadable_signals.clone());
+        let help = "Plain targets that this node does not send to, or only on trial";
+        r.register("ejected_targets", help, self.ejected_targets.clone());
+        let help = "Times that plain targets were ejected for this node";
+        r.register("target_ejections", help, self.target_ejections.clone());
     }
 
     /// Counts an answer to a caller.
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -28,6 +28,7 @@
 use crate::placement::{Owner, PlacementClient, PlacementClientParts};
 use crate::quarantine::SharedQuarantine;
 use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, Snapshots, TargetSet};
+use crate::targets::SendObservations;
 
 /// Part of the grace period of a stop after which new requests are refused. By then the time to live of the
 /// addresses has passed, so callers have looked up other nodes.
@@ -108,6 +109,8 @@
         let (crashes, crashes_observed) = mpsc::channel(CRASH_QUEUE_CAPACITY);
         let quarantine = SharedQuarantine::new(crashes, metrics.clone());
         let (signals, signals_observed) = mpsc::channel(SIGNAL_QUEUE_CAPACITY);
+        let observations = SendObservations::new(settings.features.shared_health);
+        let observations = Arc::new(observations);
         Control::spawn(ControlParts {
             settings: settings.clone(),
             net: net.clone(),
@@ -121,6 +124,7 @@
             quarantine: Arc::clone(&quarantine),
             crashes_observed,
             signals_observed,
+            observations: Arc::clone(&observations),
             metrics: metrics.clone(),
         });
         let (pace_probes, pace_probes_rx) = mpsc::channel(PACE_PROBE_QUEUE_CAPACITY);
@@ -156,6 +160,7 @@
             placement,
             quarantine: Arc::clone(&quarantine),
             signals,
+            observations,
             metrics: metrics.clone(),
         };
         let forwarder = Forwarder::spawn(net.clone(), &settings, parts);
@@ -164,6 +169,7 @@
             metrics,
             burn: forwarder.burn(),
             quarantine,
+            snapshots: snapshots.clone(),
         });
         let stopping = Arc::new(Shutdown::default());
         let in_flight = InFlightAnswers::default();
@@ -240,6 +246,7 @@
         raw_configuration: None,
         targets: Arc::new(TargetSet::default()),
         rate_limits: Arc::default(),
+        target_verdicts: Arc::default(),
         target_records: Arc::default(),
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
--- a/crates/azuresaddle-edge/src/operator_endpoints.rs
+++ b/crates/azuresaddle-edge/src/operator_endpoints.rs
@@ -1,4 +1,5 @@
-//! HTTP endpoints for operators: metrics, service-level counts, and the quarantine, which they can lift for a request.
+//! HTTP endpoints for operators: metrics, service-level counts, ejected targets, and the quarantine, which they can lift
+//! for a request.
 
 use std::sync::Arc;
 
@@ -12,8 +13,10 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::ejected_target_info::EjectedTargetInfo;
 use crate::metrics::Metrics;
 use crate::quarantine::SharedQuarantine;
+use crate::snapshot::Snapshots;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -25,20 +28,31 @@
 /// lifts the quarantine of that request.
 pub const QUARANTINE_PATH: &str = "/quarantine";
 
+/// Path of the list of ejected targets, as JSON for `azuresaddle targets`.
+pub const TARGETS_PATH: &str = "/targets";
+
 /// Content type of the metrics.
 const TEXT_FORMAT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Content type of the other endpoints.
 const JSON_FORMAT: &str = "application/json";
 
-/// Serves the metrics, the service-level counts and the quarantine.
+/// Serves the metrics, the service-level counts, the ejected targets and the quarantine.
 pub(crate) struct OperatorEndpoints {
     pub(crate) metrics: Metrics,
     pub(crate) burn: Arc<BurnRecorder>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) snapshots: Snapshots,
 }
 
 impl OperatorEndpoints {
+    fn ejected_targets(&self) -> Vec<EjectedTargetInfo> {
+        let now = Instant::now();
+        let snapshot = self.snapshots.load();
+        let ejected = snapshot.target_verdicts.ejected().iter();
+        ejected.map(|e| EjectedTargetInfo::new(now, e)).collect()
+    }
+
     fn lift_quarantine(&self, fingerprint: &str) -> Response<Body> {
         let Ok(fingerprint) = fingerprint.parse::<Fingerprint>() else {
             return status(StatusCode::BAD_REQUEST);
@@ -59,6 +73,7 @@
             METRICS_PATH => page(self.metrics.text(), TEXT_FORMAT),
             BURN_PATH => json(&self.burn.counts(Instant::now())),
             QUARANTINE_PATH => json(&self.quarantine.list()),
+            TARGETS_PATH => json(&self.ejected_targets()),
             _ => match below(QUARANTINE_PATH) {
                 Some(fingerprint) if req.method() == Method::DELETE => {
                     self.lift_quarantine(fingerprint)
--- a/crates/azuresaddle-edge/src/placement/tests/handover.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/handover.rs
@@ -27,6 +27,7 @@
         raw_configuration: None,
         targets: Arc::new(TargetSet::default()),
         rate_limits: Arc::default(),
+        target_verdicts: Arc::default(),
         target_records: Arc::default(),
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -8,6 +8,7 @@
 use azuresaddle_core::deployment::{Configuration, RateLimit, TargetEntry};
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::StorePosition;
+use azuresaddle_sched::target_health::TargetVerdicts;
 use tokio::sync::watch;
 
 use crate::control::{DomainDrain, TargetRecord};
@@ -69,6 +70,10 @@
         restarted.map(|t| t.id.clone()).collect()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
+        self.by_id.values()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.by_id.len()
     }
@@ -84,6 +89,8 @@
     pub(crate) targets: Arc<TargetSet>,
     /// Rate limits of targets, shared by all nodes.
     pub(crate) rate_limits: Arc<HashMap<HostName, RateLimit>>,
+    /// Which plain targets this node sends to, decided from what all nodes observe.
+    pub(crate) target_verdicts: Arc<TargetVerdicts>,
     /// All records of targets, for other nodes.
     pub(crate) target_records: Arc<Vec<Arc<TargetRecord>>>,
     /// All records of drained failure domains, for other nodes.
--- a/crates/azuresaddle-edge/src/targets/health.rs
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -7,6 +7,7 @@
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::Breaker;
+use azuresaddle_sched::target_health::{SendOutcome, TargetVerdicts};
 use rand::Rng;
 use tokio::time::Instant;
 
@@ -25,6 +26,12 @@
 /// Weight of the latest answer in the moving average of a target's answer time.
 const ANSWER_TIME_WEIGHT: f64 = 0.2;
 
+/// Weight of the latest outcome in the moving average of a target's trouble.
+const TROUBLE_WEIGHT: f64 = 0.2;
+
+/// Multiple of a target's usual answer time from which an answer is slow.
+const SLOW_FACTOR: f64 = 4.0;
+
 /// Load and failures of targets, as this node observed them.
 #[derive(Default)]
 pub(crate) struct TargetHealth {
@@ -48,9 +55,28 @@
     is_address_reused: bool,
     /// Moving average of its answer time, in milliseconds.
     mean_answer_ms: Option<f64>,
+    /// Moving average of the share of refusals, server errors and slow answers, from 0 to 1.
+    trouble: f64,
 }
 
 impl TargetHealth {
+    /// The target with the least expected wait that is not excluded, and not ejected unless no other is left.
+    pub(crate) fn pick_accepted(
+        self: &Arc<Self>,
+        targets: &[Arc<TargetEntry>],
+        verdicts: &TargetVerdicts,
+        exclude: &[HostName],
+        domain: &FailureDomain,
+    ) -> Option<(Arc<TargetEntry>, InFlightGuard)> {
+        if verdicts.is_empty() {
+            return self.pick(targets, exclude, domain);
+        }
+        let accepted = targets.iter().filter(|t| verdicts.accepts(&t.id));
+        let accepted: Vec<Arc<TargetEntry>> = accepted.cloned().collect();
+        let picked = self.pick(&accepted, exclude, domain);
+        picked.or_else(|| self.pick(targets, exclude, domain))
+    }
+
     /// The target with the least expected wait that is not excluded.
     pub(crate) fn pick(
         self: &Arc<Self>,
@@ -83,7 +109,10 @@
                 0.0
             };
             // The random part keeps nodes with the same observations from choosing the same target.
-            (requests + 1.0 - local + rand::rng().random_range(0.0..0.2)) * mean_ms
+            let trouble = state.map_or(0.0, |s| s.trouble);
+            (requests + 1.0 - local + rand::rng().random_range(0.0..0.2))
+                * mean_ms
+                * (1.0 + trouble)
         };
         let costs: Vec<f64> = candidates.iter().map(|t| cost(t)).collect();
         let best = (0..candidates.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))?;
@@ -108,6 +137,32 @@
         state.mean_answer_ms = Some(mean);
     }
 
+    /// Whether an answer took much longer than the target's answers usually do.
+    pub(crate) fn is_slow(&self, target: &HostName, took: Duration) -> bool {
+        let usual_ms = self.lock().get(target).and_then(|s| s.mean_answer_ms);
+        usual_ms.is_some_and(|usual| took.as_secs_f64() * 1000.0 > SLOW_FACTOR * usual)
+    }
+
+    /// Records whether a target refused, answered slowly or with a server error, which makes other targets preferable.
+    pub(crate) fn on_outcome(&self, target: &HostName, outcome: SendOutcome) {
+        let trouble = match outcome {
+            SendOutcome::Answered => 0.0,
+            SendOutcome::ServerError | SendOutcome::Refused | SendOutcome::Slow => 1.0,
+            // The circuit breaker and the fleet's verdicts cover these.
+            SendOutcome::NoConnection | SendOutcome::NoAnswer => return,
+        };
+        let mut observations = self.lock();
+        let state = observations.entry(target.clone()).or_default();
+        state.trouble += (trouble - state.trouble) * TROUBLE_WEIGHT;
+    }
+
+    /// Forgets the failures of a target that has returned to use on all nodes.
+    pub(crate) fn on_returned(&self, target: &HostName) {
+        if let Some(state) = self.lock().get_mut(target) {
+            state.breaker = Breaker::default();
+        }
+    }
+
     /// Records the number of requests that a target reports to have.
     pub(crate) fn on_load(&self, target: &HostName, requests: u32) {
         let load = Some((requests, Instant::now()));
--- a/crates/azuresaddle-sched/src/lib.rs
+++ b/crates/azuresaddle-sched/src/lib.rs
@@ -26,6 +26,7 @@
 mod reservation_request;
 mod retry_budget;
 mod target;
+pub mod target_health;
 
 pub use action::{Action, Grant, Refusal, RefusalReason};
 pub use breaker::Breaker;
--- a/crates/azuresaddle-sched/tests/suite/main.rs
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -12,3 +12,4 @@
 mod quarantine;
 mod rate_bucket;
 mod support;
+mod target_health;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod rules;
 mod runtime;
 pub(crate) mod serve;
+pub(crate) mod targets;
 pub(crate) mod trace;
 
 pub(crate) use bad_input::BadInput;
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,6 +24,7 @@
         Some(("ask", args)) => cmd::ask::execute(args),
         Some(("serve", args)) => cmd::serve::execute(args),
         Some(("losses", args)) => cmd::losses::execute(args),
+        Some(("targets", args)) => cmd::targets::execute(args),
         Some(("trace", args)) => cmd::trace::execute(args),
         Some(("check-settings", args)) => cmd::check::execute_settings(args),
         Some(("check-config", args)) => cmd::check::execute_config(args),
@@ -58,6 +59,7 @@
         .subcommand(cmd::quarantine::make_subcommand())
         .subcommand(cmd::rules::make_subcommand())
         .subcommand(cmd::serve::make_subcommand())
+        .subcommand(cmd::targets::make_subcommand())
         .subcommand(cmd::trace::make_subcommand())
         .subcommand(cmd::check::make_settings_subcommand())
         .subcommand(cmd::check::make_config_subcommand())
