A node shares its answers only if it may count as cut off

A node with one failure sent all its observations, which would have made most of the gossip of an outage. Only failures at two targets or more can make a node count as cut off. Rate-limited targets are no longer passed over for ejected ones.

--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -4,6 +4,7 @@
 mod domain_drains;
 mod failover;
 mod fleet;
+mod health_fleet;
 mod members;
 mod memory_network;
 mod registry;
--- a/crates/azuresaddle-edge/src/forward/choose_target.rs
+++ b/crates/azuresaddle-edge/src/forward/choose_target.rs
@@ -63,6 +63,13 @@
     /// back-off.
     pub(super) fn retry_in(&self, service: &str) -> Option<Duration> {
         let snapshot = self.snapshots.load();
-        self.health.retry_in(snapshot.targets.of_service(service))
+        let targets = snapshot.targets.of_service(service);
+        let verdicts = &snapshot.target_verdicts;
+        if verdicts.is_empty() {
+            return self.health.retry_in(targets);
+        }
+        let accepted = targets.iter().filter(|t| verdicts.accepts(&t.id));
+        let accepted: Vec<Arc<TargetEntry>> = accepted.cloned().collect();
+        self.health.retry_in(&accepted)
     }
 }
--- a/crates/azuresaddle-edge/src/targets/health.rs
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -73,8 +73,13 @@
         }
         let accepted = targets.iter().filter(|t| verdicts.accepts(&t.id));
         let accepted: Vec<Arc<TargetEntry>> = accepted.cloned().collect();
-        let picked = self.pick(&accepted, exclude, domain);
-        picked.or_else(|| self.pick(targets, exclude, domain))
+        let is_left =
+            |t: &Arc<TargetEntry>| !exclude.contains(&t.id) && !self.is_address_reused(&t.id);
+        if accepted.iter().any(is_left) {
+            // If they are all rate-limited or in back-off, the request is refused rather than sent to a failing target.
+            return self.pick(&accepted, exclude, domain);
+        }
+        self.pick(targets, exclude, domain)
     }
 
     /// The target with the least expected wait that is not excluded.
--- a/crates/azuresaddle-edge/src/targets/tests/health.rs
+++ b/crates/azuresaddle-edge/src/targets/tests/health.rs
@@ -102,6 +102,9 @@
     }
     assert_eq!(pick(std::slice::from_ref(b)).as_ref(), Some(a));
     assert_eq!(pick(&[a.clone(), b.clone()]), None);
+    // A request is refused rather than sent to a failing target while the others only ask to wait.
+    health.on_limited(b, Duration::from_millis(50));
+    assert_eq!(pick(&[]), None);
 }
 
 /// Guards against a target that is healthy again but avoided because of this node's own earlier failures.
--- a/crates/azuresaddle-sched/src/target_health/fleet_health.rs
+++ b/crates/azuresaddle-sched/src/target_health/fleet_health.rs
@@ -22,11 +22,14 @@
 
 /// Longest time for which only the prober sends to a target that accepted its connection: several times what an answer
 /// usually takes, and short enough that a healthy target is back in use within a second of a failed probe.
-pub const TRIAL_TIME: Duration = Duration::from_millis(200);
+pub(super) const TRIAL_TIME: Duration = Duration::from_millis(200);
 
 /// Targets that a node must have tried for its failures to say something about the node rather than the targets.
 const MIN_TRIED_TARGETS: u32 = 3;
 
+/// Targets at which a node must have failed to count as cut off: more than half of those that it must have tried.
+const MIN_FAILED_TARGETS: usize = MIN_TRIED_TARGETS as usize / 2 + 1;
+
 /// A node's view of the health of all targets.
 ///
 /// Every node holds one, and decides from the same observations by the same rules. Views of two nodes differ for as long
@@ -259,15 +262,17 @@
     }
 
     /// Observations of this node that other nodes should learn of and have not been sent. Without failures no node sends
-    /// any: what a node observes of a target matters once the target, or the node, has failures.
+    /// any: what a node observes of a target matters once the target has failures, or once the node fails at several
+    /// targets and may be cut off.
     pub fn take_unsent(&mut self) -> Vec<HealthKey> {
         let own = self.own.node;
-        let mut records = self.records.values();
-        let has_own_failures = records.any(|r| r.evidence.has_failures_of(own));
+        let records = self.records.values();
+        let failed = records.filter(|r| r.evidence.has_failures_of(own));
+        let may_be_cut_off = failed.count() >= MIN_FAILED_TARGETS;
         let mut keys = Vec::new();
         for (id, record) in &mut self.records {
             let has_report = record.reporter().is_some_and(|o| o.node == own);
-            let is_relevant = has_own_failures || has_report || record.evidence.has_failures();
+            let is_relevant = may_be_cut_off || has_report || record.evidence.has_failures();
             if record.has_unsent && is_relevant {
                 record.has_unsent = false;
                 keys.push(HealthKey {
--- a/crates/azuresaddle-sched/src/target_health/mod.rs
+++ b/crates/azuresaddle-sched/src/target_health/mod.rs
@@ -17,7 +17,7 @@
 
 pub use counts::{SendCounts, SendOutcome};
 pub use ejection::{EjectionEvidence, EjectionScope};
-pub use fleet_health::{FleetHealth, TRIAL_TIME};
+pub use fleet_health::FleetHealth;
 pub use reported::EjectedTarget;
 pub use update::{HealthBucket, HealthKey, HealthUpdate, Observer, ProbeReport, ProbeStage};
 pub use verdict::{TargetVerdict, TargetVerdicts, VerdictChange};
--- a/crates/azuresaddle-sched/tests/suite/target_health/ejection.rs
+++ b/crates/azuresaddle-sched/tests/suite/target_health/ejection.rs
@@ -6,7 +6,7 @@
 };
 use azuresaddle_sched::target_health::{EjectionScope, TargetVerdict};
 
-use super::support::{Nodes, counts};
+use super::support::{Nodes, STARTED, counts};
 
 /// Guards against each node detecting a failing target by itself.
 #[tokio::test(start_paused = true)]
@@ -98,6 +98,31 @@
     assert!([4, 5, 6].iter().all(|t| nodes.users(*t) == 0));
 }
 
+/// Guards against nodes that gossip every send once any of them has failed.
+#[tokio::test(start_paused = true)]
+async fn a_node_shares_its_answers_only_if_it_may_be_cut_off() {
+    let mut nodes = Nodes::new(2, 7);
+    let now = nodes.now;
+    let node = &mut nodes.all[0];
+    let mut send = |target: usize, outcome| {
+        let id = &nodes.targets[target].id;
+        node.on_sends(now, id, STARTED, &counts(&[outcome]));
+        let keys = node.take_unsent().into_iter();
+        keys.map(|k| k.target.as_str().to_owned()).collect()
+    };
+    let sent: Vec<Vec<String>> = vec![
+        send(0, Answered),
+        send(1, NoConnection),
+        send(2, Answered),
+        send(3, NoConnection),
+    ];
+    let expected: [&[&str]; 4] = [&[], &["t1"], &[], &["t0", "t2", "t3"]];
+    for (mut sent, expected) in sent.into_iter().zip(expected) {
+        sent.sort();
+        assert_eq!(sent, expected);
+    }
+}
+
 /// Guards against a fault between two failure domains that takes a target from all nodes.
 #[tokio::test(start_paused = true)]
 async fn a_target_that_only_one_failure_domain_cannot_reach_is_ejected_there() {
