Select addresses for each caller by weighted rendezvous hashing

One ranking for all callers sends small hosts as much as large ones and leaves out nodes beyond the 64th: in the tests' fleets a node gets between 0.00 and 1.42 times its weighted share at 81 nodes, and up to 18 times at 984. The selection keeps all nodes between 0.68 and 1.13 times with 40 callers per node evenly spread over three domains, between 0.64 and 1.46 with 2.6 times as many callers in one.

Five eighths of the addresses are in the caller's own domain. At three quarters the nodes of the crowded domain exceed 1.6 times their share, and a caller whose domain has ended misses a live address in three tries in 0.39 instead of about 0.24 of the cases. The answer's size follows from the largest host of the domain: 16 to 24 addresses at 63 and 81 nodes, 64 at 300 and more.

--- a/crates/azuresaddle-sched/src/lib.rs
+++ b/crates/azuresaddle-sched/src/lib.rs
@@ -5,6 +5,7 @@
 //! apply to production.
 
 mod action;
+pub mod addresses;
 mod breaker;
 mod class;
 mod demand;
--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/addresses/mod.rs
@@ -0,0 +1,6 @@
+//! Selection of the addresses that callers are given.
+
+mod changes;
+mod fleet;
+mod outages;
+mod shares;
--- a/crates/azuresaddle-sched/tests/suite/main.rs
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduling decisions.
 
+mod addresses;
 mod admission;
 mod breaker;
 mod conservation;
