Answer address lookups with addresses selected for the caller

Every caller got the first 64 nodes of one ranking. The caller's failure domain comes from the query of the lookup, its key from the IP address of its connection, which the HTTP server passes on as an extension of the request. If hosts differ in their share of a core, or there are more than 64 nodes, addresses are selected for the caller; otherwise the answer is as before.

--- a/crates/azuresaddle-core/src/deployment/node_settings.rs
+++ b/crates/azuresaddle-core/src/deployment/node_settings.rs
@@ -49,3 +49,10 @@
     /// Optional parts that the deployment calls for.
     pub features: Features,
 }
+
+impl NodeSettings {
+    /// CPU quota of the host, in thousandths of a core.
+    pub fn cpu_milli(&self) -> u32 {
+        (self.cpu_share * 1000.0) as u32
+    }
+}
--- a/crates/azuresaddle-core/src/http/server.rs
+++ b/crates/azuresaddle-core/src/http/server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Semaphore;
 
 use super::body::Body;
+use super::peer_ip::PeerIp;
 use super::respond::problem;
 use crate::net::Listener;
 use crate::problem::Problem;
@@ -49,7 +50,7 @@
 
 /// Handles the requests of a server.
 pub trait Handler: Send + Sync + 'static {
-    /// Handles one request.
+    /// Handles one request. Its extensions hold the [`PeerIp`] of the connection if that is known.
     fn handle(
         self: Arc<Self>,
         req: Request<Incoming>,
@@ -75,21 +76,29 @@
                 continue;
             };
             let handler = Arc::clone(&handler);
+            let peer_ip = L::peer_ip(&stream).map(PeerIp);
             tasks.spawn(async move {
-                serve_connection(stream, limits, handler).await;
+                serve_connection(stream, peer_ip, limits, handler).await;
                 drop(slot);
             });
         }
     });
 }
 
-async fn serve_connection<S, H>(stream: S, limits: ServerLimits, handler: Arc<H>)
-where
+async fn serve_connection<S, H>(
+    stream: S,
+    peer_ip: Option<PeerIp>,
+    limits: ServerLimits,
+    handler: Arc<H>,
+) where
     S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin + Send + 'static,
     H: Handler,
 {
-    let service = service_fn(move |req| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
         let handler = Arc::clone(&handler);
+        if let Some(peer_ip) = peer_ip {
+            req.extensions_mut().insert(peer_ip);
+        }
         async move {
             let response = match check_head(&req, limits.max_header_bytes) {
                 Ok(()) => handler.handle(req).await,
--- a/crates/azuresaddle-core/src/net/mod.rs
+++ b/crates/azuresaddle-core/src/net/mod.rs
@@ -4,7 +4,7 @@
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use tokio::io::{AsyncRead, AsyncWrite};
 
@@ -41,6 +41,9 @@
     /// Returns an error if the process is out of file descriptors or the listener is closed.
     fn accept(&mut self) -> impl Future<Output = io::Result<Self::Stream>> + Send;
 
+    /// Returns the IP address from which a connection was opened; `None` if it is unknown.
+    fn peer_ip(stream: &Self::Stream) -> Option<IpAddr>;
+
     /// The bound address.
     fn local_addr(&self) -> SocketAddr;
 }
--- a/crates/azuresaddle-core/src/net/tcp.rs
+++ b/crates/azuresaddle-core/src/net/tcp.rs
@@ -1,7 +1,7 @@
 //! TCP implementation of the network abstraction.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
@@ -63,6 +63,11 @@
         Ok(stream)
     }
 
+    fn peer_ip(stream: &TcpStream) -> Option<IpAddr> {
+        // The address of a connection that has broken since is of no use.
+        stream.peer_addr().ok().map(|a| a.ip())
+    }
+
     fn local_addr(&self) -> SocketAddr {
         self.local_addr
     }
--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -27,6 +27,7 @@
 use super::store_watch::watch_store;
 use super::stored_crashes::StoredCrashes;
 use super::watch_role::WatchRole;
+use crate::domain_hash::domain_hash;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::quarantine::{CrashUpdate, SharedQuarantine};
@@ -162,8 +163,8 @@
             incarnation: parts.incarnation,
             counter: 0,
             started_ms: parts.started_ms,
-            cpu_milli: (settings.cpu_share * 1000.0) as u32,
-            domain: xxhash_rust::xxh3::xxh3_64(settings.domain.as_str().as_bytes()) as u16,
+            cpu_milli: settings.cpu_milli(),
+            domain: domain_hash(&settings.domain),
             callers_port: settings.listen.callers.port(),
             configuration: 0,
             targets: StorePosition::default(),
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -9,15 +9,17 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use azuresaddle_sched::addresses::{LoadLevel, MAX_ADDRESSES};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
+use super::candidates::Candidates;
 use super::failover::Failover;
 use super::heartbeat::MemberState;
 use super::watch_role::WatchRole;
-use crate::directory::MAX_ADDRESSES;
+
 use crate::snapshot::{LiveNode, NO_OWNER};
 
 /// Interval between two ticks of the control loop.
@@ -98,8 +100,9 @@
     last_tick_at: Instant,
     pub(super) ticks: u32,
     pub(super) failover: Failover,
-    /// Incarnations of the nodes whose addresses callers are given.
+    /// Incarnations of the nodes whose addresses callers are given if all get the same answer.
     offered: Vec<u64>,
+    pub(super) candidates: Candidates,
     /// Since when too few nodes get answers from the store.
     unwatched_since: Option<Instant>,
     /// Random generator for the choice of peers; seeded with the incarnation to make tests
@@ -120,6 +123,7 @@
             ticks: 0,
             failover: Failover::default(),
             offered: Vec::new(),
+            candidates: Candidates::new(now),
             unwatched_since: None,
         }
     }
@@ -206,7 +210,7 @@
         let claim_wait_ended = before < claim_wait_ends && claim_wait_ends <= now;
         let mut members = self.members.values();
         let alive_changed = members.any(|m| self.is_alive(m, before) != self.is_alive(m, now));
-        let alive_changed = alive_changed | self.update_offered(now);
+        let alive_changed = alive_changed | self.update_offered(now) | self.update_candidates(now);
         alive_changed || claimed || claim_wait_ended
     }
 
@@ -224,6 +228,10 @@
             callers_addr: n.callers(),
             peer_addr: SocketAddr::from((n.ip, self.peer_port)),
             takes_callers: self.is_offered(n, now),
+            domain: n.domain,
+            cpu_milli: n.cpu_milli,
+            is_watching: n.is_watching,
+            load: LoadLevel::default(),
         });
         (nodes.collect(), owner)
     }
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control plane: this node's view of the configuration, the targets and the other nodes.
 
 mod actor;
+mod candidates;
 mod crash_writer;
 mod crashes;
 mod datagrams;
--- a/crates/azuresaddle-edge/src/control/tests/memory_network.rs
+++ b/crates/azuresaddle-edge/src/control/tests/memory_network.rs
@@ -1,7 +1,7 @@
 //! A network of one listener in memory, for tests on a paused clock.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use azuresaddle_core::prelude::*;
 use tokio::io::{DuplexStream, duplex};
@@ -53,6 +53,10 @@
         next.ok_or_else(|| io::Error::from(io::ErrorKind::BrokenPipe))
     }
 
+    fn peer_ip(_: &DuplexStream) -> Option<IpAddr> {
+        None
+    }
+
     fn local_addr(&self) -> SocketAddr {
         self.addr
     }
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod directory;
+mod domain_hash;
 mod forward;
 mod frontend;
 mod metrics;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -58,6 +58,12 @@
     scope: &'static str,
 }
 
+/// Labels of address lookups.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LookupLabels {
+    answer: &'static str,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -83,6 +89,7 @@
     target_signals: Family<SignalLabels, Counter>,
     held_back: Family<HeldLabels, Counter>,
     pub(crate) unreadable_signals: Counter,
+    lookups: Family<LookupLabels, Counter>,
 }
 
 impl Metrics {
@@ -110,6 +117,7 @@
             target_signals: Family::default(),
             held_back: Family::default(),
             unreadable_signals: Counter::default(),
+            lookups: Family::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -179,6 +187,9 @@
         r.register("sends_held_back", help, self.held_back.clone());
         let help = "Signal headers of targets with an invalid value";
         r.register("unreadable_signals", help, self.unreadable_signals.clone());
+        let help =
+            "Address lookups: with addresses selected for the caller, or the first of one ranking";
+        r.register("lookups", help, self.lookups.clone());
     }
 
     /// Counts an answer to a caller.
@@ -237,6 +248,11 @@
         self.target_signals.get_or_create(&labels).inc();
     }
 
+    /// Counts an address lookup.
+    pub(crate) fn on_lookup(&self, answer: &'static str) {
+        self.lookups.get_or_create(&LookupLabels { answer }).inc();
+    }
+
     /// Records the time from a request's arrival to its first event.
     pub(crate) fn on_first_event(&self, service: &str, took: Duration) {
         observe(&self.first_event, service, took);
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -9,6 +9,7 @@
 use azuresaddle_core::http::{ServerLimits, serve};
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::StorePosition;
+use azuresaddle_sched::addresses::LoadLevel;
 use azuresaddle_sched::passes::{Mechanism, PassOptions};
 use rand::Rng;
 use thiserror::Error;
@@ -20,6 +21,7 @@
 
 use crate::control::{Control, ControlParts};
 use crate::directory::Directory;
+use crate::domain_hash::domain_hash;
 use crate::forward::{Forwarder, ForwarderParts, InFlightAnswers};
 use crate::frontend::{CallerService, Shutdown, serve_callers};
 use crate::metrics::Metrics;
@@ -161,7 +163,7 @@
         let forwarder = Forwarder::spawn(net.clone(), &settings, parts);
         forwarder.probe_paces(owner, pace_probes_rx);
         let endpoints = Arc::new(OperatorEndpoints {
-            metrics,
+            metrics: metrics.clone(),
             burn: forwarder.burn(),
             quarantine,
         });
@@ -176,7 +178,7 @@
             in_flight.clone(),
         );
         serve_callers(callers, &spawner, service, closed.clone());
-        let directory = Directory::new(snapshots, settings.bounds.max_address_ttl);
+        let directory = Directory::new(snapshots, settings.bounds.max_address_ttl, metrics.clone());
         for (what, addr) in [
             ("the directory", settings.listen.directory),
             ("readiness", settings.listen.readiness),
@@ -234,6 +236,10 @@
         callers_addr: settings.listen.callers,
         peer_addr: SocketAddr::from((settings.ip, settings.peer_port)),
         takes_callers: false,
+        domain: domain_hash(&settings.domain),
+        cpu_milli: settings.cpu_milli(),
+        is_watching: false,
+        load: LoadLevel::default(),
     };
     Snapshot {
         configuration: None,
--- a/crates/azuresaddle-edge/src/placement/tests/handover.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/handover.rs
@@ -7,6 +7,8 @@
 use tokio::time::Instant;
 
 use crate::placement::owner_state::OwnerState;
+use azuresaddle_sched::addresses::LoadLevel;
+
 use crate::snapshot::{LiveNode, Snapshot, TargetSet};
 
 /// Longer than the longest handover.
@@ -18,6 +20,10 @@
         callers_addr: ([127, 0, 0, 1], 1).into(),
         peer_addr: ([127, 0, 0, 1], 2).into(),
         takes_callers: true,
+        domain: 0,
+        cpu_milli: 250,
+        is_watching: false,
+        load: LoadLevel::Normal,
     }
 }
 
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -8,6 +8,7 @@
 use azuresaddle_core::deployment::{Configuration, RateLimit, TargetEntry};
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::StorePosition;
+use azuresaddle_sched::addresses::{AddressCandidate, LoadLevel, NodeRole};
 use tokio::sync::watch;
 
 use crate::control::{DomainDrain, TargetRecord};
@@ -25,6 +26,40 @@
     pub(crate) peer_addr: SocketAddr,
     /// Whether callers may be given its address.
     pub(crate) takes_callers: bool,
+    /// Hash of its failure domain's name.
+    pub(crate) domain: u16,
+    /// CPU share of its host, in thousandths of a core.
+    pub(crate) cpu_milli: u32,
+    /// Whether it watches the store and receives answers from it.
+    pub(crate) is_watching: bool,
+    /// How much of its host it uses.
+    pub(crate) load: LoadLevel,
+}
+
+impl LiveNode {
+    fn role(&self, owner: u64) -> NodeRole {
+        if self.incarnation == owner {
+            NodeRole::Owner
+        } else if self.is_watching {
+            NodeRole::Watcher
+        } else {
+            NodeRole::Plain
+        }
+    }
+}
+
+/// Returns the nodes whose addresses callers may be given.
+pub(crate) fn address_candidates(nodes: &[LiveNode], owner: u64) -> Vec<AddressCandidate> {
+    let offered = nodes.iter().filter(|n| n.takes_callers);
+    let candidates = offered.map(|n| AddressCandidate {
+        incarnation: n.incarnation,
+        addr: n.callers_addr,
+        domain: n.domain,
+        cpu_milli: n.cpu_milli,
+        role: n.role(owner),
+        load: n.load,
+    });
+    candidates.collect()
 }
 
 /// Targets that accept new work, by service and by name.
--- a/crates/azuresaddle-standin/src/net/memory.rs
+++ b/crates/azuresaddle-standin/src/net/memory.rs
@@ -57,6 +57,10 @@
         accepted.ok_or_else(|| io::ErrorKind::BrokenPipe.into())
     }
 
+    fn peer_ip(_: &MemoryStream) -> Option<IpAddr> {
+        None
+    }
+
     fn local_addr(&self) -> SocketAddr {
         self.addr
     }
