--- a/crates/azuresaddle-sched/src/addresses/mod.rs
+++ b/crates/azuresaddle-sched/src/addresses/mod.rs
@@ -10,13 +10,17 @@
 mod caller;
 mod candidate;
 mod group;
+mod host_loads;
 mod load_level;
+mod load_meter;
 mod role;
 mod score;
 mod select;
 
 pub use caller::Caller;
 pub use candidate::AddressCandidate;
+pub use host_loads::{HostLoads, LEVEL_LIFETIME, REPEAT_INTERVAL, StatedLoad};
 pub use load_level::LoadLevel;
+pub use load_meter::LoadMeter;
 pub use role::NodeRole;
 pub use select::{MAX_ADDRESSES, needs_selection, select_addresses};
--- a/crates/azuresaddle-sched/tests/suite/addresses/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/addresses/mod.rs
@@ -2,5 +2,6 @@
 
 mod changes;
 mod fleet;
+mod loads;
 mod outages;
 mod shares;
