--- a/crates/azuresaddle-edge/src/control/host_loads.rs
+++ b/crates/azuresaddle-edge/src/control/host_loads.rs
@@ -25,6 +25,7 @@
     /// Measures this host's load where addresses are selected, and gossips the levels of all hosts.
     pub(super) async fn on_load_tick(&mut self, now: Instant) {
         if !self.members.selects_addresses() {
+            self.metrics.load_level.set(0);
             return;
         }
         if self.own_load.is_due(now) {
--- a/crates/azuresaddle-edge/src/control/tests/host_load_gossip.rs
+++ b/crates/azuresaddle-edge/src/control/tests/host_load_gossip.rs
@@ -74,7 +74,7 @@
 async fn all_nodes_know_a_level_within_three_seconds_despite_datagram_loss() {
     for nodes in [3, 9, 81, 300] {
         let rounds = rounds_until_known(nodes, 0.1);
-        println!("{nodes} nodes: {rounds} rounds");
+        eprintln!("{nodes} nodes: {rounds} rounds");
         assert!(
             TICK * rounds <= Duration::from_secs(3),
             "{nodes} nodes: {rounds}"
--- a/crates/azuresaddle-sched/tests/suite/addresses/outages.rs
+++ b/crates/azuresaddle-sched/tests/suite/addresses/outages.rs
@@ -46,7 +46,7 @@
         let fleet = fleet(nodes);
         let selected = |tries| reached(&fleet, tries, |c| select_addresses(&fleet, c));
         let one = |tries| reached(&fleet, tries, |_| ranked(&fleet));
-        println!(
+        eprintln!(
             "{nodes} nodes: {:.3} in 2 tries, {:.3} in 3; one ranking {:.3} and {:.3}",
             selected(2),
             selected(3),
--- a/crates/azuresaddle-sched/tests/suite/addresses/shares.rs
+++ b/crates/azuresaddle-sched/tests/suite/addresses/shares.rs
@@ -19,7 +19,7 @@
 const MOST: f64 = 1.6;
 
 fn assert_within(shares: Shares, what: &str) {
-    println!("{what}: {:.2} to {:.2}", shares.least, shares.most);
+    eprintln!("{what}: {:.2} to {:.2}", shares.least, shares.most);
     assert!(
         shares.least >= LEAST && shares.most <= MOST,
         "{what}: {shares:?}"
@@ -59,7 +59,7 @@
         let fleet = fleet(nodes);
         let callers = callers(nodes * MANY_CALLERS, 1.0, 1);
         let ranked = Shares::ranked(&fleet, &callers);
-        println!("{nodes} nodes: {:.2} to {:.2}", ranked.least, ranked.most);
+        eprintln!("{nodes} nodes: {:.2} to {:.2}", ranked.least, ranked.most);
         assert!(ranked.least < LEAST || ranked.most > MOST, "{ranked:?}");
     }
 }
