--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -17,7 +17,10 @@
 use super::era_probe::probe_era;
 use super::fetch::Fetched;
 use super::heartbeat::{MAX_BYTES, MemberState};
+use super::host_capacity::HostCapacity;
+use super::host_loads::LoadGossip;
 use super::members::{Members, TICK};
+use super::own_load::OwnLoad;
 use super::read_plan::{FirstListing, ReadPlan};
 use super::registry::Registry;
 use super::shared_health::SharedHealth;
@@ -29,6 +32,7 @@
 use super::stored_crashes::StoredCrashes;
 use super::target_health::ProbeResult;
 use super::watch_role::WatchRole;
+use crate::domain_hash::domain_hash;
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::quarantine::{CrashUpdate, SharedQuarantine};
@@ -134,6 +138,8 @@
     pub(super) probe_results_tx: mpsc::Sender<ProbeResult>,
     pub(super) crash_gossip: CrashGossip,
     pub(super) stored_crashes: StoredCrashes,
+    pub(super) own_load: OwnLoad,
+    pub(super) load_gossip: LoadGossip,
     /// Queue of crashes to store or to remove from the store.
     pub(super) crash_writes: mpsc::Sender<CrashWrite>,
     pub(super) metrics: Metrics,
@@ -177,8 +183,8 @@
             incarnation: parts.incarnation,
             counter: 0,
             started_ms: parts.started_ms,
-            cpu_milli: (settings.cpu_share * 1000.0) as u32,
-            domain: xxhash_rust::xxh3::xxh3_64(settings.domain.as_str().as_bytes()) as u16,
+            cpu_milli: settings.cpu_milli(),
+            domain: domain_hash(&settings.domain),
             callers_port: settings.listen.callers.port(),
             configuration: 0,
             targets: StorePosition::default(),
@@ -227,6 +233,8 @@
             probe_results_tx,
             crash_gossip: CrashGossip::default(),
             stored_crashes: StoredCrashes::default(),
+            own_load: OwnLoad::new(HostCapacity::new(settings)),
+            load_gossip: LoadGossip::default(),
             crash_writes,
             metrics: parts.metrics,
             has_changes: false,
@@ -292,6 +300,7 @@
         self.gossip_crashes().await;
         self.gossip_signals().await;
         let health_changed = self.on_health_tick().await;
+        self.on_load_tick(now).await;
         self.expire_quarantine();
         self.expire_signals(now);
         let mut targets_changed = self.registry.expire_removals(now);
--- a/crates/azuresaddle-edge/src/control/heartbeat.rs
+++ b/crates/azuresaddle-edge/src/control/heartbeat.rs
@@ -6,6 +6,7 @@
 use azuresaddle_sched::target_health::HealthUpdate;
 use serde::{Deserialize, Serialize};
 
+use super::host_load_update::HostLoadUpdate;
 use crate::quarantine::CrashUpdate;
 use crate::signals::SignalUpdate;
 
@@ -144,6 +145,8 @@
     Signals(Vec<SignalUpdate>),
     /// What nodes observed of plain targets.
     TargetHealth(Vec<HealthUpdate>),
+    /// Load levels of hosts.
+    HostLoad(Vec<HostLoadUpdate>),
 }
 
 /// A node's vote to replace an owner that does not answer it.
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control plane: this node's view of the configuration, the targets and the other nodes.
 
 mod actor;
+mod candidates;
 mod crash_writer;
 mod crashes;
 mod datagrams;
@@ -13,7 +14,13 @@
 mod gossip;
 mod gossip_queue;
 mod heartbeat;
+mod host_capacity;
+mod host_counters;
+mod host_load_update;
+mod host_loads;
+mod host_use;
 mod members;
+mod own_load;
 mod publish;
 mod published_targets;
 mod read_plan;
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -1,10 +1,13 @@
 //! Tests of the control plane.
 
+mod candidates;
 mod crash_gossip;
 mod domain_drains;
 mod failover;
 mod fleet;
 mod health_fleet;
+mod host_load_gossip;
+mod host_use;
 mod members;
 mod memory_network;
 mod registry;
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod directory;
+mod domain_hash;
 mod ejected_target_info;
 mod forward;
 mod frontend;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -58,6 +58,12 @@
     scope: &'static str,
 }
 
+/// Labels of address lookups.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LookupLabels {
+    answer: &'static str,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -85,6 +91,8 @@
     pub(crate) unreadable_signals: Counter,
     pub(crate) ejected_targets: Gauge,
     pub(crate) target_ejections: Counter,
+    lookups: Family<LookupLabels, Counter>,
+    pub(crate) load_level: Gauge,
 }
 
 impl Metrics {
@@ -114,6 +122,8 @@
             unreadable_signals: Counter::default(),
             ejected_targets: Gauge::default(),
             target_ejections: Counter::default(),
+            lookups: Family::default(),
+            load_level: Gauge::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -187,6 +197,11 @@
         r.register("ejected_targets", help, self.ejected_targets.clone());
         let help = "Times that plain targets were ejected for this node";
         r.register("target_ejections", help, self.target_ejections.clone());
+        let help =
+            "Address lookups: with addresses selected for the caller, or the first of one ranking";
+        r.register("lookups", help, self.lookups.clone());
+        let help = "Load level of this host, from 0 to 3; higher levels get fewer callers";
+        r.register("load_level", help, self.load_level.clone());
     }
 
     /// Counts an answer to a caller.
@@ -245,6 +260,11 @@
         self.target_signals.get_or_create(&labels).inc();
     }
 
+    /// Counts an address lookup.
+    pub(crate) fn on_lookup(&self, answer: &'static str) {
+        self.lookups.get_or_create(&LookupLabels { answer }).inc();
+    }
+
     /// Records the time from a request's arrival to its first event.
     pub(crate) fn on_first_event(&self, service: &str, took: Duration) {
         observe(&self.first_event, service, took);
