A request that shares all its crashes with other suspects is quarantined for seconds

Cause: a harmless request that all callers send was on each target that the causes crashed, had more crashes than any of them, and was held back for ten minutes and more. If every crash is shared with another request that has crashed two targets, only a run apart from the others tells them apart: the quarantine is 3 or 6 s then, as for a request that some target has survived, up to the limit of 16 crashes. One that crashes a target alone gets the long quarantine.

Two of three new tests failed on the code before.

--- a/crates/azuresaddle-sched/src/quarantine/evidence.rs
+++ b/crates/azuresaddle-sched/src/quarantine/evidence.rs
@@ -61,7 +61,12 @@
     /// Whether the quarantine is short, so that one copy is retried soon: some target has survived the request, and it
     /// has crashed fewer than [`CRASH_LIMIT`].
     pub(super) fn allows_short_quarantine(self) -> bool {
-        self.successful_runs > 0 && self.crashes < CRASH_LIMIT
+        self.successful_runs > 0 && !self.reaches_crash_limit()
+    }
+
+    /// Whether the request has crashed [`CRASH_LIMIT`] targets.
+    pub(super) fn reaches_crash_limit(self) -> bool {
+        self.crashes >= CRASH_LIMIT
     }
 
     /// Number of crashes beyond those required for quarantine, given the unexplained crashes of other targets; `None`
--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -7,7 +7,7 @@
 
 use super::crash::TargetIncarnation;
 use super::evidence::Evidence;
-use super::record::Record;
+use super::record::{QuarantineKind, Record};
 use super::state::{CrashedTarget, Quarantine};
 
 /// Net crashes of other targets from which on a request explains a crash better than one that
@@ -71,6 +71,29 @@
         record.evidence_with(crashes.count()).weight() >= INCRIMINATING_CRASHES as f64
     }
 
+    /// The kind of quarantine that the evidence calls for: a short one if the request may be harmless.
+    ///
+    /// A request that all callers send may have been on every target that a cause crashed. It shares
+    /// each of its crashes then, and only a run apart from the others tells which of them is the cause.
+    pub(super) fn quarantine_kind(
+        &self,
+        fingerprint: Fingerprint,
+        record: &Record,
+    ) -> QuarantineKind {
+        let is_other_suspect = |request: &Fingerprint| {
+            *request != fingerprint && self.weight(*request) >= INCRIMINATING_CRASHES as f64
+        };
+        let is_shared = |incarnation| {
+            let crashed = self.crashed_targets.get(&incarnation);
+            crashed.is_some_and(|c| c.requests.iter().any(is_other_suspect))
+        };
+        let evidence = record.evidence();
+        if !evidence.reaches_crash_limit() && record.crashed_incarnations().all(is_shared) {
+            return QuarantineKind::Short;
+        }
+        QuarantineKind::of(evidence)
+    }
+
     pub(super) fn weight(&self, fingerprint: Fingerprint) -> f64 {
         let record = self.records.get(&fingerprint);
         record.map_or(0.0, |r| r.evidence().weight())
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -53,6 +53,26 @@
     }
 }
 
+/// How long a request is kept from targets before one copy of it is tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum QuarantineKind {
+    /// Seconds: the request may be harmless.
+    Short,
+    /// Minutes: the request is the cause of its crashes.
+    Long,
+}
+
+impl QuarantineKind {
+    /// The kind that a request's own evidence calls for.
+    pub(super) fn of(evidence: Evidence) -> Self {
+        if evidence.allows_short_quarantine() {
+            Self::Short
+        } else {
+            Self::Long
+        }
+    }
+}
+
 /// A crash and when this node learned of it.
 #[derive(Clone, Copy, Debug)]
 struct RecordedCrash {
@@ -137,11 +157,12 @@
 
     /// End of the quarantine after `beyond` crashes more than it requires: a further crash starts another quarantine,
     /// twice as long.
-    pub(super) fn quarantined_until(&self, beyond: u32) -> Instant {
-        let time = if self.evidence().allows_short_quarantine() {
-            INITIAL_SHORT_QUARANTINE * (1 << beyond.min(MAX_SHORT_DOUBLINGS))
-        } else {
-            INITIAL_QUARANTINE * (1 << beyond.min(MAX_DOUBLINGS))
+    pub(super) fn quarantined_until(&self, beyond: u32, kind: QuarantineKind) -> Instant {
+        let time = match kind {
+            QuarantineKind::Short => {
+                INITIAL_SHORT_QUARANTINE * (1 << beyond.min(MAX_SHORT_DOUBLINGS))
+            }
+            QuarantineKind::Long => INITIAL_QUARANTINE * (1 << beyond.min(MAX_DOUBLINGS)),
         };
         self.last_crash_at + time
     }
@@ -165,8 +186,8 @@
 
     /// When the record can be removed; `beyond` as for [`Self::quarantined_until`], `None` if the evidence does not
     /// suffice for a quarantine.
-    pub(super) fn expires_at(&self, beyond: Option<u32>) -> Instant {
-        let quarantined_until = beyond.map(|b| self.quarantined_until(b));
+    pub(super) fn expires_at(&self, beyond: Option<u32>, kind: QuarantineKind) -> Instant {
+        let quarantined_until = beyond.map(|b| self.quarantined_until(b, kind));
         quarantined_until.unwrap_or(self.last_crash_at) + RETENTION
     }
 }
--- a/crates/azuresaddle-sched/src/quarantine/state.rs
+++ b/crates/azuresaddle-sched/src/quarantine/state.rs
@@ -8,7 +8,7 @@
 
 use super::crash::{Crash, CrashStatus, SuccessfulRun, TargetIncarnation};
 use super::evidence::Evidence;
-use super::record::{Record, RequestStatus};
+use super::record::{QuarantineKind, Record, RequestStatus};
 
 /// Maximum number of records, about 2 MB: enough for the streams of 250 targets that crash within ten minutes, 16
 /// streams each.
@@ -155,7 +155,8 @@
         let Some(record) = self.records.get(&fingerprint) else {
             return RequestStatus::Clear;
         };
-        let until = |beyond| record.quarantined_until(beyond);
+        let kind = self.quarantine_kind(fingerprint, record);
+        let until = |beyond| record.quarantined_until(beyond, kind);
         let certain = record.evidence().crashes_past_certainty().map(until);
         if let Some(until) = certain.filter(|until| *until > now) {
             return RequestStatus::Quarantined { left: until - now };
@@ -163,11 +164,7 @@
         let evidence = self.unexplained_evidence(fingerprint, record);
         let left = self
             .crashes_past_quarantine(now, fingerprint, evidence)
-            .map(|beyond| {
-                record
-                    .quarantined_until(beyond)
-                    .saturating_duration_since(now)
-            });
+            .map(|beyond| until(beyond).saturating_duration_since(now));
         match left {
             Some(left) if !left.is_zero() && !self.has_equal_suspect(fingerprint, record) => {
                 RequestStatus::Quarantined { left }
@@ -236,7 +233,8 @@
         self.records.iter().map(move |(fingerprint, record)| {
             let evidence = self.unexplained_evidence(*fingerprint, record);
             let beyond = self.crashes_past_quarantine(now, *fingerprint, evidence);
-            (*fingerprint, record.expires_at(beyond))
+            let kind = self.quarantine_kind(*fingerprint, record);
+            (*fingerprint, record.expires_at(beyond, kind))
         })
     }
 
--- a/crates/azuresaddle-sched/tests/suite/quarantine.rs
+++ b/crates/azuresaddle-sched/tests/suite/quarantine.rs
@@ -166,6 +166,58 @@
     assert!(quarantine.status(now, request(1)).is_quarantined());
 }
 
+/// A harmless request that all callers send (1) was on three targets that two others (2 and 3) crashed within half a
+/// second, so none of them completed it, and each crash is shared with a cause. It was held back for ten minutes.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_shares_each_crash_with_another_suspect_is_tried_again_within_seconds() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for (target, requests) in [(0, &[1, 2][..]), (1, &[1, 2, 3]), (2, &[1, 3])] {
+        for n in requests {
+            quarantine.on_crash(now, crash(*n, target));
+        }
+    }
+    assert!(quarantine.status(now, request(1)).is_quarantined());
+    let later = now + Duration::from_secs(4);
+    assert_eq!(quarantine.status(later, request(1)), RequestStatus::Suspect);
+    assert!(quarantine.is_one_crash_from_quarantine(later, request(1)));
+
+    let mut harmless = quarantine;
+    harmless.on_successful_run(later, successful_run(1, 1));
+    assert_eq!(harmless.status(later, request(1)), RequestStatus::Suspect);
+}
+
+/// As above, with seven shared crashes, a number that no other evidence excuses.
+#[tokio::test(start_paused = true)]
+async fn many_crashes_that_are_all_shared_keep_a_request_back_for_seconds_only() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for target in 0..7 {
+        quarantine.on_crash(now, crash(1, target));
+        quarantine.on_crash(now, crash(2 + target as u32 % 3, target));
+    }
+    let status = quarantine.status(now, request(1));
+    let RequestStatus::Quarantined { left } = status else {
+        panic!("{status:?}");
+    };
+    assert!(left <= Duration::from_secs(6), "{left:?}");
+}
+
+/// As above, but the request that is tried again crashes the target that runs it alone.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_crashes_a_target_alone_after_a_short_quarantine_gets_a_long_one() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for target in 0..3 {
+        quarantine.on_crash(now, crash(1, target));
+        quarantine.on_crash(now, crash(2 + u32::from(target == 2), target));
+    }
+    let later = now + Duration::from_secs(4);
+    quarantine.on_crash(later, crash(1, 3));
+    let status = quarantine.status(later + 9 * MINUTE, request(1));
+    assert!(status.is_quarantined());
+}
+
 proptest! {
     /// Nodes learn of the same crashes in different orders.
     #[test]
