A send that waits for its connection counts as one failure at most

A connect attempt that outlasted the time for an answer was recorded as no answer and again as no connection. A tick repeats no round that was just sent.

--- a/crates/azuresaddle-edge/src/control/shared_health.rs
+++ b/crates/azuresaddle-edge/src/control/shared_health.rs
@@ -65,6 +65,11 @@
         self.has_news && now >= self.round_at + MIN_ROUND_INTERVAL
     }
 
+    /// Whether a round may be sent with a tick, also without news: observations are repeated, since datagrams may be lost.
+    pub(super) fn is_tick_round_due(&self, now: Instant) -> bool {
+        !self.gossip.is_empty() && now >= self.round_at + MIN_ROUND_INTERVAL
+    }
+
     /// Takes the observations of the next round.
     pub(super) fn next_round(&mut self, now: Instant) -> Vec<HealthKey> {
         self.round_at = now;
--- a/crates/azuresaddle-edge/src/control/target_health.rs
+++ b/crates/azuresaddle-edge/src/control/target_health.rs
@@ -50,8 +50,10 @@
     pub(super) async fn on_health_tick(&mut self) -> bool {
         let has_changed = self.share_health().await;
         self.queue_own_health();
-        if self.health.as_ref().is_some_and(|h| !h.gossip.is_empty()) {
-            self.gossip_health(Instant::now()).await;
+        let now = Instant::now();
+        let health = self.health.as_ref();
+        if health.is_some_and(|h| h.is_tick_round_due(now)) {
+            self.gossip_health(now).await;
         }
         has_changed
     }
--- a/crates/azuresaddle-edge/src/control/tests/health_fleet.rs
+++ b/crates/azuresaddle-edge/src/control/tests/health_fleet.rs
@@ -166,7 +166,8 @@
                 .view
                 .decide(now, &self.targets, || self.observers.clone());
         }
-        if !is_tick && !health.is_round_due(now) {
+        let is_repeated = is_tick && health.is_tick_round_due(now);
+        if !is_repeated && !health.is_round_due(now) {
             return;
         }
         let keys = health.next_round(now);
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -21,6 +21,7 @@
 use super::head::{ForwardRequest, SendOptions, strip_hop_by_hop};
 use super::plain_connect::{connect_plain, connect_timeout};
 use super::problem::{problem_response, refusal};
+use crate::targets::Connection;
 
 /// Longest answer that is accepted, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -93,16 +94,11 @@
         } else {
             timeout
         };
-        let result = send_observed(
-            cx,
-            req,
-            &target,
-            SendTimeouts {
-                connect,
-                all: timeout,
-            },
-        )
-        .await;
+        let timeouts = SendTimeouts {
+            connect,
+            all: timeout,
+        };
+        let result = send_observed(cx, req, &target, timeouts).await;
         drop(in_flight);
         if result.as_ref().is_ok_and(|a| a.status.is_success()) {
             record_successful_run(cx, req, &target, sent_at);
@@ -171,10 +167,12 @@
     target: &Arc<TargetEntry>,
     timeouts: SendTimeouts,
 ) -> Result<TargetAnswer, SendFailure> {
-    let sent_at = Instant::now();
+    let started_at = Instant::now();
+    let give_up_at = started_at + timeouts.all;
+    let connection = connect_plain(cx, target, timeouts.connect).await?;
     let patience = req.route.latency_target.mul_f64(FIRST_SEND_TIMEOUT_FACTOR);
-    let mut sending = std::pin::pin!(send_plain(cx, req, target, timeouts));
-    let result = match tokio::time::timeout_at(sent_at + patience, &mut sending).await {
+    let mut sending = std::pin::pin!(send_plain(cx, req, target, connection, give_up_at));
+    let result = match tokio::time::timeout(patience, &mut sending).await {
         Ok(result) => result,
         Err(_) => {
             cx.observe(target, SendOutcome::NoAnswer);
@@ -185,13 +183,13 @@
             return result;
         }
     };
-    if let Some(outcome) = outcome_of(cx, req, target, &result, sent_at.elapsed()) {
+    if let Some(outcome) = outcome_of(cx, req, target, &result, started_at.elapsed()) {
         cx.observe(target, outcome);
     }
     result
 }
 
-/// What a send says about its target; `None` if nothing, or if the connection's failure is recorded already.
+/// What a send on an open connection says about its target; `None` if nothing.
 fn outcome_of<N: Network>(
     cx: &Forwarder<N>,
     req: &ForwardRequest,
@@ -377,10 +375,9 @@
     cx: &Forwarder<N>,
     req: &ForwardRequest,
     target: &Arc<TargetEntry>,
-    timeouts: SendTimeouts,
+    mut connection: Connection,
+    give_up_at: Instant,
 ) -> Result<TargetAnswer, SendFailure> {
-    let give_up_at = Instant::now() + timeouts.all;
-    let mut connection = connect_plain(cx, target, timeouts.connect).await?;
     let options = SendOptions {
         target: &target.id,
         last_event_id: req.head.last_event_id.as_ref(),
