--- a/tests/testsuite/platform/target_health.rs
+++ b/tests/testsuite/platform/target_health.rs
@@ -3,8 +3,8 @@
 use std::process::Command;
 use std::time::Duration;
 
-use azuresaddle_standin::platform::PlatformOptions;
-use azuresaddle_standin::soak::{Fleet, FleetOptions, NodeProcess};
+use azuresaddle_standin::platform::{Caller, PlatformOptions};
+use azuresaddle_standin::soak::{Fleet, FleetOptions, NodeProcess, ProxyMode};
 use tokio::net::TcpStream;
 
 use super::support::{dir, plain, program, status};
@@ -77,3 +77,33 @@
         assert!(!ejected(node).contains(&id));
     }
 }
+
+/// Time after which a plain request that may run only once has waited for an answer longer than another one would have,
+/// but not nearly as long as its deadline.
+const OVERDUE_TIME: Duration = Duration::from_millis(1800);
+
+/// Guards against a silent target that is noticed only at the deadlines of the requests that wait for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_does_not_answer_is_ejected_while_requests_still_wait() {
+    let fleet = open("silent-ejected").await;
+    let silent = fleet.platform.engines.len();
+    fleet.target_proxies[silent].set_mode(ProxyMode::Silent);
+    let mut waiting = Vec::new();
+    for _ in 0..12 {
+        for node in &fleet.nodes[..2] {
+            let addr = node.callers_addr();
+            let asked = plain("/post/1");
+            waiting.push(tokio::spawn(async move {
+                Caller::default().ask(addr, &asked).await
+            }));
+        }
+    }
+    tokio::time::sleep(OVERDUE_TIME).await;
+    assert!(waiting.iter().any(|request| !request.is_finished()));
+    for node in &fleet.nodes {
+        assert!(node.log_text().contains("target ejected"));
+    }
+    for request in waiting {
+        request.abort();
+    }
+}
