--- a/crates/azuresaddle-edge/src/control/host_loads.rs
+++ b/crates/azuresaddle-edge/src/control/host_loads.rs
@@ -31,6 +31,8 @@
         if self.own_load.is_due(now) {
             self.measure_load(now);
         }
+        let level = self.own_load.level().number();
+        self.metrics.load_level.set(i64::from(level));
         if self.members.ticks.is_multiple_of(TICKS_PER_ROUND) {
             self.gossip_loads(now).await;
         }
@@ -49,9 +51,6 @@
         let Some(stated) = self.own_load.on_counters(now, counters) else {
             return;
         };
-        self.metrics
-            .load_level
-            .set(i64::from(stated.level.number()));
         let own = self.members.incarnation();
         self.members.loads.on_stated(now, own, stated);
         self.load_gossip.push(own);
