Admission control for streams: refusal on arrival, retry schedule, priority

Cause: with more short prompts than the engines can start, most of them were held until they were late and refused only then, callers were all told the same time to retry, and the priority of routes and accounts was not used.

Requests are ordered and placed by priority; the account's takes precedence over the route's.

The stand-in prints the share of refusals that come after a wait, and has the policy admission.

--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -147,6 +147,12 @@
         name.unwrap_or_else(|| ClientAccount::new(""))
     }
 
+    /// Priority of the account, or of the route if the account has none; 0 is the most urgent.
+    pub(crate) fn priority(&self) -> u8 {
+        let of_account = self.account.as_ref().and_then(|a| a.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+
     /// Prompt tokens and expected answer tokens, if the request states them.
     pub(crate) fn token_counts(&self) -> Option<(u64, u64)> {
         let map = &self.head.headers;
--- a/crates/azuresaddle-edge/src/forward/stream/placement.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/placement.rs
@@ -115,6 +115,7 @@
                 deadline: self.req.deadline,
                 exclude: self.excluded(),
                 suspect: self.cx.quarantine.suspect(self.req.fingerprint),
+                priority: self.req.priority(),
             };
             let placed = self.cx.placement.place(request).await?;
             self.cx
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -124,8 +124,12 @@
             metrics: metrics.clone(),
         });
         let (pace_probes, pace_probes_rx) = mpsc::channel(PACE_PROBE_QUEUE_CAPACITY);
-        let all = PassOptions::default();
+        let all = PassOptions {
+            admission: settings.features.pooled_admission,
+            ..PassOptions::default()
+        };
         let pass_options = options.without.iter().fold(all, |o, m| o.without(*m));
+        let sends_priority = pass_options.admission;
         let owner = Owner::spawn(&spawner, &snapshots, incarnation, pass_options, pace_probes);
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
         let peers = bind(&net, "calls between nodes", peer_addr).await?;
@@ -144,6 +148,7 @@
             PlacementClientParts {
                 node: incarnation,
                 domain: settings.domain.clone(),
+                sends_priority,
                 owner: Arc::clone(&owner),
                 peers: PeerClients::new(net.clone(), spawner.clone()),
                 snapshots: snapshots.clone(),
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -6,6 +6,7 @@
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::StorePosition;
 use azuresaddle_rpc::serve_rpc;
+use azuresaddle_sched::passes::DEFAULT_PRIORITY;
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::Channel;
@@ -79,17 +80,21 @@
         let owner = snapshot.node(snapshot.owner)?;
         (owner.incarnation != self.node).then_some(owner.peer_addr)
     }
-}
 
-impl EdgePeer for PeerServer {
-    async fn place(self, _: Context, message: PlaceMessage) -> PlaceReply {
+    async fn place_or_redirect(&self, message: PlaceMessage, priority: u8) -> PlaceReply {
         // An owner that was replaced while it stalled would otherwise place streams for as long as nodes send it
         // requests, without knowledge of those that the new owner placed.
         match self.other_owner() {
             Some(peer) if !message.is_redirected => PlaceReply::Redirect { peer },
-            _ => self.owner.place(message).await,
+            _ => self.owner.place(message, priority).await,
         }
     }
+}
+
+impl EdgePeer for PeerServer {
+    async fn place(self, _: Context, message: PlaceMessage) -> PlaceReply {
+        self.place_or_redirect(message, DEFAULT_PRIORITY).await
+    }
 
     async fn permit(self, _: Context, req: PermitRequest) -> PermitReply {
         self.owner.permit(&req)
@@ -129,6 +134,10 @@
             domain_drains: drains.cloned().collect(),
         })
     }
+
+    async fn place_ranked(self, _: Context, message: PlaceMessage, priority: u8) -> PlaceReply {
+        self.place_or_redirect(message, priority).await
+    }
 }
 
 fn update_since(
--- a/crates/azuresaddle-edge/src/peer/service.rs
+++ b/crates/azuresaddle-edge/src/peer/service.rs
@@ -25,4 +25,6 @@
     /// The same with the drained failure domains. Answers nothing if it is sending too many complete answers; another
     /// node may be asked then.
     async fn state_since(configuration: u64, targets: Option<StorePosition>) -> Option<PeerState>;
+    /// The same as `place` for a stream whose priority differs from the default.
+    async fn place_ranked(message: PlaceMessage, priority: u8) -> PlaceReply;
 }
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -7,13 +7,15 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::passes::{PlacementId, RunningStream};
+use azuresaddle_rpc::RpcError;
+use azuresaddle_sched::passes::{DEFAULT_PRIORITY, PlacementId, RunningStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use super::guard::PlacementGuard;
 use super::owner::Owner;
 use super::place_request::PlaceRequest;
+use super::ranked_calls::RankedCalls;
 use super::reporter::{run_reporter, run_sync};
 use crate::peer::{PeerClients, PlaceMessage, PlaceReply, ReportKind, StreamReport, SyncMessage};
 use crate::snapshot::{NO_OWNER, Snapshots};
@@ -48,6 +50,8 @@
     pub(crate) node: u64,
     /// Failure domain of this node.
     pub(crate) domain: FailureDomain,
+    /// Whether requests are sent with their priority.
+    pub(crate) sends_priority: bool,
     pub(crate) owner: Arc<Owner>,
     pub(crate) peers: PeerClients<N>,
     pub(crate) snapshots: Snapshots,
@@ -59,6 +63,8 @@
 pub(crate) struct PlacementClient<N> {
     node: u64,
     domain: FailureDomain,
+    sends_priority: bool,
+    ranked_calls: RankedCalls,
     owner: Arc<Owner>,
     peers: PeerClients<N>,
     snapshots: Snapshots,
@@ -78,6 +84,8 @@
         let placement = Arc::new(Self {
             node: parts.node,
             domain: parts.domain,
+            sends_priority: parts.sends_priority,
+            ranked_calls: RankedCalls::default(),
             owner: parts.owner,
             peers: parts.peers,
             snapshots: parts.snapshots,
@@ -224,20 +232,28 @@
             suspect: req.suspect,
             is_redirected: false,
         };
+        let priority = if self.sends_priority {
+            req.priority
+        } else {
+            DEFAULT_PRIORITY
+        };
         if owner == self.node || place_locally {
             if place_locally {
                 self.owner.sync(&self.sync_message());
             }
-            return Some(self.owner.place(message).await);
+            return Some(self.owner.place(message, priority).await);
         }
         let peer = self.snapshots.load().node(owner)?.peer_addr;
-        match self.request_from_peer(peer, message.clone()).await? {
+        match self
+            .request_from_peer(peer, message.clone(), priority)
+            .await?
+        {
             PlaceReply::Redirect { peer } => {
                 let redirected = PlaceMessage {
                     is_redirected: true,
                     ..message
                 };
-                self.request_from_peer(peer, redirected).await
+                self.request_from_peer(peer, redirected, priority).await
             }
             reply => Some(reply),
         }
@@ -247,14 +263,32 @@
         &self,
         peer: SocketAddr,
         message: PlaceMessage,
+        priority: u8,
     ) -> Option<PlaceReply> {
         let timeout = message.time_left;
+        if !self.ranked_calls.are_used(Instant::now(), peer, priority) {
+            let reply = self
+                .peers
+                .call(peer, timeout, async |client, cx| {
+                    client.place(cx, message).await
+                })
+                .await;
+            return reply.ok();
+        }
         let reply = self
             .peers
             .call(peer, timeout, async |client, cx| {
-                client.place(cx, message).await
+                client.place_ranked(cx, message, priority).await
             })
             .await;
+        if reply == Err(RpcError::Broken) {
+            tracing::info!(
+                part = "placement",
+                peer = %peer,
+                "call with a priority broke the connection; asking without one"
+            );
+            self.ranked_calls.on_broken(Instant::now(), peer);
+        }
         reply.ok()
     }
 
--- a/crates/azuresaddle-edge/src/placement/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod owner_state;
 mod permits;
 mod place_request;
+mod ranked_calls;
 mod reporter;
 #[cfg(test)]
 mod tests;
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -92,9 +92,9 @@
     }
 
     /// Places a stream. The request is withdrawn if the future is dropped.
-    pub(crate) async fn place(&self, message: PlaceMessage) -> PlaceReply {
+    pub(crate) async fn place(&self, message: PlaceMessage, priority: u8) -> PlaceReply {
         let id = message.id;
-        let Some(rx) = self.enqueue(message) else {
+        let Some(rx) = self.enqueue(message, priority) else {
             return PlaceReply::NoDecision;
         };
         let mut guard = WithdrawOnDrop {
@@ -117,7 +117,11 @@
         }
     }
 
-    fn enqueue(&self, message: PlaceMessage) -> Option<oneshot::Receiver<PlacementDecision>> {
+    fn enqueue(
+        &self,
+        message: PlaceMessage,
+        priority: u8,
+    ) -> Option<oneshot::Receiver<PlacementDecision>> {
         let now = Instant::now();
         let mut state = self.lock();
         let pool = state.pools.get_mut(message.service.as_str())?;
@@ -135,6 +139,7 @@
                 deadline: now + message.time_left,
                 exclude: message.exclude,
                 suspect: message.suspect,
+                priority,
             },
         );
         let (tx, rx) = oneshot::channel();
--- a/crates/azuresaddle-edge/src/placement/place_request.rs
+++ b/crates/azuresaddle-edge/src/placement/place_request.rs
@@ -26,4 +26,6 @@
     pub(crate) exclude: Vec<HostName>,
     /// Set if a target has crashed while it ran the request, which may be the cause.
     pub(crate) suspect: Option<Suspect>,
+    /// Priority among the requests of the service; 0 is the most urgent.
+    pub(crate) priority: u8,
 }
--- a/crates/azuresaddle-edge/src/placement/tests/dispatches.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/dispatches.rs
@@ -6,7 +6,7 @@
 use azuresaddle_core::deployment::EngineSpec;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{
-    PassOptions, PassPool, PlacementDecision, PlacementId, PlacementRequest,
+    DEFAULT_PRIORITY, PassOptions, PassPool, PlacementDecision, PlacementId, PlacementRequest,
 };
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -43,6 +43,7 @@
         deadline: now + Duration::from_secs(15),
         exclude: Vec::new(),
         suspect: None,
+        priority: DEFAULT_PRIORITY,
     }
 }
 
--- a/crates/azuresaddle-sched/benches/passes.rs
+++ b/crates/azuresaddle-sched/benches/passes.rs
@@ -9,7 +9,7 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{
-    PassOptions, PassPool, PlacementId, PlacementRequest, StreamOutcome,
+    DEFAULT_PRIORITY, PassOptions, PassPool, PlacementId, PlacementRequest, StreamOutcome,
 };
 use criterion::{Criterion, criterion_group, criterion_main};
 use tokio::time::Instant;
@@ -32,6 +32,7 @@
         deadline: now + Duration::from_secs(86_400),
         exclude: Vec::new(),
         suspect: None,
+        priority: DEFAULT_PRIORITY,
     }
 }
 
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -4,6 +4,7 @@
 //! prefilled in the same pass make it longer for all of them, so placement decides which passes may
 //! get longer and by how much.
 
+mod admission;
 mod engine;
 mod long_candidates;
 mod long_load;
@@ -22,6 +23,6 @@
 pub use options::PassOptions;
 pub use pool::{PassPool, PoolLoad};
 pub use request::{
-    PlacementDecision, PlacementGrant, PlacementId, PlacementRequest, RunningStream, StreamOutcome,
-    Suspect,
+    DEFAULT_PRIORITY, PlacementDecision, PlacementGrant, PlacementId, PlacementRequest,
+    RunningStream, StreamOutcome, Suspect,
 };
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -34,6 +34,8 @@
     pub suspects_in_turn: bool,
     /// Let a new owner of the pool wait until the nodes have reported their streams.
     pub handover_wait: bool,
+    /// Admit requests by an estimate of their wait, and order them by priority.
+    pub admission: bool,
 }
 
 impl Default for PassOptions {
@@ -55,6 +57,8 @@
             late_short_wait: true,
             suspects_in_turn: true,
             handover_wait: true,
+            // Only for deployments whose settings call for it.
+            admission: false,
         }
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -1,5 +1,6 @@
 //! A pool of engines with one queue; requests are bound to engines only when they can start.
 
+mod arrivals;
 mod load;
 mod pace_probes;
 mod placement;
@@ -15,13 +16,17 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+use self::arrivals::ArrivalVerdict;
 pub use self::load::PoolLoad;
 use self::pace_probes::ProbeBudget;
+use super::admission::{RetrySchedule, StartRate};
 use super::engine::{Engine, EngineKey};
 use super::long_load::LongLoad;
 use super::options::PassOptions;
 use super::queue::{Queue, QueuePosition, Waiting};
-use super::request::{PlacementDecision, PlacementId, PlacementRequest, StreamOutcome};
+use super::request::{
+    DEFAULT_PRIORITY, PlacementDecision, PlacementId, PlacementRequest, StreamOutcome,
+};
 use super::short_load::ShortLoad;
 use crate::fair_clock::FairClock;
 
@@ -55,6 +60,8 @@
     short_load: ShortLoad,
     /// Since when at least `MIN_CROWD` short prompts have waited; `None` if fewer wait.
     crowd_since: Option<Instant>,
+    short_starts: StartRate,
+    retry_schedule: RetrySchedule,
     /// Fair queueing of the client accounts, for short and for long prompts.
     fair_clocks: [FairClock; 2],
     placed_streams: HashMap<PlacementId, PlacedStream>,
@@ -80,6 +87,8 @@
             long_load: LongLoad::default(),
             short_load: ShortLoad::default(),
             crowd_since: None,
+            short_starts: StartRate::default(),
+            retry_schedule: RetrySchedule::default(),
             fair_clocks: Default::default(),
             placed_streams: HashMap::new(),
             decisions: Vec::new(),
@@ -164,28 +173,23 @@
             return;
         }
         let prefill_ms = self.spec.prefill_ms(request.prompt_tokens);
-        let requests_ahead = self.queue.len();
-        let unservable = self.unservable_retry_after(
-            now,
-            &request,
-            prefill_ms,
-            self.prefill_ahead_ms(prefill_ms),
-            requests_ahead,
-        );
-        let refused = unservable
-            .or_else(|| self.flood_retry_after(now, &request))
-            .or_else(|| self.crowd_retry_after(now, &request, prefill_ms));
-        if let Some(retry_after) = refused {
+        if let ArrivalVerdict::Refuse { retry_after } =
+            self.arrival_verdict(now, &request, prefill_ms)
+        {
             let refused = PlacementDecision::Refused { retry_after };
             self.decisions.push((request.id, refused));
             return;
         }
-        if !self.is_short(prefill_ms) {
+        let is_long = !self.is_short(prefill_ms);
+        if is_long {
             self.long_load.on_arrival(now, prefill_ms);
         }
         let position = self.position_of(&request, prefill_ms);
-        let clock = &mut self.fair_clocks[usize::from(!self.is_short(prefill_ms))];
+        let clock = &mut self.fair_clocks[usize::from(is_long)];
         let fair_tag = clock.tag(&request.account, prefill_ms / 1000.0, 1.0);
+        if !is_long {
+            self.short_starts.set_waiting(now, true);
+        }
         self.queue.push(Waiting {
             request,
             prefill_ms,
@@ -205,7 +209,12 @@
         } else {
             0.0
         };
-        QueuePosition::new(is_long, key)
+        let priority = if self.options.admission {
+            request.priority
+        } else {
+            DEFAULT_PRIORITY
+        };
+        QueuePosition::new(is_long, priority, key)
     }
 
     /// Withdraws a request or ends its stream.
@@ -264,6 +273,7 @@
     pub fn dispatch(&mut self, now: Instant) {
         if self.queue.is_empty() {
             self.crowd_since = None;
+            self.short_starts.set_waiting(now, false);
             for clock in &mut self.fair_clocks {
                 clock.on_idle();
             }
@@ -273,11 +283,15 @@
             engine.advance(now, &self.spec);
         }
         self.refuse_unservable(now);
-        self.place_short(now, true);
-        self.place_long(now, true);
-        self.place_short(now, false);
-        self.place_long(now, false);
+        for priority in self.queue.priorities() {
+            self.place_short(now, priority, true);
+            self.place_long(now, priority, true);
+            self.place_short(now, priority, false);
+            self.place_long(now, priority, false);
+        }
         self.update_crowd(now);
+        let has_short = self.queue.has_short();
+        self.short_starts.set_waiting(now, has_short);
     }
 
     /// Returns the decisions since the last call.
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -64,15 +64,16 @@
         }
     }
 
-    /// Places short prompts: those that can still be on time, or the late ones.
+    /// Places short prompts of a priority: those that can still be on time, or the late ones.
     ///
     /// A late prompt waits for a place where it makes no other stream late, until its caller is
     /// about to give up.
-    pub(super) fn place_short(&mut self, now: Instant, on_time: bool) {
+    pub(super) fn place_short(&mut self, now: Instant, priority: u8, on_time: bool) {
         let due: Vec<PlacementId> = self
             .queue
             .iter()
             .take_while(|w| self.is_short(w.prefill_ms))
+            .filter(|w| w.position.priority() == priority)
             .filter(|w| on_time == (w.request.first_event_by > now))
             .filter(|w| !self.must_wait_for_copy(&w.request))
             .map(|w| w.request.id)
@@ -127,8 +128,8 @@
         )
     }
 
-    /// Places long prompts: those that can still be on time, or the late ones.
-    pub(super) fn place_long(&mut self, now: Instant, on_time: bool) {
+    /// Places long prompts of a priority: those that can still be on time, or the late ones.
+    pub(super) fn place_long(&mut self, now: Instant, priority: u8, on_time: bool) {
         if !self.queue.has_long() {
             return;
         }
@@ -139,6 +140,7 @@
             let found = self
                 .queue
                 .iter_long()
+                .filter(|w| w.position.priority() == priority)
                 .take(MAX_EXAMINED)
                 .filter(|w| on_time == (w.request.first_event_by > now))
                 .filter(|w| !self.must_wait_for_copy(&w.request))
@@ -195,6 +197,7 @@
         let is_long = !self.is_short(waiting.prefill_ms);
         if !is_long {
             self.short_load.on_start(now);
+            self.short_starts.on_start(now);
         }
         self.fair_clocks[usize::from(is_long)].on_dispatch(waiting.fair_tag);
         let request = waiting.request;
--- a/crates/azuresaddle-sched/src/passes/pool/rate_limits.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/rate_limits.rs
@@ -40,6 +40,7 @@
     /// Sets whether this node owns the pool; only the owner uses engines with a rate limit.
     pub fn set_owner(&mut self, now: Instant, is_owner: bool) {
         self.is_owner = is_owner;
+        self.reset_admission();
         for rate in self
             .engines
             .values_mut()
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -96,7 +96,7 @@
 
     /// Updates since when a crowd of short prompts (at least [`MIN_CROWD`]) waits.
     pub(super) fn update_crowd(&mut self, now: Instant) {
-        let is_crowd = self.queue.count_before(QueuePosition::new(true, 0.0)) >= MIN_CROWD;
+        let is_crowd = self.queue.count_before(QueuePosition::FIRST_LONG) >= MIN_CROWD;
         self.crowd_since = is_crowd.then(|| self.crowd_since.unwrap_or(now));
     }
 
@@ -239,8 +239,11 @@
                 None => prefill_ahead_ms += waiting.prefill_ms,
             }
         }
-        for (id, retry_after) in refused {
-            self.queue.remove(id);
+        for (id, taken_for) in refused {
+            let Some(waiting) = self.queue.remove(id) else {
+                continue;
+            };
+            let retry_after = self.plan_retry(now, &waiting.request, waiting.prefill_ms, taken_for);
             self.decisions
                 .push((id, PlacementDecision::Refused { retry_after }));
         }
--- a/crates/azuresaddle-sched/src/passes/queue.rs
+++ b/crates/azuresaddle-sched/src/passes/queue.rs
@@ -1,6 +1,6 @@
 //! Queue of requests that wait for engines.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
@@ -11,19 +11,38 @@
 /// Sort key of a waiting request: its position, then its arrival number.
 type QueueKey = (QueuePosition, u64);
 
-/// Position of a request in the queue; all short prompts come before all long ones.
+/// Position of a request in the queue; all short prompts come before all long ones, and among each
+/// of them more urgent ones before less urgent ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct QueuePosition {
     is_long: bool,
+    priority: u8,
     micros: u64,
 }
 
 impl QueuePosition {
-    /// Creates a position among the short or the long prompts; the lowest `key` comes first.
-    pub(super) fn new(is_long: bool, key: f64) -> Self {
+    /// Priority in the queue; 0 comes first.
+    pub(super) fn priority(self) -> u8 {
+        self.priority
+    }
+
+    /// Position before all long prompts.
+    pub(super) const FIRST_LONG: Self = Self {
+        is_long: true,
+        priority: 0,
+        micros: 0,
+    };
+
+    /// Creates a position among the short or the long prompts; the lowest `priority` comes
+    /// first, and then the lowest `key`.
+    pub(super) fn new(is_long: bool, priority: u8, key: f64) -> Self {
         // Millionths preserve the order of requests that differ by a few tokens.
         let micros = (key * 1e6) as u64;
-        Self { is_long, micros }
+        Self {
+            is_long,
+            priority,
+            micros,
+        }
     }
 }
 
@@ -92,7 +111,7 @@
 
     /// Waiting long prompts in queue order.
     pub(super) fn iter_long(&self) -> impl Iterator<Item = &Waiting> {
-        let first = QueuePosition::new(true, 0.0);
+        let first = QueuePosition::FIRST_LONG;
         self.by_key.range((first, 0)..).map(|(_, w)| w)
     }
 
@@ -102,6 +121,26 @@
         before.take(MAX_COUNTED).count()
     }
 
+    /// Number of waiting requests before a position whose first event can still be on time, counted
+    /// up to a bound.
+    pub(super) fn count_on_time_before(&self, now: Instant, position: QueuePosition) -> usize {
+        let before = self.by_key.range(..(position, 0)).take(MAX_COUNTED);
+        before
+            .filter(|(_, w)| w.request.first_event_by > now)
+            .count()
+    }
+
+    /// Priorities of the waiting requests, the most urgent first.
+    pub(super) fn priorities(&self) -> BTreeSet<u8> {
+        self.by_key.keys().map(|(p, _)| p.priority).collect()
+    }
+
+    /// Whether a short prompt waits; short prompts are at the begin of the queue.
+    pub(super) fn has_short(&self) -> bool {
+        let first = self.by_key.first_key_value();
+        first.is_some_and(|((position, _), _)| !position.is_long)
+    }
+
     /// Whether a long prompt waits; long prompts are at the end of the queue.
     pub(super) fn has_long(&self) -> bool {
         let last = self.by_key.last_key_value();
--- a/crates/azuresaddle-sched/src/passes/request.rs
+++ b/crates/azuresaddle-sched/src/passes/request.rs
@@ -28,6 +28,9 @@
     pub needs_isolation: bool,
 }
 
+/// Priority of requests whose route and client account state none; the most urgent one.
+pub const DEFAULT_PRIORITY: u8 = 0;
+
 /// Request to place a stream on engines.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest {
@@ -53,6 +56,8 @@
     pub exclude: Vec<HostName>,
     /// Set if a target has crashed while it ran this request.
     pub suspect: Option<Suspect>,
+    /// Priority among the requests of the service; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// Time to decode one token, in milliseconds: one step of an engine with a full batch.
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -1,6 +1,7 @@
 //! Placement of streams on engines that process their work in passes.
 
 mod account_shares;
+mod admission;
 mod crowd;
 mod engine_restart;
 mod long;
@@ -15,8 +16,8 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{
-    PassOptions, PassPool, PlacementDecision, PlacementGrant, PlacementId, PlacementRequest,
-    RunningStream, StreamOutcome,
+    DEFAULT_PRIORITY, PassOptions, PassPool, PlacementDecision, PlacementGrant, PlacementId,
+    PlacementRequest, RunningStream, StreamOutcome,
 };
 use tokio::time::Instant;
 
@@ -60,6 +61,7 @@
         deadline: now + Duration::from_secs(15),
         exclude: Vec::new(),
         suspect: None,
+        priority: DEFAULT_PRIORITY,
     }
 }
 
--- a/crates/azuresaddle-standin/src/cmd/passes.rs
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -100,8 +100,8 @@
 
 fn print_table(rows: &[Vec<DayResults>]) {
     print_line(&format!(
-        "{:<16} {:>6} {:>6} {:>7} {:>6}   on time / served / largest tenth served / first event p50 p95, by kind",
-        "policy", "worth", "day", "windows", "held",
+        "{:<16} {:>6} {:>6} {:>7} {:>6} {:>6}   on time / served / largest tenth served / first event p50 p95, by kind",
+        "policy", "worth", "day", "windows", "held", "waited",
     ));
     for days in rows {
         let Some(first) = days.first() else {
@@ -110,12 +110,13 @@
         let mean =
             |of: &dyn Fn(&DayResults) -> f64| days.iter().map(of).sum::<f64>() / days.len() as f64;
         let mut line = format!(
-            "{:<16} {:>6.3} {:>6.3} {:>7.3} {:>6.3}",
+            "{:<16} {:>6.3} {:>6.3} {:>7.3} {:>6.3} {:>6.2}",
             first.policy,
             mean(&|d| d.worth),
             mean(&|d| d.day),
             mean(&|d| d.windows),
             mean(&|d| d.held),
+            mean(&|d| d.refused_after_wait),
         );
         for k in 0..first.kinds.len() {
             let share = |n: &dyn Fn(&DayResults) -> usize| {
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -36,6 +36,8 @@
     NoSuspectTurns,
     /// The pool without the quarantine of requests that crash engines.
     NoQuarantine,
+    /// The pool with admission by the estimated wait.
+    Admission,
     /// Baseline: a random engine, on arrival.
     Random,
     /// Baseline: the engine with the fewest streams, on arrival.
@@ -46,7 +48,7 @@
 
 impl PassPolicy {
     /// All policies.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Pool,
         Self::NoPacking,
         Self::NoPauseCheck,
@@ -61,6 +63,7 @@
         Self::NoFairShares,
         Self::NoSuspectTurns,
         Self::NoQuarantine,
+        Self::Admission,
         Self::Random,
         Self::LeastRequests,
         Self::LeastBacklog,
@@ -83,6 +86,7 @@
             Self::NoFairShares => "no-shares",
             Self::NoSuspectTurns => "no-suspect-turns",
             Self::NoQuarantine => "no-quarantine",
+            Self::Admission => "admission",
             Self::Random => "random",
             Self::LeastRequests => "least-requests",
             Self::LeastBacklog => "least-backlog",
@@ -99,6 +103,10 @@
         let all = PassOptions::default();
         Some(match self {
             Self::Pool | Self::NoQuarantine => all,
+            Self::Admission => PassOptions {
+                admission: true,
+                ..all
+            },
             Self::NoSuspectTurns => all.without(Mechanism::SuspectTurns),
             Self::NoPacking => all.without(Mechanism::Packing),
             Self::NoPauseCheck => all.without(Mechanism::PauseCheck),
--- a/crates/azuresaddle-standin/src/passes/scoring.rs
+++ b/crates/azuresaddle-standin/src/passes/scoring.rs
@@ -57,6 +57,9 @@
     /// Highest number of requests and prompt parts that a rate-limited engine received within 4 s,
     /// over the number that its limit allows.
     pub limit_use: f64,
+    /// Fraction of the refused requests that were held longer than an eighth of their time to the
+    /// first event.
+    pub refused_after_wait: f64,
     /// Results of each request kind.
     pub kinds: Vec<KindResults>,
 }
@@ -70,6 +73,8 @@
     pub(super) first_event_ms: &'a [Option<f64>],
     /// Fraction of the worth lost by holding the request without sending it to an engine.
     pub(super) held: &'a [f64],
+    /// Whether the request was refused.
+    pub(super) refused: &'a [bool],
     /// See [`DayResults::limit_use`].
     pub(super) limit_use: f64,
 }
@@ -86,6 +91,7 @@
         outcomes,
         first_event_ms,
         held,
+        refused,
         limit_use,
     } = *day;
     let credit = |i: usize| match outcomes[i] {
@@ -100,6 +106,11 @@
     };
     let all: Vec<usize> = (0..requests.len()).collect();
     let day = ratio(&all);
+    let refused_after_wait = {
+        let refused = refused.iter().zip(held).filter(|(refused, _)| **refused);
+        let waited = refused.clone().filter(|(_, held)| **held > 0.0).count();
+        waited as f64 / refused.count().max(1) as f64
+    };
     let owed: f64 = requests.iter().map(|r| r.worth).sum();
     let held: f64 = requests.iter().zip(held).map(|(r, h)| r.worth * h).sum();
     let held = held / owed;
@@ -142,6 +153,7 @@
         held,
         windows,
         limit_use,
+        refused_after_wait,
         kinds,
     }
 }
--- a/crates/azuresaddle-standin/src/passes/simulation.rs
+++ b/crates/azuresaddle-standin/src/passes/simulation.rs
@@ -13,7 +13,8 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{
-    PlacementDecision, PlacementGrant, PlacementId, PlacementRequest, StreamOutcome,
+    DEFAULT_PRIORITY, PlacementDecision, PlacementGrant, PlacementId, PlacementRequest,
+    StreamOutcome,
 };
 use azuresaddle_sched::quarantine::Quarantine;
 use rand::SeedableRng;
@@ -106,11 +107,17 @@
     let held: Vec<f64> = (0..requests.len())
         .map(|i| simulation.holding_loss(i))
         .collect();
+    let refused: Vec<bool> = simulation
+        .streams
+        .iter()
+        .map(|s| s.refused_at.is_some())
+        .collect();
     let day = SimulatedDay {
         requests: &requests,
         outcomes: &outcomes,
         first_event_ms: &firsts,
         held: &held,
+        refused: &refused,
         limit_use: simulation.limit_use(),
     };
     score_day(workload, &day, policy.name(), seed)
@@ -265,6 +272,7 @@
             deadline: after(kind.deadline_ms),
             exclude: Vec::new(),
             suspect,
+            priority: DEFAULT_PRIORITY,
         };
         let placer = self.route(at_ms, i);
         self.streams[i].placer = placer;
