--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -58,6 +58,13 @@
     scope: &'static str,
 }
 
+/// Labels of refusals by admission.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AdmissionLabels {
+    service: String,
+    when: &'static str,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -83,6 +90,7 @@
     target_signals: Family<SignalLabels, Counter>,
     held_back: Family<HeldLabels, Counter>,
     pub(crate) unreadable_signals: Counter,
+    admission_refusals: Family<AdmissionLabels, Counter>,
 }
 
 impl Metrics {
@@ -110,6 +118,7 @@
             target_signals: Family::default(),
             held_back: Family::default(),
             unreadable_signals: Counter::default(),
+            admission_refusals: Family::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -179,6 +188,8 @@
         r.register("sends_held_back", help, self.held_back.clone());
         let help = "Signal headers of targets with an invalid value";
         r.register("unreadable_signals", help, self.unreadable_signals.clone());
+        let help = "Streams that admission refused, on arrival or after a wait";
+        r.register("admission_refusals", help, self.admission_refusals.clone());
     }
 
     /// Counts an answer to a caller.
@@ -231,6 +242,15 @@
         self.held_back.get_or_create(&labels).inc();
     }
 
+    /// Counts streams that admission refused.
+    pub(crate) fn on_admission_refusals(&self, service: &str, when: &'static str, count: u64) {
+        let labels = AdmissionLabels {
+            service: service.to_owned(),
+            when,
+        };
+        self.admission_refusals.get_or_create(&labels).inc_by(count);
+    }
+
     /// Counts a signal of a target.
     pub(crate) fn on_target_signal(&self, signal: &'static str) {
         let labels = SignalLabels { signal };
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -130,7 +130,14 @@
         };
         let pass_options = options.without.iter().fold(all, |o, m| o.without(*m));
         let sends_priority = pass_options.admission;
-        let owner = Owner::spawn(&spawner, &snapshots, incarnation, pass_options, pace_probes);
+        let owner = Owner::spawn(
+            &spawner,
+            &snapshots,
+            incarnation,
+            pass_options,
+            pace_probes,
+            &metrics,
+        );
         let peer_addr = SocketAddr::from((settings.ip, settings.peer_port));
         let peers = bind(&net, "calls between nodes", peer_addr).await?;
         let peer_owner = Arc::clone(&owner);
--- a/crates/azuresaddle-edge/src/placement/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Placement of streams on engines. One node, the owner of the pools, decides; all nodes send their requests to it.
 
+mod admission_log;
 mod client;
 mod guard;
 mod owner;
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -13,7 +13,9 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::admission_log::AdmissionLog;
 use super::owner_state::OwnerState;
+use crate::metrics::Metrics;
 use crate::peer::{
     PermitReply, PermitRequest, PlaceMessage, PlaceReply, ReportKind, StreamReport, SyncMessage,
 };
@@ -26,6 +28,8 @@
     changed: Notify,
     /// Engines to probe for their pace, the slowdown relative to a reference engine.
     pace_probes: mpsc::Sender<HostName>,
+    /// Refusals by admission; `None` without admission.
+    admission_log: Option<Mutex<AdmissionLog>>,
 }
 
 impl Owner {
@@ -38,7 +42,10 @@
         node: u64,
         options: PassOptions,
         pace_probes: mpsc::Sender<HostName>,
+        metrics: &Metrics,
     ) -> Arc<Self> {
+        let log = || Mutex::new(AdmissionLog::new(metrics.clone()));
+        let admission_log = options.admission.then(log);
         let state = OwnerState {
             options,
             ..OwnerState::default()
@@ -47,6 +54,7 @@
             state: Mutex::new(state),
             changed: Notify::new(),
             pace_probes,
+            admission_log,
         });
         spawner.spawn(Arc::clone(&owner).follow_snapshots(snapshots.clone(), node));
         spawner.spawn(Arc::clone(&owner).run_timer());
@@ -75,7 +83,7 @@
         state.update_targets(now, configuration, &snapshot.targets);
         state.update_rate_limits(now, &snapshot.rate_limits);
         state.update_nodes(&snapshot.nodes);
-        state.dispatch(now);
+        self.dispatch(&mut state, now);
         drop(state);
         self.changed.notify_one();
     }
@@ -85,7 +93,7 @@
         loop {
             let next = self.lock().next_wakeup(Instant::now());
             tokio::select! {
-                () = sleep_until(next) => self.lock().dispatch(Instant::now()),
+                () = sleep_until(next) => self.dispatch(&mut self.lock(), Instant::now()),
                 () = self.changed.notified() => {}
             }
         }
@@ -144,7 +152,7 @@
         );
         let (tx, rx) = oneshot::channel();
         state.waiters.insert(message.id, tx);
-        state.dispatch(now);
+        self.dispatch(&mut state, now);
         self.queue_pace_probes(&mut state, now);
         let waits = state.waiters.contains_key(&message.id);
         drop(state);
@@ -179,12 +187,25 @@
                 ReportKind::Ended(outcome) => pool.end(now, report.id, &outcome),
             }
         }
-        state.dispatch(now);
+        self.dispatch(&mut state, now);
         self.queue_pace_probes(&mut state, now);
         drop(state);
         self.changed.notify_one();
     }
 
+    /// Dispatches the pools, and records what they refused.
+    fn dispatch(&self, state: &mut OwnerState, now: Instant) {
+        state.dispatch(now);
+        let Some(log) = &self.admission_log else {
+            return;
+        };
+        let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, pool) in &mut state.pools {
+            log.on_refusals(now, service, pool.take_refusals());
+        }
+        log.end_overloads(now);
+    }
+
     fn queue_pace_probes(&self, state: &mut OwnerState, now: Instant) {
         for engine in state.take_pace_probes(now) {
             // If the queue is full, the pool requests a probe of this engine again at the next overdue event.
@@ -206,7 +227,7 @@
                 pool.on_pace(now, engine, pace);
             }
         }
-        state.dispatch(now);
+        self.dispatch(&mut state, now);
         drop(state);
         self.changed.notify_one();
     }
@@ -226,7 +247,7 @@
             pool.sync_node(now, sync.node, &running, is_known);
         }
         state.mark_synced(sync.node);
-        state.dispatch(now);
+        self.dispatch(&mut state, now);
         drop(state);
         self.changed.notify_one();
     }
@@ -238,7 +259,7 @@
         for pool in state.pools.values_mut() {
             pool.end(now, id, &StreamOutcome::Cancelled);
         }
-        state.dispatch(now);
+        self.dispatch(&mut state, now);
         drop(state);
         self.changed.notify_one();
     }
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of placement at the owner.
 
+mod admission_log;
 mod dispatches;
 mod handover;
 mod permits;
+mod ranked_calls;
--- a/crates/azuresaddle-sched/src/passes/admission/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/admission/mod.rs
@@ -5,8 +5,10 @@
 //! expected to be served in time is refused when it arrives, with a time to retry at which capacity
 //! is expected to be free.
 
+mod refusal_counts;
 mod retry_schedule;
 mod start_rate;
 
+pub use self::refusal_counts::RefusalCounts;
 pub(super) use self::retry_schedule::{RetrySchedule, RetryWindow};
 pub(super) use self::start_rate::StartRate;
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -19,6 +19,7 @@
 mod short_load;
 mod short_plan;
 
+pub use admission::RefusalCounts;
 pub use mechanism::Mechanism;
 pub use options::PassOptions;
 pub use pool::{PassPool, PoolLoad};
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -19,7 +19,7 @@
 use self::arrivals::ArrivalVerdict;
 pub use self::load::PoolLoad;
 use self::pace_probes::ProbeBudget;
-use super::admission::{RetrySchedule, StartRate};
+use super::admission::{RefusalCounts, RetrySchedule, StartRate};
 use super::engine::{Engine, EngineKey};
 use super::long_load::LongLoad;
 use super::options::PassOptions;
@@ -62,6 +62,8 @@
     crowd_since: Option<Instant>,
     short_starts: StartRate,
     retry_schedule: RetrySchedule,
+    /// Refusals since they were last taken.
+    refusals: RefusalCounts,
     /// Fair queueing of the client accounts, for short and for long prompts.
     fair_clocks: [FairClock; 2],
     placed_streams: HashMap<PlacementId, PlacedStream>,
@@ -89,6 +91,7 @@
             crowd_since: None,
             short_starts: StartRate::default(),
             retry_schedule: RetrySchedule::default(),
+            refusals: RefusalCounts::default(),
             fair_clocks: Default::default(),
             placed_streams: HashMap::new(),
             decisions: Vec::new(),
@@ -176,6 +179,7 @@
         if let ArrivalVerdict::Refuse { retry_after } =
             self.arrival_verdict(now, &request, prefill_ms)
         {
+            self.refusals.on_arrival += 1;
             let refused = PlacementDecision::Refused { retry_after };
             self.decisions.push((request.id, refused));
             return;
@@ -299,6 +303,11 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Returns the numbers of refused requests since the last call.
+    pub fn take_refusals(&mut self) -> RefusalCounts {
+        std::mem::take(&mut self.refusals)
+    }
+
     /// Latest time for the next call of [`Self::dispatch`]; `None` if no request waits.
     pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
         if self.queue.is_empty() {
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -244,6 +244,7 @@
                 continue;
             };
             let retry_after = self.plan_retry(now, &waiting.request, waiting.prefill_ms, taken_for);
+            self.refusals.after_wait += 1;
             self.decisions
                 .push((id, PlacementDecision::Refused { retry_after }));
         }
