--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -62,6 +62,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct LookupLabels {
     answer: &'static str,
+/// Labels of refusals by admission.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AdmissionLabels {
+    service: String,
+    when: &'static str,
 }
 
 /// All metrics of a node; cheap to clone.
@@ -93,6 +98,7 @@
     pub(crate) target_ejections: Counter,
     lookups: Family<LookupLabels, Counter>,
     pub(crate) load_level: Gauge,
+    admission_refusals: Family<AdmissionLabels, Counter>,
 }
 
 impl Metrics {
@@ -124,6 +130,7 @@
             target_ejections: Counter::default(),
             lookups: Family::default(),
             load_level: Gauge::default(),
+            admission_refusals: Family::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -202,6 +209,8 @@
         r.register("lookups", help, self.lookups.clone());
         let help = "Load level of this host, from 0 to 3; higher levels get fewer callers";
         r.register("load_level", help, self.load_level.clone());
+        let help = "Streams that admission refused, on arrival or after a wait";
+        r.register("admission_refusals", help, self.admission_refusals.clone());
     }
 
     /// Counts an answer to a caller.
@@ -254,6 +263,15 @@
         self.held_back.get_or_create(&labels).inc();
     }
 
+    /// Counts streams that admission refused.
+    pub(crate) fn on_admission_refusals(&self, service: &str, when: &'static str, count: u64) {
+        let labels = AdmissionLabels {
+            service: service.to_owned(),
+            when,
+        };
+        self.admission_refusals.get_or_create(&labels).inc_by(count);
+    }
+
     /// Counts a signal of a target.
     pub(crate) fn on_target_signal(&self, signal: &'static str) {
         let labels = SignalLabels { signal };
--- a/crates/azuresaddle-edge/src/placement/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -1,11 +1,13 @@
 //! Placement of streams on engines. One node, the owner of the pools, decides; all nodes send their requests to it.
 
+mod admission_log;
 mod client;
 mod guard;
 mod owner;
 mod owner_state;
 mod permits;
 mod place_request;
+mod ranked_calls;
 mod reporter;
 #[cfg(test)]
 mod tests;
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -4,6 +4,7 @@
 //! prefilled in the same pass make it longer for all of them, so placement decides which passes may
 //! get longer and by how much.
 
+mod admission;
 mod engine;
 mod long_candidates;
 mod long_load;
@@ -18,10 +19,11 @@
 mod short_load;
 mod short_plan;
 
+pub use admission::RefusalCounts;
 pub use mechanism::Mechanism;
 pub use options::PassOptions;
 pub use pool::{PassPool, PoolLoad};
 pub use request::{
-    PlacementDecision, PlacementGrant, PlacementId, PlacementRequest, RunningStream, StreamOutcome,
-    Suspect,
+    DEFAULT_PRIORITY, PlacementDecision, PlacementGrant, PlacementId, PlacementRequest,
+    RunningStream, StreamOutcome, Suspect,
 };
