--- a/crates/azuresaddle-standin/src/cmd/passes.rs
+++ b/crates/azuresaddle-standin/src/cmd/passes.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use azuresaddle_standin::passes::{
-    DayResults, Faults, PassPolicy, PoolLayout, Workload, simulate_day,
+    DayResults, DemandShape, Faults, PassPolicy, PoolLayout, Workload, simulate_day,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
@@ -28,6 +28,13 @@
                 .default_value("0.82")
                 .help("Part of the whole rate"),
         )
+        .arg(
+            Arg::new("shape")
+                .long("shape")
+                .value_name("SHAPE")
+                .value_parser(|text: &str| text.parse::<DemandShape>())
+                .help("How demand varies: phases, alternation, wave, spike or noise; that of the sheet unless given"),
+        )
         .arg(
             Arg::new("trouble")
                 .long("trouble")
@@ -73,6 +80,9 @@
     for fault in args.get_many::<String>("trouble").into_iter().flatten() {
         workload.faults.add(fault);
     }
+    if let Some(shape) = args.get_one::<DemandShape>("shape") {
+        workload.shape = *shape;
+    }
     workload.pool_layout = super::args::get(args, "placers");
     let policies: Vec<PassPolicy> = args
         .get_many("policy")
--- a/crates/azuresaddle-standin/src/passes/mod.rs
+++ b/crates/azuresaddle-standin/src/passes/mod.rs
@@ -5,6 +5,7 @@
 //! same seed gives the same results.
 
 mod baseline;
+mod demand_shape;
 mod engine;
 mod faults;
 mod plot;
@@ -15,6 +16,7 @@
 mod workload;
 mod workloads;
 
+pub use demand_shape::DemandShape;
 pub use engine::{EngineModel, PassResult};
 pub use faults::{Faults, Flood, IsolatedNodes, OwnerStall, SlowEngines, Span, SplitBrain};
 pub use plot::plot_worth;
--- a/crates/azuresaddle-standin/src/passes/workload.rs
+++ b/crates/azuresaddle-standin/src/passes/workload.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 
+use super::demand_shape::DemandShape;
 use super::faults::{CrashingRequest, Faults, Flood, Span};
 use super::pool_layout::PoolLayout;
 
@@ -37,7 +38,8 @@
     pub worth: f64,
     /// Worth of a late answer, for a prompt of mean length.
     pub late_worth: f64,
-    /// Factors of the request rate in the three phases of the day.
+    /// Factors of the request rate in the three phases of the day. Of an alternating day, the first
+    /// applies to the phases of mostly long prompts and the second to those of mostly short ones.
     pub phases: [f64; 3],
 }
 
@@ -54,6 +56,8 @@
     pub kinds: Vec<RequestKind>,
     /// Factor of all request rates.
     pub load: f64,
+    /// How the request rates vary with time.
+    pub shape: DemandShape,
     /// Length of the day, in seconds.
     pub length_s: f64,
     /// Number of failure domains, over which the engines are spread evenly.
@@ -98,9 +102,6 @@
 /// Upper bound of the factor by which the length of a prompt raises the worth of its kind.
 const MAX_SIZE_FACTOR: f64 = 4.0;
 
-/// Begin and end of each phase of the day, in seconds.
-const PHASES: [(f64, f64); 3] = [(1.9, 11.4), (12.0, 21.5), (23.0, 32.5)];
-
 /// Standard deviation of the logarithm of the callers' estimates over the true length.
 const ESTIMATE_SPREAD: f64 = 0.5;
 
@@ -141,7 +142,7 @@
         0.0 => 1.0,
         times => times,
     };
-    let most = kind.phases.iter().copied().fold(1.0, f64::max) * burst;
+    let most = workload.shape.max_factor(kind) * burst;
     let prompts = log_normal(kind.prompt_tokens, kind.prompt_spread);
     let events = log_normal(kind.events, kind.events_spread);
     let estimates = LogNormal::new(0.0, ESTIMATE_SPREAD).expect("the standard deviation is finite");
@@ -154,7 +155,7 @@
         }
         // Thinning reduces the highest rate to that of the phase.
         let times = if index == 0 { burst } else { 1.0 };
-        if rng.random::<f64>() * most > phase_factor(kind, at_s) * times {
+        if rng.random::<f64>() * most > workload.shape.factor(kind, at_s) * times {
             continue;
         }
         let prompt = prompts.sample(rng).clamp(100.0, kind.max_prompt_tokens);
@@ -243,12 +244,6 @@
         .unwrap_or(last)
 }
 
-/// Factor of the request rate of a kind at a time of the day; 1 between the phases.
-fn phase_factor(kind: &RequestKind, at_s: f64) -> f64 {
-    let phase = PHASES.iter().position(|(b, e)| (*b..*e).contains(&at_s));
-    phase.map_or(1.0, |p| kind.phases[p])
-}
-
 /// Log-normal distribution with a mean and a standard deviation of the logarithm.
 fn log_normal(mean: f64, spread: f64) -> LogNormal<f64> {
     let location = mean.ln() - spread * spread / 2.0;
--- a/crates/azuresaddle-standin/src/passes/workloads.rs
+++ b/crates/azuresaddle-standin/src/passes/workloads.rs
@@ -2,6 +2,7 @@
 
 use azuresaddle_core::deployment::EngineSpec;
 
+use super::demand_shape::DemandShape;
 use super::faults::Faults;
 use super::pool_layout::PoolLayout;
 use super::workload::{RequestKind, Workload};
@@ -15,6 +16,7 @@
             spec: default_engine(),
             kinds: default_kinds([39.5, 2.87, 1.19]),
             load,
+            shape: DemandShape::Phases,
             length_s: 34.0,
             domains: 3,
             pool_layout: PoolLayout::Single,
@@ -30,6 +32,7 @@
             spec: default_engine(),
             kinds: default_kinds([30.7, 2.23, 0.922]),
             load,
+            shape: DemandShape::Phases,
             length_s: 34.0,
             domains: 3,
             pool_layout: PoolLayout::Single,
@@ -45,6 +48,7 @@
             spec: surf_engine(),
             kinds: surf_kinds(),
             load,
+            shape: DemandShape::Phases,
             length_s: 34.0,
             domains: 3,
             pool_layout: PoolLayout::Single,
@@ -79,6 +83,7 @@
             },
             kinds,
             load,
+            shape: DemandShape::Phases,
             length_s: 34.0,
             domains: 5,
             pool_layout: PoolLayout::Single,
@@ -86,8 +91,82 @@
         }
     }
 
+    /// Questions, reviews and digests on 78 engines, with phases of mostly short and mostly long
+    /// prompts directly after one another.
+    pub fn contention(load: f64) -> Self {
+        let engine = EngineSpec {
+            slots: 12,
+            memory_tokens: 382_500,
+            steps_per_pass: 52,
+            mean_answer_tokens: 1638,
+            ..default_engine()
+        };
+        let answers = [
+            (33.0, 200.0, 1.4, 0.34),
+            (20.0, 500.0, 2.6, 0.66),
+            (16.0, 800.0, 30.0, 7.5),
+        ];
+        let mut kinds = alternating_kinds([117.0, 10.7, 3.2], answers);
+        kinds[2].prompt_tokens = 300_000.0;
+        kinds[2].first_event_ms = 4000.0;
+        Self::alternating("contention", 78, engine, kinds, load)
+    }
+
+    /// Questions, reviews and digests on 45 engines with half the memory, with phases as in
+    /// [`Self::contention`].
+    pub fn uneven(load: f64) -> Self {
+        let engine = EngineSpec {
+            slots: 12,
+            memory_tokens: 197_200,
+            steps_per_pass: 48,
+            step_ms: 1.02,
+            prefill_tokens_per_ms: 206.0,
+            mean_answer_tokens: 1638,
+            ..default_engine()
+        };
+        let answers = [
+            (31.0, 250.0, 1.8, 0.18),
+            (18.0, 600.0, 2.4, 0.61),
+            (15.0, 1000.0, 7.3, 2.8),
+        ];
+        let mut kinds = alternating_kinds([56.0, 6.6, 2.35], answers);
+        kinds[0].first_event_ms = 250.0;
+        kinds[2].prompt_tokens = 190_000.0;
+        kinds[2].first_event_ms = 6000.0;
+        Self::alternating("uneven", 45, engine, kinds, load)
+    }
+
+    fn alternating(
+        name: &'static str,
+        engines: usize,
+        spec: EngineSpec,
+        kinds: Vec<RequestKind>,
+        load: f64,
+    ) -> Self {
+        Self {
+            name,
+            engines,
+            spec,
+            kinds,
+            load,
+            shape: DemandShape::Alternation,
+            // Two phases of each kind after two seconds of the mean mix.
+            length_s: 41.0,
+            domains: 3,
+            pool_layout: PoolLayout::Single,
+            faults: Faults::default(),
+        }
+    }
+
     /// Names of all workloads.
-    pub const NAMES: [&'static str; 4] = ["sabarmati", "aguaclara", "surf", "large"];
+    pub const NAMES: [&'static str; 6] = [
+        "sabarmati",
+        "aguaclara",
+        "surf",
+        "large",
+        "contention",
+        "uneven",
+    ];
 
     /// Returns the workload of a name, or `None` if there is none.
     pub fn named(name: &str, load: f64) -> Option<Self> {
@@ -96,6 +175,8 @@
             "aguaclara" => Some(Self::aguaclara(load)),
             "surf" => Some(Self::surf(load)),
             "large" => Some(Self::large(load)),
+            "contention" => Some(Self::contention(load)),
+            "uneven" => Some(Self::uneven(load)),
             _ => None,
         }
     }
@@ -138,6 +219,25 @@
     kinds
 }
 
+/// The default kinds with other rates and with events, longest pause in milliseconds, worth and late
+/// worth of each kind's answers, for phases of mostly long and of mostly short prompts.
+fn alternating_kinds(
+    requests_per_s: [f64; 3],
+    answers: [(f64, f64, f64, f64); 3],
+) -> Vec<RequestKind> {
+    let mut kinds = default_kinds(requests_per_s);
+    for (kind, (events, pause_ms, worth, late_worth)) in kinds.iter_mut().zip(answers) {
+        kind.events = events;
+        kind.max_events = events * 2.5;
+        kind.pause_ms = pause_ms;
+        kind.worth = worth;
+        kind.late_worth = late_worth;
+    }
+    kinds[0].phases = [0.3, 2.5, 0.3];
+    kinds[2].phases = [2.9, 0.05, 2.9];
+    kinds
+}
+
 fn default_engine() -> EngineSpec {
     EngineSpec {
         slots: 16,
