Forecast of the demand for a pool

Cause: placement estimates what will arrive from windows of 4 s and 1 s and from constants, so it still expects the previous mix for seconds after the mix has changed.

DemandForecast keeps a fast and a slow estimate of arrivals and prefill work for short, medium and long prompts, and a CUSUM of the counts in 50 ms, after which both estimates start again from what was counted since the change. Arrivals within 0.3 s of a handover do not count, and there is no forecast before a second of arrivals. Nothing uses it yet.

--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -5,6 +5,7 @@
 //! get longer and by how much.
 
 mod engine;
+mod forecast;
 mod long_candidates;
 mod long_load;
 mod long_plan;
@@ -18,6 +19,7 @@
 mod short_load;
 mod short_plan;
 
+pub use forecast::{DemandForecast, Estimate, LevelChange, Sort};
 pub use mechanism::Mechanism;
 pub use options::PassOptions;
 pub use pool::{PassPool, PoolLoad};
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -3,6 +3,7 @@
 mod account_shares;
 mod crowd;
 mod engine_restart;
+mod forecast;
 mod long;
 mod pace_probes;
 mod rate_limits;
