Long prompts bind no engine a pass ahead while they compete for engines

Cause: where demand alternates, a plan in a phase of mostly long prompts binds engines up to 120 ms before they can begin. They are missing to prompts that could begin at once.

Change: DemandPhase holds what the forecast says of the phase. While the forecast prefill of medium and long prompts is over 0.4 of the engines' time, a plan starts only if its last engine begins within 60 ms.

--- a/crates/azuresaddle-sched/src/passes/long_candidates.rs
+++ b/crates/azuresaddle-sched/src/passes/long_candidates.rs
@@ -84,6 +84,7 @@
         spec,
         engines,
         options,
+        ..
     } = *view;
     engines
         .iter()
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -10,6 +10,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+use super::demand_phase::DemandPhase;
 use super::engine::{Engine, EngineKey};
 use super::long_candidates::{LongCandidate, LongCandidates};
 use super::pool_view::PoolView;
@@ -43,6 +44,10 @@
 /// that a shorter prompt that arrives meanwhile can go first.
 const MAX_START_MS: f64 = 120.0;
 
+/// The same while long prompts compete for engines. An engine that is bound a pass ahead is missing
+/// to those that could begin at once, and no prompt gains by it.
+const MAX_START_MOSTLY_LONG_MS: f64 = 60.0;
+
 /// Longest time to the first event of a plan that reserves memory, in milliseconds. Memory that is
 /// unused for 9 s counts as lost, and it may be used only once the prompt is prefilled.
 const MAX_RESERVED_FIRST_EVENT_MS: f64 = 7000.0;
@@ -79,11 +84,16 @@
     /// end after the deadline never starts, since it would occupy engines for nothing.
     pub(super) fn should_start(
         &self,
-        now: Instant,
+        view: &PoolView<'_>,
         request: &PlacementRequest,
         engines: usize,
     ) -> bool {
-        if self.start_ms > MAX_START_MS {
+        let now = view.now;
+        let max_start_ms = match view.phase {
+            DemandPhase::MostlyLong => MAX_START_MOSTLY_LONG_MS,
+            DemandPhase::Unknown | DemandPhase::Mixed => MAX_START_MS,
+        };
+        if self.start_ms > max_start_ms {
             return false;
         }
         if self.helper_memory_tokens > 0 && self.first_event_ms > MAX_RESERVED_FIRST_EVENT_MS {
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -4,6 +4,7 @@
 //! prefilled in the same pass make it longer for all of them, so placement decides which passes may
 //! get longer and by how much.
 
+mod demand_phase;
 mod engine;
 mod forecast;
 mod long_candidates;
--- a/crates/azuresaddle-sched/src/passes/pool/demand.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/demand.rs
@@ -1,9 +1,21 @@
-//! What the pool tells of its demand.
+//! The demand for the pool and how placement follows it.
+
+use tokio::time::Instant;
 
 use super::PassPool;
+use crate::passes::demand_phase::DemandPhase;
 use crate::passes::forecast::{Estimate, LevelChange, Sort};
 
 impl PassPool {
+    /// Brings the forecast up to date, and the phase that placement follows.
+    pub(super) fn update_demand(&mut self, now: Instant) {
+        self.forecast.advance(now);
+        if self.options.forecast {
+            let engines = self.available_engines(now);
+            self.phase = DemandPhase::of_forecast(&self.forecast, engines);
+        }
+    }
+
     /// Whether the pool uses a forecast of its demand.
     pub fn has_forecast(&self) -> bool {
         self.options.forecast
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -18,6 +18,7 @@
 
 pub use self::load::PoolLoad;
 use self::pace_probes::ProbeBudget;
+use super::demand_phase::DemandPhase;
 use super::engine::{Engine, EngineKey};
 use super::forecast::{DemandForecast, Sort};
 use super::long_load::LongLoad;
@@ -56,6 +57,7 @@
     long_load: LongLoad,
     short_load: ShortLoad,
     forecast: DemandForecast,
+    phase: DemandPhase,
     /// Since when at least `MIN_CROWD` short prompts have waited; `None` if fewer wait.
     crowd_since: Option<Instant>,
     /// Fair queueing of the client accounts, for short and for long prompts.
@@ -83,6 +85,7 @@
             long_load: LongLoad::default(),
             short_load: ShortLoad::default(),
             forecast: DemandForecast::default(),
+            phase: DemandPhase::default(),
             crowd_since: None,
             fair_clocks: Default::default(),
             placed_streams: HashMap::new(),
@@ -268,7 +271,7 @@
     /// Places all requests that can be placed now, and refuses those that can no longer be served
     /// in time.
     pub fn dispatch(&mut self, now: Instant) {
-        self.forecast.advance(now);
+        self.update_demand(now);
         if self.queue.is_empty() {
             self.crowd_since = None;
             for clock in &mut self.fair_clocks {
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -61,6 +61,7 @@
             spec: &self.spec,
             engines: &self.engines,
             options: &self.options,
+            phase: self.phase,
         }
     }
 
@@ -173,7 +174,7 @@
         let now = view.now;
         let plan = plan_long(view, candidates, request, *prefill_ms, 0);
         let should_start = |p: &PlacementPlan| {
-            !self.options.wait_for_engines || p.should_start(now, request, available)
+            !self.options.wait_for_engines || p.should_start(view, request, available)
         };
         let plan = plan.filter(should_start);
         if plan.as_ref().is_some_and(|p| p.is_on_time(now, request)) || !self.options.break_pauses {
--- a/crates/azuresaddle-sched/src/passes/pool_view.rs
+++ b/crates/azuresaddle-sched/src/passes/pool_view.rs
@@ -4,6 +4,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+use super::demand_phase::DemandPhase;
 use super::engine::{Engine, EngineKey};
 use super::options::PassOptions;
 
@@ -14,4 +15,5 @@
     pub(super) spec: &'a EngineSpec,
     pub(super) engines: &'a SlotMap<EngineKey, Engine>,
     pub(super) options: &'a PassOptions,
+    pub(super) phase: DemandPhase,
 }
