--- a/crates/azuresaddle-edge/src/placement/tests/dispatches.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/dispatches.rs
@@ -13,7 +13,7 @@
 
 use crate::placement::owner_state::OwnerState;
 
-fn engine() -> EngineSpec {
+pub(super) fn engine() -> EngineSpec {
     EngineSpec {
         slots: 1,
         memory_tokens: 450_000,
@@ -30,7 +30,7 @@
     }
 }
 
-fn make_request(now: Instant, number: u64) -> PlacementRequest {
+pub(super) fn make_request(now: Instant, number: u64) -> PlacementRequest {
     PlacementRequest {
         id: PlacementId { node: 1, number },
         account: ClientAccount::new(format!("account-{number}")),
