--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -62,6 +62,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct LookupLabels {
     answer: &'static str,
+}
+
 /// Labels of refusals by admission.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AdmissionLabels {
@@ -69,6 +71,13 @@
     when: &'static str,
 }
 
+/// Labels of the demand for a service by sort of prompt.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DemandLabels {
+    service: String,
+    sort: &'static str,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -99,6 +108,14 @@
     lookups: Family<LookupLabels, Counter>,
     pub(crate) load_level: Gauge,
     admission_refusals: Family<AdmissionLabels, Counter>,
+    demand_changes: Family<DemandLabels, Counter>,
+    expected_arrivals: Family<DemandLabels, Gauge<f64, AtomicU64>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Metrics {
@@ -131,6 +148,8 @@
             lookups: Family::default(),
             load_level: Gauge::default(),
             admission_refusals: Family::default(),
+            demand_changes: Family::default(),
+            expected_arrivals: Family::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -211,6 +230,10 @@
         r.register("load_level", help, self.load_level.clone());
         let help = "Streams that admission refused, on arrival or after a wait";
         r.register("admission_refusals", help, self.admission_refusals.clone());
+        let help = "Changes of the level of demand that the forecast found";
+        r.register("demand_changes", help, self.demand_changes.clone());
+        let help = "Prompts per second that the forecast expects; 0 without a forecast";
+        r.register("expected_arrivals", help, self.expected_arrivals.clone());
     }
 
     /// Counts an answer to a caller.
@@ -283,6 +306,24 @@
         self.lookups.get_or_create(&LookupLabels { answer }).inc();
     }
 
+    /// Counts a change of the level of demand.
+    pub(crate) fn on_demand_change(&self, service: &str, sort: &'static str) {
+        let labels = DemandLabels {
+            service: service.to_owned(),
+            sort,
+        };
+        self.demand_changes.get_or_create(&labels).inc();
+    }
+
+    /// Sets the expected arrivals per second.
+    pub(crate) fn on_expected_arrivals(&self, service: &str, sort: &'static str, per_s: f64) {
+        let labels = DemandLabels {
+            service: service.to_owned(),
+            sort,
+        };
+        self.expected_arrivals.get_or_create(&labels).set(per_s);
+    }
+
     /// Records the time from a request's arrival to its first event.
     pub(crate) fn on_first_event(&self, service: &str, took: Duration) {
         observe(&self.first_event, service, took);
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -132,6 +132,7 @@
         let (pace_probes, pace_probes_rx) = mpsc::channel(PACE_PROBE_QUEUE_CAPACITY);
         let all = PassOptions {
             admission: settings.features.pooled_admission,
+            forecast: settings.features.pooled_admission,
             ..PassOptions::default()
         };
         let pass_options = options.without.iter().fold(all, |o, m| o.without(*m));
--- a/crates/azuresaddle-edge/src/placement/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission_log;
 mod client;
+mod demand_reporter;
 mod guard;
 mod owner;
 mod owner_state;
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::admission_log::AdmissionLog;
+use super::demand_reporter::DemandReporter;
 use super::owner_state::OwnerState;
 use crate::metrics::Metrics;
 use crate::peer::{
@@ -48,6 +49,7 @@
         let admission_log = options.admission.then(log);
         let state = OwnerState {
             options,
+            demand: DemandReporter::new(metrics.clone()),
             ..OwnerState::default()
         };
         let owner = Arc::new(Self {
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of placement at the owner.
 
 mod admission_log;
+mod demand;
 mod dispatches;
 mod handover;
 mod permits;
--- a/crates/azuresaddle-sched/src/passes/mechanism.rs
+++ b/crates/azuresaddle-sched/src/passes/mechanism.rs
@@ -8,6 +8,7 @@
 /// A mechanism of a pool, switched off by its name on the command line.
 ///
 /// All are on by default, except for admission, which the settings of a deployment switch on. Switching one off shows what it contributes, and helps where it does
+/// All are on by default, apart from those that a deployment must call for. Switching one off shows what it contributes, and helps where it does
 /// harm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mechanism {
@@ -39,11 +40,13 @@
     HandoverWait,
     /// Requests are admitted by an estimate of their wait, and ordered by priority.
     Admission,
+    /// The demand of the next moments is forecast, and placement follows it.
+    Forecast,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Packing,
         Self::PauseCheck,
         Self::Splitting,
@@ -58,6 +61,7 @@
         Self::SuspectTurns,
         Self::HandoverWait,
         Self::Admission,
+        Self::Forecast,
     ];
 
     /// Name on the command line.
@@ -77,6 +81,7 @@
             Self::SuspectTurns => "suspect-turns",
             Self::HandoverWait => "handover-wait",
             Self::Admission => "admission",
+            Self::Forecast => "forecast",
         }
     }
 }
@@ -116,6 +121,7 @@
             Mechanism::SuspectTurns => &mut self.suspects_in_turn,
             Mechanism::HandoverWait => &mut self.handover_wait,
             Mechanism::Admission => &mut self.admission,
+            Mechanism::Forecast => &mut self.forecast,
         };
         *switch = false;
         self
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -5,7 +5,9 @@
 //! get longer and by how much.
 
 mod admission;
+mod demand_phase;
 mod engine;
+mod forecast;
 mod long_candidates;
 mod long_load;
 mod long_plan;
@@ -20,6 +22,7 @@
 mod short_plan;
 
 pub use admission::RefusalCounts;
+pub use forecast::{DemandForecast, Estimate, LevelChange, Sort};
 pub use mechanism::Mechanism;
 pub use options::PassOptions;
 pub use pool::{PassPool, PoolLoad};
--- a/crates/azuresaddle-sched/src/passes/options.rs
+++ b/crates/azuresaddle-sched/src/passes/options.rs
@@ -36,6 +36,8 @@
     pub handover_wait: bool,
     /// Admit requests by an estimate of their wait, and order them by priority.
     pub admission: bool,
+    /// Forecast the demand and let placement follow it. Off unless the deployment calls for it.
+    pub forecast: bool,
 }
 
 impl Default for PassOptions {
@@ -59,6 +61,7 @@
             handover_wait: true,
             // Only for deployments whose settings call for it.
             admission: false,
+            forecast: false,
         }
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -1,6 +1,7 @@
 //! A pool of engines with one queue; requests are bound to engines only when they can start.
 
 mod arrivals;
+mod demand;
 mod load;
 mod pace_probes;
 mod placement;
@@ -20,7 +21,9 @@
 pub use self::load::PoolLoad;
 use self::pace_probes::ProbeBudget;
 use super::admission::{RefusalCounts, RetrySchedule, StartRate};
+use super::demand_phase::DemandPhase;
 use super::engine::{Engine, EngineKey};
+use super::forecast::{DemandForecast, Sort};
 use super::long_load::LongLoad;
 use super::options::PassOptions;
 use super::queue::{Queue, QueuePosition, Waiting};
@@ -58,6 +61,8 @@
     queue: Queue,
     long_load: LongLoad,
     short_load: ShortLoad,
+    forecast: DemandForecast,
+    phase: DemandPhase,
     /// Since when at least `MIN_CROWD` short prompts have waited; `None` if fewer wait.
     crowd_since: Option<Instant>,
     short_starts: StartRate,
@@ -88,6 +93,8 @@
             queue: Queue::default(),
             long_load: LongLoad::default(),
             short_load: ShortLoad::default(),
+            forecast: DemandForecast::default(),
+            phase: DemandPhase::default(),
             crowd_since: None,
             short_starts: StartRate::default(),
             retry_schedule: RetrySchedule::default(),
@@ -176,6 +183,8 @@
             return;
         }
         let prefill_ms = self.spec.prefill_ms(request.prompt_tokens);
+        self.forecast
+            .on_arrival(now, Sort::of_prefill(prefill_ms), prefill_ms);
         if let ArrivalVerdict::Refuse { retry_after } =
             self.arrival_verdict(now, &request, prefill_ms)
         {
@@ -275,6 +284,7 @@
     /// Places all requests that can be placed now, and refuses those that can no longer be served
     /// in time.
     pub fn dispatch(&mut self, now: Instant) {
+        self.update_demand(now);
         if self.queue.is_empty() {
             self.crowd_since = None;
             self.short_starts.set_waiting(now, false);
--- a/crates/azuresaddle-sched/src/quarantine/state.rs
+++ b/crates/azuresaddle-sched/src/quarantine/state.rs
@@ -8,7 +8,7 @@
 
 use super::crash::{Crash, CrashStatus, SuccessfulRun, TargetIncarnation};
 use super::evidence::Evidence;
-use super::record::{QuarantineKind, Record, RequestStatus};
+use super::record::{Record, RequestStatus};
 
 /// Maximum number of records, about 2 MB: enough for the streams of 250 targets that crash within ten minutes, 16
 /// streams each.
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod crowd;
 mod engine_restart;
+mod forecast;
 mod long;
 mod pace_probes;
 mod rate_limits;
--- a/crates/azuresaddle-standin/src/passes/policy.rs
+++ b/crates/azuresaddle-standin/src/passes/policy.rs
@@ -44,11 +44,13 @@
     LeastRequests,
     /// Baseline: the engine with the smallest prefill backlog, on arrival.
     LeastBacklog,
+    /// The pool with the forecast of demand.
+    Forecast,
 }
 
 impl PassPolicy {
     /// All policies.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Pool,
         Self::NoPacking,
         Self::NoPauseCheck,
@@ -67,6 +69,7 @@
         Self::Random,
         Self::LeastRequests,
         Self::LeastBacklog,
+        Self::Forecast,
     ];
 
     /// Name on the command line.
@@ -90,6 +93,7 @@
             Self::Random => "random",
             Self::LeastRequests => "least-requests",
             Self::LeastBacklog => "least-backlog",
+            Self::Forecast => "forecast",
         }
     }
 
@@ -122,6 +126,10 @@
             Self::NoReadProtection => all.without(Mechanism::PrefillProtection),
             Self::NoPaceChecks => all.without(Mechanism::PaceProbes),
             Self::NoFairShares => all.without(Mechanism::FairShares),
+            Self::Forecast => PassOptions {
+                forecast: true,
+                ..all
+            },
             Self::Random | Self::LeastRequests | Self::LeastBacklog => return None,
         })
     }
