--- /dev/null
+++ b/crates/azuresaddle-core/src/byte_budget/tests/mod.rs
@@ -0,0 +1,2 @@
+mod budget;
+mod read;
--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! through [`prelude`].
 
 pub mod burn;
+pub mod byte_budget;
 pub mod deployment;
 pub mod fingerprint;
 pub mod host_list;
