--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -31,7 +31,7 @@
 mod stored_crashes;
 mod target_record;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod watch_role;
 
 pub(crate) use actor::{Control, ControlParts};
--- /dev/null
+++ b/crates/azuresaddle-edge/src/flow/tests/mod.rs
@@ -0,0 +1,1 @@
+mod metered_stream;
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::{HeldBytes, ReadError};
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
-use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
@@ -15,6 +15,13 @@
 use super::forwarder::Forwarder;
 use crate::targets::Connection;
 
+/// Longest time for which a target may take no bytes of a request. A target that reads requests at all takes them within
+/// a round trip, and meanwhile the request holds memory and its caller waits.
+const MAX_WRITE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time for which a target that takes no bytes gets no further requests.
+const STALLED_BACK_OFF: Duration = Duration::from_secs(1);
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Why a send did not produce an answer that can be relayed.
@@ -36,15 +43,23 @@
     Broken(String),
     /// The target did not answer within the timeout. The request may have run.
     TimedOut,
+    /// The target stopped taking the bytes of the request. If it has taken none, the request did not run.
+    Stalled { was_taken: bool },
+    /// The node had no memory left for the answer until the timeout. The request may have run.
+    NoRoom,
 }
 
 impl SendFailure {
     pub(super) fn verdict(&self) -> Verdict {
         match self {
-            Self::NotSent(_) | Self::InBackOff | Self::Declined { .. } | Self::WrongTarget => {
-                Verdict::NotRun
+            Self::NotSent(_)
+            | Self::InBackOff
+            | Self::Declined { .. }
+            | Self::WrongTarget
+            | Self::Stalled { was_taken: false } => Verdict::NotRun,
+            Self::Broken(_) | Self::TimedOut | Self::Stalled { was_taken: true } | Self::NoRoom => {
+                Verdict::MayHaveRun
             }
-            Self::Broken(_) | Self::TimedOut => Verdict::MayHaveRun,
         }
     }
 
@@ -57,12 +72,27 @@
             Self::WrongTarget => "wrong-target",
             Self::Broken(_) => "broken",
             Self::TimedOut => "silent",
+            Self::Stalled { .. } => "stalled",
+            Self::NoRoom => "no-room",
         }
     }
 
     /// Whether the request was written to a connection to the target.
     pub(super) fn reached_target(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::InBackOff)
+        !matches!(
+            self,
+            Self::NotSent(_) | Self::InBackOff | Self::Stalled { was_taken: false }
+        )
+    }
+}
+
+impl From<ReadError> for SendFailure {
+    fn from(error: ReadError) -> Self {
+        match error {
+            ReadError::TooSlow => Self::TimedOut,
+            ReadError::NoRoom => Self::NoRoom,
+            ReadError::TooLarge(_) | ReadError::Broken(_) => Self::Broken(error.to_string()),
+        }
     }
 }
 
@@ -82,6 +112,13 @@
             Self::WrongTarget => f.write_str("another server has the target's address"),
             Self::Broken(reason) => write!(f, "broken: {reason}"),
             Self::TimedOut => f.write_str("no answer in time"),
+            Self::Stalled { was_taken: true } => {
+                f.write_str("the target stopped taking the request")
+            }
+            Self::Stalled { was_taken: false } => {
+                f.write_str("not sent: the target takes no bytes")
+            }
+            Self::NoRoom => f.write_str("no memory left for the answer"),
         }
     }
 }
@@ -94,7 +131,7 @@
     cx: &Forwarder<N>,
     target: &TargetEntry,
     connection: &mut Connection,
-    req: Request<Full<Bytes>>,
+    req: Request<Full<HeldBytes>>,
     attempt_id: &hyper::header::HeaderValue,
     timeout: Duration,
 ) -> Result<Response<Incoming>, SendFailure> {
@@ -103,8 +140,20 @@
         return Err(SendFailure::InBackOff);
     }
     let sent_at = Instant::now();
+    let progress = connection.progress().clone();
+    let taken_before = progress.written();
     let sending = connection.sender().try_send_request(req);
-    let response = match tokio::time::timeout(timeout, sending).await {
+    let sent = tokio::select! {
+        biased;
+        sent = tokio::time::timeout(timeout, sending) => sent,
+        () = progress.until_stalled(MAX_WRITE_PAUSE) => {
+            // Nothing is written after this, so a request of which no byte was taken will never run.
+            let was_taken = progress.close() > taken_before;
+            on_stalled(cx, target, was_taken);
+            return Err(SendFailure::Stalled { was_taken });
+        }
+    };
+    let response = match sent {
         Err(_) => return Err(SendFailure::TimedOut),
         Ok(Err(mut e)) => {
             let was_written = e.take_message().is_none();
@@ -127,6 +176,20 @@
     checked.map(|()| response)
 }
 
+/// Records a target that takes no bytes of a request, and keeps further requests from it for a while.
+fn on_stalled<N: Network>(cx: &Forwarder<N>, target: &TargetEntry, was_taken: bool) {
+    tracing::warn!(
+        part = "forward",
+        target = %target.id,
+        was_taken,
+        pause_ms = MAX_WRITE_PAUSE.as_millis() as u64,
+        "the target takes no bytes of a request"
+    );
+    cx.metrics.on_slow_reader("target");
+    cx.connections.drop_idle(&target.id);
+    cx.health.back_offs().start(&target.id, STALLED_BACK_OFF);
+}
+
 fn check_answer(
     response: &Response<Incoming>,
     attempt_id: &hyper::header::HeaderValue,
--- a/crates/azuresaddle-edge/src/forward/body.rs
+++ b/crates/azuresaddle-edge/src/forward/body.rs
@@ -5,12 +5,17 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
+use azuresaddle_core::byte_budget::HeldBytes;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use thiserror::Error;
-use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::sync::DropGuard;
 
+use super::answer_bytes::AnswerBytes;
+use super::answer_watch::AnswerWatch;
+use super::event_buffer::{BodyChunk, EventReceiver};
+
 /// The answer ended before it was complete. The error closes the caller's connection, so the caller sees that the
 /// answer is truncated.
 #[derive(Clone, Copy, Debug, Error)]
@@ -42,15 +47,6 @@
     }
 }
 
-/// A part of a relayed answer.
-#[derive(Clone, Debug)]
-pub(crate) enum BodyChunk {
-    /// Bytes to forward.
-    Data(Bytes),
-    /// The answer is complete. If the channel closes without this, the answer is aborted.
-    End,
-}
-
 /// Body of an answer: in memory, or relayed as it arrives.
 #[derive(Debug)]
 pub(crate) struct ProxyBody {
@@ -61,26 +57,32 @@
 
 #[derive(Debug)]
 enum BodyKind {
-    Full(Option<Bytes>),
+    Full(Option<HeldBytes>),
     Relayed {
-        chunks: mpsc::Receiver<BodyChunk>,
+        events: EventReceiver,
         /// Cancels the relay when the caller disconnects.
         _cancel: DropGuard,
     },
 }
 
 impl ProxyBody {
+    /// A short answer of the node itself.
     pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::held(HeldBytes::uncounted(bytes))
+    }
+
+    /// A complete answer of a target.
+    pub(super) fn held(bytes: HeldBytes) -> Self {
         Self {
-            kind: BodyKind::Full(Some(bytes.into())),
+            kind: BodyKind::Full(Some(bytes)),
             in_flight: None,
         }
     }
 
-    pub(crate) fn relayed(chunks: mpsc::Receiver<BodyChunk>, cancel: DropGuard) -> Self {
+    pub(super) fn relayed(events: EventReceiver, cancel: DropGuard) -> Self {
         Self {
             kind: BodyKind::Relayed {
-                chunks,
+                events,
                 _cancel: cancel,
             },
             in_flight: None,
@@ -92,23 +94,33 @@
         self.in_flight = Some(guard);
         self
     }
+
+    /// What decides when a caller that does not read this answer is disconnected. Once buffered completely, the answer is
+    /// kept until `keep_until`.
+    pub(crate) fn watch(&self, keep_until: Instant) -> AnswerWatch {
+        let buffer = match &self.kind {
+            BodyKind::Full(_) => None,
+            BodyKind::Relayed { events, .. } => Some(events.state().clone()),
+        };
+        AnswerWatch { keep_until, buffer }
+    }
 }
 
 impl Body for ProxyBody {
-    type Data = Bytes;
+    type Data = AnswerBytes;
     type Error = AnswerAborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerAborted>>> {
+    ) -> Poll<Option<Result<Frame<AnswerBytes>, AnswerAborted>>> {
         match &mut self.kind {
             BodyKind::Full(bytes) => {
                 let bytes = bytes.take().filter(|b| !b.is_empty());
-                Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
+                Poll::Ready(bytes.map(|b| Ok(Frame::data(AnswerBytes::complete(b)))))
             }
-            BodyKind::Relayed { chunks, .. } => {
-                let chunk = std::task::ready!(chunks.poll_recv(cx));
+            BodyKind::Relayed { events, .. } => {
+                let chunk = std::task::ready!(events.poll_next(cx));
                 Poll::Ready(match chunk {
                     Some(BodyChunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
                     Some(BodyChunk::End) => None,
@@ -120,7 +132,7 @@
 
     fn is_end_stream(&self) -> bool {
         match &self.kind {
-            BodyKind::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            BodyKind::Full(bytes) => bytes.as_ref().is_none_or(HeldBytes::is_empty),
             BodyKind::Relayed { .. } => false,
         }
     }
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use azuresaddle_core::burn::{BurnRecorder, Sample};
+use azuresaddle_core::byte_budget::{AccountBudget, ByteBudget};
 use azuresaddle_core::deployment::{Bounds, EngineSpec, NodeSettings, TargetEntry};
 use azuresaddle_core::prelude::*;
 use hyper::{Response, StatusCode};
@@ -51,6 +52,7 @@
     pub(super) bounds: Bounds,
     pub(super) metrics: Metrics,
     pub(super) burn: Arc<BurnRecorder>,
+    budget: ByteBudget,
 }
 
 impl<N: Network> Forwarder<N> {
@@ -79,6 +81,7 @@
             bounds,
             metrics,
             burn: Arc::default(),
+            budget: ByteBudget::of_memory(settings.memory_mb),
         });
         spawner.spawn(Arc::clone(&forwarder).follow_targets());
         forwarder
@@ -118,6 +121,20 @@
         Arc::clone(&self.burn)
     }
 
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// The bytes that this node may buffer for callers and targets.
+    pub(crate) fn budget(&self) -> &ByteBudget {
+        &self.budget
+    }
+
+    /// The part of the byte budget that the client account of a request may use.
+    pub(super) fn budget_of(&self, req: &ForwardRequest) -> AccountBudget {
+        self.budget.account(&req.account_name())
+    }
+
     /// Counts a plain request. The time to its answer is taken as the time to the first token.
     fn record_plain(&self, req: &ForwardRequest, status: StatusCode) {
         let took = req.arrived.elapsed();
--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::HeldBytes;
 use azuresaddle_core::deployment::{Account, Idempotency, Route};
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
-use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE,
@@ -98,7 +98,7 @@
 #[derive(Debug)]
 pub(crate) struct ForwardRequest {
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) account: Option<Arc<Account>>,
@@ -158,7 +158,7 @@
     }
 
     /// Creates the request to send to one target.
-    pub(super) fn for_target(&self, options: &SendOptions<'_>) -> Request<Full<Bytes>> {
+    pub(super) fn for_target(&self, options: &SendOptions<'_>) -> Request<Full<HeldBytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
         *req.uri_mut() = self.head.uri.clone();
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -1,11 +1,14 @@
 //! Forwards requests to targets.
 
+mod answer_bytes;
+mod answer_watch;
 mod attempt;
 mod body;
 mod broken_sends;
 mod choose_target;
 mod crash_check;
 mod disconnect_log;
+mod event_buffer;
 mod event_splitter;
 mod forwarder;
 mod head;
@@ -20,6 +23,8 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use answer_bytes::AnswerBytes;
+pub(crate) use answer_watch::{AnswerWatch, MAX_READ_PAUSE};
 pub(crate) use body::{AnswerAborted, InFlightAnswers, ProxyBody};
 pub(crate) use forwarder::{Forwarder, ForwarderParts};
 pub(crate) use head::{ForwardRequest, RequestHead, fingerprint_of};
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::{HeldBytes, HeldFor, ReadLimits, WhenFull, read_held};
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
 use azuresaddle_sched::quarantine::RequestStatus;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
@@ -43,12 +42,12 @@
 struct TargetAnswer {
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: HeldBytes,
 }
 
 impl TargetAnswer {
     fn into_response(self) -> Response<ProxyBody> {
-        let mut response = Response::new(ProxyBody::full(self.body));
+        let mut response = Response::new(ProxyBody::held(self.body));
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         response
@@ -193,7 +192,7 @@
         failure: &SendFailure,
     ) -> Response<ProxyBody> {
         match failure {
-            SendFailure::TimedOut => {
+            SendFailure::TimedOut | SendFailure::NoRoom => {
                 self.give_up(cx, req, StatusCode::GATEWAY_TIMEOUT, "no answer in time")
             }
             _ => self.give_up(cx, req, StatusCode::BAD_GATEWAY, "the target broke off"),
@@ -280,7 +279,11 @@
             cx.health.on_failure(&target.id);
             cx.connections.drop_idle(&target.id);
         }
-        SendFailure::NotSent(_) | SendFailure::Broken(_) => cx.health.on_failure(&target.id),
+        SendFailure::NotSent(_) | SendFailure::Broken(_) | SendFailure::Stalled { .. } => {
+            cx.health.on_failure(&target.id);
+        }
+        // The node is at fault, not the target.
+        SendFailure::NoRoom => {}
     }
 }
 
@@ -319,12 +322,8 @@
     {
         cx.health.on_load(&target.id, running + waiting);
     }
-    let collect = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    let body = match tokio::time::timeout_at(give_up_at, collect).await {
-        Err(_) => return Err(SendFailure::TimedOut),
-        Ok(Err(e)) => return Err(SendFailure::Broken(e.to_string())),
-        Ok(Ok(body)) => body.to_bytes(),
-    };
+    let limits = answer_limits(MAX_ANSWER_BYTES, give_up_at);
+    let body = read_held(body, &cx.budget_of(req), &limits).await?;
     if let Some(kept) = keep_alive(&parts.headers) {
         connection.return_to_pool(kept.0);
     }
@@ -336,3 +335,14 @@
         body,
     })
 }
+
+/// Limits on reading a complete answer. It may have taken an engine's time, so it waits for memory if there is none.
+pub(super) fn answer_limits(max_bytes: usize, end: Instant) -> ReadLimits {
+    ReadLimits {
+        held_for: HeldFor::Caller,
+        max_bytes,
+        max_pause: time_until(end),
+        end,
+        when_full: WhenFull::Wait,
+    }
+}
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -94,7 +94,7 @@
                 let _ = tx.send(AnswerStart::Complete(Box::new(response)));
             }
             // Closing the channel without `BodyChunk::End` aborts the answer that has begun.
-            None => drop(self.chunks),
+            None => drop(self.events),
         }
     }
 
@@ -136,7 +136,7 @@
             (None, _) if self.runs == 0 => {
                 refusal("no target took the request", self.retry_after())
             }
-            (None, SendFailure::TimedOut) => {
+            (None, SendFailure::TimedOut | SendFailure::NoRoom) => {
                 problem_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
             }
             (None, _) => problem_response(StatusCode::BAD_GATEWAY, "the target broke off"),
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -15,21 +15,19 @@
 use azuresaddle_sched::passes::StreamOutcome;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::attempt::{SendFailure, time_until};
-use super::body::{BodyChunk, ProxyBody};
+use super::body::ProxyBody;
 use super::crash_check::record_successful_run;
 use super::disconnect_log::{CompletionFlag, DisconnectLog};
+use super::event_buffer::{EventSender, event_buffer};
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
 use super::problem::problem_response;
 
-/// Most chunks that are buffered for a slow caller.
-const MAX_BUFFERED_CHUNKS: usize = 32;
-
 /// Most sends of one request after which it did not run.
 const MAX_DECLINED: u32 = 5;
 
@@ -48,7 +46,7 @@
     let cancel = CancellationToken::new();
     let guard = cancel.clone().drop_guard();
     let (start_tx, start_rx) = oneshot::channel();
-    let (chunks_tx, chunks_rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (events_tx, events_rx) = event_buffer();
     let disconnect_log = DisconnectLog::new(req.head.id(), req.arrived);
     let relay = Relay {
         completion: disconnect_log.completion(),
@@ -56,7 +54,7 @@
         last_event_id: req.head.last_event_id.clone(),
         req,
         start_tx: Some(start_tx),
-        chunks: chunks_tx,
+        events: events_tx,
         last_relayed_id: None,
         exclude: Vec::new(),
         runs: 0,
@@ -80,7 +78,7 @@
     match start_rx.await {
         Ok(AnswerStart::Complete(response)) => *response,
         Ok(AnswerStart::Events { status, headers }) => {
-            let mut response = Response::new(ProxyBody::relayed(chunks_rx, guard));
+            let mut response = Response::new(ProxyBody::relayed(events_rx, guard));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
             response
@@ -140,7 +138,7 @@
     req: ForwardRequest,
     /// Takes the start of the answer; `None` once it is sent.
     start_tx: Option<oneshot::Sender<AnswerStart>>,
-    chunks: mpsc::Sender<BodyChunk>,
+    events: EventSender,
     /// Id of the last event that the caller has, from its request or the last one forwarded.
     last_event_id: Option<HeaderValue>,
     /// Id of the last event that was forwarded here.
@@ -228,11 +226,12 @@
                 },
                 None => StreamOutcome::TargetRefused(lead),
             },
-            SendFailure::InBackOff => StreamOutcome::Cancelled,
+            SendFailure::InBackOff | SendFailure::NoRoom => StreamOutcome::Cancelled,
             SendFailure::NotSent(_)
             | SendFailure::WrongTarget
             | SendFailure::Broken(_)
-            | SendFailure::TimedOut => StreamOutcome::TargetFailed(lead),
+            | SendFailure::TimedOut
+            | SendFailure::Stalled { .. } => StreamOutcome::TargetFailed(lead),
         }
     }
 
--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::{HeldBytes, HeldFor, Permit, read_held};
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{HelperRef, encode_helpers};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -16,9 +17,11 @@
 use super::placement::Placement;
 use super::{AnswerStart, Relay, SendOutcome};
 use crate::forward::attempt::{SendFailure, keep_alive, send, time_until};
-use crate::forward::body::{BodyChunk, ProxyBody};
+use crate::forward::body::ProxyBody;
+use crate::forward::event_buffer::CallerGone;
 use crate::forward::event_splitter::EventSplitter;
 use crate::forward::head::{SendOptions, strip_hop_by_hop};
+use crate::forward::plain::answer_limits;
 use crate::forward::reservations::{Reservations, reserve};
 use crate::targets::Connection;
 
@@ -111,16 +114,15 @@
         connection: Connection,
     ) -> SendOutcome {
         let (parts, body) = response.into_parts();
-        let collect = Limited::new(body, MAX_FAILURE_BODY_BYTES).collect();
-        let body = match tokio::time::timeout_at(self.req.deadline, collect).await {
-            Err(_) => return SendOutcome::Lost(SendFailure::TimedOut),
-            Ok(Err(e)) => return SendOutcome::Lost(SendFailure::Broken(e.to_string())),
-            Ok(Ok(body)) => body.to_bytes(),
+        let limits = answer_limits(MAX_FAILURE_BODY_BYTES, self.req.deadline);
+        let body = match read_held(body, &self.cx.budget_of(&self.req), &limits).await {
+            Ok(body) => body,
+            Err(e) => return SendOutcome::Lost(e.into()),
         };
         if let Some(kept) = keep_alive(&parts.headers) {
             connection.return_to_pool(kept.0);
         }
-        let mut response = Response::new(ProxyBody::full(body));
+        let mut response = Response::new(ProxyBody::held(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = parts.headers;
         strip_hop_by_hop(response.headers_mut());
@@ -148,7 +150,15 @@
         let pause_timeout = (self.pause_target() * PAUSE_TIMEOUT_FACTOR).max(MIN_PAUSE_TIMEOUT);
         let mut next_by = first_event_by;
         let mut seen_first = false;
+        // Covers the events that are incomplete.
+        let mut held = self.cx.budget_of(&self.req).empty(HeldFor::Caller);
         loop {
+            match self.events.room().await {
+                Ok(false) => {}
+                // The target is not at fault for the time in which it was not read.
+                Ok(true) => next_by = self.silence_deadline(pause_timeout),
+                Err(CallerGone) => return SendOutcome::CallerGone,
+            }
             let deadline = next_by.min(self.req.deadline);
             let chunk = match tokio::time::timeout_at(deadline, body.frame()).await {
                 Err(_) => return SendOutcome::Lost(SendFailure::TimedOut),
@@ -159,6 +169,11 @@
                     Err(_) => continue,
                 },
             };
+            match self.hold(&mut held, chunk.len() as u64).await {
+                Ok(false) => {}
+                Ok(true) => next_by = self.silence_deadline(pause_timeout),
+                Err(outcome) => return outcome,
+            }
             let Some(events) = splitter.push(&chunk) else {
                 return SendOutcome::Lost(SendFailure::Broken("event is too long".to_owned()));
             };
@@ -180,9 +195,9 @@
                     "event id is out of order".to_owned(),
                 ));
             };
-            if !self.send_start(&mut start)
-                || self.chunks.send(BodyChunk::Data(bytes)).await.is_err()
-            {
+            let permit = held.split(bytes.len() as u64);
+            let bytes = HeldBytes::new(bytes, permit);
+            if !self.send_start(&mut start) || self.events.push(bytes).is_err() {
                 return SendOutcome::CallerGone;
             }
         }
@@ -195,12 +210,28 @@
             connection.return_to_pool(kept.0);
         }
         self.completion.set();
-        if !self.send_start(&mut start) || self.chunks.send(BodyChunk::End).await.is_err() {
+        if !self.send_start(&mut start) || self.events.end().is_err() {
             return SendOutcome::CallerGone;
         }
         SendOutcome::Complete
     }
 
+    /// Takes the bytes of a received chunk from the budget. Returns whether it had to wait.
+    ///
+    /// # Errors
+    /// If the caller disconnects, or no bytes become free until the request's deadline.
+    async fn hold(&self, held: &mut Permit, bytes: u64) -> Result<bool, SendOutcome> {
+        if held.try_grow(bytes) {
+            return Ok(false);
+        }
+        let room = tokio::time::timeout_at(self.req.deadline, held.grow(bytes));
+        match self.events.paused(room).await {
+            Ok(Ok(())) => Ok(true),
+            Ok(Err(_)) => Err(SendOutcome::Lost(SendFailure::NoRoom)),
+            Err(CallerGone) => Err(SendOutcome::CallerGone),
+        }
+    }
+
     /// When to give up on a target that sends nothing: after `timeout` if the request may be sent to another target, else
     /// at the request's deadline. A slow target is still working, and a dead one breaks the connection.
     fn silence_deadline(&self, timeout: Duration) -> Instant {
--- a/crates/azuresaddle-edge/src/forward/target_call.rs
+++ b/crates/azuresaddle-edge/src/forward/target_call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::HeldBytes;
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
@@ -45,9 +46,9 @@
         }
     }
 
-    fn into_request(self, target: &TargetEntry) -> Request<Full<Bytes>> {
+    fn into_request(self, target: &TargetEntry) -> Request<Full<HeldBytes>> {
         let has_body = !self.body.is_empty();
-        let mut req = Request::new(Full::new(Bytes::from(self.body)));
+        let mut req = Request::new(Full::new(HeldBytes::uncounted(self.body)));
         *req.method_mut() = self.method;
         *req.uri_mut() = Uri::from_static(self.path);
         let host = HeaderValue::try_from(target.addr.to_string()).expect("an address is ASCII");
--- a/crates/azuresaddle-edge/src/frontend/connection.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -14,8 +14,10 @@
 
 use super::connection_activity::{Activity, ConnectionActivity, TrackedStream};
 use super::guarded_body::GuardedBody;
-use super::service::CallerService;
+use super::service::{Answer, CallerService};
 use super::shutdown::ShutdownStage;
+use crate::flow::{MeteredStream, WriteProgress};
+use crate::forward::MAX_READ_PAUSE;
 
 /// Size of the read buffer in multiples of the head limit. A head beyond its limit is still read up to this size, so
 /// that the node can answer that it is too long.
@@ -28,10 +30,14 @@
 /// Longest wait for that answer to be written.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Interval at which a caller that does not read is checked, since its target may stop being read in the meantime.
+const READ_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How a connection ended.
 enum ConnectionEnd {
     ByCaller,
     HeadTimeout,
+    SlowReader,
 }
 
 /// Serves one connection until either side closes it.
@@ -49,8 +55,13 @@
         service_fn(move |req| {
             let service = Arc::clone(&service);
             let answering = activity.begin_answer();
+            let activity = activity.clone();
             async move {
-                let mut response = service.handle(req).await;
+                let Answer {
+                    mut response,
+                    keep_until,
+                } = service.handle(req).await;
+                activity.set_watch(response.body().watch(keep_until));
                 if service.shutdown().stage() != ShutdownStage::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
@@ -60,6 +71,8 @@
             }
         })
     };
+    let progress = WriteProgress::default();
+    let stream = MeteredStream::new(stream, progress.clone());
     let io = TokioIo::new(TrackedStream::new(stream, activity.clone()));
     let mut conn = http1::Builder::new()
         .max_buf_size(limits.max_header_bytes * READ_BUFFER_FACTOR)
@@ -72,6 +85,7 @@
                 Timeout::Idle => Pin::new(&mut conn).graceful_shutdown(),
                 Timeout::Head => break ConnectionEnd::HeadTimeout,
             },
+            () = wait_for_slow_reader(&progress, &activity) => break ConnectionEnd::SlowReader,
             Ok(()) = stage_changes.changed() => {
                 if service.shutdown().stage() == ShutdownStage::Refusing {
                     Pin::new(&mut conn).graceful_shutdown();
@@ -79,8 +93,16 @@
             }
         }
     };
-    if let ConnectionEnd::HeadTimeout = ended {
-        answer_head_timeout(conn.into_parts().io.into_inner()).await;
+    match ended {
+        ConnectionEnd::ByCaller => {}
+        ConnectionEnd::HeadTimeout => {
+            answer_head_timeout(conn.into_parts().io.into_inner()).await;
+        }
+        // Dropping the connection ends the relay, which frees the engine.
+        ConnectionEnd::SlowReader => {
+            drop(conn);
+            service.on_slow_reader();
+        }
     }
 }
 
@@ -94,6 +116,22 @@
     let _ = tokio::time::timeout(WRITE_TIMEOUT, write).await;
 }
 
+/// Waits until the caller has read nothing of its answer for too long.
+async fn wait_for_slow_reader(progress: &WriteProgress, activity: &ConnectionActivity) {
+    loop {
+        let blocked_since = progress.until_blocked().await;
+        let due = match activity.watch() {
+            Some(watch) => watch.disconnect_at(blocked_since),
+            None => blocked_since + MAX_READ_PAUSE,
+        };
+        let now = Instant::now();
+        if now >= due {
+            return;
+        }
+        tokio::time::sleep_until(due.min(now + READ_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Which timeout of the connection was reached.
 enum Timeout {
     Idle,
--- a/crates/azuresaddle-edge/src/frontend/connection_activity.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection_activity.rs
@@ -8,6 +8,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
+use crate::forward::AnswerWatch;
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Activity {
@@ -21,31 +23,51 @@
 
 /// Shared state of a connection's activity.
 #[derive(Clone, Debug)]
-pub(super) struct ConnectionActivity(Arc<Mutex<Activity>>);
+pub(super) struct ConnectionActivity(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    activity: Activity,
+    /// The latest answer, parts of which may wait in the connection after its body has ended.
+    watch: Option<AnswerWatch>,
+}
 
 impl ConnectionActivity {
     pub(super) fn new() -> Self {
-        Self(Arc::new(Mutex::new(Activity::Idle(Instant::now()))))
+        Self(Arc::new(Mutex::new(State {
+            activity: Activity::Idle(Instant::now()),
+            watch: None,
+        })))
     }
 
     pub(super) fn activity(&self) -> Activity {
-        *self.lock()
+        self.lock().activity
+    }
+
+    /// The latest answer; `None` before the first.
+    pub(super) fn watch(&self) -> Option<AnswerWatch> {
+        self.lock().watch.clone()
+    }
+
+    /// Sets the latest answer.
+    pub(super) fn set_watch(&self, watch: AnswerWatch) {
+        self.lock().watch = Some(watch);
     }
 
     /// Marks the connection as answering until the guard is dropped.
     pub(super) fn begin_answer(&self) -> AnsweringGuard {
-        *self.lock() = Activity::Answering;
+        self.lock().activity = Activity::Answering;
         AnsweringGuard(self.clone())
     }
 
     fn on_received(&self) {
-        let mut activity = self.lock();
-        if let Activity::Idle(_) = *activity {
-            *activity = Activity::ReadingHead(Instant::now());
+        let mut state = self.lock();
+        if let Activity::Idle(_) = state.activity {
+            state.activity = Activity::ReadingHead(Instant::now());
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Activity> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -56,7 +78,7 @@
 
 impl Drop for AnsweringGuard {
     fn drop(&mut self) {
-        *self.0.lock() = Activity::Idle(Instant::now());
+        self.0.lock().activity = Activity::Idle(Instant::now());
     }
 }
 
--- a/crates/azuresaddle-edge/src/frontend/guarded_body.rs
+++ b/crates/azuresaddle-edge/src/frontend/guarded_body.rs
@@ -3,11 +3,10 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::connection_activity::AnsweringGuard;
-use crate::forward::{AnswerAborted, ProxyBody};
+use crate::forward::{AnswerAborted, AnswerBytes, ProxyBody};
 
 /// A body with the guard that marks its connection as answering.
 #[derive(Debug)]
@@ -26,13 +25,13 @@
 }
 
 impl Body for GuardedBody {
-    type Data = Bytes;
+    type Data = AnswerBytes;
     type Error = AnswerAborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerAborted>>> {
+    ) -> Poll<Option<Result<Frame<AnswerBytes>, AnswerAborted>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/crates/azuresaddle-edge/src/frontend/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/mod.rs
@@ -7,6 +7,8 @@
 mod listener;
 mod service;
 mod shutdown;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use listener::serve_callers;
 pub(crate) use service::CallerService;
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::{
+    HeldBytes, HeldFor, ReadError, ReadLimits, WhenFull, read_held,
+};
 use azuresaddle_core::deployment::{Configuration, RequestLimits};
-use azuresaddle_core::http::{BodyError, read_limited};
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
-use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -38,6 +39,24 @@
 /// `Retry-After` if the node is stopping. It is short, since the caller retries at another node.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// `Retry-After` if the body does not fit into the byte budget. Most requests end within this time and return their bytes.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// An answer for a caller.
+pub(super) struct Answer {
+    pub(super) response: Response<ProxyBody>,
+    /// Until when the answer is kept for a caller that does not read it.
+    pub(super) keep_until: Instant,
+}
+
+/// Why the body of a request was not read.
+enum BodyFailure {
+    /// It does not fit into the byte budget.
+    NoRoom,
+    /// The caller is at fault.
+    Rejected(Rejection),
+}
+
 /// Handles the requests of callers.
 pub(crate) struct CallerService<N: Network> {
     forwarder: Arc<Forwarder<N>>,
@@ -73,13 +92,16 @@
     }
 
     /// Answers one request.
-    pub(super) async fn handle(&self, req: Request<Incoming>) -> Response<ProxyBody> {
+    pub(super) async fn handle(&self, req: Request<Incoming>) -> Answer {
         let arrived = Instant::now();
         let in_flight = self.in_flight.begin();
         let attempt_id = req.headers().get(&headers::ATTEMPT_ID).cloned();
-        let mut response = match self.read_request(arrived, req).await {
-            Ok(req) => self.forwarder.forward(req).await,
-            Err(response) => *response,
+        let (mut response, keep_until) = match self.read_request(arrived, req).await {
+            Ok(req) => {
+                let deadline = req.deadline;
+                (self.forwarder.forward(req).await, deadline)
+            }
+            Err(response) => (*response, arrived),
         };
         if let Some(id) = attempt_id {
             response
@@ -87,7 +109,10 @@
                 .entry(headers::ATTEMPT_ID)
                 .or_insert(id);
         }
-        response.map(|body| body.with_in_flight_guard(in_flight))
+        Answer {
+            response: response.map(|body| body.with_in_flight_guard(in_flight)),
+            keep_until,
+        }
     }
 
     /// Reads a request and finds its route and account.
@@ -118,9 +143,12 @@
         })?;
         let deadline = arrived + time_limit(&admitted, &parts.headers);
         let body = self
-            .read_body(configuration, body, deadline)
+            .read_body(configuration, &admitted, body, deadline)
             .await
-            .map_err(|rejection| self.reject(&parts.headers, rejection))?;
+            .map_err(|failure| match failure {
+                BodyFailure::Rejected(rejection) => self.reject(&parts.headers, rejection),
+                BodyFailure::NoRoom => self.refuse_body(&parts.headers),
+            })?;
         let at = rand::rng().random_range(0.0..1.0);
         let service = admitted.route.pick_service(at).cloned().ok_or_else(|| {
             let detail = "the route sends to no service";
@@ -128,7 +156,7 @@
         })?;
         let head = RequestHead::new(parts.method, parts.uri, parts.headers, attempt_id);
         Ok(ForwardRequest {
-            fingerprint: fingerprint_of(&head, admitted.account.as_deref(), &body),
+            fingerprint: fingerprint_of(&head, admitted.account.as_deref(), body.as_slice()),
             head,
             body,
             route: admitted.route,
@@ -163,29 +191,61 @@
         self.snapshots.load()
     }
 
+    /// Reads the body of a request. A caller that sends nothing of it for as long as it may take for a head is given up.
     async fn read_body(
         &self,
         configuration: &Configuration,
+        admitted: &Admitted,
         body: Incoming,
         deadline: Instant,
-    ) -> Result<Bytes, Rejection> {
+    ) -> Result<HeldBytes, BodyFailure> {
         if body.is_end_stream() {
-            return Ok(Bytes::new());
+            return Ok(HeldBytes::default());
         }
-        let limit = configuration.limits.max_body_bytes;
-        let too_large = Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
-        if body.size_hint().lower() > limit as u64 {
-            return Err(too_large);
-        }
-        let left = deadline.saturating_duration_since(Instant::now());
-        read_limited(body, limit, left).await.map_err(|e| match e {
-            BodyError::TooLarge(_) => too_large,
-            BodyError::TooSlow(_) => Rejection::new(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-            ),
-            BodyError::Broken => Rejection::new(StatusCode::BAD_REQUEST, "the body broke off"),
-        })
+        let account = admitted.account.as_ref().map(|a| a.name.clone());
+        let account = account.unwrap_or_else(|| ClientAccount::new(""));
+        let limits = ReadLimits {
+            held_for: HeldFor::Target,
+            max_bytes: configuration.limits.max_body_bytes,
+            max_pause: configuration.limits.header_timeout,
+            end: deadline,
+            when_full: WhenFull::Fail,
+        };
+        let budget = self.forwarder.budget().account(&account);
+        let reject = |status, detail| BodyFailure::Rejected(Rejection::new(status, detail));
+        read_held(body, &budget, &limits)
+            .await
+            .map_err(|e| match e {
+                ReadError::NoRoom => BodyFailure::NoRoom,
+                ReadError::TooLarge(_) => {
+                    reject(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+                }
+                ReadError::TooSlow => reject(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "the body did not arrive in time",
+                ),
+                ReadError::Broken(_) => reject(StatusCode::BAD_REQUEST, "the body broke off"),
+            })
+    }
+
+    /// Refuses a request whose body does not fit into the byte budget. The connection is closed, since the body follows
+    /// on it.
+    fn refuse_body(&self, map: &HeaderMap) -> Box<Response<ProxyBody>> {
+        self.forwarder.metrics().body_refusals.inc();
+        let detail = "the node has no memory for the body";
+        let mut response = refuse(map, detail, NO_ROOM_RETRY_AFTER);
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+        response
+    }
+
+    /// Logs and counts a caller that was disconnected since it did not read its answer.
+    pub(super) fn on_slow_reader(&self) {
+        tracing::info!(
+            part = "frontend",
+            "disconnected a caller that does not read"
+        );
+        self.forwarder.metrics().on_slow_reader("caller");
     }
 
     /// Logs and answers a rejected request. The connection is closed, since unread bytes of the request may follow on it;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/tests/bodies.rs
@@ -0,0 +1,110 @@
+//! Tests of request bodies that do not fit, do not arrive, or are not taken by the target.
+
+use std::time::Duration;
+
+use azuresaddle_core::byte_budget::HeldFor;
+use azuresaddle_core::prelude::Listener;
+use tokio::io::AsyncWriteExt;
+use tokio::time::Instant;
+
+use super::caller::{head, head_of, read_all, send};
+use super::target::read_head;
+use super::test_node::{TestNode, TestOptions};
+
+fn text(answer: &[u8]) -> String {
+    String::from_utf8_lossy(answer).into_owned()
+}
+
+/// Guards against bodies that are read without bound, and against a refusal that comes after the body was sent.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_does_not_fit_is_refused_before_it_is_read() {
+    // The budget is 1 MB, and half of it for an account.
+    let mut node = TestNode::open(TestOptions {
+        memory_mb: 3,
+        ..TestOptions::default()
+    });
+    let began = Instant::now();
+    let length = "content-length: 600000\r\n";
+    let mut caller = send(node.connect(), &head("/plain/1", length)).await;
+    let answer = text(&read_all(&mut caller).await);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: 0."), "{answer}");
+    assert_eq!(began.elapsed(), Duration::ZERO);
+    assert!(node.has_metric("azuresaddle_body_refusals_total 1"));
+    let accepted = tokio::time::timeout(Duration::from_secs(1), node.target.accept()).await;
+    assert!(accepted.is_err(), "the request was sent to the target");
+}
+
+/// Guards against one client account whose requests use up the memory for those of others.
+#[tokio::test(start_paused = true)]
+async fn an_account_that_uses_up_its_half_leaves_the_other_half() {
+    let node = TestNode::open(TestOptions {
+        memory_mb: 3,
+        ..TestOptions::default()
+    });
+    let length = "content-length: 300000\r\n";
+    let _first = send(node.connect(), &head_of("a", "/plain/1", length)).await;
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(node.held(HeldFor::Target), 300_000);
+    let mut second = send(node.connect(), &head_of("a", "/plain/1", length)).await;
+    let answer = text(&read_all(&mut second).await);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let _other = send(node.connect(), &head_of("b", "/plain/1", length)).await;
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(node.held(HeldFor::Target), 600_000);
+}
+
+/// Guards against memory that is held for callers which begin a body and never finish it.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_stops_arriving_ends_with_408() {
+    let node = TestNode::open(TestOptions::default());
+    let began = Instant::now();
+    let length = "content-length: 1000\r\n";
+    let mut caller = send(node.connect(), &head("/plain/1", length)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    caller.write_all(&[b'x'; 500]).await.unwrap();
+    let answer = text(&read_all(&mut caller).await);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert_eq!(began.elapsed(), Duration::from_secs(5));
+    assert_eq!(node.held(HeldFor::Target), 0);
+}
+
+/// Guards against a request that is sent twice although its target may have run it, and against a target that gets more
+/// requests while it takes none.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_stops_taking_a_body_is_closed_and_rests_for_a_second() {
+    let mut node = TestNode::open(TestOptions::default());
+    let length = "content-length: 300000\r\n";
+    let mut caller = send(node.connect(), &head("/plain/1", length)).await;
+    caller.write_all(&vec![b'x'; 300_000]).await.unwrap();
+    let mut target = node.target.accept().await.unwrap();
+    let began = Instant::now();
+    read_head(&mut target).await;
+    let answer = text(&read_all(&mut caller).await);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(began.elapsed(), Duration::from_secs(1));
+    // Ends if the node has closed the connection.
+    read_all(&mut target).await;
+    assert_eq!(node.held(HeldFor::Target), 0);
+    assert!(node.has_metric("azuresaddle_slow_readers_total{side=\"target\"} 1"));
+    let mut again = send(node.connect(), &head("/plain/1", "")).await;
+    let answer = text(&read_all(&mut again).await);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let _later = send(node.connect(), &head("/plain/1", "")).await;
+    node.target.accept().await.unwrap();
+}
+
+/// Guards against a request that is reported as possibly run although its target has seen nothing of it.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_head_was_never_taken_has_not_run() {
+    let mut node = TestNode::open(TestOptions {
+        target_buffer_bytes: 0,
+        ..TestOptions::default()
+    });
+    let mut caller = send(node.connect(), &head("/plain/1", "")).await;
+    let _target = node.target.accept().await.unwrap();
+    let answer = text(&read_all(&mut caller).await);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+}
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -0,0 +1,237 @@
+//! The request path of a node between a caller and a target in memory.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::byte_budget::{ByteBudget, HeldFor};
+use azuresaddle_core::deployment::{
+    Account, Bounds, Configuration, Features, Idempotency, ListenAddrs, NodeSettings,
+    RequestLimits, Route, Service, TargetEntry, TargetStart, TargetState, WeightedService,
+};
+use azuresaddle_core::prelude::*;
+use azuresaddle_core::version::RulesVersion;
+use azuresaddle_platform::StorePosition;
+use azuresaddle_sched::passes::PassOptions;
+use tokio::io::{DuplexStream, duplex};
+use tokio::sync::mpsc;
+
+use crate::control::tests::memory_network::{
+    MemoryListener, MemoryNetwork, memory_network_with_buffer,
+};
+use crate::forward::{Forwarder, ForwarderParts, InFlightAnswers};
+use crate::frontend::connection::serve_connection;
+use crate::frontend::{CallerService, Shutdown};
+use crate::metrics::Metrics;
+use crate::peer::PeerClients;
+use crate::placement::{Owner, PlacementClient, PlacementClientParts};
+use crate::quarantine::SharedQuarantine;
+use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
+
+/// Bytes that a connection of a caller buffers.
+const CALLER_BUFFER_BYTES: usize = 1024;
+
+/// Name of the only target.
+pub(super) const TARGET: &str = "t1";
+
+/// Sizes of a test's node and connections.
+#[derive(Clone, Copy)]
+pub(super) struct TestOptions {
+    pub(super) memory_mb: u64,
+    /// Bytes that a connection to the target buffers.
+    pub(super) target_buffer_bytes: usize,
+}
+
+impl Default for TestOptions {
+    fn default() -> Self {
+        Self {
+            memory_mb: 160,
+            target_buffer_bytes: 1024,
+        }
+    }
+}
+
+/// A node with one target and the accounts `a` and `b`, whose keys are their names.
+pub(super) struct TestNode {
+    service: Arc<CallerService<MemoryNetwork>>,
+    forwarder: Arc<Forwarder<MemoryNetwork>>,
+    /// Accepts the node's connections to the target.
+    pub(super) target: MemoryListener,
+    metrics: Metrics,
+}
+
+impl TestNode {
+    pub(super) fn open(options: TestOptions) -> Self {
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 8149));
+        let (net, target) = memory_network_with_buffer(addr, options.target_buffer_bytes);
+        let spawner = Spawner::current();
+        let settings = settings(options.memory_mb);
+        let snapshots = Snapshots::new(snapshot());
+        let metrics = Metrics::new();
+        // No test of this kind sends what these channels carry.
+        let (crashes, _) = mpsc::channel(1);
+        let (signals, _) = mpsc::channel(1);
+        let (probes, _) = mpsc::channel(1);
+        let (unresponsive_owners, _) = mpsc::channel(1);
+        let owner = Owner::spawn(&spawner, &snapshots, 1, PassOptions::default(), probes);
+        let placement = PlacementClient::spawn(
+            &spawner,
+            PlacementClientParts {
+                node: 1,
+                domain: settings.domain.clone(),
+                owner,
+                peers: PeerClients::new(net.clone(), spawner.clone()),
+                snapshots: snapshots.clone(),
+                unresponsive_owners,
+            },
+        );
+        let parts = ForwarderParts {
+            spawner: spawner.clone(),
+            snapshots: snapshots.clone(),
+            placement,
+            quarantine: SharedQuarantine::new(crashes, metrics.clone()),
+            signals,
+            metrics: metrics.clone(),
+        };
+        let forwarder = Forwarder::spawn(net, &settings, parts);
+        let service = CallerService::new(
+            Arc::clone(&forwarder),
+            snapshots,
+            Arc::new(Shutdown::default()),
+            InFlightAnswers::default(),
+        );
+        Self {
+            service,
+            forwarder,
+            target,
+            metrics,
+        }
+    }
+
+    /// Opens a caller's connection to the node.
+    pub(super) fn connect(&self) -> DuplexStream {
+        let (near, far) = duplex(CALLER_BUFFER_BYTES);
+        tokio::spawn(serve_connection(far, Arc::clone(&self.service)));
+        near
+    }
+
+    pub(super) fn budget(&self) -> &ByteBudget {
+        self.forwarder.budget()
+    }
+
+    pub(super) fn held(&self, held_for: HeldFor) -> u64 {
+        self.budget().held(held_for)
+    }
+
+    /// Whether the metrics hold this line.
+    pub(super) fn has_metric(&self, line: &str) -> bool {
+        self.metrics.set_held_bytes(self.budget());
+        self.metrics.text().lines().any(|l| l == line)
+    }
+}
+
+fn snapshot() -> Snapshot {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 8149));
+    let target = TargetEntry {
+        id: HostName::new(TARGET),
+        service: Arc::from("svc"),
+        addr,
+        domain: FailureDomain::new("d1"),
+        state: TargetState::Ready,
+        slots: 16,
+        cold_for: Duration::ZERO,
+        started: TargetStart(1),
+        sequence: 1,
+    };
+    Snapshot {
+        configuration: Some(Arc::new(configuration())),
+        raw_configuration: None,
+        targets: Arc::new(TargetSet::new([Arc::new(target)].into_iter())),
+        rate_limits: Arc::default(),
+        target_records: Arc::default(),
+        domain_drains: Arc::default(),
+        target_position: StorePosition::default(),
+        nodes: Arc::new(vec![LiveNode {
+            incarnation: 1,
+            callers_addr: addr,
+            peer_addr: addr,
+            takes_callers: true,
+        }]),
+        owner: 1,
+        is_leaving: false,
+    }
+}
+
+fn configuration() -> Configuration {
+    let service = Service {
+        name: Arc::from("svc"),
+        health_path: "/healthz".to_owned(),
+        max_connections: 100,
+        cold_limit: None,
+        engine: None,
+    };
+    let account = |name: &str| Account {
+        name: ClientAccount::new(name),
+        api_keys: vec![name.to_owned()],
+        priority: None,
+    };
+    Configuration::new(
+        RulesVersion(1),
+        RequestLimits::default(),
+        vec![route("/events/", true), route("/plain/", false)],
+        vec![service],
+        vec![account("a"), account("b")],
+    )
+}
+
+fn route(prefix: &str, is_stream: bool) -> Route {
+    Route {
+        name: Arc::from(prefix),
+        host: "desk.example".to_owned(),
+        prefix: prefix.to_owned(),
+        idempotency: Idempotency::AtMostOnce,
+        is_stream,
+        timeout: Duration::from_secs(300),
+        latency_target: Duration::from_millis(300),
+        pause_target: Some(Duration::from_millis(200)),
+        priority: 5,
+        services: vec![WeightedService {
+            service: Arc::from("svc"),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        is_public: false,
+    }
+}
+
+fn settings(memory_mb: u64) -> NodeSettings {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    NodeSettings {
+        name: HostName::new("n1"),
+        domain: FailureDomain::new("d1"),
+        ip: Ipv4Addr::LOCALHOST,
+        listen: ListenAddrs {
+            callers: addr,
+            readiness: addr,
+            directory: addr,
+        },
+        heartbeat_port: 1,
+        peer_port: 2,
+        seeds: Vec::new(),
+        store: addr,
+        target_heartbeat: Duration::from_secs(1),
+        cpu_share: 0.12,
+        memory_mb,
+        link_bytes_per_s: 2_500_000.0,
+        bounds: Bounds {
+            stop_grace: Duration::from_secs(5),
+            retry_ratio: 0.1,
+            retry_extra: 10.0,
+            retry_window: Duration::from_secs(10),
+            max_address_ttl: Duration::from_secs(3),
+            max_hold: Duration::from_secs(10),
+            target_stall: Duration::from_secs(1),
+        },
+        features: Features::default(),
+    }
+}
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod directory;
+mod flow;
 mod forward;
 mod frontend;
 mod metrics;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::{ByteBudget, HeldFor};
 use hyper::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -58,6 +59,18 @@
     scope: &'static str,
 }
 
+/// Label of buffered bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeldForLabels {
+    r#for: &'static str,
+}
+
+/// Label of peers that stopped reading.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SideLabels {
+    side: &'static str,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -83,6 +96,9 @@
     target_signals: Family<SignalLabels, Counter>,
     held_back: Family<HeldLabels, Counter>,
     pub(crate) unreadable_signals: Counter,
+    held_bytes: Family<HeldForLabels, Gauge>,
+    slow_readers: Family<SideLabels, Counter>,
+    pub(crate) body_refusals: Counter,
 }
 
 impl Metrics {
@@ -110,6 +126,9 @@
             target_signals: Family::default(),
             held_back: Family::default(),
             unreadable_signals: Counter::default(),
+            held_bytes: Family::default(),
+            slow_readers: Family::default(),
+            body_refusals: Counter::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -179,6 +198,12 @@
         r.register("sends_held_back", help, self.held_back.clone());
         let help = "Signal headers of targets with an invalid value";
         r.register("unreadable_signals", help, self.unreadable_signals.clone());
+        let help = "Bytes that are buffered for callers and for targets";
+        r.register("held_bytes", help, self.held_bytes.clone());
+        let help = "Callers that were disconnected, and targets that were avoided, since they stopped reading";
+        r.register("slow_readers", help, self.slow_readers.clone());
+        let help = "Requests that were refused since their body did not fit into the byte budget";
+        r.register("body_refusals", help, self.body_refusals.clone());
     }
 
     /// Counts an answer to a caller.
@@ -247,6 +272,20 @@
         observe(&self.placement_wait, service, waited);
     }
 
+    /// Counts a `caller` or `target` that stopped reading.
+    pub(crate) fn on_slow_reader(&self, side: &'static str) {
+        self.slow_readers.get_or_create(&SideLabels { side }).inc();
+    }
+
+    /// Sets the gauges of buffered bytes to their present values.
+    pub(crate) fn set_held_bytes(&self, budget: &ByteBudget) {
+        for (label, held_for) in [("caller", HeldFor::Caller), ("target", HeldFor::Target)] {
+            let labels = HeldForLabels { r#for: label };
+            let bytes = i64::try_from(budget.held(held_for)).unwrap_or(i64::MAX);
+            self.held_bytes.get_or_create(&labels).set(bytes);
+        }
+    }
+
     /// All metrics in the text format.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -164,6 +164,7 @@
             metrics,
             burn: forwarder.burn(),
             quarantine,
+            budget: forwarder.budget().clone(),
         });
         let stopping = Arc::new(Shutdown::default());
         let in_flight = InFlightAnswers::default();
--- a/crates/azuresaddle-edge/src/operator_endpoints.rs
+++ b/crates/azuresaddle-edge/src/operator_endpoints.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use azuresaddle_core::burn::BurnRecorder;
+use azuresaddle_core::byte_budget::ByteBudget;
 use azuresaddle_core::http::{Body, Handler, full};
 use azuresaddle_core::prelude::*;
 use bytes::Bytes;
@@ -36,6 +37,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) burn: Arc<BurnRecorder>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) budget: ByteBudget,
 }
 
 impl OperatorEndpoints {
@@ -56,7 +58,10 @@
         let path = req.uri().path();
         let below = |parent: &str| path.strip_prefix(parent)?.strip_prefix('/');
         match path {
-            METRICS_PATH => page(self.metrics.text(), TEXT_FORMAT),
+            METRICS_PATH => {
+                self.metrics.set_held_bytes(&self.budget);
+                page(self.metrics.text(), TEXT_FORMAT)
+            }
             BURN_PATH => json(&self.burn.counts(Instant::now())),
             QUARANTINE_PATH => json(&self.quarantine.list()),
             _ => match below(QUARANTINE_PATH) {
--- a/crates/azuresaddle-edge/src/targets/connection_pool.rs
+++ b/crates/azuresaddle-edge/src/targets/connection_pool.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::HeldBytes;
 use azuresaddle_core::prelude::*;
-use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -14,6 +14,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::flow::{MeteredStream, WriteProgress};
+
 /// Longest wait for a connection: many times a round trip and the time that a target takes to accept.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -31,6 +33,9 @@
 /// Connections to a target that each node may open, however small its share is.
 const MIN_CONNECTIONS: usize = 2;
 
+/// Longest head of an answer, in bytes; several times what targets send. It bounds what a connection buffers.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// No connection to a target is available. Nothing was sent.
 #[derive(Debug, Error)]
 pub(crate) enum ConnectError {
@@ -64,7 +69,8 @@
 }
 
 struct IdleConnection {
-    tx: SendRequest<Full<Bytes>>,
+    tx: SendRequest<Full<HeldBytes>>,
+    progress: WriteProgress,
     task: AbortHandle,
     expires_at: Instant,
 }
@@ -129,7 +135,10 @@
             .await
             .map_err(|_| ConnectError::Timeout)?
             .map_err(ConnectError::Refused)?;
+        let progress = WriteProgress::default();
+        let stream = MeteredStream::new(stream, progress.clone());
         let (tx, conn) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(ConnectError::Broken)?;
@@ -140,6 +149,7 @@
         Ok(Connection {
             idle: Some(IdleConnection {
                 tx,
+                progress,
                 task,
                 expires_at: Instant::now(),
             }),
@@ -237,7 +247,7 @@
 
 impl Connection {
     /// The sender of the request.
-    pub(crate) fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+    pub(crate) fn sender(&mut self) -> &mut SendRequest<Full<HeldBytes>> {
         &mut self
             .idle
             .as_mut()
@@ -245,6 +255,15 @@
             .tx
     }
 
+    /// How much of what is written to the connection the target has taken.
+    pub(crate) fn progress(&self) -> &WriteProgress {
+        &self
+            .idle
+            .as_ref()
+            .expect("present until returned to the pool")
+            .progress
+    }
+
     /// Returns the connection to the pool, for the keep-alive time that the target announced.
     pub(crate) fn return_to_pool(mut self, keep_alive: Option<Duration>) {
         let Some(mut idle) = self.idle.take() else {
