--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -66,6 +66,22 @@
                 .default_value("0")
                 .help("Number of callers that keep sending a request that crashes its targets"),
         )
+        .arg(
+            Arg::new("stalled-readers")
+                .long("stalled-readers")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Number of callers that stop reading their answer or sending their request"),
+        )
+        .arg(
+            Arg::new("silent-targets")
+                .long("silent-targets")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Also let this number of plain targets become silent at the same time"),
+        )
         .arg(
             Arg::new("nodes")
                 .long("nodes")
@@ -109,8 +125,10 @@
                 has_restarts: args.get_flag("restarts"),
                 has_store_rollbacks: args.get_flag("store-returns"),
                 has_signals: args.get_flag("signals"),
+                silent_targets: get::<u64>(args, "silent-targets") as usize,
             },
             crashers: get(args, "crashers"),
+            stalled_readers: get(args, "stalled-readers"),
         };
         let report = runtime.block_on(run_soak(&options))?;
         print_line(report.to_string().trim_end());
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -58,7 +58,8 @@
             .unwrap_or_else(PoisonError::into_inner) = Instant::now();
     }
 
-    fn was_disrupted_since(&self, at: Instant) -> bool {
+    /// Whether a fault that may lose answers happened since `at` or shortly before.
+    pub(super) fn was_disrupted_since(&self, at: Instant) -> bool {
         *self
             .last_disruption
             .lock()
--- a/crates/azuresaddle-standin/src/soak/faults.rs
+++ b/crates/azuresaddle-standin/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! Injects faults into nodes, targets and the store, one after the other and overlapping.
 
+use std::ops::Range;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     Signals(usize, SignalFault),
     /// The store is rolled back to an older copy, once or twice in a row.
     StoreRollback(StoreRollback, usize),
+    /// Links to several plain targets are silent at the same time; their number.
+    SilentTargets(usize),
 }
 
 /// Additional kinds of faults, injected only if they are enabled.
@@ -48,8 +51,13 @@
     pub has_store_rollbacks: bool,
     /// Whether targets also limit their rate, drain or ask nodes to back off.
     pub has_signals: bool,
+    /// Number of plain targets that also become silent at the same time; 0 for none.
+    pub silent_targets: usize,
 }
 
+/// Time for which several plain targets are silent. Nodes that each detect it for themselves keep sending to them.
+const SILENT_TARGETS_TIME: Duration = Duration::from_secs(4);
+
 /// Maximum age of the copy to which the store is rolled back.
 const MAX_COPY_AGE: Duration = Duration::from_millis(5000);
 
@@ -63,6 +71,9 @@
 /// for their end.
 const SIGNAL_WEIGHT: u32 = 6;
 
+/// Weight of several silent targets relative to another kind of fault.
+const SILENT_TARGETS_WEIGHT: u32 = 6;
+
 /// Returns a random fault.
 fn random_fault(rng: &mut StdRng, fleet: &Fleet, options: FaultOptions) -> Fault {
     let node = rng.random_range(0..fleet.nodes.len());
@@ -77,7 +88,9 @@
     let restarts = u32::from(options.has_restarts);
     let rollbacks = u32::from(options.has_store_rollbacks);
     let signals = u32::from(options.has_signals) * SIGNAL_WEIGHT;
-    match rng.random_range(0..COMMON_FAULT_KINDS + restarts + rollbacks + signals) {
+    let others = COMMON_FAULT_KINDS + restarts + rollbacks + signals;
+    let silent_targets = u32::from(options.silent_targets > 0) * SILENT_TARGETS_WEIGHT;
+    match rng.random_range(0..others + silent_targets) {
         0 => Fault::Kill(node),
         1 | 2 => Fault::Stop(node),
         3 => Fault::Freeze(node),
@@ -98,6 +111,7 @@
         ),
         11 => Fault::Configuration,
         12 if options.has_restarts => Fault::RestartTarget(target),
+        n if n >= others => Fault::SilentTargets(options.silent_targets),
         n if n >= COMMON_FAULT_KINDS + restarts + rollbacks => {
             Fault::Signals(target, SignalFault::random(rng))
         }
@@ -171,6 +185,16 @@
             tokio::time::sleep(length).await;
             targets[n].set_fault(TargetFault::None);
         }
+        Fault::SilentTargets(count) => {
+            let silent = silent_targets(fleet, count);
+            for n in silent.clone() {
+                fleet.target_proxies[n].set_mode(ProxyMode::Silent);
+            }
+            tokio::time::sleep(SILENT_TARGETS_TIME).await;
+            for n in silent {
+                fleet.target_proxies[n].set_mode(ProxyMode::Pass);
+            }
+        }
         Fault::Signals(n, signals) => begin_signals(fleet, shared, n, signals),
         Fault::Configuration => fleet.platform.change_configuration(|_| {}),
         Fault::StoreRollback(how, times) => {
@@ -190,6 +214,12 @@
     }
 }
 
+/// Numbers of the first plain targets, which come after the engines.
+fn silent_targets(fleet: &Fleet, count: usize) -> Range<usize> {
+    let engines = fleet.platform.engines.len();
+    engines..(engines + count).min(fleet.target_proxies.len())
+}
+
 /// Records nodes and targets affected by a fault, which excuses requests that ignore a signal.
 fn record_affected(fleet: &Fleet, shared: &SoakState, fault: Fault) {
     match fault {
@@ -199,6 +229,11 @@
                 .on_affected(Affected::Node(fleet.nodes[n].callers_addr()));
         }
         Fault::TargetCut(n, _) => shared.signals.on_affected(Affected::Target(n)),
+        Fault::SilentTargets(count) => {
+            for n in silent_targets(fleet, count) {
+                shared.signals.on_affected(Affected::Target(n));
+            }
+        }
         _ => {}
     }
 }
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod run;
 mod signal_checks;
 mod signals;
+mod stalled_readers;
 
 pub use faults::FaultOptions;
 pub(crate) use fleet::next_port;
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -18,6 +18,7 @@
 use super::report::SoakReport;
 use super::signal_checks::check_signals;
 use super::signals::{SignalLog, end_signals};
+use super::stalled_readers::run_stalled_reader;
 use crate::platform::{Caller, CallerRequest};
 
 /// Time after the callers have stopped within which the last requests end and release their memory.
@@ -45,6 +46,8 @@
     pub faults: FaultOptions,
     /// Number of callers that repeatedly send a request which crashes every target that runs it.
     pub crashers: u64,
+    /// Number of callers that stop reading or sending.
+    pub stalled_readers: u64,
 }
 
 /// Runs callers under injected faults, then checks that all nodes have recovered.
@@ -75,6 +78,10 @@
         let crashing_requests = fleet.platform.crashing_requests.clone();
         tokio::spawn(run_crasher(Arc::clone(&shared), crashing_requests, n))
     }));
+    callers.extend((0..options.stalled_readers).map(|n| {
+        let seed = options.seed * 1000 + options.callers + n;
+        tokio::spawn(run_stalled_reader(Arc::clone(&shared), seed))
+    }));
     let mut rng = StdRng::seed_from_u64(options.seed);
     let end = Instant::now() + options.length;
     while Instant::now() < end {
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -48,6 +48,7 @@
     has_restarts: true,
     has_store_rollbacks: false,
     has_signals: false,
+    silent_targets: 0,
 };
 
 #[tokio::test(flavor = "multi_thread")]
@@ -59,12 +60,41 @@
     soak_for(Duration::from_secs(16), 12, 3, faults, 0).await;
 }
 
+/// Guards against callers that stop reading or sending and take up the memory or the engines of others, while plain targets
+/// are silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_beside_stalled_readers_and_silent_targets() {
+    let faults = FaultOptions {
+        silent_targets: 1,
+        ..RESTARTS
+    };
+    let length = Duration::from_secs(12);
+    let report = run_soak(&options(length, 21, 3, faults, 0, 8)).await;
+    let report = report.unwrap();
+    assert!(report.passed(), "{report}");
+    let paused = report.ends.get("callers that paused: 200");
+    assert!(paused.is_some_and(|n| *n > 0), "{report}");
+}
+
 async fn soak(seed: u64, nodes: u8, faults: FaultOptions, crashers: u64) {
     soak_for(Duration::from_secs(7), seed, nodes, faults, crashers).await;
 }
 
 async fn soak_for(length: Duration, seed: u64, nodes: u8, faults: FaultOptions, crashers: u64) {
-    let options = SoakOptions {
+    let options = options(length, seed, nodes, faults, crashers, 0);
+    let report = run_soak(&options).await.unwrap();
+    assert!(report.passed(), "{report}");
+}
+
+fn options(
+    length: Duration,
+    seed: u64,
+    nodes: u8,
+    faults: FaultOptions,
+    crashers: u64,
+    stalled_readers: u64,
+) -> SoakOptions {
+    SoakOptions {
         program: program().to_owned(),
         dir: dir(&format!("soak-{seed}")),
         seed,
@@ -76,7 +106,6 @@
         },
         faults,
         crashers,
-    };
-    let report = run_soak(&options).await.unwrap();
-    assert!(report.passed(), "{report}");
+        stalled_readers,
+    }
 }
