--- a/crates/azuresaddle-edge/src/frontend/connection.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -14,6 +14,7 @@
 
 use super::connection_activity::{Activity, ConnectionActivity, TrackedStream};
 use super::guarded_body::GuardedBody;
+use super::head_buffer::HeadBuffer;
 use super::service::{Answer, CallerService};
 use super::shutdown::ShutdownStage;
 use crate::flow::{MeteredStream, WriteProgress};
@@ -73,9 +74,11 @@
     };
     let progress = WriteProgress::default();
     let stream = MeteredStream::new(stream, progress.clone());
-    let io = TokioIo::new(TrackedStream::new(stream, activity.clone()));
+    let max_head_bytes = limits.max_header_bytes * READ_BUFFER_FACTOR;
+    let head = HeadBuffer::new(service.head_budget(), max_head_bytes);
+    let io = TokioIo::new(TrackedStream::new(stream, activity.clone(), head));
     let mut conn = http1::Builder::new()
-        .max_buf_size(limits.max_header_bytes * READ_BUFFER_FACTOR)
+        .max_buf_size(max_head_bytes)
         .serve_connection(io, handler);
     let ended = loop {
         tokio::select! {
--- a/crates/azuresaddle-edge/src/frontend/connection_activity.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection_activity.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
+use super::head_buffer::HeadBuffer;
 use crate::forward::AnswerWatch;
 
 /// What a connection is doing.
@@ -82,16 +83,21 @@
     }
 }
 
-/// A byte stream that records the arrival of bytes in [`ConnectionActivity`].
+/// A byte stream that records the arrival of bytes in [`ConnectionActivity`], and counts those of long heads.
 #[derive(Debug)]
 pub(super) struct TrackedStream<S> {
     stream: S,
     activity: ConnectionActivity,
+    head: HeadBuffer,
 }
 
 impl<S> TrackedStream<S> {
-    pub(super) fn new(stream: S, activity: ConnectionActivity) -> Self {
-        Self { stream, activity }
+    pub(super) fn new(stream: S, activity: ConnectionActivity, head: HeadBuffer) -> Self {
+        Self {
+            stream,
+            activity,
+            head,
+        }
     }
 }
 
@@ -103,8 +109,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let result = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
-        if buf.filled().len() > before {
+        let count = buf.filled().len() - before;
+        if count > 0 {
             self.activity.on_received();
+            let activity = self.activity.activity();
+            self.head.on_received(activity, count)?;
         }
         Poll::Ready(result)
     }
--- a/crates/azuresaddle-edge/src/frontend/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod connection_activity;
 mod guarded_body;
+mod head_buffer;
 mod listener;
 mod service;
 mod shutdown;
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::byte_budget::{
-    HeldBytes, HeldFor, ReadError, ReadLimits, WhenFull, read_held,
+    AccountBudget, HeldBytes, HeldFor, ReadError, ReadLimits, WhenFull, read_held,
 };
 use azuresaddle_core::deployment::{Configuration, RequestLimits};
 use azuresaddle_core::prelude::*;
@@ -84,6 +84,11 @@
         &self.shutdown
     }
 
+    /// The budget for long heads, whose client account is not known yet.
+    pub(super) fn head_budget(&self) -> AccountBudget {
+        self.forwarder.budget().account(&ClientAccount::new(""))
+    }
+
     /// The request limits that are in force.
     pub(super) fn limits(&self) -> RequestLimits {
         let snapshot = self.snapshots.load();
--- a/crates/azuresaddle-edge/src/frontend/tests/bodies.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/bodies.rs
@@ -108,3 +108,19 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("retry-after"), "{answer}");
 }
+
+/// Guards against callers that send the beginning of a very long head on many connections.
+#[tokio::test(start_paused = true)]
+async fn a_long_incomplete_head_is_counted_until_its_timeout() {
+    let node = TestNode::open(TestOptions::default());
+    let long = format!("x-filler: {}\r\n", "x".repeat(20_000));
+    let request = head("/plain/1", &long);
+    // Without the blank line that ends it.
+    let incomplete = &request[..request.len() - 2];
+    let mut caller = send(node.connect(), incomplete).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(node.held(HeldFor::Target), (64 << 10) - (8 << 10));
+    let answer = text(&read_all(&mut caller).await);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert_eq!(node.held(HeldFor::Target), 0);
+}
