--- a/crates/azuresaddle-edge/src/forward/answer_watch.rs
+++ b/crates/azuresaddle-edge/src/forward/answer_watch.rs
@@ -13,6 +13,8 @@
 /// What decides when the caller of an answer is disconnected.
 #[derive(Clone, Debug)]
 pub(crate) struct AnswerWatch {
+    /// Id of the attempt, copied so that the head of the request is not kept in memory.
+    pub(crate) request: Option<Box<str>>,
     /// Until when a buffered answer is kept for its caller.
     pub(super) keep_until: Instant,
     /// The buffer, if the answer is a stream.
--- a/crates/azuresaddle-edge/src/forward/body.rs
+++ b/crates/azuresaddle-edge/src/forward/body.rs
@@ -95,14 +95,18 @@
         self
     }
 
-    /// What decides when a caller that does not read this answer is disconnected. Once buffered completely, the answer is
-    /// kept until `keep_until`.
-    pub(crate) fn watch(&self, keep_until: Instant) -> AnswerWatch {
+    /// What decides when a caller that does not read this answer to `request` is disconnected. Once buffered completely,
+    /// the answer is kept until `keep_until`.
+    pub(crate) fn watch(&self, request: Option<Box<str>>, keep_until: Instant) -> AnswerWatch {
         let buffer = match &self.kind {
             BodyKind::Full(_) => None,
             BodyKind::Relayed { events, .. } => Some(events.state().clone()),
         };
-        AnswerWatch { keep_until, buffer }
+        AnswerWatch {
+            request,
+            keep_until,
+            buffer,
+        }
     }
 }
 
--- a/crates/azuresaddle-edge/src/frontend/connection.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -60,9 +60,10 @@
             async move {
                 let Answer {
                     mut response,
+                    request,
                     keep_until,
                 } = service.handle(req).await;
-                activity.set_watch(response.body().watch(keep_until));
+                activity.set_watch(response.body().watch(request, keep_until));
                 if service.shutdown().stage() != ShutdownStage::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
@@ -106,7 +107,8 @@
         // Dropping the connection ends the relay, which frees the engine.
         ConnectionEnd::SlowReader => {
             drop(conn);
-            service.on_slow_reader();
+            let watch = activity.watch();
+            service.on_slow_reader(watch.as_ref().and_then(|w| w.request.as_deref()));
         }
     }
 }
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -45,6 +45,8 @@
 /// An answer for a caller.
 pub(super) struct Answer {
     pub(super) response: Response<ProxyBody>,
+    /// Id of the attempt.
+    pub(super) request: Option<Box<str>>,
     /// Until when the answer is kept for a caller that does not read it.
     pub(super) keep_until: Instant,
 }
@@ -108,6 +110,8 @@
             }
             Err(response) => (*response, arrived),
         };
+        let request = attempt_id.as_ref().and_then(|id| id.to_str().ok());
+        let request = request.map(Box::from);
         if let Some(id) = attempt_id {
             response
                 .headers_mut()
@@ -116,6 +120,7 @@
         }
         Answer {
             response: response.map(|body| body.with_in_flight_guard(in_flight)),
+            request,
             keep_until,
         }
     }
@@ -245,9 +250,10 @@
     }
 
     /// Logs and counts a caller that was disconnected since it did not read its answer.
-    pub(super) fn on_slow_reader(&self) {
+    pub(super) fn on_slow_reader(&self, request: Option<&str>) {
         tracing::info!(
             part = "frontend",
+            request,
             "disconnected a caller that does not read"
         );
         self.forwarder.metrics().on_slow_reader("caller");
