--- a/crates/azuresaddle-core/src/net/mod.rs
+++ b/crates/azuresaddle-core/src/net/mod.rs
@@ -44,6 +44,16 @@
     /// Returns the IP address from which a connection was opened; `None` if it is unknown.
     fn peer_ip(stream: &Self::Stream) -> Option<IpAddr>;
 
+    /// Limits the bytes of each accepted connection that the operating system buffers for a peer that does not read. Has
+    /// no effect on a network without such buffers.
+    ///
+    /// # Errors
+    /// Returns an error if the operating system refuses the limit.
+    fn limit_send_buffers(&self, bytes: usize) -> io::Result<()> {
+        let _ = bytes;
+        Ok(())
+    }
+
     /// The bound address.
     fn local_addr(&self) -> SocketAddr;
 }
--- a/crates/azuresaddle-core/src/net/tcp.rs
+++ b/crates/azuresaddle-core/src/net/tcp.rs
@@ -68,6 +68,11 @@
         stream.peer_addr().ok().map(|a| a.ip())
     }
 
+    fn limit_send_buffers(&self, bytes: usize) -> io::Result<()> {
+        // Accepted sockets inherit the size.
+        SockRef::from(&self.inner).set_send_buffer_size(bytes)
+    }
+
     fn local_addr(&self) -> SocketAddr {
         self.local_addr
     }
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -40,7 +40,7 @@
 mod target_health;
 mod target_record;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod watch_role;
 
 pub(crate) use actor::{Control, ControlParts};
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -9,7 +9,7 @@
 mod host_load_gossip;
 mod host_use;
 mod members;
-mod memory_network;
+pub(crate) mod memory_network;
 mod registry;
 mod signals;
 mod store_model;
--- a/crates/azuresaddle-edge/src/frontend/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/mod.rs
@@ -4,9 +4,12 @@
 mod connection;
 mod connection_activity;
 mod guarded_body;
+mod head_buffer;
 mod listener;
 mod service;
 mod shutdown;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use listener::serve_callers;
 pub(crate) use service::CallerService;
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod domain_hash;
 mod ejected_target_info;
+mod flow;
 mod forward;
 mod frontend;
 mod metrics;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use azuresaddle_core::byte_budget::{ByteBudget, HeldFor};
 use hyper::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -78,6 +79,18 @@
     sort: &'static str,
 }
 
+/// Label of buffered bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeldForLabels {
+    r#for: &'static str,
+}
+
+/// Label of peers that stopped reading.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SideLabels {
+    side: &'static str,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -110,6 +123,9 @@
     admission_refusals: Family<AdmissionLabels, Counter>,
     demand_changes: Family<DemandLabels, Counter>,
     expected_arrivals: Family<DemandLabels, Gauge<f64, AtomicU64>>,
+    held_bytes: Family<HeldForLabels, Gauge>,
+    slow_readers: Family<SideLabels, Counter>,
+    pub(crate) body_refusals: Counter,
 }
 
 impl Default for Metrics {
@@ -150,6 +166,9 @@
             admission_refusals: Family::default(),
             demand_changes: Family::default(),
             expected_arrivals: Family::default(),
+            held_bytes: Family::default(),
+            slow_readers: Family::default(),
+            body_refusals: Counter::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -234,6 +253,12 @@
         r.register("demand_changes", help, self.demand_changes.clone());
         let help = "Prompts per second that the forecast expects; 0 without a forecast";
         r.register("expected_arrivals", help, self.expected_arrivals.clone());
+        let help = "Bytes that are buffered for callers and for targets";
+        r.register("held_bytes", help, self.held_bytes.clone());
+        let help = "Callers that were disconnected, and targets that were avoided, since they stopped reading";
+        r.register("slow_readers", help, self.slow_readers.clone());
+        let help = "Requests that were refused since their body did not fit into the byte budget";
+        r.register("body_refusals", help, self.body_refusals.clone());
     }
 
     /// Counts an answer to a caller.
@@ -334,6 +359,20 @@
         observe(&self.placement_wait, service, waited);
     }
 
+    /// Counts a `caller` or `target` that stopped reading.
+    pub(crate) fn on_slow_reader(&self, side: &'static str) {
+        self.slow_readers.get_or_create(&SideLabels { side }).inc();
+    }
+
+    /// Sets the gauges of buffered bytes to their present values.
+    pub(crate) fn set_held_bytes(&self, budget: &ByteBudget) {
+        for (label, held_for) in [("caller", HeldFor::Caller), ("target", HeldFor::Target)] {
+            let labels = HeldForLabels { r#for: label };
+            let bytes = i64::try_from(budget.held(held_for)).unwrap_or(i64::MAX);
+            self.held_bytes.get_or_create(&labels).set(bytes);
+        }
+    }
+
     /// All metrics in the text format.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -185,6 +185,7 @@
             burn: forwarder.burn(),
             quarantine,
             snapshots: snapshots.clone(),
+            budget: forwarder.budget().clone(),
         });
         let stopping = Arc::new(Shutdown::default());
         let in_flight = InFlightAnswers::default();
