Tests that the forecast gains on alternation and costs nothing on other shapes

The phase is computed only where requests wait, so that a dispatch with an empty queue does not walk the engines.

--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -44,8 +44,8 @@
 /// that a shorter prompt that arrives meanwhile can go first.
 const MAX_START_MS: f64 = 120.0;
 
-/// The same while long prompts compete for engines. An engine that is bound a pass ahead is missing
-/// to those that could begin at once, and no prompt gains by it.
+/// The same while long prompts compete for engines. An engine that is bound further ahead is not
+/// available to a prompt that could use it sooner.
 const MAX_START_MOSTLY_LONG_MS: f64 = 60.0;
 
 /// Longest time to the first event of a plan that reserves memory, in milliseconds. Memory that is
--- a/crates/azuresaddle-sched/src/passes/pool/demand.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/demand.rs
@@ -7,9 +7,8 @@
 use crate::passes::forecast::{Estimate, LevelChange, Sort};
 
 impl PassPool {
-    /// Brings the forecast up to date, and the phase that placement follows.
-    pub(super) fn update_demand(&mut self, now: Instant) {
-        self.forecast.advance(now);
+    /// Updates the phase that placement follows.
+    pub(super) fn update_phase(&mut self, now: Instant) {
         if self.options.forecast {
             let engines = self.available_engines(now);
             self.phase = DemandPhase::of_forecast(&self.forecast, engines);
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -271,7 +271,7 @@
     /// Places all requests that can be placed now, and refuses those that can no longer be served
     /// in time.
     pub fn dispatch(&mut self, now: Instant) {
-        self.update_demand(now);
+        self.forecast.advance(now);
         if self.queue.is_empty() {
             self.crowd_since = None;
             for clock in &mut self.fair_clocks {
@@ -282,6 +282,7 @@
         for engine in self.engines.values_mut() {
             engine.advance(now, &self.spec);
         }
+        self.update_phase(now);
         self.refuse_unservable(now);
         self.place_short(now, true);
         self.place_long(now, true);
--- a/crates/azuresaddle-standin/tests/suite/passes.rs
+++ b/crates/azuresaddle-standin/tests/suite/passes.rs
@@ -1,6 +1,8 @@
 //! Simulated days of the users' workloads: what each mechanism of the pool contributes.
 
-use azuresaddle_standin::passes::{EngineModel, PassPolicy, PoolLayout, Workload, simulate_day};
+use azuresaddle_standin::passes::{
+    DemandShape, EngineModel, PassPolicy, PoolLayout, Workload, simulate_day,
+};
 
 /// Mean worth over a few days. One day is enough for workloads with many requests, as their worth
 /// varies little.
@@ -86,6 +88,27 @@
     }
 }
 
+/// Guards against long prompts that bind engines a pass ahead while others compete for them.
+#[tokio::test(start_paused = true)]
+async fn the_forecast_gains_where_demand_alternates() {
+    let workload = Workload::contention(0.82);
+    let without = worth(&workload, PassPolicy::Pool);
+    let with = worth(&workload, PassPolicy::Forecast);
+    assert!(with > without + 0.005, "{with} against {without}");
+}
+
+/// Guards against a forecast that takes a wave, a spike or noise for a phase and harms the others.
+#[tokio::test(start_paused = true)]
+async fn the_forecast_costs_nothing_on_other_shapes_of_demand() {
+    for shape in [DemandShape::Wave, DemandShape::Spike, DemandShape::Noise] {
+        let mut workload = Workload::contention(0.82);
+        workload.shape = shape;
+        let without = worth(&workload, PassPolicy::Pool);
+        let with = worth(&workload, PassPolicy::Forecast);
+        assert!(with > without - 0.004, "{shape}: {with}, {without}");
+    }
+}
+
 /// Guards against mechanisms that only suit the users' workloads: varies the number of engines, the
 /// prompt lengths and the pauses.
 #[tokio::test(start_paused = true)]
