--- a/crates/azuresaddle-standin/tests/suite/passes.rs
+++ b/crates/azuresaddle-standin/tests/suite/passes.rs
@@ -1,6 +1,8 @@
 //! Simulated days of the users' workloads: what each mechanism of the pool contributes.
 
-use azuresaddle_standin::passes::{EngineModel, PassPolicy, PoolLayout, Workload, simulate_day};
+use azuresaddle_standin::passes::{
+    DayResults, EngineModel, PassPolicy, PoolLayout, Workload, simulate_day,
+};
 
 /// Mean worth over a few days. One day is enough for workloads with many requests, as their worth
 /// varies little.
@@ -226,3 +228,44 @@
         }
     }
 }
+
+/// Guards against requests that are held and refused only when they are late, in seconds with more
+/// prompts than the engines can start.
+#[tokio::test(start_paused = true)]
+async fn admission_refuses_on_arrival_and_serves_more_on_time_in_an_overload() {
+    for workload in [Workload::sabarmati(2.0), Workload::surf(2.0)] {
+        let days = |policy| -> Vec<DayResults> {
+            let seeds = 1..=4;
+            seeds
+                .map(|seed| simulate_day(&workload, policy, seed))
+                .collect()
+        };
+        let admission = days(PassPolicy::Admission);
+        let pool = days(PassPolicy::Pool);
+        let mean = |of: &[DayResults], f: fn(&DayResults) -> f64| {
+            of.iter().map(f).sum::<f64>() / of.len() as f64
+        };
+        let waited = mean(&admission, |d| d.refused_after_wait);
+        let waited_before = mean(&pool, |d| d.refused_after_wait);
+        assert!(waited < 0.1, "{waited}");
+        assert!(waited_before > 0.3, "{waited_before}");
+        let gain = mean(&admission, |d| d.worth) - mean(&pool, |d| d.worth);
+        assert!(gain > 0.02, "{gain}");
+    }
+}
+
+/// Guards against refusals that follow from the rate of engines before a failure, or from what an
+/// earlier owner knew.
+#[tokio::test(start_paused = true)]
+async fn admission_costs_nothing_when_owners_change_or_engines_are_slow() {
+    for fault in ["owner-changes", "slow-engines"] {
+        let mut workload = Workload::aguaclara(1.2);
+        workload.faults.add(fault);
+        let admission = worth(&workload, PassPolicy::Admission);
+        let pool = worth(&workload, PassPolicy::Pool);
+        assert!(
+            admission > pool - 0.005,
+            "{fault}: {admission} against {pool}"
+        );
+    }
+}
