--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -169,9 +169,9 @@
     let started_at = Instant::now();
     let give_up_at = started_at + timeouts.all;
     let connection = connect_plain(cx, target, timeouts.connect).await?;
-    let patience = req.route.latency_target.mul_f64(FIRST_SEND_TIMEOUT_FACTOR);
+    let answer_timeout = req.route.latency_target.mul_f64(FIRST_SEND_TIMEOUT_FACTOR);
     let mut sending = std::pin::pin!(send_plain(cx, req, target, connection, give_up_at));
-    let result = match tokio::time::timeout(patience, &mut sending).await {
+    let result = match tokio::time::timeout(answer_timeout, &mut sending).await {
         Ok(result) => result,
         Err(_) => {
             cx.observe(target, SendOutcome::NoAnswer);
--- a/crates/azuresaddle-sched/src/passes/admission/start_rate.rs
+++ b/crates/azuresaddle-sched/src/passes/admission/start_rate.rs
@@ -13,6 +13,10 @@
 /// one may lie within a single pass of all of them.
 const MIN_OBSERVED: Duration = Duration::from_millis(200);
 
+/// Time after a change of owner in which the rate is not used. After an outage of all nodes, callers return within that
+/// time, most of them without another retry: 215 of them were refused in one second, and 98 were never served.
+const RETURN_TIME: Duration = Duration::from_secs(3);
+
 /// Number of starts after which the rate is used; a new owner knows none.
 const MIN_STARTS: usize = 16;
 
@@ -27,9 +31,19 @@
     seen: usize,
     /// Since when short prompts have been waiting; `None` if none waits.
     waiting_since: Option<Instant>,
+    /// When the rate may be used; `None` if at once.
+    usable_from: Option<Instant>,
 }
 
 impl StartRate {
+    /// Creates the record of a new owner.
+    pub(in crate::passes) fn after_handover(now: Instant) -> Self {
+        Self {
+            usable_from: Some(now + RETURN_TIME),
+            ..Self::default()
+        }
+    }
+
     /// Records the start of a short prompt.
     pub(in crate::passes) fn on_start(&mut self, now: Instant) {
         self.seen = (self.seen + 1).min(MIN_STARTS);
@@ -49,6 +63,9 @@
     /// Starts per second while prompts waited, at least one in the window; `None` before enough is
     /// known.
     pub(in crate::passes) fn per_s(&self, now: Instant) -> Option<f64> {
+        if self.usable_from.is_some_and(|from| now < from) {
+            return None;
+        }
         let waiting = now.saturating_duration_since(self.waiting_since?);
         let observed = waiting.min(WINDOW);
         if self.seen < MIN_STARTS || observed < MIN_OBSERVED {
--- a/crates/azuresaddle-sched/src/passes/pool/arrivals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/arrivals.rs
@@ -103,8 +103,8 @@
     }
 
     /// Forgets what was learned under an earlier ownership of the pool.
-    pub(super) fn reset_admission(&mut self) {
-        self.short_starts = StartRate::default();
+    pub(super) fn reset_admission(&mut self, now: Instant) {
+        self.short_starts = StartRate::after_handover(now);
         self.retry_schedule = RetrySchedule::default();
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/rate_limits.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/rate_limits.rs
@@ -43,7 +43,7 @@
             self.forecast.on_handover(now);
         }
         self.is_owner = is_owner;
-        self.reset_admission();
+        self.reset_admission(now);
         for rate in self
             .engines
             .values_mut()
--- a/crates/azuresaddle-sched/tests/suite/passes/admission.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/admission.rs
@@ -146,6 +146,27 @@
     assert!(decisions.iter().all(|(_, d)| !is_refused(d)));
 }
 
+/// Guards against refusals of callers that return after an outage of all nodes, most of them without another retry: they
+/// come within a second, more than a new owner can start, and it has just learned the rate of starts.
+#[tokio::test(start_paused = true)]
+async fn callers_that_return_to_a_new_owner_are_not_refused_on_arrival() {
+    let now = Instant::now();
+    let mut pool = pool_with(now, 4, admission());
+    pool.set_owner(now, false);
+    pool.set_owner(now, true);
+    for number in 0..96 {
+        let at = now + ARRIVAL_INTERVAL * number as u32;
+        pool.enqueue(at, short(at, number));
+        pool.dispatch(at);
+        let decisions = pool.take_decisions();
+        let is_refused = |d: &PlacementDecision| matches!(d, PlacementDecision::Refused { .. });
+        assert!(
+            decisions.iter().all(|(_, d)| !is_refused(d)),
+            "request {number}"
+        );
+    }
+}
+
 /// Guards against less urgent requests that take the slots of more urgent ones.
 #[tokio::test(start_paused = true)]
 async fn urgent_requests_are_not_served_less_often() {
