--- a/crates/azuresaddle-core/src/deployment/features.rs
+++ b/crates/azuresaddle-core/src/deployment/features.rs
@@ -7,6 +7,6 @@
 pub struct Features {
     /// Nodes share what they observe of targets' health, and eject failing targets together.
     pub shared_health: bool,
-    /// The owner of a pool admits streams by an estimate of their wait, and forecasts the demand.
-    pub pooled_admission: bool,
+    /// The owner of a pool forecasts its demand.
+    pub demand_forecast: bool,
 }
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -75,6 +75,9 @@
 pub struct NodeOptions {
     /// Port on which to serve metrics and other endpoints for operators; `None` to serve none.
     pub metrics_port: Option<u16>,
+    /// Whether the owner of a pool admits streams by an estimate of their wait, and orders them by priority. All nodes
+    /// must agree.
+    pub admits_by_wait: bool,
     /// Placement mechanisms that are disabled.
     pub without: Vec<Mechanism>,
 }
@@ -131,8 +134,8 @@
         });
         let (pace_probes, pace_probes_rx) = mpsc::channel(PACE_PROBE_QUEUE_CAPACITY);
         let all = PassOptions {
-            admission: settings.features.pooled_admission,
-            forecast: settings.features.pooled_admission,
+            admission: options.admits_by_wait,
+            forecast: settings.features.demand_forecast,
             ..PassOptions::default()
         };
         let pass_options = options.without.iter().fold(all, |o, m| o.without(*m));
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -47,6 +47,13 @@
                 .default_value("9464")
                 .help("Port on which metrics are served at /metrics; 0 disables it"),
         )
+        .arg(
+            Arg::new("admission")
+                .long("admission")
+                .env("AZURESADDLE_ADMISSION")
+                .action(ArgAction::SetTrue)
+                .help("Refuse streams on arrival that would wait too long, and order them by priority"),
+        )
         .arg(
             Arg::new("without")
                 .long("without")
@@ -78,6 +85,7 @@
     let port = args.get_one::<u16>("metrics-port").copied();
     let options = NodeOptions {
         metrics_port: port.filter(|p| *p != 0),
+        admits_by_wait: args.get_flag("admission"),
         without: disabled_mechanisms(args)?,
     };
     let without = options.without.iter().map(|m| m.name());
