--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -186,7 +186,13 @@
             };
             match report.kind {
                 ReportKind::FirstEvent => pool.on_first_event(now, report.id),
-                ReportKind::Ended(outcome) => pool.end(now, report.id, &outcome),
+                ReportKind::Ended(outcome) => {
+                    if let StreamOutcome::TargetFailed(target) = &outcome {
+                        let node = report.id.node;
+                        tracing::info!(part = "placement", %target, node, "engine reported as failed");
+                    }
+                    pool.end(now, report.id, &outcome);
+                }
             }
         }
         self.dispatch(&mut state, now);
