Failing test: nodes that lose their paths to all targets fail their callers

Three of five nodes lose their paths to all targets, by resets, silence or refusals of new connections.

--- a/crates/azuresaddle-standin/src/soak/fleet.rs
+++ b/crates/azuresaddle-standin/src/soak/fleet.rs
@@ -118,7 +118,7 @@
 }
 
 /// Returns the first of ten ports that no other fleet of this process uses.
-pub(crate) fn next_port() -> u16 {
+pub fn next_port() -> u16 {
     let own = (std::process::id() as u16).wrapping_mul(7) % (PORT_RANGE / PORTS_PER_FLEET);
     let fleet = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
     FIRST_PORT + (own.wrapping_add(fleet) % (PORT_RANGE / PORTS_PER_FLEET)) * PORTS_PER_FLEET
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -14,8 +14,7 @@
 mod stalled_readers;
 
 pub use faults::FaultOptions;
-pub(crate) use fleet::next_port;
-pub use fleet::{Fleet, FleetOptions};
+pub use fleet::{Fleet, FleetOptions, next_port};
 pub use process::NodeProcess;
 pub use proxy::{Proxy, ProxyMode};
 pub use report::SoakReport;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -10,6 +10,7 @@
 mod end_to_end;
 mod faults;
 mod malformed_input;
+mod partitions;
 mod quarantine_command;
 mod repeats;
 mod signals;
