Nodes that are cut off from targets reach them through other nodes

Callers of nodes that had lost their links to all targets got none of their requests served, and those of the other nodes a fifth.

A node's only way to a target was its own connection, and a connection that it could not open counted as a failure of the target: the node refused its callers, reported engine after engine to the owner as failed, which took them out of use for all nodes, and took resets for crashes of the targets. Class: a failure on the path is blamed on the far end.

What a node learns of its paths (`TargetPaths`, without input or output) decides whether the next connection is direct, a tunnel or both. A target counts as down, and a request as crashing it, only if nodes that reach other targets are refused too. Failures of a node whose path is lost are not reported against the target.

--- a/crates/azuresaddle-core/src/deployment/node_settings.rs
+++ b/crates/azuresaddle-core/src/deployment/node_settings.rs
@@ -32,6 +32,8 @@
     pub heartbeat_port: u16,
     /// TCP port for RPC between nodes, the same on all hosts.
     pub peer_port: u16,
+    /// TCP port on which a node provides tunnels to targets for other nodes, the same on all hosts.
+    pub tunnel_port: u16,
     /// Addresses of hosts that may run a node; some may no longer exist.
     pub seeds: Vec<Ipv4Addr>,
     /// Address of the platform's store.
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::forwarder::Forwarder;
-use crate::targets::Connection;
+use crate::targets::{ConnectError, Connection};
 
 /// Longest time for which a target may take no bytes of a request. A target that reads requests at all takes them within
 /// a round trip, and meanwhile the request holds memory and its caller waits.
@@ -29,6 +29,8 @@
 pub(super) enum SendFailure {
     /// The request never left this node.
     NotSent(String),
+    /// Neither this node nor the nodes that it asked reached the target, so the request was not sent.
+    NoPath,
     /// The target is in back-off, so the request was not sent.
     InBackOff,
     /// The target answered that it did not run the request.
@@ -53,6 +55,7 @@
     pub(super) fn verdict(&self) -> Verdict {
         match self {
             Self::NotSent(_)
+            | Self::NoPath
             | Self::InBackOff
             | Self::Declined { .. }
             | Self::WrongTarget
@@ -67,6 +70,7 @@
     pub(super) fn label(&self) -> &'static str {
         match self {
             Self::NotSent(_) => "not-sent",
+            Self::NoPath => "no-path",
             Self::InBackOff => "held-back",
             Self::Declined { .. } => "declined",
             Self::WrongTarget => "wrong-target",
@@ -81,11 +85,20 @@
     pub(super) fn reached_target(&self) -> bool {
         !matches!(
             self,
-            Self::NotSent(_) | Self::InBackOff | Self::Stalled { was_taken: false }
+            Self::NotSent(_) | Self::NoPath | Self::InBackOff | Self::Stalled { was_taken: false }
         )
     }
 }
 
+impl From<ConnectError> for SendFailure {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::NoPath => Self::NoPath,
+            _ => Self::NotSent(error.to_string()),
+        }
+    }
+}
+
 impl From<ReadError> for SendFailure {
     fn from(error: ReadError) -> Self {
         match error {
@@ -100,6 +113,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::NoPath => f.write_str("not sent: no path to the target"),
             Self::InBackOff => f.write_str("not sent: the target is in back-off"),
             Self::Declined {
                 status,
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -85,8 +85,8 @@
     });
 }
 
-/// Whether nothing listens at the target's address any more. A send also fails if the network resets the connection or
-/// the answer can't be parsed, but then the target accepts a new connection.
+/// Whether nothing listens at the target's address any more, also according to nodes that reach other targets. A send also
+/// fails if the network resets the connection or the answer can't be parsed, but then the target accepts a new connection.
 async fn has_crashed<N: Network>(cx: &Forwarder<N>, target: &TargetEntry) -> bool {
     let share = cx.connection_share(target);
     let connect = cx.connections.checkout_new(&target.id, target.addr, share);
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -25,7 +25,10 @@
 use crate::quarantine::SharedQuarantine;
 use crate::signals::ObservedSignals;
 use crate::snapshot::Snapshots;
-use crate::targets::{ConnectError, Connection, ConnectionPool, SendObservations, TargetHealth};
+use crate::targets::{
+    ConnectError, Connection, ConnectionPool, SendObservations, SharedPaths, TargetDialer,
+    TargetHealth,
+};
 
 /// Dependencies of [`Forwarder`].
 pub(crate) struct ForwarderParts<N: Network> {
@@ -36,6 +39,7 @@
     pub(crate) signals: mpsc::Sender<ObservedSignals>,
     pub(crate) observations: Arc<SendObservations>,
     pub(crate) metrics: Metrics,
+    pub(crate) dialer: TargetDialer<N>,
 }
 
 /// Forwards requests of callers to targets.
@@ -45,6 +49,8 @@
     pub(super) snapshots: Snapshots,
     pub(super) placement: Arc<PlacementClient<N>>,
     pub(super) connections: ConnectionPool<N>,
+    /// Paths to targets, which may be at fault for failed sends.
+    pub(super) paths: SharedPaths,
     pub(super) health: Arc<TargetHealth>,
     pub(super) retry_budget: RetryBudget,
     pub(super) quarantine: Arc<SharedQuarantine>,
@@ -61,7 +67,7 @@
 
 impl<N: Network> Forwarder<N> {
     /// Creates a forwarder and starts the task that follows changes of the targets.
-    pub(crate) fn spawn(net: N, settings: &NodeSettings, parts: ForwarderParts<N>) -> Arc<Self> {
+    pub(crate) fn spawn(settings: &NodeSettings, parts: ForwarderParts<N>) -> Arc<Self> {
         let ForwarderParts {
             spawner,
             snapshots,
@@ -70,11 +76,13 @@
             signals,
             observations,
             metrics,
+            dialer,
         } = parts;
         let bounds = settings.bounds;
         let forwarder = Arc::new(Self {
             domain: settings.domain.clone(),
-            connections: ConnectionPool::new(net, spawner.clone()),
+            paths: dialer.paths.clone(),
+            connections: ConnectionPool::new(dialer, spawner.clone()),
             spawner: spawner.clone(),
             snapshots,
             placement,
@@ -193,6 +201,10 @@
         if !self.observations.is_enabled() {
             return;
         }
+        let is_failure = matches!(outcome, SendOutcome::NoConnection | SendOutcome::NoAnswer);
+        if is_failure && self.paths.is_at_fault(&target.id) {
+            return;
+        }
         self.health.on_outcome(&target.id, outcome);
         self.observations.record(target, outcome);
         let verdict = self.snapshots.load().target_verdicts.get(&target.id);
@@ -223,6 +235,8 @@
             }
             self.follow_verdicts(&verdicts, &snapshot.target_verdicts);
             verdicts = Arc::clone(&snapshot.target_verdicts);
+            let takes_callers = |node| snapshot.node(node).is_some_and(|n| n.takes_callers);
+            self.connections.retain_tunnels(takes_callers);
             if Arc::ptr_eq(&known, &snapshot.targets) {
                 continue;
             }
@@ -231,6 +245,8 @@
             let is_known = |id: &HostName| snapshot.targets.get(id).is_some();
             self.connections.retain(is_known);
             self.health.retain(is_known);
+            let is_node = |node| snapshot.node(node).is_some();
+            self.paths.with(|p| p.retain(is_known, is_node));
             for target in snapshot.targets.restarted_since(&before) {
                 tracing::info!(part = "forward", %target, "target restarted");
                 self.connections.drop_idle(&target);
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -209,6 +209,7 @@
         Err(
             SendFailure::Declined { .. }
             | SendFailure::NotSent(_)
+            | SendFailure::NoPath
             | SendFailure::InBackOff
             | SendFailure::WrongTarget
             | SendFailure::NoRoom,
@@ -256,7 +257,7 @@
         } else {
             self.declined += 1;
         }
-        let is_unsent = matches!(failure, SendFailure::NotSent(_));
+        let is_unsent = matches!(failure, SendFailure::NotSent(_) | SendFailure::NoPath);
         let goes_elsewhere = is_unsent && cx.has_other_target(&req.service, target, &self.exclude);
         if goes_elsewhere {
             self.unsent += 1;
@@ -359,16 +360,24 @@
     failure: &SendFailure,
 ) {
     cx.metrics.on_send(&target.service, failure.label());
+    let is_at_fault = || cx.paths.is_at_fault(&target.id);
     match failure {
         SendFailure::WrongTarget => cx.health.on_address_reused(&target.id),
         SendFailure::Declined { .. } => cx.health.on_refused(&target.id),
         SendFailure::InBackOff => cx.metrics.on_held_back(&target.service, "back-off"),
         SendFailure::TimedOut => {
-            cx.health.on_failure(&target.id);
             cx.connections.drop_idle(&target.id);
+            if !is_at_fault() {
+                cx.health.on_failure(&target.id);
+            }
         }
-        SendFailure::NotSent(_) | SendFailure::Broken(_) | SendFailure::Stalled { .. } => {
-            cx.health.on_failure(&target.id);
+        SendFailure::NotSent(_)
+        | SendFailure::NoPath
+        | SendFailure::Broken(_)
+        | SendFailure::Stalled { .. } => {
+            if !is_at_fault() {
+                cx.health.on_failure(&target.id);
+            }
         }
         // The node is at fault, not the target.
         SendFailure::NoRoom => {}
--- a/crates/azuresaddle-edge/src/forward/plain_connect.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_connect.rs
@@ -44,10 +44,10 @@
     match tokio::time::timeout_at(give_up_at, cx.connect(target)).await {
         Ok(Ok(connection)) => Ok(connection),
         // This node uses up its share of the connections, which says nothing about the target.
-        Ok(Err(e @ ConnectError::Limit)) => Err(SendFailure::NotSent(e.to_string())),
+        Ok(Err(e @ ConnectError::Limit)) => Err(e.into()),
         Ok(Err(e)) => {
             cx.observe(target, SendOutcome::NoConnection);
-            Err(SendFailure::NotSent(e.to_string()))
+            Err(e.into())
         }
         Err(_) => {
             if timeout >= MIN_CONNECT_TIMEOUT {
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -227,11 +227,19 @@
                 None => StreamOutcome::TargetRefused(lead),
             },
             SendFailure::InBackOff | SendFailure::NoRoom => StreamOutcome::Cancelled,
+            SendFailure::WrongTarget => StreamOutcome::TargetFailed(lead),
             SendFailure::NotSent(_)
-            | SendFailure::WrongTarget
+            | SendFailure::NoPath
             | SendFailure::Broken(_)
             | SendFailure::TimedOut
-            | SendFailure::Stalled { .. } => StreamOutcome::TargetFailed(lead),
+            | SendFailure::Stalled { .. } => {
+                // Other nodes may reach the target, so the owner must not take it out of use for them.
+                if self.cx.paths.is_at_fault(&lead) {
+                    StreamOutcome::Cancelled
+                } else {
+                    StreamOutcome::TargetFailed(lead)
+                }
+            }
         }
     }
 
--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -57,7 +57,7 @@
         };
         let mut connection = match self.cx.connect(&placement.target).await {
             Ok(connection) => connection,
-            Err(e) => return SendOutcome::Lost(SendFailure::NotSent(e.to_string())),
+            Err(e) => return SendOutcome::Lost(e.into()),
         };
         let helpers = (!helpers.is_empty()).then(|| encode_helpers(&helpers));
         let options = SendOptions {
--- a/crates/azuresaddle-edge/src/forward/target_call.rs
+++ b/crates/azuresaddle-edge/src/forward/target_call.rs
@@ -83,10 +83,7 @@
     target: &TargetEntry,
     call: TargetCall,
 ) -> Result<Bytes, SendFailure> {
-    let mut connection = cx
-        .connect(target)
-        .await
-        .map_err(|e| SendFailure::NotSent(e.to_string()))?;
+    let mut connection = cx.connect(target).await?;
     let sent_at = Instant::now();
     let response = connection
         .sender()
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -28,7 +28,7 @@
 use crate::placement::{Owner, PlacementClient, PlacementClientParts};
 use crate::quarantine::SharedQuarantine;
 use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
-use crate::targets::SendObservations;
+use crate::targets::{SendObservations, SharedPaths, TargetDialer};
 
 /// Bytes that a connection of a caller buffers.
 const CALLER_BUFFER_BYTES: usize = 1024;
@@ -97,8 +97,16 @@
             signals,
             observations: Arc::new(SendObservations::new(false)),
             metrics: metrics.clone(),
+            dialer: TargetDialer {
+                net,
+                spawner: spawner.clone(),
+                node: 1,
+                snapshots: snapshots.clone(),
+                paths: SharedPaths::new(metrics.clone()),
+                tunnel_port: settings.tunnel_port,
+            },
         };
-        let forwarder = Forwarder::spawn(net, &settings, parts);
+        let forwarder = Forwarder::spawn(&settings, parts);
         let service = CallerService::new(
             Arc::clone(&forwarder),
             snapshots,
@@ -227,6 +235,7 @@
         },
         heartbeat_port: 1,
         peer_port: 2,
+        tunnel_port: 3,
         seeds: Vec::new(),
         store: addr,
         target_heartbeat: Duration::from_secs(1),
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod signals;
 mod snapshot;
 mod targets;
+mod tunnel;
 
 pub use ejected_target_info::EjectedTargetInfo;
 pub use node::{Node, NodeOptions, OpenError};
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -72,6 +72,12 @@
     when: &'static str,
 }
 
+/// Labels of tunnels to targets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TunnelLabels {
+    result: &'static str,
+}
+
 /// Labels of the demand for a service by sort of prompt.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DemandLabels {
@@ -126,6 +132,9 @@
     held_bytes: Family<HeldForLabels, Gauge>,
     slow_readers: Family<SideLabels, Counter>,
     pub(crate) body_refusals: Counter,
+    pub(crate) is_cut_off: Gauge,
+    pub(crate) tunnels_used: Counter,
+    tunnel_requests: Family<TunnelLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -169,6 +178,9 @@
             held_bytes: Family::default(),
             slow_readers: Family::default(),
             body_refusals: Counter::default(),
+            is_cut_off: Gauge::default(),
+            tunnels_used: Counter::default(),
+            tunnel_requests: Family::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -185,6 +197,12 @@
             self.answers.clone(),
         );
         r.register("sends", "Sends to targets by result", self.sends.clone());
+        let help = "Whether this node has lost its paths to the targets";
+        r.register("cut_off", help, self.is_cut_off.clone());
+        let help = "Connections to targets through other nodes";
+        r.register("tunnels_used", help, self.tunnels_used.clone());
+        let help = "Requests of other nodes for tunnels to targets, by result";
+        r.register("tunnel_requests", help, self.tunnel_requests.clone());
         let help = "Requests under which a target has ended";
         r.register("target_crashes", help, self.target_crashes.clone());
         let help = "Time from a request's arrival to its first event";
@@ -311,6 +329,12 @@
         self.held_back.get_or_create(&labels).inc();
     }
 
+    /// Counts another node's request for a tunnel.
+    pub(crate) fn on_tunnel_requested(&self, result: &'static str) {
+        let labels = TunnelLabels { result };
+        self.tunnel_requests.get_or_create(&labels).inc();
+    }
+
     /// Counts streams that admission refused.
     pub(crate) fn on_admission_refusals(&self, service: &str, when: &'static str, count: u64) {
         let labels = AdmissionLabels {
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -30,7 +30,8 @@
 use crate::placement::{Owner, PlacementClient, PlacementClientParts};
 use crate::quarantine::SharedQuarantine;
 use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, Snapshots, TargetSet};
-use crate::targets::SendObservations;
+use crate::targets::{SendObservations, SharedPaths, TargetDialer};
+use crate::tunnel::{TunnelServer, serve_tunnels};
 
 /// Part of the grace period of a stop after which new requests are refused. By then the time to live of the
 /// addresses has passed, so callers have looked up other nodes.
@@ -172,6 +173,19 @@
                 unresponsive_owners,
             },
         );
+        let paths = SharedPaths::new(metrics.clone());
+        let in_flight = InFlightAnswers::default();
+        let tunnel_addr = SocketAddr::from((settings.ip, settings.tunnel_port));
+        let tunnels = bind(&net, "tunnels to targets", tunnel_addr).await?;
+        let tunnel_server = TunnelServer {
+            net: net.clone(),
+            snapshots: snapshots.clone(),
+            paths: paths.clone(),
+            metrics: metrics.clone(),
+            in_flight: in_flight.clone(),
+            leaving: leaving.clone(),
+        };
+        serve_tunnels(tunnels, &spawner, tunnel_server);
         let parts = ForwarderParts {
             spawner: spawner.clone(),
             snapshots: snapshots.clone(),
@@ -180,8 +194,16 @@
             signals,
             observations,
             metrics: metrics.clone(),
+            dialer: TargetDialer {
+                net: net.clone(),
+                spawner: spawner.clone(),
+                node: incarnation,
+                snapshots: snapshots.clone(),
+                paths,
+                tunnel_port: settings.tunnel_port,
+            },
         };
-        let forwarder = Forwarder::spawn(net.clone(), &settings, parts);
+        let forwarder = Forwarder::spawn(&settings, parts);
         forwarder.probe_paces(owner, pace_probes_rx);
         let endpoints = Arc::new(OperatorEndpoints {
             metrics: metrics.clone(),
@@ -191,7 +213,6 @@
             budget: forwarder.budget().clone(),
         });
         let stopping = Arc::new(Shutdown::default());
-        let in_flight = InFlightAnswers::default();
         let closed = CancellationToken::new();
         let callers = bind(&net, "callers", settings.listen.callers).await?;
         let service = CallerService::new(
--- a/crates/azuresaddle-edge/src/targets/connection_pool.rs
+++ b/crates/azuresaddle-edge/src/targets/connection_pool.rs
@@ -11,14 +11,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::dialer::TargetDialer;
 use crate::flow::{MeteredStream, WriteProgress};
 
-/// Longest wait for a connection: many times a round trip and the time that a target takes to accept.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Time for which an idle connection is kept if the target announces no keep-alive time.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(800);
 
@@ -42,9 +41,12 @@
     /// The node's share of the target's connections is in use.
     #[error("all connections to the target are in use")]
     Limit,
-    /// The target did not accept the connection.
+    /// The target did not accept the connection, and other nodes got no connection either if there are any.
     #[error("connect failed: {0}")]
     Refused(#[source] std::io::Error),
+    /// This node got no connection, and no other node is known to reach the target. It may be the path that is lost.
+    #[error("no path to the target")]
+    NoPath,
     /// The target did not answer within the connect timeout.
     #[error("connect timed out")]
     Timeout,
@@ -55,7 +57,7 @@
 
 /// Connections to all targets, within this node's share of each target's limit.
 pub(crate) struct ConnectionPool<N> {
-    net: N,
+    dialer: TargetDialer<N>,
     spawner: Spawner,
     targets: Arc<Mutex<HashMap<HostName, TargetConnections>>>,
 }
@@ -69,6 +71,8 @@
 }
 
 struct IdleConnection {
+    /// The node through which the connection goes, unless it is direct.
+    peer: Option<u64>,
     tx: SendRequest<Full<HeldBytes>>,
     progress: WriteProgress,
     task: AbortHandle,
@@ -82,9 +86,9 @@
 }
 
 impl<N: Network> ConnectionPool<N> {
-    pub(crate) fn new(net: N, spawner: Spawner) -> Self {
+    pub(crate) fn new(dialer: TargetDialer<N>, spawner: Spawner) -> Self {
         Self {
-            net,
+            dialer,
             spawner,
             targets: Arc::default(),
         }
@@ -126,35 +130,23 @@
         self.open(slot, addr).await
     }
 
+    /// Opens a connection. The attempt goes on if the caller stops waiting, since its outcome shows whether the path to
+    /// the target is lost; the connection is then kept.
     async fn open(
         &self,
         slot: ConnectionSlot,
         addr: SocketAddr,
     ) -> Result<Connection, ConnectError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.net.connect(addr))
-            .await
-            .map_err(|_| ConnectError::Timeout)?
-            .map_err(ConnectError::Refused)?;
-        let progress = WriteProgress::default();
-        let stream = MeteredStream::new(stream, progress.clone());
-        let (tx, conn) = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(ConnectError::Broken)?;
-        let task = self.spawner.spawn_abortable(async move {
-            // The sender and the body report a broken connection.
-            let _ = conn.await;
+        let (tx, rx) = oneshot::channel();
+        let (dialer, spawner) = (self.dialer.clone(), self.spawner.clone());
+        let targets = Arc::clone(&self.targets);
+        self.spawner.spawn(async move {
+            let opened = open(&dialer, &spawner, &targets, slot, addr).await;
+            if let Err(Ok(connection)) = tx.send(opened) {
+                connection.return_to_pool(None);
+            }
         });
-        Ok(Connection {
-            idle: Some(IdleConnection {
-                tx,
-                progress,
-                task,
-                expires_at: Instant::now(),
-            }),
-            slot,
-        })
+        rx.await.unwrap_or(Err(ConnectError::Timeout))
     }
 
     fn take_idle_or_slot(&self, target: &HostName, share: usize) -> Result<Checkout, ConnectError> {
@@ -162,9 +154,10 @@
         let mut targets = lock(&self.targets);
         let connections = targets.entry(target.clone()).or_default();
         let before = connections.idle.len();
+        let may_reuse = |peer: u64| self.dialer.may_reuse_tunnel(target, peer);
         connections
             .idle
-            .retain(|i| !i.tx.is_closed() && i.expires_at > now);
+            .retain(|i| !i.tx.is_closed() && i.expires_at > now && i.peer.is_none_or(may_reuse));
         connections.open -= before - connections.idle.len();
         // The most recently used connection is the least likely to have been closed.
         if let Some(at) = connections.idle.iter().rposition(|i| i.tx.is_ready()) {
@@ -200,9 +193,15 @@
 
     /// Closes the idle connections to a target. Used when one of them stopped answering.
     pub(crate) fn drop_idle(&self, target: &HostName) {
-        if let Some(connections) = lock(&self.targets).get_mut(target) {
-            connections.open -= connections.idle.len();
-            connections.idle.clear();
+        drop_idle(&self.targets, target, |_| true);
+    }
+
+    /// Closes the idle connections through nodes for which `keep` returns `false`.
+    pub(crate) fn retain_tunnels(&self, keep: impl Fn(u64) -> bool) {
+        for connections in lock(&self.targets).values_mut() {
+            let before = connections.idle.len();
+            connections.idle.retain(|i| i.peer.is_none_or(&keep));
+            connections.open -= before - connections.idle.len();
         }
     }
 
@@ -285,6 +284,55 @@
     }
 }
 
+async fn open<N: Network>(
+    dialer: &TargetDialer<N>,
+    spawner: &Spawner,
+    targets: &Mutex<HashMap<HostName, TargetConnections>>,
+    slot: ConnectionSlot,
+    addr: SocketAddr,
+) -> Result<Connection, ConnectError> {
+    let stream = dialer.dial(&slot.target, addr).await?;
+    let peer = stream.peer();
+    if peer.is_some() {
+        // Kept direct connections may have fallen silent with the path.
+        drop_idle(targets, &slot.target, |i| i.peer.is_none());
+    }
+    let progress = WriteProgress::default();
+    let stream = MeteredStream::new(stream, progress.clone());
+    let (tx, conn) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(ConnectError::Broken)?;
+    let task = spawner.spawn_abortable(async move {
+        // The sender and the body report a broken connection.
+        let _ = conn.await;
+    });
+    Ok(Connection {
+        idle: Some(IdleConnection {
+            peer,
+            tx,
+            progress,
+            task,
+            expires_at: Instant::now(),
+        }),
+        slot,
+    })
+}
+
+/// Closes the idle connections to a target for which `is_dropped` returns `true`.
+fn drop_idle(
+    targets: &Mutex<HashMap<HostName, TargetConnections>>,
+    target: &HostName,
+    is_dropped: impl Fn(&IdleConnection) -> bool,
+) {
+    if let Some(connections) = lock(targets).get_mut(target) {
+        let before = connections.idle.len();
+        connections.idle.retain(|i| !is_dropped(i));
+        connections.open -= before - connections.idle.len();
+    }
+}
+
 fn lock(
     targets: &Mutex<HashMap<HostName, TargetConnections>>,
 ) -> MutexGuard<'_, HashMap<HostName, TargetConnections>> {
--- a/crates/azuresaddle-sched/src/lib.rs
+++ b/crates/azuresaddle-sched/src/lib.rs
@@ -16,6 +16,7 @@
 mod options;
 mod outcome;
 pub mod passes;
+pub mod paths;
 mod pool;
 mod pool_digest;
 mod prefix_index;
--- a/crates/azuresaddle-sched/tests/suite/main.rs
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod evidence;
 mod fallback;
 mod passes;
+mod paths;
 mod pool;
 mod pool_choice;
 mod prefix_index;
