The log of an ended target names the shared parts of the request's prompt

The parts of a prompt that several requests share get fingerprints, which a tag tells apart from those of requests. Without them the logs could not tell whether the requests that crash targets have a part in common.

--- a/crates/azuresaddle-core/src/fingerprint.rs
+++ b/crates/azuresaddle-core/src/fingerprint.rs
@@ -10,22 +10,47 @@
 /// Identifies a request by a hash of its content, which is the same for all attempts and on all
 /// nodes.
 ///
-/// At 128 bits it is unlikely that requests with different content share a fingerprint.
+/// At 128 bits it is unlikely that requests with different content share a fingerprint. A part of a prompt, which several
+/// requests share, has a fingerprint too; the two kinds can be told apart.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(u128);
 
+/// Bits of a fingerprint that hold [`PART_TAG`] for a part of a prompt, and no fingerprint of a request.
+const TAG_SHIFT: u32 = 112;
+
+/// Tag of the fingerprints of parts of prompts.
+const PART_TAG: u128 = 0x5052;
+
 impl Fingerprint {
-    /// Computes the fingerprint of a request from its parts, in order.
-    pub fn of(parts: &[&[u8]]) -> Self {
-        let mut hash = Xxh3::new();
-        for part in parts {
-            // The length marks the boundary, so that moving a byte from one part to the next
-            // changes the fingerprint.
-            hash.update(&(part.len() as u64).to_le_bytes());
-            hash.update(part);
+    /// Computes the fingerprint of a request from its fields, in order.
+    pub fn of(fields: &[&[u8]]) -> Self {
+        let hash = Self(hash_of(fields));
+        if hash.is_prompt_part() {
+            return Self(hash.0 ^ (1 << TAG_SHIFT));
         }
-        Self(hash.digest128())
+        hash
+    }
+
+    /// Computes the fingerprint of a part of a prompt for a service, from the part's id.
+    pub fn of_prompt_part(service: &str, id: &str) -> Self {
+        let hash = hash_of(&[service.as_bytes(), id.as_bytes()]);
+        Self(hash & !(0xffff << TAG_SHIFT) | PART_TAG << TAG_SHIFT)
+    }
+
+    /// Whether this is the fingerprint of a part of a prompt, not of a request.
+    pub fn is_prompt_part(self) -> bool {
+        self.0 >> TAG_SHIFT == PART_TAG
+    }
+}
+
+fn hash_of(fields: &[&[u8]]) -> u128 {
+    let mut hash = Xxh3::new();
+    for field in fields {
+        // The length marks the boundary, so that moving a byte from one field to the next changes the fingerprint.
+        hash.update(&(field.len() as u64).to_le_bytes());
+        hash.update(field);
     }
+    hash.digest128()
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -33,6 +33,7 @@
             part = "forward",
             request = req.head.id(),
             fingerprint = %req.fingerprint,
+            prompt_parts = ?req.prompt_parts,
             target = %target.id,
             "target ended"
         );
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -19,7 +19,7 @@
 use super::shutdown::{Shutdown, ShutdownStage};
 use crate::forward::{
     ForwardRequest, Forwarder, InFlightAnswers, ProxyBody, RequestHead, fingerprint_of,
-    problem_response, refusal,
+    problem_response, prompt_parts_of, refusal,
 };
 use crate::snapshot::{Snapshot, Snapshots};
 
@@ -167,6 +167,7 @@
         let head = RequestHead::new(parts.method, parts.uri, parts.headers, attempt_id);
         Ok(ForwardRequest {
             fingerprint: fingerprint_of(&head, admitted.account.as_deref(), body.as_slice()),
+            prompt_parts: prompt_parts_of(&head, &service),
             head,
             body,
             route: admitted.route,
