--- a/crates/azuresaddle-standin/src/platform/caller.rs
+++ b/crates/azuresaddle-standin/src/platform/caller.rs
@@ -30,6 +30,8 @@
     pub key: String,
     /// Numbers of prompt and answer tokens; `None` for a plain request.
     pub tokens: Option<(u64, u64)>,
+    /// Parts of the prompt, as the caller states them; empty to state none.
+    pub prompt_parts: String,
     /// Body of the request.
     pub body: Bytes,
     /// Time for which the caller waits for the complete answer; also sent as the time left.
@@ -153,6 +155,9 @@
     if let Some((prompt, answer)) = request.tokens {
         map.insert(headers::TOKEN_COUNTS, text(format!("{prompt},{answer}")));
     }
+    if !request.prompt_parts.is_empty() {
+        map.insert(headers::PROMPT_PARTS, text(request.prompt_parts.clone()));
+    }
     req
 }
 
--- a/crates/azuresaddle-standin/src/platform/crashing_requests.rs
+++ b/crates/azuresaddle-standin/src/platform/crashing_requests.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use azuresaddle_platform::headers;
 use bytes::Bytes;
+use hyper::header::HeaderMap;
 use tokio::time::Instant;
 
 use super::target::Target;
@@ -16,7 +18,7 @@
 /// connection breaks then finds the port closed, as after the end of a process.
 const CLOSE_DELAY: Duration = Duration::from_millis(10);
 
-/// Bodies of requests that crash their targets, with the times at which each of them reached a target; cheap
+/// Bodies and parts of prompts that crash the targets of their requests, with the times at which each of them reached a target; cheap
 /// to clone.
 #[derive(Clone, Debug, Default)]
 pub struct CrashingRequests(Arc<Mutex<HashMap<Bytes, Vec<Instant>>>>);
@@ -27,6 +29,11 @@
         self.lock().entry(body).or_default();
     }
 
+    /// Makes every target crash that runs a request whose prompt holds this part.
+    pub fn add_prompt_part(&self, id: &str) {
+        self.add(Bytes::copy_from_slice(id.as_bytes()));
+    }
+
     /// Returns how many targets requests with this body have reached.
     pub fn targets_reached(&self, body: &Bytes) -> usize {
         self.lock().get(body).map_or(0, Vec::len)
@@ -37,12 +44,22 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Schedules a crash of the target and returns `true` if `body` belongs to a crashing request.
-    pub(super) fn crash_if_listed(&self, target: &Arc<Target>, body: &Bytes) -> bool {
+    /// Schedules a crash of the target and returns `true` if the body or a part of the prompt belongs to a crashing
+    /// request.
+    pub(super) fn crash_if_listed(
+        &self,
+        target: &Arc<Target>,
+        map: &HeaderMap,
+        body: &Bytes,
+    ) -> bool {
+        let parts = map.get(headers::PROMPT_PARTS);
+        let parts = parts.map(headers::parse_shared_parts).unwrap_or_default();
+        let mut keys = parts.into_iter().map(str::as_bytes).chain([&body[..]]);
         let mut requests = self.lock();
-        let Some(times) = requests.get_mut(body) else {
+        let Some(listed) = keys.find(|key| requests.contains_key(*key)) else {
             return false;
         };
+        let times = requests.get_mut(listed).expect("found above");
         times.push(Instant::now());
         let target = Arc::clone(target);
         tokio::spawn(async move {
--- a/crates/azuresaddle-standin/src/platform/demo.rs
+++ b/crates/azuresaddle-standin/src/platform/demo.rs
@@ -136,6 +136,7 @@
         host: "desk.example".to_owned(),
         key: "key-1".to_owned(),
         tokens,
+        prompt_parts: String::new(),
         body: "{}".into(),
         timeout: Duration::from_secs(8),
     }
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -211,7 +211,9 @@
             helper.work_available.notify_one();
         }
         target.record_run(&map);
-        target.crashing_requests.crash_if_listed(target, &body);
+        target
+            .crashing_requests
+            .crash_if_listed(target, &map, &body);
         self.work_available.notify_one();
         target.answer(&attempt, ChannelBody(rx))
     }
--- a/crates/azuresaddle-standin/src/platform/plain.rs
+++ b/crates/azuresaddle-standin/src/platform/plain.rs
@@ -33,7 +33,10 @@
         let attempt = header_text(&map, headers::ATTEMPT_ID.as_str());
         let body = read_body(req).await;
         target.record_run(&map);
-        if target.crashing_requests.crash_if_listed(&target, &body) {
+        if target
+            .crashing_requests
+            .crash_if_listed(&target, &map, &body)
+        {
             return std::future::pending().await;
         }
         tokio::time::sleep(SERVICE_TIME).await;
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -145,6 +145,7 @@
         host: "desk.example".to_owned(),
         key: "key-1".to_owned(),
         tokens,
+        prompt_parts: String::new(),
         body: "{}".into(),
         timeout: ANSWER_TIMEOUT,
     }
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -122,6 +122,7 @@
             host: "desk.example".to_owned(),
             key: key.to_owned(),
             tokens,
+            prompt_parts: String::new(),
             body: "{}".into(),
             timeout: Duration::from_secs(3),
         };
--- /dev/null
+++ b/tests/testsuite/platform/crashing_parts.rs
@@ -0,0 +1,123 @@
+//! Parts of prompts that crash every target that runs a request with them.
+
+use std::time::Duration;
+
+use azuresaddle_standin::platform::{CallerRequest, PlatformOptions};
+use azuresaddle_standin::soak::{Fleet, FleetOptions};
+use bytes::Bytes;
+use futures::future::join_all;
+use tokio::time::Instant;
+
+use super::support::{ask, dir, program, stream};
+
+/// The part that crashes targets.
+const CRASHING_PART: &str = "bad0";
+
+/// Crashes after which the part must be known.
+const CRASHES: usize = 5;
+
+/// Time after that within which all nodes must know of it.
+const PROPAGATION_TIME: Duration = Duration::from_secs(3);
+
+/// Most requests with the part that may reach targets later.
+const MAX_LATER_SENDS: usize = 3;
+
+/// Time for which requests with the part come.
+const ATTACK_TIME: Duration = Duration::from_secs(8);
+
+/// Time between two rounds, each with one request with the part and one sound request a node.
+const ROUND_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Rounds of sound requests before the first crash.
+const SOUND_ROUNDS: u64 = 10;
+
+/// A request that is like no other one.
+fn unique(number: u64, parts: &str) -> CallerRequest {
+    CallerRequest {
+        prompt_parts: format!("{parts},{number:x}:40"),
+        body: Bytes::from(format!("{{\"n\":{number}}}")),
+        ..stream("/ask/1", 900, 3)
+    }
+}
+
+/// A sound request, which shares its first part and one of four others with requests that crash targets.
+fn sound(number: u64) -> CallerRequest {
+    let shared = number % 4;
+    unique(number, &format!("a0:400,c{shared}:100"))
+}
+
+/// A request with the part that crashes targets.
+fn crashing(number: u64) -> CallerRequest {
+    let shared = number % 4;
+    unique(number, &format!("a0:400,{CRASHING_PART}:100,c{shared}:100"))
+}
+
+/// Sends one sound request to each node; returns how many were served.
+async fn send_sound(fleet: &Fleet, round: u64) -> usize {
+    let nodes = fleet.nodes.iter().zip(1..);
+    let served = nodes.map(|(node, n)| async move {
+        let answer = ask(node, &sound(1_000_000 + round * 10 + n)).await;
+        answer.is_ok_and(|a| a.status == 200)
+    });
+    join_all(served).await.into_iter().filter(|s| *s).count()
+}
+
+async fn open(test: &str) -> Fleet {
+    let platform = PlatformOptions {
+        engines: 8,
+        plain: 1,
+    };
+    let options = FleetOptions { nodes: 3, platform };
+    let fleet = Fleet::open(program(), &dir(test), options).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet
+}
+
+/// Guards against a part of a prompt that crashes targets in request after request, of which no two are alike, and
+/// against sound requests that are held back because they share other parts with these.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_crashing_part_are_kept_from_targets() {
+    let mut fleet = open("crashing-part").await;
+    for round in 0..SOUND_ROUNDS {
+        assert_eq!(send_sound(&fleet, round).await, fleet.nodes.len());
+    }
+    fleet
+        .platform
+        .crashing_requests
+        .add_prompt_part(CRASHING_PART);
+    let end = Instant::now() + ATTACK_TIME;
+    let (mut sent, mut served) = (0, 0);
+    for round in SOUND_ROUNDS.. {
+        if Instant::now() >= end {
+            break;
+        }
+        let node = &fleet.nodes[round as usize % fleet.nodes.len()];
+        let attack = crashing(round);
+        let (_, served_now, ()) = tokio::join!(
+            ask(node, &attack),
+            send_sound(&fleet, round),
+            tokio::time::sleep(ROUND_INTERVAL)
+        );
+        // The last third, in which the cause must be known and the targets be back.
+        if Instant::now() + ATTACK_TIME / 3 >= end {
+            sent += fleet.nodes.len();
+            served += served_now;
+        }
+        fleet.platform.restart_ended().await.unwrap();
+    }
+    let times = fleet.platform.crashing_requests.arrival_times();
+    let times = times.into_iter().next().unwrap();
+    let later = times.get(CRASHES - 1).map_or(0, |fifth| {
+        let late = |at: &&Instant| **at > *fifth + PROPAGATION_TIME;
+        times.iter().filter(late).count()
+    });
+    assert!(
+        later <= MAX_LATER_SENDS,
+        "{later} of {} requests with the part reached targets late",
+        times.len()
+    );
+    assert!(
+        served * 10 >= sent * 9,
+        "{served} of {sent} sound requests served"
+    );
+}
--- a/tests/testsuite/platform/support.rs
+++ b/tests/testsuite/platform/support.rs
@@ -52,6 +52,7 @@
         host: "desk.example".to_owned(),
         key: "key-1".to_owned(),
         tokens: None,
+        prompt_parts: String::new(),
         body: "{}".into(),
         timeout: Duration::from_secs(5),
     }
