Parts of prompts that crash targets are quarantined

The quarantine knew whole requests only. What crashed the engines was one part of the prompt in requests of which no two are alike, so none of them gathered three crashes, and bystanders that went on from engine to engine did.

The parts of a prompt that requests may share, all but the last, have records of their own, by the same evidence, gossip and store entries as requests. A harmful part crashes nearly every target, so one run that a target survives weighs six crashes, and popular parts are cleared by the runs that were remembered before. Of parts that were on exactly the same crashed targets neither is refused alone; a request with one of them tells them apart.

--- a/crates/azuresaddle-edge/src/forward/broken_sends.rs
+++ b/crates/azuresaddle-edge/src/forward/broken_sends.rs
@@ -25,6 +25,8 @@
     /// Id of the caller's attempt.
     pub(super) attempt_id: String,
     pub(super) fingerprint: Fingerprint,
+    /// Parts of its prompt that the target may have crashed of.
+    pub(super) prompt_parts: Vec<Fingerprint>,
     pub(super) target: TargetEntry,
     pub(super) sent_at: Instant,
     pub(super) broken_at: Instant,
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -20,10 +20,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Checks whether a target has crashed after it gave no answer to a request that it may have run, and records a crash for
-/// the request if so. Otherwise keeps the send, since the crash may show later.
+/// the request and for the `parts` of its prompt if so. Otherwise keeps the send, since the crash may show later.
 pub(super) async fn check_for_crash<N: Network>(
     cx: &Forwarder<N>,
     req: &ForwardRequest,
+    parts: &[Fingerprint],
     target: &TargetEntry,
     sent_at: Instant,
 ) {
@@ -33,17 +34,21 @@
             part = "forward",
             request = req.head.id(),
             fingerprint = %req.fingerprint,
-            prompt_parts = ?req.prompt_parts,
+            prompt_parts = ?parts,
             target = %target.id,
             "target ended"
         );
         cx.metrics.on_target_crash(&req.service);
         cx.quarantine.on_crash(req.fingerprint, target, sent_at);
+        for part in parts {
+            cx.quarantine.on_crash(*part, target, sent_at);
+        }
     } else {
         let attempt_id = req.head.id().to_owned();
         cx.broken_sends.push(BrokenSend {
             attempt_id,
             fingerprint: req.fingerprint,
+            prompt_parts: parts.to_vec(),
             target: target.clone(),
             sent_at,
             broken_at: Instant::now(),
@@ -51,20 +56,42 @@
     }
 }
 
-/// Records a successful run, once the target has survived it for [`SURVIVAL_TIME`]: the answer may be complete although
-/// the request makes the target crash right after it.
+/// Records that a target has lived on for [`SURVIVAL_TIME`] after it began to answer a request, which clears the parts of
+/// the prompt.
+pub(super) fn record_survived_parts<N: Network>(
+    cx: &Forwarder<N>,
+    req: &ForwardRequest,
+    target: &TargetEntry,
+) {
+    let run = run_hash(req);
+    for part in &req.prompt_parts {
+        let fingerprint = *part;
+        let run = SuccessfulRun { fingerprint, run };
+        cx.quarantine.on_survived_part(run, target);
+    }
+}
+
+/// Records a successful run of a request and of the `parts` of its prompt, once the target has survived it for
+/// [`SURVIVAL_TIME`]: the answer may be complete although the request makes the target crash right after it.
 pub(super) fn record_successful_run<N: Network>(
     cx: &Arc<Forwarder<N>>,
     req: &ForwardRequest,
+    parts: &[Fingerprint],
     target: &TargetEntry,
     sent_at: Instant,
 ) {
-    let run = SuccessfulRun {
-        fingerprint: req.fingerprint,
-        run: xxhash_rust::xxh3::xxh3_64(req.head.id().as_bytes()),
-    };
-    if !cx.quarantine.knows(req.fingerprint) {
-        return cx.quarantine.remember_successful_run(run, target);
+    let run = run_hash(req);
+    let mut known = Vec::new();
+    for fingerprint in [&[req.fingerprint], parts].concat() {
+        let run = SuccessfulRun { fingerprint, run };
+        if cx.quarantine.knows(fingerprint) {
+            known.push(run);
+        } else {
+            cx.quarantine.remember_successful_run(run, target);
+        }
+    }
+    if known.is_empty() {
+        return;
     }
     let (cx, target) = (Arc::clone(cx), target.clone());
     cx.spawner.clone().spawn(async move {
@@ -73,19 +100,28 @@
         // The restart may have been before the send, so that the restarted target served the request.
         let has_restarted = has_restarted && !cx.quarantine.has_crashed_before(&target, sent_at);
         if has_restarted || has_crashed(&cx, &target).await {
-            tracing::info!(
-                part = "forward",
-                fingerprint = %run.fingerprint,
-                target = %target.id,
-                "target crashed after a complete answer"
-            );
-            cx.quarantine.on_crash(run.fingerprint, &target, sent_at);
+            for run in known {
+                tracing::info!(
+                    part = "forward",
+                    fingerprint = %run.fingerprint,
+                    target = %target.id,
+                    "target crashed after a complete answer"
+                );
+                cx.quarantine.on_crash(run.fingerprint, &target, sent_at);
+            }
         } else {
-            cx.quarantine.on_successful_run(run);
+            for run in known {
+                cx.quarantine.on_successful_run(run);
+            }
         }
     });
 }
 
+/// Identifies a run of a request.
+fn run_hash(req: &ForwardRequest) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(req.head.id().as_bytes())
+}
+
 /// Whether nothing listens at the target's address any more, also according to nodes that reach other targets. A send also
 /// fails if the network resets the connection or the answer can't be parsed, but then the target accepts a new connection.
 async fn has_crashed<N: Network>(cx: &Forwarder<N>, target: &TargetEntry) -> bool {
@@ -114,7 +150,9 @@
             "target of a broken send has restarted"
         );
         cx.metrics.on_target_crash(&broken.target.service);
-        cx.quarantine
-            .on_crash(broken.fingerprint, &broken.target, broken.sent_at);
+        for fingerprint in [&[broken.fingerprint], &broken.prompt_parts[..]].concat() {
+            cx.quarantine
+                .on_crash(fingerprint, &broken.target, broken.sent_at);
+        }
     }
 }
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -72,7 +72,10 @@
         if time_until(req.deadline).is_zero() {
             return history.give_up(cx, req, StatusCode::GATEWAY_TIMEOUT, "no answer in time");
         }
-        if let RequestStatus::Quarantined { left } = cx.quarantine.status(req.fingerprint) {
+        let status = cx
+            .quarantine
+            .request_status(req.fingerprint, &req.prompt_parts);
+        if let RequestStatus::Quarantined { left } = status {
             record_quarantine_refusal(cx, req);
             return history.refuse_quarantined(cx, req, left);
         }
@@ -100,7 +103,7 @@
         let result = send_observed(cx, req, &target, timeouts).await;
         drop(in_flight);
         if result.as_ref().is_ok_and(|a| a.status.is_success()) {
-            record_successful_run(cx, req, &target, sent_at);
+            record_successful_run(cx, req, &req.prompt_parts, &target, sent_at);
         }
         match result {
             Ok(answer) if answer.is_failure() && may_retry && cx.try_take_retry(&req.service) => {
@@ -128,7 +131,7 @@
             Err(failure) => {
                 record_failure(cx, &target, &failure);
                 if failure.verdict() == Verdict::MayHaveRun {
-                    check_for_crash(cx, req, &target, sent_at).await;
+                    check_for_crash(cx, req, &req.prompt_parts, &target, sent_at).await;
                 }
                 tracing::info!(
                     part = "forward",
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -30,10 +30,12 @@
             _ => None,
         };
         if failure.verdict() == Verdict::MayHaveRun {
-            check_for_crash(&self.cx, &self.req, target, sent_at).await;
+            let parts = self.unproven_parts();
+            check_for_crash(&self.cx, &self.req, parts, target, sent_at).await;
         } else if let Some(helper) = &at {
             // A helper processes a part of the prompt, so the request may have crashed it as well.
-            check_for_crash(&self.cx, &self.req, helper, sent_at).await;
+            let parts = self.unproven_parts();
+            check_for_crash(&self.cx, &self.req, parts, helper, sent_at).await;
         }
         tracing::info!(
             part = "forward",
@@ -106,7 +108,11 @@
         }
         self.completion.set();
         self.record_sample(StreamEnd::Refused);
-        let left = match self.cx.quarantine.status(self.req.fingerprint) {
+        let status = self
+            .cx
+            .quarantine
+            .request_status(self.req.fingerprint, &self.req.prompt_parts);
+        let left = match status {
             RequestStatus::Quarantined { left } => left,
             // The quarantine was lifted just now, for example by a successful run on another node.
             RequestStatus::Clear | RequestStatus::Suspect => DEFAULT_RETRY_AFTER,
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -13,6 +13,7 @@
 use azuresaddle_core::burn::Sample;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::StreamOutcome;
+use azuresaddle_sched::quarantine::SURVIVAL_TIME;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 use tokio::sync::oneshot;
@@ -21,7 +22,7 @@
 
 use super::attempt::{SendFailure, time_until};
 use super::body::ProxyBody;
-use super::crash_check::record_successful_run;
+use super::crash_check::{record_successful_run, record_survived_parts};
 use super::disconnect_log::{CompletionFlag, DisconnectLog};
 use super::event_buffer::{EventSender, event_buffer};
 use super::forwarder::Forwarder;
@@ -62,6 +63,7 @@
         last_failure: None,
         first_event_ms: None,
         last_event_at: None,
+        answered_at: None,
         longest_pause: Duration::ZERO,
         first_placement: None,
     };
@@ -153,6 +155,8 @@
     first_event_ms: Option<u64>,
     /// When the last event was received.
     last_event_at: Option<Instant>,
+    /// When the first event of the current send was received.
+    answered_at: Option<Instant>,
     /// Longest time between two events so far.
     longest_pause: Duration,
     /// Times of the first placement, for the log.
@@ -178,13 +182,18 @@
             };
             let lead = placement.target.id.clone();
             let sent_at = Instant::now();
-            match self.send(&placement).await {
+            let outcome = self.send(&placement).await;
+            if self.has_survived() {
+                record_survived_parts(&self.cx, &self.req, &placement.target);
+            }
+            match outcome {
                 SendOutcome::Quarantined => {
                     placement.end(StreamOutcome::Cancelled);
                     return self.refuse_quarantined();
                 }
                 SendOutcome::Complete => {
-                    record_successful_run(&self.cx, &self.req, &placement.target, sent_at);
+                    let parts = self.unproven_parts();
+                    record_successful_run(&self.cx, &self.req, parts, &placement.target, sent_at);
                     self.cx.metrics.on_send(&self.req.service, "answered");
                     self.log(&lead, "stream complete");
                     self.record_sample(StreamEnd::Complete);
@@ -243,6 +252,22 @@
         }
     }
 
+    /// Whether the target has lived on for a while after it began to answer the current send.
+    fn has_survived(&self) -> bool {
+        self.answered_at
+            .is_some_and(|at| at.elapsed() >= SURVIVAL_TIME)
+    }
+
+    /// Parts of the prompt that the target of the current send may have crashed of. It prefills all of them before the
+    /// first event, so what happens some time after that has another cause.
+    fn unproven_parts(&self) -> &[Fingerprint] {
+        if self.has_survived() {
+            &[]
+        } else {
+            &self.req.prompt_parts
+        }
+    }
+
     fn pause_target(&self) -> Duration {
         self.req.route.pause_target.unwrap_or(DEFAULT_PAUSE)
     }
--- a/crates/azuresaddle-edge/src/forward/stream/placement.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/placement.rs
@@ -59,9 +59,10 @@
     pub(super) async fn place_unless_quarantined(&mut self) -> Result<Placement<N>, PlaceError> {
         let quarantine = Arc::clone(&self.cx.quarantine);
         let fingerprint = self.req.fingerprint;
+        let parts = self.req.prompt_parts.clone();
         tokio::select! {
             biased;
-            () = quarantine.until_quarantined(fingerprint) => Err(PlaceError::Quarantined),
+            () = quarantine.until_quarantined(fingerprint, &parts) => Err(PlaceError::Quarantined),
             placed = self.place() => placed.map_err(PlaceError::RetryAfter),
         }
     }
--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -38,6 +38,7 @@
 impl<N: Network> Relay<N> {
     /// Sends the request to the targets of a placement and relays the answer.
     pub(super) async fn send(&mut self, placement: &Placement<N>) -> SendOutcome {
+        self.answered_at = None;
         let reserved = match self.reserve(placement).await {
             Ok(reserved) => reserved,
             Err(failure) => return SendOutcome::Lost(failure),
@@ -46,7 +47,7 @@
         if self
             .cx
             .quarantine
-            .status(self.req.fingerprint)
+            .request_status(self.req.fingerprint, &self.req.prompt_parts)
             .is_quarantined()
         {
             return SendOutcome::Quarantined;
@@ -187,6 +188,7 @@
             }
             if !seen_first {
                 seen_first = true;
+                self.answered_at = Some(now);
                 self.record_first_event();
                 placement.on_first_event();
             }
--- a/crates/azuresaddle-edge/src/forward/tests/broken_sends.rs
+++ b/crates/azuresaddle-edge/src/forward/tests/broken_sends.rs
@@ -41,6 +41,7 @@
     BrokenSend {
         attempt_id: "a1".to_owned(),
         fingerprint,
+        prompt_parts: Vec::new(),
         target: target("i-1", 1, 5),
         sent_at: Instant::now(),
         broken_at: Instant::now(),
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -43,8 +43,9 @@
 /// Most reports of unresponsive owners that wait for control, which needs only one at a time.
 const UNRESPONSIVE_OWNER_QUEUE_CAPACITY: usize = 8;
 
-/// Most quarantine updates that wait for control: the crashes of a dozen targets with all their slots in use.
-const CRASH_QUEUE_CAPACITY: usize = 256;
+/// Most quarantine updates that wait for control: the crashes of a dozen targets with all their slots in use, each with
+/// three shared parts in its prompt.
+const CRASH_QUEUE_CAPACITY: usize = 1024;
 
 /// Most signals of targets that wait for control: those of a few hundred answers.
 const SIGNAL_QUEUE_CAPACITY: usize = 256;
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -52,6 +52,19 @@
         self.lock().status(Instant::now(), fingerprint)
     }
 
+    /// Status of a request that holds these parts in its prompt.
+    pub(crate) fn request_status(
+        &self,
+        fingerprint: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> RequestStatus {
+        if self.known_requests.load(Ordering::Relaxed) == 0 {
+            return RequestStatus::Clear;
+        }
+        self.lock()
+            .request_status(Instant::now(), fingerprint, parts)
+    }
+
     /// Returns the request as a suspect if a target has crashed while it ran it; `None` if the request is clear.
     pub(crate) fn suspect(&self, fingerprint: Fingerprint) -> Option<Suspect> {
         if self.known_requests.load(Ordering::Relaxed) == 0 {
@@ -66,9 +79,9 @@
     }
 
     /// Waits until a request is quarantined. Never returns if that does not happen.
-    pub(crate) async fn until_quarantined(&self, fingerprint: Fingerprint) {
+    pub(crate) async fn until_quarantined(&self, fingerprint: Fingerprint, parts: &[Fingerprint]) {
         let mut changes = self.changes.subscribe();
-        while !self.status(fingerprint).is_quarantined() {
+        while !self.request_status(fingerprint, parts).is_quarantined() {
             if changes.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
@@ -114,6 +127,15 @@
             .record(Instant::now(), run, target_hash(target));
     }
 
+    /// Records that a target has survived a request with this part of a prompt, if that is still of use.
+    pub(crate) fn on_survived_part(&self, run: SuccessfulRun, target: &TargetEntry) {
+        if !self.knows(run.fingerprint) {
+            self.remember_successful_run(run, target);
+        } else if self.lock().needs_successful_run(run.fingerprint) {
+            self.on_successful_run(run);
+        }
+    }
+
     /// Records a successful run that this node observed, and shares it with the other nodes if it is new.
     pub(crate) fn on_successful_run(&self, run: SuccessfulRun) {
         if self.learn_successful_run(run) {
@@ -192,7 +214,11 @@
 
     fn on_quarantined(&self, fingerprint: Fingerprint, crashes: usize) {
         self.metrics.quarantines.inc();
-        tracing::warn!(part = "control", %fingerprint, crashes, "request quarantined");
+        if fingerprint.is_prompt_part() {
+            tracing::warn!(part = "control", %fingerprint, crashes, "part of prompts quarantined");
+        } else {
+            tracing::warn!(part = "control", %fingerprint, crashes, "request quarantined");
+        }
         self.changes.send_modify(|n| *n += 1);
     }
 
--- a/crates/azuresaddle-sched/src/quarantine/evidence.rs
+++ b/crates/azuresaddle-sched/src/quarantine/evidence.rs
@@ -1,14 +1,24 @@
-//! Evidence for and against one request: a sequential probability ratio test between two hypotheses.
+//! Evidence for and against one request, or one part of prompts: a sequential probability ratio test between two
+//! hypotheses.
 //!
 //! The target of a harmless request is assumed to crash in one of twenty runs, that of a harmful one in nine of ten.
 //! Each crash then multiplies the odds against the request by 18, and each successful run the odds for it by 9.5, so a
 //! successful run weighs three quarters of a crash. Three crashes give odds of 5,800 to 1: a request that crashes nine
 //! of ten targets gets there after 3.7 crashes on average, a harmless one that is sent four times with probability
 //! 0.0005.
+//!
+//! A harmful part crashes nearly every target that begins to answer a request with it, whatever else the request holds:
+//! 99 of 100, against at most half of the runs of a harmless one beside a cause. Each crash then doubles the odds against
+//! the part and each successful run divides them by 50, so a successful run weighs six crashes.
+
+use azuresaddle_core::prelude::*;
 
-/// Weight of a successful run, relative to a crash.
+/// Weight of a successful run of a request, relative to a crash.
 const SUCCESSFUL_RUN_WEIGHT: f64 = 0.75;
 
+/// Weight of a successful run of a request with a part of a prompt, relative to a crash.
+const PART_SUCCESSFUL_RUN_WEIGHT: f64 = 6.0;
+
 /// Weight from which on a request is quarantined if targets don't crash for other reasons. A higher value would cost
 /// more streams, since each crash also ends all other streams of its target.
 const QUARANTINE_WEIGHT: f64 = 3.0;
@@ -32,9 +42,27 @@
 /// their own is not quarantined, and a harmful one crashes two more targets.
 const MAX_EXTRA_CRASHES: usize = 2;
 
-/// Evidence against and for a request.
+/// What the evidence is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Subject {
+    Request,
+    PromptPart,
+}
+
+impl Subject {
+    pub(super) fn of(fingerprint: Fingerprint) -> Self {
+        if fingerprint.is_prompt_part() {
+            Self::PromptPart
+        } else {
+            Self::Request
+        }
+    }
+}
+
+/// Evidence against and for a request or a part of prompts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Evidence {
+    pub(super) subject: Subject,
     /// Targets that crashed while they were running it.
     pub(super) crashes: usize,
     /// Runs that completed and that their targets survived.
@@ -44,7 +72,11 @@
 impl Evidence {
     /// Net evidence against the request, in crashes; negative if the evidence for it prevails.
     pub(super) fn weight(self) -> f64 {
-        self.crashes as f64 - SUCCESSFUL_RUN_WEIGHT * self.successful_runs as f64
+        let run_weight = match self.subject {
+            Subject::Request => SUCCESSFUL_RUN_WEIGHT,
+            Subject::PromptPart => PART_SUCCESSFUL_RUN_WEIGHT,
+        };
+        self.crashes as f64 - run_weight * self.successful_runs as f64
     }
 
     /// Whether the request is a suspect.
@@ -64,9 +96,10 @@
         self.successful_runs > 0 && !self.reaches_crash_limit()
     }
 
-    /// Whether the request has crashed [`CRASH_LIMIT`] targets.
+    /// Whether the request has crashed [`CRASH_LIMIT`] targets. The limit does not apply to parts: a popular one is on
+    /// every target that a cause crashes.
     pub(super) fn reaches_crash_limit(self) -> bool {
-        self.crashes >= CRASH_LIMIT
+        self.subject == Subject::Request && self.crashes >= CRASH_LIMIT
     }
 
     /// Number of crashes beyond those required for quarantine, given the unexplained crashes of other targets; `None`
@@ -77,8 +110,7 @@
         if beyond >= 0.0 {
             return Some(beyond as u32);
         }
-        self.crashes
-            .checked_sub(CRASH_LIMIT)
-            .map(|beyond| beyond as u32)
+        self.reaches_crash_limit()
+            .then(|| (self.crashes - CRASH_LIMIT) as u32)
     }
 }
--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -88,6 +88,10 @@
             crashed.is_some_and(|c| c.requests.iter().any(is_other_suspect))
         };
         let evidence = record.evidence();
+        if fingerprint.is_prompt_part() {
+            // The requests with the part are on all its targets; only its own successful runs speak for it.
+            return QuarantineKind::of(evidence);
+        }
         if !evidence.reaches_crash_limit() && record.crashed_incarnations().all(is_shared) {
             return QuarantineKind::Short;
         }
@@ -116,16 +120,39 @@
     /// The streams of a crashed engine resume on the next one together, and their callers retry together. The next
     /// crash distinguishes them, because suspects don't share an engine by then: the cause has one more crash, which
     /// explains those of the others.
+    ///
+    /// A part of a prompt that only one request had on these targets is no better explanation than that request.
     pub(super) fn has_equal_suspect(&self, fingerprint: Fingerprint, record: &Record) -> bool {
         let last = record.crashed_incarnations().last();
         let requests = last.and_then(|incarnation| self.crashed_targets.get(&incarnation));
         let requests = requests.into_iter().flat_map(|e| &e.requests);
         let own = record.evidence().weight();
-        requests.filter(|r| **r != fingerprint).any(|other| {
+        let others = requests.filter(|r| **r != fingerprint && !r.is_prompt_part());
+        others.into_iter().any(|other| {
             let other = self.records.get(other);
             other.is_some_and(|other| {
                 other.includes_crashes_of(record) && other.evidence().weight() >= own
             })
         })
     }
+
+    /// Other parts of prompts that were on exactly the same crashed targets, so that either of them, or only both
+    /// together, may be the cause.
+    pub(super) fn inseparable_parts(&self, part: Fingerprint) -> Vec<Fingerprint> {
+        let Some(record) = self.records.get(&part) else {
+            return Vec::new();
+        };
+        let last = record.crashed_incarnations().last();
+        let crashed = last.and_then(|incarnation| self.crashed_targets.get(&incarnation));
+        let others = crashed.into_iter().flat_map(|c| &c.requests);
+        let others = others.filter(|o| **o != part && o.is_prompt_part());
+        let is_inseparable = |other: &&Fingerprint| {
+            self.records.get(other).is_some_and(|other| {
+                other.includes_crashes_of(record)
+                    && record.includes_crashes_of(other)
+                    && other.evidence().weight() >= record.evidence().weight()
+            })
+        };
+        others.filter(is_inseparable).copied().collect()
+    }
 }
--- a/crates/azuresaddle-sched/src/quarantine/mod.rs
+++ b/crates/azuresaddle-sched/src/quarantine/mod.rs
@@ -5,6 +5,9 @@
 //! suspects for a while. The cause is distinguished by the successful runs of the others on other targets, each of which
 //! weighs less than a crash; by stronger evidence against another request on the same target; and by the number of
 //! targets that crash without the request.
+//!
+//! The cause may also be a part of the prompt that requests share of which no two are alike. Parts have records of their
+//! own, and each request with a quarantined part is kept from targets.
 
 mod crash;
 mod evidence;
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -1,11 +1,11 @@
-//! Crashes and successful runs recorded for one request.
+//! Crashes and successful runs recorded for one request or one part of prompts.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::crash::{CrashStatus, TargetIncarnation};
-use super::evidence::Evidence;
+use super::evidence::{Evidence, Subject};
 
 /// Duration of the first quarantine: callers repeat a request for seconds or minutes, and a fault in the targets is
 /// fixed within hours.
@@ -83,6 +83,7 @@
 /// Crashes and successful runs of one request.
 #[derive(Clone, Debug)]
 pub(super) struct Record {
+    subject: Subject,
     crashes: Vec<RecordedCrash>,
     /// Identifiers of the successful runs.
     successful_runs: Vec<u64>,
@@ -92,8 +93,9 @@
 }
 
 impl Record {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(now: Instant, subject: Subject) -> Self {
         Self {
+            subject,
             crashes: Vec::new(),
             successful_runs: Vec::new(),
             dismissed: Vec::new(),
@@ -150,6 +152,7 @@
     /// The evidence if only `crashes` of the recorded crashes count against the request.
     pub(super) fn evidence_with(&self, crashes: usize) -> Evidence {
         Evidence {
+            subject: self.subject,
             crashes,
             successful_runs: self.successful_runs.len(),
         }
--- a/crates/azuresaddle-sched/src/quarantine/state.rs
+++ b/crates/azuresaddle-sched/src/quarantine/state.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::crash::{Crash, CrashStatus, SuccessfulRun, TargetIncarnation};
-use super::evidence::Evidence;
+use super::evidence::{Evidence, Subject};
 use super::record::{Record, RequestStatus};
 
 /// Maximum number of records, about 2 MB: enough for the streams of 250 targets that crash within ten minutes, 16
@@ -17,8 +17,8 @@
 /// Number of records evicted at once when the table is full, so that not every new record requires a full scan.
 const EVICTION_BATCH: usize = 64;
 
-/// Maximum number of requests recorded per crashed target: several times what a target runs.
-const MAX_REQUESTS_PER_CRASH: usize = 64;
+/// Maximum number of requests and parts of prompts recorded per crashed target: several times what a target runs.
+const MAX_REQUESTS_PER_CRASH: usize = 128;
 
 /// Shortest time in which a target restarts; a send that fails sooner after a crash belongs to the same crash.
 const RESTART_TIME: Duration = Duration::from_millis(50);
@@ -147,21 +147,54 @@
             self.evict(now);
         }
         let record = self.records.entry(fingerprint);
-        record.or_insert_with(|| Record::new(now))
+        record.or_insert_with(|| Record::new(now, Subject::of(fingerprint)))
     }
 
-    /// Status of a request.
+    /// Status of a request that holds these parts in its prompt.
+    pub fn request_status(
+        &self,
+        now: Instant,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> RequestStatus {
+        let own = self.status(now, request);
+        if own.is_quarantined() {
+            return own;
+        }
+        let quarantined = parts.iter().find_map(|part| {
+            let status = self.status(now, *part);
+            // A request with only one of several parts that crashed the same targets tells them apart.
+            let is_whole_cause = || {
+                let others = self.inseparable_parts(*part);
+                others.iter().all(|other| parts.contains(other))
+            };
+            (status.is_quarantined() && is_whole_cause()).then_some(status)
+        });
+        quarantined.unwrap_or(own)
+    }
+
+    /// Whether a successful run of a request with this part would still change what is believed of it.
+    pub fn needs_successful_run(&self, part: Fingerprint) -> bool {
+        self.knows(part) && self.weight(part) > -1.0
+    }
+
+    /// Status of a request or a part of prompts by itself.
     pub fn status(&self, now: Instant, fingerprint: Fingerprint) -> RequestStatus {
         let Some(record) = self.records.get(&fingerprint) else {
             return RequestStatus::Clear;
         };
         let kind = self.quarantine_kind(fingerprint, record);
         let until = |beyond| record.quarantined_until(beyond, kind);
-        let certain = record.evidence().crashes_past_certainty().map(until);
+        let evidence = self.unexplained_evidence(fingerprint, record);
+        // A harmless part may be in many of the requests beside a cause.
+        let certain = match Subject::of(fingerprint) {
+            Subject::Request => record.evidence(),
+            Subject::PromptPart => evidence,
+        };
+        let certain = certain.crashes_past_certainty().map(until);
         if let Some(until) = certain.filter(|until| *until > now) {
             return RequestStatus::Quarantined { left: until - now };
         }
-        let evidence = self.unexplained_evidence(fingerprint, record);
         let left = self
             .crashes_past_quarantine(now, fingerprint, evidence)
             .map(|beyond| until(beyond).saturating_duration_since(now));
--- a/crates/azuresaddle-sched/tests/suite/main.rs
+++ b/crates/azuresaddle-sched/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod pool;
 mod pool_choice;
 mod prefix_index;
+mod prompt_parts;
 mod quarantine;
 mod rate_bucket;
 mod support;
--- /dev/null
+++ b/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
@@ -0,0 +1,110 @@
+//! Quarantine of parts of prompts that crash the targets of every request with them.
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::quarantine::{
+    Crash, Quarantine, RequestStatus, SuccessfulRun, TargetIncarnation,
+};
+use tokio::time::Instant;
+
+use crate::quarantine::{MINUTE, request};
+
+fn part(id: &str) -> Fingerprint {
+    Fingerprint::of_prompt_part("llm", id)
+}
+
+/// Records that a target crashed while it ran a request with these parts.
+fn crash(quarantine: &mut Quarantine, number: u32, target: u64, parts: &[&str]) {
+    let now = Instant::now();
+    let target = TargetIncarnation { target, number: 0 };
+    let parts = parts.iter().map(|id| part(id));
+    for fingerprint in parts.chain([request(number)]) {
+        quarantine.on_crash(
+            now,
+            Crash {
+                fingerprint,
+                target,
+            },
+        );
+    }
+}
+
+fn succeed(quarantine: &mut Quarantine, id: &str, run: u64) {
+    let fingerprint = part(id);
+    quarantine.on_successful_run(Instant::now(), SuccessfulRun { fingerprint, run });
+}
+
+fn is_quarantined(quarantine: &Quarantine, number: u32, parts: &[&str]) -> bool {
+    let parts: Vec<Fingerprint> = parts.iter().map(|id| part(id)).collect();
+    quarantine
+        .request_status(Instant::now(), request(number), &parts)
+        .is_quarantined()
+}
+
+/// Guards against a cause that is never found since no two requests with it are alike.
+#[tokio::test(start_paused = true)]
+async fn a_part_that_crashes_request_after_request_is_quarantined() {
+    let mut quarantine = Quarantine::default();
+    succeed(&mut quarantine, "first", 1);
+    for n in 0..3 {
+        assert!(!is_quarantined(&quarantine, 100 + n, &["first", "cause"]));
+        crash(&mut quarantine, n, u64::from(n), &["first", "cause"]);
+        // A harmless request was on two of the targets as well.
+        if n > 0 {
+            crash(&mut quarantine, 50, u64::from(n), &["first", "other"]);
+        }
+    }
+    assert!(is_quarantined(&quarantine, 100, &["first", "cause"]));
+    assert!(!is_quarantined(&quarantine, 50, &["first", "other"]));
+    let status = quarantine.status(Instant::now() + 9 * MINUTE, part("cause"));
+    assert!(matches!(status, RequestStatus::Quarantined { left } if left == MINUTE));
+}
+
+/// Guards against a popular part that is refused because it was beside each crash.
+#[tokio::test(start_paused = true)]
+async fn a_part_that_targets_survive_is_not_quarantined() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..40 {
+        if n % 5 == 0 {
+            succeed(&mut quarantine, "popular", u64::from(n));
+        }
+        crash(&mut quarantine, n, u64::from(n), &["popular"]);
+        assert!(
+            !is_quarantined(&quarantine, 100, &["popular"]),
+            "{n} crashes"
+        );
+    }
+}
+
+/// Guards against sound requests that are refused because the cause came with one of their parts each time.
+#[tokio::test(start_paused = true)]
+async fn of_two_parts_that_crash_together_neither_is_refused_alone() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..8 {
+        crash(&mut quarantine, n, u64::from(n), &["cause", "companion"]);
+    }
+    assert!(is_quarantined(&quarantine, 100, &["cause", "companion"]));
+    assert!(!is_quarantined(&quarantine, 100, &["companion", "first"]));
+    succeed(&mut quarantine, "companion", 1);
+    succeed(&mut quarantine, "companion", 2);
+    assert!(!is_quarantined(&quarantine, 100, &["companion"]));
+    assert!(is_quarantined(&quarantine, 100, &["cause"]));
+}
+
+/// Guards against refusing what shares a part with a single request that crashes targets.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_crashes_targets_does_not_incriminate_its_parts() {
+    let mut quarantine = Quarantine::default();
+    for target in 0..4 {
+        crash(&mut quarantine, 1, target, &["part"]);
+    }
+    assert!(is_quarantined(&quarantine, 1, &["part"]));
+    assert!(!is_quarantined(&quarantine, 2, &["part"]));
+}
+
+#[test]
+fn fingerprints_of_parts_and_requests_are_told_apart() {
+    assert!(part("a").is_prompt_part());
+    assert_ne!(part("a"), part("b"));
+    assert_ne!(part("a"), Fingerprint::of_prompt_part("other", "a"));
+    assert!((0..1000).all(|n| !request(n).is_prompt_part()));
+}
