A direct connection goes before the delay after which a tunnel is tried

After a pause of the process both are due at once; the order was random, and a needless tunnel was opened half of the time. Found by reading.

--- a/crates/azuresaddle-edge/src/targets/dialer.rs
+++ b/crates/azuresaddle-edge/src/targets/dialer.rs
@@ -74,6 +74,8 @@
         let mut no_tunnel = None;
         while direct_runs || tunnel_runs {
             tokio::select! {
+                // After a pause of this process a connection may be open although its delay has passed.
+                biased;
                 connected = &mut direct, if direct_runs => match connected {
                     Ok(stream) => return Ok(TargetStream::Direct(stream)),
                     Err(e) => {
