The quarantine of a part of prompts begins with a minute

A part that is accused wrongly may be in the requests of many callers: with no run remembered, as after a start of all nodes, three crashes within 0.2 s could have refused it for ten minutes. Six crashes no longer make a part certain whatever explains them. Found by reading, not seen in a run.

--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -22,6 +22,13 @@
 /// the targets work again.
 const MAX_SHORT_DOUBLINGS: u32 = 1;
 
+/// Duration of the first quarantine of a part of prompts, which doubles with each crash more: many sound requests may
+/// hold a part that is accused wrongly, and a cause soon has more crashes than it needs.
+const INITIAL_PART_QUARANTINE: Duration = Duration::from_secs(60);
+
+/// Maximum number of times that the quarantine of a part doubles; the longest is 64 minutes.
+const MAX_PART_DOUBLINGS: u32 = 6;
+
 /// Maximum number of crashes recorded: as many as quarantine a request despite any number of successful runs.
 const MAX_RECORDED_CRASHES: usize = 16;
 
@@ -60,12 +67,16 @@
     Short,
     /// Minutes: the request is the cause of its crashes.
     Long,
+    /// A minute and more: a part of prompts is the cause.
+    Part,
 }
 
 impl QuarantineKind {
     /// The kind that a request's own evidence calls for.
     pub(super) fn of(evidence: Evidence) -> Self {
-        if evidence.allows_short_quarantine() {
+        if evidence.subject == Subject::PromptPart {
+            Self::Part
+        } else if evidence.allows_short_quarantine() {
             Self::Short
         } else {
             Self::Long
@@ -166,6 +177,7 @@
                 INITIAL_SHORT_QUARANTINE * (1 << beyond.min(MAX_SHORT_DOUBLINGS))
             }
             QuarantineKind::Long => INITIAL_QUARANTINE * (1 << beyond.min(MAX_DOUBLINGS)),
+            QuarantineKind::Part => INITIAL_PART_QUARANTINE * (1 << beyond.min(MAX_PART_DOUBLINGS)),
         };
         self.last_crash_at + time
     }
--- a/crates/azuresaddle-sched/src/quarantine/state.rs
+++ b/crates/azuresaddle-sched/src/quarantine/state.rs
@@ -183,15 +183,18 @@
         let Some(record) = self.records.get(&fingerprint) else {
             return RequestStatus::Clear;
         };
+        if fingerprint.is_prompt_part() && !record.evidence().is_suspicious() {
+            // Popular parts have a record for as long as any target has crashed lately.
+            return RequestStatus::Clear;
+        }
         let kind = self.quarantine_kind(fingerprint, record);
         let until = |beyond| record.quarantined_until(beyond, kind);
         let evidence = self.unexplained_evidence(fingerprint, record);
-        // A harmless part may be in many of the requests beside a cause.
+        // A harmless part may be in many of the requests beside a cause, so nothing is certain about parts.
         let certain = match Subject::of(fingerprint) {
-            Subject::Request => record.evidence(),
-            Subject::PromptPart => evidence,
+            Subject::Request => record.evidence().crashes_past_certainty().map(until),
+            Subject::PromptPart => None,
         };
-        let certain = certain.crashes_past_certainty().map(until);
         if let Some(until) = certain.filter(|until| *until > now) {
             return RequestStatus::Quarantined { left: until - now };
         }
