--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -66,6 +66,14 @@
                 .default_value("0")
                 .help("Number of callers that keep sending a request that crashes its targets"),
         )
+        .arg(
+            Arg::new("part-crashers")
+                .long("part-crashers")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Number of callers that send requests with a part in their prompts that crashes targets"),
+        )
         .arg(
             Arg::new("stalled-readers")
                 .long("stalled-readers")
@@ -128,6 +136,7 @@
                 silent_targets: get::<u64>(args, "silent-targets") as usize,
             },
             crashers: get(args, "crashers"),
+            part_crashers: get(args, "part-crashers"),
             stalled_readers: get(args, "stalled-readers"),
         };
         let report = runtime.block_on(run_soak(&options))?;
--- a/crates/azuresaddle-standin/src/platform/crashing_requests.rs
+++ b/crates/azuresaddle-standin/src/platform/crashing_requests.rs
@@ -18,30 +18,44 @@
 /// connection breaks then finds the port closed, as after the end of a process.
 const CLOSE_DELAY: Duration = Duration::from_millis(10);
 
-/// Bodies and parts of prompts that crash the targets of their requests, with the times at which each of them reached a target; cheap
-/// to clone.
+/// What makes a target crash that runs a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum CrashCause {
+    /// The body of the request.
+    Body(Bytes),
+    /// The id of a part of its prompt.
+    PromptPart(String),
+}
+
+/// Causes of crashes, with the times at which requests with each of them reached a target; cheap to clone.
 #[derive(Clone, Debug, Default)]
-pub struct CrashingRequests(Arc<Mutex<HashMap<Bytes, Vec<Instant>>>>);
+pub struct CrashingRequests(Arc<Mutex<HashMap<CrashCause, Vec<Instant>>>>);
 
 impl CrashingRequests {
     /// Makes every target crash that runs a request with this body.
     pub fn add(&self, body: Bytes) {
-        self.lock().entry(body).or_default();
+        self.lock().entry(CrashCause::Body(body)).or_default();
     }
 
     /// Makes every target crash that runs a request whose prompt holds this part.
     pub fn add_prompt_part(&self, id: &str) {
-        self.add(Bytes::copy_from_slice(id.as_bytes()));
+        let cause = CrashCause::PromptPart(id.to_owned());
+        self.lock().entry(cause).or_default();
     }
 
     /// Returns how many targets requests with this body have reached.
     pub fn targets_reached(&self, body: &Bytes) -> usize {
-        self.lock().get(body).map_or(0, Vec::len)
+        let cause = CrashCause::Body(body.clone());
+        self.lock().get(&cause).map_or(0, Vec::len)
     }
 
-    /// Returns, for each body, the times at which requests with it reached a target.
-    pub fn arrival_times(&self) -> Vec<Vec<Instant>> {
-        self.lock().values().cloned().collect()
+    /// Returns, for each cause, the times at which requests with it reached a target.
+    pub fn arrival_times(&self) -> Vec<(CrashCause, Vec<Instant>)> {
+        let causes = self.lock();
+        let times = causes.iter();
+        times
+            .map(|(cause, at)| (cause.clone(), at.clone()))
+            .collect()
     }
 
     /// Schedules a crash of the target and returns `true` if the body or a part of the prompt belongs to a crashing
@@ -54,12 +68,15 @@
     ) -> bool {
         let parts = map.get(headers::PROMPT_PARTS);
         let parts = parts.map(headers::parse_shared_parts).unwrap_or_default();
-        let mut keys = parts.into_iter().map(str::as_bytes).chain([&body[..]]);
-        let mut requests = self.lock();
-        let Some(listed) = keys.find(|key| requests.contains_key(*key)) else {
+        let parts = parts.into_iter().map(str::to_owned);
+        let mut causes = parts
+            .map(CrashCause::PromptPart)
+            .chain([CrashCause::Body(body.clone())]);
+        let mut listed = self.lock();
+        let Some(cause) = causes.find(|cause| listed.contains_key(cause)) else {
             return false;
         };
-        let times = requests.get_mut(listed).expect("found above");
+        let times = listed.get_mut(&cause).expect("found above");
         times.push(Instant::now());
         let target = Arc::clone(target);
         tokio::spawn(async move {
@@ -71,7 +88,7 @@
         true
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Bytes, Vec<Instant>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<CrashCause, Vec<Instant>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/azuresaddle-standin/src/platform/mod.rs
+++ b/crates/azuresaddle-standin/src/platform/mod.rs
@@ -20,7 +20,7 @@
 
 pub use caller::{Answer, Caller, CallerError, CallerRequest};
 pub use configuration::{AccountSpec, ConfigurationSpec, RouteSpec, ServiceSpec};
-pub use crashing_requests::CrashingRequests;
+pub use crashing_requests::{CrashCause, CrashingRequests};
 pub use demo::{PlatformDemoReport, run_platform_demo};
 pub use raw::{Arrival, Arrivals, ProtocolFault};
 pub use runs::{AttemptRuns, Runs};
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -127,6 +127,12 @@
     known
 }
 
+/// Part with which the prompts of all streams begin.
+pub(super) const FIRST_PART: &str = "f0";
+
+/// Number of second parts, each of which many streams share.
+const SECOND_PARTS: u64 = 6;
+
 pub(super) fn random_request(shared: &SoakState, rng: &mut StdRng) -> CallerRequest {
     let number = shared.attempts.fetch_add(1, Ordering::Relaxed);
     let (path, tokens) = match rng.random_range(0..10) {
@@ -139,13 +145,20 @@
         8 => ("/ask-once/1", Some((rng.random_range(200..4000), 46 * 3))),
         _ => ("/ask/1", Some((rng.random_range(20_000..90_000), 46 * 3))),
     };
+    let prompt_parts = match tokens {
+        Some(_) => format!(
+            "{FIRST_PART}:40,e{}:100,{number:x}:60",
+            number % SECOND_PARTS
+        ),
+        None => String::new(),
+    };
     CallerRequest {
         attempt: format!("{number:016x}"),
         path: path.to_owned(),
         host: "desk.example".to_owned(),
         key: "key-1".to_owned(),
         tokens,
-        prompt_parts: String::new(),
+        prompt_parts,
         body: "{}".into(),
         timeout: ANSWER_TIMEOUT,
     }
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::callers::{SoakState, run_caller};
-use super::crashers::{check_crashes, run_crasher};
+use super::crashers::{check_crashes, run_crasher, run_part_crasher};
 use super::faults::{FaultOptions, inject_fault};
 use super::fleet::{Fleet, FleetOptions};
 use super::report::SoakReport;
@@ -46,6 +46,8 @@
     pub faults: FaultOptions,
     /// Number of callers that repeatedly send a request which crashes every target that runs it.
     pub crashers: u64,
+    /// Number of callers that send requests with a part in their prompts which crashes every target that runs them.
+    pub part_crashers: u64,
     /// Number of callers that stop reading or sending.
     pub stalled_readers: u64,
 }
@@ -78,6 +80,10 @@
         let crashing_requests = fleet.platform.crashing_requests.clone();
         tokio::spawn(run_crasher(Arc::clone(&shared), crashing_requests, n))
     }));
+    callers.extend((0..options.part_crashers).map(|n| {
+        let crashing_requests = fleet.platform.crashing_requests.clone();
+        tokio::spawn(run_part_crasher(Arc::clone(&shared), crashing_requests, n))
+    }));
     callers.extend((0..options.stalled_readers).map(|n| {
         let seed = options.seed * 1000 + options.callers + n;
         tokio::spawn(run_stalled_reader(Arc::clone(&shared), seed))
--- a/tests/testsuite/platform/crashing_parts.rs
+++ b/tests/testsuite/platform/crashing_parts.rs
@@ -106,7 +106,7 @@
         fleet.platform.restart_ended().await.unwrap();
     }
     let times = fleet.platform.crashing_requests.arrival_times();
-    let times = times.into_iter().next().unwrap();
+    let (_, times) = times.into_iter().next().unwrap();
     let later = times.get(CRASHES - 1).map_or(0, |fifth| {
         let late = |at: &&Instant| **at > *fifth + PROPAGATION_TIME;
         times.iter().filter(late).count()
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -76,6 +76,16 @@
     assert!(paused.is_some_and(|n| *n > 0), "{report}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_of_prompts_that_crash_targets_are_kept_from_them_under_faults() {
+    let options = SoakOptions {
+        part_crashers: 2,
+        ..options(Duration::from_secs(9), 41, 5, RESTARTS, 0, 0)
+    };
+    let report = run_soak(&options).await.unwrap();
+    assert!(report.passed(), "{report}");
+}
+
 async fn soak(seed: u64, nodes: u8, faults: FaultOptions, crashers: u64) {
     soak_for(Duration::from_secs(7), seed, nodes, faults, crashers).await;
 }
@@ -106,6 +116,7 @@
         },
         faults,
         crashers,
+        part_crashers: 0,
         stalled_readers,
     }
 }
