A crash counts also while the other nodes can't be asked

Cause: a target counted as down only if two other nodes, or one known to reach targets, were refused as well. With the others killed or frozen that never came, or came after the 100 ms of the check, and crashes of a cause were not counted.

--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -15,9 +15,9 @@
 use super::head::ForwardRequest;
 use crate::targets::ConnectError;
 
-/// Longest wait for a connection to a target that did not answer. This is many times a round trip; it must be short,
-/// since the caller waits meanwhile.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait for a connection to a target that did not answer. This is many times a round trip, also if some of the
+/// nodes that are asked for a tunnel are silent; it must be short, since the caller waits meanwhile.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Checks whether a target has crashed after it gave no answer to a request that it may have run, and records a crash for
 /// the request and for the `parts` of its prompt if so. Otherwise keeps the send, since the crash may show later.
--- a/crates/azuresaddle-edge/src/targets/dialer.rs
+++ b/crates/azuresaddle-edge/src/targets/dialer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_sched::paths::{PathPlan, TargetPaths, TunnelCandidate};
+use azuresaddle_sched::paths::{PathPlan, TunnelCandidate};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -45,11 +45,9 @@
 
 /// Why no other node connected to a target.
 enum NoTunnel {
-    /// There is no other node.
-    Alone,
-    /// The target is down: nodes that reach other targets were refused as well.
+    /// The target is down, as far as this node and the others can tell.
     Down,
-    /// No node that was asked reaches it.
+    /// No node that was asked reaches it, and this node is cut off.
     Unreachable,
 }
 
@@ -172,7 +170,8 @@
         let give_up_at = Instant::now() + CONNECT_TIMEOUT;
         let mut next_at = Instant::now();
         loop {
-            if let Some((peer, addr)) = (Instant::now() >= next_at).then(|| peers.next()).flatten()
+            if Instant::now() >= next_at
+                && let Some((peer, addr)) = peers.next()
             {
                 attempts.push(async move { (peer, open_tunnel(&self.net, addr, target).await) });
                 asked.push(peer);
@@ -181,8 +180,16 @@
             if attempts.is_empty() {
                 break;
             }
-            let wake_at = if peers.len() > 0 { next_at } else { give_up_at };
+            let wait_until = if peers.len() > 0 {
+                next_at
+            } else if refused_by.is_empty() {
+                give_up_at
+            } else {
+                // A node that does not answer now adds nothing to a refusal.
+                next_at + HEDGE_DELAY
+            };
             tokio::select! {
+                biased;
                 Some((peer, opened)) = attempts.next() => {
                     asked.retain(|p| *p != peer);
                     match opened {
@@ -196,26 +203,35 @@
                             self.on_peers_failed(&[peer]);
                         }
                     }
-                    let on_refused = |p: &mut TargetPaths| p.on_refused(Instant::now(), target, &refused_by);
-                    if !refused_by.is_empty() && self.paths.with(on_refused) {
+                    let is_last = attempts.is_empty() && peers.len() == 0;
+                    if !refused_by.is_empty() && self.is_down(target, &refused_by, is_last) {
                         return Err(NoTunnel::Down);
                     }
-                    next_at = Instant::now();
+                    if peers.len() > 0 {
+                        next_at = Instant::now();
+                    }
                 }
-                () = tokio::time::sleep_until(wake_at.min(give_up_at)) => {
-                    if Instant::now() >= give_up_at {
+                () = tokio::time::sleep_until(wait_until.min(give_up_at)) => {
+                    if peers.len() == 0 || Instant::now() >= give_up_at {
                         break;
                     }
                 }
             }
         }
         self.on_peers_failed(&asked);
-        if refused_by.is_empty() && asked.is_empty() && self.other_nodes().is_empty() {
-            return Err(NoTunnel::Alone);
+        if self.is_down(target, &refused_by, true) {
+            return Err(NoTunnel::Down);
         }
         Err(NoTunnel::Unreachable)
     }
 
+    /// Whether the refusals of other nodes show that a target is down; `is_last` if no other answer is expected.
+    fn is_down(&self, target: &HostName, refused_by: &[u64], is_last: bool) -> bool {
+        let now = Instant::now();
+        self.paths
+            .with(|p| p.on_refused(now, target, refused_by, is_last))
+    }
+
     fn on_peers_failed(&self, peers: &[u64]) {
         let now = Instant::now();
         self.paths.with(|p| {
--- a/crates/azuresaddle-sched/src/paths/mod.rs
+++ b/crates/azuresaddle-sched/src/paths/mod.rs
@@ -115,13 +115,24 @@
         self.peers.entry(peer).or_default().on_failed(now);
     }
 
-    /// Records that a target refuses connections of the nodes `refused_by` as well. Returns whether that shows that the
-    /// target is down.
-    pub fn on_refused(&mut self, now: Instant, target: &HostName, refused_by: &[u64]) -> bool {
+    /// Records that a target refuses connections of the nodes `refused_by` as well; `is_last` if no other node is going to
+    /// answer. Returns whether that shows that the target is down.
+    ///
+    /// If no other node can tell, the refusal that this node got is believed, unless it is cut off.
+    pub fn on_refused(
+        &mut self,
+        now: Instant,
+        target: &HostName,
+        refused_by: &[u64],
+        is_last: bool,
+    ) -> bool {
         let is_known = |peer: &u64| self.peers.get(peer).is_some_and(|r| r.reaches(now));
         let is_believed = refused_by.iter().any(is_known)
-            || (refused_by.len() >= REFUSALS_TO_BELIEVE && !self.is_cut_off(now));
-        if is_believed && let Some(path) = self.failed.get_mut(target) {
+            || ((is_last || refused_by.len() >= REFUSALS_TO_BELIEVE) && !self.is_cut_off(now));
+        if is_believed
+            && !refused_by.is_empty()
+            && let Some(path) = self.failed.get_mut(target)
+        {
             path.down_until = Some(now + DOWN_TIME);
         }
         is_believed
--- a/crates/azuresaddle-sched/tests/suite/paths.rs
+++ b/crates/azuresaddle-sched/tests/suite/paths.rs
@@ -69,8 +69,8 @@
     let mut paths = TargetPaths::default();
     for n in 0..5 {
         paths.on_failed(Instant::now(), &target(n));
-        assert!(!paths.on_refused(Instant::now(), &target(n), &[1]));
-        assert!(paths.on_refused(Instant::now(), &target(n), &[1, 2]));
+        assert!(!paths.on_refused(Instant::now(), &target(n), &[1], false));
+        assert!(paths.on_refused(Instant::now(), &target(n), &[1, 2], false));
         assert!(!paths.is_at_fault(Instant::now(), &target(n)));
         assert_eq!(paths.plan(Instant::now(), &target(n)), PathPlan::DirectOnly);
     }
@@ -81,11 +81,22 @@
 #[tokio::test(start_paused = true)]
 async fn refusals_of_unknown_nodes_are_not_believed_by_a_node_that_is_cut_off() {
     let mut paths = cut_off_from(3);
-    assert!(!paths.on_refused(Instant::now(), &target(0), &[1, 2, 3]));
+    assert!(!paths.on_refused(Instant::now(), &target(0), &[1, 2, 3], false));
     paths.on_tunneled(Instant::now(), &target(1), PEER);
-    assert!(paths.on_refused(Instant::now(), &target(0), &[PEER]));
+    assert!(paths.on_refused(Instant::now(), &target(0), &[PEER], false));
     paths.on_tunnel_failed(Instant::now(), PEER);
-    assert!(!paths.on_refused(Instant::now(), &target(2), &[PEER]));
+    assert!(!paths.on_refused(Instant::now(), &target(2), &[PEER], false));
+}
+
+/// Guards against crashes that are not counted while the other nodes are stopped or frozen.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_is_believed_if_no_other_node_can_tell() {
+    let mut paths = cut_off_from(1);
+    assert!(!paths.on_refused(Instant::now(), &target(0), &[1], false));
+    assert!(paths.on_refused(Instant::now(), &target(0), &[1], true));
+    assert!(paths.on_refused(Instant::now(), &target(0), &[], true));
+    let mut paths = cut_off_from(3);
+    assert!(!paths.on_refused(Instant::now(), &target(0), &[1, 2], true));
 }
 
 #[tokio::test(start_paused = true)]
