Crashes without a known cause do not lift the quarantine of a part again

Cause: one more crash is required for each two recent crashes of targets that no request explains, two at most. Such crashes after the verdict raised the requirement from three to five and so lifted it, without a line in the log. The new test later_crashes_of_other_targets_do_not_lift_the_quarantine_of_a_part failed with the second such crash. Now only crashes up to the part's third one count.

--- a/crates/azuresaddle-sched/src/quarantine/evidence.rs
+++ b/crates/azuresaddle-sched/src/quarantine/evidence.rs
@@ -21,7 +21,10 @@
 
 /// Weight from which on a request is quarantined if targets don't crash for other reasons. A higher value would cost
 /// more streams, since each crash also ends all other streams of its target.
-const QUARANTINE_WEIGHT: f64 = 3.0;
+const QUARANTINE_WEIGHT: f64 = SUFFICIENT_CRASHES as f64;
+
+/// Crashes that are enough for a quarantine without any successful run.
+pub(super) const SUFFICIENT_CRASHES: usize = 3;
 
 /// Weight from which on a request is a suspect: one crash that no successful run offsets.
 const SUSPECT_WEIGHT: f64 = 1.0;
--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -105,9 +105,16 @@
 
     /// Number of targets that crashed recently without the request and without any request whose net evidence exceeds
     /// one crash.
+    ///
+    /// For a part of prompts only those count that crashed before the part had enough crashes itself. Later ones would
+    /// lift a quarantine again while requests with the part still come.
     pub(super) fn unexplained_crashes(&self, now: Instant, fingerprint: Fingerprint) -> usize {
+        let record = self.records.get(&fingerprint);
+        let record = record.filter(|_| fingerprint.is_prompt_part());
+        let counted_until = record.and_then(Record::sufficient_crash_at);
         let is_unexplained = |crashed: &&CrashedTarget| {
             now.saturating_duration_since(crashed.at) < RECENT_CRASH_AGE
+                && counted_until.is_none_or(|until| crashed.at <= until)
                 && !crashed.requests.contains(&fingerprint)
                 && !crashed.requests.iter().any(|r| self.weight(*r) > 1.0)
         };
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::crash::{CrashStatus, TargetIncarnation};
-use super::evidence::{Evidence, Subject};
+use super::evidence::{Evidence, SUFFICIENT_CRASHES, Subject};
 
 /// Duration of the first quarantine: callers repeat a request for seconds or minutes, and a fault in the targets is
 /// fixed within hours.
@@ -114,6 +114,12 @@
         }
     }
 
+    /// When this node learned of the crash that is enough for a quarantine, unless targets crash for other reasons too;
+    /// `None` before.
+    pub(super) fn sufficient_crash_at(&self) -> Option<Instant> {
+        self.crashes.get(SUFFICIENT_CRASHES - 1).map(|k| k.at)
+    }
+
     /// Number of the last incarnation of a target that is known to have crashed, and when this node learned of it.
     pub(super) fn last_crashed_incarnation_of(&self, target: u64) -> Option<(u8, Instant)> {
         let known = self.crashes.iter().filter(|k| k.target.target == target);
--- a/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
+++ b/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
@@ -1,10 +1,12 @@
 //! Quarantine of parts of prompts that crash the targets of every request with them.
 
+use std::time::Duration;
+
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::quarantine::{
     Crash, Quarantine, RequestStatus, SuccessfulRun, TargetIncarnation,
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, advance};
 
 use crate::quarantine::{MINUTE, request};
 
@@ -115,6 +117,20 @@
     assert!(!is_quarantined(&quarantine, 2, &["part"]));
 }
 
+/// Guards against a quarantined part that goes on reaching targets since others crash for reasons of their own later.
+#[tokio::test(start_paused = true)]
+async fn later_crashes_of_other_targets_do_not_lift_the_quarantine_of_a_part() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..3 {
+        crash(&mut quarantine, n, u64::from(n), &["cause"]);
+    }
+    advance(Duration::from_millis(100)).await;
+    for n in 10..16 {
+        crash(&mut quarantine, n, u64::from(n), &[]);
+        assert!(is_quarantined(&quarantine, 100, &["cause"]), "{n}");
+    }
+}
+
 #[test]
 fn fingerprints_of_parts_and_requests_are_told_apart() {
     assert!(part("a").is_prompt_part());
