A popular part of prompts keeps more successful runs in reserve

Cause: a part took successful runs only until they outweighed its crashes by one, so six crashes without an answer in between, which takes less than a second there, made it a suspect. The new test a_popular_part_keeps_successful_runs_in_reserve failed at the sixth.

--- a/crates/azuresaddle-sched/src/quarantine/state.rs
+++ b/crates/azuresaddle-sched/src/quarantine/state.rs
@@ -20,6 +20,10 @@
 /// Maximum number of requests and parts of prompts recorded per crashed target: several times what a target runs.
 const MAX_REQUESTS_PER_CRASH: usize = 128;
 
+/// Net evidence for a part of prompts, in crashes, from which on further successful runs are not counted: where causes crash
+/// targets one after the other, few answers come through, and a popular part is on each of these targets.
+const PART_RESERVE: f64 = 16.0;
+
 /// Shortest time in which a target restarts; a send that fails sooner after a crash belongs to the same crash.
 const RESTART_TIME: Duration = Duration::from_millis(50);
 
@@ -175,7 +179,7 @@
 
     /// Whether a successful run of a request with this part would still change what is believed of it.
     pub fn needs_successful_run(&self, part: Fingerprint) -> bool {
-        self.knows(part) && self.weight(part) > -1.0
+        self.knows(part) && self.weight(part) > -PART_RESERVE
     }
 
     /// Status of a request or a part of prompts by itself.
--- a/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
+++ b/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
@@ -131,6 +131,24 @@
     }
 }
 
+/// Guards against a popular part that is refused, or taken for the cause, where several causes crash targets one after the
+/// other and few answers come through in between.
+#[tokio::test(start_paused = true)]
+async fn a_popular_part_keeps_successful_runs_in_reserve() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 0, 0, &["popular"]);
+    for run in 0..6 {
+        if quarantine.needs_successful_run(part("popular")) {
+            succeed(&mut quarantine, "popular", run);
+        }
+    }
+    for n in 1..12 {
+        crash(&mut quarantine, n, u64::from(n), &["popular"]);
+        let status = quarantine.status(Instant::now(), part("popular"));
+        assert_eq!(status, RequestStatus::Clear, "{n}");
+    }
+}
+
 #[test]
 fn fingerprints_of_parts_and_requests_are_told_apart() {
     assert!(part("a").is_prompt_part());
