--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -353,6 +353,7 @@
         part = "forward",
         request = req.head.id(),
         fingerprint = %req.fingerprint,
+        prompt_parts = ?req.prompt_parts,
         "request in quarantine"
     );
 }
