--- a/crates/azuresaddle-edge/src/targets/connection_pool.rs
+++ b/crates/azuresaddle-edge/src/targets/connection_pool.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::dialer::TargetDialer;
+use super::target_stream::TargetStream;
 use crate::flow::{MeteredStream, WriteProgress};
 
 /// Time for which an idle connection is kept if the target announces no keep-alive time.
@@ -291,8 +292,7 @@
     slot: ConnectionSlot,
     addr: SocketAddr,
 ) -> Result<Connection, ConnectError> {
-    let stream = dialer.dial(&slot.target, addr).await?;
-    let peer = stream.peer();
+    let TargetStream { stream, peer } = dialer.dial(&slot.target, addr).await?;
     if peer.is_some() {
         // Kept direct connections may have fallen silent with the path.
         drop_idle(targets, &slot.target, |i| i.peer.is_none());
--- a/crates/azuresaddle-edge/src/targets/dialer.rs
+++ b/crates/azuresaddle-edge/src/targets/dialer.rs
@@ -75,7 +75,7 @@
                 // After a pause of this process a connection may be open although its delay has passed.
                 biased;
                 connected = &mut direct, if direct_runs => match connected {
-                    Ok(stream) => return Ok(TargetStream::Direct(stream)),
+                    Ok(stream) => return Ok(TargetStream::direct(stream)),
                     Err(e) => {
                         direct_runs = false;
                         tunnel_runs |= std::mem::take(&mut may_tunnel);
@@ -88,7 +88,7 @@
                             self.on_failed(target);
                         }
                         self.paths.on_tunneled(target, peer);
-                        return Ok(TargetStream::Tunnel { stream, peer });
+                        return Ok(TargetStream::tunnel(stream, peer));
                     }
                     Err(e) => {
                         tunnel_runs = false;
--- a/crates/azuresaddle-edge/src/targets/shared_paths.rs
+++ b/crates/azuresaddle-edge/src/targets/shared_paths.rs
@@ -36,7 +36,7 @@
         if state.paths.on_connected(Instant::now(), target) {
             tracing::info!(part = "paths", %target, "path to the target is back");
         }
-        self.note_cut_off(&mut state);
+        self.publish_cut_off(&mut state);
     }
 
     /// Records a direct attempt that failed or was overtaken by one through another node. Returns whether this node
@@ -45,7 +45,7 @@
         let mut state = self.lock();
         let was_cut_off = state.is_cut_off;
         state.paths.on_failed(Instant::now(), target);
-        self.note_cut_off(&mut state);
+        self.publish_cut_off(&mut state);
         state.is_cut_off && !was_cut_off
     }
 
@@ -76,7 +76,7 @@
         f(&mut self.lock().paths)
     }
 
-    fn note_cut_off(&self, state: &mut State) {
+    fn publish_cut_off(&self, state: &mut State) {
         let is_cut_off = state.paths.is_cut_off(Instant::now());
         if is_cut_off != state.is_cut_off {
             state.is_cut_off = is_cut_off;
