--- a/review/standins/src/bin/stop_while_waiting.rs
+++ b/review/standins/src/bin/stop_while_waiting.rs
@@ -34,13 +34,13 @@
             Service::Engines,
             ("prompt", "/prompt/", "streaming"),
             BUSY_DEADLINE.as_millis(),
-            300,
+            (300, 200),
         ),
         route(
             Service::Engines,
             ("digest", "/digest/", "streaming"),
             WAITING_DEADLINE.as_millis(),
-            3_000,
+            (3_000, 800),
         ),
     ];
     let mut desk = Desk::start(record.clone(), Service::Engines, &routes, Arc::new(answer));
--- a/review/standins/src/desk.rs
+++ b/review/standins/src/desk.rs
@@ -1,5 +1,5 @@
-//! A small deployment: a store, three servers of one plain service, and three nodes in three zones. Its settings and
-//! its configuration have the figures of the pages' examples.
+//! A small deployment: a store, servers of one service, and nodes in three zones; three of each where not said. Its
+//! settings and its configuration have the figures of the pages' examples.
 
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -14,8 +14,16 @@
 use crate::record::Record;
 use crate::store::Store;
 
-pub const IPS: [&str; 3] = ["127.31.1.1", "127.31.2.1", "127.31.3.1"];
-pub const ZONES: [&str; 3] = ["ahm-hall", "gnr-hall", "vad-hall"];
+const IPS: [&str; 7] = [
+    "127.31.1.1",
+    "127.31.2.1",
+    "127.31.3.1",
+    "127.31.1.2",
+    "127.31.2.2",
+    "127.31.3.2",
+    "127.31.1.3",
+];
+const ZONES: [&str; 3] = ["ahm-hall", "gnr-hall", "vad-hall"];
 pub const SERVER_IP: &str = "127.31.9.1";
 pub const HOST: &str = "desk.example";
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
@@ -26,9 +34,9 @@
 /// The service whose servers answer.
 #[derive(Clone, Copy)]
 pub enum Service {
-    /// `case-desk`: three plain servers with 6 slots each.
+    /// `case-desk`: plain servers with 6 slots each.
     Plain,
-    /// `advice-llm`: three model servers with 16 slots each.
+    /// `advice-llm`: model servers with 16 slots each.
     Engines,
 }
 
@@ -67,18 +75,18 @@
     _dir: TempDir,
 }
 
-/// A route of a service, as JSON.
+/// A route of a service, as JSON; `gap_ms` is of use for streams only.
 pub fn route(
     service: Service,
     (name, prefix, kind): (&str, &str, &str),
     timeout_ms: u128,
-    target_ms: u32,
+    (target_ms, gap_ms): (u32, u32),
 ) -> String {
     let service = service.name();
     // Pauses between events and a new run elsewhere, for streams only.
     let stream = match kind {
-        "streaming" => r#","sticky":true,"resumable":true,"target_gap_ms":800"#,
-        _ => "",
+        "streaming" => format!(r#","sticky":true,"resumable":true,"target_gap_ms":{gap_ms}"#),
+        _ => String::new(),
     };
     format!(
         r#"{{"name":"{name}","host":"{HOST}","prefix":"{prefix}","route_type":"{kind}","timeout_ms":{timeout_ms},"target_latency_ms":{target_ms},"priority":1,"service":"{service}","max_attempts":2,"public":false{stream}}}"#
@@ -95,24 +103,39 @@
 }
 
 impl Desk {
-    /// Starts everything and waits until the nodes are ready and have been in touch for `contact_ms`.
+    /// Starts three servers and three nodes, as [`Self::start_with`].
     pub fn start(record: Record, service: Service, routes: &[String], answer: Arc<Answer>) -> Self {
+        Self::start_with((3, 3), record, service, routes, answer)
+    }
+
+    /// Starts so many servers and nodes (7 at most), and waits until the nodes are ready and have been in touch for
+    /// `contact_ms`.
+    pub fn start_with(
+        (servers, nodes): (usize, usize),
+        record: Record,
+        service: Service,
+        routes: &[String],
+        answer: Arc<Answer>,
+    ) -> Self {
         let (name, slots) = (service.name(), service.slots());
         let dir = TempDir::new().expect("a temporary folder");
         let store = Store::default();
         let store_addr = store.serve(SERVER_IP).expect("the store listens");
-        for (n, zone) in ZONES.iter().enumerate() {
+        for n in 0..servers {
+            let zone = ZONES[n % ZONES.len()];
             let addr = serve(n, record.clone(), Arc::clone(&answer));
             let entry = format!(
                 r#"{{"service":"{name}","address":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","cold_remaining_ms":0,"sequence":1}}"#
             );
-            store.put(&format!("servers/i-7f3a91c{n}"), &entry);
+            store.put(&format!("servers/i-7f3a91c{n:02}"), &entry);
         }
         store.put("op/config", &configuration(7, service, routes));
-        let base = free_ports(&IPS);
+        let ips = &IPS[..nodes];
+        let base = free_ports(ips);
         let mut nodes = Vec::new();
-        for (ip, zone) in IPS.iter().zip(ZONES) {
-            let node = Node::start(&dir.0, ip, zone, base, &IPS, store_addr);
+        for (n, ip) in ips.iter().enumerate() {
+            let zone = ZONES[n % ZONES.len()];
+            let node = Node::start(&dir.0, ip, zone, base, &ips[..3], store_addr);
             nodes.push(node.expect("a node starts"));
         }
         assert!(nodes.iter().all(Node::wait_ready), "a node isn't ready");
