A stopping node answers the requests that wait for a target

What callers saw: a long prompt that waited for an engine lost its connection without any answer 7.5 s after its node was stopped, although no engine had run it and its caller still had seconds left.

Cause: the stop refused only requests that arrived after a third of the grace period. Nothing ended those that already waited for a placement; they were dropped with the process.

Evidence: the log of the stopped node has neither `placed` nor any end for them, `stopped` counts two answers in flight, and the record of the engines has no run. They were logged as `caller left`, which was wrong.

Change: a request passes a gate before each send. Once the node refuses new requests, the gates of those that no target may have begun are closed and these are refused, not run. What was sent keeps its target; 0.2 s before the end of the process, requests whose answer has not begun get a final one, 503 or 504. A body that still arrives is refused at once. New log lines and a metric tell such ends from callers that left.

--- a/crates/azuresaddle-core/src/losses/reason.rs
+++ b/crates/azuresaddle-core/src/losses/reason.rs
@@ -28,7 +28,7 @@
     LateAnswer,
     /// The targets failed, or answered with an error status.
     TargetFailed,
-    /// The node stopped while the request was in progress: no line logs its end.
+    /// The node stopped while the request was in progress. If it was killed, no line logs the end.
     NodeEnded,
 }
 
--- a/crates/azuresaddle-core/src/losses/request.rs
+++ b/crates/azuresaddle-core/src/losses/request.rs
@@ -14,6 +14,7 @@
     Refused,
     GivenUp,
     CallerLeft,
+    EndedByStop,
 }
 
 /// One request, as far as its log lines describe it.
@@ -45,6 +46,7 @@
             "stream refused" => End::Refused,
             "stream given up" | "given up" => End::GivenUp,
             "caller left" => End::CallerLeft,
+            "ended by the stop of the node" | "cut by the stop of the node" => End::EndedByStop,
             _ => return,
         };
         // A complete answer takes precedence over the caller closing the connection.
@@ -61,6 +63,7 @@
         let runs = line.runs.unwrap_or(0);
         match end {
             End::CallerLeft => Reason::CallerLeft,
+            End::EndedByStop => Reason::NodeEnded,
             End::Complete => reason_of_stream(line),
             End::Answered => reason_of_answer(line),
             End::Refused | End::GivenUp if runs == 0 => reason_of_refusal(line),
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -33,6 +33,8 @@
     NoPath,
     /// The target is in back-off, so the request was not sent.
     InBackOff,
+    /// The node stops, so the request was not sent.
+    Stopping,
     /// The target answered that it did not run the request.
     Declined {
         status: StatusCode,
@@ -57,6 +59,7 @@
             Self::NotSent(_)
             | Self::NoPath
             | Self::InBackOff
+            | Self::Stopping
             | Self::Declined { .. }
             | Self::WrongTarget
             | Self::Stalled { was_taken: false } => Verdict::NotRun,
@@ -72,6 +75,7 @@
             Self::NotSent(_) => "not-sent",
             Self::NoPath => "no-path",
             Self::InBackOff => "held-back",
+            Self::Stopping => "stopping",
             Self::Declined { .. } => "declined",
             Self::WrongTarget => "wrong-target",
             Self::Broken(_) => "broken",
@@ -85,7 +89,11 @@
     pub(super) fn reached_target(&self) -> bool {
         !matches!(
             self,
-            Self::NotSent(_) | Self::NoPath | Self::InBackOff | Self::Stalled { was_taken: false }
+            Self::NotSent(_)
+                | Self::NoPath
+                | Self::InBackOff
+                | Self::Stopping
+                | Self::Stalled { was_taken: false }
         )
     }
 }
@@ -115,6 +123,7 @@
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
             Self::NoPath => f.write_str("not sent: no path to the target"),
             Self::InBackOff => f.write_str("not sent: the target is in back-off"),
+            Self::Stopping => f.write_str("not sent: the node is stopping"),
             Self::Declined {
                 status,
                 at_fault: None,
--- a/crates/azuresaddle-edge/src/forward/disconnect_log.rs
+++ b/crates/azuresaddle-edge/src/forward/disconnect_log.rs
@@ -1,15 +1,16 @@
-//! Logs callers that disconnect before their answer is complete.
+//! Logs answers that end before they are complete, though neither the node nor a target gave up.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use tokio::time::Instant;
+use super::head::ForwardRequest;
+use crate::shutdown::{Shutdown, ShutdownStage};
 
-/// Logs a disconnect when dropped, unless the answer was marked as complete.
+/// Logs when dropped, unless the answer was marked as complete or the request was ended by the stop of the node.
 #[derive(Debug)]
 pub(super) struct DisconnectLog {
-    request: String,
-    arrived: Instant,
+    req: Arc<ForwardRequest>,
+    shutdown: Arc<Shutdown>,
     is_complete: Arc<AtomicBool>,
 }
 
@@ -18,10 +19,10 @@
 pub(super) struct CompletionFlag(Arc<AtomicBool>);
 
 impl DisconnectLog {
-    pub(super) fn new(request: &str, arrived: Instant) -> Self {
+    pub(super) fn new(req: &Arc<ForwardRequest>, shutdown: &Arc<Shutdown>) -> Self {
         Self {
-            request: request.to_owned(),
-            arrived,
+            req: Arc::clone(req),
+            shutdown: Arc::clone(shutdown),
             is_complete: Arc::default(),
         }
     }
@@ -40,14 +41,20 @@
 
 impl Drop for DisconnectLog {
     fn drop(&mut self) {
-        if self.is_complete.load(Ordering::Relaxed) {
+        if self.is_complete.load(Ordering::Relaxed) || self.req.gate.is_closed() {
             return;
         }
-        tracing::info!(
-            part = "forward",
-            request = self.request,
-            age_ms = self.arrived.elapsed().as_millis() as u64,
-            "caller left"
-        );
+        let request = self.req.head.id();
+        let age_ms = self.req.arrived.elapsed().as_millis() as u64;
+        if self.shutdown.stage() == ShutdownStage::Ending {
+            tracing::info!(
+                part = "forward",
+                request,
+                age_ms,
+                "cut by the stop of the node"
+            );
+        } else {
+            tracing::info!(part = "forward", request, age_ms, "caller left");
+        }
     }
 }
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -19,10 +19,12 @@
 use super::pace_probes::run_pace_probes;
 use super::plain::forward_plain;
 use super::retry_budget::RetryBudget;
+use super::stopping::answer_on_stop;
 use super::stream::forward_stream;
 use crate::metrics::Metrics;
 use crate::placement::{Owner, PlacementClient};
 use crate::quarantine::SharedQuarantine;
+use crate::shutdown::Shutdown;
 use crate::signals::ObservedSignals;
 use crate::snapshot::Snapshots;
 use crate::targets::{
@@ -40,6 +42,7 @@
     pub(crate) observations: Arc<SendObservations>,
     pub(crate) metrics: Metrics,
     pub(crate) dialer: TargetDialer<N>,
+    pub(crate) shutdown: Arc<Shutdown>,
 }
 
 /// Forwards requests of callers to targets.
@@ -61,6 +64,7 @@
     pub(super) broken_sends: BrokenSends,
     pub(super) bounds: Bounds,
     pub(super) metrics: Metrics,
+    pub(super) shutdown: Arc<Shutdown>,
     pub(super) burn: Arc<BurnRecorder>,
     budget: ByteBudget,
 }
@@ -77,6 +81,7 @@
             observations,
             metrics,
             dialer,
+            shutdown,
         } = parts;
         let bounds = settings.bounds;
         let forwarder = Arc::new(Self {
@@ -94,6 +99,7 @@
             broken_sends: BrokenSends::default(),
             bounds,
             metrics,
+            shutdown,
             burn: Arc::default(),
             budget: ByteBudget::of_memory(settings.memory_mb),
         });
@@ -114,19 +120,29 @@
     /// Forwards one request and returns the answer for the caller.
     pub(crate) async fn forward(self: &Arc<Self>, req: ForwardRequest) -> Response<ProxyBody> {
         self.retry_budget.on_request(&req.service);
-        let service = Arc::clone(&req.service);
-        let arrived = req.arrived;
-        let response = if req.route.is_stream {
-            forward_stream(Arc::clone(self), req).await
-        } else {
-            let disconnect_log = DisconnectLog::new(req.head.id(), req.arrived);
-            let response = forward_plain(self, &req).await;
-            disconnect_log.completion().set();
-            self.record_plain(&req, response.status());
-            response
+        let req = Arc::new(req);
+        let response = tokio::select! {
+            biased;
+            response = self.forward_to_targets(&req) => response,
+            response = answer_on_stop(self, &req) => response,
         };
-        let took = arrived.elapsed();
-        self.metrics.on_answer(&service, response.status(), took);
+        let took = req.arrived.elapsed();
+        let status = response.status();
+        self.metrics.on_answer(&req.service, status, took);
+        response
+    }
+
+    async fn forward_to_targets(
+        self: &Arc<Self>,
+        req: &Arc<ForwardRequest>,
+    ) -> Response<ProxyBody> {
+        let disconnect_log = DisconnectLog::new(req, &self.shutdown);
+        if req.route.is_stream {
+            return forward_stream(Arc::clone(self), Arc::clone(req), disconnect_log).await;
+        }
+        let response = forward_plain(self, req).await;
+        disconnect_log.completion().set();
+        self.record_plain(req, response.status());
         response
     }
 
--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -15,6 +15,8 @@
 use hyper::{Method, Request, Uri};
 use tokio::time::Instant;
 
+use super::send_gate::SendGate;
+
 /// Hop-by-hop headers, in addition to those named by `Connection`.
 const HOP_BY_HOP: [HeaderName; 9] = [
     CONNECTION,
@@ -109,6 +111,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// Identify the parts of its prompt that other requests may share, at most [`MAX_PROMPT_PARTS`].
     pub(crate) prompt_parts: Vec<Fingerprint>,
+    /// Passed before each send.
+    pub(crate) gate: SendGate,
 }
 
 /// Most parts of a prompt that are looked at. A request without a limit could fill the memory of the quarantine.
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -18,7 +18,9 @@
 mod problem;
 mod reservations;
 mod retry_budget;
+mod send_gate;
 mod signals;
+mod stopping;
 mod stream;
 mod target_call;
 #[cfg(test)]
@@ -30,3 +32,5 @@
 pub(crate) use forwarder::{Forwarder, ForwarderParts};
 pub(crate) use head::{ForwardRequest, RequestHead, fingerprint_of, prompt_parts_of};
 pub(crate) use problem::{problem_response, refusal};
+pub(crate) use send_gate::SendGate;
+pub(crate) use stopping::stopping_refusal;
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -214,6 +214,7 @@
             | SendFailure::NotSent(_)
             | SendFailure::NoPath
             | SendFailure::InBackOff
+            | SendFailure::Stopping
             | SendFailure::WrongTarget
             | SendFailure::NoRoom,
         ) => None,
@@ -259,6 +260,9 @@
             self.runs += 1;
         } else {
             self.declined += 1;
+            if self.runs == 0 {
+                req.gate.on_not_run();
+            }
         }
         let is_unsent = matches!(failure, SendFailure::NotSent(_) | SendFailure::NoPath);
         let goes_elsewhere = is_unsent && cx.has_other_target(&req.service, target, &self.exclude);
@@ -384,7 +388,7 @@
             }
         }
         // The node is at fault, not the target.
-        SendFailure::NoRoom => {}
+        SendFailure::NoRoom | SendFailure::Stopping => {}
     }
 }
 
@@ -402,6 +406,9 @@
     };
     let outgoing = req.for_target(&options);
     let id = &req.head.attempt_id;
+    if !req.gate.try_send() {
+        return Err(SendFailure::Stopping);
+    }
     let response = send(
         cx,
         target,
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -65,6 +65,9 @@
     pub(super) fn may_send_again(&mut self, failure: &SendFailure) -> bool {
         if failure.verdict() == Verdict::NotRun {
             self.declined += 1;
+            if self.runs == 0 {
+                self.req.gate.on_not_run();
+            }
             return self.declined <= MAX_DECLINED
                 && !time_until(self.req.deadline).is_zero()
                 && (!failure.reached_target() || self.cx.try_take_retry(&self.req.service));
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -41,14 +41,14 @@
 /// Forwards a request that is answered with a stream of events.
 pub(super) async fn forward_stream<N: Network>(
     cx: Arc<Forwarder<N>>,
-    req: ForwardRequest,
+    req: Arc<ForwardRequest>,
+    disconnect_log: DisconnectLog,
 ) -> Response<ProxyBody> {
     let tasks = cx.spawner.clone();
     let cancel = CancellationToken::new();
     let guard = cancel.clone().drop_guard();
     let (start_tx, start_rx) = oneshot::channel();
     let (events_tx, events_rx) = event_buffer();
-    let disconnect_log = DisconnectLog::new(req.head.id(), req.arrived);
     let relay = Relay {
         completion: disconnect_log.completion(),
         cx,
@@ -137,7 +137,7 @@
 struct Relay<N: Network> {
     completion: CompletionFlag,
     cx: Arc<Forwarder<N>>,
-    req: ForwardRequest,
+    req: Arc<ForwardRequest>,
     /// Takes the start of the answer; `None` once it is sent.
     start_tx: Option<oneshot::Sender<AnswerStart>>,
     events: EventSender,
@@ -235,7 +235,9 @@
                 },
                 None => StreamOutcome::TargetRefused(lead),
             },
-            SendFailure::InBackOff | SendFailure::NoRoom => StreamOutcome::Cancelled,
+            SendFailure::InBackOff | SendFailure::Stopping | SendFailure::NoRoom => {
+                StreamOutcome::Cancelled
+            }
             SendFailure::WrongTarget => StreamOutcome::TargetFailed(lead),
             SendFailure::NotSent(_)
             | SendFailure::NoPath
--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -70,6 +70,9 @@
         let first_event_by = self.silence_deadline(placement.first_event_timeout);
         let id = &self.req.head.attempt_id;
         let timeout = time_until(first_event_by);
+        if !self.req.gate.try_send() {
+            return SendOutcome::Lost(SendFailure::Stopping);
+        }
         let sent = send(
             &self.cx,
             &placement.target,
--- a/crates/azuresaddle-edge/src/forward/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/tests/mod.rs
@@ -6,3 +6,4 @@
 mod plain_connect;
 mod problem;
 mod retry_budget;
+mod send_gate;
--- a/crates/azuresaddle-edge/src/frontend/connection.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -16,9 +16,9 @@
 use super::guarded_body::GuardedBody;
 use super::head_buffer::HeadBuffer;
 use super::service::{Answer, CallerService};
-use super::shutdown::ShutdownStage;
 use crate::flow::{MeteredStream, WriteProgress};
 use crate::forward::MAX_READ_PAUSE;
+use crate::shutdown::ShutdownStage;
 
 /// Size of the read buffer in multiples of the head limit. A head beyond its limit is still read up to this size, so
 /// that the node can answer that it is too long.
@@ -91,7 +91,7 @@
             },
             () = wait_for_slow_reader(&progress, &activity) => break ConnectionEnd::SlowReader,
             Ok(()) = stage_changes.changed() => {
-                if service.shutdown().stage() == ShutdownStage::Refusing {
+                if service.shutdown().stage() >= ShutdownStage::Refusing {
                     Pin::new(&mut conn).graceful_shutdown();
                 }
             }
--- a/crates/azuresaddle-edge/src/frontend/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/mod.rs
@@ -7,10 +7,8 @@
 mod head_buffer;
 mod listener;
 mod service;
-mod shutdown;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use listener::serve_callers;
 pub(crate) use service::CallerService;
-pub(crate) use shutdown::Shutdown;
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -16,11 +16,11 @@
 use tokio::time::Instant;
 
 use super::admission::{Admitted, Rejection, admit};
-use super::shutdown::{Shutdown, ShutdownStage};
 use crate::forward::{
-    ForwardRequest, Forwarder, InFlightAnswers, ProxyBody, RequestHead, fingerprint_of,
-    problem_response, prompt_parts_of, refusal,
+    ForwardRequest, Forwarder, InFlightAnswers, ProxyBody, RequestHead, SendGate, fingerprint_of,
+    problem_response, prompt_parts_of, refusal, stopping_refusal,
 };
+use crate::shutdown::{Shutdown, ShutdownStage};
 use crate::snapshot::{Snapshot, Snapshots};
 
 /// Longest wait of a request until the node has its first configuration. Loading takes this long if hundreds of nodes
@@ -36,9 +36,6 @@
 /// `Retry-After` if the node has no configuration yet, or the route has no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` if the node is stopping. It is short, since the caller retries at another node.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// `Retry-After` if the body does not fit into the byte budget. Most requests end within this time and return their bytes.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -57,6 +54,8 @@
     NoRoom,
     /// The caller is at fault.
     Rejected(Rejection),
+    /// The node stops.
+    Stopping,
 }
 
 /// Handles the requests of callers.
@@ -142,23 +141,22 @@
         let (parts, body) = req.into_parts();
         let admitted = admit(configuration, &parts.uri, &parts.headers)
             .map_err(|rejection| self.reject(&parts.headers, rejection))?;
-        if self.shutdown.stage() == ShutdownStage::Refusing {
-            let detail = "the node is stopping";
-            return Err(refuse(&parts.headers, detail, STOPPING_RETRY_AFTER));
-        }
         let attempt_id = parts.headers.get(&headers::ATTEMPT_ID).cloned();
         let attempt_id = attempt_id.ok_or_else(|| {
             let status = StatusCode::BAD_REQUEST;
             self.reject(&parts.headers, Rejection::new(status, "no attempt id"))
         })?;
         let deadline = arrived + time_limit(&admitted, &parts.headers);
-        let body = self
-            .read_body(configuration, &admitted, body, deadline)
-            .await
-            .map_err(|failure| match failure {
-                BodyFailure::Rejected(rejection) => self.reject(&parts.headers, rejection),
-                BodyFailure::NoRoom => self.refuse_body(&parts.headers),
-            })?;
+        let body = tokio::select! {
+            biased;
+            () = self.shutdown.until(ShutdownStage::Refusing) => Err(BodyFailure::Stopping),
+            body = self.read_body(configuration, &admitted, body, deadline) => body,
+        };
+        let body = body.map_err(|failure| match failure {
+            BodyFailure::Rejected(rejection) => self.reject(&parts.headers, rejection),
+            BodyFailure::NoRoom => self.refuse_body(&parts.headers),
+            BodyFailure::Stopping => refuse_stopping(&parts.headers),
+        })?;
         let at = rand::rng().random_range(0.0..1.0);
         let service = admitted.route.pick_service(at).cloned().ok_or_else(|| {
             let detail = "the route sends to no service";
@@ -175,6 +173,7 @@
             account: admitted.account,
             arrived,
             deadline,
+            gate: SendGate::default(),
         })
     }
 
@@ -291,16 +290,27 @@
     detail: &'static str,
     retry_after: Duration,
 ) -> Box<Response<ProxyBody>> {
+    log_refusal(map, detail);
+    Box::new(refusal(detail, retry_after))
+}
+
+/// Logs and refuses a request since the node stops. A part of its body may be unread, but the connection is closed in any
+/// case.
+fn refuse_stopping(map: &HeaderMap) -> Box<Response<ProxyBody>> {
+    log_refusal(map, "the node is stopping");
+    Box::new(stopping_refusal())
+}
+
+fn log_refusal(map: &HeaderMap, reason: &'static str) {
     tracing::info!(
         part = "frontend",
         request = map
             .get(&headers::ATTEMPT_ID)
             .and_then(|id| id.to_str().ok()),
         status = StatusCode::SERVICE_UNAVAILABLE.as_u16(),
-        reason = detail,
+        reason,
         "request rejected"
     );
-    Box::new(refusal(detail, retry_after))
 }
 
 /// Time limit of a request from its arrival: the caller's, or the route's timeout if it is shorter.
--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -1,8 +1,9 @@
-//! Tests of callers and targets that stop reading, with a whole request path on a paused clock.
+//! Tests of callers and targets that stop reading, and of stopping nodes, with a whole request path on a paused clock.
 
 mod bodies;
 mod caller;
 mod memory;
 mod slow_callers;
+mod stopping;
 mod target;
 mod test_node;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/tests/stopping.rs
@@ -0,0 +1,73 @@
+//! Tests of requests that are in progress when their node stops.
+
+use std::time::Duration;
+
+use azuresaddle_core::prelude::Listener;
+use azuresaddle_platform::headers;
+use tokio::io::{AsyncWriteExt, DuplexStream};
+use tokio::time::Instant;
+
+use super::caller::{head, read_all, send};
+use super::target::read_head;
+use super::test_node::{TestNode, TestOptions};
+use crate::shutdown::ShutdownStage;
+
+/// Reads the answer until the node closes the connection, and returns its status.
+async fn status(caller: &mut DuplexStream) -> String {
+    let answer = String::from_utf8(read_all(caller).await).unwrap();
+    let status = answer.split(' ').nth(1);
+    status.unwrap_or("none").to_owned()
+}
+
+/// Accepts a request of the node.
+async fn accept(node: &mut TestNode) -> DuplexStream {
+    let mut target = node.target.accept().await.unwrap();
+    read_head(&mut target).await;
+    target
+}
+
+/// Guards against a request that is dropped with the process because its body was still arriving.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_body_still_arrives_is_refused_at_once() {
+    let node = TestNode::open(TestOptions::default());
+    let length = "content-length: 100\r\n";
+    let mut caller = send(node.connect(), &head("/plain/1", length)).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    node.shutdown.enter(ShutdownStage::Refusing);
+    let began = Instant::now();
+    assert_eq!(status(&mut caller).await, "503");
+    assert_eq!(began.elapsed(), Duration::ZERO);
+}
+
+/// Guards against a stop that takes the target from a request which it could still answer.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_sent_keeps_its_target_until_the_process_ends() {
+    let mut node = TestNode::open(TestOptions::default());
+    let mut caller = send(node.connect(), &head("/plain/1", "")).await;
+    let mut target = accept(&mut node).await;
+    node.shutdown.enter(ShutdownStage::Refusing);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let id = headers::ATTEMPT_ID;
+    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 2\r\n\r\nok");
+    target.write_all(answer.as_bytes()).await.unwrap();
+    assert_eq!(status(&mut caller).await, "200");
+}
+
+/// Guards against a request that loses its connection without an answer when the process ends, and against the claim that
+/// it did not run.
+#[tokio::test(start_paused = true)]
+async fn a_request_without_an_answer_gets_one_before_the_process_ends() {
+    for path in ["/plain/1", "/events/1"] {
+        let mut node = TestNode::open(TestOptions::default());
+        let mut caller = send(node.connect(), &head(path, "")).await;
+        let mut target = accept(&mut node).await;
+        node.shutdown.enter(ShutdownStage::Refusing);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        node.shutdown.enter(ShutdownStage::Ending);
+        assert_eq!(status(&mut caller).await, "504", "{path}");
+        let metric = "azuresaddle_ended_by_stop_total{service=\"svc\",verdict=\"may-have-run\"} 1";
+        assert!(node.has_metric(metric), "{path}");
+        // The target no longer works for it.
+        assert_eq!(read_all(&mut target).await, b"", "{path}");
+    }
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -21,12 +21,13 @@
     MemoryListener, MemoryNetwork, memory_network_with_buffer,
 };
 use crate::forward::{Forwarder, ForwarderParts, InFlightAnswers};
+use crate::frontend::CallerService;
 use crate::frontend::connection::serve_connection;
-use crate::frontend::{CallerService, Shutdown};
 use crate::metrics::Metrics;
 use crate::peer::PeerClients;
 use crate::placement::{Owner, PlacementClient, PlacementClientParts};
 use crate::quarantine::SharedQuarantine;
+use crate::shutdown::Shutdown;
 use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
 use crate::targets::{SendObservations, SharedPaths, TargetDialer};
 
@@ -59,6 +60,7 @@
     forwarder: Arc<Forwarder<MemoryNetwork>>,
     /// Accepts the node's connections to the target.
     pub(super) target: MemoryListener,
+    pub(super) shutdown: Arc<Shutdown>,
     metrics: Metrics,
 }
 
@@ -89,6 +91,7 @@
                 sends_priority: false,
             },
         );
+        let shutdown = Arc::new(Shutdown::default());
         let parts = ForwarderParts {
             spawner: spawner.clone(),
             snapshots: snapshots.clone(),
@@ -105,18 +108,20 @@
                 paths: SharedPaths::new(metrics.clone()),
                 tunnel_port: settings.tunnel_port,
             },
+            shutdown: Arc::clone(&shutdown),
         };
         let forwarder = Forwarder::spawn(&settings, parts);
         let service = CallerService::new(
             Arc::clone(&forwarder),
             snapshots,
-            Arc::new(Shutdown::default()),
+            Arc::clone(&shutdown),
             InFlightAnswers::default(),
         );
         Self {
             service,
             forwarder,
             target,
+            shutdown,
             metrics,
         }
     }
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer;
 mod placement;
 mod quarantine;
+mod shutdown;
 mod signals;
 mod snapshot;
 mod targets;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::byte_budget::{ByteBudget, HeldFor};
+use azuresaddle_core::prelude::*;
 use hyper::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -97,6 +98,13 @@
     side: &'static str,
 }
 
+/// Labels of requests that the stop of the node ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StopLabels {
+    service: String,
+    verdict: String,
+}
+
 /// All metrics of a node; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -135,6 +143,7 @@
     pub(crate) is_cut_off: Gauge,
     pub(crate) tunnels_used: Counter,
     tunnel_requests: Family<TunnelLabels, Counter>,
+    ended_by_stop: Family<StopLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -181,6 +190,7 @@
             is_cut_off: Gauge::default(),
             tunnels_used: Counter::default(),
             tunnel_requests: Family::default(),
+            ended_by_stop: Family::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -277,6 +287,8 @@
         r.register("slow_readers", help, self.slow_readers.clone());
         let help = "Requests that were refused since their body did not fit into the byte budget";
         r.register("body_refusals", help, self.body_refusals.clone());
+        let help = "Requests without an answer that were ended by the stop of the node";
+        r.register("ended_by_stop", help, self.ended_by_stop.clone());
     }
 
     /// Counts an answer to a caller.
@@ -388,6 +400,15 @@
         self.slow_readers.get_or_create(&SideLabels { side }).inc();
     }
 
+    /// Counts a request that the stop of the node ended.
+    pub(crate) fn on_ended_by_stop(&self, service: &str, verdict: Verdict) {
+        let labels = StopLabels {
+            service: service.to_owned(),
+            verdict: verdict.to_string(),
+        };
+        self.ended_by_stop.get_or_create(&labels).inc();
+    }
+
     /// Sets the gauges of buffered bytes to their present values.
     pub(crate) fn set_held_bytes(&self, budget: &ByteBudget) {
         for (label, held_for) in [("caller", HeldFor::Caller), ("target", HeldFor::Target)] {
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -23,12 +23,13 @@
 use crate::directory::Directory;
 use crate::domain_hash::domain_hash;
 use crate::forward::{Forwarder, ForwarderParts, InFlightAnswers};
-use crate::frontend::{CallerService, Shutdown, serve_callers};
+use crate::frontend::{CallerService, serve_callers};
 use crate::metrics::Metrics;
 use crate::operator_endpoints::OperatorEndpoints;
 use crate::peer::{PeerClients, serve_peers};
 use crate::placement::{Owner, PlacementClient, PlacementClientParts};
 use crate::quarantine::SharedQuarantine;
+use crate::shutdown::{Shutdown, ShutdownStage};
 use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, Snapshots, TargetSet};
 use crate::targets::{SendObservations, SharedPaths, TargetDialer};
 use crate::tunnel::{TunnelServer, serve_tunnels};
@@ -53,6 +54,9 @@
 /// Most engines that wait for a probe of their pace. A pool that suspects more of them requests them again later.
 const PACE_PROBE_QUEUE_CAPACITY: usize = 64;
 
+/// Time before it for the final answers to requests that have none.
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// Interval at which a stopping node checks whether all answers are finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -187,6 +191,7 @@
             leaving: leaving.clone(),
         };
         serve_tunnels(tunnels, &spawner, tunnel_server);
+        let stopping = Arc::new(Shutdown::default());
         let parts = ForwarderParts {
             spawner: spawner.clone(),
             snapshots: snapshots.clone(),
@@ -203,6 +208,7 @@
                 paths,
                 tunnel_port: settings.tunnel_port,
             },
+            shutdown: Arc::clone(&stopping),
         };
         let forwarder = Forwarder::spawn(&settings, parts);
         forwarder.probe_paces(owner, pace_probes_rx);
@@ -213,7 +219,6 @@
             snapshots: snapshots.clone(),
             budget: forwarder.budget().clone(),
         });
-        let stopping = Arc::new(Shutdown::default());
         let closed = CancellationToken::new();
         let callers = bind(&net, "callers", settings.listen.callers).await?;
         let service = CallerService::new(
@@ -245,8 +250,9 @@
         })
     }
 
-    /// Stops gracefully: removes this node from the addresses that callers are given, later refuses new requests, and
-    /// returns when every answer is finished or the grace period is nearly over.
+    /// Stops gracefully: removes this node from the addresses that callers are given, later refuses new requests and those
+    /// that still wait for a target, and returns when every answer is finished or the grace period is nearly over. Requests
+    /// whose answer has not begun by then get a final answer.
     pub async fn stop(&self) {
         let started = Instant::now();
         tracing::info!(
@@ -255,16 +261,16 @@
             "stopping"
         );
         self.leaving.cancel();
-        self.stopping.advance();
+        self.stopping.enter(ShutdownStage::Closing);
         tokio::time::sleep_until(started + self.grace.mul_f64(REFUSE_AFTER_SHARE)).await;
-        self.stopping.advance();
+        self.stopping.enter(ShutdownStage::Refusing);
         let end = started + self.grace - EXIT_MARGIN;
         // Callers that looked up this address earlier may still connect for a moment. They get a refusal rather than a
         // closed port.
         tokio::time::sleep(DRAIN_POLL_INTERVAL * 4).await;
-        while self.in_flight.count() > 0 && Instant::now() < end {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        self.wait_for_answers(end - FINAL_ANSWERS_TIME).await;
+        self.stopping.enter(ShutdownStage::Ending);
+        self.wait_for_answers(end).await;
         self.closed.cancel();
         tracing::info!(
             part = "node",
@@ -273,6 +279,13 @@
             "stopped"
         );
     }
+
+    /// Waits until every answer is finished, at most until `end`.
+    async fn wait_for_answers(&self, end: Instant) {
+        while self.in_flight.count() > 0 && Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
 }
 
 fn first_snapshot(settings: &NodeSettings, incarnation: u64) -> Snapshot {
--- a/tests/testsuite/losses.rs
+++ b/tests/testsuite/losses.rs
@@ -61,6 +61,10 @@
             Reason::TargetFailed,
         ),
         (placed.clone(), Reason::NodeEnded),
+        (
+            log_line("1", "ended by the stop of the node", 0, 90, ""),
+            Reason::NodeEnded,
+        ),
     ];
     for (line, reason) in cases {
         assert_eq!(reason_of(std::slice::from_ref(&line)), reason, "{line}");
--- a/tests/testsuite/platform/drains.rs
+++ b/tests/testsuite/platform/drains.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::platform::Caller;
+use azuresaddle_standin::platform::{Caller, CallerRequest, PlatformOptions};
+use azuresaddle_standin::soak::FleetOptions;
 use nix::sys::signal::Signal;
 use tokio::time::Instant;
 
-use super::support::{fleet, plain, status, stream};
+use super::support::{fleet, fleet_of, plain, status, stream};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_target_gets_no_new_requests() {
@@ -58,6 +59,62 @@
     );
 }
 
+/// Guards against requests that wait for an engine while their node stops, and lose their connection without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waits_for_an_engine_is_answered_when_its_node_stops() {
+    let options = FleetOptions {
+        nodes: 2,
+        platform: PlatformOptions {
+            engines: 1,
+            plain: 1,
+        },
+    };
+    let mut fleet = fleet_of("stop-waiting", options).await;
+    fleet.platform.change_configuration(|c| {
+        // Callers wait for the first event for four times the latency target.
+        c.routes[0].target_ms = 3000;
+        c.routes[0].timeout_ms = 12_000;
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let (stopped, other) = (fleet.nodes[0].callers_addr(), fleet.nodes[1].callers_addr());
+    // These take all slots of the engine until after the stop.
+    let busy: Vec<_> = (0..16)
+        .map(|_| {
+            let asked = stream("/ask-once/1", 1000, 220);
+            let asked = CallerRequest {
+                timeout: Duration::from_secs(8),
+                ..asked
+            };
+            tokio::spawn(async move { Caller::default().ask(other, &asked).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let waiting: Vec<_> = (0..4)
+        .map(|_| {
+            let asked = CallerRequest {
+                timeout: Duration::from_secs(12),
+                ..stream("/ask/1", 100_000, 3)
+            };
+            let sent = asked.clone();
+            let answer = tokio::spawn(async move { Caller::default().ask(stopped, &sent).await });
+            (asked.attempt, answer)
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.nodes[0].signal(Signal::SIGTERM);
+    for (attempt, answer) in waiting {
+        let answer = answer.await.unwrap().unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(answer.has_retry_after);
+        assert_eq!(fleet.platform.runs.of(&attempt).count, 0);
+    }
+    let end = Duration::from_secs(4);
+    assert!(fleet.nodes[0].wait_until_ended(end).await);
+    for answer in busy {
+        assert_eq!(answer.await.unwrap().unwrap().status, 200);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_owner_is_replaced_while_streams_arrive() {
     let mut fleet = fleet("owner", 3).await;
--- a/tests/testsuite/platform/support.rs
+++ b/tests/testsuite/platform/support.rs
@@ -28,6 +28,11 @@
         nodes,
         ..FleetOptions::default()
     };
+    fleet_of(test, options).await
+}
+
+/// Starts a fleet of the given size.
+pub(super) async fn fleet_of(test: &str, options: FleetOptions) -> Fleet {
     let opened = Fleet::open(program(), &dir(test), options).await;
     let fleet = opened.unwrap();
     // Targets write their store entries shortly after the configuration.
