A silent target keeps its idempotent request until another one takes over

What callers saw: an idempotent request whose target took longer than 1.6 times the latency target was answered 504 when the retry budget was used up, and 502 when there was no other target, though its time was not over and the target still worked.

The node gave up the send, and asked only then for a retry and for another target.

Change: the answer is awaited beside the search for both. One send is in a file of its own now, `plain_send.rs`.

--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod pace_probes;
 mod plain;
 mod plain_connect;
+mod plain_send;
 mod problem;
 mod reservations;
 mod retry_budget;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -0,0 +1,221 @@
+//! One send of a request to a plain service, whose answer is read completely before it is forwarded.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::byte_budget::{HeldBytes, read_held};
+use azuresaddle_core::deployment::TargetEntry;
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::headers;
+use azuresaddle_sched::target_health::SendOutcome;
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+use tokio::time::Instant;
+
+use super::attempt::{SendFailure, keep_alive, send, time_until};
+use super::body::ProxyBody;
+use super::forwarder::Forwarder;
+use super::head::{ForwardRequest, SendOptions, strip_hop_by_hop};
+use super::plain::answer_limits;
+use super::plain_connect::{connect_plain, connect_timeout};
+use crate::targets::{Connection, InFlightGuard};
+
+/// Longest answer that is accepted, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Silence of a target after which another one may take over an idempotent request, in multiples of the latency target.
+const SILENCE_FACTOR: f64 = 1.6;
+
+/// Pause before the next search for such a target, while none or no retry is left.
+const REPLACEMENT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Complete answer of a target.
+pub(super) struct TargetAnswer {
+    pub(super) status: StatusCode,
+    headers: HeaderMap,
+    body: HeldBytes,
+}
+
+impl TargetAnswer {
+    pub(super) fn into_response(self) -> Response<ProxyBody> {
+        let mut response = Response::new(ProxyBody::held(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+
+    /// Whether the target ran the request and answered with a server error.
+    pub(super) fn is_failure(&self) -> bool {
+        self.status.is_server_error()
+    }
+}
+
+/// A target with the guard that counts the request there.
+pub(super) type ChosenTarget = (Arc<TargetEntry>, InFlightGuard);
+
+/// How a send ended.
+pub(super) enum Sent {
+    /// The target answered, or the send failed.
+    Ended(Result<TargetAnswer, SendFailure>),
+    /// The target was silent for too long, and another one takes over.
+    Replaced(ChosenTarget),
+}
+
+/// Sends a request once and records the outcome for the nodes that share what they observe.
+///
+/// If the target is silent for too long, it is recorded as not answering, and `next` is awaited beside its answer: a silent
+/// target may be sound and answer later, so the request leaves it only for another one.
+pub(super) async fn send_observed<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    req: &ForwardRequest,
+    target: &Arc<TargetEntry>,
+    connect_timeout: Duration,
+    next: impl Future<Output = ChosenTarget>,
+) -> Sent {
+    let started_at = Instant::now();
+    let connection = match connect_plain(cx, target, connect_timeout).await {
+        Ok(connection) => connection,
+        Err(failure) => return Sent::Ended(Err(failure)),
+    };
+    let mut sending = std::pin::pin!(send_plain(cx, req, target, connection));
+    if let Ok(result) = tokio::time::timeout(silence_limit(req), &mut sending).await {
+        if let Some(outcome) = outcome_of(cx, req, target, &result, started_at.elapsed()) {
+            cx.observe(target, outcome);
+        }
+        return Sent::Ended(result);
+    }
+    cx.observe(target, SendOutcome::NoAnswer);
+    tokio::select! {
+        biased;
+        result = sending => {
+            if result.is_ok() {
+                cx.observe(target, SendOutcome::Slow);
+            }
+            Sent::Ended(result)
+        }
+        next = next => Sent::Replaced(next),
+    }
+}
+
+/// Waits for a target that may take over from `silent`, and takes a retry for it.
+pub(super) async fn replace_silent<N: Network>(
+    cx: &Forwarder<N>,
+    req: &ForwardRequest,
+    silent: &TargetEntry,
+    exclude: &[HostName],
+) -> ChosenTarget {
+    let exclude = [exclude, std::slice::from_ref(&silent.id)].concat();
+    loop {
+        if cx.has_retry(&req.service)
+            && let Some(chosen) = cx.choose_target(&req.service, &exclude).await
+            // Another request may have taken the last retry meanwhile.
+            && cx.try_take_retry(&req.service)
+        {
+            return chosen;
+        }
+        tokio::time::sleep(REPLACEMENT_PAUSE).await;
+    }
+}
+
+/// What a send on an open connection says about its target; `None` if nothing.
+fn outcome_of<N: Network>(
+    cx: &Forwarder<N>,
+    req: &ForwardRequest,
+    target: &TargetEntry,
+    result: &Result<TargetAnswer, SendFailure>,
+    took: Duration,
+) -> Option<SendOutcome> {
+    match result {
+        Ok(answer) if answer.is_failure() => Some(SendOutcome::ServerError),
+        Ok(_) if cx.health.is_slow(&target.id, took) => Some(SendOutcome::Slow),
+        Ok(_) => Some(SendOutcome::Answered),
+        Err(SendFailure::Declined { at_fault: None, .. }) => Some(SendOutcome::Refused),
+        Err(SendFailure::Broken(_) | SendFailure::Stalled { .. }) => Some(SendOutcome::NoAnswer),
+        // Shortly before its deadline a request waits for less than answers usually take.
+        Err(SendFailure::TimedOut) => {
+            (took >= req.route.latency_target).then_some(SendOutcome::NoAnswer)
+        }
+        Err(
+            SendFailure::Declined { .. }
+            | SendFailure::NotSent(_)
+            | SendFailure::NoPath
+            | SendFailure::InBackOff
+            | SendFailure::Stopping
+            | SendFailure::WrongTarget
+            | SendFailure::NoRoom,
+        ) => None,
+    }
+}
+
+/// Longest wait for a connection.
+pub(super) fn connect_limit<N: Network>(
+    cx: &Forwarder<N>,
+    req: &ForwardRequest,
+    target: &TargetEntry,
+    exclude: &[HostName],
+    may_retry: bool,
+) -> Duration {
+    let left = time_until(req.deadline);
+    let limit = if may_retry {
+        silence_limit(req).min(left)
+    } else {
+        left
+    };
+    if cx.has_other_target(&req.service, &target.id, exclude) {
+        connect_timeout(req.arrived + req.route.latency_target, req.deadline).min(limit)
+    } else {
+        limit
+    }
+}
+
+/// Time without an answer after which a target counts as silent.
+fn silence_limit(req: &ForwardRequest) -> Duration {
+    req.route.latency_target.mul_f64(SILENCE_FACTOR)
+}
+
+async fn send_plain<N: Network>(
+    cx: &Forwarder<N>,
+    req: &ForwardRequest,
+    target: &Arc<TargetEntry>,
+    mut connection: Connection,
+) -> Result<TargetAnswer, SendFailure> {
+    let options = SendOptions {
+        target: &target.id,
+        last_event_id: req.head.last_event_id.as_ref(),
+        helpers: None,
+    };
+    let outgoing = req.for_target(&options);
+    let id = &req.head.attempt_id;
+    if !req.gate.try_send() {
+        return Err(SendFailure::Stopping);
+    }
+    let response = send(
+        cx,
+        target,
+        &mut connection,
+        outgoing,
+        id,
+        time_until(req.deadline),
+    )
+    .await?;
+    let (parts, body) = response.into_parts();
+    if let Some((running, waiting, _)) = parts
+        .headers
+        .get(&headers::TARGET_LOAD)
+        .and_then(headers::parse_load)
+    {
+        cx.health.on_load(&target.id, running + waiting);
+    }
+    let limits = answer_limits(MAX_ANSWER_BYTES, req.deadline);
+    let body = read_held(body, &cx.budget_of(req), &limits).await?;
+    if let Some(kept) = keep_alive(&parts.headers) {
+        connection.return_to_pool(kept.0);
+    }
+    let mut headers = parts.headers;
+    strip_hop_by_hop(&mut headers);
+    Ok(TargetAnswer {
+        status: parts.status,
+        headers,
+        body,
+    })
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/silent_targets.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/silent_targets.rs
@@ -65,6 +65,16 @@
     let _ = stream.write_all(b"0\r\n\r\n").await;
 }
 
+/// Answers a plain request after `delay`.
+async fn answer_plain(mut stream: DuplexStream, delay: Duration) {
+    read_head(&mut stream).await;
+    tokio::time::sleep(delay).await;
+    let id = headers::ATTEMPT_ID;
+    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 2\r\n\r\nok");
+    // The node closes the connections of requests that go on elsewhere.
+    let _ = stream.write_all(answer.as_bytes()).await;
+}
+
 /// Sends all requests; their answers are the results of the tasks.
 fn ask_all(node: &TestNode, path: &str) -> JoinSet<Vec<u8>> {
     let mut asks = JoinSet::new();
@@ -105,3 +115,25 @@
         assert_eq!(whole.count(), REQUESTS, "two targets: {has_second_target}");
     }
 }
+
+/// Guards against idempotent requests that are given up while their target still works, since the retry budget is used up or
+/// there is no other target.
+#[tokio::test(start_paused = true)]
+async fn slow_answers_beyond_the_retry_budget_are_awaited() {
+    for has_second_target in [true, false] {
+        let mut node = TestNode::open(options(has_second_target));
+        let answers = ask_all(&node, "/idempotent/1");
+        let targets = async {
+            loop {
+                let stream = node.target.accept().await.unwrap();
+                tokio::spawn(answer_plain(stream, SILENCE));
+            }
+        };
+        let answers = tokio::select! {
+            answers = answers.join_all() => answers,
+            () = targets => unreachable!(),
+        };
+        let served = answers.iter().filter(|a| a.starts_with(b"HTTP/1.1 200"));
+        assert_eq!(served.count(), REQUESTS, "two targets: {has_second_target}");
+    }
+}
