The log tells when the traffic thread runs nothing

A node whose thread for callers hangs serves nobody and logs nothing, while its control thread goes on sending heartbeats. A hang, a wait for memory and a host without processor time could not be told apart.

Control watches a counter that the traffic thread increments, logs when it stands still for a second and when it moves again, and counts these times. A process that was suspended as a whole logs nothing.

--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod signals;
 mod snapshot;
 mod targets;
+mod traffic_watch;
 mod tunnel;
 
 pub use ejected_target_info::EjectedTargetInfo;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -144,6 +144,7 @@
     pub(crate) tunnels_used: Counter,
     tunnel_requests: Family<TunnelLabels, Counter>,
     ended_by_stop: Family<StopLabels, Counter>,
+    pub(crate) traffic_stalls: Counter,
 }
 
 impl Default for Metrics {
@@ -191,6 +192,7 @@
             tunnels_used: Counter::default(),
             tunnel_requests: Family::default(),
             ended_by_stop: Family::default(),
+            traffic_stalls: Counter::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -289,6 +291,8 @@
         r.register("body_refusals", help, self.body_refusals.clone());
         let help = "Requests without an answer that were ended by the stop of the node";
         r.register("ended_by_stop", help, self.ended_by_stop.clone());
+        let help = "Times in which the thread for traffic ran nothing for a second";
+        r.register("traffic_stalls", help, self.traffic_stalls.clone());
     }
 
     /// Counts an answer to a caller.
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -32,6 +32,7 @@
 use crate::shutdown::{Shutdown, ShutdownStage};
 use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, Snapshots, TargetSet};
 use crate::targets::{SendObservations, SharedPaths, TargetDialer};
+use crate::traffic_watch::watch_traffic;
 use crate::tunnel::{TunnelServer, serve_tunnels};
 
 /// Part of the grace period of a stop after which new requests are refused. By then the time to live of the
@@ -115,6 +116,7 @@
         let leaving = CancellationToken::new();
         let socket = bind_heartbeat_socket(&settings, &control).await?;
         let control_spawner = spawner.on_runtime(control);
+        watch_traffic(&spawner, &control_spawner, metrics.clone());
         let (unresponsive_owners, unresponsive_owners_rx) =
             mpsc::channel(UNRESPONSIVE_OWNER_QUEUE_CAPACITY);
         let (crashes, crashes_observed) = mpsc::channel(CRASH_QUEUE_CAPACITY);
