A connection is not idle while its answer is written

What callers saw: one caller that read an answer of 1 MB at 40 KB a second stopped its node for all others, from the idle timeout until that caller's deadline. 70 of 180 short requests there were unanswered at their timeout, and the slow caller got 766,296 of 1,000,000 bytes.

Cause: the guard that marks a connection as answering went with the body, which is dropped when the HTTP library has taken it. The connection counted as idle while bytes waited. At the idle timeout its close could not end, the timeout was over again at once, and the loop never yielded.

Evidence: `the traffic thread runs nothing` 1.0 s after the idle timeout, for 15.3 s; other nodes and the host were not affected. The tests hang on a paused clock, without a socket or load.

Change: after its last byte is taken, an answer counts as being written until the library flushes the stream. The idle timeout closes a connection once; if it comes again the connection is dropped.

--- a/crates/azuresaddle-edge/src/frontend/connection.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -36,7 +36,8 @@
 
 /// How a connection ended.
 enum ConnectionEnd {
-    ByCaller,
+    /// By the caller, or after a graceful close.
+    Closed,
     HeadTimeout,
     SlowReader,
 }
@@ -68,7 +69,6 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                // The body holds the guard, so it lasts until the answer is written.
                 Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, answering)))
             }
         })
@@ -81,12 +81,19 @@
     let mut conn = http1::Builder::new()
         .max_buf_size(max_head_bytes)
         .serve_connection(io, handler);
+    let mut is_closing = false;
     let ended = loop {
         tokio::select! {
+            biased;
             // Errors mean that the caller disconnected or violated the protocol. The handler deals with its own errors.
-            _ = &mut conn => break ConnectionEnd::ByCaller,
+            _ = &mut conn => break ConnectionEnd::Closed,
             timeout = wait_for_timeout(&activity, &service) => match timeout {
-                Timeout::Idle => Pin::new(&mut conn).graceful_shutdown(),
+                // Nothing is being read or written that the library could wait for.
+                Timeout::Idle if is_closing => break ConnectionEnd::Closed,
+                Timeout::Idle => {
+                    is_closing = true;
+                    Pin::new(&mut conn).graceful_shutdown();
+                }
                 Timeout::Head => break ConnectionEnd::HeadTimeout,
             },
             () = wait_for_slow_reader(&progress, &activity) => break ConnectionEnd::SlowReader,
@@ -98,7 +105,7 @@
         }
     };
     match ended {
-        ConnectionEnd::ByCaller => {}
+        ConnectionEnd::Closed => {}
         // An answer that is not written completely must not be followed by another one.
         ConnectionEnd::HeadTimeout if progress.blocked_since().is_some() => {}
         ConnectionEnd::HeadTimeout => {
@@ -163,7 +170,7 @@
                 return Timeout::Head;
             }
             Activity::ReadingHead(since) => since + limits.header_timeout,
-            Activity::Answering => now + limits.idle_timeout,
+            Activity::Answering | Activity::Writing => now + limits.idle_timeout,
         };
         tokio::time::sleep_until(next).await;
     }
--- a/crates/azuresaddle-edge/src/frontend/connection_activity.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection_activity.rs
@@ -1,4 +1,4 @@
-//! Tracks what a connection is doing, from received bytes and answers in progress.
+//! Tracks what a connection is doing, from the bytes that pass and the answers in progress.
 
 use std::io;
 use std::pin::Pin;
@@ -20,6 +20,8 @@
     ReadingHead(Instant),
     /// A request is being answered.
     Answering,
+    /// The answer is complete, and parts of it wait to be written.
+    Writing,
 }
 
 /// Shared state of a connection's activity.
@@ -29,6 +31,8 @@
 #[derive(Debug)]
 struct State {
     activity: Activity,
+    /// Whether bytes of the next request arrived while the answer was written.
+    has_next: bool,
     /// The latest answer, parts of which may wait in the connection after its body has ended.
     watch: Option<AnswerWatch>,
 }
@@ -37,6 +41,7 @@
     pub(super) fn new() -> Self {
         Self(Arc::new(Mutex::new(State {
             activity: Activity::Idle(Instant::now()),
+            has_next: false,
             watch: None,
         })))
     }
@@ -57,14 +62,36 @@
 
     /// Marks the connection as answering until the guard is dropped.
     pub(super) fn begin_answer(&self) -> AnsweringGuard {
-        self.lock().activity = Activity::Answering;
+        let mut state = self.lock();
+        state.activity = Activity::Answering;
+        state.has_next = false;
         AnsweringGuard(self.clone())
     }
 
+    /// Records that the library has the whole answer.
+    fn on_answered(&self) {
+        self.lock().activity = Activity::Writing;
+    }
+
+    /// Records that the library has written all that it had.
+    fn on_written(&self) {
+        let mut state = self.lock();
+        if state.activity == Activity::Writing {
+            let now = Instant::now();
+            state.activity = if std::mem::take(&mut state.has_next) {
+                Activity::ReadingHead(now)
+            } else {
+                Activity::Idle(now)
+            };
+        }
+    }
+
     fn on_received(&self) {
         let mut state = self.lock();
-        if let Activity::Idle(_) = state.activity {
-            state.activity = Activity::ReadingHead(Instant::now());
+        match state.activity {
+            Activity::Idle(_) => state.activity = Activity::ReadingHead(Instant::now()),
+            Activity::Writing => state.has_next = true,
+            Activity::ReadingHead(_) | Activity::Answering => {}
         }
     }
 
@@ -73,17 +100,18 @@
     }
 }
 
-/// Marks the connection as idle when dropped.
+/// Marks the answer as complete when dropped.
 #[derive(Debug)]
 pub(super) struct AnsweringGuard(ConnectionActivity);
 
 impl Drop for AnsweringGuard {
     fn drop(&mut self) {
-        self.0.lock().activity = Activity::Idle(Instant::now());
+        self.0.on_answered();
     }
 }
 
-/// A byte stream that records the arrival of bytes in [`ConnectionActivity`], and counts those of long heads.
+/// A byte stream that records in [`ConnectionActivity`] when bytes arrive and when all are written, and counts the bytes of
+/// long heads.
 #[derive(Debug)]
 pub(super) struct TrackedStream<S> {
     stream: S,
@@ -128,8 +156,11 @@
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
+    /// The library flushes the stream once it has written everything that it buffered.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        std::task::ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.on_written();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/azuresaddle-edge/src/frontend/guarded_body.rs
+++ b/crates/azuresaddle-edge/src/frontend/guarded_body.rs
@@ -1,4 +1,4 @@
-//! An answer body that marks its connection as answering until it is written.
+//! An answer body that marks its connection as answering until the library has all of it.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
--- a/crates/azuresaddle-edge/src/frontend/head_buffer.rs
+++ b/crates/azuresaddle-edge/src/frontend/head_buffer.rs
@@ -36,7 +36,7 @@
     /// # Errors
     /// If they belong to a long head that does not fit into the budget.
     pub(super) fn on_received(&mut self, activity: Activity, count: usize) -> io::Result<()> {
-        if !matches!(activity, Activity::ReadingHead(_)) {
+        if !matches!(activity, Activity::ReadingHead(_) | Activity::Writing) {
             self.received = 0;
             self.permit = None;
             return Ok(());
--- a/crates/azuresaddle-edge/src/frontend/tests/slow_callers.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/slow_callers.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use azuresaddle_core::byte_budget::HeldFor;
+use azuresaddle_core::deployment::RequestLimits;
 use azuresaddle_core::prelude::Listener;
 use azuresaddle_platform::headers;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::time::Instant;
 
 use super::caller::{chunked_body, head, read_all, read_some, send, time_limit};
@@ -99,6 +100,77 @@
     assert_eq!(chunked_body(&answer), Some(LONG_ANSWER.body()));
 }
 
+/// Runs a test that hangs if it fails: a task that never yields can't be stopped by the runtime's clock.
+fn run_with_watchdog(test: impl Future<Output = ()> + Send + 'static) {
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(test);
+        // The receiver is gone if the test took too long.
+        let _ = tx.send(());
+    });
+    let ended = rx.recv_timeout(Duration::from_secs(20));
+    assert!(ended.is_ok(), "the test failed or hangs");
+}
+
+/// Answers one plain request with a body of a megabyte.
+async fn answer_long(node: &mut TestNode) {
+    let mut target = node.target.accept().await.unwrap();
+    read_head(&mut target).await;
+    let id = headers::ATTEMPT_ID;
+    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 1000000\r\n\r\n");
+    target.write_all(answer.as_bytes()).await.unwrap();
+    target.write_all(&vec![b'x'; 1_000_000]).await.unwrap();
+}
+
+/// Reads the rest of an answer, of which `left` bytes are left, at 40 KB a second.
+async fn read_slowly(caller: &mut DuplexStream, mut left: usize) {
+    while left > 0 {
+        left -= read_some(caller, left.min(4000)).await.len();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Guards against a caller that reads its answer for longer than the idle timeout and hangs the node: the connection counted
+/// as idle while the answer was written, and its task closed it again and again without yielding.
+#[test]
+fn a_caller_that_reads_past_the_idle_timeout_does_not_hang_the_node() {
+    run_with_watchdog(async {
+        let mut node = TestNode::open(TestOptions::default());
+        let mut caller = send(node.connect(), &head("/plain/1", "")).await;
+        answer_long(&mut node).await;
+        let idle_timeout = RequestLimits::default().idle_timeout;
+        let began = Instant::now();
+        read_slowly(&mut caller, 1_000_000).await;
+        assert!(began.elapsed() > idle_timeout);
+        // The head of the answer is left.
+        assert!(read_all(&mut caller).await.len() < 1000);
+    });
+}
+
+/// Guards against a connection that is closed by the idle timeout although its caller has only just read the answer.
+#[test]
+fn the_idle_timeout_begins_when_the_answer_is_written() {
+    run_with_watchdog(async {
+        let mut node = TestNode::open(TestOptions::default());
+        let request = head("/plain/1", "").replace("connection: close\r\n", "");
+        let mut caller = send(node.connect(), &request).await;
+        answer_long(&mut node).await;
+        read_slowly(&mut caller, 1_000_000).await;
+        let idle_timeout = RequestLimits::default().idle_timeout;
+        tokio::time::sleep(idle_timeout - Duration::from_secs(1)).await;
+        caller.write_all(request.as_bytes()).await.unwrap();
+        answer_long(&mut node).await;
+        tokio::time::sleep(idle_timeout + Duration::from_secs(1)).await;
+        // Both answers, then the connection is closed.
+        assert!(read_all(&mut caller).await.len() > 1_000_000);
+    });
+}
+
 /// Guards against an answer that is ready and is withheld from a caller that returns late, and against one that is kept
 /// for a caller that does not return.
 #[tokio::test(start_paused = true)]
