A stopping node waits until its answers are written

An answer was in flight until the HTTP library had taken its last byte.

Change: the guard that counts an answer in flight is kept by the connection until the library has written all that it had.

The new test failed before (0 answers in flight while 600 KB were unread) and passes now.

--- a/crates/azuresaddle-edge/src/forward/body.rs
+++ b/crates/azuresaddle-edge/src/forward/body.rs
@@ -22,7 +22,7 @@
 #[error("the answer ended before it was complete")]
 pub(crate) struct AnswerAborted;
 
-/// Counts unfinished answers.
+/// Counts answers that are not written yet.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InFlightAnswers(Arc<AtomicUsize>);
 
@@ -49,11 +49,7 @@
 
 /// Body of an answer: in memory, or relayed as it arrives.
 #[derive(Debug)]
-pub(crate) struct ProxyBody {
-    kind: BodyKind,
-    /// Dropped when the answer has been written or is abandoned.
-    in_flight: Option<InFlightAnswerGuard>,
-}
+pub(crate) struct ProxyBody(BodyKind);
 
 #[derive(Debug)]
 enum BodyKind {
@@ -73,32 +69,20 @@
 
     /// A complete answer of a target.
     pub(super) fn held(bytes: HeldBytes) -> Self {
-        Self {
-            kind: BodyKind::Full(Some(bytes)),
-            in_flight: None,
-        }
+        Self(BodyKind::Full(Some(bytes)))
     }
 
     pub(super) fn relayed(events: EventReceiver, cancel: DropGuard) -> Self {
-        Self {
-            kind: BodyKind::Relayed {
-                events,
-                _cancel: cancel,
-            },
-            in_flight: None,
-        }
-    }
-
-    /// Counts the answer as in flight until this body is dropped.
-    pub(crate) fn with_in_flight_guard(mut self, guard: InFlightAnswerGuard) -> Self {
-        self.in_flight = Some(guard);
-        self
+        Self(BodyKind::Relayed {
+            events,
+            _cancel: cancel,
+        })
     }
 
     /// What decides when a caller that does not read this answer to `request` is disconnected. Once buffered completely,
     /// the answer is kept until `keep_until`.
     pub(crate) fn watch(&self, request: Option<Box<str>>, keep_until: Instant) -> AnswerWatch {
-        let buffer = match &self.kind {
+        let buffer = match &self.0 {
             BodyKind::Full(_) => None,
             BodyKind::Relayed { events, .. } => Some(events.state().clone()),
         };
@@ -118,7 +102,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<AnswerBytes>, AnswerAborted>>> {
-        match &mut self.kind {
+        match &mut self.0 {
             BodyKind::Full(bytes) => {
                 let bytes = bytes.take().filter(|b| !b.is_empty());
                 Poll::Ready(bytes.map(|b| Ok(Frame::data(AnswerBytes::complete(b)))))
@@ -135,14 +119,14 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.kind {
+        match &self.0 {
             BodyKind::Full(bytes) => bytes.as_ref().is_none_or(HeldBytes::is_empty),
             BodyKind::Relayed { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.kind {
+        match &self.0 {
             BodyKind::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -29,7 +29,7 @@
 
 pub(crate) use answer_bytes::AnswerBytes;
 pub(crate) use answer_watch::{AnswerWatch, MAX_READ_PAUSE};
-pub(crate) use body::{AnswerAborted, InFlightAnswers, ProxyBody};
+pub(crate) use body::{AnswerAborted, InFlightAnswerGuard, InFlightAnswers, ProxyBody};
 pub(crate) use forwarder::{Forwarder, ForwarderParts};
 pub(crate) use head::{ForwardRequest, RequestHead, fingerprint_of, prompt_parts_of};
 pub(crate) use problem::{problem_response, refusal};
--- a/crates/azuresaddle-edge/src/frontend/connection.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -56,11 +56,12 @@
         let activity = activity.clone();
         service_fn(move |req| {
             let service = Arc::clone(&service);
-            let answering = activity.begin_answer();
+            let mut answering = activity.begin_answer();
             let activity = activity.clone();
             async move {
                 let Answer {
                     mut response,
+                    in_flight,
                     request,
                     keep_until,
                 } = service.handle(req).await;
@@ -69,6 +70,7 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
+                answering.keep(in_flight);
                 Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, answering)))
             }
         })
--- a/crates/azuresaddle-edge/src/frontend/connection_activity.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection_activity.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::head_buffer::HeadBuffer;
-use crate::forward::AnswerWatch;
+use crate::forward::{AnswerWatch, InFlightAnswerGuard};
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +33,8 @@
     activity: Activity,
     /// Whether bytes of the next request arrived while the answer was written.
     has_next: bool,
+    /// Guards of the complete answers that are not written yet.
+    unwritten: Vec<InFlightAnswerGuard>,
     /// The latest answer, parts of which may wait in the connection after its body has ended.
     watch: Option<AnswerWatch>,
 }
@@ -42,6 +44,7 @@
         Self(Arc::new(Mutex::new(State {
             activity: Activity::Idle(Instant::now()),
             has_next: false,
+            unwritten: Vec::new(),
             watch: None,
         })))
     }
@@ -65,17 +68,23 @@
         let mut state = self.lock();
         state.activity = Activity::Answering;
         state.has_next = false;
-        AnsweringGuard(self.clone())
+        AnsweringGuard {
+            activity: self.clone(),
+            in_flight: None,
+        }
     }
 
     /// Records that the library has the whole answer.
-    fn on_answered(&self) {
-        self.lock().activity = Activity::Writing;
+    fn on_answered(&self, in_flight: Option<InFlightAnswerGuard>) {
+        let mut state = self.lock();
+        state.activity = Activity::Writing;
+        state.unwritten.extend(in_flight);
     }
 
     /// Records that the library has written all that it had.
     fn on_written(&self) {
         let mut state = self.lock();
+        state.unwritten.clear();
         if state.activity == Activity::Writing {
             let now = Instant::now();
             state.activity = if std::mem::take(&mut state.has_next) {
@@ -102,11 +111,21 @@
 
 /// Marks the answer as complete when dropped.
 #[derive(Debug)]
-pub(super) struct AnsweringGuard(ConnectionActivity);
+pub(super) struct AnsweringGuard {
+    activity: ConnectionActivity,
+    in_flight: Option<InFlightAnswerGuard>,
+}
+
+impl AnsweringGuard {
+    /// Keeps the guard of an answer until the answer is written.
+    pub(super) fn keep(&mut self, in_flight: InFlightAnswerGuard) {
+        self.in_flight = Some(in_flight);
+    }
+}
 
 impl Drop for AnsweringGuard {
     fn drop(&mut self) {
-        self.0.on_answered();
+        self.activity.on_answered(self.in_flight.take());
     }
 }
 
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -17,8 +17,8 @@
 
 use super::admission::{Admitted, Rejection, admit};
 use crate::forward::{
-    ForwardRequest, Forwarder, InFlightAnswers, ProxyBody, RequestHead, SendGate, fingerprint_of,
-    problem_response, prompt_parts_of, refusal, stopping_refusal,
+    ForwardRequest, Forwarder, InFlightAnswerGuard, InFlightAnswers, ProxyBody, RequestHead,
+    SendGate, fingerprint_of, problem_response, prompt_parts_of, refusal, stopping_refusal,
 };
 use crate::shutdown::{Shutdown, ShutdownStage};
 use crate::snapshot::{Snapshot, Snapshots};
@@ -42,6 +42,8 @@
 /// An answer for a caller.
 pub(super) struct Answer {
     pub(super) response: Response<ProxyBody>,
+    /// Counts the answer until it is written.
+    pub(super) in_flight: InFlightAnswerGuard,
     /// Id of the attempt.
     pub(super) request: Option<Box<str>>,
     /// Until when the answer is kept for a caller that does not read it.
@@ -118,7 +120,8 @@
                 .or_insert(id);
         }
         Answer {
-            response: response.map(|body| body.with_in_flight_guard(in_flight)),
+            response,
+            in_flight,
             request,
             keep_until,
         }
--- a/crates/azuresaddle-edge/src/frontend/tests/stopping.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/stopping.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::time::Instant;
 
-use super::caller::{head, read_all, send};
+use super::caller::{head, read_all, read_some, send};
 use super::target::read_head;
 use super::test_node::{TestNode, TestOptions};
 use crate::shutdown::ShutdownStage;
@@ -53,6 +53,28 @@
     assert_eq!(status(&mut caller).await, "200");
 }
 
+/// Guards against a process that ends while callers still read their answers, because the answers counted as finished once
+/// the HTTP library had them.
+#[tokio::test(start_paused = true)]
+async fn a_stop_waits_for_answers_that_are_still_read() {
+    let mut node = TestNode::open(TestOptions::default());
+    let mut caller = send(node.connect(), &head("/plain/1", "")).await;
+    let mut target = accept(&mut node).await;
+    node.shutdown.enter(ShutdownStage::Refusing);
+    let id = headers::ATTEMPT_ID;
+    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 600000\r\n\r\n");
+    target.write_all(answer.as_bytes()).await.unwrap();
+    target.write_all(&[b'x'; 600_000]).await.unwrap();
+    for _ in 0..59 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(node.in_flight.count(), 1);
+        read_some(&mut caller, 10_000).await;
+    }
+    let rest = read_all(&mut caller).await;
+    assert!((10_000..11_000).contains(&rest.len()), "{}", rest.len());
+    assert_eq!(node.in_flight.count(), 0);
+}
+
 /// Guards against a request that loses its connection without an answer when the process ends, and against the claim that
 /// it did not run.
 #[tokio::test(start_paused = true)]
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -68,6 +68,7 @@
     /// Accepts the node's connections to all targets.
     pub(super) target: MemoryListener,
     pub(super) shutdown: Arc<Shutdown>,
+    pub(super) in_flight: InFlightAnswers,
     metrics: Metrics,
 }
 
@@ -118,17 +119,19 @@
             shutdown: Arc::clone(&shutdown),
         };
         let forwarder = Forwarder::spawn(&settings, parts);
+        let in_flight = InFlightAnswers::default();
         let service = CallerService::new(
             Arc::clone(&forwarder),
             snapshots,
             Arc::clone(&shutdown),
-            InFlightAnswers::default(),
+            in_flight.clone(),
         );
         Self {
             service,
             forwarder,
             target,
             shutdown,
+            in_flight,
             metrics,
         }
     }
