A small limit on request heads does not break connections

Cause: the read buffer is four times that limit, and the HTTP library panics for one under 8,192 bytes.

Change: the buffer has at least that size; the limit itself is still checked on each head. The new test failed before with the library's panic.

--- a/crates/azuresaddle-edge/src/frontend/connection.rs
+++ b/crates/azuresaddle-edge/src/frontend/connection.rs
@@ -24,6 +24,9 @@
 /// that the node can answer that it is too long.
 const READ_BUFFER_FACTOR: usize = 4;
 
+/// Smallest read buffer that the HTTP library accepts.
+const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
+
 /// Answer if the head of a request does not arrive in time.
 const HEAD_TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -77,7 +80,7 @@
     };
     let progress = WriteProgress::default();
     let stream = MeteredStream::new(stream, progress.clone());
-    let max_head_bytes = limits.max_header_bytes * READ_BUFFER_FACTOR;
+    let max_head_bytes = (limits.max_header_bytes * READ_BUFFER_FACTOR).max(MIN_READ_BUFFER_BYTES);
     let head = HeadBuffer::new(service.head_budget(), max_head_bytes);
     let io = TokioIo::new(TrackedStream::new(stream, activity.clone(), head));
     let mut conn = http1::Builder::new()
--- a/crates/azuresaddle-edge/src/frontend/tests/bodies.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/bodies.rs
@@ -109,6 +109,22 @@
     assert!(answer.contains("retry-after"), "{answer}");
 }
 
+/// Guards against a limit on heads for which the HTTP library panics, so that the node resets each connection.
+#[tokio::test(start_paused = true)]
+async fn a_small_limit_on_heads_does_not_break_connections() {
+    let node = TestNode::open(TestOptions {
+        max_header_bytes: 500,
+        ..TestOptions::default()
+    });
+    let mut short = send(node.connect(), &head("/nowhere/1", "")).await;
+    let answer = text(&read_all(&mut short).await);
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    let filler = format!("x-filler: {}\r\n", "x".repeat(500));
+    let mut long = send(node.connect(), &head("/plain/1", &filler)).await;
+    let answer = text(&read_all(&mut long).await);
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+}
+
 /// Guards against callers that send the beginning of a very long head on many connections.
 #[tokio::test(start_paused = true)]
 async fn a_long_incomplete_head_is_counted_until_its_timeout() {
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -48,6 +48,8 @@
     pub(super) target_buffer_bytes: usize,
     /// Whether there are two targets.
     pub(super) has_second_target: bool,
+    /// Longest head of a request, in bytes.
+    pub(super) max_header_bytes: usize,
 }
 
 impl Default for TestOptions {
@@ -56,6 +58,7 @@
             memory_mb: 160,
             target_buffer_bytes: 1024,
             has_second_target: false,
+            max_header_bytes: RequestLimits::default().max_header_bytes,
         }
     }
 }
@@ -78,7 +81,7 @@
         let (net, target) = memory_network_with_buffer(addr, options.target_buffer_bytes);
         let spawner = Spawner::current();
         let settings = settings(options.memory_mb);
-        let snapshots = Snapshots::new(snapshot(options.has_second_target));
+        let snapshots = Snapshots::new(snapshot(&options));
         let metrics = Metrics::new();
         // No test of this kind sends what these channels carry.
         let (crashes, _) = mpsc::channel(1);
@@ -158,7 +161,7 @@
     }
 }
 
-fn snapshot(has_second_target: bool) -> Snapshot {
+fn snapshot(options: &TestOptions) -> Snapshot {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 8149));
     let target = |name| TargetEntry {
         id: HostName::new(name),
@@ -172,10 +175,10 @@
         sequence: 1,
     };
     let names = [TARGET, SECOND_TARGET].into_iter();
-    let names = names.take(1 + usize::from(has_second_target));
+    let names = names.take(1 + usize::from(options.has_second_target));
     let targets = names.map(|name| Arc::new(target(name)));
     Snapshot {
-        configuration: Some(Arc::new(configuration())),
+        configuration: Some(Arc::new(configuration(options.max_header_bytes))),
         raw_configuration: None,
         targets: Arc::new(TargetSet::new(targets)),
         rate_limits: Arc::default(),
@@ -198,7 +201,7 @@
     }
 }
 
-fn configuration() -> Configuration {
+fn configuration(max_header_bytes: usize) -> Configuration {
     let service = Service {
         name: Arc::from("svc"),
         health_path: "/healthz".to_owned(),
@@ -213,7 +216,10 @@
     };
     Configuration::new(
         RulesVersion(1),
-        RequestLimits::default(),
+        RequestLimits {
+            max_header_bytes,
+            ..RequestLimits::default()
+        },
         vec![
             route("/events/", true, Idempotency::AtMostOnce),
             route("/plain/", false, Idempotency::AtMostOnce),
