A token count near the largest number is refused

Cause: the sum of both counts overflows, so the check against the memory of all engines passes, and the estimate of the wait is no duration. The task that decides on placements panicked.

Change: counts are bounded at 2^40 when a request's head is read; more than all engines hold. The new process test failed before (timeout) and passes now.

--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -115,6 +115,10 @@
     pub(crate) gate: SendGate,
 }
 
+/// Largest token count that is told apart; more than all engines together hold. Sums and estimates of larger counts would
+/// overflow.
+const MAX_TOKENS: u64 = 1 << 40;
+
 /// Most parts of a prompt that are looked at. A request without a limit could fill the memory of the quarantine.
 const MAX_PROMPT_PARTS: usize = 8;
 
@@ -176,14 +180,15 @@
         of_account.unwrap_or(self.route.priority)
     }
 
-    /// Prompt tokens and expected answer tokens, if the request states them.
+    /// Prompt tokens and expected answer tokens, if the request states them; at most [`MAX_TOKENS`] each.
     pub(crate) fn token_counts(&self) -> Option<(u64, u64)> {
         let map = &self.head.headers;
         let (prompt, most) = headers::parse_token_counts(map.get(&headers::TOKEN_COUNTS)?)?;
         let estimate = map
             .get(&headers::ANSWER_ESTIMATE)
             .and_then(headers::parse_number);
-        Some((prompt, estimate.unwrap_or(most).min(most.max(1))))
+        let answer = estimate.unwrap_or(most).min(most.max(1));
+        Some((prompt.min(MAX_TOKENS), answer.min(MAX_TOKENS)))
     }
 
     /// Creates the request to send to one target.
--- a/tests/testsuite/platform/malformed_input.rs
+++ b/tests/testsuite/platform/malformed_input.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use azuresaddle_standin::platform::CallerRequest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::support::{fleet, plain, program, status};
+use super::support::{ask, fleet, plain, program, status, stream};
 
 async fn send_raw(addr: std::net::SocketAddr, text: &[u8]) -> String {
     let mut stream = TcpStream::connect(addr).await.unwrap();
@@ -54,3 +55,22 @@
         "{text}"
     );
 }
+
+/// Guards against a count for which the placement of streams panics, so that nodes wait for its decision until their
+/// callers' time is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_token_count_near_the_largest_number_ends_no_placement() {
+    let fleet = fleet("huge-count", 2).await;
+    for node in &fleet.nodes {
+        for tokens in [(u64::MAX, 1), (1, u64::MAX), (u64::MAX, u64::MAX)] {
+            let asked = CallerRequest {
+                tokens: Some(tokens),
+                ..stream("/ask/1", 1, 1)
+            };
+            let answer = ask(node, &asked).await.unwrap();
+            assert_eq!(answer.status, 503, "{tokens:?}");
+            assert_eq!(fleet.platform.runs.of(&asked.attempt).count, 0);
+        }
+        assert_eq!(status(node, &stream("/ask/1", 2000, 2)).await, 200);
+    }
+}
