Soak: stops and pauses of sound targets that must lose no answer

With `--no-losses` it injects stops of nodes, silences of all targets of 0.9 to 1.4 s after which everything goes on, configuration changes and a store that does not answer, and nothing that excuses a lost answer. `--crowd` fills the engines, so that requests wait when their node stops. `--slow-readers` read 360 KB for 1.8 and for 9 s, past the idle timeout and past the grace period of a stop. A node that runs nothing for 2 s while it counts as running breaks the soak, by its own log.

--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -90,6 +90,28 @@
                 .default_value("0")
                 .help("Also let this number of plain targets become silent at the same time"),
         )
+        .arg(
+            Arg::new("slow-readers")
+                .long("slow-readers")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Number of callers that read long answers slowly"),
+        )
+        .arg(
+            Arg::new("crowd")
+                .long("crowd")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Number of callers whose long streams take up the engines"),
+        )
+        .arg(
+            Arg::new("no-losses")
+                .long("no-losses")
+                .action(ArgAction::SetTrue)
+                .help("Inject only faults that must not lose an answer: stops, targets that pause, configuration changes"),
+        )
         .arg(
             Arg::new("nodes")
                 .long("nodes")
@@ -134,10 +156,13 @@
                 has_store_rollbacks: args.get_flag("store-returns"),
                 has_signals: args.get_flag("signals"),
                 silent_targets: get::<u64>(args, "silent-targets") as usize,
+                loses_nothing: args.get_flag("no-losses"),
             },
             crashers: get(args, "crashers"),
             part_crashers: get(args, "part-crashers"),
             stalled_readers: get(args, "stalled-readers"),
+            slow_readers: get(args, "slow-readers"),
+            crowd: get(args, "crowd"),
         };
         let report = runtime.block_on(run_soak(&options))?;
         print_line(report.to_string().trim_end());
--- a/crates/azuresaddle-standin/src/platform/mod.rs
+++ b/crates/azuresaddle-standin/src/platform/mod.rs
@@ -22,6 +22,7 @@
 pub use configuration::{AccountSpec, ConfigurationSpec, RouteSpec, ServiceSpec};
 pub use crashing_requests::{CrashCause, CrashingRequests};
 pub use demo::{PlatformDemoReport, run_platform_demo};
+pub(crate) use plain::{LONG_BODY_BYTES, LONG_PATH};
 pub use raw::{Arrival, Arrivals, ProtocolFault};
 pub use runs::{AttemptRuns, Runs};
 pub use signals::Signals;
--- a/crates/azuresaddle-standin/src/platform/plain.rs
+++ b/crates/azuresaddle-standin/src/platform/plain.rs
@@ -18,6 +18,12 @@
 /// answer to another request.
 pub(super) struct PlainHandler;
 
+/// Path whose answers have [`LONG_BODY_BYTES`].
+pub(crate) const LONG_PATH: &str = "/note/long";
+
+/// Length of a long body: more than the socket buffers between a node and a caller hold.
+pub(crate) const LONG_BODY_BYTES: usize = 360_000;
+
 /// Returns the body of the answer to an attempt.
 pub(super) fn plain_body(attempt: &str) -> String {
     format!("answer to {attempt}\n")
@@ -31,6 +37,7 @@
     ) -> Response<ChannelBody> {
         let map = req.headers().clone();
         let attempt = header_text(&map, headers::ATTEMPT_ID.as_str());
+        let is_long = req.uri().path() == LONG_PATH;
         let body = read_body(req).await;
         target.record_run(&map);
         if target
@@ -50,7 +57,12 @@
             }
             _ => {}
         }
-        let mut response = target.answer(&attempt, ChannelBody::whole(plain_body(&attempt)));
+        let body = if is_long {
+            "x".repeat(LONG_BODY_BYTES)
+        } else {
+            plain_body(&attempt)
+        };
+        let mut response = target.answer(&attempt, ChannelBody::whole(body));
         let load = HeaderValue::from_static("1,0,6");
         response.headers_mut().insert(headers::TARGET_LOAD, load);
         response
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::faults::STOP_TIMEOUT;
 use super::report::SoakReport;
 use super::signals::SignalLog;
 use crate::http_util::get_json;
@@ -33,6 +34,8 @@
     /// Time of the latest fault that may lose answers; for a while after it, answers may be incomplete.
     pub(super) last_disruption: Mutex<Instant>,
     pub(super) attempts: AtomicU64,
+    /// Times at which nodes were told to stop.
+    pub(super) stops: Mutex<Vec<(SocketAddr, Instant)>>,
     pub(super) stopped: CancellationToken,
     pub(super) signals: SignalLog,
 }
@@ -68,6 +71,20 @@
             >= at
     }
 
+    /// Records that a node is told to stop now.
+    pub(super) fn note_stop(&self, node: SocketAddr) {
+        let mut stops = self.stops.lock().unwrap_or_else(PoisonError::into_inner);
+        stops.push((node, Instant::now()));
+    }
+
+    /// Whether a node was told to stop since `at`, or shortly before so that it may still run.
+    pub(super) fn was_stopped_since(&self, node: SocketAddr, at: Instant) -> bool {
+        let stops = self.stops.lock().unwrap_or_else(PoisonError::into_inner);
+        stops
+            .iter()
+            .any(|(n, t)| *n == node && *t + STOP_TIMEOUT >= at)
+    }
+
     fn limit_runs(&self, attempt: &str, max_runs: u32) {
         self.run_limits
             .lock()
--- a/crates/azuresaddle-standin/src/soak/faults.rs
+++ b/crates/azuresaddle-standin/src/soak/faults.rs
@@ -18,7 +18,7 @@
 const MAX_FAULT_TIME: Duration = Duration::from_millis(1800);
 
 /// Maximum time of a graceful stop: the grace period in the nodes' settings plus a margin.
-const STOP_TIMEOUT: Duration = Duration::from_millis(4600);
+pub(super) const STOP_TIMEOUT: Duration = Duration::from_millis(4600);
 
 /// A fault with the number of the node or target that it affects.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,6 +40,8 @@
     StoreRollback(StoreRollback, usize),
     /// Links to several plain targets are silent at the same time; their number.
     SilentTargets(usize),
+    /// All targets are silent for a while, then go on.
+    PausedTargets,
 }
 
 /// Additional kinds of faults, injected only if they are enabled.
@@ -53,6 +55,22 @@
     pub has_signals: bool,
     /// Number of plain targets that also become silent at the same time; 0 for none.
     pub silent_targets: usize,
+    /// Whether only faults are injected that must not lose an answer, also when they overlap with the load: stops, sound
+    /// targets that are silent for a while, configuration changes and a store that does not answer.
+    pub loses_nothing: bool,
+}
+
+/// Shortest and longest silence of all targets in [`Fault::PausedTargets`].
+const PAUSE_TIMES: Range<Duration> = Duration::from_millis(900)..Duration::from_millis(1400);
+
+/// Returns a random fault that must not lose an answer.
+fn random_harmless_fault(rng: &mut StdRng, fleet: &Fleet) -> Fault {
+    match rng.random_range(0..8) {
+        0..3 => Fault::Stop(rng.random_range(0..fleet.nodes.len())),
+        3..6 => Fault::PausedTargets,
+        6 => Fault::Configuration,
+        _ => Fault::Store(StoreFault::Unavailable),
+    }
 }
 
 /// Time for which several plain targets are silent. Nodes that each detect it for themselves keep sending to them.
@@ -135,7 +153,11 @@
     rng: &mut StdRng,
     options: FaultOptions,
 ) {
-    let fault = random_fault(rng, fleet, options);
+    let fault = if options.loses_nothing {
+        random_harmless_fault(rng, fleet)
+    } else {
+        random_fault(rng, fleet, options)
+    };
     let length = MAX_FAULT_TIME.mul_f64(rng.random_range(0.3..1.0));
     record_fault(shared, fault, length);
     record_affected(fleet, shared, fault);
@@ -146,6 +168,7 @@
             restart_node(fleet, shared, n).await;
         }
         Fault::Stop(n) => {
+            shared.note_stop(fleet.nodes[n].callers_addr());
             fleet.nodes[n].signal(Signal::SIGTERM);
             if !fleet.nodes[n].wait_until_ended(STOP_TIMEOUT).await {
                 shared.report_violation(format!("node {n} did not stop within its grace period"));
@@ -195,6 +218,18 @@
                 fleet.target_proxies[n].set_mode(ProxyMode::Pass);
             }
         }
+        Fault::PausedTargets => {
+            let length = rng.random_range(PAUSE_TIMES);
+            for proxy in &fleet.target_proxies {
+                proxy.set_mode(ProxyMode::Paused);
+            }
+            tokio::time::sleep(length).await;
+            for proxy in &fleet.target_proxies {
+                proxy.set_mode(ProxyMode::Pass);
+            }
+            // The next stop would end answers that still wait for their targets.
+            tokio::time::sleep(length).await;
+        }
         Fault::Signals(n, signals) => begin_signals(fleet, shared, n, signals),
         Fault::Configuration => fleet.platform.change_configuration(|_| {}),
         Fault::StoreRollback(how, times) => {
@@ -251,6 +286,7 @@
     !matches!(
         fault,
         Fault::Stop(_)
+            | Fault::PausedTargets
             | Fault::Store(_)
             | Fault::StoreCut(..)
             | Fault::Compact
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -11,7 +11,9 @@
 mod run;
 mod signal_checks;
 mod signals;
+mod slow_readers;
 mod stalled_readers;
+mod waiting_callers;
 
 pub use faults::FaultOptions;
 pub use fleet::{Fleet, FleetOptions, next_port};
--- a/crates/azuresaddle-standin/src/soak/proxy.rs
+++ b/crates/azuresaddle-standin/src/soak/proxy.rs
@@ -25,6 +25,8 @@
     Pass,
     /// Forwards everything with this delay.
     Delay(Duration),
+    /// Forwards nothing in either direction, and everything that arrived meanwhile once the mode changes.
+    Paused,
     /// Forwards nothing in either direction.
     Silent,
     /// Forwards requests, but no answers.
@@ -139,7 +141,9 @@
         if len == 0 {
             break;
         }
-        let mode = *modes.borrow_and_update();
+        // The sender lives as long as the proxy.
+        let resumed = modes.wait_for(|m| *m != ProxyMode::Paused).await;
+        let Ok(mode) = resumed.map(|m| *m) else { break };
         let is_silent =
             mode == ProxyMode::Silent || (mode == ProxyMode::SilentAnswers && is_answer);
         if is_silent {
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -18,7 +18,9 @@
 use super::report::SoakReport;
 use super::signal_checks::check_signals;
 use super::signals::{SignalLog, end_signals};
+use super::slow_readers::run_slow_reader;
 use super::stalled_readers::run_stalled_reader;
+use super::waiting_callers::run_waiting_caller;
 use crate::platform::{Caller, CallerRequest};
 
 /// Time after the callers have stopped within which the last requests end and release their memory.
@@ -27,6 +29,9 @@
 /// Maximum time until a configuration is in effect on every node.
 const APPLY_TIME: Duration = Duration::from_millis(2000);
 
+/// Longest time for which the traffic thread of a node may run nothing, in milliseconds. A loaded machine stalls it for less.
+const MAX_STALL_MS: u64 = 2000;
+
 /// Options of a soak.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -50,6 +55,10 @@
     pub part_crashers: u64,
     /// Number of callers that stop reading or sending.
     pub stalled_readers: u64,
+    /// Number of callers that read long answers slowly.
+    pub slow_readers: u64,
+    /// Number of callers whose streams take up the engines, so that others wait for one.
+    pub crowd: u64,
 }
 
 /// Runs callers under injected faults, then checks that all nodes have recovered.
@@ -69,6 +78,7 @@
         run_limits: Mutex::default(),
         last_disruption: Mutex::new(Instant::now()),
         attempts: AtomicU64::new(options.seed << 32),
+        stops: Mutex::default(),
         stopped: CancellationToken::new(),
         signals: SignalLog::default(),
     });
@@ -88,6 +98,14 @@
         let seed = options.seed * 1000 + options.callers + n;
         tokio::spawn(run_stalled_reader(Arc::clone(&shared), seed))
     }));
+    callers.extend((0..options.slow_readers).map(|n| {
+        let seed = options.seed * 1000 + 500 + n;
+        tokio::spawn(run_slow_reader(Arc::clone(&shared), seed))
+    }));
+    callers.extend((0..options.crowd).map(|n| {
+        let seed = options.seed * 1000 + 600 + n;
+        tokio::spawn(run_waiting_caller(Arc::clone(&shared), seed))
+    }));
     let mut rng = StdRng::seed_from_u64(options.seed);
     let end = Instant::now() + options.length;
     while Instant::now() < end {
@@ -106,10 +124,29 @@
     check_recovery(&mut fleet, &shared).await;
     check_crashes(&fleet, &shared);
     check_signals(&shared);
+    check_hangs(&fleet, &shared);
     let report = shared.report.lock().unwrap_or_else(PoisonError::into_inner);
     Ok(report.clone())
 }
 
+/// Checks that no node has served nobody while it ran.
+fn check_hangs(fleet: &Fleet, shared: &SoakState) {
+    for node in &fleet.nodes {
+        let log = node.log_text();
+        let hangs = log.lines().filter_map(stalled_ms);
+        for ms in hangs.filter(|ms| *ms >= MAX_STALL_MS) {
+            shared.report_violation(format!("{} ran nothing for {ms} ms", node.name));
+        }
+    }
+}
+
+/// Time for which the traffic thread ran nothing, if a log line tells of the end of such a time.
+fn stalled_ms(line: &str) -> Option<u64> {
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    let is_end = line["message"] == "the traffic thread runs again";
+    is_end.then(|| line["stalled_ms"].as_u64())?
+}
+
 /// Checks that a configuration change is in effect on every node, that every node serves requests, that no
 /// memory is still reserved, and that no attempt ran more often than allowed.
 async fn check_recovery(fleet: &mut Fleet, shared: &SoakState) {
--- a/crates/azuresaddle-standin/src/soak/stalled_readers.rs
+++ b/crates/azuresaddle-standin/src/soak/stalled_readers.rs
@@ -104,13 +104,15 @@
     Ok(answer)
 }
 
-async fn connect(node: SocketAddr) -> std::io::Result<TcpStream> {
+/// Connects with a small receive buffer.
+pub(super) async fn connect(node: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.connect(node).await
 }
 
-fn head(request: &CallerRequest, length: usize) -> String {
+/// The head of a request with a body of `length` bytes, after whose answer the connection is closed.
+pub(super) fn head(request: &CallerRequest, length: usize) -> String {
     let (prompt, answer) = request.tokens.unwrap_or_default();
     format!(
         "POST {} HTTP/1.1\r\nhost: {}\r\nauthorization: Token {}\r\nconnection: close\r\n\
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -49,6 +49,7 @@
     has_store_rollbacks: false,
     has_signals: false,
     silent_targets: 0,
+    loses_nothing: false,
 };
 
 #[tokio::test(flavor = "multi_thread")]
@@ -86,6 +87,26 @@
     assert!(report.passed(), "{report}");
 }
 
+/// Guards against answers that are lost though nothing has failed: nodes stop while requests wait for engines and answers are
+/// still read, and all targets are silent for a second or so and go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_is_lost_by_stops_and_pauses_of_sound_targets() {
+    let faults = FaultOptions {
+        loses_nothing: true,
+        ..FaultOptions::default()
+    };
+    let options = SoakOptions {
+        slow_readers: 6,
+        crowd: 72,
+        ..options(Duration::from_secs(20), 51, 3, faults, 0, 0)
+    };
+    let report = run_soak(&options).await.unwrap();
+    assert!(report.passed(), "{report}");
+    for end in ["callers that read slowly: 200", "callers in a crowd: 200"] {
+        assert!(report.ends.get(end).is_some_and(|n| *n > 0), "{report}");
+    }
+}
+
 async fn soak(seed: u64, nodes: u8, faults: FaultOptions, crashers: u64) {
     soak_for(Duration::from_secs(7), seed, nodes, faults, crashers).await;
 }
@@ -118,5 +139,7 @@
         crashers,
         part_crashers: 0,
         stalled_readers,
+        slow_readers: 0,
+        crowd: 0,
     }
 }
