--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -28,12 +28,12 @@
 /// Longest failure answer (without events) that is accepted, in bytes.
 const MAX_FAILURE_BODY_BYTES: usize = 1 << 20;
 
-/// Silence after which another target may take over, in multiples of the pause target. Callers wait for 8; an engine pass that placement allows
-/// takes up to 3.5.
-const PAUSE_TIMEOUT_FACTOR: u32 = 6;
+/// Silence after which another target may take over, in multiples of the pause target. Callers wait for 8; an engine pass that
+/// placement allows takes up to 3.5.
+const SILENCE_PAUSES: u32 = 6;
 
 /// Shortest silence after which another target may take over.
-const MIN_PAUSE_TIMEOUT: Duration = Duration::from_millis(700);
+const MIN_SILENCE: Duration = Duration::from_millis(700);
 
 impl<N: Network> Relay<N> {
     /// Sends the request to the targets of a placement and relays the answer.
@@ -158,8 +158,8 @@
             headers,
         });
         let mut splitter = EventSplitter::default();
-        let pause_timeout = (self.pause_target() * PAUSE_TIMEOUT_FACTOR).max(MIN_PAUSE_TIMEOUT);
-        let mut next_by = first_event_by;
+        let max_silence = (self.pause_target() * SILENCE_PAUSES).max(MIN_SILENCE);
+        let mut silent_at = first_event_by;
         let mut seen_first = false;
         // Covers the events that are incomplete.
         let mut held = self.cx.budget_of(&self.req).empty(HeldFor::Caller);
@@ -167,13 +167,13 @@
             match self.events.room().await {
                 Ok(false) => {}
                 // The target is not at fault for the time in which it was not read.
-                Ok(true) => next_by = Instant::now() + pause_timeout,
+                Ok(true) => silent_at = Instant::now() + max_silence,
                 Err(CallerGone) => return SendOutcome::CallerGone,
             }
             let frame = tokio::select! {
                 biased;
                 frame = tokio::time::timeout_at(self.req.deadline, body.frame()) => frame,
-                next = self.replacement(&placement.target.id, next_by) => {
+                next = self.replacement(&placement.target.id, silent_at) => {
                     return SendOutcome::Replaced(next);
                 }
             };
@@ -188,7 +188,7 @@
             };
             match self.hold(&mut held, chunk.len() + PART_COST_BYTES).await {
                 Ok(false) => {}
-                Ok(true) => next_by = Instant::now() + pause_timeout,
+                Ok(true) => silent_at = Instant::now() + max_silence,
                 Err(outcome) => return outcome,
             }
             let Some(events) = splitter.push(&chunk) else {
@@ -198,7 +198,7 @@
                 continue;
             }
             let now = Instant::now();
-            next_by = now + pause_timeout;
+            silent_at = now + max_silence;
             if let Some(last) = self.last_event_at.replace(now) {
                 self.longest_pause = self.longest_pause.max(now - last);
             }
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -55,7 +55,7 @@
 /// Most engines that wait for a probe of their pace. A pool that suspects more of them requests them again later.
 const PACE_PROBE_QUEUE_CAPACITY: usize = 64;
 
-/// Time before it for the final answers to requests that have none.
+/// Time before [`EXIT_MARGIN`] in which requests whose answer has not begun get a final one.
 const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
 /// Interval at which a stopping node checks whether all answers are finished.
--- a/tests/testsuite/losses.rs
+++ b/tests/testsuite/losses.rs
@@ -62,7 +62,13 @@
         ),
         (placed.clone(), Reason::NodeEnded),
         (
-            log_line("1", "ended by the stop of the node", 0, 90, ""),
+            log_line(
+                "1",
+                "ended by the stop of the node",
+                0,
+                90,
+                r#","route":"r""#,
+            ),
             Reason::NodeEnded,
         ),
     ];
