--- a/tests/testsuite/days.rs
+++ b/tests/testsuite/days.rs
@@ -72,6 +72,9 @@
     #[serde(default)]
     plan: Vec<Entry>,
     faults: Vec<Entry>,
+    /// Whether hunts keep the times of the entries.
+    #[serde(default, rename = "timing")]
+    _timing: Option<toml::Table>,
     #[serde(default)]
     closing: Option<toml::Table>,
 }
