The log tells how long a caller waited when it leaves, and which targets are silent

A caller that leaves a stream after two seconds without an event and one that leaves for reasons of its own looked alike: 'caller left' had only the age of the request. It has the time since the last event and the number of sends now, and 'target is silent' tells when a node begins to look for another target.

--- a/crates/azuresaddle-edge/src/forward/disconnect_log.rs
+++ b/crates/azuresaddle-edge/src/forward/disconnect_log.rs
@@ -1,7 +1,9 @@
 //! Logs answers that end before they are complete, though neither the node nor a target gave up.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::time::Instant;
 
 use super::head::ForwardRequest;
 use crate::shutdown::{Shutdown, ShutdownStage};
@@ -11,37 +13,51 @@
 pub(super) struct DisconnectLog {
     req: Arc<ForwardRequest>,
     shutdown: Arc<Shutdown>,
-    is_complete: Arc<AtomicBool>,
+    progress: Arc<AnswerProgress>,
 }
 
-/// Marks an answer as complete. Clones share one flag.
-#[derive(Clone, Debug)]
-pub(super) struct CompletionFlag(Arc<AtomicBool>);
+/// How far an answer is.
+#[derive(Debug, Default)]
+pub(super) struct AnswerProgress {
+    is_complete: AtomicBool,
+    /// When the last event was received; `None` if there was none.
+    last_event_at: Mutex<Option<Instant>>,
+}
 
 impl DisconnectLog {
     pub(super) fn new(req: &Arc<ForwardRequest>, shutdown: &Arc<Shutdown>) -> Self {
         Self {
             req: Arc::clone(req),
             shutdown: Arc::clone(shutdown),
-            is_complete: Arc::default(),
+            progress: Arc::default(),
         }
     }
 
-    pub(super) fn completion(&self) -> CompletionFlag {
-        CompletionFlag(Arc::clone(&self.is_complete))
+    pub(super) fn progress(&self) -> Arc<AnswerProgress> {
+        Arc::clone(&self.progress)
     }
 }
 
-impl CompletionFlag {
+impl AnswerProgress {
     /// Marks that the final answer has been or is about to be sent to the caller.
-    pub(super) fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
+    pub(super) fn complete(&self) {
+        self.is_complete.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn on_event(&self, now: Instant) {
+        let last = self.last_event_at.lock();
+        *last.unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    fn last_event_at(&self) -> Option<Instant> {
+        let last = self.last_event_at.lock();
+        *last.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for DisconnectLog {
     fn drop(&mut self) {
-        if self.is_complete.load(Ordering::Relaxed) || self.req.gate.is_closed() {
+        if self.progress.is_complete.load(Ordering::Relaxed) || self.req.gate.is_closed() {
             return;
         }
         let request = self.req.head.id();
@@ -54,7 +70,15 @@
                 "cut by the stop of the node"
             );
         } else {
-            tracing::info!(part = "forward", request, age_ms, "caller left");
+            let waited_since = self.progress.last_event_at().unwrap_or(self.req.arrived);
+            tracing::info!(
+                part = "forward",
+                request,
+                age_ms,
+                sends = self.req.gate.sends(),
+                waited_ms = waited_since.elapsed().as_millis() as u64,
+                "caller left"
+            );
         }
     }
 }
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -141,7 +141,7 @@
             return forward_stream(Arc::clone(self), Arc::clone(req), disconnect_log).await;
         }
         let response = forward_plain(self, req).await;
-        disconnect_log.completion().set();
+        disconnect_log.progress().complete();
         self.record_plain(req, response.status());
         response
     }
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -90,7 +90,7 @@
 
     /// Sends the final answer to a request that no engine can serve in time.
     pub(super) fn refuse(mut self, retry_after: Duration) {
-        self.completion.set();
+        self.progress.complete();
         self.log(&HostName::new(""), "stream refused");
         if self.runs > 0 {
             return self.give_up(&SendFailure::TimedOut);
@@ -113,7 +113,7 @@
         if self.runs > 0 {
             return self.give_up(&SendFailure::Broken(QUARANTINE_DETAIL.to_owned()));
         }
-        self.completion.set();
+        self.progress.complete();
         self.record_sample(StreamEnd::Refused);
         let status = self
             .cx
@@ -133,7 +133,7 @@
 
     /// Sends the final answer after a failed send.
     pub(super) fn give_up(mut self, failure: &SendFailure) {
-        self.completion.set();
+        self.progress.complete();
         self.log(&HostName::new(""), "stream given up");
         self.record_sample(if self.runs == 0 {
             StreamEnd::Refused
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -24,7 +24,7 @@
 use super::attempt::{SendFailure, time_until};
 use super::body::ProxyBody;
 use super::crash_check::{record_successful_run, record_survived_parts};
-use super::disconnect_log::{CompletionFlag, DisconnectLog};
+use super::disconnect_log::{AnswerProgress, DisconnectLog};
 use super::event_buffer::{EventSender, event_buffer};
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
@@ -52,7 +52,7 @@
     let (start_tx, start_rx) = oneshot::channel();
     let (events_tx, events_rx) = event_buffer();
     let relay = Relay {
-        completion: disconnect_log.completion(),
+        progress: disconnect_log.progress(),
         cx,
         last_event_id: req.head.last_event_id.clone(),
         req,
@@ -139,7 +139,7 @@
 
 /// State of one stream, over all its sends.
 struct Relay<N: Network> {
-    completion: CompletionFlag,
+    progress: Arc<AnswerProgress>,
     cx: Arc<Forwarder<N>>,
     req: Arc<ForwardRequest>,
     /// Takes the start of the answer; `None` once it is sent.
--- a/crates/azuresaddle-edge/src/forward/stream/replacement.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/replacement.rs
@@ -18,6 +18,15 @@
     /// not be sent again.
     pub(super) async fn replacement(&self, silent: &HostName, silent_at: Instant) -> Placement<N> {
         tokio::time::sleep_until(silent_at).await;
+        tracing::info!(
+            part = "forward",
+            request = self.req.head.id(),
+            target = %silent,
+            last_event = self.last_relayed_id,
+            runs = self.runs,
+            age_ms = self.req.arrived.elapsed().as_millis() as u64,
+            "target is silent"
+        );
         if !self.may_run_after(self.runs + 1) {
             std::future::pending::<()>().await;
         }
--- a/crates/azuresaddle-edge/src/forward/stream/send.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/send.rs
@@ -199,6 +199,7 @@
             }
             let now = Instant::now();
             silent_at = now + max_silence;
+            self.progress.on_event(now);
             if let Some(last) = self.last_event_at.replace(now) {
                 self.longest_pause = self.longest_pause.max(now - last);
             }
@@ -228,7 +229,7 @@
         if let Some(kept) = kept {
             connection.return_to_pool(kept.0);
         }
-        self.completion.set();
+        self.progress.complete();
         if !self.send_start(&mut start) || self.events.end().is_err() {
             return SendOutcome::CallerGone;
         }
