--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -6,5 +6,6 @@
 mod silent_targets;
 mod slow_callers;
 mod stopping;
+mod stream_takeover;
 mod target;
 mod test_node;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
@@ -0,0 +1,254 @@
+//! Tests of streams whose target is silent while another target is asked to take over.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use azuresaddle_core::prelude::Listener;
+use azuresaddle_platform::headers;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, timeout};
+
+use super::caller::{chunked_body, head, send};
+use super::target::read_head;
+use super::test_node::{TestNode, TestOptions};
+
+/// Events of a stream.
+const EVENTS: u64 = 20;
+
+/// Interval between them.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time without an event after which a caller leaves.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time without an event after which a node asks another target: six times the pause target of the test's routes.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// What a target does with a stream, step by step.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Sends this number of events.
+    Events(u64),
+    /// Sends nothing for a time.
+    Pause(Duration),
+    /// Sends the events that the caller does not have, and the end.
+    Rest,
+    /// Closes the connection.
+    Close,
+    /// Sends nothing any more.
+    Hang,
+}
+
+fn pause_ms(ms: u64) -> Step {
+    Step::Pause(Duration::from_millis(ms))
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: {id}\n\n")
+}
+
+fn body() -> Vec<u8> {
+    let events: String = (1..=EVENTS).map(event).collect();
+    events.into_bytes()
+}
+
+fn is_whole(answer: &[u8]) -> bool {
+    chunked_body(answer) == Some(body())
+}
+
+/// Writes an event; `false` if the node has closed the connection.
+async fn write_event(stream: &mut DuplexStream, id: u64) -> bool {
+    tokio::time::sleep(INTERVAL).await;
+    let event = event(id);
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    stream.write_all(chunk.as_bytes()).await.is_ok()
+}
+
+/// Answers a request, whose head has been read, according to a script.
+async fn answer(mut stream: DuplexStream, request: &str, script: Vec<Step>) {
+    let header = format!("{}: ", headers::LAST_EVENT_ID);
+    let last = request.lines().find_map(|l| l.strip_prefix(&header));
+    let mut last: u64 = last.map_or(0, |id| id.parse().unwrap());
+    let id = headers::ATTEMPT_ID;
+    let mut head = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ntransfer-encoding: chunked\r\n\r\n");
+    for step in script {
+        let end = match step {
+            Step::Events(count) => last + count,
+            Step::Rest => EVENTS,
+            Step::Pause(time) => {
+                tokio::time::sleep(time).await;
+                continue;
+            }
+            Step::Close => return,
+            Step::Hang => std::future::pending().await,
+        };
+        let _ = stream.write_all(std::mem::take(&mut head).as_bytes()).await;
+        while last < end {
+            last += 1;
+            if !write_event(&mut stream, last).await {
+                return;
+            }
+        }
+    }
+    let _ = stream.write_all(b"0\r\n\r\n").await;
+}
+
+/// Reads an answer until the node closes the connection or the caller has had no byte for [`PATIENCE`].
+async fn read_patiently(mut stream: DuplexStream) -> Vec<u8> {
+    let mut read = Vec::new();
+    let mut buf = [0; 512];
+    while let Ok(Ok(count)) = timeout(PATIENCE, stream.read(&mut buf)).await {
+        if count == 0 {
+            break;
+        }
+        read.extend_from_slice(&buf[..count]);
+    }
+    read
+}
+
+/// Asks for one stream. The targets answer its sends with `scripts`, in order. Returns the answer and the number of sends.
+async fn ask(node: &mut TestNode, scripts: [Vec<Step>; 2]) -> (Vec<u8>, usize) {
+    let caller = send(node.connect(), &head("/resumable/1", "")).await;
+    let sends = Arc::new(AtomicUsize::new(0));
+    let targets = async {
+        loop {
+            let mut stream = node.target.accept().await.unwrap();
+            let (sends, scripts) = (Arc::clone(&sends), scripts.clone());
+            tokio::spawn(async move {
+                // Nothing is sent on a connection that only checks whether the target accepts one.
+                let request = read_head(&mut stream).await;
+                let script = scripts.get(sends.fetch_add(1, Ordering::Relaxed));
+                answer(stream, &request, script.cloned().unwrap_or_default()).await;
+            });
+        }
+    };
+    let answer = tokio::select! {
+        answer = read_patiently(caller) => answer,
+        () = targets => unreachable!(),
+    };
+    (answer, sends.load(Ordering::Relaxed))
+}
+
+fn two_engines() -> TestOptions {
+    TestOptions {
+        has_second_target: true,
+        has_engines: true,
+        ..TestOptions::default()
+    }
+}
+
+fn silent_sends(node: &TestNode, count: u32) -> bool {
+    let metric = format!("azuresaddle_sends_total{{service=\"svc\",result=\"silent\"}} {count}");
+    node.has_metric(&metric)
+}
+
+/// Guards against a stream that leaves a silent target for one that sends nothing either, and whose caller leaves though the
+/// first target goes on.
+#[tokio::test(start_paused = true)]
+async fn a_stream_keeps_its_silent_target_until_another_one_sends() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![Step::Events(5), pause_ms(1300), Step::Rest];
+    let second = vec![pause_ms(1500), Step::Rest];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer));
+    assert_eq!(sends, 2);
+    // The target that goes on is not at fault.
+    assert!(!silent_sends(&node, 1));
+}
+
+/// Guards against the same before the first event.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_has_not_begun_keeps_its_silent_target_until_another_one_sends() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![pause_ms(1700), Step::Rest];
+    let second = vec![pause_ms(1600), Step::Rest];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer));
+    assert_eq!(sends, 2);
+    assert!(!silent_sends(&node, 1));
+}
+
+/// Guards against a stream that stays at a target which sends nothing any more.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_stays_silent_is_replaced() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![Step::Events(5), Step::Hang];
+    let second = vec![pause_ms(300), Step::Rest];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer));
+    assert_eq!(sends, 2);
+    assert!(silent_sends(&node, 1));
+}
+
+/// Guards against a stream that is cut since the target that was to take over fails.
+#[tokio::test(start_paused = true)]
+async fn a_replacement_that_fails_leaves_the_stream_at_its_target() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![Step::Events(5), pause_ms(1600), Step::Rest];
+    let second = vec![pause_ms(100), Step::Close];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer));
+    assert_eq!(sends, 2);
+}
+
+/// Guards against a stream that is cut since its silent target breaks off while another one already works on it.
+#[tokio::test(start_paused = true)]
+async fn a_silent_target_that_breaks_off_leaves_the_stream_to_its_replacement() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![Step::Events(5), pause_ms(1400), Step::Close];
+    let second = vec![pause_ms(500), Step::Rest];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer));
+    assert_eq!(sends, 2);
+}
+
+/// Guards against engines that get no new streams since all of them were silent for a while.
+#[tokio::test(start_paused = true)]
+async fn new_streams_are_not_refused_after_a_silence_of_all_engines() {
+    let mut node = TestNode::open(two_engines());
+    let began = Instant::now();
+    let silence = INTERVAL * 5..INTERVAL * 5 + SILENCE + INTERVAL * 4;
+    let node_target = async {
+        loop {
+            let mut stream = node.target.accept().await.unwrap();
+            let silence = silence.clone();
+            tokio::spawn(async move {
+                let request = read_head(&mut stream).await;
+                // Requests that arrive in the silence are read after it.
+                if silence.contains(&began.elapsed()) {
+                    tokio::time::sleep_until(began + silence.end).await;
+                }
+                let script = if began.elapsed() < silence.start {
+                    let pause = Step::Pause(silence.end - silence.start);
+                    vec![Step::Events(4), pause, Step::Rest]
+                } else {
+                    vec![Step::Rest]
+                };
+                answer(stream, &request, script).await;
+            });
+        }
+    };
+    let service = Arc::clone(&node.service);
+    let callers = async move {
+        let mut callers = JoinSet::new();
+        for number in 0..30 {
+            let connection = TestNode::connect_to(&service);
+            callers.spawn(async move {
+                // Two thirds run when the silence begins; the others arrive when it ends.
+                if number >= 20 {
+                    tokio::time::sleep(INTERVAL * 5 + SILENCE + INTERVAL * 3).await;
+                }
+                read_patiently(send(connection, &head("/resumable/1", "")).await).await
+            });
+        }
+        callers.join_all().await
+    };
+    let answers = tokio::select! {
+        answers = callers => answers,
+        () = node_target => unreachable!(),
+    };
+    let whole = answers.iter().filter(|a| is_whole(a));
+    assert_eq!(whole.count(), answers.len());
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -6,7 +6,7 @@
 
 use azuresaddle_core::byte_budget::{ByteBudget, HeldFor};
 use azuresaddle_core::deployment::{
-    Account, Bounds, Configuration, Features, Idempotency, ListenAddrs, NodeSettings,
+    Account, Bounds, Configuration, EngineSpec, Features, Idempotency, ListenAddrs, NodeSettings,
     RequestLimits, Route, Service, TargetEntry, TargetStart, TargetState, WeightedService,
 };
 use azuresaddle_core::prelude::*;
@@ -48,6 +48,8 @@
     pub(super) target_buffer_bytes: usize,
     /// Whether there are two targets.
     pub(super) has_second_target: bool,
+    /// Whether the targets are engines, on which streams are placed by their owner.
+    pub(super) has_engines: bool,
     /// Longest head of a request, in bytes.
     pub(super) max_header_bytes: usize,
 }
@@ -58,6 +60,7 @@
             memory_mb: 160,
             target_buffer_bytes: 1024,
             has_second_target: false,
+            has_engines: false,
             max_header_bytes: RequestLimits::default().max_header_bytes,
         }
     }
@@ -66,7 +69,7 @@
 /// A node with one or two targets and the accounts `a` and `b`, whose keys are their names. Requests to `/events/` and
 /// `/plain/` run once, those to `/resumable/` and `/idempotent/` on two targets at most.
 pub(super) struct TestNode {
-    service: Arc<CallerService<MemoryNetwork>>,
+    pub(super) service: Arc<CallerService<MemoryNetwork>>,
     forwarder: Arc<Forwarder<MemoryNetwork>>,
     /// Accepts the node's connections to all targets.
     pub(super) target: MemoryListener,
@@ -141,8 +144,13 @@
 
     /// Opens a caller's connection to the node.
     pub(super) fn connect(&self) -> DuplexStream {
+        Self::connect_to(&self.service)
+    }
+
+    /// Opens a caller's connection to a node by its service for callers.
+    pub(super) fn connect_to(service: &Arc<CallerService<MemoryNetwork>>) -> DuplexStream {
         let (near, far) = duplex(CALLER_BUFFER_BYTES);
-        tokio::spawn(serve_connection(far, Arc::clone(&self.service)));
+        tokio::spawn(serve_connection(far, Arc::clone(service)));
         near
     }
 
@@ -178,7 +186,7 @@
     let names = names.take(1 + usize::from(options.has_second_target));
     let targets = names.map(|name| Arc::new(target(name)));
     Snapshot {
-        configuration: Some(Arc::new(configuration(options.max_header_bytes))),
+        configuration: Some(Arc::new(configuration(options))),
         raw_configuration: None,
         targets: Arc::new(TargetSet::new(targets)),
         rate_limits: Arc::default(),
@@ -201,13 +209,31 @@
     }
 }
 
-fn configuration(max_header_bytes: usize) -> Configuration {
+/// Performance of the targets, if they are engines. Each leads about ten short streams.
+fn engine_spec() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: 450_000,
+        steps_per_pass: 46,
+        step_ms: 0.9,
+        step_ms_per_stream: 0.2,
+        step_ms_per_1k_context: 0.001,
+        prefill_tokens_per_ms: 256.0,
+        attention_ms_per_1m_pairs: 0.01,
+        max_prefill_tokens_per_step: 2048,
+        helper_hop_ms: 0.1,
+        report_lag: Duration::from_millis(300),
+        mean_answer_tokens: 1800,
+    }
+}
+
+fn configuration(options: &TestOptions) -> Configuration {
     let service = Service {
         name: Arc::from("svc"),
         health_path: "/healthz".to_owned(),
         max_connections: 10_000,
         cold_limit: None,
-        engine: None,
+        engine: options.has_engines.then(engine_spec),
     };
     let account = |name: &str| Account {
         name: ClientAccount::new(name),
@@ -217,7 +243,7 @@
     Configuration::new(
         RulesVersion(1),
         RequestLimits {
-            max_header_bytes,
+            max_header_bytes: options.max_header_bytes,
             ..RequestLimits::default()
         },
         vec![
