A silent target keeps its stream until another one sends

What callers saw: streams of sound engines that were silent for about a second were lost. New streams were refused for a second, since all engines counted as failing.

Cause: the node left a target on the evidence of its silence alone. First before it knew that another one was there, then before it knew that the other one sends. Class: a failover that drops what it has on evidence that doesn't tell the two ends apart.

Evidence: 'placed' on another engine at 5.684 s, engines go on at 5.8 s, 'caller left' at 6.48 s; the four tests that failed before: a_stream_keeps_its_silent_..., a_stream_that_has_not_begun_..., a_replacement_that_fails_..., new_streams_are_ not_refused_...

Change: the request is sent to another target beside the silent one, and the first that sends events goes on; the other connection is closed. Only a target that another one has overtaken counts as failed, for the node and for the owner. A target that is asked and fails leaves the silent one's answer alone; a silent target that breaks off leaves the stream to the one that was asked. Such a send counts against the retry budget and the route's attempts, as before. New: metric azuresaddle_silences_total, log lines of how a silence ended.

Ruled out: the change of the configuration (no loss without a silence, 'send failed' with 'no answer in time' only), engines that restart.

--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -1,12 +1,16 @@
 //! Requests that are answered with a stream of events.
 //!
 //! A relay task sends the request and forwards complete events as they arrive. If a send fails and the route allows a
-//! retry, it resumes the stream at another target after the last forwarded event.
+//! retry, it resumes the stream at another target after the last forwarded event. While a target is silent, its answer is
+//! awaited beside that of another one, and the first to send events goes on.
 
 mod finish;
+mod history;
+mod open;
 mod placement;
-mod replacement;
-mod send;
+mod relay;
+mod takeover;
+mod target_events;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +33,10 @@
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
 use super::problem::problem_response;
+use history::SendHistory;
+use open::Loss;
 use placement::Placement;
+use takeover::{AnswerEnd, Takeover};
 
 /// Most sends of one request after which it did not run.
 const MAX_DECLINED: u32 = 5;
@@ -59,10 +66,7 @@
         start_tx: Some(start_tx),
         events: events_tx,
         last_relayed_id: None,
-        exclude: Vec::new(),
-        runs: 0,
-        declined: 0,
-        last_failure: None,
+        history: SendHistory::default(),
         first_event_ms: None,
         last_event_at: None,
         answered_at: None,
@@ -102,22 +106,6 @@
     },
 }
 
-/// How one send ended.
-enum SendOutcome<N: Network> {
-    /// The answer is complete.
-    Complete,
-    /// The target ran the request and answered with a failure.
-    Failed(Box<Response<ProxyBody>>),
-    /// There was no answer, or it ended before it was complete.
-    Lost(SendFailure),
-    /// The target was silent for too long, and another placement takes over.
-    Replaced(Placement<N>),
-    /// The caller disconnected.
-    CallerGone,
-    /// The request was not sent, since it is quarantined.
-    Quarantined,
-}
-
 /// Why there is no target for a request.
 enum PlaceError {
     /// No target accepts the request now; the time after which to retry.
@@ -149,12 +137,7 @@
     last_event_id: Option<HeaderValue>,
     /// Id of the last event that was forwarded here.
     last_relayed_id: Option<u64>,
-    exclude: Vec<HostName>,
-    /// Sends after which the request may have run.
-    runs: u32,
-    /// Sends after which it did not run.
-    declined: u32,
-    last_failure: Option<Box<Response<ProxyBody>>>,
+    history: SendHistory,
     /// Time from the arrival of the request to the first event.
     first_event_ms: Option<u64>,
     /// When the last event was received.
@@ -178,11 +161,14 @@
 
 impl<N: Network> Relay<N> {
     async fn run(mut self) {
-        let mut replacement = None;
+        let mut takeover = None;
         loop {
-            let placement = match replacement.take() {
-                Some(placement) => Ok(placement),
-                None => self.place_unless_quarantined(&self.exclude).await,
+            let (placement, open) = match takeover.take() {
+                Some(Takeover { placement, answer }) => (Ok(placement), Some(answer)),
+                None => {
+                    let exclude = self.history.excluded();
+                    (self.place_unless_quarantined(&exclude).await, None)
+                }
             };
             let placement = match placement {
                 Ok(placement) => placement,
@@ -190,55 +176,63 @@
                 Err(PlaceError::Quarantined) => return self.refuse_quarantined(),
             };
             self.first_placement = self.first_placement.or(placement.times);
-            let lead = placement.target.id.clone();
-            let sent_at = Instant::now();
-            let outcome = self.send(&placement).await;
+            let sent_at = open.as_ref().map_or_else(Instant::now, |open| open.sent_at);
+            let result = self.send(&placement, open).await;
             if self.has_survived() {
                 record_survived_parts(&self.cx, &self.req, &placement.target);
             }
-            match outcome {
-                SendOutcome::Quarantined => {
+            match result {
+                Ok(()) => return self.on_complete(placement, sent_at),
+                Err(AnswerEnd::Lost(Loss::Quarantined)) => {
                     placement.end(StreamOutcome::Cancelled);
                     return self.refuse_quarantined();
                 }
-                SendOutcome::Complete => {
-                    let parts = self.unproven_parts();
-                    record_successful_run(&self.cx, &self.req, parts, &placement.target, sent_at);
-                    self.cx.metrics.on_send(&self.req.service, "answered");
-                    self.log(&lead, "stream complete");
-                    self.record_sample(StreamEnd::Complete);
-                    return placement.end(StreamOutcome::Done);
+                Err(AnswerEnd::Lost(Loss::CallerGone)) => {
+                    return placement.end(StreamOutcome::Cancelled);
                 }
-                SendOutcome::CallerGone => return placement.end(StreamOutcome::Cancelled),
-                SendOutcome::Failed(response) => {
-                    placement.end(StreamOutcome::TargetFailed(lead));
-                    self.runs += 1;
-                    self.last_failure = Some(response);
+                Err(AnswerEnd::Lost(Loss::Failed(response))) => {
+                    self.on_failure(placement, *response);
                     if !self.may_run_again() {
                         return self.give_up(&SendFailure::Broken("target failed".to_owned()));
                     }
                 }
-                SendOutcome::Replaced(next) => {
-                    let failure = SendFailure::TimedOut;
-                    self.record_failed_send(&placement.target, &failure, sent_at)
-                        .await;
-                    placement.end(self.outcome_of(lead, &failure));
-                    self.runs += 1;
-                    replacement = Some(next);
-                }
-                SendOutcome::Lost(failure) => {
+                Err(AnswerEnd::Lost(Loss::Lost(failure))) => {
                     self.record_failed_send(&placement.target, &failure, sent_at)
                         .await;
-                    let outcome = self.outcome_of(lead, &failure);
+                    let outcome = self.outcome_of(placement.target.id.clone(), &failure);
                     placement.end(outcome);
                     if !self.may_send_again(&failure) {
                         return self.give_up(&failure);
                     }
                 }
+                Err(AnswerEnd::TakenOver(next, loss)) => {
+                    // Its send was counted when the target was asked; this one's was not.
+                    self.history.take_back_run();
+                    self.record_loss(placement, loss, sent_at);
+                    takeover = Some(*next);
+                }
             }
         }
     }
 
+    fn on_complete(self, placement: Placement<N>, sent_at: Instant) {
+        let target = &placement.target;
+        let parts = self.unproven_parts();
+        record_successful_run(&self.cx, &self.req, parts, target, sent_at);
+        self.cx.metrics.on_send(&self.req.service, "answered");
+        self.log(&target.id, "stream complete");
+        self.record_sample(StreamEnd::Complete);
+        placement.end(StreamOutcome::Done);
+    }
+
+    /// Records a target that ran the request and answered with a failure.
+    fn on_failure(&self, placement: Placement<N>, response: Response<ProxyBody>) {
+        let lead = placement.target.id.clone();
+        placement.end(StreamOutcome::TargetFailed(lead));
+        self.history.on_run();
+        self.history.on_failure(response);
+    }
+
     /// Outcome of a failed send to report to the owner.
     fn outcome_of(&self, lead: HostName, failure: &SendFailure) -> StreamOutcome {
         match failure {
@@ -312,8 +306,8 @@
             request = self.req.head.id(),
             route = %self.req.route.name,
             target = %target,
-            runs = self.runs,
-            declined = self.declined,
+            runs = self.history.runs(),
+            declined = self.history.declined(),
             last_event = self.last_relayed_id,
             first_event_ms = self.first_event_ms,
             target_ms = self.req.route.latency_target.as_millis() as u64,
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -47,6 +47,13 @@
     signal: &'static str,
 }
 
+/// Labels of silences of targets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SilenceLabels {
+    service: String,
+    end: &'static str,
+}
+
 /// Labels of sends that were held back by a rate limit or a back-off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct HeldLabels {
@@ -144,6 +151,7 @@
     pub(crate) tunnels_used: Counter,
     tunnel_requests: Family<TunnelLabels, Counter>,
     ended_by_stop: Family<StopLabels, Counter>,
+    silences: Family<SilenceLabels, Counter>,
     pub(crate) traffic_stalls: Counter,
 }
 
@@ -192,6 +200,7 @@
             tunnels_used: Counter::default(),
             tunnel_requests: Family::default(),
             ended_by_stop: Family::default(),
+            silences: Family::default(),
             traffic_stalls: Counter::default(),
             registry: Arc::default(),
         };
@@ -291,6 +300,8 @@
         r.register("body_refusals", help, self.body_refusals.clone());
         let help = "Requests without an answer that were ended by the stop of the node";
         r.register("ended_by_stop", help, self.ended_by_stop.clone());
+        let help = "Silences of targets during streams, by how they ended";
+        r.register("silences", help, self.silences.clone());
         let help = "Times in which the thread for traffic ran nothing for a second";
         r.register("traffic_stalls", help, self.traffic_stalls.clone());
     }
@@ -413,6 +424,14 @@
         self.ended_by_stop.get_or_create(&labels).inc();
     }
 
+    /// Counts a silence of a target during a stream: the target `went-on`, another one has `taken-over`, or the answer
+    /// `ended`.
+    pub(crate) fn on_silence(&self, service: &str, end: &'static str) {
+        let service = service.to_owned();
+        let labels = SilenceLabels { service, end };
+        self.silences.get_or_create(&labels).inc();
+    }
+
     /// Sets the gauges of buffered bytes to their present values.
     pub(crate) fn set_held_bytes(&self, budget: &ByteBudget) {
         for (label, held_for) in [("caller", HeldFor::Caller), ("target", HeldFor::Target)] {
