Tests of silences of sound targets that meet planned work

Seen by callers: streams without a whole answer when all engines are silent for about a second while the configuration changes. The soak injects one fault after the other, so it never looked for this.

Change: real node processes with 24 streams at each of three nodes and few retries; the proxies of the engines pause for 1.3 s while the configuration changes (idle timeout, route timeout, a route that moves or is split), nodes reload, the owner is stopped or killed, or a serving node stops; also before the first event, with long prompts, for plain requests, and the pattern of the incident: all engines, later most of them, 0.6 s after a version while streams arrive. Callers leave after 2 s without an event, and count as lost then. The stand-in platform states the idle timeout, the pause of a route and the number of retries; its caller can leave.

--- a/crates/azuresaddle-standin/src/platform/caller.rs
+++ b/crates/azuresaddle-standin/src/platform/caller.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
 
 use super::engine::event_text;
 use super::plain::plain_body;
@@ -65,6 +66,9 @@
     /// No complete answer before the timeout.
     #[error("timeout before the answer was complete")]
     Timeout,
+    /// The caller left a stream after a time without an event.
+    #[error("no event for longer than the caller waits for one")]
+    Left,
     /// The answer does not belong to the request or is incomplete.
     #[error("wrong answer: {0}")]
     WrongAnswer(String),
@@ -74,9 +78,19 @@
 #[derive(Default)]
 pub struct Caller {
     connection: Option<(SocketAddr, SendRequest<Full<Bytes>>)>,
+    /// Time without an event after which the caller leaves a stream; `None` to wait until the timeout.
+    patience: Option<Duration>,
 }
 
 impl Caller {
+    /// Makes a caller that leaves a stream after a time without an event.
+    pub fn with_patience(patience: Duration) -> Self {
+        Self {
+            patience: Some(patience),
+            ..Self::default()
+        }
+    }
+
     /// Sends a request to a node and verifies the answer.
     ///
     /// # Errors
@@ -102,16 +116,26 @@
         node: SocketAddr,
         request: &CallerRequest,
     ) -> Result<Answer, CallerError> {
+        let patience = self.patience.filter(|_| request.tokens.is_some());
         let tx = self.connect(node).await?;
-        let response = tx.send_request(http_request(request)).await;
+        let mut last_event = Instant::now();
+        let response = tx.send_request(http_request(request));
+        let response = wait_for(response, last_event, patience).await?;
         let response = response.map_err(|_| CallerError::BrokenOff)?;
-        let (parts, body) = response.into_parts();
-        let body = body.collect().await.map_err(|_| CallerError::BrokenOff)?;
+        let (parts, mut frames) = response.into_parts();
+        let mut body = Vec::new();
+        while let Some(frame) = wait_for(frames.frame(), last_event, patience).await? {
+            let frame = frame.map_err(|_| CallerError::BrokenOff)?;
+            if let Some(data) = frame.data_ref() {
+                last_event = Instant::now();
+                body.extend_from_slice(data);
+            }
+        }
         let signature = parts.headers.get(headers::SIGNATURE);
         Ok(Answer {
             status: parts.status,
             signature: signature.and_then(|v| v.to_str().ok()).map(str::to_owned),
-            body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+            body: String::from_utf8_lossy(&body).into_owned(),
             has_retry_after: parts.headers.contains_key(RETRY_AFTER),
             signals: decode_signals(&parts.headers).signals,
         })
@@ -141,6 +165,20 @@
     }
 }
 
+/// Waits until `patience` after the last event at most.
+async fn wait_for<T>(
+    next: impl Future<Output = T>,
+    last_event: Instant,
+    patience: Option<Duration>,
+) -> Result<T, CallerError> {
+    match patience {
+        Some(patience) => timeout_at(last_event + patience, next)
+            .await
+            .map_err(|_| CallerError::Left),
+        None => Ok(next.await),
+    }
+}
+
 fn http_request(request: &CallerRequest) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(request.body.clone()));
     *req.method_mut() = Method::POST;
--- a/crates/azuresaddle-standin/src/platform/configuration.rs
+++ b/crates/azuresaddle-standin/src/platform/configuration.rs
@@ -17,6 +17,8 @@
     pub timeout_ms: u64,
     /// Latency target, in milliseconds.
     pub target_ms: u64,
+    /// Longest pause between two events with which a stream is on time, in milliseconds.
+    pub gap_ms: u64,
     /// Maximum number of targets that one request is sent to.
     pub attempts: u32,
 }
@@ -56,6 +58,8 @@
     pub accounts: Vec<AccountSpec>,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
+    /// Time after which the connection of a caller is closed when nothing is sent on it, in milliseconds.
+    pub idle_timeout_ms: u64,
 }
 
 impl ConfigurationSpec {
@@ -75,7 +79,7 @@
                 "max_header_bytes": 16384,
                 "max_body_bytes": self.max_body_bytes,
                 "header_timeout_ms": 1000,
-                "idle_timeout_ms": 5000,
+                "idle_timeout_ms": self.idle_timeout_ms,
             },
             "tenants": tenants,
         })
@@ -90,7 +94,7 @@
             "route_type": route.kind,
             "timeout_ms": route.timeout_ms,
             "target_latency_ms": route.target_ms,
-            "target_gap_ms": 300,
+            "target_gap_ms": route.gap_ms,
             "priority": 1,
             "service": route.service,
             "max_attempts": route.attempts,
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -31,6 +31,9 @@
 /// Interval of the targets' heartbeats that the settings of the nodes state, in milliseconds.
 const TARGET_HEARTBEAT_MS: u64 = 500;
 
+/// Retries that the settings of the nodes allow unless a test changes them.
+const DEFAULT_RETRY_EXTRA: u32 = 100;
+
 /// Time that targets report for their first start, in Unix milliseconds; only the order of starts matters.
 const FIRST_START_MS: u64 = 1_790_000_000_000;
 
@@ -71,6 +74,8 @@
     pub crashing_requests: CrashingRequests,
     /// Current configuration; changes take effect once it is written.
     pub configuration: ConfigurationSpec,
+    /// Retries that the settings of the nodes allow beside a part of the requests, by all nodes together.
+    pub retry_extra: u32,
     registry: EngineRegistry,
     engine_models: Vec<Arc<Engine>>,
     target_count: usize,
@@ -107,6 +112,7 @@
             runs: Runs::default(),
             crashing_requests: CrashingRequests::default(),
             configuration: first_configuration(),
+            retry_extra: DEFAULT_RETRY_EXTRA,
             registry: EngineRegistry::default(),
             engine_models: Vec::new(),
             target_count: 0,
@@ -271,12 +277,13 @@
 [bounds]
 grace_s = 4
 retry_budget_ratio = 0.2
-retry_min_extra = 100
+retry_min_extra = {retry_extra}
 ttl_max_s = 5
 [platform]
 address = "{store}"
 form = "kv"
 "#,
+            retry_extra = self.retry_extra,
             inner = port + 4,
             inner_last = port + 9,
             seeds = seeds.join(", "),
@@ -295,6 +302,7 @@
         resumable,
         timeout_ms: 8000,
         target_ms: 600,
+        gap_ms: 300,
         attempts: 2,
     };
     ConfigurationSpec {
@@ -323,5 +331,6 @@
             keys: vec!["key-1".to_owned(), "key-2".to_owned()],
         }],
         max_body_bytes: 64 << 10,
+        idle_timeout_ms: 5000,
     }
 }
--- a/crates/azuresaddle-standin/src/soak/fleet.rs
+++ b/crates/azuresaddle-standin/src/soak/fleet.rs
@@ -58,7 +58,20 @@
     /// # Errors
     /// Returns an error if the platform, a proxy or a node can't be started, or a node is not ready in time.
     pub async fn open(program: &Path, dir: &Path, options: FleetOptions) -> Result<Self> {
-        let mut platform = StandInPlatform::open(options.platform).await?;
+        let platform = StandInPlatform::open(options.platform).await?;
+        Self::open_on(platform, program, dir, options.nodes).await
+    }
+
+    /// Starts nodes on a platform, and waits until all of them are ready.
+    ///
+    /// # Errors
+    /// Returns an error if a proxy or a node can't be started, or a node is not ready in time.
+    pub async fn open_on(
+        mut platform: StandInPlatform,
+        program: &Path,
+        dir: &Path,
+        nodes: u8,
+    ) -> Result<Self> {
         let mut target_proxies = Vec::new();
         let targets: Vec<_> = platform
             .engines
@@ -72,7 +85,7 @@
             target_proxies.push(proxy);
         }
         let port = next_port();
-        let ips: Vec<Ipv4Addr> = (0..options.nodes)
+        let ips: Vec<Ipv4Addr> = (0..nodes)
             .map(|n| Ipv4Addr::new(127, 0, 0, 10 + n))
             .collect();
         let mut nodes = Vec::new();
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -15,6 +15,7 @@
 mod quarantine_command;
 mod repeats;
 mod signals;
+mod silences;
 mod soak;
 mod store_return;
 mod support;
--- /dev/null
+++ b/tests/testsuite/platform/silences.rs
@@ -0,0 +1,393 @@
+//! Sound targets that are silent for about a second, beside planned work.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use azuresaddle_standin::platform::{
+    Caller, CallerError, CallerRequest, ConfigurationSpec, PlatformOptions, ServiceSpec,
+    StandInPlatform,
+};
+use azuresaddle_standin::soak::{Fleet, Proxy, ProxyMode};
+use nix::sys::signal::Signal;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::support::{dir, plain, program, stream};
+
+const NODES: usize = 3;
+
+const ENGINES: usize = 8;
+
+const PLAIN_TARGETS: usize = 3;
+
+/// Streams that run at each node when the targets fall silent.
+const STREAMS_PER_NODE: usize = 24;
+
+/// Retries of all nodes together beside a part of the requests: few, so that most requests have to wait for the target that
+/// they are at, and so many that all streams may be sent to another one.
+const FEW_RETRIES: u32 = 10;
+const MANY_RETRIES: u32 = 300;
+
+/// Time within which the nodes know the configuration and all targets.
+const SETTLE_TIME: Duration = Duration::from_millis(800);
+
+/// Length of a silence: more than the six pauses after which a node looks for another target.
+const SILENCE: Duration = Duration::from_millis(1300);
+
+/// Longest pause between events that the routes aim at, in milliseconds.
+const GAP_MS: u64 = 200;
+
+/// Latency target of the routes, in milliseconds.
+const TARGET_MS: u64 = 500;
+
+/// Time without an event after which callers leave a stream: two seconds, four times the latency target or eight times the
+/// pause, whichever is longest.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time for which streams run before the targets fall silent.
+const LEAD_TIME: Duration = Duration::from_millis(500);
+
+/// Time after which streams of long prompts run as well.
+const LONG_LEAD_TIME: Duration = Duration::from_millis(1500);
+
+/// Time from the start of a silence to what happens beside it.
+const BESIDE: Duration = Duration::from_millis(300);
+
+/// Time from a version of the configuration to the silences of the incident.
+const AFTER_VERSION: Duration = Duration::from_millis(600);
+
+/// Events of a stream that is done within the grace period of a stop, though it is silent for a while, and of one that runs for
+/// some seconds.
+const SHORT: u64 = 60;
+const LONG: u64 = 130;
+
+/// Tokens of a prompt that an engine reads at once, and of one that it reads for a tenth of a second.
+const SHORT_PROMPT: u64 = 1500;
+const LONG_PROMPT: u64 = 40_000;
+
+type Answer = Result<azuresaddle_standin::platform::Answer, CallerError>;
+
+/// A platform whose routes have the pauses and latency targets above.
+async fn platform(retry_extra: u32) -> StandInPlatform {
+    let options = PlatformOptions {
+        engines: ENGINES,
+        plain: PLAIN_TARGETS,
+    };
+    let mut platform = StandInPlatform::open(options).await.unwrap();
+    platform.retry_extra = retry_extra;
+    platform.change_configuration(|c| {
+        for route in &mut c.routes {
+            route.gap_ms = GAP_MS;
+            route.target_ms = TARGET_MS;
+        }
+    });
+    platform
+}
+
+async fn open(test: &str) -> Fleet {
+    open_with_retries(test, FEW_RETRIES).await
+}
+
+async fn open_with_retries(test: &str, retry_extra: u32) -> Fleet {
+    let platform = platform(retry_extra).await;
+    let opened = Fleet::open_on(platform, program(), &dir(test), NODES as u8).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    opened.unwrap()
+}
+
+/// Requests that wait for their answers.
+#[derive(Default)]
+struct Asked {
+    requests: Vec<(CallerRequest, JoinHandle<Answer>)>,
+}
+
+impl Asked {
+    fn ask(&mut self, node: SocketAddr, request: CallerRequest) {
+        let sent = request.clone();
+        let answer = tokio::spawn(async move {
+            let mut caller = Caller::with_patience(PATIENCE);
+            caller.ask(node, &sent).await
+        });
+        self.requests.push((request, answer));
+    }
+
+    /// Sends streams to each of the nodes.
+    fn stream(nodes: &[SocketAddr], prompt: u64, events: u64) -> Self {
+        let mut asked = Self::default();
+        for node in nodes {
+            for _ in 0..STREAMS_PER_NODE {
+                asked.ask(*node, stream_of(prompt, events));
+            }
+        }
+        asked
+    }
+
+    fn assert_all_run(&self, platform: &StandInPlatform) {
+        for (request, answer) in &self.requests {
+            assert!(!answer.is_finished(), "{request:?} is answered too early");
+            assert_eq!(platform.runs.of(&request.attempt).count, 1, "{request:?}");
+        }
+    }
+
+    /// Checks that each request gets its whole answer, or is refused without a run.
+    async fn assert_answered(self, platform: &StandInPlatform) {
+        let count = self.requests.len();
+        let mut lost = Vec::new();
+        for (request, answer) in self.requests {
+            let answer = answer.await.unwrap();
+            let runs = platform.runs.of(&request.attempt).count;
+            let is_answered = match &answer {
+                Ok(answer) if answer.status == 503 => answer.has_retry_after && runs == 0,
+                Ok(answer) => answer.status == 200,
+                Err(_) => false,
+            };
+            if !is_answered {
+                let end = answer.map(|a| a.status);
+                lost.push(format!("{}, runs: {runs}, {end:?}", request.attempt));
+            }
+        }
+        let list = lost.join("\n");
+        assert!(lost.is_empty(), "lost {} of {count}:\n{list}", lost.len());
+    }
+}
+
+fn stream_of(prompt: u64, events: u64) -> CallerRequest {
+    CallerRequest {
+        timeout: Duration::from_millis(7500),
+        ..stream("/ask/1", prompt, events)
+    }
+}
+
+fn addrs(fleet: &Fleet) -> Vec<SocketAddr> {
+    fleet.nodes.iter().map(|n| n.callers_addr()).collect()
+}
+
+/// Silences targets; they go on when this is dropped.
+struct Silence<'a>(&'a [Proxy]);
+
+impl<'a> Silence<'a> {
+    fn of(proxies: &'a [Proxy], which: Range<usize>) -> Self {
+        let proxies = &proxies[which];
+        for proxy in proxies {
+            proxy.set_mode(ProxyMode::Paused);
+        }
+        Self(proxies)
+    }
+}
+
+impl Drop for Silence<'_> {
+    fn drop(&mut self) {
+        for proxy in self.0 {
+            proxy.set_mode(ProxyMode::Pass);
+        }
+    }
+}
+
+/// Guards against streams that are cut when all engines are silent while the configuration changes.
+async fn assert_kept_beside_change(test: &str, change: impl FnOnce(&mut ConfigurationSpec)) {
+    let mut fleet = open(test).await;
+    let asked = Asked::stream(&addrs(&fleet), SHORT_PROMPT, LONG);
+    tokio::time::sleep(LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    let silence = Silence::of(&fleet.target_proxies, 0..ENGINES);
+    tokio::time::sleep(BESIDE).await;
+    fleet.platform.change_configuration(change);
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_change_of_the_idle_timeout_cuts_no_stream() {
+    assert_kept_beside_change("silence-idle", |c| c.idle_timeout_ms = 3000).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_change_of_the_route_timeout_cuts_no_stream() {
+    assert_kept_beside_change("silence-timeout", |c| c.routes[0].timeout_ms = 7000).await;
+}
+
+fn other_service() -> ServiceSpec {
+    ServiceSpec {
+        name: "llm-b".to_owned(),
+        is_engine: true,
+        cold_rate: 0.0,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_route_that_moves_to_another_service_cuts_no_stream() {
+    let change = |c: &mut ConfigurationSpec| {
+        c.services.push(other_service());
+        c.routes[0].service = other_service().name;
+    };
+    assert_kept_beside_change("silence-moved", change).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_route_that_is_split_cuts_no_stream() {
+    let change = |c: &mut ConfigurationSpec| {
+        c.services.push(other_service());
+        let mut route = c.routes[0].clone();
+        route.prefix = "/ask/b/".to_owned();
+        route.service = other_service().name;
+        c.routes.push(route);
+    };
+    assert_kept_beside_change("silence-split", change).await;
+}
+
+/// Guards against streams of short prompts that are lost when all engines, and later most of them, fall silent shortly after
+/// a version of the configuration, while further streams arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn silences_shortly_after_versions_of_the_configuration_cut_no_stream() {
+    let mut fleet = open("silence-versions").await;
+    let mut asked = Asked::stream(&addrs(&fleet), SHORT_PROMPT, LONG);
+    tokio::time::sleep(LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    for (silent, idle_timeout_ms) in [(ENGINES, 4000), (ENGINES * 3 / 5, 3000)] {
+        let change = |c: &mut ConfigurationSpec| c.idle_timeout_ms = idle_timeout_ms;
+        fleet.platform.change_configuration(change);
+        ask_for(AFTER_VERSION, &mut asked, &fleet).await;
+        let silence = Silence::of(&fleet.target_proxies, 0..silent);
+        ask_for(SILENCE, &mut asked, &fleet).await;
+        drop(silence);
+        ask_for(SILENCE, &mut asked, &fleet).await;
+    }
+    asked.assert_answered(&fleet.platform).await;
+}
+
+/// Time between two streams at each node.
+const STREAM_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Sends short streams to all nodes for a time.
+async fn ask_for(time: Duration, asked: &mut Asked, fleet: &Fleet) {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        for node in addrs(fleet) {
+            asked.ask(node, stream_of(SHORT_PROMPT, SHORT));
+        }
+        let next = (Instant::now() + STREAM_INTERVAL).min(until);
+        tokio::time::sleep_until(next).await;
+    }
+}
+
+/// Guards against streams that leave their silent engine for one that is silent too and has to read their long prompts
+/// again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_loses_no_stream_of_a_long_prompt() {
+    let mut fleet = open_with_retries("silence-long", MANY_RETRIES).await;
+    let asked = Asked::stream(&addrs(&fleet), LONG_PROMPT, SHORT);
+    tokio::time::sleep(LONG_LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    let silence = Silence::of(&fleet.target_proxies, 0..ENGINES);
+    tokio::time::sleep(BESIDE).await;
+    fleet.platform.change_configuration(|_| {});
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
+
+/// Guards against streams that are cut when their nodes read their settings again during a silence.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_reload_cuts_no_stream() {
+    let mut fleet = open("silence-reload").await;
+    let asked = Asked::stream(&addrs(&fleet), SHORT_PROMPT, LONG);
+    tokio::time::sleep(LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    let silence = Silence::of(&fleet.target_proxies, 0..ENGINES);
+    tokio::time::sleep(BESIDE).await;
+    for node in &mut fleet.nodes {
+        node.signal(Signal::SIGHUP);
+    }
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
+
+/// Number of the node that owns the placement of streams.
+async fn owner(fleet: &Fleet) -> usize {
+    for (n, node) in fleet.nodes.iter().enumerate() {
+        let metrics = node.metrics().await.unwrap();
+        if metrics.contains("azuresaddle_owner 1") {
+            return n;
+        }
+    }
+    panic!("no node is the owner");
+}
+
+/// Guards against streams that are cut when the owner of their engines changes during a silence.
+async fn assert_kept_without_owner(test: &str, signal: Signal) {
+    let mut fleet = open(test).await;
+    let owner = owner(&fleet).await;
+    let mut others = addrs(&fleet);
+    others.remove(owner);
+    let asked = Asked::stream(&others, SHORT_PROMPT, LONG);
+    tokio::time::sleep(LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    let silence = Silence::of(&fleet.target_proxies, 0..ENGINES);
+    tokio::time::sleep(BESIDE).await;
+    fleet.nodes[owner].signal(signal);
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_the_stop_of_the_owner_cuts_no_stream() {
+    assert_kept_without_owner("silence-owner-stops", Signal::SIGTERM).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_the_end_of_the_owner_cuts_no_stream() {
+    assert_kept_without_owner("silence-owner-ends", Signal::SIGKILL).await;
+}
+
+/// Guards against streams that a stopping node cuts since their engines are silent for a part of its grace period.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_the_stop_of_a_node_cuts_none_of_its_streams() {
+    let mut fleet = open("silence-stop").await;
+    let stopped = (owner(&fleet).await + 1) % NODES;
+    let asked = Asked::stream(&addrs(&fleet), SHORT_PROMPT, SHORT);
+    tokio::time::sleep(LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    let silence = Silence::of(&fleet.target_proxies, 0..ENGINES);
+    tokio::time::sleep(BESIDE).await;
+    fleet.nodes[stopped].signal(Signal::SIGTERM);
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
+
+/// Guards against streams that are cut before their first event, since it is late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_loses_no_stream_that_is_about_to_start() {
+    let mut fleet = open("silence-start").await;
+    let silence = Silence::of(&fleet.target_proxies, 0..ENGINES);
+    let asked = Asked::stream(&addrs(&fleet), SHORT_PROMPT, SHORT);
+    tokio::time::sleep(BESIDE).await;
+    fleet.platform.change_configuration(|_| {});
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
+
+/// Guards against plain requests that are answered with a failure though their targets only are late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_change_of_the_configuration_loses_no_plain_request() {
+    let mut fleet = open("silence-plain").await;
+    let silence = Silence::of(&fleet.target_proxies, ENGINES..ENGINES + PLAIN_TARGETS);
+    let mut asked = Asked::default();
+    for node in addrs(&fleet) {
+        for _ in 0..STREAMS_PER_NODE {
+            asked.ask(node, plain("/note/1"));
+        }
+    }
+    tokio::time::sleep(BESIDE).await;
+    fleet
+        .platform
+        .change_configuration(|c| c.routes[2].timeout_ms = 7000);
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
