A target that takes a body slowly keeps its request for two seconds

What callers saw: a request with a large body got 502 when its sound target was silent for 1.4 s before it took the whole body, with most of its time left; one that may run once was lost by that.

Cause: a connection was closed after one second in which the target took no bytes. Class: as of the streams, an end on the evidence of a silence alone that is no longer than a sound target's.

Change: two seconds, as for tunnels. The body stays counted against the byte budget for that long.

--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -15,9 +15,9 @@
 use super::forwarder::Forwarder;
 use crate::targets::{ConnectError, Connection};
 
-/// Longest time for which a target may take no bytes of a request. A target that reads requests at all takes them within
-/// a round trip, and meanwhile the request holds memory and its caller waits.
-const MAX_WRITE_PAUSE: Duration = Duration::from_secs(1);
+/// Longest time for which a target may take no bytes of a request, which holds memory meanwhile. A sound target may be silent
+/// for more than a second.
+const MAX_WRITE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Time for which a target that takes no bytes gets no further requests.
 const STALLED_BACK_OFF: Duration = Duration::from_secs(1);
