Tests of silences that overlap one another and of engines behind another node

Seen by callers, on the present code: when one half of the engines is silent for 1.35 s and the other half 0.75 s later, streams of the first half leave their engines at 1.2 s for engines that are silent for longer; theirs go on 0.15 s later, but their answers are dropped, and the callers leave two seconds after the last event.

Change: two tests of this, with streams that run and with streams that are about to start; a test of streams at nodes that reach the engines only through another node.

--- a/tests/testsuite/platform/silences.rs
+++ b/tests/testsuite/platform/silences.rs
@@ -1,15 +1,21 @@
 //! Sound targets that are silent for about a second, beside planned work.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Range;
 use std::time::Duration;
 
+use azuresaddle_core::prelude::*;
+use azuresaddle_edge::{Node, NodeOptions};
+use azuresaddle_platform::decode_settings;
+use azuresaddle_standin::net::{PartitionedNetwork, PathLoss};
 use azuresaddle_standin::platform::{
-    Caller, CallerError, CallerRequest, ConfigurationSpec, PlatformOptions, ServiceSpec,
+    Answer, Caller, CallerError, CallerRequest, ConfigurationSpec, PlatformOptions, ServiceSpec,
     StandInPlatform,
 };
-use azuresaddle_standin::soak::{Fleet, Proxy, ProxyMode};
+use azuresaddle_standin::soak::{Fleet, Proxy, ProxyMode, next_port};
+use futures::future::join_all;
 use nix::sys::signal::Signal;
+use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -66,7 +72,7 @@
 const SHORT_PROMPT: u64 = 1500;
 const LONG_PROMPT: u64 = 40_000;
 
-type Answer = Result<azuresaddle_standin::platform::Answer, CallerError>;
+type AskResult = Result<Answer, CallerError>;
 
 /// A platform whose routes have the pauses and latency targets above.
 async fn platform(retry_extra: u32) -> StandInPlatform {
@@ -99,7 +105,7 @@
 /// Requests that wait for their answers.
 #[derive(Default)]
 struct Asked {
-    requests: Vec<(CallerRequest, JoinHandle<Answer>)>,
+    requests: Vec<(CallerRequest, JoinHandle<AskResult>)>,
 }
 
 impl Asked {
@@ -288,6 +294,55 @@
     asked.assert_answered(&fleet.platform).await;
 }
 
+/// Length of the silences of two halves of the engines, and the time between their starts: the first half goes on while the
+/// second one is silent for longer than a caller of the first half waits.
+const SILENCE_OF_HALF: Duration = Duration::from_millis(1350);
+const SECOND_HALF_AFTER: Duration = Duration::from_millis(750);
+
+/// Time from the start of the first of them to the streams that are about to start.
+const START_DELAY: Duration = Duration::from_millis(20);
+
+/// Silences one half of the engines after the other while the configuration changes.
+async fn silence_halves(fleet: &mut Fleet) {
+    let first = Silence::of(&fleet.target_proxies, 0..ENGINES / 2);
+    tokio::time::sleep(SECOND_HALF_AFTER).await;
+    let second = Silence::of(&fleet.target_proxies, ENGINES / 2..ENGINES);
+    fleet.platform.change_configuration(|_| {});
+    tokio::time::sleep(SILENCE_OF_HALF - SECOND_HALF_AFTER).await;
+    drop(first);
+    tokio::time::sleep(SECOND_HALF_AFTER).await;
+    drop(second);
+}
+
+/// Guards against streams that leave a silent engine, which goes on soon, for one that is silent for longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn silences_of_one_half_of_the_engines_after_the_other_lose_no_stream() {
+    let mut fleet = open_with_retries("silence-halves", MANY_RETRIES).await;
+    let asked = Asked::stream(&addrs(&fleet), SHORT_PROMPT, LONG);
+    tokio::time::sleep(LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    silence_halves(&mut fleet).await;
+    asked.assert_answered(&fleet.platform).await;
+}
+
+/// Guards against streams that leave a silent engine before their first event for one that is silent for longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn silences_of_one_half_of_the_engines_after_the_other_lose_no_stream_that_is_about_to_start()
+{
+    let mut fleet = open_with_retries("silence-halves-start", MANY_RETRIES).await;
+    let mut asked = Asked::default();
+    let addrs = addrs(&fleet);
+    tokio::join!(silence_halves(&mut fleet), async {
+        tokio::time::sleep(START_DELAY).await;
+        for node in addrs {
+            for _ in 0..STREAMS_PER_NODE {
+                asked.ask(node, stream_of(SHORT_PROMPT, SHORT));
+            }
+        }
+    });
+    asked.assert_answered(&fleet.platform).await;
+}
+
 /// Guards against streams that are cut when their nodes read their settings again during a silence.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silence_beside_a_reload_cuts_no_stream() {
@@ -372,6 +427,92 @@
     asked.assert_answered(&fleet.platform).await;
 }
 
+/// Nodes of one process, of which the first reach the engines only through the others.
+struct TunnelFleet {
+    platform: StandInPlatform,
+    proxies: Vec<Proxy>,
+    cut_off: Vec<SocketAddr>,
+    _nodes: Vec<Node>,
+}
+
+/// Nodes that are cut off from the engines.
+const CUT_OFF: usize = 2;
+
+/// Time after which the nodes that are cut off connect through others.
+const DETECTION_TIME: Duration = Duration::from_secs(3);
+
+impl TunnelFleet {
+    async fn open() -> Self {
+        let mut platform = platform(FEW_RETRIES).await;
+        let mut proxies = Vec::new();
+        for engine in platform.engines.clone() {
+            let proxy = Proxy::spawn(engine.addr()).await.unwrap();
+            platform.register_behind_proxy(&engine, proxy.addr);
+            proxies.push(proxy);
+        }
+        let port = next_port();
+        let ips: Vec<_> = (0..NODES as u8)
+            .map(|n| Ipv4Addr::new(127, 0, 3, 10 + n))
+            .collect();
+        let (mut cut_off, mut nodes) = (Vec::new(), Vec::new());
+        for (n, ip) in ips.iter().enumerate() {
+            let text = platform.settings(&format!("n{n}"), *ip, port, &ips);
+            let settings = decode_settings(&text).unwrap();
+            let net = PartitionedNetwork::new(proxies.iter().map(|p| p.addr));
+            if n < CUT_OFF {
+                net.cut(PathLoss::Reset);
+                cut_off.push(settings.listen.callers);
+            }
+            let node = Node::open(
+                settings,
+                NodeOptions::default(),
+                net,
+                Spawner::current(),
+                Handle::current(),
+            );
+            nodes.push(node.await.unwrap());
+        }
+        tokio::time::sleep(SETTLE_TIME).await;
+        let fleet = Self {
+            platform,
+            proxies,
+            cut_off,
+            _nodes: nodes,
+        };
+        fleet.send_until_connected().await;
+        fleet
+    }
+
+    /// Sends short streams, which may fail, until the nodes that are cut off have found paths.
+    async fn send_until_connected(&self) {
+        let until = Instant::now() + DETECTION_TIME;
+        while Instant::now() < until {
+            let streams = self.cut_off.iter().map(|node| async move {
+                let request = stream_of(SHORT_PROMPT, 3);
+                // Some fail until a path is found.
+                let _ = Caller::default().ask(*node, &request).await;
+            });
+            tokio::join!(join_all(streams), tokio::time::sleep(STREAM_INTERVAL));
+        }
+    }
+}
+
+/// Guards against streams that are cut since the node through which theirs reaches the engines takes a silence of the engines
+/// for one of the path.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_of_engines_that_are_reached_through_another_node_cuts_no_stream() {
+    let mut fleet = TunnelFleet::open().await;
+    let asked = Asked::stream(&fleet.cut_off, SHORT_PROMPT, LONG);
+    tokio::time::sleep(LEAD_TIME).await;
+    asked.assert_all_run(&fleet.platform);
+    let silence = Silence::of(&fleet.proxies, 0..ENGINES);
+    tokio::time::sleep(BESIDE).await;
+    fleet.platform.change_configuration(|_| {});
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(silence);
+    asked.assert_answered(&fleet.platform).await;
+}
+
 /// Guards against plain requests that are answered with a failure though their targets only are late.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silence_beside_a_change_of_the_configuration_loses_no_plain_request() {
