--- a/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
@@ -4,13 +4,14 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use azuresaddle_core::prelude::Listener;
+use azuresaddle_core::byte_budget::HeldFor;
+use azuresaddle_core::prelude::{ClientAccount, Listener};
 use azuresaddle_platform::headers;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
-use super::caller::{chunked_body, head, send};
+use super::caller::{chunked_body, head, send, time_limit};
 use super::target::read_head;
 use super::test_node::{TestNode, TestOptions};
 
@@ -35,6 +36,12 @@
     Pause(Duration),
     /// Sends the events that the caller does not have, and the end.
     Rest,
+    /// Sends the first bytes of the next event.
+    Half,
+    /// Ends the answer.
+    End,
+    /// Answers that the request was not run.
+    Decline,
     /// Closes the connection.
     Close,
     /// Sends nothing any more.
@@ -81,6 +88,20 @@
                 tokio::time::sleep(time).await;
                 continue;
             }
+            Step::Half => {
+                let chunk = format!("{}4\r\nid: \r\n", std::mem::take(&mut head));
+                let _ = stream.write_all(chunk.as_bytes()).await;
+                continue;
+            }
+            Step::End => last,
+            Step::Decline => {
+                let not_run = headers::NOT_RUN;
+                let head = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\n{id}: 1\r\n{not_run}: 1\r\ncontent-length: 0\r\n\r\n"
+                );
+                let _ = stream.write_all(head.as_bytes()).await;
+                return;
+            }
             Step::Close => return,
             Step::Hang => std::future::pending().await,
         };
@@ -109,7 +130,7 @@
 }
 
 /// Asks for one stream. The targets answer its sends with `scripts`, in order. Returns the answer and the number of sends.
-async fn ask(node: &mut TestNode, scripts: [Vec<Step>; 2]) -> (Vec<u8>, usize) {
+async fn ask<const N: usize>(node: &mut TestNode, scripts: [Vec<Step>; N]) -> (Vec<u8>, usize) {
     let caller = send(node.connect(), &head("/resumable/1", "")).await;
     let sends = Arc::new(AtomicUsize::new(0));
     let targets = async {
@@ -252,3 +273,162 @@
     let whole = answers.iter().filter(|a| is_whole(a));
     assert_eq!(whole.count(), answers.len());
 }
+
+fn three_targets(has_engines: bool, max_attempts: u32) -> TestOptions {
+    TestOptions {
+        has_second_target: true,
+        has_third_target: true,
+        has_engines,
+        max_attempts,
+        ..TestOptions::default()
+    }
+}
+
+/// Guards against a replacement that is dropped for a part of an event, after which the silent target sends nothing more.
+#[tokio::test(start_paused = true)]
+async fn a_part_of_an_event_does_not_end_the_search_for_a_replacement() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![Step::Events(5), pause_ms(1300), Step::Half, Step::Hang];
+    let second = vec![pause_ms(300), Step::Rest];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer));
+    assert_eq!(sends, 2);
+}
+
+/// Guards against a stream that leaves its target for one whose answer ends inside its first event.
+#[tokio::test(start_paused = true)]
+async fn a_replacement_that_ends_inside_an_event_leaves_the_stream_at_its_target() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![Step::Events(5), pause_ms(1600), Step::Rest];
+    let second = vec![pause_ms(100), Step::Half, Step::End];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer));
+    assert_eq!(sends, 2);
+}
+
+/// Guards against a stream that ends as complete since the answer of another target has no events.
+#[tokio::test(start_paused = true)]
+async fn a_replacement_without_events_leaves_the_stream_at_its_target() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![Step::Events(5), pause_ms(1600), Step::Rest];
+    let second = vec![pause_ms(100), Step::End];
+    let (answer, sends) = ask(&mut node, [first, second]).await;
+    assert!(is_whole(&answer), "{}", String::from_utf8_lossy(&answer));
+    assert_eq!(sends, 2);
+}
+
+/// Asks three targets, of which the first hangs midway and the second declines.
+async fn ask_after_a_decline(has_engines: bool) -> (Vec<u8>, usize) {
+    let mut node = TestNode::open(three_targets(has_engines, 2));
+    let first = vec![Step::Events(5), Step::Hang];
+    let second = vec![Step::Decline];
+    let third = vec![pause_ms(400), Step::Rest];
+    ask(&mut node, [first, second, third]).await
+}
+
+/// Guards against a search that waits out the timeout of a target that has already declined.
+#[tokio::test(start_paused = true)]
+async fn a_replacement_that_declines_is_followed_by_another_one() {
+    let (answer, sends) = ask_after_a_decline(true).await;
+    assert_eq!(sends, 3);
+    assert!(is_whole(&answer));
+}
+
+/// Guards against the same where the targets are no engines and the timeout is the request's deadline.
+#[tokio::test(start_paused = true)]
+async fn a_plain_replacement_that_declines_is_followed_by_another_one() {
+    let (answer, sends) = ask_after_a_decline(false).await;
+    assert_eq!(sends, 3);
+    assert!(is_whole(&answer));
+}
+
+/// Guards against a stream whose silent target breaks off and that waits for a silent replacement only.
+#[tokio::test(start_paused = true)]
+async fn a_silent_replacement_is_replaced_when_the_first_target_has_broken_off() {
+    let mut node = TestNode::open(three_targets(true, 3));
+    let first = vec![Step::Events(5), pause_ms(1300), Step::Close];
+    let second = vec![Step::Hang];
+    let third = vec![Step::Rest];
+    let (answer, sends) = ask(&mut node, [first, second, third]).await;
+    assert_eq!(sends, 3);
+    assert!(is_whole(&answer));
+}
+
+/// Guards against a stream that was asked for elsewhere in a silence and is cut when its target breaks off later.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_went_on_and_breaks_off_is_replaced() {
+    let mut node = TestNode::open(two_engines());
+    let first = vec![
+        Step::Events(5),
+        pause_ms(1300),
+        Step::Events(3),
+        Step::Close,
+    ];
+    let (answer, _) = ask(&mut node, [first, vec![Step::Hang], vec![Step::Rest]]).await;
+    assert!(is_whole(&answer));
+}
+
+/// Guards against engines that get no new streams since the deadlines of others ended in a silence of all engines.
+#[tokio::test(start_paused = true)]
+async fn deadlines_in_a_silence_of_all_engines_hold_no_new_streams_back() {
+    let mut node = TestNode::open(two_engines());
+    let silence_end = Instant::now() + Duration::from_millis(3200);
+    let service = Arc::clone(&node.service);
+    let targets = async {
+        loop {
+            let mut stream = node.target.accept().await.unwrap();
+            tokio::spawn(async move {
+                let request = read_head(&mut stream).await;
+                let script = if Instant::now() < silence_end {
+                    let events = [Step::Events(1), pause_ms(900)].repeat(3);
+                    [events, vec![pause_ms(400), Step::Rest]].concat()
+                } else {
+                    vec![Step::Rest]
+                };
+                answer(stream, &request, script).await;
+            });
+        }
+    };
+    let callers = async move {
+        let limit = time_limit(Duration::from_millis(3000));
+        let mut short = JoinSet::new();
+        for _ in 0..16 {
+            let request = head("/resumable/1", &limit);
+            let connection = TestNode::connect_to(&service);
+            short.spawn(async move { read_patiently(send(connection, &request).await).await });
+        }
+        // None of them is refused, and none is whole.
+        for answer in short.join_all().await {
+            assert!(answer.starts_with(b"HTTP/1.1 200") && !is_whole(&answer));
+        }
+        tokio::time::sleep_until(silence_end).await;
+        let caller = send(TestNode::connect_to(&service), &head("/resumable/1", "")).await;
+        let answer = read_patiently(caller).await;
+        (answer, silence_end.elapsed())
+    };
+    let (answer, took) = tokio::select! {
+        answer = callers => answer,
+        () = targets => unreachable!(),
+    };
+    assert!(is_whole(&answer), "{}", String::from_utf8_lossy(&answer));
+    // As long as on engines that no stream has been sent to.
+    assert!(took < INTERVAL * (EVENTS as u32 + 2), "{took:?}");
+}
+
+/// Guards against a target that counts as silent, and requests to others, while the node has no memory for its first event.
+#[tokio::test(start_paused = true)]
+async fn a_first_event_that_waits_for_memory_is_no_silence() {
+    let mut node = TestNode::open(two_engines());
+    let budget = node.budget().account(&ClientAccount::new("a"));
+    let mut permits = Vec::new();
+    while let Some(permit) = budget.try_take(HeldFor::Caller, 64) {
+        permits.push(permit);
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        drop(permits);
+    });
+    let (answer, sends) = ask(&mut node, [vec![Step::Rest], vec![Step::Rest]]).await;
+    assert!(is_whole(&answer), "{}", String::from_utf8_lossy(&answer));
+    assert_eq!(sends, 1);
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -40,6 +40,9 @@
 /// Name of the second one, if there are two.
 const SECOND_TARGET: &str = "t2";
 
+/// Name of the third one, if there are three.
+const THIRD_TARGET: &str = "t3";
+
 /// Sizes of a test's node and connections.
 #[derive(Clone, Copy)]
 pub(super) struct TestOptions {
@@ -48,6 +51,10 @@
     pub(super) target_buffer_bytes: usize,
     /// Whether there are two targets.
     pub(super) has_second_target: bool,
+    /// Whether there is a third target in addition.
+    pub(super) has_third_target: bool,
+    /// Most targets that may run a request which may be repeated.
+    pub(super) max_attempts: u32,
     /// Whether the targets are engines, on which streams are placed by their owner.
     pub(super) has_engines: bool,
     /// Longest head of a request, in bytes.
@@ -60,6 +67,8 @@
             memory_mb: 160,
             target_buffer_bytes: 1024,
             has_second_target: false,
+            has_third_target: false,
+            max_attempts: 2,
             has_engines: false,
             max_header_bytes: RequestLimits::default().max_header_bytes,
         }
@@ -182,8 +191,9 @@
         started: TargetStart(1),
         sequence: 1,
     };
-    let names = [TARGET, SECOND_TARGET].into_iter();
-    let names = names.take(1 + usize::from(options.has_second_target));
+    let names = [TARGET, SECOND_TARGET, THIRD_TARGET].into_iter();
+    let others = usize::from(options.has_second_target) + usize::from(options.has_third_target);
+    let names = names.take(1 + others);
     let targets = names.map(|name| Arc::new(target(name)));
     Snapshot {
         configuration: Some(Arc::new(configuration(options))),
@@ -247,17 +257,22 @@
             ..RequestLimits::default()
         },
         vec![
-            route("/events/", true, Idempotency::AtMostOnce),
-            route("/plain/", false, Idempotency::AtMostOnce),
-            route("/resumable/", true, Idempotency::Idempotent),
-            route("/idempotent/", false, Idempotency::Idempotent),
+            route("/events/", true, 1),
+            route("/plain/", false, 1),
+            route("/resumable/", true, options.max_attempts),
+            route("/idempotent/", false, options.max_attempts),
         ],
         vec![service],
         vec![account("a"), account("b")],
     )
 }
 
-fn route(prefix: &str, is_stream: bool, idempotency: Idempotency) -> Route {
+fn route(prefix: &str, is_stream: bool, max_attempts: u32) -> Route {
+    let idempotency = if max_attempts > 1 {
+        Idempotency::Idempotent
+    } else {
+        Idempotency::AtMostOnce
+    };
     Route {
         name: Arc::from(prefix),
         host: "desk.example".to_owned(),
@@ -272,10 +287,7 @@
             service: Arc::from("svc"),
             weight: 1,
         }],
-        max_attempts: match idempotency {
-            Idempotency::Idempotent => 2,
-            Idempotency::AtMostOnce => 1,
-        },
+        max_attempts,
         is_public: false,
     }
 }
