--- a/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
@@ -432,3 +432,37 @@
     assert!(is_whole(&answer), "{}", String::from_utf8_lossy(&answer));
     assert_eq!(sends, 1);
 }
+
+/// Guards against a long prompt that is refused since its helpers are silent while memory is reserved on them.
+#[tokio::test(start_paused = true)]
+async fn a_reservation_outlasts_a_silence_of_all_engines() {
+    let mut node = TestNode::open(TestOptions {
+        memory_tokens: 50_000,
+        ..three_targets(true, 2)
+    });
+    let silence_end = Instant::now() + Duration::from_millis(1000);
+    let counts = format!("{}: 80000,100\r\n", headers::TOKEN_COUNTS);
+    let caller = send(node.connect(), &head("/resumable/1", &counts)).await;
+    let targets = async {
+        loop {
+            let mut stream = node.target.accept().await.unwrap();
+            tokio::spawn(async move {
+                let request = read_head(&mut stream).await;
+                tokio::time::sleep_until(silence_end).await;
+                if request.starts_with("POST /order") {
+                    let answer =
+                        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\n{}";
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                    let _ = stream.read_to_end(&mut Vec::new()).await;
+                } else {
+                    answer(stream, &request, vec![Step::Rest]).await;
+                }
+            });
+        }
+    };
+    let answer = tokio::select! {
+        answer = read_patiently(caller) => answer,
+        () = targets => unreachable!(),
+    };
+    assert!(is_whole(&answer), "{}", String::from_utf8_lossy(&answer));
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -55,6 +55,8 @@
     pub(super) has_third_target: bool,
     /// Most targets that may run a request which may be repeated.
     pub(super) max_attempts: u32,
+    /// Memory of an engine, in tokens.
+    pub(super) memory_tokens: u64,
     /// Whether the targets are engines, on which streams are placed by their owner.
     pub(super) has_engines: bool,
     /// Longest head of a request, in bytes.
@@ -69,6 +71,7 @@
             has_second_target: false,
             has_third_target: false,
             max_attempts: 2,
+            memory_tokens: 450_000,
             has_engines: false,
             max_header_bytes: RequestLimits::default().max_header_bytes,
         }
@@ -220,10 +223,10 @@
 }
 
 /// Performance of the targets, if they are engines. Each leads about ten short streams.
-fn engine_spec() -> EngineSpec {
+fn engine_spec(memory_tokens: u64) -> EngineSpec {
     EngineSpec {
         slots: 16,
-        memory_tokens: 450_000,
+        memory_tokens,
         steps_per_pass: 46,
         step_ms: 0.9,
         step_ms_per_stream: 0.2,
@@ -243,7 +246,9 @@
         health_path: "/healthz".to_owned(),
         max_connections: 10_000,
         cold_limit: None,
-        engine: options.has_engines.then(engine_spec),
+        engine: options
+            .has_engines
+            .then(|| engine_spec(options.memory_tokens)),
     };
     let account = |name: &str| Account {
         name: ClientAccount::new(name),
