--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -47,6 +47,8 @@
     Broken(String),
     /// The target did not answer within the timeout. The request may have run.
     TimedOut,
+    /// The target was silent, and another one has answered first. The request may have run.
+    Overtaken,
     /// The target stopped taking the bytes of the request. If it has taken none, the request did not run.
     Stalled { was_taken: bool },
     /// The node had no memory left for the answer until the timeout. The request may have run.
@@ -63,9 +65,11 @@
             | Self::Declined { .. }
             | Self::WrongTarget
             | Self::Stalled { was_taken: false } => Verdict::NotRun,
-            Self::Broken(_) | Self::TimedOut | Self::Stalled { was_taken: true } | Self::NoRoom => {
-                Verdict::MayHaveRun
-            }
+            Self::Broken(_)
+            | Self::TimedOut
+            | Self::Overtaken
+            | Self::Stalled { was_taken: true }
+            | Self::NoRoom => Verdict::MayHaveRun,
         }
     }
 
@@ -79,7 +83,7 @@
             Self::Declined { .. } => "declined",
             Self::WrongTarget => "wrong-target",
             Self::Broken(_) => "broken",
-            Self::TimedOut => "silent",
+            Self::TimedOut | Self::Overtaken => "silent",
             Self::Stalled { .. } => "stalled",
             Self::NoRoom => "no-room",
         }
@@ -134,7 +138,7 @@
             } => write!(f, "declined with {status} because of {target}"),
             Self::WrongTarget => f.write_str("another server has the target's address"),
             Self::Broken(reason) => write!(f, "broken: {reason}"),
-            Self::TimedOut => f.write_str("no answer in time"),
+            Self::TimedOut | Self::Overtaken => f.write_str("no answer in time"),
             Self::Stalled { was_taken: true } => {
                 f.write_str("the target stopped taking the request")
             }
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -188,7 +188,7 @@
         failure: &SendFailure,
     ) -> Response<ProxyBody> {
         match failure {
-            SendFailure::TimedOut | SendFailure::NoRoom => {
+            SendFailure::TimedOut | SendFailure::Overtaken | SendFailure::NoRoom => {
                 self.give_up(cx, req, StatusCode::GATEWAY_TIMEOUT, "no answer in time")
             }
             _ => self.give_up(cx, req, StatusCode::BAD_GATEWAY, "the target broke off"),
@@ -273,7 +273,7 @@
         SendFailure::WrongTarget => cx.health.on_address_reused(&target.id),
         SendFailure::Declined { .. } => cx.health.on_refused(&target.id),
         SendFailure::InBackOff => cx.metrics.on_held_back(&target.service, "back-off"),
-        SendFailure::TimedOut => {
+        SendFailure::TimedOut | SendFailure::Overtaken => {
             cx.connections.drop_idle(&target.id);
             if !is_at_fault() {
                 cx.health.on_failure(&target.id);
--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -142,6 +142,7 @@
             | SendFailure::InBackOff
             | SendFailure::Stopping
             | SendFailure::WrongTarget
+            | SendFailure::Overtaken
             | SendFailure::NoRoom,
         ) => None,
     }
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -11,7 +11,6 @@
 use tokio::time::Instant;
 
 use super::open::Loss;
-use super::placement::Placement;
 use super::{AnswerStart, DEFAULT_RETRY_AFTER, Relay, StreamEnd};
 use crate::forward::attempt::{SendFailure, time_until};
 use crate::forward::crash_check::check_for_crash;
@@ -19,32 +18,46 @@
 use crate::forward::problem::{problem_response, refusal};
 
 impl<N: Network> Relay<N> {
-    /// Records a send without an answer, and checks whether the target has crashed.
-    pub(super) async fn record_failed_send(
+    /// Records a lost answer, and returns the outcome to report to the owner. Whether the target has crashed of the request or
+    /// of `parts` of its prompt is checked beside what follows.
+    pub(super) fn record_loss(
         &self,
-        target: &TargetEntry,
-        failure: &SendFailure,
+        target: &Arc<TargetEntry>,
+        loss: Loss,
         sent_at: Instant,
-    ) {
-        let at = self.log_failed_send(target, failure);
-        if failure.verdict() == Verdict::MayHaveRun {
-            let parts = self.unproven_parts();
-            check_for_crash(&self.cx, &self.req, parts, target, sent_at).await;
-        } else if let Some(helper) = &at {
-            // A helper processes a part of the prompt, so the request may have crashed it as well.
-            let parts = self.unproven_parts();
-            check_for_crash(&self.cx, &self.req, parts, helper, sent_at).await;
+        parts: &[Fingerprint],
+    ) -> StreamOutcome {
+        let failure = match loss {
+            Loss::ServerError(response) => {
+                self.sends.on_lost(&target.id);
+                self.sends.keep_server_error(*response);
+                return StreamOutcome::TargetFailed(target.id.clone());
+            }
+            Loss::Failed(failure) => failure,
+            Loss::CallerGone | Loss::Quarantined => return StreamOutcome::Cancelled,
+        };
+        let check = self.record_failed_send(target, &failure, sent_at, parts);
+        if let Some(check) = check {
+            self.cx.spawner.spawn(check);
         }
+        self.outcome_of(target.id.clone(), &failure)
     }
 
-    /// Counts and logs a send without an answer, and excludes the target at fault. Returns that one if it is another target.
-    fn log_failed_send(
+    /// Records a send without an answer. Returns a check whether a target has crashed, if one may have.
+    pub(super) fn record_failed_send(
         &self,
-        target: &TargetEntry,
+        target: &Arc<TargetEntry>,
         failure: &SendFailure,
-    ) -> Option<Arc<TargetEntry>> {
-        record_failure(&self.cx, target, failure);
-        let at = match failure {
+        sent_at: Instant,
+        parts: &[Fingerprint],
+    ) -> Option<impl Future<Output = ()> + Send + use<N>> {
+        if *failure == SendFailure::TimedOut {
+            // Only another target that answers shows that this one is at fault.
+            self.cx.metrics.on_send(&self.req.service, failure.label());
+        } else {
+            record_failure(&self.cx, target, failure);
+        }
+        let helper_at_fault = match failure {
             SendFailure::Declined {
                 at_fault: Some(at), ..
             } => self.find_target(at),
@@ -60,38 +73,19 @@
             age_ms = self.req.arrived.elapsed().as_millis() as u64,
             "send failed"
         );
-        let excluded = at.as_ref().map_or(&target.id, |helper| &helper.id);
-        self.history.exclude(excluded.clone());
-        at
-    }
-
-    /// Records a lost answer of a target while the stream goes on at another one. A crash is looked for beside it.
-    pub(super) fn record_loss(&self, placement: Placement<N>, loss: Loss, sent_at: Instant) {
-        let failure = match loss {
-            Loss::Failed(response) => return self.on_failure(placement, *response),
-            Loss::Lost(failure) => failure,
-            Loss::CallerGone | Loss::Quarantined => return placement.end(StreamOutcome::Cancelled),
-        };
-        let target = Arc::clone(&placement.target);
-        let helper = self.log_failed_send(&target, &failure);
-        placement.end(self.outcome_of(target.id.clone(), &failure));
-        let suspect = match failure.verdict() {
-            Verdict::NotRun => {
-                self.history.on_declined();
-                // A helper processes a part of the prompt, so the request may have crashed it.
-                helper
-            }
-            Verdict::MayHaveRun | Verdict::Ran => {
-                self.history.on_run();
-                Some(target)
-            }
+        let suspect = if failure.verdict() == Verdict::NotRun {
+            self.sends.on_not_run(&target.id);
+            let excluded = helper_at_fault.as_ref().unwrap_or(target);
+            self.sends.exclude(excluded.id.clone());
+            // A helper processes a part of the prompt, so the request may have crashed it.
+            helper_at_fault?
+        } else {
+            self.sends.on_lost(&target.id);
+            Arc::clone(target)
         };
-        let Some(suspect) = suspect else { return };
         let (cx, req) = (Arc::clone(&self.cx), Arc::clone(&self.req));
-        let parts = self.unproven_parts().to_vec();
-        self.cx.spawner.spawn(async move {
-            check_for_crash(&cx, &req, &parts, &suspect, sent_at).await;
-        });
+        let parts = parts.to_vec();
+        Some(async move { check_for_crash(&cx, &req, &parts, &suspect, sent_at).await })
     }
 
     /// Finds a target of the service by its name or address.
@@ -104,38 +98,45 @@
         found.cloned()
     }
 
-    /// Counts a send without an answer. Returns whether another one may follow.
+    /// Whether another send may follow a failed one; takes a retry for it.
     pub(super) fn may_send_again(&self, failure: &SendFailure) -> bool {
-        if failure.verdict() == Verdict::NotRun {
-            self.history.on_declined();
-            if self.history.runs() == 0 {
-                self.req.gate.on_not_run();
-            }
-            return !self.history.is_declined_too_often()
-                && !time_until(self.req.deadline).is_zero()
-                && (!failure.reached_target() || self.cx.try_take_retry(&self.req.service));
+        if failure.verdict() != Verdict::NotRun {
+            return self.may_run_again();
+        }
+        if self.sends.has_not_run() {
+            self.req.gate.on_not_run();
         }
-        self.history.on_run();
-        self.may_run_again()
+        self.sends.may_follow(u32::MAX)
+            && !time_until(self.req.deadline).is_zero()
+            && (!failure.reached_target() || self.cx.try_take_retry(&self.req.service))
     }
 
+    /// Whether another run may follow; takes a retry for it.
     pub(super) fn may_run_again(&self) -> bool {
-        self.may_run_after(self.history.runs()) && self.cx.try_take_retry(&self.req.service)
+        self.may_follow() && self.cx.try_take_retry(&self.req.service)
     }
 
-    /// Whether another run may follow `runs` ones, the retry budget aside.
-    pub(super) fn may_run_after(&self, runs: u32) -> bool {
+    /// Whether the request may be sent once more although targets may have run it, the retry budget aside.
+    pub(super) fn may_follow(&self) -> bool {
         self.req.is_idempotent()
-            && runs < self.req.route.max_attempts
+            && self.sends.may_follow(self.req.route.max_attempts)
             && !time_until(self.req.deadline).is_zero()
             && (self.start_tx.is_some() || self.last_relayed_id.is_some())
     }
 
+    /// Targets that must not get the request.
+    pub(super) fn excluded(&self) -> Vec<HostName> {
+        let snapshot = self.cx.snapshots.load();
+        let targets = snapshot.targets.of_service(&self.req.service);
+        let names = targets.iter().map(|t| &t.id);
+        self.sends.excluded(names, self.req.route.max_attempts)
+    }
+
     /// Sends the final answer to a request that no engine can serve in time.
     pub(super) fn refuse(mut self, retry_after: Duration) {
         self.progress.complete();
         self.log(&HostName::new(""), "stream refused");
-        if self.history.runs() > 0 {
+        if !self.sends.has_not_run() {
             return self.give_up(&SendFailure::TimedOut);
         }
         self.record_sample(StreamEnd::Refused);
@@ -153,7 +154,7 @@
     /// Sends the final answer to a quarantined request.
     pub(super) fn refuse_quarantined(mut self) {
         record_quarantine_refusal(&self.cx, &self.req);
-        if self.history.runs() > 0 {
+        if !self.sends.has_not_run() {
             return self.give_up(&SendFailure::Broken(QUARANTINE_DETAIL.to_owned()));
         }
         self.progress.complete();
@@ -178,7 +179,7 @@
     pub(super) fn give_up(mut self, failure: &SendFailure) {
         self.progress.complete();
         self.log(&HostName::new(""), "stream given up");
-        self.record_sample(if self.history.runs() == 0 {
+        self.record_sample(if self.sends.has_not_run() {
             StreamEnd::Refused
         } else {
             StreamEnd::Failed
@@ -187,9 +188,9 @@
             // Closing the channel without `BodyChunk::End` aborts the answer that has begun.
             return;
         };
-        let response = match (self.history.take_failure(), failure) {
+        let response = match (self.sends.take_server_error(), failure) {
             (Some(response), _) => response,
-            (None, _) if self.history.runs() == 0 => {
+            (None, _) if self.sends.has_not_run() => {
                 refusal("no target took the request", self.retry_after())
             }
             (None, SendFailure::TimedOut | SendFailure::NoRoom) => {
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -5,10 +5,11 @@
 //! awaited beside that of another one, and the first to send events goes on.
 
 mod finish;
-mod history;
 mod open;
 mod placement;
 mod relay;
+mod sends;
+mod silence_timer;
 mod takeover;
 mod target_events;
 
@@ -33,9 +34,9 @@
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
 use super::problem::problem_response;
-use history::SendHistory;
 use open::Loss;
 use placement::Placement;
+use sends::StreamSends;
 use takeover::{AnswerEnd, Takeover};
 
 /// Most sends of one request after which it did not run.
@@ -66,7 +67,7 @@
         start_tx: Some(start_tx),
         events: events_tx,
         last_relayed_id: None,
-        history: SendHistory::default(),
+        sends: StreamSends::default(),
         first_event_ms: None,
         last_event_at: None,
         answered_at: None,
@@ -137,7 +138,7 @@
     last_event_id: Option<HeaderValue>,
     /// Id of the last event that was forwarded here.
     last_relayed_id: Option<u64>,
-    history: SendHistory,
+    sends: StreamSends,
     /// Time from the arrival of the request to the first event.
     first_event_ms: Option<u64>,
     /// When the last event was received.
@@ -163,11 +164,15 @@
     async fn run(mut self) {
         let mut takeover = None;
         loop {
-            let (placement, open) = match takeover.take() {
-                Some(Takeover { placement, answer }) => (Ok(placement), Some(answer)),
+            let (placement, open, sent_at) = match takeover.take() {
+                Some(Takeover {
+                    placement,
+                    answer,
+                    sent_at,
+                }) => (Ok(placement), Some(answer), sent_at),
                 None => {
-                    let exclude = self.history.excluded();
-                    (self.place_unless_quarantined(&exclude).await, None)
+                    let placement = self.place_unless_quarantined(&self.excluded()).await;
+                    (placement, None, Instant::now())
                 }
             };
             let placement = match placement {
@@ -176,13 +181,18 @@
                 Err(PlaceError::Quarantined) => return self.refuse_quarantined(),
             };
             self.first_placement = self.first_placement.or(placement.times);
-            let sent_at = open.as_ref().map_or_else(Instant::now, |open| open.sent_at);
             let result = self.send(&placement, open).await;
             if self.has_survived() {
                 record_survived_parts(&self.cx, &self.req, &placement.target);
             }
             match result {
                 Ok(()) => return self.on_complete(placement, sent_at),
+                Err(AnswerEnd::TakenOver(next, loss)) => {
+                    let outcome =
+                        self.record_loss(&placement.target, loss, sent_at, self.unproven_parts());
+                    placement.end(outcome);
+                    takeover = Some(*next);
+                }
                 Err(AnswerEnd::Lost(Loss::Quarantined)) => {
                     placement.end(StreamOutcome::Cancelled);
                     return self.refuse_quarantined();
@@ -190,27 +200,26 @@
                 Err(AnswerEnd::Lost(Loss::CallerGone)) => {
                     return placement.end(StreamOutcome::Cancelled);
                 }
-                Err(AnswerEnd::Lost(Loss::Failed(response))) => {
-                    self.on_failure(placement, *response);
+                Err(AnswerEnd::Lost(loss @ Loss::ServerError(_))) => {
+                    let outcome =
+                        self.record_loss(&placement.target, loss, sent_at, self.unproven_parts());
+                    placement.end(outcome);
                     if !self.may_run_again() {
                         return self.give_up(&SendFailure::Broken("target failed".to_owned()));
                     }
                 }
-                Err(AnswerEnd::Lost(Loss::Lost(failure))) => {
-                    self.record_failed_send(&placement.target, &failure, sent_at)
-                        .await;
-                    let outcome = self.outcome_of(placement.target.id.clone(), &failure);
+                Err(AnswerEnd::Lost(Loss::Failed(failure))) => {
+                    let (target, parts) = (&placement.target, self.unproven_parts());
+                    let check = self.record_failed_send(target, &failure, sent_at, parts);
+                    if let Some(check) = check {
+                        check.await;
+                    }
+                    let outcome = self.outcome_of(target.id.clone(), &failure);
                     placement.end(outcome);
                     if !self.may_send_again(&failure) {
                         return self.give_up(&failure);
                     }
                 }
-                Err(AnswerEnd::TakenOver(next, loss)) => {
-                    // Its send was counted when the target was asked; this one's was not.
-                    self.history.take_back_run();
-                    self.record_loss(placement, loss, sent_at);
-                    takeover = Some(*next);
-                }
             }
         }
     }
@@ -225,14 +234,6 @@
         placement.end(StreamOutcome::Done);
     }
 
-    /// Records a target that ran the request and answered with a failure.
-    fn on_failure(&self, placement: Placement<N>, response: Response<ProxyBody>) {
-        let lead = placement.target.id.clone();
-        placement.end(StreamOutcome::TargetFailed(lead));
-        self.history.on_run();
-        self.history.on_failure(response);
-    }
-
     /// Outcome of a failed send to report to the owner.
     fn outcome_of(&self, lead: HostName, failure: &SendFailure) -> StreamOutcome {
         match failure {
@@ -247,14 +248,16 @@
                 },
                 None => StreamOutcome::TargetRefused(lead),
             },
-            SendFailure::InBackOff | SendFailure::Stopping | SendFailure::NoRoom => {
-                StreamOutcome::Cancelled
-            }
+            // Only another target that answers shows that a silent one is at fault.
+            SendFailure::TimedOut
+            | SendFailure::InBackOff
+            | SendFailure::Stopping
+            | SendFailure::NoRoom => StreamOutcome::Cancelled,
             SendFailure::WrongTarget => StreamOutcome::TargetFailed(lead),
             SendFailure::NotSent(_)
             | SendFailure::NoPath
             | SendFailure::Broken(_)
-            | SendFailure::TimedOut
+            | SendFailure::Overtaken
             | SendFailure::Stalled { .. } => {
                 // Other nodes may reach the target, so the owner must not take it out of use for them.
                 if self.cx.paths.is_at_fault(&lead) {
@@ -306,8 +309,8 @@
             request = self.req.head.id(),
             route = %self.req.route.name,
             target = %target,
-            runs = self.history.runs(),
-            declined = self.history.declined(),
+            runs = self.sends.lost(),
+            declined = self.sends.declined(),
             last_event = self.last_relayed_id,
             first_event_ms = self.first_event_ms,
             target_ms = self.req.route.latency_target.as_millis() as u64,
--- a/crates/azuresaddle-edge/src/forward/stream/open.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/open.rs
@@ -1,6 +1,7 @@
 //! Sends a stream's request to the targets of a placement, until the first events arrive.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use azuresaddle_core::byte_budget::{HeldFor, Permit, read_held};
 use azuresaddle_core::deployment::TargetEntry;
@@ -12,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::placement::Placement;
+use super::silence_timer::SilenceTimer;
 use super::target_events::{EventBatch, TargetEvents};
 use super::{AnswerStart, Relay};
 use crate::forward::attempt::{SendFailure, keep_alive, send, time_until};
@@ -23,6 +25,10 @@
 use crate::forward::reservations::{Reservations, reserve};
 use crate::targets::Connection;
 
+/// Time for a reservation of memory after which other targets are asked: many round trips, and a part of the time that a long
+/// prompt may take.
+const MAX_RESERVATION_SILENCE: Duration = Duration::from_millis(400);
+
 /// Longest failure answer (without events) that is accepted, in bytes.
 const MAX_FAILURE_BODY_BYTES: usize = 1 << 20;
 
@@ -32,16 +38,14 @@
     /// The first events; `None` if the answer has ended.
     pub(super) first: Option<EventBatch>,
     pub(super) rest: TargetEvents,
-    /// When the request was sent.
-    pub(super) sent_at: Instant,
 }
 
-/// Why a target's answer does not go on.
+/// How an answer was lost.
 pub(super) enum Loss {
     /// The target ran the request and answered with a failure.
-    Failed(Box<Response<ProxyBody>>),
+    ServerError(Box<Response<ProxyBody>>),
     /// There was no answer, or it ended before it was complete.
-    Lost(SendFailure),
+    Failed(SendFailure),
     /// The caller disconnected.
     CallerGone,
     /// The request was not sent, since it is quarantined.
@@ -50,7 +54,7 @@
 
 impl From<SendFailure> for Loss {
     fn from(failure: SendFailure) -> Self {
-        Self::Lost(failure)
+        Self::Failed(failure)
     }
 }
 
@@ -61,12 +65,18 @@
 }
 
 impl<N: Network> Relay<N> {
-    /// Sends the request to the targets of a placement and waits for the first events.
+    /// Sends the request to the targets of a placement and waits for the first events. `silence` runs while they are awaited.
     ///
     /// # Errors
-    /// If there is no answer with events.
-    pub(super) async fn open(&self, placement: &Placement<N>) -> Result<OpenAnswer, Loss> {
+    /// If there is no answer.
+    pub(super) async fn open(
+        &self,
+        placement: &Placement<N>,
+        silence: &SilenceTimer,
+    ) -> Result<OpenAnswer, Loss> {
+        silence.start(Instant::now() + MAX_RESERVATION_SILENCE);
         let reserved = self.reserve(placement).await?;
+        silence.stop();
         // Other nodes may have reported crashes during the placement and the reservation.
         if self
             .cx
@@ -94,11 +104,12 @@
         if !self.req.gate.try_send() {
             return Err(SendFailure::Stopping.into());
         }
-        let sent_at = Instant::now();
+        self.sends.on_sent(&target.id);
+        silence.start(Instant::now() + placement.first_event_timeout);
         let response = send(&self.cx, target, &mut connection, outgoing, id, timeout).await?;
         if !response.status().is_success() {
             let response = self.read_failure(response, connection).await?;
-            return Err(Loss::Failed(Box::new(response)));
+            return Err(Loss::ServerError(Box::new(response)));
         }
         let (parts, body) = response.into_parts();
         let mut rest = TargetEvents {
@@ -116,13 +127,8 @@
             status: parts.status,
             headers,
         };
-        let first = self.first_events(&mut rest).await?;
-        Ok(OpenAnswer {
-            start,
-            first,
-            rest,
-            sent_at,
-        })
+        let first = self.first_events(&mut rest, silence).await?;
+        Ok(OpenAnswer { start, first, rest })
     }
 
     async fn reserve(&self, placement: &Placement<N>) -> Result<Option<Reservations>, SendFailure> {
@@ -134,7 +140,7 @@
             return Ok(None);
         }
         let id = self.req.head.id();
-        let name = format!("{id}-{}", self.history.runs() + self.history.declined());
+        let name = format!("{id}-{}", self.sends.next_reservation());
         match reserve(&self.cx, &placement.helpers, &name, tokens).await {
             Ok(reserved) => Ok(Some(reserved)),
             Err(helper) => Err(SendFailure::Declined {
@@ -164,14 +170,22 @@
     }
 
     /// Waits for the first events; `None` if the answer ends without any.
-    async fn first_events(&self, events: &mut TargetEvents) -> Result<Option<EventBatch>, Loss> {
+    async fn first_events(
+        &self,
+        events: &mut TargetEvents,
+        silence: &SilenceTimer,
+    ) -> Result<Option<EventBatch>, Loss> {
         loop {
             let chunk = tokio::time::timeout_at(self.req.deadline, events.chunk());
             let Some(chunk) = chunk.await.map_err(|_| SendFailure::TimedOut)?? else {
                 return Ok(None);
             };
             let bytes = (chunk.len() + PART_COST_BYTES) as u64;
-            self.hold(&mut events.held, bytes).await?;
+            if !events.held.try_grow(bytes) {
+                silence.stop();
+                self.hold(&mut events.held, bytes).await?;
+                silence.start(Instant::now() + self.max_silence());
+            }
             if let Some(batch) = events.push(&chunk)? {
                 self.check_order(&batch.ids)?;
                 return Ok(Some(batch));
--- a/crates/azuresaddle-edge/src/forward/stream/relay.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/relay.rs
@@ -6,8 +6,9 @@
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
 
-use super::open::OpenAnswer;
+use super::open::{Loss, OpenAnswer};
 use super::placement::Placement;
+use super::silence_timer::SilenceTimer;
 use super::takeover::AnswerEnd;
 use super::target_events::{EventBatch, TargetEvents};
 use super::{AnswerStart, Relay};
@@ -21,7 +22,7 @@
 const MIN_SILENCE: Duration = Duration::from_millis(700);
 
 impl<N: Network> Relay<N> {
-    /// Sends the request to the targets of a placement, unless another one has already begun to answer, and relays the answer.
+    /// Sends the request to the targets of a placement, unless they have already begun to answer, and relays the answer.
     ///
     /// # Errors
     /// If the answer does not go on at these targets.
@@ -35,22 +36,25 @@
         let open = match open {
             Some(open) => open,
             None => {
-                let silent_at = Instant::now() + placement.first_event_timeout;
-                self.await_answer(target, silent_at, self.open(placement))
-                    .await?
+                let silence = SilenceTimer::default();
+                let open = self.open(placement, &silence);
+                self.await_events(placement, &silence, open).await?
             }
         };
+        self.sends.cancel_others(target);
         let OpenAnswer {
             start,
             first,
             mut rest,
-            ..
         } = open;
         let mut start = Some(start);
         let mut next = first;
         while let Some(batch) = next {
             self.forward(placement, batch, &mut start)?;
-            next = self.next_events(target, &mut rest).await?;
+            let silence = SilenceTimer::default();
+            let events = self.next_events(&mut rest, &silence);
+            next = self.await_events(placement, &silence, events).await?;
+            self.sends.cancel_others(target);
         }
         rest.finish()?;
         self.progress.complete();
@@ -58,21 +62,22 @@
         Ok(self.events.end()?)
     }
 
-    /// Waits for the next events; `None` at the end of the answer.
+    /// Waits for the next events; `None` at the end of the answer. Time in which the target is not read is no silence.
     async fn next_events(
         &self,
-        target: &HostName,
         events: &mut TargetEvents,
-    ) -> Result<Option<EventBatch>, AnswerEnd<N>> {
-        let max_silence = (self.pause_target() * SILENCE_PAUSES).max(MIN_SILENCE);
+        silence: &SilenceTimer,
+    ) -> Result<Option<EventBatch>, Loss> {
+        let max_silence = self.max_silence();
         let mut silent_at = Instant::now() + max_silence;
         loop {
-            // The target is not at fault for the time in which it was not read.
             if self.events.room().await? {
                 silent_at = Instant::now() + max_silence;
             }
-            let chunk = async { Ok(events.chunk().await?) };
-            let Some(chunk) = self.await_answer(target, silent_at, chunk).await? else {
+            silence.start(silent_at);
+            let chunk = events.chunk().await?;
+            silence.stop();
+            let Some(chunk) = chunk else {
                 return Ok(None);
             };
             let bytes = (chunk.len() + PART_COST_BYTES) as u64;
@@ -87,6 +92,11 @@
         }
     }
 
+    /// Silence of a target, which has sent events, after which others are asked.
+    pub(super) fn max_silence(&self) -> Duration {
+        (self.pause_target() * SILENCE_PAUSES).max(MIN_SILENCE)
+    }
+
     /// Forwards events, and the start of the answer before the first ones.
     fn forward(
         &mut self,
