--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -18,6 +18,9 @@
 /// Time to live of a reservation without renewal, which bounds how long memory stays reserved after the node dies.
 const RESERVATION_TTL: Duration = Duration::from_millis(3000);
 
+/// Longest wait for a new reservation. A sound helper may be silent for more than a second; others are asked meanwhile.
+const RESERVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Interval of renewals. Two in a row may fail before the reservation expires.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -37,9 +40,11 @@
     name: &str,
     tokens: u64,
 ) -> Result<Reservations, HostName> {
-    let requests = helpers
-        .iter()
-        .map(|helper| send_request(cx, helper, encode_reserve(name, tokens, ttl_ms(), false)));
+    let requests = helpers.iter().map(|helper| {
+        let body = encode_reserve(name, tokens, ttl_ms(), false);
+        let call = TargetCall::post(RESERVATION_PATH, body).with_timeout(RESERVE_TIMEOUT);
+        send_request(cx, helper, call)
+    });
     let answers = join_all(requests).await;
     let stopped = CancellationToken::new();
     // From here on the task releases all reservations, including those whose answer was lost.
@@ -106,7 +111,10 @@
     name: &str,
     body: &[u8],
 ) {
-    let requests = helpers.iter().map(|h| send_request(cx, h, body.to_vec()));
+    let requests = helpers.iter().map(|helper| {
+        let call = TargetCall::post(RESERVATION_PATH, body.to_vec());
+        send_request(cx, helper, call)
+    });
     log_failures(helpers, name, &join_all(requests).await);
 }
 
@@ -129,9 +137,9 @@
 async fn send_request<N: Network>(
     cx: &Arc<Forwarder<N>>,
     target: &TargetEntry,
-    body: Vec<u8>,
+    call: TargetCall,
 ) -> Result<(), SendFailure> {
-    let answer = call_target(cx, target, TargetCall::post(RESERVATION_PATH, body)).await?;
+    let answer = call_target(cx, target, call).await?;
     decode_reservation_answer(&answer)
         .map(|_| ())
         .map_err(|e| SendFailure::Broken(e.to_string()))
--- a/crates/azuresaddle-edge/src/forward/target_call.rs
+++ b/crates/azuresaddle-edge/src/forward/target_call.rs
@@ -16,7 +16,7 @@
 use super::attempt::{SendFailure, keep_alive};
 use super::forwarder::Forwarder;
 
-/// Longest wait for an answer. Targets answer these calls immediately, and a prompt may wait for the answer.
+/// Usual wait for an answer. Targets answer these calls immediately.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Longest answer, in bytes.
@@ -27,6 +27,8 @@
     method: Method,
     path: &'static str,
     body: Vec<u8>,
+    /// Longest wait for an answer.
+    timeout: Duration,
 }
 
 impl TargetCall {
@@ -35,6 +37,7 @@
             method: Method::GET,
             path,
             body: Vec::new(),
+            timeout: TIMEOUT,
         }
     }
 
@@ -43,9 +46,14 @@
             method: Method::POST,
             path,
             body,
+            timeout: TIMEOUT,
         }
     }
 
+    pub(super) fn with_timeout(self, timeout: Duration) -> Self {
+        Self { timeout, ..self }
+    }
+
     fn into_request(self, target: &TargetEntry) -> Request<Full<HeldBytes>> {
         let has_body = !self.body.is_empty();
         let mut req = Request::new(Full::new(HeldBytes::uncounted(self.body)));
@@ -73,7 +81,7 @@
     target: &TargetEntry,
     call: TargetCall,
 ) -> Result<Bytes, SendFailure> {
-    tokio::time::timeout(TIMEOUT, exchange(cx, target, call))
+    tokio::time::timeout(call.timeout, exchange(cx, target, call))
         .await
         .unwrap_or(Err(SendFailure::TimedOut))
 }
