A redirected request ends with what the redirecting node learns

While an owner is frozen, its successor and the other nodes notice it at different moments. A node that already took the successor for the owner sent it its requests; the successor still named the frozen node, and the requests went there with all of their time. Nothing ended these calls: the node's own view of the owner did not change any more. Their callers heard nothing and left after 5 s, unless a report to the frozen owner happened to time out, which repeats all requests of a node.

A node can't tell which of the two knows more. So while the named node does not decide, the node that redirected is asked again, after 50 ms and then after twice the time before, and the first decision of either counts; the other call is dropped, which withdraws its request. The log tells when that happens.

Evidence: the tests `a_request_redirected_to_a_frozen_owner_is_placed_by_the_new_one` and `a_request_redirected_to_a_replaced_owner_without_room_is_placed_by_the_new_one` replay the order of events on a paused clock and have no decision after 300 ms on the code before.

--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -216,8 +216,26 @@
         req: &PlaceRequest,
         place_locally: bool,
     ) -> Option<PlaceReply> {
+        if owner == self.node || place_locally {
+            if place_locally {
+                self.owner.sync(&self.sync_message());
+            }
+            let message = self.place_message(id, req);
+            return Some(self.owner.place(message, self.priority(req)).await);
+        }
+        let peer = self.snapshots.load().node(owner)?.peer_addr;
+        match self.request_from_peer(peer, id, req, false).await? {
+            PlaceReply::Redirect { peer: named } => {
+                self.follow_redirect(peer, named, id, req).await
+            }
+            reply => Some(reply),
+        }
+    }
+
+    /// The request with the times that are left now.
+    fn place_message(&self, id: PlacementId, req: &PlaceRequest) -> PlaceMessage {
         let now = Instant::now();
-        let message = PlaceMessage {
+        PlaceMessage {
             id,
             service: req.service.to_string(),
             account: req.account.clone(),
@@ -231,40 +249,29 @@
             exclude: req.exclude.clone(),
             suspect: req.suspect,
             is_redirected: false,
-        };
-        let priority = if self.sends_priority {
+        }
+    }
+
+    fn priority(&self, req: &PlaceRequest) -> u8 {
+        if self.sends_priority {
             req.priority
         } else {
             DEFAULT_PRIORITY
-        };
-        if owner == self.node || place_locally {
-            if place_locally {
-                self.owner.sync(&self.sync_message());
-            }
-            return Some(self.owner.place(message, priority).await);
-        }
-        let peer = self.snapshots.load().node(owner)?.peer_addr;
-        match self
-            .request_from_peer(peer, message.clone(), priority)
-            .await?
-        {
-            PlaceReply::Redirect { peer } => {
-                let redirected = PlaceMessage {
-                    is_redirected: true,
-                    ..message
-                };
-                self.request_from_peer(peer, redirected, priority).await
-            }
-            reply => Some(reply),
         }
     }
 
-    async fn request_from_peer(
+    pub(super) async fn request_from_peer(
         &self,
         peer: SocketAddr,
-        message: PlaceMessage,
-        priority: u8,
+        id: PlacementId,
+        req: &PlaceRequest,
+        is_redirected: bool,
     ) -> Option<PlaceReply> {
+        let message = PlaceMessage {
+            is_redirected,
+            ..self.place_message(id, req)
+        };
+        let priority = self.priority(req);
         let timeout = message.time_left;
         if !self.ranked_calls.are_used(Instant::now(), peer, priority) {
             let reply = self
--- a/crates/azuresaddle-edge/src/placement/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod permits;
 mod place_request;
 mod ranked_calls;
+mod redirects;
 mod reporter;
 #[cfg(test)]
 mod tests;
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -272,7 +272,7 @@
         self.changed.notify_one();
     }
 
-    fn lock(&self) -> MutexGuard<'_, OwnerState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, OwnerState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/crates/azuresaddle-edge/src/placement/redirects.rs
@@ -0,0 +1,63 @@
+//! Requests that the owner redirects to another node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::PlacementId;
+
+use super::client::PlacementClient;
+use super::place_request::PlaceRequest;
+use crate::peer::PlaceReply;
+
+/// Time after which the node that redirected a request is asked again: many round trips, and longer than a node that
+/// has just become the owner takes to act on it. Doubles with each time.
+const FIRST_CHECK: Duration = Duration::from_millis(50);
+
+impl<N: Network> PlacementClient<N> {
+    /// Waits for a decision of the node `named`, which the node `redirector` takes for the owner.
+    ///
+    /// One of the two knows an earlier owner, which may have stopped, and no change of owner at this node tells which.
+    /// So `redirector` is asked again while `named` does not decide, and the first decision of either counts. The other
+    /// call is dropped, which withdraws its request.
+    pub(super) async fn follow_redirect(
+        &self,
+        redirector: SocketAddr,
+        named: SocketAddr,
+        id: PlacementId,
+        req: &PlaceRequest,
+    ) -> Option<PlaceReply> {
+        let mut check_after = FIRST_CHECK;
+        let mut peer = named;
+        loop {
+            let mut call = std::pin::pin!(self.request_from_peer(peer, id, req, true));
+            peer = loop {
+                let check = async {
+                    tokio::time::sleep(check_after).await;
+                    self.request_from_peer(redirector, id, req, false).await
+                };
+                let reply = tokio::select! {
+                    biased;
+                    reply = &mut call => return reply,
+                    reply = check => reply,
+                };
+                if check_after == FIRST_CHECK {
+                    tracing::info!(
+                        part = "placement",
+                        %redirector,
+                        named = %peer,
+                        redirects = matches!(reply, Some(PlaceReply::Redirect { .. })),
+                        "no decision after a redirect; asked the redirecting node again"
+                    );
+                }
+                check_after *= 2;
+                match reply {
+                    Some(PlaceReply::Redirect { peer: again }) if again != peer => break again,
+                    // The redirecting node may have ended since.
+                    Some(PlaceReply::Redirect { .. } | PlaceReply::NoDecision) | None => {}
+                    Some(reply) => return Some(reply),
+                }
+            };
+        }
+    }
+}
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -4,5 +4,8 @@
 mod demand;
 mod dispatches;
 mod handover;
+mod peer_network;
 mod permits;
 mod ranked_calls;
+mod redirects;
+mod test_fleet;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
@@ -0,0 +1,210 @@
+//! Nodes that place the streams of one service on the same engines, without control: a test publishes what each knows.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{
+    Configuration, RequestLimits, Service, TargetEntry, TargetStart, TargetState,
+};
+use azuresaddle_core::prelude::*;
+use azuresaddle_core::version::RulesVersion;
+use azuresaddle_platform::StorePosition;
+use azuresaddle_sched::addresses::LoadLevel;
+use azuresaddle_sched::passes::{DEFAULT_PRIORITY, PassOptions};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::dispatches::engine;
+use super::peer_network::{PeerNetwork, peer_addr, peer_network};
+use crate::control::tests::memory_network::MemoryListener;
+use crate::metrics::Metrics;
+use crate::peer::{PeerClients, serve_peers};
+use crate::placement::{
+    Owner, PlaceRequest, PlacementClient, PlacementClientParts, PlacementGuard,
+};
+use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
+
+/// Bandwidth of a node, in bytes per second.
+const LINK_BYTES_PER_S: f64 = 2_500_000.0;
+
+/// Time after which the callers of a test give up.
+const DEADLINE: Duration = Duration::from_secs(15);
+
+/// One node of a [`TestFleet`].
+pub(super) struct TestNode {
+    pub(super) spawner: Spawner,
+    pub(super) owner: Arc<Owner>,
+    pub(super) placement: Arc<PlacementClient<PeerNetwork>>,
+    pub(super) unresponsive_owners: mpsc::Receiver<u64>,
+    snapshots: Snapshots,
+}
+
+/// Nodes with the incarnations 1, 2 and so on.
+pub(super) struct TestFleet {
+    nodes: Vec<TestNode>,
+    /// Number of engines, each of which has one slot.
+    engines: usize,
+}
+
+impl TestFleet {
+    /// Starts the nodes; `owners` says which node each of them takes for the owner.
+    pub(super) fn open(owners: &[u64], engines: usize) -> Self {
+        let count = owners.len() as u64;
+        let (net, listeners) = peer_network(count);
+        let configuration = Arc::new(configuration());
+        let nodes = owners.iter().zip(listeners).zip(1..);
+        let nodes = nodes.map(|((owner, listener), node)| {
+            let snapshot = snapshot(count, *owner, engines, &configuration);
+            TestNode::open(node, &net, listener, snapshot)
+        });
+        Self {
+            nodes: nodes.collect(),
+            engines,
+        }
+    }
+
+    pub(super) fn node(&mut self, node: u64) -> &mut TestNode {
+        &mut self.nodes[node as usize - 1]
+    }
+
+    /// Makes a node take another one for the owner.
+    pub(super) fn set_owner(&mut self, node: u64, owner: u64) {
+        let count = self.nodes.len() as u64;
+        let engines = self.engines;
+        let snapshots = &self.node(node).snapshots;
+        let configuration = snapshots.load().configuration.clone();
+        let configuration = configuration.expect("a configuration");
+        snapshots.publish(snapshot(count, owner, engines, &configuration));
+    }
+}
+
+impl TestNode {
+    fn open(node: u64, net: &PeerNetwork, listener: MemoryListener, first: Snapshot) -> Self {
+        let spawner = Spawner::current();
+        let snapshots = Snapshots::new(first);
+        // No test of this kind probes engines.
+        let (probes, _) = mpsc::channel(1);
+        let (unresponsive_tx, unresponsive_owners) = mpsc::channel(16);
+        let options = PassOptions {
+            handover_wait: false,
+            ..PassOptions::default()
+        };
+        let metrics = Metrics::new();
+        let owner = Owner::spawn(&spawner, &snapshots, node, options, probes, &metrics);
+        let served = Arc::clone(&owner);
+        let known = snapshots.clone();
+        serve_peers(listener, &spawner, served, known, node, LINK_BYTES_PER_S);
+        let placement = PlacementClient::spawn(
+            &spawner,
+            PlacementClientParts {
+                node,
+                domain: FailureDomain::new("d1"),
+                sends_priority: false,
+                owner: Arc::clone(&owner),
+                peers: PeerClients::new(net.clone(), spawner.clone()),
+                snapshots: snapshots.clone(),
+                unresponsive_owners: unresponsive_tx,
+            },
+        );
+        Self {
+            spawner,
+            owner,
+            placement,
+            unresponsive_owners,
+            snapshots,
+        }
+    }
+
+    /// Number of requests that wait at this node for a decision.
+    pub(super) fn waiting(&self) -> usize {
+        self.owner.lock().pools["svc"].waiting()
+    }
+
+    /// Starts the placement of a stream.
+    pub(super) fn place(&self) -> tokio::task::JoinHandle<Placed> {
+        let placement = Arc::clone(&self.placement);
+        tokio::spawn(async move { placement.place(place_request()).await })
+    }
+}
+
+/// Result of [`PlacementClient::place`].
+pub(super) type Placed = Result<PlacementGuard<PeerNetwork>, Duration>;
+
+fn place_request() -> PlaceRequest {
+    let now = Instant::now();
+    PlaceRequest {
+        service: Arc::from("svc"),
+        account: ClientAccount::new("a"),
+        prompt_tokens: 4000,
+        answer_tokens: 800,
+        first_event_by: now + Duration::from_secs(5),
+        pause: Duration::from_millis(250),
+        give_up_at: now + DEADLINE,
+        deadline: now + DEADLINE,
+        exclude: Vec::new(),
+        suspect: None,
+        priority: DEFAULT_PRIORITY,
+    }
+}
+
+fn snapshot(
+    count: u64,
+    owner: u64,
+    engines: usize,
+    configuration: &Arc<Configuration>,
+) -> Snapshot {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let node = |incarnation| LiveNode {
+        incarnation,
+        callers_addr: addr,
+        peer_addr: peer_addr(incarnation),
+        takes_callers: true,
+        domain: 0,
+        cpu_milli: 250,
+        is_watching: false,
+        load: LoadLevel::Normal,
+    };
+    let target = |n| TargetEntry {
+        id: HostName::new(format!("e{n}")),
+        service: Arc::from("svc"),
+        addr,
+        domain: FailureDomain::new("d1"),
+        state: TargetState::Ready,
+        slots: 1,
+        cold_for: Duration::ZERO,
+        started: TargetStart(1),
+        sequence: 1,
+    };
+    let targets = (1..=engines).map(|n| Arc::new(target(n)));
+    Snapshot {
+        configuration: Some(Arc::clone(configuration)),
+        raw_configuration: None,
+        targets: Arc::new(TargetSet::new(targets)),
+        rate_limits: Arc::default(),
+        target_verdicts: Arc::default(),
+        target_records: Arc::default(),
+        domain_drains: Arc::default(),
+        target_position: StorePosition::default(),
+        nodes: Arc::new((1..=count).map(node).collect()),
+        owner,
+        is_leaving: false,
+    }
+}
+
+fn configuration() -> Configuration {
+    let service = Service {
+        name: Arc::from("svc"),
+        health_path: "/healthz".to_owned(),
+        max_connections: 10_000,
+        cold_limit: None,
+        engine: Some(engine()),
+    };
+    Configuration::new(
+        RulesVersion(1),
+        RequestLimits::default(),
+        Vec::new(),
+        vec![service],
+        Vec::new(),
+    )
+}
