A request whose grant was lost is placed when it is sent again

A node drops its call to the owner when the owner changes or the connection counts as broken, and sends the same request again. If the owner had placed it in between, `PassPool::enqueue` ignored it as running, but the call went on to wait for a decision: the caller of the stream heard nothing until it left, and the engine kept the slot, since syncs list the request as waiting.

A request that is sent again has not received its decision, so the pool now releases the placement and places it anew. Further, the end of the earlier call withdrew what the later one waits for, which cost its place in the queue and a retry; a call now withdraws only a request that no other call waits for.

Found by reading while the known-red test of cold engines was traced; nothing shows that this was its cause. The two tests `a_request_whose_grant_was_lost_is_granted_again` (no decision in 50 ms with an idle engine) and `the_end_of_an_earlier_call_does_not_withdraw_the_request` (0 waiting instead of 1) fail on the code before.

--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -110,8 +110,9 @@
         let mut guard = WithdrawOnDrop {
             owner: self,
             id: Some(id),
+            rx,
         };
-        let decision = rx.await;
+        let decision = (&mut guard.rx).await;
         if decision.is_ok() {
             guard.id = None;
         }
@@ -260,9 +261,14 @@
         self.changed.notify_one();
     }
 
+    /// Withdraws a request, unless its node has sent it again and waits for the decision by another call.
     fn withdraw(&self, id: PlacementId) {
         let now = Instant::now();
         let mut state = self.lock();
+        let waiter = state.waiters.get(&id);
+        if waiter.is_some_and(|tx| !tx.is_closed()) {
+            return;
+        }
         state.waiters.remove(&id);
         for pool in state.pools.values_mut() {
             pool.end(now, id, &StreamOutcome::Cancelled);
@@ -281,11 +287,14 @@
 struct WithdrawOnDrop<'a> {
     owner: &'a Owner,
     id: Option<PlacementId>,
+    /// Receives the decision.
+    rx: oneshot::Receiver<PlacementDecision>,
 }
 
 impl Drop for WithdrawOnDrop<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id {
+            self.rx.close();
             self.owner.withdraw(id);
         }
     }
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -8,4 +8,5 @@
 mod permits;
 mod ranked_calls;
 mod redirects;
+mod repeated_requests;
 mod test_fleet;
--- a/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
@@ -121,6 +121,11 @@
         self.owner.lock().pools["svc"].waiting()
     }
 
+    /// Number of streams that this node knows as placed.
+    pub(super) fn running(&self) -> usize {
+        self.owner.lock().pools["svc"].running()
+    }
+
     /// Starts the placement of a stream.
     pub(super) fn place(&self) -> tokio::task::JoinHandle<Placed> {
         let placement = Arc::clone(&self.placement);
--- a/crates/azuresaddle-sched/src/passes/pool/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/mod.rs
@@ -177,11 +177,13 @@
     }
 
     /// Queues a request or refuses it at once; the decision is returned by
-    /// [`Self::take_decisions`]. Requests that are already queued or running are ignored.
+    /// [`Self::take_decisions`]. Requests that are already queued are ignored. A request that is already placed is
+    /// placed anew: its node has not received the decision, or it would not send it again.
     pub fn enqueue(&mut self, now: Instant, request: PlacementRequest) {
-        if self.queue.contains(request.id) || self.placed_streams.contains_key(&request.id) {
+        if self.queue.contains(request.id) {
             return;
         }
+        self.remove_stream(request.id);
         let prefill_ms = self.spec.prefill_ms(request.prompt_tokens);
         self.forecast
             .on_arrival(now, Sort::of_prefill(prefill_ms), prefill_ms);
