A request of a node that was taken for failed is decided

An owner that misses a node's heartbeats for 0.45 s drops its waiting requests from the pools, but kept the calls that wait for their decisions. If the node was only late, its streams got no decision: their callers heard nothing until they left. Nothing at the node ends such a call, since the owner stays the same and answers its syncs.

The owner now ends these calls without a decision, so a live node sends the requests again after 25 ms.

Found by reading while the known-red test of cold engines was traced; nothing shows that this was its cause. The test `a_request_of_a_node_that_was_taken_for_failed_is_placed` has no decision after 300 ms with an idle engine on the code before.

--- a/crates/azuresaddle-edge/src/placement/owner_state.rs
+++ b/crates/azuresaddle-edge/src/placement/owner_state.rs
@@ -201,7 +201,8 @@
         Err(rate.next_token_in(now))
     }
 
-    /// Removes the streams of nodes that are no longer live.
+    /// Removes the streams and requests of nodes that are no longer live. A node that still waits gets no decision, and
+    /// sends its request again.
     pub(super) fn update_nodes(&mut self, nodes: &Arc<Vec<LiveNode>>) {
         if Arc::ptr_eq(&self.nodes, nodes) {
             return;
@@ -210,6 +211,7 @@
         for pool in self.pools.values_mut() {
             pool.retain_nodes(|node| live.contains(&node));
         }
+        self.waiters.retain(|id, _| live.contains(&id.node));
         self.nodes = Arc::clone(nodes);
     }
 
--- a/crates/azuresaddle-edge/src/placement/tests/repeated_requests.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/repeated_requests.rs
@@ -88,3 +88,24 @@
     tokio::time::sleep(SOON).await;
     assert_eq!(fleet.node(1).waiting(), 0);
 }
+
+/// Guards against streams that are never placed since the owner took their node for failed for a moment.
+#[tokio::test(start_paused = true)]
+async fn a_request_of_a_node_that_was_taken_for_failed_is_placed() {
+    let mut fleet = TestFleet::open(&[1, 1], 1);
+    let first = fleet.node(1).place().await.expect("no panic");
+    let placing = fleet.node(2).place();
+    tokio::time::sleep(SOON).await;
+    assert_eq!(fleet.node(1).waiting(), 1);
+    fleet.set_live(1, &[1]);
+    tokio::time::sleep(SOON).await;
+    fleet.set_live(1, &[1, 2]);
+    drop(first);
+    let placed = tokio::time::timeout(Duration::from_millis(300), placing).await;
+    assert!(
+        placed
+            .expect("a decision in time")
+            .expect("no panic")
+            .is_ok()
+    );
+}
--- a/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
@@ -53,9 +53,10 @@
         let count = owners.len() as u64;
         let (net, listeners) = peer_network(count);
         let configuration = Arc::new(configuration());
+        let live: Vec<u64> = (1..=count).collect();
         let nodes = owners.iter().zip(listeners).zip(1..);
         let nodes = nodes.map(|((owner, listener), node)| {
-            let snapshot = snapshot(count, *owner, engines, &configuration);
+            let snapshot = snapshot(&live, *owner, engines, &configuration);
             TestNode::open(node, &net, listener, snapshot)
         });
         Self {
@@ -70,12 +71,22 @@
 
     /// Makes a node take another one for the owner.
     pub(super) fn set_owner(&mut self, node: u64, owner: u64) {
-        let count = self.nodes.len() as u64;
+        let live: Vec<u64> = (1..=self.nodes.len() as u64).collect();
+        self.publish(node, owner, &live);
+    }
+
+    /// Makes a node take only these nodes for live.
+    pub(super) fn set_live(&mut self, node: u64, live: &[u64]) {
+        let owner = self.node(node).snapshots.load().owner;
+        self.publish(node, owner, live);
+    }
+
+    fn publish(&mut self, node: u64, owner: u64, live: &[u64]) {
         let engines = self.engines;
         let snapshots = &self.node(node).snapshots;
         let configuration = snapshots.load().configuration.clone();
         let configuration = configuration.expect("a configuration");
-        snapshots.publish(snapshot(count, owner, engines, &configuration));
+        snapshots.publish(snapshot(live, owner, engines, &configuration));
     }
 }
 
@@ -154,7 +165,7 @@
 }
 
 fn snapshot(
-    count: u64,
+    live: &[u64],
     owner: u64,
     engines: usize,
     configuration: &Arc<Configuration>,
@@ -191,7 +202,7 @@
         target_records: Arc::default(),
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
-        nodes: Arc::new((1..=count).map(node).collect()),
+        nodes: Arc::new(live.iter().copied().map(node).collect()),
         owner,
         is_leaving: false,
     }
