Reports go to a new owner at once

The task that sends reports waited 0.3 s for the answer of an owner that had stopped, though the node knew the new one: until then the new owner counted slots and memory of streams that had ended. The timeout then counted as one of the connection to the owner, so all requests that waited at the new owner were sent again.

A change of owner now ends the call, and the reports go to the new owner, as syncs already do.

The test `reports_go_to_the_new_owner_as_soon_as_it_is_known` fails on the code before: the new owner counts a stream 50 ms after its end (1 instead of 0).

--- a/crates/azuresaddle-edge/src/placement/reporter.rs
+++ b/crates/azuresaddle-edge/src/placement/reporter.rs
@@ -56,6 +56,7 @@
     placement: Arc<PlacementClient<N>>,
     mut reports: mpsc::Receiver<StreamReport>,
 ) {
+    let mut owner = placement.snapshots().subscribe_owner();
     while let Some(first) = reports.recv().await {
         let mut batch = vec![first];
         tokio::time::sleep(BATCH_DELAY).await;
@@ -64,7 +65,12 @@
         {
             batch.push(report);
         }
-        send_to_owner(&placement, Message::Reports(batch)).await;
+        owner.mark_unchanged();
+        let message = Message::Reports(batch);
+        // Sends again if the owner changes while the previous one does not answer.
+        while is_interrupted_by_owner_change(&mut owner, send_to_owner(&placement, message.clone()))
+            .await
+        {}
     }
 }
 
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -9,4 +9,5 @@
 mod ranked_calls;
 mod redirects;
 mod repeated_requests;
+mod reporter;
 mod test_fleet;
