A new owner acts as such before it announces its claim

Nodes that heard of the claim sent it their requests in that time, and it redirected them to the earlier owner, which had stopped.

It now publishes first and announces then.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -171,7 +171,7 @@
         spawner.spawn(control.run(store_rx));
     }
 
-    fn new(
+    pub(super) fn new(
         parts: ControlParts<N>,
         read_plan: watch::Sender<ReadPlan>,
         probe_enabled: watch::Sender<bool>,
@@ -294,8 +294,7 @@
         let now = Instant::now();
         let term = self.members.own.term;
         let members_changed = self.members.on_tick(now);
-        self.announce_claim(now, self.members.own.term != term)
-            .await;
+        self.take_over_if(now, self.members.own.term != term).await;
         self.send_vote(now).await;
         self.gossip_crashes().await;
         self.gossip_signals().await;
--- a/crates/azuresaddle-edge/src/control/failover_messages.rs
+++ b/crates/azuresaddle-edge/src/control/failover_messages.rs
@@ -11,7 +11,7 @@
     pub(super) async fn on_unresponsive_owner(&mut self, node: u64) -> bool {
         let now = Instant::now();
         let claimed = self.members.on_unresponsive_owner(now, node);
-        self.announce_claim(now, claimed).await;
+        self.take_over_if(now, claimed).await;
         if !claimed {
             self.send_vote(now).await;
         }
@@ -26,12 +26,22 @@
         }
     }
 
-    /// Announces to all nodes at once that this node is the owner now. With regular
-    /// gossip, some of them would send requests to the previous owner for another second.
-    pub(super) async fn announce_claim(&mut self, now: Instant, claimed: bool) {
+    /// Acts as the owner if this node has claimed ownership, and announces the claim.
+    ///
+    /// Nodes send requests as soon as they know of the claim. A node that did not act on it yet would redirect them to
+    /// the earlier owner.
+    pub(super) async fn take_over_if(&mut self, now: Instant, claimed: bool) {
         if !claimed {
             return;
         }
+        self.published_at = now;
+        self.publish();
+        self.announce_claim(now).await;
+    }
+
+    /// Announces to all nodes at once that this node is the owner now. With regular
+    /// gossip, some of them would send requests to the previous owner for another second.
+    pub(super) async fn announce_claim(&mut self, now: Instant) {
         self.metrics.owner_claims.inc();
         let bytes = Datagram::Heartbeat(self.members.bare_heartbeat()).encode();
         for ip in self.members.alive_hosts(now) {
--- a/crates/azuresaddle-edge/src/control/publish.rs
+++ b/crates/azuresaddle-edge/src/control/publish.rs
@@ -23,8 +23,11 @@
         let now = Instant::now();
         self.published_at = now;
         let claimed = self.members.claim_if_first(now);
-        self.announce_claim(now, claimed).await;
-        if self.publish() {
+        let has_news = self.publish();
+        if claimed {
+            self.announce_claim(now).await;
+        }
+        if has_news {
             // Spread the new state at once instead of with the next round.
             let peers = self.members.gossip_peers();
             self.send_heartbeats(Instant::now(), &peers).await;
@@ -32,7 +35,7 @@
     }
 
     /// Publishes a snapshot; true if other nodes should learn of this node's new state.
-    fn publish(&mut self) -> bool {
+    pub(super) fn publish(&mut self) -> bool {
         let version = self.version();
         let position = if self.has_all_targets() {
             self.registry.position()
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/tests/claims.rs
@@ -0,0 +1,144 @@
+//! Tests of what a node does when it claims ownership.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{
+    Bounds, Configuration, Features, ListenAddrs, NodeSettings, RequestLimits,
+};
+use azuresaddle_core::prelude::*;
+use azuresaddle_core::version::RulesVersion;
+use azuresaddle_platform::StorePosition;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::members::heartbeat;
+use super::memory_network::{MemoryNetwork, memory_network};
+use crate::control::actor::{Control, ControlParts};
+use crate::control::read_plan::{FirstListing, ReadPlan};
+use crate::metrics::Metrics;
+use crate::quarantine::SharedQuarantine;
+use crate::snapshot::{NO_OWNER, Snapshot, Snapshots, TargetSet};
+use crate::targets::SendObservations;
+
+const OWN_IP: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
+const OWN_INCARNATION: u64 = 7;
+
+/// Another node of the same host.
+const OWNER_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
+fn settings(heartbeat_port: u16) -> NodeSettings {
+    let addr = SocketAddr::from((OWN_IP, 1));
+    NodeSettings {
+        name: HostName::new("n1"),
+        domain: FailureDomain::new("d1"),
+        ip: OWN_IP,
+        listen: ListenAddrs {
+            callers: addr,
+            readiness: addr,
+            directory: addr,
+        },
+        heartbeat_port,
+        peer_port: 2,
+        tunnel_port: 3,
+        seeds: Vec::new(),
+        store: addr,
+        target_heartbeat: Duration::from_secs(1),
+        cpu_share: 0.12,
+        memory_mb: 160,
+        link_bytes_per_s: 2_500_000.0,
+        bounds: Bounds {
+            stop_grace: Duration::from_secs(5),
+            retry_ratio: 0.1,
+            retry_extra: 10.0,
+            retry_window: Duration::from_secs(10),
+            max_address_ttl: Duration::from_secs(3),
+            max_hold: Duration::from_secs(10),
+            target_stall: Duration::from_secs(1),
+        },
+        features: Features::default(),
+    }
+}
+
+fn first_snapshot() -> Snapshot {
+    Snapshot {
+        configuration: None,
+        raw_configuration: None,
+        targets: Arc::new(TargetSet::default()),
+        rate_limits: Arc::default(),
+        target_verdicts: Arc::default(),
+        target_records: Arc::default(),
+        domain_drains: Arc::default(),
+        target_position: StorePosition::default(),
+        nodes: Arc::default(),
+        owner: NO_OWNER,
+        is_leaving: false,
+    }
+}
+
+/// Control of a node that has a configuration, and its snapshots.
+async fn control() -> (Control<MemoryNetwork>, Snapshots) {
+    let socket = UdpSocket::bind((OWN_IP, 0)).await.expect("a socket");
+    let port = socket.local_addr().expect("an address").port();
+    let (net, _) = memory_network(SocketAddr::from((OWN_IP, 1)));
+    let snapshots = Snapshots::new(first_snapshot());
+    let metrics = Metrics::new();
+    // Nothing sends on these channels.
+    let (crashes, crashes_observed) = mpsc::channel(1);
+    let (_, unresponsive_owners) = mpsc::channel(1);
+    let (_, signals_observed) = mpsc::channel(1);
+    let (crash_writes, _) = mpsc::channel(1);
+    let parts = ControlParts {
+        settings: settings(port),
+        net,
+        spawner: Spawner::current(),
+        incarnation: OWN_INCARNATION,
+        started_ms: 0,
+        socket,
+        snapshots: snapshots.clone(),
+        leaving: CancellationToken::new(),
+        unresponsive_owners,
+        quarantine: SharedQuarantine::new(crashes, metrics.clone()),
+        crashes_observed,
+        signals_observed,
+        observations: Arc::new(SendObservations::new(false)),
+        metrics,
+    };
+    let read_plan = watch::Sender::new(ReadPlan {
+        watch_interval: None,
+        first_listing: FirstListing::Own,
+        position: StorePosition::default(),
+    });
+    let probe_enabled = watch::Sender::new(false);
+    let mut control = Control::new(parts, read_plan, probe_enabled, crash_writes);
+    let configuration = Configuration::new(
+        RulesVersion(1),
+        RequestLimits::default(),
+        Vec::new(),
+        Vec::new(),
+        Vec::new(),
+    );
+    control.configuration = Some(Arc::new(configuration));
+    (control, snapshots)
+}
+
+/// Guards against a new owner that redirects the first requests of nodes that know of it to the one it replaced.
+#[tokio::test(start_paused = true)]
+async fn a_node_acts_as_the_owner_before_others_know_of_its_claim() {
+    let (mut control, snapshots) = control().await;
+    let mut owner = heartbeat(1, 1);
+    owner.from.ip = OWNER_IP;
+    owner.from.term = 1;
+    control
+        .members
+        .on_heartbeat(Instant::now(), OWNER_IP, &owner);
+    control.publish_and_gossip().await;
+    let incarnation = owner.from.incarnation;
+    assert_eq!(snapshots.load().owner, incarnation);
+    assert!(control.on_unresponsive_owner(incarnation).await);
+    assert_eq!(snapshots.load().owner, OWN_INCARNATION);
+}
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the control plane.
 
 mod candidates;
+mod claims;
 mod crash_gossip;
 mod domain_drains;
 mod failover;
