A sync moves a stream that was placed elsewhere

While the owner changes, two nodes may place the same request; the node that sent it takes one decision, and the other call is dropped after its grant. If the grant that lost came from the owner, its pool kept the stream on the wrong engines until it ended: one engine seemed to hold slot and memory that were free, and another seemed free that was in use. A sync skipped streams that the pool knew at all.

A sync now moves a stream whose engines differ from those in the pool, unless these are gone or have restarted.

The test `a_node_sync_moves_a_stream_that_another_node_placed_elsewhere` fails on the code before: the next stream goes to the engine in use (e01, not e00).

--- a/crates/azuresaddle-sched/src/passes/pool/streams.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/streams.rs
@@ -62,6 +62,9 @@
             self.remove_stream(id);
         }
         for stream in streams {
+            if self.is_elsewhere(stream) {
+                self.remove_stream(stream.id);
+            }
             if !self.placed_streams.contains_key(&stream.id) {
                 self.adopt_stream(now, stream);
             }
@@ -71,6 +74,19 @@
         }
     }
 
+    /// Whether a tracked stream runs on other engines than those it is tracked on: while the owner changes, two nodes may
+    /// place the same request.
+    fn is_elsewhere(&self, stream: &RunningStream) -> bool {
+        let Some(placed) = self.placed_streams.get(&stream.id) else {
+            return false;
+        };
+        // The keys of engines that are gone or have restarted refer to none.
+        let name = |key: &EngineKey| self.engines.get(*key).map(|e| &e.name);
+        let is_led_elsewhere = name(&placed.lead).is_some_and(|lead| *lead != stream.lead);
+        let mut helpers = placed.helpers.iter().filter_map(name);
+        is_led_elsewhere || helpers.any(|h| !stream.helpers.contains(h))
+    }
+
     pub(super) fn adopt_stream(&mut self, now: Instant, stream: &RunningStream) {
         self.queue.remove(stream.id);
         let Some(lead) = self.keys_by_name.get(&stream.lead).copied() else {
--- a/crates/azuresaddle-sched/tests/suite/passes/streams.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/streams.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::deployment::{EngineSpec, TargetStart};
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::{PlacementDecision, StreamOutcome};
 use rand::rngs::StdRng;
@@ -58,6 +59,38 @@
     assert_eq!((next.lead, next.helpers), (name(1), Vec::new()));
 }
 
+/// Guards against engines that keep their slots for a stream that runs elsewhere, since two nodes placed it while the
+/// owner changed.
+#[tokio::test(start_paused = true)]
+async fn a_node_sync_moves_a_stream_that_another_node_placed_elsewhere() {
+    let now = Instant::now();
+    let mut pool = pool_of_one_slot_engines(now, 2);
+    let ours = start(&mut pool, now, 1, 3000).unwrap();
+    let other = usize::from(ours.lead == name(0));
+    pool.sync_node(now, 1, &[running_stream(1, other)], |_| false);
+    assert_eq!(pool.running(), 1);
+    let next = start(&mut pool, now, 2, 3000).unwrap();
+    assert_eq!(next.lead, ours.lead);
+}
+
+/// Guards against a restarted engine that seems to run the streams of its earlier start.
+#[tokio::test(start_paused = true)]
+async fn a_node_sync_does_not_move_a_stream_to_the_next_start_of_its_engine() {
+    let now = Instant::now();
+    let mut pool = pool_of_one_slot_engines(now, 1);
+    pool.record_start(now, &name(0), TargetStart(1));
+    assert!(start(&mut pool, now, 1, 3000).is_some());
+    pool.record_start(now, &name(0), TargetStart(2));
+    pool.sync_node(now, 1, &[running_stream(1, 0)], |_| false);
+    assert!(start(&mut pool, now, 2, 3000).is_some());
+}
+
+fn pool_of_one_slot_engines(now: Instant, engines: usize) -> PassPool {
+    let mut pool = pool(now, engines);
+    pool.set_spec(&EngineSpec { slots: 1, ..spec() });
+    pool
+}
+
 /// Random sequences of events: every request gets exactly one decision, and no stream stays tracked
 /// after its end.
 #[tokio::test(start_paused = true)]
