Plain requests: hedge a silent target instead of leaving it

What callers saw: when all targets were silent for a second or so and went on, an idempotent plain request was answered later than its first target would have answered, or with 502, 500 or 504, although that target was sound.

Cause: once a target had been silent for 1.6 times the latency target and another target and a retry were there, the connection to the silent one was closed before the other one had sent anything. The other one may be silent as well, or decline, break off or answer with a server error. The silent target was also counted as failed, so its breaker could open after a silence of all.

Change: the request is also sent to the other target, with a retry and within max_attempts as before, and all answers are awaited (SendsInFlight, HedgeSearch). The first answer without a server error counts; the other sends are cancelled by closing their connections. A request counts as not run only if no send is in flight. Crash checks of a failed send run beside the other one and are done before a third target gets the request. A silent target counts as failed only if a later send was answered in the usual time of its target. Requests that may run once are sent once, as before.

--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/hedge.rs
@@ -0,0 +1,128 @@
+//! Hedged requests: a request that silent targets have is also sent to another target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::prelude::*;
+use tokio::sync::watch;
+
+use super::attempt::SendFailure;
+use super::forwarder::Forwarder;
+use super::head::ForwardRequest;
+use super::pending_crash_checks::PendingCrashChecks;
+use super::plain::record_failure;
+use super::plain_send::{ChosenTarget, silence_limit};
+use super::send_history::SendHistory;
+use super::sends_in_flight::{PlainSend, SendsInFlight};
+
+/// Pause before the next search for another target, while none or no retry is left.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a search for another target needs to know of the sends in flight.
+pub(super) struct HedgeSearch {
+    /// Whether each target has been silent for too long.
+    silences: Vec<watch::Receiver<bool>>,
+    /// Targets that have or had the request.
+    exclude: Vec<HostName>,
+}
+
+impl HedgeSearch {
+    pub(super) fn new<F>(history: &SendHistory, sends: &SendsInFlight<F>) -> Self {
+        Self {
+            silences: sends.silences(),
+            exclude: history.tried(&sends.targets()),
+        }
+    }
+
+    /// Waits until all targets that have the request are silent, then for another one, and takes a retry for it.
+    ///
+    /// Never returns if the request must not be sent again.
+    pub(super) async fn run<N: Network>(
+        mut self,
+        cx: &Forwarder<N>,
+        req: &ForwardRequest,
+        history: &mut SendHistory,
+        checks: &mut PendingCrashChecks,
+    ) -> ChosenTarget {
+        if !history.may_run_again(req, self.silences.len()) {
+            std::future::pending::<()>().await;
+        }
+        for silence in &mut self.silences {
+            // Fails if the send has ended, which ends this search.
+            let _ = silence.wait_for(|is_silent| *is_silent).await;
+        }
+        // A crash may put the request in quarantine.
+        checks.finish().await;
+        loop {
+            if let Some(chosen) = self.try_choose(cx, req, history).await {
+                return chosen;
+            }
+            tokio::time::sleep(SEARCH_PAUSE).await;
+        }
+    }
+
+    /// Another target with a retry for it, if there are both now.
+    async fn try_choose<N: Network>(
+        &self,
+        cx: &Forwarder<N>,
+        req: &ForwardRequest,
+        history: &mut SendHistory,
+    ) -> Option<ChosenTarget> {
+        let is_quarantined = || {
+            let status = cx
+                .quarantine
+                .request_status(req.fingerprint, &req.prompt_parts);
+            status.is_quarantined()
+        };
+        if !history.has_retry(cx, req) || is_quarantined() {
+            return None;
+        }
+        let chosen = cx.choose_target(&req.service, &self.exclude).await?;
+        // Another request may have taken the last retry meanwhile.
+        history.try_take_retry(cx, req).then_some(chosen)
+    }
+}
+
+/// Records the sends that were cancelled because another target answered with `winner`.
+///
+/// A target that was silent before the winner had the request is at fault if the winner answered as soon as it usually
+/// does. If the winner was slow as well, it may be the same cause that held up both, and the answer of the other one may
+/// have been about to come.
+pub(super) fn record_cancelled<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    req: &Arc<ForwardRequest>,
+    winner: &PlainSend,
+    cancelled: Vec<PlainSend>,
+    checks: &mut PendingCrashChecks,
+) {
+    let took = winner.sent_at.elapsed();
+    let is_winner_slow = took >= silence_limit(req) || cx.health.is_slow(&winner.target.id, took);
+    for send in cancelled {
+        let waited_ms = send.sent_at.elapsed().as_millis() as u64;
+        if send.sent_at < winner.sent_at && !is_winner_slow {
+            let failure = SendFailure::Overtaken;
+            tracing::info!(
+                part = "forward",
+                request = req.head.id(),
+                fingerprint = %req.fingerprint,
+                target = %send.target.id,
+                failure = %failure,
+                answered_by = %winner.target.id,
+                waited_ms,
+                "send failed"
+            );
+            record_failure(cx, &send.target, &failure);
+            checks.begin(cx, req, send);
+        } else {
+            tracing::info!(
+                part = "forward",
+                request = req.head.id(),
+                target = %send.target.id,
+                answered_by = %winner.target.id,
+                waited_ms,
+                "send cancelled"
+            );
+            cx.metrics.on_send(&req.service, "cancelled");
+        }
+    }
+}
--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -10,6 +10,7 @@
 use azuresaddle_sched::target_health::SendOutcome;
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::attempt::{SendFailure, keep_alive, send, time_until};
@@ -18,17 +19,15 @@
 use super::head::{ForwardRequest, SendOptions, strip_hop_by_hop};
 use super::plain::answer_limits;
 use super::plain_connect::{connect_plain, connect_timeout};
+use super::sends_in_flight::SendResult;
 use crate::targets::{Connection, InFlightGuard};
 
 /// Longest answer that is accepted, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
-/// Silence of a target after which another one may take over an idempotent request, in multiples of the latency target.
+/// Silence of a target after which another one may get an idempotent request as well, in multiples of the latency target.
 const SILENCE_FACTOR: f64 = 1.6;
 
-/// Pause before the next search for such a target, while none or no retry is left.
-const REPLACEMENT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Complete answer of a target.
 pub(super) struct TargetAnswer {
     pub(super) status: StatusCode,
@@ -53,68 +52,47 @@
 /// A target with the guard that counts the request there.
 pub(super) type ChosenTarget = (Arc<TargetEntry>, InFlightGuard);
 
-/// How a send ended.
-pub(super) enum Sent {
-    /// The target answered, or the send failed.
-    Ended(Result<TargetAnswer, SendFailure>),
-    /// The target was silent for too long, and another one takes over.
-    Replaced(ChosenTarget),
-}
-
 /// Sends a request once and records the outcome for the nodes that share what they observe.
 ///
-/// If the target is silent for too long, it is recorded as not answering, and `next` is awaited beside its answer: a silent
-/// target may be sound and answer later, so the request leaves it only for another one.
+/// If the target is silent for too long, it is recorded as not answering and `silence` is set, but its answer is still
+/// awaited: a silent target may be sound and answer later.
 pub(super) async fn send_observed<N: Network>(
     cx: &Arc<Forwarder<N>>,
     req: &ForwardRequest,
-    target: &Arc<TargetEntry>,
+    target: Arc<TargetEntry>,
     connect_timeout: Duration,
-    next: impl Future<Output = ChosenTarget>,
-) -> Sent {
+    silence: watch::Sender<bool>,
+) -> SendResult {
     let started_at = Instant::now();
-    let connection = match connect_plain(cx, target, connect_timeout).await {
-        Ok(connection) => connection,
-        Err(failure) => return Sent::Ended(Err(failure)),
-    };
-    let mut sending = std::pin::pin!(send_plain(cx, req, target, connection));
+    let connection = connect_plain(cx, &target, connect_timeout).await?;
+    let mut sending = std::pin::pin!(send_plain(cx, req, &target, connection));
     if let Ok(result) = tokio::time::timeout(silence_limit(req), &mut sending).await {
-        if let Some(outcome) = outcome_of(cx, req, target, &result, started_at.elapsed()) {
-            cx.observe(target, outcome);
+        if let Some(outcome) = outcome_of(cx, req, &target, &result, started_at.elapsed()) {
+            cx.observe(&target, outcome);
         }
-        return Sent::Ended(result);
+        return result;
     }
-    cx.observe(target, SendOutcome::NoAnswer);
-    tokio::select! {
-        biased;
-        result = sending => {
-            if result.is_ok() {
-                cx.observe(target, SendOutcome::Slow);
-            }
-            Sent::Ended(result)
-        }
-        next = next => Sent::Replaced(next),
+    cx.observe(&target, SendOutcome::NoAnswer);
+    if req.is_idempotent() {
+        log_silence(req, &target);
     }
+    silence.send_replace(true);
+    let result = sending.await;
+    if result.is_ok() {
+        cx.observe(&target, SendOutcome::Slow);
+    }
+    result
 }
 
-/// Waits for a target that may take over from `silent`, and takes a retry for it.
-pub(super) async fn replace_silent<N: Network>(
-    cx: &Forwarder<N>,
-    req: &ForwardRequest,
-    silent: &TargetEntry,
-    exclude: &[HostName],
-) -> ChosenTarget {
-    let exclude = [exclude, std::slice::from_ref(&silent.id)].concat();
-    loop {
-        if cx.has_retry(&req.service)
-            && let Some(chosen) = cx.choose_target(&req.service, &exclude).await
-            // Another request may have taken the last retry meanwhile.
-            && cx.try_take_retry(&req.service)
-        {
-            return chosen;
-        }
-        tokio::time::sleep(REPLACEMENT_PAUSE).await;
-    }
+/// Logs that another target is sought for a request, since `target` is silent.
+fn log_silence(req: &ForwardRequest, target: &TargetEntry) {
+    tracing::info!(
+        part = "forward",
+        request = req.head.id(),
+        target = %target.id,
+        age_ms = req.arrived.elapsed().as_millis() as u64,
+        "target is silent"
+    );
 }
 
 /// What a send on an open connection says about its target; `None` if nothing.
@@ -122,7 +100,7 @@
     cx: &Forwarder<N>,
     req: &ForwardRequest,
     target: &TargetEntry,
-    result: &Result<TargetAnswer, SendFailure>,
+    result: &SendResult,
     took: Duration,
 ) -> Option<SendOutcome> {
     match result {
@@ -170,7 +148,7 @@
 }
 
 /// Time without an answer after which a target counts as silent.
-fn silence_limit(req: &ForwardRequest) -> Duration {
+pub(super) fn silence_limit(req: &ForwardRequest) -> Duration {
     req.route.latency_target.mul_f64(SILENCE_FACTOR)
 }
 
@@ -179,7 +157,7 @@
     req: &ForwardRequest,
     target: &Arc<TargetEntry>,
     mut connection: Connection,
-) -> Result<TargetAnswer, SendFailure> {
+) -> SendResult {
     let options = SendOptions {
         target: &target.id,
         last_event_id: req.head.last_event_id.as_ref(),
--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -2,7 +2,9 @@
 
 mod bodies;
 mod caller;
+mod hedged_sends;
 mod memory;
+mod scripted_targets;
 mod silent_targets;
 mod slow_callers;
 mod stopping;
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -78,8 +78,8 @@
     }
 }
 
-/// A node with one or two targets and the accounts `a` and `b`, whose keys are their names. Requests to `/events/` and
-/// `/plain/` run once, those to `/resumable/` and `/idempotent/` on two targets at most.
+/// A node with one to three targets and the accounts `a` and `b`, whose keys are their names. Requests to `/events/` and
+/// `/plain/` run once, those to `/resumable/` and `/idempotent/` on two targets at most unless the options say otherwise.
 pub(super) struct TestNode {
     pub(super) service: Arc<CallerService<MemoryNetwork>>,
     forwarder: Arc<Forwarder<MemoryNetwork>>,
@@ -174,6 +174,11 @@
         self.budget().held(held_for)
     }
 
+    /// Whether the metrics hold a line that begins so.
+    pub(super) fn has_metric_of(&self, start: &str) -> bool {
+        self.metrics.text().lines().any(|l| l.starts_with(start))
+    }
+
     /// Whether the metrics hold this line.
     pub(super) fn has_metric(&self, line: &str) -> bool {
         self.metrics.set_held_bytes(self.budget());
