Plain requests: half an answer gives its memory to a whole one

What callers saw: with a request sent to two targets, the first of which had fallen silent in the middle of its answer, the answer of the second one could wait for memory until the deadline: 504.

Cause: the byte budget may have room for one of the two answers only, and the half one keeps its room for as long as it is awaited.

Change: an answer without a server error that finds no room when its head arrives makes the other sends of the request give up theirs (RoomClaims).

Answers of unknown length state none in their head, so they claim room only if there is none at all.

--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod problem;
 mod reservations;
 mod retry_budget;
+mod room_claims;
 mod send_gate;
 mod send_history;
 mod sends_in_flight;
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -15,6 +15,7 @@
 use super::head::ForwardRequest;
 use super::plain_request::{Next, PlainRequest};
 use super::plain_send::send_observed;
+use super::room_claims::RoomClaims;
 use super::sends_in_flight::{PlainSend, SendsInFlight};
 
 /// Detail of the answer to a quarantined request.
@@ -28,6 +29,7 @@
     req: &Arc<ForwardRequest>,
 ) -> Response<ProxyBody> {
     let mut request = PlainRequest::new(cx, req);
+    let room = RoomClaims::default();
     let mut sends = SendsInFlight::new();
     loop {
         match request.next(&mut sends).await {
@@ -39,7 +41,7 @@
                     sent_at: Instant::now(),
                 };
                 let (silence, is_silent) = watch::channel(false);
-                let result = send_observed(cx, req, target, connect, silence);
+                let result = send_observed(cx, req, target, connect, silence, &room);
                 sends.push(send, is_silent, guard, result);
             }
             Next::Ended(send, Ok(answer)) => {
--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_core::byte_budget::{HeldBytes, read_held};
+use azuresaddle_core::byte_budget::{HeldBytes, HeldFor, read_held};
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::headers;
 use azuresaddle_sched::target_health::SendOutcome;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use tokio::sync::watch;
@@ -19,6 +20,7 @@
 use super::head::{ForwardRequest, SendOptions, strip_hop_by_hop};
 use super::plain::answer_limits;
 use super::plain_connect::{connect_plain, connect_timeout};
+use super::room_claims::RoomClaims;
 use super::sends_in_flight::SendResult;
 use crate::targets::{Connection, InFlightGuard};
 
@@ -62,10 +64,11 @@
     target: Arc<TargetEntry>,
     connect_timeout: Duration,
     silence: watch::Sender<bool>,
+    room: &RoomClaims,
 ) -> SendResult {
     let started_at = Instant::now();
     let connection = connect_plain(cx, &target, connect_timeout).await?;
-    let mut sending = std::pin::pin!(send_plain(cx, req, &target, connection));
+    let mut sending = std::pin::pin!(send_plain(cx, req, &target, connection, room));
     if let Ok(result) = tokio::time::timeout(silence_limit(req), &mut sending).await {
         if let Some(outcome) = outcome_of(cx, req, &target, &result, started_at.elapsed()) {
             cx.observe(&target, outcome);
@@ -157,6 +160,7 @@
     req: &ForwardRequest,
     target: &Arc<TargetEntry>,
     mut connection: Connection,
+    room: &RoomClaims,
 ) -> SendResult {
     let options = SendOptions {
         target: &target.id,
@@ -185,8 +189,7 @@
     {
         cx.health.on_load(&target.id, running + waiting);
     }
-    let limits = answer_limits(MAX_ANSWER_BYTES, req.deadline);
-    let body = read_held(body, &cx.budget_of(req), &limits).await?;
+    let body = read_answer(cx, req, parts.status, body, room).await?;
     if let Some(kept) = keep_alive(&parts.headers) {
         connection.return_to_pool(kept.0);
     }
@@ -198,3 +201,25 @@
         body,
     })
 }
+
+/// Reads the body of an answer. One without a server error that finds no room gets that of the other sends of the request.
+async fn read_answer<N: Network>(
+    cx: &Forwarder<N>,
+    req: &ForwardRequest,
+    status: StatusCode,
+    body: Incoming,
+    room: &RoomClaims,
+) -> Result<HeldBytes, SendFailure> {
+    let budget = cx.budget_of(req);
+    let length = body.size_hint().lower();
+    if !status.is_server_error() && budget.try_take(HeldFor::Caller, length).is_none() {
+        room.claim();
+    }
+    let claimed = room.claimed();
+    let limits = answer_limits(MAX_ANSWER_BYTES, req.deadline);
+    tokio::select! {
+        biased;
+        body = read_held(body, &budget, &limits) => Ok(body?),
+        () = claimed => Err(SendFailure::NoRoom),
+    }
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/hedged_sends.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/hedged_sends.rs
@@ -341,6 +341,27 @@
     assert!(node.has_metric(&sends("not-sent", 2 * REQUESTS)));
 }
 
+/// Guards against a target that falls silent in the middle of its answer, and whose share of the memory keeps the answer of
+/// another one from being read.
+#[tokio::test(start_paused = true)]
+async fn half_an_answer_gives_its_memory_to_a_whole_one() {
+    // An account may hold a sixth of the memory, which is less than two of these answers.
+    const MEMORY_MB: u64 = 6;
+    const ANSWER_BYTES: usize = 700_000;
+    let mut node = TestNode::open(TestOptions {
+        memory_mb: MEMORY_MB,
+        has_second_target: true,
+        ..TestOptions::default()
+    });
+    let replies = [Reply::Half(ANSWER_BYTES), Reply::Large(USUAL, ANSWER_BYTES)];
+    let _targets = ScriptedTargets::open(&mut node, &replies);
+    let answer = ask(&node).await.unwrap();
+    assert_eq!((&*answer.status, answer.body.len()), ("200", ANSWER_BYTES));
+    assert_eq!(answer.took, SILENCE_LIMIT + USUAL);
+    assert!(node.has_metric(&sends("no-room", 1)));
+    assert_eq!(node.held(HeldFor::Caller), 0);
+}
+
 /// Guards against a request that may run once and is sent twice.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_may_run_once_is_sent_once() {
--- a/crates/azuresaddle-edge/src/frontend/tests/scripted_targets.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/scripted_targets.rs
@@ -24,6 +24,10 @@
     NotRun(Duration),
     /// Closes the connection, after this time.
     Break(Duration),
+    /// Answers with status 200 and so many bytes, after this time.
+    Large(Duration, usize),
+    /// Answers at once, and is silent after half of so many bytes.
+    Half(usize),
     /// Is silent until the node closes the connection.
     Never,
 }
@@ -34,6 +38,8 @@
             Self::Ok(delay) | Self::Error(delay) | Self::NotRun(delay) | Self::Break(delay) => {
                 delay
             }
+            Self::Large(delay, _) => delay,
+            Self::Half(_) => Duration::ZERO,
             Self::Never => Duration::MAX,
         }
     }
@@ -41,7 +47,7 @@
     /// The answer to the send with this number; `None` if the connection is closed instead.
     fn answer(self, number: usize) -> Option<String> {
         let status = match self {
-            Self::Ok(_) => "200 OK",
+            Self::Ok(_) | Self::Large(..) | Self::Half(_) => "200 OK",
             Self::Error(_) => "500 Internal Server Error",
             Self::NotRun(_) => "503 Service Unavailable",
             Self::Break(_) | Self::Never => return None,
@@ -51,8 +57,11 @@
             _ => String::new(),
         };
         let id = headers::ATTEMPT_ID;
-        let body = number.to_string();
-        let length = body.len();
+        let (body, length) = match self {
+            Self::Large(_, length) => ("x".repeat(length), length),
+            Self::Half(length) => ("x".repeat(length / 2), length),
+            _ => (number.to_string(), number.to_string().len()),
+        };
         Some(format!(
             "HTTP/1.1 {status}\r\n{id}: 1\r\n{not_run}content-length: {length}\r\n\r\n{body}"
         ))
