A crash counts for the start of the target that got the send

A node sends to a target by the entry that it knows, and may learn only after the send that the target had restarted. A crash during the send then counted for the earlier start, as its second incarnation, and the reports of other nodes for the later start: one crash twice, the second time on an incarnation where no other suspect was, which calls for the long quarantine.

Where a crash of the known start is older than the send, and a later start is known by the time of the check, the crash counts for the later start. The check after a complete answer used the same condition already, but only to tell a restart from a crash.

--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -28,6 +28,8 @@
     target: &TargetEntry,
     sent_at: Instant,
 ) {
+    let targets = Arc::clone(&cx.snapshots.load().targets);
+    let target = &cx.quarantine.target_at_send(&targets, target, sent_at);
     // The check must not delay the answer beyond the deadline.
     if !time_until(req.deadline).is_zero() && has_crashed(cx, target).await {
         tracing::info!(
@@ -96,10 +98,10 @@
     let (cx, target) = (Arc::clone(cx), target.clone());
     cx.spawner.clone().spawn(async move {
         tokio::time::sleep(SURVIVAL_TIME).await;
-        let has_restarted = cx.snapshots.load().targets.has_restarted(&target);
-        // The restart may have been before the send, so that the restarted target served the request.
-        let has_restarted = has_restarted && !cx.quarantine.has_crashed_before(&target, sent_at);
-        if has_restarted || has_crashed(&cx, &target).await {
+        // A restart that was before the send is no crash: the restarted target served the request.
+        let targets = Arc::clone(&cx.snapshots.load().targets);
+        let target = cx.quarantine.target_at_send(&targets, &target, sent_at);
+        if targets.has_restarted(&target) || has_crashed(&cx, &target).await {
             for run in known {
                 tracing::info!(
                     part = "forward",
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -16,6 +16,7 @@
 use super::quarantined_request::QuarantinedRequest;
 use super::update::CrashUpdate;
 use crate::metrics::Metrics;
+use crate::snapshot::TargetSet;
 
 /// This node's quarantine. Traffic checks requests against it; control shares it with the other nodes.
 pub(crate) struct SharedQuarantine {
@@ -116,8 +117,24 @@
         self.known_requests.load(Ordering::Relaxed) > 0 && self.lock().knows(fingerprint)
     }
 
+    /// Returns the start of a target that got a send which began at `sent_at`, as far as `targets` knows it by now.
+    ///
+    /// A node may send to a restarted target before it learns of the restart. Counted for the earlier start, a crash during
+    /// that send would differ from what the other nodes report of it, and count twice.
+    pub(crate) fn target_at_send(
+        &self,
+        targets: &TargetSet,
+        target: &TargetEntry,
+        sent_at: Instant,
+    ) -> TargetEntry {
+        let known = targets.get(&target.id);
+        let later = known.filter(|k| k.started > target.started);
+        let got_send = later.filter(|_| self.has_crashed_before(target, sent_at));
+        got_send.map_or_else(|| target.clone(), |k| TargetEntry::clone(k))
+    }
+
     /// Whether a target is known to have crashed before a request was sent to it.
-    pub(crate) fn has_crashed_before(&self, target: &TargetEntry, sent_at: Instant) -> bool {
+    fn has_crashed_before(&self, target: &TargetEntry, sent_at: Instant) -> bool {
         self.lock().has_crashed_before(target_hash(target), sent_at)
     }
 
@@ -289,7 +306,7 @@
 }
 
 /// Hash of a target's name and start; the same on all nodes.
-fn target_hash(target: &TargetEntry) -> u64 {
+pub(super) fn target_hash(target: &TargetEntry) -> u64 {
     let text = format!("{}/{}", target.id, target.started.0);
     xxhash_rust::xxh3::xxh3_64(text.as_bytes())
 }
--- /dev/null
+++ b/crates/azuresaddle-edge/src/quarantine/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the quarantine that traffic and control share.
+
+mod restarted_target;
