--- a/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
+++ b/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
@@ -156,3 +156,36 @@
     assert_ne!(part("a"), Fingerprint::of_prompt_part("other", "a"));
     assert!((0..1000).all(|n| !request(n).is_prompt_part()));
 }
+
+/// Guards against a quarantined part that reaches targets again since another cause, which shared some of its crashes, has
+/// crashed more since.
+#[tokio::test(start_paused = true)]
+async fn later_crashes_of_another_cause_do_not_lift_the_quarantine_of_a_part() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 0, 0, &["cause"]);
+    for n in 1..3 {
+        crash(&mut quarantine, n, u64::from(n), &["cause"]);
+        crash(&mut quarantine, 50 + n, u64::from(n), &["other cause"]);
+    }
+    assert!(is_quarantined(&quarantine, 100, &["cause"]));
+    advance(Duration::from_millis(100)).await;
+    for n in 10..13 {
+        crash(&mut quarantine, n, u64::from(n), &["other cause"]);
+        assert!(is_quarantined(&quarantine, 100, &["cause"]), "{n}");
+    }
+    assert!(is_quarantined(&quarantine, 100, &["other cause"]));
+}
+
+/// Guards against sound requests that are refused since a request that crashes targets holds one of their parts, and one of
+/// them was beside another cause.
+#[tokio::test(start_paused = true)]
+async fn a_crash_beside_another_cause_does_not_incriminate_the_parts_of_a_crashing_request() {
+    let mut quarantine = Quarantine::default();
+    for target in 0..3 {
+        crash(&mut quarantine, 1, target, &["part"]);
+    }
+    crash(&mut quarantine, 50, 3, &["part"]);
+    crash(&mut quarantine, 2, 3, &["other part"]);
+    assert!(is_quarantined(&quarantine, 1, &["part"]));
+    assert!(!is_quarantined(&quarantine, 100, &["part"]));
+}
