The soak overlaps silences of sound targets with planned work

Seen: nothing; the soak injected one fault after the other, so a silence of sound targets never met a change of the configuration, a reload or a stop, and it missed that streams are lost then.

Change: `FaultOptions::overlaps`, `--overlap`: all targets or 0.6 of them are silent for 0.9 to 1.4 s, and from 0.6 s before until the end one to three faults happen in series, chosen by the seed: idle or route timeout, a route that is split or joined, SIGHUP, a stop of the owner or another node. Routes aim at pauses of 0.2 s, callers leave a stream after 2 s without an event, and retries are few. Counted as broken beside the usual: a caller that leaves, 502 and 504, and streams of the crowd that a stopping node cuts before the last sixth of its grace period. Not counted in the crowd: callers that leave before the first event, and deadlines. `--engines` sets the number of engines. Other modes draw the same random numbers as before.

--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anyhow::{Result, bail};
+use azuresaddle_standin::platform::PlatformOptions;
 use azuresaddle_standin::soak::{FaultOptions, FleetOptions, SoakOptions, run_soak};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
@@ -112,6 +113,20 @@
                 .action(ArgAction::SetTrue)
                 .help("Inject only faults that must not lose an answer: stops, targets that pause, configuration changes"),
         )
+        .arg(
+            Arg::new("overlap")
+                .long("overlap")
+                .action(ArgAction::SetTrue)
+                .help("Inject only silences of sound targets, during which the configuration changes and nodes stop or reload"),
+        )
+        .arg(
+            Arg::new("engines")
+                .long("engines")
+                .value_name("N")
+                .value_parser(value_parser!(u64).range(1..))
+                .default_value("4")
+                .help("Number of engines"),
+        )
         .arg(
             Arg::new("nodes")
                 .long("nodes")
@@ -149,7 +164,10 @@
             length: Duration::from_secs(get(args, "seconds")),
             fleet: FleetOptions {
                 nodes: get(args, "nodes"),
-                ..FleetOptions::default()
+                platform: PlatformOptions {
+                    engines: get::<u64>(args, "engines") as usize,
+                    ..PlatformOptions::default()
+                },
             },
             faults: FaultOptions {
                 has_restarts: args.get_flag("restarts"),
@@ -157,6 +175,7 @@
                 has_signals: args.get_flag("signals"),
                 silent_targets: get::<u64>(args, "silent-targets") as usize,
                 loses_nothing: args.get_flag("no-losses"),
+                overlaps: args.get_flag("overlap"),
             },
             crashers: get(args, "crashers"),
             part_crashers: get(args, "part-crashers"),
--- a/crates/azuresaddle-standin/src/platform/caller.rs
+++ b/crates/azuresaddle-standin/src/platform/caller.rs
@@ -68,7 +68,10 @@
     Timeout,
     /// The caller left a stream after a time without an event.
     #[error("no event for longer than the caller waits for one")]
-    Left,
+    Left {
+        /// Whether it had an event.
+        has_begun: bool,
+    },
     /// The answer does not belong to the request or is incomplete.
     #[error("wrong answer: {0}")]
     WrongAnswer(String),
@@ -120,11 +123,17 @@
         let tx = self.connect(node).await?;
         let mut last_event = Instant::now();
         let response = tx.send_request(http_request(request));
-        let response = wait_for(response, last_event, patience).await?;
+        let response = wait_for(response, last_event, patience).await;
+        let response = response.ok_or(CallerError::Left { has_begun: false })?;
         let response = response.map_err(|_| CallerError::BrokenOff)?;
         let (parts, mut frames) = response.into_parts();
         let mut body = Vec::new();
-        while let Some(frame) = wait_for(frames.frame(), last_event, patience).await? {
+        loop {
+            let next = wait_for(frames.frame(), last_event, patience).await;
+            let has_begun = !body.is_empty();
+            let Some(frame) = next.ok_or(CallerError::Left { has_begun })? else {
+                break;
+            };
             let frame = frame.map_err(|_| CallerError::BrokenOff)?;
             if let Some(data) = frame.data_ref() {
                 last_event = Instant::now();
@@ -165,17 +174,15 @@
     }
 }
 
-/// Waits until `patience` after the last event at most.
+/// Waits until `patience` after the last event at most; `None` if that has passed.
 async fn wait_for<T>(
     next: impl Future<Output = T>,
     last_event: Instant,
     patience: Option<Duration>,
-) -> Result<T, CallerError> {
+) -> Option<T> {
     match patience {
-        Some(patience) => timeout_at(last_event + patience, next)
-            .await
-            .map_err(|_| CallerError::Left),
-        None => Ok(next.await),
+        Some(patience) => timeout_at(last_event + patience, next).await.ok(),
+        None => Some(next.await),
     }
 }
 
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -24,6 +24,9 @@
 /// Time for which a caller keeps the resolved node addresses.
 const KEEP_ADDRESSES: Duration = Duration::from_secs(2);
 
+/// Time after which the last sixth of a node's grace period begins, in which answers may be cut.
+const LAST_SIXTH: Duration = Duration::from_millis(3300);
+
 /// State of one soak, shared by the callers, the fault injection and the checks.
 pub(super) struct SoakState {
     pub(super) runs: Runs,
@@ -38,6 +41,10 @@
     pub(super) stops: Mutex<Vec<(SocketAddr, Instant)>>,
     pub(super) stopped: CancellationToken,
     pub(super) signals: SignalLog,
+    /// Whether all targets are sound, though silent at times.
+    pub(super) has_sound_targets: bool,
+    /// Time without an event after which callers leave a stream; `None` if they wait until their timeout.
+    pub(super) patience: Option<Duration>,
 }
 
 impl SoakState {
@@ -46,6 +53,23 @@
         report.violations.push(what);
     }
 
+    pub(super) fn record_fault(&self, what: String) {
+        let mut report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        report.faults.push(what);
+    }
+
+    /// A caller that leaves a stream without events, if callers of this soak do so.
+    pub(super) fn new_caller(&self) -> Caller {
+        self.patience
+            .map_or_else(Caller::default, Caller::with_patience)
+    }
+
+    /// Whether a status tells of a failed target in a soak without such targets.
+    pub(super) fn is_failure(&self, status: StatusCode) -> bool {
+        let failures = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
+        self.has_sound_targets && failures.contains(&status)
+    }
+
     pub(super) fn count(&self, end: &str) {
         self.report
             .lock()
@@ -85,6 +109,14 @@
             .any(|(n, t)| *n == node && *t + STOP_TIMEOUT >= at)
     }
 
+    /// Whether a node was told to stop since `at` or shortly before, and its grace period ends about now.
+    pub(super) fn has_outlasted_stop(&self, node: SocketAddr, at: Instant) -> bool {
+        let stops = self.stops.lock().unwrap_or_else(PoisonError::into_inner);
+        stops
+            .iter()
+            .any(|(n, t)| *n == node && *t + STOP_TIMEOUT >= at && t.elapsed() >= LAST_SIXTH)
+    }
+
     fn limit_runs(&self, attempt: &str, max_runs: u32) {
         self.run_limits
             .lock()
@@ -96,7 +128,7 @@
 /// Sends requests until the soak is stopped.
 pub(super) async fn run_caller(shared: Arc<SoakState>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut caller = Caller::default();
+    let mut caller = shared.new_caller();
     let mut addresses: Vec<SocketAddr> = Vec::new();
     let mut resolved_at = Instant::now();
     while !shared.stopped.is_cancelled() {
@@ -210,6 +242,9 @@
             if says_not_run && !answer.has_retry_after {
                 shared.report_violation(what("refusal without Retry-After"));
             }
+            if shared.is_failure(answer.status) {
+                shared.report_violation(what("failure though all targets are sound"));
+            }
             if answer.status.is_client_error() {
                 shared.report_violation(what("valid request rejected"));
             }
--- a/crates/azuresaddle-standin/src/soak/faults.rs
+++ b/crates/azuresaddle-standin/src/soak/faults.rs
@@ -1,7 +1,6 @@
 //! Injects faults into nodes, targets and the store, one after the other and overlapping.
 
 use std::ops::Range;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
@@ -58,6 +57,8 @@
     /// Whether only faults are injected that must not lose an answer, also when they overlap with the load: stops, sound
     /// targets that are silent for a while, configuration changes and a store that does not answer.
     pub loses_nothing: bool,
+    /// Whether all faults are silences of sound targets during which other faults that must not lose an answer happen.
+    pub overlaps: bool,
 }
 
 /// Shortest and longest silence of all targets in [`Fault::PausedTargets`].
@@ -170,11 +171,7 @@
         Fault::Stop(n) => {
             shared.note_stop(fleet.nodes[n].callers_addr());
             fleet.nodes[n].signal(Signal::SIGTERM);
-            if !fleet.nodes[n].wait_until_ended(STOP_TIMEOUT).await {
-                shared.report_violation(format!("node {n} did not stop within its grace period"));
-                fleet.nodes[n].signal(Signal::SIGKILL);
-            }
-            restart_node(fleet, shared, n).await;
+            end_stop(fleet, shared, n).await;
         }
         Fault::Freeze(n) => {
             fleet.nodes[n].signal(Signal::SIGSTOP);
@@ -277,8 +274,7 @@
     if may_lose_answers(fault) {
         shared.note_disruption();
     }
-    let mut report = shared.report.lock().unwrap_or_else(PoisonError::into_inner);
-    report.faults.push(format!("{fault:?} for {length:?}"));
+    shared.record_fault(format!("{fault:?} for {length:?}"));
 }
 
 /// Returns whether a fault may lose answers.
@@ -296,6 +292,15 @@
     )
 }
 
+/// Waits until a stopping node has ended, and starts it again.
+pub(super) async fn end_stop(fleet: &mut Fleet, shared: &SoakState, n: usize) {
+    if !fleet.nodes[n].wait_until_ended(STOP_TIMEOUT).await {
+        shared.report_violation(format!("node {n} did not stop within its grace period"));
+        fleet.nodes[n].signal(Signal::SIGKILL);
+    }
+    restart_node(fleet, shared, n).await;
+}
+
 async fn restart_node(fleet: &mut Fleet, shared: &SoakState, n: usize) {
     if let Err(e) = fleet.nodes[n].start() {
         shared.report_violation(format!("node {n} did not start: {e}"));
--- a/crates/azuresaddle-standin/src/soak/fleet.rs
+++ b/crates/azuresaddle-standin/src/soak/fleet.rs
@@ -116,6 +116,17 @@
         })
     }
 
+    /// Returns the number of the node that owns the placement of streams, if one does.
+    pub async fn owner(&self) -> Option<usize> {
+        for (n, node) in self.nodes.iter().enumerate() {
+            let metrics = node.metrics().await;
+            if metrics.is_some_and(|text| text.contains("azuresaddle_owner 1")) {
+                return Some(n);
+            }
+        }
+        None
+    }
+
     /// Kills and restarts a target under the same name; `number` counts engines first, then plain targets.
     ///
     /// # Errors
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod crashers;
 mod faults;
 mod fleet;
+mod overlaps;
 mod process;
 mod proxy;
 mod report;
--- a/crates/azuresaddle-standin/src/soak/proxy.rs
+++ b/crates/azuresaddle-standin/src/soak/proxy.rs
@@ -35,7 +35,8 @@
     Reset,
 }
 
-/// A running proxy.
+/// A running proxy; clones control the same one.
+#[derive(Clone)]
 pub struct Proxy {
     /// Address that it listens on.
     pub addr: SocketAddr,
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -15,6 +15,7 @@
 use super::crashers::{check_crashes, run_crasher, run_part_crasher};
 use super::faults::{FaultOptions, inject_fault};
 use super::fleet::{Fleet, FleetOptions};
+use super::overlaps::{PATIENCE, inject_overlap, open_fleet};
 use super::report::SoakReport;
 use super::signal_checks::check_signals;
 use super::signals::{SignalLog, end_signals};
@@ -67,7 +68,12 @@
 /// Returns an error if the directory can't be created or the fleet can't be started.
 pub async fn run_soak(options: &SoakOptions) -> Result<SoakReport> {
     std::fs::create_dir_all(&options.dir)?;
-    let mut fleet = Fleet::open(&options.program, &options.dir, options.fleet).await?;
+    let overlaps = options.faults.overlaps;
+    let mut fleet = if overlaps {
+        open_fleet(options).await?
+    } else {
+        Fleet::open(&options.program, &options.dir, options.fleet).await?
+    };
     let shared = Arc::new(SoakState {
         runs: fleet.platform.runs.clone(),
         directories: fleet.nodes.iter().map(|n| n.directory_addr()).collect(),
@@ -81,6 +87,8 @@
         stops: Mutex::default(),
         stopped: CancellationToken::new(),
         signals: SignalLog::default(),
+        has_sound_targets: overlaps,
+        patience: overlaps.then_some(PATIENCE),
     });
     let callers: Vec<_> = (0..options.callers)
         .map(|n| tokio::spawn(run_caller(Arc::clone(&shared), options.seed * 1000 + n)))
@@ -109,7 +117,11 @@
     let mut rng = StdRng::seed_from_u64(options.seed);
     let end = Instant::now() + options.length;
     while Instant::now() < end {
-        inject_fault(&mut fleet, &shared, &mut rng, options.faults).await;
+        if overlaps {
+            inject_overlap(&mut fleet, &shared, &mut rng).await;
+        } else {
+            inject_fault(&mut fleet, &shared, &mut rng, options.faults).await;
+        }
         end_signals(&mut fleet, &shared).await;
         if let Err(e) = fleet.platform.restart_ended().await {
             shared.report_violation(format!("a target did not restart: {e}"));
--- a/crates/azuresaddle-standin/src/soak/waiting_callers.rs
+++ b/crates/azuresaddle-standin/src/soak/waiting_callers.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::callers::{SoakState, random_request, resolve};
-use crate::platform::{Caller, CallerError, CallerRequest};
+use crate::platform::{CallerError, CallerRequest};
 
 /// Tokens per event; equals `stride` in the stand-in configuration.
 const TOKENS_PER_EVENT: u64 = 46;
@@ -36,7 +36,7 @@
             ..random_request(&shared, &mut rng)
         };
         let began = Instant::now();
-        let result = Caller::default().ask(node, &request).await;
+        let result = shared.new_caller().ask(node, &request).await;
         let name = match &result {
             Ok(answer) => answer.status.as_str().to_owned(),
             Err(e) => e.to_string(),
@@ -44,8 +44,18 @@
         shared.count(&format!("callers in a crowd: {name}"));
         let has_run = shared.runs.of(&request.attempt).count > 0;
         // A stream that has begun may outlast the grace period of a stop.
-        let is_excused = has_run && shared.was_stopped_since(node, began);
-        let is_lost = matches!(result, Err(CallerError::BrokenOff));
+        let is_excused = has_run
+            && if shared.has_sound_targets {
+                shared.has_outlasted_stop(node, began)
+            } else {
+                shared.was_stopped_since(node, began)
+            };
+        // Before the first event the caller may have left since no engine was free.
+        let is_lost = match &result {
+            Ok(answer) => shared.is_failure(answer.status),
+            Err(CallerError::BrokenOff | CallerError::Left { has_begun: true }) => true,
+            Err(_) => false,
+        };
         if is_lost && !is_excused && !shared.was_disrupted_since(began) {
             shared.report_violation(format!(
                 "{request:?} in a crowd: {result:?}, ran: {has_run}"
--- a/tests/testsuite/platform/silences.rs
+++ b/tests/testsuite/platform/silences.rs
@@ -388,22 +388,11 @@
     asked.assert_answered(&fleet.platform).await;
 }
 
-/// Number of the node that owns the placement of streams.
-async fn owner(fleet: &Fleet) -> usize {
-    for (n, node) in fleet.nodes.iter().enumerate() {
-        let metrics = node.metrics().await.unwrap();
-        if metrics.contains("azuresaddle_owner 1") {
-            return n;
-        }
-    }
-    panic!("no node is the owner");
-}
-
 /// Guards against streams that are cut when the owner of their engines changes during a silence.
 async fn assert_kept_without_owner(test: &str, signal: Signal) {
     let _slot = SLOTS.acquire().await.unwrap();
     let mut fleet = open(test).await;
-    let owner = owner(&fleet).await;
+    let owner = fleet.owner().await.unwrap();
     let mut others = addrs(&fleet);
     others.remove(owner);
     let asked = Asked::stream(&others, SHORT_PROMPT, LONG);
@@ -432,7 +421,7 @@
 async fn a_silence_beside_the_stop_of_a_node_cuts_none_of_its_streams() {
     let _slot = SLOTS.acquire().await.unwrap();
     let mut fleet = open("silence-stop").await;
-    let stopped = (owner(&fleet).await + 1) % NODES;
+    let stopped = (fleet.owner().await.unwrap() + 1) % NODES;
     let asked = Asked::stream(&addrs(&fleet), SHORT_PROMPT, SHORT);
     tokio::time::sleep(LEAD_TIME).await;
     asked.until_all_run(&fleet.platform).await;
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -50,6 +50,7 @@
     has_signals: false,
     silent_targets: 0,
     loses_nothing: false,
+    overlaps: false,
 };
 
 #[tokio::test(flavor = "multi_thread")]
@@ -107,6 +108,24 @@
     }
 }
 
+/// Guards against answers that are lost when sound targets are silent while the configuration changes or a node stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_is_lost_by_silences_that_overlap_with_planned_work() {
+    let faults = FaultOptions {
+        overlaps: true,
+        ..FaultOptions::default()
+    };
+    let mut options = SoakOptions {
+        crowd: 36,
+        ..options(Duration::from_secs(20), 61, 3, faults, 0, 0)
+    };
+    options.fleet.platform.engines = 8;
+    let report = run_soak(&options).await.unwrap();
+    assert!(report.passed(), "{report}");
+    let whole = report.ends.get("callers in a crowd: 200");
+    assert!(whole.is_some_and(|n| *n > 0), "{report}");
+}
+
 async fn soak(seed: u64, nodes: u8, faults: FaultOptions, crashers: u64) {
     soak_for(Duration::from_secs(7), seed, nodes, faults, crashers).await;
 }
