The port of a killed target stays closed in the test of ejections

Trace: n0 got "connection refused" once, then both nodes logged "another server has the target's address" for the killed target, and sent it nothing more. The target's port had been given to a server of another test in the same run, which answered 421. That is what the nodes should do; the test's target was not down.

The test keeps the port bound, without listening, until the target restarts. All its conditions and bounds are as before.

--- a/tests/testsuite/platform/target_health.rs
+++ b/tests/testsuite/platform/target_health.rs
@@ -1,11 +1,13 @@
 //! Nodes share the health of plain targets: one that fails is ejected on all of them.
 
+use std::net::SocketAddr;
 use std::process::Command;
 use std::time::Duration;
 
 use azuresaddle_standin::platform::{Caller, PlatformOptions};
 use azuresaddle_standin::soak::{Fleet, FleetOptions, NodeProcess, ProxyMode};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 use super::support::{dir, plain, program, status};
 
@@ -29,6 +31,21 @@
     fleet
 }
 
+/// Keeps the port of a killed target from the servers of other tests, once it is closed. Connections to it are refused.
+async fn hold_port(addr: SocketAddr) -> TcpSocket {
+    let held = async {
+        loop {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_reuseaddr(true).unwrap();
+            if socket.bind(addr).is_ok() {
+                return socket;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(CLOSE_TIME, held).await.expect("the port is closed")
+}
+
 /// Output of `azuresaddle targets` for a node.
 fn ejected(node: &NodeProcess) -> String {
     let output = Command::new(program())
@@ -49,6 +66,7 @@
     // The proxy in front of the target accepts one more connection before it refuses them like the target.
     let proxy = fleet.target_proxies[fleet.platform.engines.len()].addr;
     TcpStream::connect(proxy).await.unwrap();
+    let port = hold_port(fleet.platform.plain[0].addr()).await;
     tokio::time::sleep(CLOSE_TIME).await;
     let mut is_listed = false;
     for _ in 0..MAX_REQUESTS {
@@ -71,6 +89,7 @@
         assert_eq!(status(&fleet.nodes[2], &plain("/post/1")).await, 200);
     }
     assert!(!fleet.nodes[2].log_text().contains("send failed"));
+    drop(port);
     fleet.platform.restart_plain(0).await.unwrap();
     tokio::time::sleep(PROPAGATION_TIME).await;
     for node in &fleet.nodes {
