--- a/tests/testsuite/platform/silences.rs
+++ b/tests/testsuite/platform/silences.rs
@@ -70,7 +70,7 @@
 /// Time from the start of a silence to what happens beside it.
 const BESIDE: Duration = Duration::from_millis(300);
 
-/// Time from a version of the configuration to the silences of the incident.
+/// Time from a version of the configuration to the silences that follow it.
 const AFTER_VERSION: Duration = Duration::from_millis(600);
 
 /// Events of a stream that is done within the grace period of a stop, though it is silent for a while, and of one that runs for
