The only account of a pool is not refused as a flood

Callers saw: with one client account and four long prompts that take all engines for 0.9 s, short prompts that came half a second later were refused within 3 ms ("no engine can serve this in time"), five or six of 60, though those before and after them were served.

Cause: the flood limit of an account counts its share of the queue. An account alone has all of it, so its ninth waiting request was refused once the first had waited for 0.5 s. The limit keeps room for other accounts; without any it keeps room for nobody. What no engine can serve in time is refused by other checks.

Change: the limit applies once another account has had a request since the queue was last empty.

Left: the short prompts of these runs wait up to 0.9 s for the long ones. Once they are late, long prompts that can still be on time go first.

--- a/crates/azuresaddle-sched/src/fair_clock.rs
+++ b/crates/azuresaddle-sched/src/fair_clock.rs
@@ -41,6 +41,11 @@
         finish.max(self.now)
     }
 
+    /// Whether another account than `account` had a request since the queue was last empty.
+    pub(crate) fn has_other(&self, account: &ClientAccount) -> bool {
+        self.finish.keys().any(|other| other != account)
+    }
+
     /// Advances virtual time to the start of a dispatched request.
     pub(crate) fn on_dispatch(&mut self, tag: FairTag) {
         self.now = self.now.max(tag.start);
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -48,7 +48,7 @@
 
 impl PassPool {
     /// Returns the retry delay if one client account has more than half of the queue, has reached
-    /// its limit, and has had requests waiting for at least [`FLOOD_AGE`].
+    /// its limit, and has had requests waiting for at least [`FLOOD_AGE`] while other accounts came.
     ///
     /// When an account sends several times what the engines can handle, its requests come last in
     /// the queue, but its late requests would still fill every engine.
@@ -63,9 +63,14 @@
         let waiting = self.queue.account_queue(&request.account)?;
         let slots = self.engines.len() * self.spec.slots as usize;
         let most = (slots as f64 * ACCOUNT_WAITING_SHARE) as usize;
+        let has_others = || {
+            let mut clocks = self.fair_clocks.iter();
+            clocks.any(|clock| clock.has_other(&request.account))
+        };
         let floods = waiting.count >= most.max(MIN_ACCOUNT_WAITING)
             && waiting.count * 2 > self.queue.len()
-            && now.saturating_duration_since(waiting.since) >= FLOOD_AGE;
+            && now.saturating_duration_since(waiting.since) >= FLOOD_AGE
+            && has_others();
         floods.then_some(FLOOD_RETRY_AFTER)
     }
 
--- a/crates/azuresaddle-sched/tests/suite/passes/account_shares.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/account_shares.rs
@@ -62,6 +62,32 @@
     assert!(pool.take_decisions().is_empty());
 }
 
+/// Guards against a flood limit that refuses the requests of the only account, which keeps no room for anybody.
+#[tokio::test(start_paused = true)]
+async fn the_only_account_is_not_refused_as_a_flood() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    let mut number = 1;
+    while {
+        pool.enqueue(now, request_of("only", now, number, 2000));
+        !dispatch(&mut pool, now).is_empty()
+    } {
+        pool.on_first_event(now, id(number));
+        number += 1;
+    }
+    for waiting in number + 1..number + 10 {
+        pool.enqueue(now, request_of("only", now, waiting, 2000));
+    }
+    let now = now + Duration::from_millis(510);
+    pool.enqueue(now, request_of("only", now, number + 10, 2000));
+    assert!(pool.take_decisions().is_empty());
+    // Other accounts get room as soon as there are any.
+    pool.enqueue(now, request_of("other", now, number + 11, 2000));
+    assert!(pool.take_decisions().is_empty());
+    pool.enqueue(now, request_of("only", now, number + 12, 2000));
+    assert_eq!(pool.take_decisions().len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn equal_accounts_keep_the_order_of_arrival() {
     let now = Instant::now();
