Test of bodies that are answered early: bodies of two accounts

Cause: the target answers before it reads and holds each body for 150 ms and the time to read it. A node holds up to 43 MB for one client account, three such bodies. The fourth came 273 ms after the first, which was still being read: a true refusal, and a race of the test. With a pause of the target of 400 ms in place of 150 ms (a trial) it fails each time.

Change: the bodies belong to two accounts in turn, so that all four fit whatever the time. Number, size and order of the bodies and all checks stay; that each ran for its account is checked as well. With a pause of 400 ms the test passes.

--- a/tests/testsuite/platform/wire_faults.rs
+++ b/tests/testsuite/platform/wire_faults.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::platform::{Arrivals, Caller, CallerRequest, ProtocolFault, TargetFault};
+use azuresaddle_standin::platform::{
+    AccountSpec, Arrivals, Caller, CallerRequest, ProtocolFault, TargetFault,
+};
 use azuresaddle_standin::soak::Fleet;
 
 use super::support::{ask, fleet, plain, status, stream};
@@ -84,13 +86,23 @@
     let (mut fleet, arrivals) = raw_fleet("early", ProtocolFault::Early).await;
     // Larger than the buffers of a connection.
     let length = 12 << 20;
-    fleet
-        .platform
-        .change_configuration(|c| c.max_body_bytes = length as u64);
+    // A node holds the bodies of one account only up to a limit, and the target still reads the first ones when the last
+    // one arrives.
+    let accounts = ["advisers", "auditors"];
+    fleet.platform.change_configuration(|c| {
+        c.max_body_bytes = length as u64;
+        c.accounts.push(AccountSpec {
+            name: accounts[1].to_owned(),
+            keys: vec!["key-3".to_owned()],
+        });
+    });
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let all: Vec<CallerRequest> = (0..4)
-        .map(|_| single_letter_request("/post/1", length))
-        .collect();
+    let all: Vec<CallerRequest> = ["key-1", "key-3", "key-1", "key-3"]
+        .map(|key| CallerRequest {
+            key: key.to_owned(),
+            ..single_letter_request("/post/1", length)
+        })
+        .to_vec();
     assert_eq!(ask_sequentially(&fleet, &all).await, [200; 4]);
     tokio::time::sleep(Duration::from_millis(500)).await;
     let arrived = arrivals.all();
@@ -100,6 +112,10 @@
         "{arrived:?}"
     );
     assert_ran_once(&fleet, &all);
+    for (request, account) in all.iter().zip(accounts.iter().cycle()) {
+        let run = fleet.platform.runs.of(&request.attempt);
+        assert_eq!(run.account.as_deref(), Some(*account));
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
