--- a/crates/azuresaddle-standin/src/platform/demo.rs
+++ b/crates/azuresaddle-standin/src/platform/demo.rs
@@ -40,6 +40,8 @@
     pub whole: u64,
     /// Number of requests without a complete answer.
     pub failed: u64,
+    /// How they ended, in the order in which they were sent.
+    pub failures: Vec<String>,
     /// 95th percentile of the time to the complete answer when only short prompts are sent, in
     /// milliseconds.
     pub alone_p95_ms: u64,
@@ -69,17 +71,19 @@
     let (long, p95) = tokio::join!(join_all(long), short_prompts(&nodes, 2, &mut mixed));
     mixed.mixed_p95_ms = p95;
     for answer in long {
-        mixed.count(answer.is_some());
+        mixed.count(&answer);
     }
     Ok(mixed)
 }
 
 impl PlatformDemoReport {
-    fn count(&mut self, is_whole: bool) {
-        if is_whole {
-            self.whole += 1;
-        } else {
-            self.failed += 1;
+    fn count(&mut self, answer: &Result<Duration, String>) {
+        match answer {
+            Ok(_) => self.whole += 1,
+            Err(failure) => {
+                self.failed += 1;
+                self.failures.push(failure.clone());
+            }
         }
     }
 }
@@ -114,7 +118,7 @@
     });
     let mut times: Vec<u64> = Vec::new();
     for answer in join_all(answers).await {
-        demo.count(answer.is_some());
+        demo.count(&answer);
         times.extend(answer.map(|t| t.as_millis() as u64));
     }
     times.sort_unstable();
@@ -122,11 +126,25 @@
     times.get(last * 95 / 100).copied().unwrap_or(0)
 }
 
-/// Returns the time to the complete answer, or `None` if the request failed.
-async fn ask(node: SocketAddr, request: CallerRequest) -> Option<Duration> {
+/// Returns the time to the complete answer.
+///
+/// # Errors
+/// Returns how the request ended if it failed.
+async fn ask(node: SocketAddr, request: CallerRequest) -> Result<Duration, String> {
     let began = Instant::now();
-    let answer = Caller::default().ask(node, &request).await.ok()?;
-    answer.status.is_success().then(|| began.elapsed())
+    let answer = Caller::default().ask(node, &request).await;
+    let took = began.elapsed();
+    let failure = match answer {
+        Ok(answer) if answer.status.is_success() => return Ok(took),
+        Ok(answer) => format!("{}: {}", answer.status, answer.body),
+        Err(e) => e.to_string(),
+    };
+    let tokens = request.tokens.map_or(0, |(prompt, _)| prompt);
+    let ms = took.as_millis();
+    Err(format!(
+        "{} ({tokens} tokens) after {ms} ms: {failure}",
+        request.attempt
+    ))
 }
 
 fn caller_request(number: u64, tokens: Option<(u64, u64)>) -> CallerRequest {
