--- a/crates/azuresaddle-standin/src/platform/caller.rs
+++ b/crates/azuresaddle-standin/src/platform/caller.rs
@@ -82,14 +82,14 @@
 pub struct Caller {
     connection: Option<(SocketAddr, SendRequest<Full<Bytes>>)>,
     /// Time without an event after which the caller leaves a stream; `None` to wait until the timeout.
-    patience: Option<Duration>,
+    event_timeout: Option<Duration>,
 }
 
 impl Caller {
     /// Makes a caller that leaves a stream after a time without an event.
-    pub fn with_patience(patience: Duration) -> Self {
+    pub fn with_event_timeout(event_timeout: Duration) -> Self {
         Self {
-            patience: Some(patience),
+            event_timeout: Some(event_timeout),
             ..Self::default()
         }
     }
@@ -119,17 +119,17 @@
         node: SocketAddr,
         request: &CallerRequest,
     ) -> Result<Answer, CallerError> {
-        let patience = self.patience.filter(|_| request.tokens.is_some());
+        let event_timeout = self.event_timeout.filter(|_| request.tokens.is_some());
         let tx = self.connect(node).await?;
         let mut last_event = Instant::now();
         let response = tx.send_request(http_request(request));
-        let response = wait_for(response, last_event, patience).await;
+        let response = wait_for(response, last_event, event_timeout).await;
         let response = response.ok_or(CallerError::Left { has_begun: false })?;
         let response = response.map_err(|_| CallerError::BrokenOff)?;
         let (parts, mut frames) = response.into_parts();
         let mut body = Vec::new();
         loop {
-            let next = wait_for(frames.frame(), last_event, patience).await;
+            let next = wait_for(frames.frame(), last_event, event_timeout).await;
             let has_begun = !body.is_empty();
             let Some(frame) = next.ok_or(CallerError::Left { has_begun })? else {
                 break;
@@ -174,14 +174,14 @@
     }
 }
 
-/// Waits until `patience` after the last event at most; `None` if that has passed.
+/// Waits until `event_timeout` after the last event at most; `None` if that has passed.
 async fn wait_for<T>(
     next: impl Future<Output = T>,
     last_event: Instant,
-    patience: Option<Duration>,
+    event_timeout: Option<Duration>,
 ) -> Option<T> {
-    match patience {
-        Some(patience) => timeout_at(last_event + patience, next).await.ok(),
+    match event_timeout {
+        Some(event_timeout) => timeout_at(last_event + event_timeout, next).await.ok(),
         None => Some(next.await),
     }
 }
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -44,7 +44,7 @@
     /// Whether all targets are sound, though silent at times.
     pub(super) has_sound_targets: bool,
     /// Time without an event after which callers leave a stream; `None` if they wait until their timeout.
-    pub(super) patience: Option<Duration>,
+    pub(super) event_timeout: Option<Duration>,
 }
 
 impl SoakState {
@@ -60,8 +60,8 @@
 
     /// A caller that leaves a stream without events, if callers of this soak do so.
     pub(super) fn new_caller(&self) -> Caller {
-        self.patience
-            .map_or_else(Caller::default, Caller::with_patience)
+        self.event_timeout
+            .map_or_else(Caller::default, Caller::with_event_timeout)
     }
 
     /// Whether a status tells of a failed target in a soak without such targets.
--- a/crates/azuresaddle-standin/src/soak/overlaps.rs
+++ b/crates/azuresaddle-standin/src/soak/overlaps.rs
@@ -27,7 +27,7 @@
 
 /// Time without an event after which callers leave a stream: two seconds, four times the latency target or eight times the
 /// pause, whichever is longest.
-pub(super) const PATIENCE: Duration = Duration::from_secs(2);
+pub(super) const EVENT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Retries of all nodes together beside a part of the requests: few, so that most requests have to wait for the target that
 /// they are at.
@@ -45,7 +45,7 @@
 /// Longest time from a fault beside a silence to the start of the silence.
 const MAX_LEAD: Duration = Duration::from_millis(600);
 
-/// Time after a silence without another one: longer than the patience of callers, so that no request meets two.
+/// Time after a silence without another one: longer than callers wait for an event, so that no request meets two.
 const PAUSE_AFTER: Duration = Duration::from_millis(2200);
 
 /// Service of the part of a route that moves.
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -15,7 +15,7 @@
 use super::crashers::{check_crashes, run_crasher, run_part_crasher};
 use super::faults::{FaultOptions, inject_fault};
 use super::fleet::{Fleet, FleetOptions};
-use super::overlaps::{PATIENCE, inject_overlap, open_fleet};
+use super::overlaps::{EVENT_TIMEOUT, inject_overlap, open_fleet};
 use super::report::SoakReport;
 use super::signal_checks::check_signals;
 use super::signals::{SignalLog, end_signals};
@@ -88,7 +88,7 @@
         stopped: CancellationToken::new(),
         signals: SignalLog::default(),
         has_sound_targets: overlaps,
-        patience: overlaps.then_some(PATIENCE),
+        event_timeout: overlaps.then_some(EVENT_TIMEOUT),
     });
     let callers: Vec<_> = (0..options.callers)
         .map(|n| tokio::spawn(run_caller(Arc::clone(&shared), options.seed * 1000 + n)))
--- a/tests/testsuite/platform/silences.rs
+++ b/tests/testsuite/platform/silences.rs
@@ -53,7 +53,7 @@
 
 /// Time without an event after which callers leave a stream. It is longer than the two seconds of real callers, since the
 /// processes share a machine with other tests; tests on a paused clock hold those.
-const PATIENCE: Duration = Duration::from_secs(3);
+const EVENT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Most tests of this file at the same time. Each of them runs about a hundred streams in debug builds.
 static SLOTS: Semaphore = Semaphore::const_new(2);
@@ -122,7 +122,7 @@
     fn ask(&mut self, node: SocketAddr, request: CallerRequest) {
         let sent = request.clone();
         let answer = tokio::spawn(async move {
-            let mut caller = Caller::with_patience(PATIENCE);
+            let mut caller = Caller::with_event_timeout(EVENT_TIMEOUT);
             caller.ask(node, &sent).await
         });
         self.requests.push((request, answer));
