Crashes under one request count once against its parts

Callers saw every sound request that holds one particular part of a prompt refused: a request with that part had crashed three targets, and a fourth target, which another cause crashed, was running a sound request with it (soak of five nodes with three crashing requests).

A part is on every target that a request with it crashes, so the part never had fewer crashes than that request, and one crash beside another cause gave it more. It then explained the crashes of the request, never the other way round: a request is never incriminated without its part.

Crashes under one request that has enough crashes for a quarantine itself, and has crashed no target without the part, count once against the part; such a request is not excused by the part. Where two requests explain as many, the one that was alone on more of the targets goes first. Three different requests with the part still quarantine it, also where one bystander was on two of the three.

A cause that has a bystander with three crashes of its own beside it needs one or two crashes more.

--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -1,12 +1,13 @@
 //! Which of the requests that a crashed target was running explains its crash best.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
 use super::crash::TargetIncarnation;
-use super::evidence::Evidence;
+use super::evidence::{Evidence, SUFFICIENT_CRASHES};
 use super::record::{QuarantineKind, Record};
 use super::state::{CrashedTarget, Quarantine};
 
@@ -17,6 +18,14 @@
 /// Age up to which crashes count towards how often targets crash on their own.
 const RECENT_CRASH_AGE: Duration = Duration::from_secs(60);
 
+/// Crashes that a request shares with a part of prompts.
+#[derive(Clone, Copy, Debug, Default)]
+struct SharedCrashes {
+    all: usize,
+    /// Those of targets that were running no other request.
+    alone: usize,
+}
+
 impl Quarantine {
     /// Evidence on a request, without the crashes that another request on the same target explains better.
     pub(super) fn unexplained_evidence(
@@ -26,17 +35,97 @@
     ) -> Evidence {
         let own = record.evidence().weight();
         let is_unexplained = |incarnation: &TargetIncarnation| {
-            let requests = self
-                .crashed_targets
-                .get(incarnation)
-                .into_iter()
-                .flat_map(|e| &e.requests);
-            let mut others = requests.filter(|r| **r != fingerprint);
+            let mut others = self.requests_on(incarnation).filter(|r| *r != fingerprint);
             !others.any(|other| {
-                self.weight(*other) > own || self.is_better_explanation(*other, fingerprint)
+                self.outweighs(other, fingerprint, own)
+                    || self.is_better_explanation(other, fingerprint)
             })
         };
-        record.evidence_with(record.crashed_incarnations().filter(is_unexplained).count())
+        let mut unexplained: Vec<TargetIncarnation> = record
+            .crashed_incarnations()
+            .filter(is_unexplained)
+            .collect();
+        if !fingerprint.is_prompt_part() {
+            return record.evidence_with(unexplained.len());
+        }
+        let requests = self.requests_explaining_part(record, &mut unexplained);
+        record.evidence_with(requests.len() + unexplained.len())
+    }
+
+    /// Whether there is more evidence against `cause` than `weight`, that against `fingerprint`.
+    ///
+    /// A part always has as many crashes as the requests that hold it; it does not explain the crashes of a request that
+    /// explains those of the part.
+    fn outweighs(&self, cause: Fingerprint, fingerprint: Fingerprint, weight: f64) -> bool {
+        let record = self.records.get(&cause);
+        record.is_some_and(|r| {
+            r.evidence().weight() > weight
+                && !(cause.is_prompt_part() && self.explains_part(fingerprint, r))
+        })
+    }
+
+    /// Whether a request explains several crashes of a part.
+    fn explains_part(&self, request: Fingerprint, part: &Record) -> bool {
+        let mut crashes = part.crashed_incarnations().collect();
+        self.requests_explaining_part(part, &mut crashes)
+            .contains(&request)
+    }
+
+    /// Requests that explain several of these crashes of a part each, which are removed.
+    ///
+    /// A request that may hold the part and has enough crashes for a quarantine by itself explains them as well as the
+    /// part does. Together they count as one crash of the part, which only other requests with it can incriminate.
+    fn requests_explaining_part(
+        &self,
+        part: &Record,
+        crashes: &mut Vec<TargetIncarnation>,
+    ) -> Vec<Fingerprint> {
+        let mut requests = Vec::new();
+        while let Some(request) = self.best_request_for(part, crashes) {
+            crashes.retain(|incarnation| !self.requests_on(incarnation).any(|r| r == request));
+            requests.push(request);
+        }
+        requests
+    }
+
+    /// The request that explains the most of these crashes of a part, and more than one of them; `None` if there is none.
+    fn best_request_for(
+        &self,
+        part: &Record,
+        crashes: &[TargetIncarnation],
+    ) -> Option<Fingerprint> {
+        let mut shared: HashMap<Fingerprint, SharedCrashes> = HashMap::new();
+        for incarnation in crashes {
+            let requests = self.requests_on(incarnation);
+            let requests: Vec<Fingerprint> = requests.filter(|r| !r.is_prompt_part()).collect();
+            for request in &requests {
+                let shared = shared.entry(*request).or_default();
+                shared.all += 1;
+                shared.alone += usize::from(requests.len() == 1);
+            }
+        }
+        let explains = |request: &Fingerprint, shared: &SharedCrashes| {
+            shared.all > 1
+                && self.weight(*request) >= SUFFICIENT_CRASHES as f64
+                && self.may_hold(*request, part)
+        };
+        let best = shared
+            .into_iter()
+            .filter(|(request, shared)| explains(request, shared))
+            .max_by_key(|(request, shared)| (shared.all, shared.alone, *request));
+        best.map(|(request, _)| request)
+    }
+
+    /// Whether a request may hold a part of prompts: it has crashed no target without the part.
+    fn may_hold(&self, request: Fingerprint, part: &Record) -> bool {
+        let record = self.records.get(&request);
+        record.is_some_and(|r| part.includes_crashes_of(r))
+    }
+
+    /// Requests and parts that a crashed target was running.
+    fn requests_on(&self, incarnation: &TargetIncarnation) -> impl Iterator<Item = Fingerprint> {
+        let crashed = self.crashed_targets.get(incarnation);
+        crashed.into_iter().flat_map(|c| &c.requests).copied()
     }
 
     /// Whether `cause` explains a crash better than `fingerprint`, which was on the same target: apart
