Later crashes of another cause do not lift the quarantine of a part

The crashes of a part no longer counted as soon as another request or part on the same targets had more. A part in quarantine is on no target and has no more crashes, while the other cause goes on.

For a part, others are compared by their crashes up to the part's own last one. Requests are compared as before: a popular one is cleared by later crashes of the causes.

A part that is refused wrongly is no longer cleared by later crashes of the cause, only by a successful run, an operator or the end of its minute.

--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -34,11 +34,13 @@
         record: &Record,
     ) -> Evidence {
         let own = record.evidence().weight();
+        // A part in quarantine is on no target, so what others crash meanwhile does not compare with its own crashes.
+        let until = fingerprint.is_prompt_part().then(|| record.last_crash_at());
         let is_unexplained = |incarnation: &TargetIncarnation| {
             let mut others = self.requests_on(incarnation).filter(|r| *r != fingerprint);
             !others.any(|other| {
-                self.outweighs(other, fingerprint, own)
-                    || self.is_better_explanation(other, fingerprint)
+                self.outweighs(other, fingerprint, own, until)
+                    || self.is_better_explanation(other, fingerprint, until)
             })
         };
         let mut unexplained: Vec<TargetIncarnation> = record
@@ -52,14 +54,23 @@
         record.evidence_with(requests.len() + unexplained.len())
     }
 
-    /// Whether there is more evidence against `cause` than `weight`, that against `fingerprint`.
+    /// Whether there is more evidence against `cause`, with its crashes up to `until`, than `weight`, that against
+    /// `fingerprint`.
     ///
     /// A part always has as many crashes as the requests that hold it; it does not explain the crashes of a request that
     /// explains those of the part.
-    fn outweighs(&self, cause: Fingerprint, fingerprint: Fingerprint, weight: f64) -> bool {
+    fn outweighs(
+        &self,
+        cause: Fingerprint,
+        fingerprint: Fingerprint,
+        weight: f64,
+        until: Option<Instant>,
+    ) -> bool {
         let record = self.records.get(&cause);
         record.is_some_and(|r| {
-            r.evidence().weight() > weight
+            r.evidence_with(self.crashes_until(r, until).count())
+                .weight()
+                > weight
                 && !(cause.is_prompt_part() && self.explains_part(fingerprint, r))
         })
     }
@@ -128,19 +139,42 @@
         crashed.into_iter().flat_map(|c| &c.requests).copied()
     }
 
+    /// Crashed targets of a record whose crashes this node has known since `until` or longer, all of them without it.
+    fn crashes_until(
+        &self,
+        record: &Record,
+        until: Option<Instant>,
+    ) -> impl Iterator<Item = TargetIncarnation> {
+        let is_counted = move |incarnation: &TargetIncarnation| {
+            let crashed = self.crashed_targets.get(incarnation);
+            until.is_none_or(|until| crashed.is_some_and(|c| c.at <= until))
+        };
+        record.crashed_incarnations().filter(is_counted)
+    }
+
     /// Whether `cause` explains a crash better than `fingerprint`, which was on the same target: apart
-    /// from each other, only `cause` has crashed targets.
+    /// from each other, only `cause` has crashed targets, up to `until`.
     ///
     /// When different requests crash most of the targets at once, a harmless one that all callers
     /// send was on each of them and has more crashes than any of the causes.
-    fn is_better_explanation(&self, cause: Fingerprint, fingerprint: Fingerprint) -> bool {
-        self.is_incriminated_without(cause, fingerprint)
-            && !self.is_incriminated_without(fingerprint, cause)
+    fn is_better_explanation(
+        &self,
+        cause: Fingerprint,
+        fingerprint: Fingerprint,
+        until: Option<Instant>,
+    ) -> bool {
+        self.is_incriminated_without(cause, fingerprint, until)
+            && !self.is_incriminated_without(fingerprint, cause, until)
     }
 
-    /// Whether a request has crashed targets that were running neither `absent` nor another request
+    /// Whether a request has crashed targets up to `until` that were running neither `absent` nor another request
     /// with as many crashes.
-    fn is_incriminated_without(&self, fingerprint: Fingerprint, absent: Fingerprint) -> bool {
+    fn is_incriminated_without(
+        &self,
+        fingerprint: Fingerprint,
+        absent: Fingerprint,
+        until: Option<Instant>,
+    ) -> bool {
         let Some(record) = self.records.get(&fingerprint) else {
             return false;
         };
@@ -156,7 +190,7 @@
             let crashed = self.crashed_targets.get(incarnation);
             crashed.is_some_and(|c| !c.requests.iter().any(has_other_cause))
         };
-        let crashes = record.crashed_incarnations().filter(is_only_cause);
+        let crashes = self.crashes_until(record, until).filter(is_only_cause);
         record.evidence_with(crashes.count()).weight() >= INCRIMINATING_CRASHES as f64
     }
 
