Retry budget: divided by all nodes that may be running

Cause: a node divided the fleet's extra retries by the nodes it saw alive. Nodes that lost sight of each other took the shares of nodes that went on retrying; a node that had just started took the share of a lone node until it heard from the others; and the retries of nodes that had left were forgotten before their window had passed.

Change: control counts the nodes that may be running. A silent node that had announced its shutdown counts until it leaves the member list (20 s). One that fell silent without that may be behind a partition, and counts for an hour; nothing on the node's side tells a crash from a partition, and nodes have no entry in the store. A host that returns, or restarts, counts once. The budget divides by the largest such count of its window.

--- a/crates/azuresaddle-edge/src/control/gossip.rs
+++ b/crates/azuresaddle-edge/src/control/gossip.rs
@@ -78,7 +78,8 @@
         alive.map(|m| m.state.ip).collect()
     }
 
-    /// Applies a heartbeat from a host; true if it changes which nodes are live or what they offer.
+    /// Applies a heartbeat from a host; true if it changes which nodes are live, what they offer or
+    /// how many may be running.
     pub(super) fn on_heartbeat(
         &mut self,
         now: Instant,
@@ -152,18 +153,19 @@
             changed_at: same_state.map_or(now, |m| m.changed_at),
             state: state.clone(),
         };
+        self.unheard.remove(member.state.ip);
         self.members.insert(member.state.ip, member);
         changed
     }
 
-    /// Applies a digest of a known node; true if the node was considered failed.
+    /// Applies a digest; true if the node was considered failed or unknown.
     ///
     /// A digest with a different state tag counts only once the full state is known: relayed
     /// together with the outdated state, it would make every better informed node request the state
     /// over and over.
     fn merge_digest(&mut self, now: Instant, digest: &HeartbeatDigest) -> bool {
         let Some(member) = self.members.get(&digest.ip) else {
-            return false;
+            return digest.ip != self.own.ip && self.unheard.add(now, digest.ip);
         };
         if differs(member, digest) || digest.counter <= member.last_counter {
             return false;
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -18,6 +18,7 @@
 use super::candidates::Candidates;
 use super::failover::Failover;
 use super::heartbeat::MemberState;
+use super::unheard_hosts::UnheardHosts;
 use super::watch_role::WatchRole;
 
 use crate::snapshot::{LiveNode, NO_OWNER};
@@ -95,6 +96,8 @@
     peer_port: u16,
     pub(super) seeds: Vec<Ipv4Addr>,
     pub(super) members: HashMap<Ipv4Addr, Member>,
+    /// Hosts without an entry in `members` whose nodes may be running.
+    pub(super) unheard: UnheardHosts,
     /// When this process started listening.
     pub(super) started_at: Instant,
     last_tick_at: Instant,
@@ -114,8 +117,10 @@
 
 impl Members {
     pub(super) fn new(now: Instant, own: MemberState, peer_port: u16, seeds: &[Ipv4Addr]) -> Self {
+        let seeds: Vec<Ipv4Addr> = seeds.iter().copied().filter(|ip| *ip != own.ip).collect();
         Self {
-            seeds: seeds.iter().copied().filter(|ip| *ip != own.ip).collect(),
+            unheard: UnheardHosts::new(now, &seeds),
+            seeds,
             rng: SmallRng::seed_from_u64(own.incarnation),
             own,
             peer_port,
@@ -206,15 +211,35 @@
         let before = self.last_tick_at;
         self.last_tick_at = now;
         self.ticks = self.ticks.wrapping_add(1);
-        self.members
-            .retain(|_, m| now.saturating_duration_since(m.heard_at) < MEMBER_RETENTION);
+        let running_before = self.running_nodes();
+        self.expire(now);
         let claimed = self.check_suspicion(now);
         let claim_wait_ends = self.claim_wait_ends();
         let claim_wait_ended = before < claim_wait_ends && claim_wait_ends <= now;
         let mut members = self.members.values();
         let alive_changed = members.any(|m| self.is_alive(m, before) != self.is_alive(m, now));
         let alive_changed = alive_changed | self.update_offered(now) | self.update_candidates(now);
-        alive_changed || claimed || claim_wait_ended
+        let running_changed = self.running_nodes() != running_before;
+        alive_changed || claimed || claim_wait_ended || running_changed
+    }
+
+    /// Removes silent nodes from the member list. Those that were not shutting down may be running
+    /// on the other side of a network partition.
+    fn expire(&mut self, now: Instant) {
+        let unheard = &mut self.unheard;
+        unheard.expire(now);
+        self.members.retain(|ip, m| {
+            let is_retained = now.saturating_duration_since(m.heard_at) < MEMBER_RETENTION;
+            if !is_retained && !m.state.is_leaving {
+                unheard.add(now, *ip);
+            }
+            is_retained
+        });
+    }
+
+    /// Number of nodes that may be running, including this one and those that it cannot reach.
+    pub(super) fn running_nodes(&self) -> usize {
+        1 + self.members.len() + self.unheard.len()
     }
 
     /// Returns the live nodes including this one, and the incarnation of the owner; [`NO_OWNER`] if
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -41,6 +41,7 @@
 mod target_record;
 #[cfg(test)]
 pub(crate) mod tests;
+mod unheard_hosts;
 mod watch_role;
 
 pub(crate) use actor::{Control, ControlParts};
--- a/crates/azuresaddle-edge/src/control/publish.rs
+++ b/crates/azuresaddle-edge/src/control/publish.rs
@@ -80,6 +80,7 @@
             domain_drains: drains,
             target_position: position,
             nodes: Arc::new(nodes),
+            running_nodes: self.members.running_nodes(),
             owner,
             is_leaving: self.members.is_leaving(),
         });
--- a/crates/azuresaddle-edge/src/control/tests/claims.rs
+++ b/crates/azuresaddle-edge/src/control/tests/claims.rs
@@ -75,6 +75,7 @@
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
         nodes: Arc::default(),
+        running_nodes: 1,
         owner: NO_OWNER,
         is_leaving: false,
     }
@@ -142,3 +143,17 @@
     assert!(control.on_unresponsive_owner(incarnation).await);
     assert_eq!(snapshots.load().owner, OWN_INCARNATION);
 }
+
+/// Guards against traffic that divides the retry budget by live nodes only.
+#[tokio::test(start_paused = true)]
+async fn a_silent_node_is_published_as_possibly_running() {
+    let (mut control, snapshots) = control().await;
+    let mut other = heartbeat(1, 1);
+    other.from.ip = OWNER_IP;
+    let members = &mut control.members;
+    members.on_heartbeat(Instant::now(), OWNER_IP, &other);
+    tokio::time::advance(Duration::from_secs(1)).await;
+    control.publish_and_gossip().await;
+    let snapshot = snapshots.load();
+    assert_eq!((snapshot.nodes.len(), snapshot.running_nodes), (1, 2));
+}
--- a/crates/azuresaddle-edge/src/control/tests/members.rs
+++ b/crates/azuresaddle-edge/src/control/tests/members.rs
@@ -47,7 +47,7 @@
     }
 }
 
-fn digest(n: u16, counter: u32) -> HeartbeatDigest {
+pub(super) fn digest(n: u16, counter: u32) -> HeartbeatDigest {
     HeartbeatDigest::new(&state(n, counter), counter)
 }
 
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -12,6 +12,7 @@
 mod members;
 pub(crate) mod memory_network;
 mod registry;
+mod running_nodes;
 mod signals;
 mod store_model;
 mod store_rollback;
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control/unheard_hosts.rs
@@ -0,0 +1,46 @@
+//! Hosts that are not in the member list, but whose nodes may be running.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time for which a host counts as running that fell silent without a shutdown. A crash and a
+/// network partition look alike, so it is longer than a partition usually lasts; it is limited so
+/// that hosts that never return don't add up.
+const RETENTION: Duration = Duration::from_secs(3600);
+
+/// Seeds that never answered, hosts known only by digest, and hosts that fell silent without a
+/// shutdown.
+#[derive(Debug)]
+pub(super) struct UnheardHosts {
+    known_at: HashMap<Ipv4Addr, Instant>,
+}
+
+impl UnheardHosts {
+    pub(super) fn new(now: Instant, seeds: &[Ipv4Addr]) -> Self {
+        Self {
+            known_at: seeds.iter().map(|ip| (*ip, now)).collect(),
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.known_at.len()
+    }
+
+    /// Adds a host whose node was running just now; true if it is new.
+    pub(super) fn add(&mut self, now: Instant, ip: Ipv4Addr) -> bool {
+        self.known_at.insert(ip, now).is_none()
+    }
+
+    /// Removes a host that is in the member list now.
+    pub(super) fn remove(&mut self, ip: Ipv4Addr) {
+        self.known_at.remove(&ip);
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.known_at
+            .retain(|_, at| now.saturating_duration_since(*at) < RETENTION);
+    }
+}
--- a/crates/azuresaddle-edge/src/directory/tests.rs
+++ b/crates/azuresaddle-edge/src/directory/tests.rs
@@ -36,6 +36,7 @@
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
         nodes: Arc::new(nodes),
+        running_nodes: 1,
         owner: NO_OWNER,
         is_leaving: false,
     });
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -208,13 +208,13 @@
 
     /// Whether a retry is left in this node's share of the retry budget.
     pub(super) fn has_retry(&self, service: &Arc<str>) -> bool {
-        let nodes = self.snapshots.load().nodes.len();
+        let nodes = self.snapshots.load().running_nodes;
         self.retry_budget.has_retry(service, nodes)
     }
 
     /// Takes one retry from this node's share of the retry budget; `false` if none is left.
     pub(super) fn try_take_retry(&self, service: &Arc<str>) -> bool {
-        let nodes = self.snapshots.load().nodes.len();
+        let nodes = self.snapshots.load().running_nodes;
         self.retry_budget.try_take(service, nodes)
     }
 
--- a/crates/azuresaddle-edge/src/forward/retry_budget.rs
+++ b/crates/azuresaddle-edge/src/forward/retry_budget.rs
@@ -16,11 +16,25 @@
 
 /// Limits the retries of each service in a sliding window.
 ///
-/// Nodes don't coordinate: each may retry the configured ratio of its own requests, plus an equal share among the live
-/// nodes of the fixed number of extra retries.
+/// Nodes don't coordinate: each may retry the configured ratio of its own requests, plus an equal share of the fixed
+/// number of extra retries. The share is that of the largest number of nodes in the window, since retries of nodes that
+/// have left count until the window has passed.
 pub(crate) struct RetryBudget {
     bounds: Bounds,
-    services: Mutex<HashMap<Arc<str>, Window>>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    nodes: SlidingMax,
+    services: HashMap<Arc<str>, Window>,
+}
+
+/// Largest value in a sliding window.
+#[derive(Default)]
+struct SlidingMax {
+    /// Values in decreasing order, each with the latest time at which it was seen.
+    values: VecDeque<(Instant, usize)>,
 }
 
 #[derive(Default)]
@@ -39,28 +53,30 @@
     pub(crate) fn new(bounds: Bounds) -> Self {
         Self {
             bounds,
-            services: Mutex::default(),
+            state: Mutex::default(),
         }
     }
 
     /// Counts a request to a service.
     pub(crate) fn on_request(&self, service: &Arc<str>) {
-        let mut services = self.lock();
-        let window = services.entry(Arc::clone(service)).or_default();
+        let mut state = self.lock();
+        let window = state.services.entry(Arc::clone(service)).or_default();
         window.current_bucket(self.bounds.retry_window).requests += 1;
     }
 
     /// Whether a retry is left in the share of one of `nodes` nodes.
     pub(crate) fn has_retry(&self, service: &Arc<str>, nodes: usize) -> bool {
-        let mut services = self.lock();
-        let window = services.entry(Arc::clone(service)).or_default();
+        let mut state = self.lock();
+        let nodes = state.nodes.update(nodes, self.bounds.retry_window);
+        let window = state.services.entry(Arc::clone(service)).or_default();
         self.is_within_share(window, nodes)
     }
 
     /// Takes one retry from the share of one of `nodes` nodes; `false` if the share is used up.
     pub(crate) fn try_take(&self, service: &Arc<str>, nodes: usize) -> bool {
-        let mut services = self.lock();
-        let window = services.entry(Arc::clone(service)).or_default();
+        let mut state = self.lock();
+        let nodes = state.nodes.update(nodes, self.bounds.retry_window);
+        let window = state.services.entry(Arc::clone(service)).or_default();
         let is_left = self.is_within_share(window, nodes);
         if is_left {
             window.current_bucket(self.bounds.retry_window).retries += 1;
@@ -78,8 +94,24 @@
         f64::from(retries) + 1.0 <= allowed
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Window>> {
-        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl SlidingMax {
+    /// Adds the current value and returns the largest one in the window.
+    fn update(&mut self, value: usize, window: Duration) -> usize {
+        let now = Instant::now();
+        while self.values.back().is_some_and(|(_, v)| *v <= value) {
+            self.values.pop_back();
+        }
+        self.values.push_back((now, value));
+        let is_old = |(at, _): &(Instant, usize)| now.saturating_duration_since(*at) > window;
+        while self.values.front().is_some_and(is_old) {
+            self.values.pop_front();
+        }
+        self.values.front().map_or(value, |(_, v)| *v)
     }
 }
 
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -222,6 +222,7 @@
             is_watching: false,
             load: LoadLevel::Normal,
         }]),
+        running_nodes: 1,
         owner: 1,
         is_leaving: false,
     }
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -311,6 +311,7 @@
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
         nodes: Arc::new(vec![own]),
+        running_nodes: 1,
         owner: NO_OWNER,
         is_leaving: false,
     }
--- a/crates/azuresaddle-edge/src/placement/tests/handover.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/handover.rs
@@ -38,6 +38,7 @@
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
         nodes: Arc::new(nodes.iter().map(|n| node(*n)).collect()),
+        running_nodes: nodes.len(),
         owner: 1,
         is_leaving: false,
     }
--- a/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
@@ -203,6 +203,7 @@
         domain_drains: Arc::default(),
         target_position: StorePosition::default(),
         nodes: Arc::new(live.iter().copied().map(node).collect()),
+        running_nodes: live.len(),
         owner,
         is_leaving: false,
     }
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -135,6 +135,8 @@
     pub(crate) target_position: StorePosition,
     /// Live nodes, including this one.
     pub(crate) nodes: Arc<Vec<LiveNode>>,
+    /// Number of nodes that may be running, including this one and those that it cannot reach.
+    pub(crate) running_nodes: usize,
     /// Incarnation of the owner, the node that places streams; [`NO_OWNER`] if unknown.
     pub(crate) owner: u64,
     /// Whether this node is stopping.
