A node that alone cannot reach the owner places its streams itself

What callers saw: nothing until they left, or a refusal at their deadline, at a node whose path to the owner was lost while the other nodes kept the owner.

Cause: after 0.3 s without an answer to a sync, the node votes against the owner and repeats the waiting requests on a new connection, to the same owner. Each repetition started anew the time after which it places on its own, so a request that was repeated each 0.7 s never got there. The vote of one node replaces no owner where others reach it.

Change: a node remembers since when messages to the owner fail without one that was answered. After a second of that it places its streams itself until the owner answers or another one is known. A stall of the owner of 0.9 s still leaves the requests in its queue. Such a node doesn't know the streams of others; engines decline those that they have no room for.

Tests: streams_of_a_node_that_cannot_reach_the_owner_are_placed and a_stream_that_waits_at_an_owner_that_cannot_be_reached_any_more_is_placed failed before.

--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -14,6 +14,7 @@
 
 use super::guard::PlacementGuard;
 use super::owner::Owner;
+use super::owner_silence::OwnerSilence;
 use super::place_request::PlaceRequest;
 use super::ranked_calls::RankedCalls;
 use super::reporter::{run_reporter, run_sync};
@@ -75,6 +76,7 @@
     reconnects: watch::Sender<u64>,
     /// Sends the incarnation of an owner that does not answer to control.
     unresponsive_owners: mpsc::Sender<u64>,
+    owner_silence: OwnerSilence,
 }
 
 impl<N: Network> PlacementClient<N> {
@@ -94,6 +96,7 @@
             reports,
             reconnects: watch::Sender::new(0),
             unresponsive_owners: parts.unresponsive_owners,
+            owner_silence: OwnerSilence::default(),
         });
         spawner.spawn(run_reporter(Arc::clone(&placement), reports_rx));
         spawner.spawn(run_sync(Arc::clone(&placement)));
@@ -181,7 +184,8 @@
                 let _ = tokio::time::timeout(left, owner_changes.changed()).await;
                 continue;
             }
-            let place_locally = failing_since.is_some_and(|at| now - at >= LOCAL_PLACEMENT_DELAY);
+            let place_locally = failing_since.is_some_and(|at| now - at >= LOCAL_PLACEMENT_DELAY)
+                || self.owner_silence.is_unreachable(now, owner);
             let reply = tokio::select! {
                 reply = self.request_once(owner, id, req, place_locally) => reply,
                 _ = owner_changes.changed() => continue,
@@ -365,8 +369,14 @@
         &self.snapshots
     }
 
+    /// Records that the owner answered a message.
+    pub(super) fn on_owner_answer(&self) {
+        self.owner_silence.on_answer();
+    }
+
     /// Repeats the requests on the current connection to the owner, and reports the owner to control as unresponsive.
     pub(super) fn on_unresponsive_owner(&self, owner: u64) {
+        self.owner_silence.on_failure(Instant::now(), owner);
         self.reconnects.send_modify(|n| *n += 1);
         self.report_unresponsive(owner);
     }
--- a/crates/azuresaddle-edge/src/placement/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod demand_reporter;
 mod guard;
 mod owner;
+mod owner_silence;
 mod owner_state;
 mod permits;
 mod place_request;
--- a/crates/azuresaddle-edge/src/placement/reporter.rs
+++ b/crates/azuresaddle-edge/src/placement/reporter.rs
@@ -104,9 +104,12 @@
         // connections, 100 nodes abandoned a healthy owner.
         sent = send(placement, peer, &message).await;
     }
-    if let Err(e) = sent {
-        tracing::info!(part = "placement", %peer, error = %e, "can't reach the owner");
-        placement.on_unresponsive_owner(owner);
+    match sent {
+        Ok(()) => placement.on_owner_answer(),
+        Err(e) => {
+            tracing::info!(part = "placement", %peer, error = %e, "can't reach the owner");
+            placement.on_unresponsive_owner(owner);
+        }
     }
 }
 
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -11,3 +11,4 @@
 mod repeated_requests;
 mod reporter;
 mod test_fleet;
+mod unreachable_owner;
--- a/crates/azuresaddle-edge/src/placement/tests/peer_network.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/peer_network.rs
@@ -1,9 +1,9 @@
 //! A network in memory between the nodes of a test.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use azuresaddle_core::prelude::*;
 use tokio::io::DuplexStream;
@@ -14,6 +14,32 @@
 #[derive(Clone)]
 pub(super) struct PeerNetwork {
     nodes: Arc<HashMap<SocketAddr, MemoryNetwork>>,
+    /// Addresses to which connections neither open nor fail.
+    unreachable: Arc<Mutex<HashSet<SocketAddr>>>,
+}
+
+impl PeerNetwork {
+    /// The same network as seen by one node, which may lose its path to others.
+    pub(super) fn of_node(&self) -> Self {
+        Self {
+            nodes: Arc::clone(&self.nodes),
+            unreachable: Arc::default(),
+        }
+    }
+
+    /// Makes another node reachable or not.
+    pub(super) fn set_reachable(&self, addr: SocketAddr, is_reachable: bool) {
+        let mut unreachable = self.unreachable.lock().expect("no panic");
+        if is_reachable {
+            unreachable.remove(&addr);
+        } else {
+            unreachable.insert(addr);
+        }
+    }
+
+    fn is_unreachable(&self, addr: SocketAddr) -> bool {
+        self.unreachable.lock().expect("no panic").contains(&addr)
+    }
 }
 
 /// Address of a node for calls between nodes.
@@ -31,7 +57,11 @@
         })
         .unzip();
     let nodes = Arc::new(nodes);
-    (PeerNetwork { nodes }, listeners)
+    let net = PeerNetwork {
+        nodes,
+        unreachable: Arc::default(),
+    };
+    (net, listeners)
 }
 
 impl Network for PeerNetwork {
@@ -39,6 +69,9 @@
     type Listener = MemoryListener;
 
     async fn connect(&self, addr: SocketAddr) -> io::Result<DuplexStream> {
+        if self.is_unreachable(addr) {
+            std::future::pending::<()>().await;
+        }
         let net = self.nodes.get(&addr);
         let net = net.ok_or_else(|| io::Error::from(io::ErrorKind::ConnectionRefused))?;
         net.connect(addr).await
--- a/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
@@ -38,6 +38,7 @@
     pub(super) placement: Arc<PlacementClient<PeerNetwork>>,
     pub(super) unresponsive_owners: mpsc::Receiver<u64>,
     snapshots: Snapshots,
+    net: PeerNetwork,
 }
 
 /// Nodes with the incarnations 1, 2 and so on.
@@ -57,7 +58,7 @@
         let nodes = owners.iter().zip(listeners).zip(1..);
         let nodes = nodes.map(|((owner, listener), node)| {
             let snapshot = snapshot(&live, *owner, engines, &configuration);
-            TestNode::open(node, &net, listener, snapshot)
+            TestNode::open(node, net.of_node(), listener, snapshot)
         });
         Self {
             nodes: nodes.collect(),
@@ -81,6 +82,12 @@
         self.publish(node, owner, live);
     }
 
+    /// Makes another node reachable for a node's new connections or not.
+    pub(super) fn set_reachable(&mut self, node: u64, other: u64, is_reachable: bool) {
+        let net = &self.node(node).net;
+        net.set_reachable(peer_addr(other), is_reachable);
+    }
+
     fn publish(&mut self, node: u64, owner: u64, live: &[u64]) {
         let engines = self.engines;
         let snapshots = &self.node(node).snapshots;
@@ -91,7 +98,7 @@
 }
 
 impl TestNode {
-    fn open(node: u64, net: &PeerNetwork, listener: MemoryListener, first: Snapshot) -> Self {
+    fn open(node: u64, net: PeerNetwork, listener: MemoryListener, first: Snapshot) -> Self {
         let spawner = Spawner::current();
         let snapshots = Snapshots::new(first);
         // No test of this kind probes engines.
@@ -124,6 +131,7 @@
             placement,
             unresponsive_owners,
             snapshots,
+            net,
         }
     }
 
