A stream that all engines declined is sent to them again

What callers saw: in a pool of a few engines, a stream that each of them had declined once (full for a moment) got no further send. It was refused, truly not run, after two seconds, though the engines had room again.

Cause: an engine that declines is excluded for the rest of the request. Once all are, the request waits at the owner for an engine that it excludes itself, until its caller is about to give up.

Change: a request that all targets of its service have declined waits for 0.3 s, then may go to any of them again. The limit of five declined sends that are followed by another one, and the retry budget, hold as before.

Evidence: with three engines that decline the first three sends, before: three sends within 1 ms, and a 503 after 2 s or nothing for a caller that leaves after 2 s; now the fourth send is answered. With engines that always decline: six sends and a 503 (before: three and the same wait). Both new tests of frontend::tests::stream_takeover show it.

--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::open::Loss;
-use super::{AnswerStart, DEFAULT_RETRY_AFTER, Relay, StreamEnd};
+use super::{AnswerStart, DECLINED_PAUSE, DEFAULT_RETRY_AFTER, Relay, StreamEnd};
 use crate::forward::attempt::{SendFailure, time_until};
 use crate::forward::crash_check::check_for_crash;
 use crate::forward::plain::{QUARANTINE_DETAIL, record_failure, record_quarantine_refusal};
@@ -124,6 +124,16 @@
             && (self.start_tx.is_some() || self.last_relayed_id.is_some())
     }
 
+    /// If all targets have declined the request, waits until they may be asked again.
+    pub(super) async fn await_declined(&self) {
+        let snapshot = self.cx.snapshots.load();
+        let targets = snapshot.targets.of_service(&self.req.service);
+        if self.sends.excludes_all(targets) {
+            tokio::time::sleep(DECLINED_PAUSE.min(time_until(self.req.deadline))).await;
+            self.sends.clear_excluded();
+        }
+    }
+
     /// Targets that must not get the request.
     pub(super) fn excluded(&self) -> Vec<HostName> {
         let snapshot = self.cx.snapshots.load();
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -42,6 +42,9 @@
 /// Most sends of one request after which it did not run.
 const MAX_DECLINED: u32 = 5;
 
+/// Time after which targets that have all declined a request are asked again: about the time that a short one takes.
+const DECLINED_PAUSE: Duration = Duration::from_millis(300);
+
 /// Target for the longest pause between events, if the route states none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -171,6 +174,7 @@
                     sent_at,
                 }) => (Ok(placement), Some(answer), sent_at),
                 None => {
+                    self.await_declined().await;
                     let placement = self.place_unless_quarantined(&self.excluded()).await;
                     (placement, None, Instant::now())
                 }
--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -1,8 +1,9 @@
 //! The sends of one stream.
 
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use hyper::Response;
 
@@ -96,6 +97,17 @@
         self.lock().exclude.push(target);
     }
 
+    /// Whether none of `targets` may get the request since each declined it or was at fault for that.
+    pub(super) fn excludes_all(&self, targets: &[Arc<TargetEntry>]) -> bool {
+        let exclude = &self.lock().exclude;
+        !targets.is_empty() && targets.iter().all(|t| exclude.contains(&t.id))
+    }
+
+    /// Lets the excluded targets get the request again.
+    pub(super) fn clear_excluded(&self) {
+        self.lock().exclude.clear();
+    }
+
     /// Whether no target may have run the request.
     pub(super) fn has_not_run(&self) -> bool {
         self.lock().runs.is_empty()
--- a/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
@@ -466,3 +466,34 @@
     };
     assert!(is_whole(&answer), "{}", String::from_utf8_lossy(&answer));
 }
+
+/// Asks three engines, which decline the first sends.
+async fn ask_after_declines<const N: usize>(declines: usize) -> (Vec<u8>, usize) {
+    let mut node = TestNode::open(three_targets(true, 2));
+    let scripts: [Vec<Step>; N] = std::array::from_fn(|send| {
+        if send < declines {
+            vec![Step::Decline]
+        } else {
+            vec![Step::Rest]
+        }
+    });
+    ask(&mut node, scripts).await
+}
+
+/// Guards against a stream that is refused after two seconds without a further send, though engines that were full for a moment
+/// have room again.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_all_engines_declined_is_sent_again() {
+    let (answer, sends) = ask_after_declines::<5>(3).await;
+    assert_eq!(sends, 4);
+    assert!(is_whole(&answer));
+}
+
+/// Guards against a stream that is sent for ever to engines that are full.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_all_engines_decline_again_is_refused() {
+    let (answer, sends) = ask_after_declines::<9>(9).await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert_eq!(sends, 6);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
