Tests of short silences of heartbeats and of two owners at once

Of a small fleet's nodes, one that only misses the owner's heartbeats keeps the owner, since the others relay them; one that hears nobody for 0.45 s places alone and returns at the first heartbeat; an owner that nobody hears for 0.5 s is replaced, and all agree in the round after it is heard again. Streams of two owners at once are placed and known to the one that remains.

--- a/crates/azuresaddle-edge/src/control/tests/fleet.rs
+++ b/crates/azuresaddle-edge/src/control/tests/fleet.rs
@@ -19,6 +19,8 @@
     pub(super) most_sent: usize,
     /// Fraction of datagrams that are lost.
     pub(super) loss_rate: f64,
+    /// Pairs of nodes, by number, that receive nothing of each other.
+    pub(super) cuts: Vec<(usize, usize)>,
     rng: SmallRng,
 }
 
@@ -30,6 +32,7 @@
             now,
             most_sent: 0,
             loss_rate: 0.0,
+            cuts: Vec::new(),
             rng: SmallRng::seed_from_u64(u64::from(nodes)),
         }
     }
@@ -66,7 +69,7 @@
             sent.extend(to.into_iter().map(|ip| (ip, heartbeat.clone())));
         }
         for (to, heartbeat) in claims.into_iter().chain(sent) {
-            if self.rng.random_bool(self.loss_rate) {
+            if self.is_cut(to, heartbeat.from.ip) || self.rng.random_bool(self.loss_rate) {
                 continue;
             }
             changes += usize::from(self.deliver(to, &heartbeat));
@@ -74,6 +77,11 @@
         changes
     }
 
+    fn is_cut(&self, a: Ipv4Addr, b: Ipv4Addr) -> bool {
+        let (a, b) = (number(a), number(b));
+        self.cuts.contains(&(a, b)) || self.cuts.contains(&(b, a))
+    }
+
     /// Delivers a heartbeat; a receiver that does not know the sender's process replies with its
     /// own.
     fn deliver(&mut self, to: Ipv4Addr, heartbeat: &Heartbeat) -> bool {
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod memory_network;
 mod registry;
 mod running_nodes;
+mod short_silences;
 mod signals;
 mod store_model;
 mod store_rollback;
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -10,5 +10,6 @@
 mod redirects;
 mod repeated_requests;
 mod reporter;
+mod split_views;
 mod test_fleet;
 mod unreachable_owner;
--- a/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
@@ -88,7 +88,8 @@
         net.set_reachable(peer_addr(other), is_reachable);
     }
 
-    fn publish(&mut self, node: u64, owner: u64, live: &[u64]) {
+    /// Makes a node take only these nodes for live, and one of them for the owner.
+    pub(super) fn publish(&mut self, node: u64, owner: u64, live: &[u64]) {
         let engines = self.engines;
         let snapshots = &self.node(node).snapshots;
         let configuration = snapshots.load().configuration.clone();
