No plain target is ejected while all of its service fail

Callers saw: a silence of both targets of a service (or of all of a larger one) for about a second ejected one of them, or half, on all nodes: three sends of two nodes without an answer suffice. All requests then go to the other one, which is as silent, and the ejected one comes back only through a probe and a trial, up to a second after it goes on. If the other one is in back-off or at its rate limit meanwhile, requests are refused.

Cause: the rule counts the failures of one target and never asks whether any other target does better.

Change: the verdicts eject none of a service's targets while at least half of the latest sends to each of them fail, or it is ejected without any. As soon as one responds, the others are ejected on the evidence that there is. Nodes don't gossip answers of targets without failures, so the rule asks that another target isn't known to fail, rather than that it is known to respond.

--- a/crates/azuresaddle-sched/src/target_health/evidence.rs
+++ b/crates/azuresaddle-sched/src/target_health/evidence.rs
@@ -163,6 +163,18 @@
 
     /// Assesses the observations since `from`, without those of nodes that are cut off.
     pub(super) fn assess(&self, from: Option<Instant>, cut_off: &HashSet<u64>) -> Assessment {
+        let sums = self.sums(from, cut_off);
+        sums.map_or(Assessment::TooLittle, |s| s.assess())
+    }
+
+    /// Whether at least half of the sends since the first failure failed, however few they are; `None` without a failure.
+    /// The observations are those of [`Self::assess`].
+    pub(super) fn is_failing(&self, from: Option<Instant>, cut_off: &HashSet<u64>) -> Option<bool> {
+        self.sums(from, cut_off).map(|s| s.is_failing())
+    }
+
+    /// Sends since the first failure; `None` if there is none.
+    fn sums(&self, from: Option<Instant>, cut_off: &HashSet<u64>) -> Option<Sums> {
         let nodes = self.by_node.values();
         let counted = nodes.filter(|n| !cut_off.contains(&n.observer.node));
         let all: Vec<(Observer, &Bucket)> = counted
@@ -170,14 +182,12 @@
             .filter(|(_, b)| from.is_none_or(|from| b.began_at >= from))
             .collect();
         let failed = all.iter().filter(|(_, b)| b.counts.failures() > 0);
-        let Some(first) = failed.map(|(_, b)| b.began_at).min() else {
-            return Assessment::TooLittle;
-        };
+        let first = failed.map(|(_, b)| b.began_at).min()?;
         let mut sums = Sums::default();
         for (observer, bucket) in all.iter().filter(|(_, b)| b.began_at >= first) {
             sums.add(*observer, &bucket.counts);
         }
-        sums.assess()
+        Some(sums)
     }
 }
 
@@ -230,8 +240,12 @@
         (is_only && others_respond).then_some(domain)
     }
 
+    fn is_failing(&self) -> bool {
+        self.failures * 2 >= self.sends
+    }
+
     fn assess(&self) -> Assessment {
-        if self.failures * 2 < self.sends {
+        if !self.is_failing() {
             return Assessment::Responds;
         }
         if self.failures < MIN_FAILURES || self.failing_nodes.len() < MIN_FAILING_NODES {
--- a/crates/azuresaddle-sched/src/target_health/fleet_health.rs
+++ b/crates/azuresaddle-sched/src/target_health/fleet_health.rs
@@ -204,13 +204,17 @@
         }
     }
 
-    /// Verdicts for this node: at most half of the targets of a service are ejected, those with the most failures first.
+    /// Verdicts for this node: at most half of the targets of a service are ejected, those with the most failures first,
+    /// and none while all of them fail. That may be a pause of all, and no target is better than another one.
     fn verdicts_on(&self, targets: &[Arc<TargetEntry>]) -> HashMap<HostName, TargetVerdict> {
         let mut sizes: HashMap<&str, usize> = HashMap::new();
+        let mut failing: HashMap<&str, usize> = HashMap::new();
         let mut ejected: Vec<(&Arc<TargetEntry>, &Ejection)> = Vec::new();
         for target in targets {
             *sizes.entry(&target.service).or_default() += 1;
             let record = self.records.get(&target.id);
+            let is_failing = record.is_some_and(|r| r.is_failing(&self.cut_off));
+            *failing.entry(&target.service).or_default() += usize::from(is_failing);
             let ejection = record.and_then(|r| r.ejection.as_ref());
             let here = ejection.filter(|e| e.evidence.scope.covers(self.own));
             ejected.extend(here.map(|e| (target, e)));
@@ -222,8 +226,12 @@
         let mut verdicts = HashMap::new();
         let mut counts: HashMap<&str, usize> = HashMap::new();
         for (target, ejection) in ejected {
+            let size = sizes[&*target.service];
+            if failing[&*target.service] == size {
+                continue;
+            }
             let count = counts.entry(&target.service).or_default();
-            if *count < sizes[&*target.service] / 2 {
+            if *count < size / 2 {
                 *count += 1;
                 verdicts.insert(target.id.clone(), verdict(ejection));
             }
--- a/crates/azuresaddle-sched/src/target_health/record.rs
+++ b/crates/azuresaddle-sched/src/target_health/record.rs
@@ -205,6 +205,12 @@
         }
     }
 
+    /// Whether the target fails, as far as is known: its latest sends do, or it is ejected and has had none.
+    pub(super) fn is_failing(&self, cut_off: &HashSet<u64>) -> bool {
+        let is_failing = self.evidence.is_failing(self.returned_at, cut_off);
+        is_failing.unwrap_or(self.ejection.is_some())
+    }
+
     /// Returns the target to use if its trial has ended without a failure.
     fn end_trial(&mut self, now: Instant) {
         let Some(ejection) = &self.ejection else {
