Requests wait for plain targets that accept no connection for a moment

Callers saw: while the plain targets of a service accept no connection for about a second, requests are refused (503, truly not run) after 0.58 s with two targets and 0.8 s with one, though they have time left and the targets go on. Requests that may run once too: an attempt ends after 0.4 s, and a target is tried twice.

Cause: a target whose connection attempt got no answer was treated as one that refuses connections: it is excluded for the rest of the request, and four such attempts end the request.

Change: a connect timeout is a failure of its own. Targets that had one are tried again in turn once all others were tried, as long as they may only be paused: two seconds from the first attempt without an answer, counted for the target and not for the request, so that a target which is down holds the requests of its first two seconds and later ones are refused as before. A target that refuses connections is not waited for, and an answer with a server error is delivered rather than held back. Nothing is sent meanwhile, so no retry is taken.

--- a/crates/azuresaddle-edge/src/control/tests/memory_network.rs
+++ b/crates/azuresaddle-edge/src/control/tests/memory_network.rs
@@ -2,10 +2,11 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 use azuresaddle_core::prelude::*;
 use tokio::io::{AsyncWriteExt, DuplexStream, duplex};
-use tokio::sync::mpsc;
+use tokio::sync::{RwLock, mpsc};
 
 /// Bytes that a connection buffers in each direction, unless stated otherwise.
 const BUFFER_BYTES: usize = 64 << 10;
@@ -18,12 +19,22 @@
 pub(crate) struct MemoryNetwork {
     opened: mpsc::Sender<DuplexStream>,
     buffer_bytes: usize,
+    /// Locked for writing while no connection is established.
+    pause: Arc<RwLock<()>>,
 }
 
 /// The listener of a [`MemoryNetwork`].
 pub(crate) struct MemoryListener {
     addr: SocketAddr,
     accepted: mpsc::Receiver<DuplexStream>,
+    pause: Arc<RwLock<()>>,
+}
+
+impl MemoryListener {
+    /// No connection is established while this is locked for writing; attempts wait.
+    pub(crate) fn pause(&self) -> Arc<RwLock<()>> {
+        Arc::clone(&self.pause)
+    }
 }
 
 /// Creates a network and its listener.
@@ -38,11 +49,18 @@
     buffer_bytes: usize,
 ) -> (MemoryNetwork, MemoryListener) {
     let (opened, accepted) = mpsc::channel(BACKLOG);
+    let pause: Arc<RwLock<()>> = Arc::default();
     let net = MemoryNetwork {
         opened,
         buffer_bytes,
+        pause: Arc::clone(&pause),
+    };
+    let listener = MemoryListener {
+        addr,
+        accepted,
+        pause,
     };
-    (net, MemoryListener { addr, accepted })
+    (net, listener)
 }
 
 impl Network for MemoryNetwork {
@@ -50,6 +68,7 @@
     type Listener = MemoryListener;
 
     async fn connect(&self, _: SocketAddr) -> io::Result<DuplexStream> {
+        let _established = self.pause.read().await;
         let (mut near, far) = duplex(self.buffer_bytes.max(1));
         if self.buffer_bytes == 0 {
             near.write_all(&[0]).await?;
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -29,6 +29,8 @@
 pub(super) enum SendFailure {
     /// The request never left this node.
     NotSent(String),
+    /// The target neither accepted nor refused a connection in time, so the request was not sent.
+    ConnectTimeout,
     /// Neither this node nor the nodes that it asked reached the target, so the request was not sent.
     NoPath,
     /// The target is in back-off, so the request was not sent.
@@ -59,6 +61,7 @@
     pub(super) fn verdict(&self) -> Verdict {
         match self {
             Self::NotSent(_)
+            | Self::ConnectTimeout
             | Self::NoPath
             | Self::InBackOff
             | Self::Stopping
@@ -76,7 +79,7 @@
     /// Value of the metric label `result` for this failure.
     pub(super) fn label(&self) -> &'static str {
         match self {
-            Self::NotSent(_) => "not-sent",
+            Self::NotSent(_) | Self::ConnectTimeout => "not-sent",
             Self::NoPath => "no-path",
             Self::InBackOff => "held-back",
             Self::Stopping => "stopping",
@@ -94,6 +97,7 @@
         !matches!(
             self,
             Self::NotSent(_)
+                | Self::ConnectTimeout
                 | Self::NoPath
                 | Self::InBackOff
                 | Self::Stopping
@@ -106,6 +110,7 @@
     fn from(error: ConnectError) -> Self {
         match error {
             ConnectError::NoPath => Self::NoPath,
+            ConnectError::Timeout => Self::ConnectTimeout,
             _ => Self::NotSent(error.to_string()),
         }
     }
@@ -125,6 +130,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::ConnectTimeout => write!(f, "not sent: {}", ConnectError::Timeout),
             Self::NoPath => f.write_str("not sent: no path to the target"),
             Self::InBackOff => f.write_str("not sent: the target is in back-off"),
             Self::Stopping => f.write_str("not sent: the node is stopping"),
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -89,6 +89,7 @@
             }
         }
         SendFailure::NotSent(_)
+        | SendFailure::ConnectTimeout
         | SendFailure::NoPath
         | SendFailure::Broken(_)
         | SendFailure::Stalled { .. } => {
--- a/crates/azuresaddle-edge/src/forward/plain_connect.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_connect.rs
@@ -40,20 +40,27 @@
     target: &TargetEntry,
     timeout: Duration,
 ) -> Result<Connection, SendFailure> {
-    let give_up_at = Instant::now() + timeout;
-    match tokio::time::timeout_at(give_up_at, cx.connect(target)).await {
-        Ok(Ok(connection)) => Ok(connection),
+    let began_at = Instant::now();
+    match tokio::time::timeout_at(began_at + timeout, cx.connect(target)).await {
+        Ok(Ok(connection)) => {
+            cx.health.on_connected(&target.id);
+            Ok(connection)
+        }
         // This node uses up its share of the connections, which says nothing about the target.
         Ok(Err(e @ ConnectError::Limit)) => Err(e.into()),
         Ok(Err(e)) => {
+            if matches!(e, ConnectError::Timeout) {
+                cx.health.on_connect_timeout(&target.id, began_at);
+            }
             cx.observe(target, SendOutcome::NoConnection);
             Err(e.into())
         }
         Err(_) => {
+            cx.health.on_connect_timeout(&target.id, began_at);
             if timeout >= MIN_CONNECT_TIMEOUT {
                 cx.observe(target, SendOutcome::NoConnection);
             }
-            Err(SendFailure::NotSent(ConnectError::Timeout.to_string()))
+            Err(SendFailure::ConnectTimeout)
         }
     }
 }
--- a/crates/azuresaddle-edge/src/forward/plain_request.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_request.rs
@@ -71,7 +71,7 @@
     /// Chooses a target while no send is in flight, or ends the request if it must not be sent.
     async fn choose_or_end(&mut self) -> Next {
         let (cx, req) = (self.cx, self.req);
-        let history = std::mem::take(&mut self.history);
+        let mut history = std::mem::take(&mut self.history);
         if time_until(req.deadline).is_zero() {
             let status = StatusCode::GATEWAY_TIMEOUT;
             return Next::End(history.give_up(cx, req, status, "no answer in time"));
@@ -83,7 +83,11 @@
             record_quarantine_refusal(cx, req);
             return Next::End(history.refuse_quarantined(cx, req, left));
         }
-        let Some(chosen) = cx.choose_target(&req.service, &history.tried(&[])).await else {
+        let mut chosen = cx.choose_target(&req.service, &history.tried(&[])).await;
+        if chosen.is_none() && history.readmit_paused(cx) {
+            chosen = cx.choose_target(&req.service, &history.tried(&[])).await;
+        }
+        let Some(chosen) = chosen else {
             let status = StatusCode::BAD_GATEWAY;
             let detail = "no target takes the request";
             return Next::End(history.give_up(cx, req, status, detail));
--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -119,6 +119,7 @@
         Err(
             SendFailure::Declined { .. }
             | SendFailure::NotSent(_)
+            | SendFailure::ConnectTimeout
             | SendFailure::NoPath
             | SendFailure::InBackOff
             | SendFailure::Stopping
--- a/crates/azuresaddle-edge/src/forward/send_history.rs
+++ b/crates/azuresaddle-edge/src/forward/send_history.rs
@@ -27,11 +27,13 @@
 pub(super) struct SendHistory {
     /// Targets that the request is not sent to again.
     exclude: Vec<HostName>,
+    /// Targets that accepted no connection in time. They may be tried again once all others were tried.
+    unconnected: Vec<HostName>,
     /// Sends after which the request may have run.
     runs: u32,
     /// Sends after which it did not.
     declined: u32,
-    /// Those of the declined sends that got no connection while other targets were left.
+    /// Those of the declined sends that got no connection in time, or none while other targets were left.
     unsent: u32,
     /// Whether a send did not reach its target, so that the next one needs no retry.
     has_unused_send: bool,
@@ -46,7 +48,18 @@
 
     /// Targets that are not to get the request, beside those of the sends in flight to `others`.
     pub(super) fn tried(&self, others: &[HostName]) -> Vec<HostName> {
-        [&self.exclude[..], others].concat()
+        [&self.exclude[..], &self.unconnected, others].concat()
+    }
+
+    /// Lets the request be sent again to targets that accepted no connection but may only be paused. Returns whether there
+    /// are any. An answer with a server error is not held back for them.
+    pub(super) fn readmit_paused<N: Network>(&mut self, cx: &Forwarder<N>) -> bool {
+        if self.last_failure.is_some() {
+            return false;
+        }
+        let before = self.unconnected.len();
+        self.unconnected.retain(|t| !cx.health.may_be_paused(t));
+        self.unconnected.len() < before
     }
 
     /// Whether the request may run on one more target, beside `in_flight` sends.
@@ -95,6 +108,11 @@
             }
         }
         self.has_unused_send |= !failure.reached_target();
+        if matches!(failure, SendFailure::ConnectTimeout) {
+            self.unsent += 1;
+            self.unconnected.push(target.clone());
+            return;
+        }
         let is_unsent = matches!(failure, SendFailure::NotSent(_) | SendFailure::NoPath);
         let tried = self.tried(others);
         let goes_elsewhere = is_unsent && cx.has_other_target(&req.service, target, &tried);
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -259,6 +259,7 @@
             | SendFailure::NoRoom => StreamOutcome::Cancelled,
             SendFailure::WrongTarget => StreamOutcome::TargetFailed(lead),
             SendFailure::NotSent(_)
+            | SendFailure::ConnectTimeout
             | SendFailure::NoPath
             | SendFailure::Broken(_)
             | SendFailure::Overtaken
--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod caller;
+mod connect_silences;
 mod hedged_sends;
 mod memory;
 mod scripted_targets;
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -61,6 +61,8 @@
     pub(super) has_engines: bool,
     /// Longest head of a request, in bytes.
     pub(super) max_header_bytes: usize,
+    /// Whether the node shares what it observes of plain targets.
+    pub(super) shares_health: bool,
 }
 
 impl Default for TestOptions {
@@ -74,6 +76,7 @@
             memory_tokens: 450_000,
             has_engines: false,
             max_header_bytes: RequestLimits::default().max_header_bytes,
+            shares_health: false,
         }
     }
 }
@@ -103,6 +106,7 @@
         let (signals, _) = mpsc::channel(1);
         let (probes, _) = mpsc::channel(1);
         let (unresponsive_owners, _) = mpsc::channel(1);
+        let shares_health = options.shares_health;
         let options = PassOptions::default();
         let owner = Owner::spawn(&spawner, &snapshots, 1, options, probes, &metrics);
         let placement = PlacementClient::spawn(
@@ -124,7 +128,7 @@
             placement,
             quarantine: SharedQuarantine::new(crashes, metrics.clone()),
             signals,
-            observations: Arc::new(SendObservations::new(false)),
+            observations: Arc::new(SendObservations::new(shares_health)),
             metrics: metrics.clone(),
             dialer: TargetDialer {
                 net,
--- a/crates/azuresaddle-edge/src/targets/health.rs
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::back_offs::BackOffs;
+use super::connect_silence::ConnectSilence;
 
 /// Age after which the load that a target reported is no longer used.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(300);
@@ -47,6 +48,8 @@
     /// Number of requests that the target reported, and when.
     load: Option<(u32, Instant)>,
     breaker: Breaker,
+    /// Since when it accepts no connection, if the latest attempt got no answer.
+    connect_silence: Option<ConnectSilence>,
     /// Until when the target is avoided, since it refused a request.
     avoided_until: Option<Instant>,
     /// Until when the target's rate limit is used up.
@@ -181,6 +184,27 @@
         state.breaker.on_failure(Instant::now());
     }
 
+    /// Records that a target accepted a connection.
+    pub(crate) fn on_connected(&self, target: &HostName) {
+        if let Some(state) = self.lock().get_mut(target) {
+            state.connect_silence = None;
+        }
+    }
+
+    /// Records that a target neither accepted nor refused a connection since `began_at`.
+    pub(crate) fn on_connect_timeout(&self, target: &HostName, began_at: Instant) {
+        let mut observations = self.lock();
+        let state = observations.entry(target.clone()).or_default();
+        let silence = state.connect_silence;
+        state.connect_silence = Some(ConnectSilence::after(silence, began_at, Instant::now()));
+    }
+
+    /// Whether a target that accepts no connection may be paused rather than down.
+    pub(crate) fn may_be_paused(&self, target: &HostName) -> bool {
+        let silence = self.lock().get(target).and_then(|s| s.connect_silence);
+        silence.is_some_and(|s| s.may_be_pause(Instant::now()))
+    }
+
     /// Records that a target refused a request.
     pub(crate) fn on_refused(&self, target: &HostName) {
         let until = Instant::now() + REFUSAL_AVOIDANCE_TIME;
--- a/crates/azuresaddle-edge/src/targets/mod.rs
+++ b/crates/azuresaddle-edge/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to targets, and their health as this node observes it.
 
 mod back_offs;
+mod connect_silence;
 mod connection_pool;
 mod dialer;
 mod health;
