A target that pauses for long while it takes a body keeps its request

Callers saw: a request of which the target had taken a part was ended with 502 once the target had taken nothing for two seconds, also if it may run only once and its target, sound, went on after 2.1 s. It can't be sent to another target then, so the only gain was its memory.

Cause: the limit on memory that is held for targets which don't read ended the send, whether or not anyone needed the memory.

Change: after two seconds the target still rests for one, and a request of which it has taken no byte is still closed as not run, so that it can go elsewhere. One of which it has taken a part is awaited until its deadline, or until the body of another request does not fit into the byte budget; the bound on memory is the budget, as before. Repeatable requests and streams that may be resumed are sent to another target beside it, as in any silence.

--- a/crates/azuresaddle-core/src/byte_budget/budget.rs
+++ b/crates/azuresaddle-core/src/byte_budget/budget.rs
@@ -28,6 +28,8 @@
     total: u64,
     held: Mutex<Held>,
     returned: Notify,
+    /// Notified when bytes of a request do not fit.
+    refused: Notify,
 }
 
 /// Bytes that are buffered now.
@@ -45,6 +47,7 @@
             total,
             held: Mutex::default(),
             returned: Notify::new(),
+            refused: Notify::new(),
         }))
     }
 
@@ -90,9 +93,18 @@
             *held.of_mut(held_for) += bytes;
             held.accounts.insert(account.clone(), of_account + bytes);
         }
+        drop(held);
+        if !fits && held_for == HeldFor::Target {
+            self.0.refused.notify_waiters();
+        }
         fits
     }
 
+    /// Waits until bytes of a request do not fit.
+    pub async fn until_refused(&self) {
+        self.0.refused.notified().await;
+    }
+
     /// Returns bytes to the budget.
     pub(super) fn remove(&self, account: &ClientAccount, held_for: HeldFor, bytes: u64) {
         if bytes == 0 {
--- a/crates/azuresaddle-edge/src/flow/write_progress.rs
+++ b/crates/azuresaddle-edge/src/flow/write_progress.rs
@@ -60,11 +60,11 @@
         }
     }
 
-    /// Makes all later writes fail. Returns the number of bytes that were taken until then.
-    pub(crate) fn close(&self) -> u64 {
+    /// Makes all later writes fail if only so many bytes were taken so far. Returns whether it does.
+    pub(crate) fn close_at(&self, written: u64) -> bool {
         let mut state = self.lock();
-        state.is_closed = true;
-        state.written
+        state.is_closed |= state.written == written;
+        state.is_closed
     }
 
     /// Runs a write and records its result.
@@ -76,7 +76,7 @@
         if state.is_closed {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
-        // The lock is held meanwhile, so that no write succeeds after `close` has returned.
+        // The lock is held meanwhile, so that no write succeeds after `close_at` has returned.
         let result = write();
         match &result {
             Poll::Ready(Ok(count)) => {
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -13,10 +13,11 @@
 use tokio::time::Instant;
 
 use super::forwarder::Forwarder;
+use crate::flow::WriteProgress;
 use crate::targets::{ConnectError, Connection};
 
-/// Longest time for which a target may take no bytes of a request, which holds memory meanwhile. A sound target may be silent
-/// for more than a second.
+/// Time without taking bytes of a request after which a target has stopped taking it. A sound target may be silent for more
+/// than a second.
 const MAX_WRITE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Time for which a target that takes no bytes gets no further requests.
@@ -51,7 +52,8 @@
     TimedOut,
     /// The target was silent, and another one has answered first. The request may have run.
     Overtaken,
-    /// The target stopped taking the bytes of the request. If it has taken none, the request did not run.
+    /// The target stopped taking the bytes of the request: it has taken none, so the request did not run, or their memory is
+    /// needed.
     Stalled { was_taken: bool },
     /// The node had no memory left for the answer until the timeout. The request may have run.
     NoRoom,
@@ -179,12 +181,7 @@
     let sent = tokio::select! {
         biased;
         sent = tokio::time::timeout(timeout, sending) => sent,
-        () = progress.until_stalled(MAX_WRITE_PAUSE) => {
-            // Nothing is written after this, so a request of which no byte was taken will never run.
-            let was_taken = progress.close() > taken_before;
-            on_stalled(cx, target, was_taken);
-            return Err(SendFailure::Stalled { was_taken });
-        }
+        failure = until_stalled(cx, target, &progress, taken_before) => return Err(failure),
     };
     let response = match sent {
         Err(_) => return Err(SendFailure::TimedOut),
@@ -209,6 +206,27 @@
     checked.map(|()| response)
 }
 
+/// Waits until a target has stopped taking a request and the request is to be ended: at once if it has taken none of it, so
+/// that the request will never run there, and otherwise if its memory is needed for other requests.
+async fn until_stalled<N: Network>(
+    cx: &Forwarder<N>,
+    target: &TargetEntry,
+    progress: &WriteProgress,
+    taken_before: u64,
+) -> SendFailure {
+    progress.until_stalled(MAX_WRITE_PAUSE).await;
+    let was_taken = !progress.close_at(taken_before);
+    on_stalled(cx, target, was_taken);
+    while was_taken {
+        cx.budget().until_refused().await;
+        let since = progress.blocked_since();
+        if since.is_some_and(|since| since.elapsed() >= MAX_WRITE_PAUSE) {
+            break;
+        }
+    }
+    SendFailure::Stalled { was_taken }
+}
+
 /// Records a target that takes no bytes of a request, and keeps further requests from it for a while.
 fn on_stalled<N: Network>(cx: &Forwarder<N>, target: &TargetEntry, was_taken: bool) {
     tracing::warn!(
