Tests: requests that may run once, in a silence beside other things

What callers get: a plain request that may run once and whose targets are all silent gets its answer, whatever happens beside it.

--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -7,6 +7,7 @@
 mod memory;
 mod scripted_targets;
 mod silent_targets;
+mod single_runs;
 mod slow_callers;
 mod stopping;
 mod stream_takeover;
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -91,6 +91,8 @@
     pub(super) shutdown: Arc<Shutdown>,
     pub(super) in_flight: InFlightAnswers,
     metrics: Metrics,
+    options: TestOptions,
+    snapshots: Snapshots,
 }
 
 impl TestNode {
@@ -106,9 +108,8 @@
         let (signals, _) = mpsc::channel(1);
         let (probes, _) = mpsc::channel(1);
         let (unresponsive_owners, _) = mpsc::channel(1);
-        let shares_health = options.shares_health;
-        let options = PassOptions::default();
-        let owner = Owner::spawn(&spawner, &snapshots, 1, options, probes, &metrics);
+        let pass_options = PassOptions::default();
+        let owner = Owner::spawn(&spawner, &snapshots, 1, pass_options, probes, &metrics);
         let placement = PlacementClient::spawn(
             &spawner,
             PlacementClientParts {
@@ -128,7 +129,7 @@
             placement,
             quarantine: SharedQuarantine::new(crashes, metrics.clone()),
             signals,
-            observations: Arc::new(SendObservations::new(shares_health)),
+            observations: Arc::new(SendObservations::new(options.shares_health)),
             metrics: metrics.clone(),
             dialer: TargetDialer {
                 net,
@@ -144,7 +145,7 @@
         let in_flight = InFlightAnswers::default();
         let service = CallerService::new(
             Arc::clone(&forwarder),
-            snapshots,
+            snapshots.clone(),
             Arc::clone(&shutdown),
             in_flight.clone(),
         );
@@ -155,9 +156,30 @@
             shutdown,
             in_flight,
             metrics,
+            options,
+            snapshots,
         }
     }
 
+    /// Publishes a version of the configuration with other routes.
+    pub(super) fn change_routes(&self, change: impl FnOnce(&mut Vec<Route>)) {
+        let mut all = routes(&self.options);
+        change(&mut all);
+        let configuration = configuration(RulesVersion(2), &self.options, all);
+        self.snapshots.publish(Snapshot {
+            configuration: Some(Arc::new(configuration)),
+            ..(*self.snapshots.load()).clone()
+        });
+    }
+
+    /// Publishes that all targets are gone.
+    pub(super) fn remove_targets(&self) {
+        self.snapshots.publish(Snapshot {
+            targets: Arc::new(TargetSet::new(std::iter::empty())),
+            ..(*self.snapshots.load()).clone()
+        });
+    }
+
     /// Opens a caller's connection to the node.
     pub(super) fn connect(&self) -> DuplexStream {
         Self::connect_to(&self.service)
@@ -208,7 +230,11 @@
     let names = names.take(1 + others);
     let targets = names.map(|name| Arc::new(target(name)));
     Snapshot {
-        configuration: Some(Arc::new(configuration(options))),
+        configuration: Some(Arc::new(configuration(
+            RulesVersion(1),
+            options,
+            routes(options),
+        ))),
         raw_configuration: None,
         targets: Arc::new(TargetSet::new(targets)),
         rate_limits: Arc::default(),
@@ -250,7 +276,20 @@
     }
 }
 
-fn configuration(options: &TestOptions) -> Configuration {
+fn routes(options: &TestOptions) -> Vec<Route> {
+    vec![
+        route("/events/", true, 1),
+        route("/plain/", false, 1),
+        route("/resumable/", true, options.max_attempts),
+        route("/idempotent/", false, options.max_attempts),
+    ]
+}
+
+fn configuration(
+    version: RulesVersion,
+    options: &TestOptions,
+    routes: Vec<Route>,
+) -> Configuration {
     let service = Service {
         name: Arc::from("svc"),
         health_path: "/healthz".to_owned(),
@@ -266,17 +305,12 @@
         priority: None,
     };
     Configuration::new(
-        RulesVersion(1),
+        version,
         RequestLimits {
             max_header_bytes: options.max_header_bytes,
             ..RequestLimits::default()
         },
-        vec![
-            route("/events/", true, 1),
-            route("/plain/", false, 1),
-            route("/resumable/", true, options.max_attempts),
-            route("/idempotent/", false, options.max_attempts),
-        ],
+        routes,
         vec![service],
         vec![account("a"), account("b")],
     )
