--- a/tests/testsuite/platform/silences.rs
+++ b/tests/testsuite/platform/silences.rs
@@ -550,3 +550,56 @@
     drop(silence);
     asked.assert_answered(&fleet.platform).await;
 }
+
+/// Guards against plain requests that may run once and lose their answer in a silence, since something happens beside it.
+async fn assert_single_runs_kept(test: &str, beside: impl FnOnce(&mut Fleet)) {
+    let _slot = SLOTS.acquire().await.unwrap();
+    let mut fleet = open(test).await;
+    let plain_targets = ENGINES..ENGINES + PLAIN_TARGETS;
+    for proxy in &fleet.target_proxies[plain_targets.clone()] {
+        proxy.set_mode(ProxyMode::Paused);
+    }
+    let mut asked = Asked::default();
+    asked.ask_all(&addrs(&fleet), STREAMS_PER_NODE, || plain("/post/1"));
+    tokio::time::sleep(BESIDE).await;
+    beside(&mut fleet);
+    tokio::time::sleep(SILENCE - BESIDE).await;
+    drop(Silence(&fleet.target_proxies[plain_targets]));
+    let attempts: Vec<_> = asked
+        .requests
+        .iter()
+        .map(|(r, _)| r.attempt.clone())
+        .collect();
+    asked.assert_answered(&fleet.platform).await;
+    for attempt in attempts {
+        assert!(fleet.platform.runs.of(&attempt).count <= 1, "{attempt}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_change_of_the_configuration_loses_no_request_that_may_run_once() {
+    assert_single_runs_kept("silence-once-change", |fleet| {
+        fleet
+            .platform
+            .change_configuration(|c| c.routes[3].timeout_ms = 7000);
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_a_reload_loses_no_request_that_may_run_once() {
+    assert_single_runs_kept("silence-once-reload", |fleet| {
+        for node in &mut fleet.nodes {
+            node.signal(Signal::SIGHUP);
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_beside_the_stop_of_a_node_loses_no_request_that_may_run_once() {
+    assert_single_runs_kept("silence-once-stop", |fleet| {
+        fleet.nodes[0].signal(Signal::SIGTERM);
+    })
+    .await;
+}
