A plain target that answers all sends late is not ejected

Callers saw: after a silence of both targets of a service, the one whose late answers came in first made the other one look failed, and that was ejected though it answered as well.

Cause: a late answer counts twice, as a failure when the time is up and as a slow response when it comes. That is a failure for half of the sends, and half was enough.

Evidence: targets_that_answer_late_after_a_silence_stay_in_use (users 0 and 5 in place of 5 and 5) and a_target_that_answers_all_sends_late_stays_in_use (0 in place of 5) failed before.

Change: more than half of the sends have to fail.

--- a/crates/azuresaddle-sched/src/target_health/evidence.rs
+++ b/crates/azuresaddle-sched/src/target_health/evidence.rs
@@ -25,7 +25,7 @@
 pub(super) enum Assessment {
     /// Too few failures, or too few nodes with failures.
     TooLittle,
-    /// Fewer than half of the sends failed.
+    /// At most half of the sends failed.
     Responds,
     /// The target is to be ejected.
     Fails(EjectionEvidence),
@@ -167,7 +167,7 @@
         sums.map_or(Assessment::TooLittle, |s| s.assess())
     }
 
-    /// Whether at least half of the sends since the first failure failed, however few they are; `None` without a failure.
+    /// Whether more than half of the sends since the first failure failed, however few they are; `None` without a failure.
     /// The observations are those of [`Self::assess`].
     pub(super) fn is_failing(&self, from: Option<Instant>, cut_off: &HashSet<u64>) -> Option<bool> {
         self.sums(from, cut_off).map(|s| s.is_failing())
@@ -240,8 +240,10 @@
         (is_only && others_respond).then_some(domain)
     }
 
+    /// A late answer counts as a failure and then as a response, so a target with as many responses as failures may have
+    /// answered all sends.
     fn is_failing(&self) -> bool {
-        self.failures * 2 >= self.sends
+        self.failures * 2 > self.sends
     }
 
     fn assess(&self) -> Assessment {
--- a/crates/azuresaddle-sched/tests/suite/target_health/ejection.rs
+++ b/crates/azuresaddle-sched/tests/suite/target_health/ejection.rs
@@ -199,6 +199,35 @@
     assert_eq!([nodes.users(0), nodes.users(1)], [5, 5]);
 }
 
+/// Guards against a sound target that is ejected after a silence, since each late answer counts as a failure as well.
+#[tokio::test(start_paused = true)]
+async fn targets_that_answer_late_after_a_silence_stay_in_use() {
+    let mut nodes = Nodes::new(5, 2);
+    for target in [0, 1] {
+        for node in 0..4 {
+            nodes.send(node, target, &[NoAnswer]);
+        }
+    }
+    nodes.advance(800);
+    for target in [0, 1] {
+        for node in 0..4 {
+            nodes.send(node, target, &[Slow]);
+        }
+    }
+    nodes.send(4, 1, &[Answered]);
+    assert_eq!([nodes.users(0), nodes.users(1)], [5, 5]);
+}
+
+/// Guards against an overloaded target that is ejected though it answers all of its requests.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_answers_all_sends_late_stays_in_use() {
+    let mut nodes = Nodes::new(5, 4);
+    for node in 0..5 {
+        nodes.send(node, 0, &[NoAnswer, Slow]);
+    }
+    assert_eq!(nodes.users(0), 5);
+}
+
 /// Guards against a failed target that returns to use because the other one fails now and then.
 #[tokio::test(start_paused = true)]
 async fn a_few_failures_of_the_other_target_leave_a_failed_one_ejected() {
