A target that answered slowly once gets requests again

Callers saw: after one slow answer a sound plain target got no further requests of a node as long as another one was faster. A target that had announced a limit stayed limited for the nodes, since only an answer can lift the limit, and the others carried its load.

Cause: the choice multiplies requests by the moving average of the answer time, which only an answer changes. Below the load at which the others look as slow, the average of a single answer holds for good.

Change: the average loses weight while other targets get the requests, half of it in 8 requests for each target to choose from; one request at a time tries the target, and its answer replaces what had lost weight.

Two further tests bound what a slow target gets.

--- a/crates/azuresaddle-edge/src/targets/health.rs
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use super::answer_time::AnswerTime;
 use super::back_offs::BackOffs;
 use super::connect_silence::ConnectSilence;
 
@@ -24,14 +25,11 @@
 /// equal load.
 const SAME_DOMAIN_BONUS: f64 = 0.5;
 
-/// Weight of the latest answer in the moving average of a target's answer time.
-const ANSWER_TIME_WEIGHT: f64 = 0.2;
-
 /// Weight of the latest outcome in the moving average of a target's trouble.
 const TROUBLE_WEIGHT: f64 = 0.2;
 
-/// Multiple of a target's usual answer time from which an answer is slow.
-const SLOW_FACTOR: f64 = 4.0;
+/// Least answer time that is told apart from others, in milliseconds; that of a target without answers.
+const MIN_ANSWER_MS: f64 = 1.0;
 
 /// Load and failures of targets, as this node observed them.
 #[derive(Default)]
@@ -56,8 +54,7 @@
     limited_until: Option<Instant>,
     /// Whether another server answers at its address.
     is_address_reused: bool,
-    /// Moving average of its answer time, in milliseconds.
-    mean_answer_ms: Option<f64>,
+    answer_time: AnswerTime,
     /// Moving average of the share of refusals, server errors and slow answers, from 0 to 1.
     trouble: f64,
 }
@@ -110,21 +107,23 @@
         let cost = |t: &TargetEntry| {
             let state = observations.get(&t.id);
             let requests = state.map_or(0.0, |s| s.expected_requests(now));
-            let mean_ms = state.and_then(|s| s.mean_answer_ms).unwrap_or(1.0).max(1.0);
+            let answer_ms = state.map_or(MIN_ANSWER_MS, Observations::expected_answer_ms);
             let local = if t.domain == *domain {
                 SAME_DOMAIN_BONUS
             } else {
                 0.0
             };
             // The random part keeps nodes with the same observations from choosing the same target.
-            let trouble = state.map_or(0.0, |s| s.trouble);
-            (requests + 1.0 - local + rand::rng().random_range(0.0..0.2))
-                * mean_ms
-                * (1.0 + trouble)
+            (requests + 1.0 - local + rand::rng().random_range(0.0..0.2)) * answer_ms
         };
         let costs: Vec<f64> = candidates.iter().map(|t| cost(t)).collect();
         let best = (0..candidates.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))?;
         let target = Arc::clone(candidates[best]);
+        for other in candidates.iter().filter(|t| t.id != target.id) {
+            if let Some(state) = observations.get_mut(&other.id) {
+                state.answer_time.on_passed_over(candidates.len());
+            }
+        }
         observations.entry(target.id.clone()).or_default().in_flight += 1;
         let in_flight = InFlightGuard {
             health: Arc::clone(self),
@@ -138,17 +137,15 @@
         let mut observations = self.lock();
         let state = observations.entry(target.clone()).or_default();
         state.breaker.on_success();
-        let ms = took.as_secs_f64() * 1000.0;
-        let mean = state
-            .mean_answer_ms
-            .map_or(ms, |m| m + (ms - m) * ANSWER_TIME_WEIGHT);
-        state.mean_answer_ms = Some(mean);
+        state.answer_time.on_answer(took);
     }
 
     /// Whether an answer took much longer than the target's answers usually do.
     pub(crate) fn is_slow(&self, target: &HostName, took: Duration) -> bool {
-        let usual_ms = self.lock().get(target).and_then(|s| s.mean_answer_ms);
-        usual_ms.is_some_and(|usual| took.as_secs_f64() * 1000.0 > SLOW_FACTOR * usual)
+        let observations = self.lock();
+        observations
+            .get(target)
+            .is_some_and(|s| s.answer_time.is_slow(took))
     }
 
     /// Records whether a target refused, answered slowly or with a server error, which makes other targets preferable.
@@ -182,6 +179,7 @@
         let mut observations = self.lock();
         let state = observations.entry(target.clone()).or_default();
         state.breaker.on_failure(Instant::now());
+        state.answer_time.on_no_answer();
     }
 
     /// Records that a target accepted a connection.
@@ -208,7 +206,10 @@
     /// Records that a target refused a request.
     pub(crate) fn on_refused(&self, target: &HostName) {
         let until = Instant::now() + REFUSAL_AVOIDANCE_TIME;
-        self.lock().entry(target.clone()).or_default().avoided_until = Some(until);
+        let mut observations = self.lock();
+        let state = observations.entry(target.clone()).or_default();
+        state.avoided_until = Some(until);
+        state.answer_time.on_no_answer();
     }
 
     /// Records that a target's rate limit is used up for the time `wait`.
@@ -311,6 +312,18 @@
         let reported = reported.map_or(0, |(requests, _)| requests);
         f64::from(reported.max(self.in_flight))
     }
+
+    /// Time that an answer is expected to take, in milliseconds; more for a target in trouble.
+    fn expected_answer_ms(&self) -> f64 {
+        // While a request is there to renew the average, more of them are not sent to a target that may be slow.
+        let weight = if self.in_flight == 0 {
+            self.answer_time.weight()
+        } else {
+            1.0
+        };
+        let mean_ms = self.answer_time.mean_ms().unwrap_or(MIN_ANSWER_MS);
+        (mean_ms * weight).max(MIN_ANSWER_MS) * (1.0 + self.trouble)
+    }
 }
 
 /// Counts a request in flight to a target until it is dropped.
--- a/crates/azuresaddle-edge/src/targets/mod.rs
+++ b/crates/azuresaddle-edge/src/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to targets, and their health as this node observes it.
 
+mod answer_time;
 mod back_offs;
 mod connect_silence;
 mod connection_pool;
--- a/crates/azuresaddle-edge/src/targets/tests/health.rs
+++ b/crates/azuresaddle-edge/src/targets/tests/health.rs
@@ -135,3 +135,55 @@
     }
     assert!((0..40).any(|_| picked(&health, &targets) == *a));
 }
+
+/// Guards against a sound target that one slow answer keeps out of use for good.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_answered_slowly_once_gets_requests_again() {
+    let health = Arc::<TargetHealth>::default();
+    let targets = [target("a"), target("b")];
+    let a = &targets[0].id;
+    health.on_answer(a, Duration::from_millis(300));
+    health.on_answer(&targets[1].id, Duration::from_millis(5));
+    let mut times = 0;
+    for _ in 0..250 {
+        let id = picked(&health, &targets);
+        health.on_answer(&id, Duration::from_millis(5));
+        times += usize::from(id == *a);
+    }
+    assert!(times >= 50, "{times} of 250 requests");
+}
+
+/// Guards against a slow target that gets many requests while it is tried again.
+#[tokio::test(start_paused = true)]
+async fn a_slow_target_gets_few_requests() {
+    let health = Arc::<TargetHealth>::default();
+    let targets = [target("a"), target("b")];
+    let a = &targets[0].id;
+    let mut times = 0;
+    for _ in 0..1000 {
+        let id = picked(&health, &targets);
+        let is_slow = id == *a;
+        health.on_answer(&id, Duration::from_millis(if is_slow { 500 } else { 5 }));
+        times += usize::from(is_slow);
+    }
+    assert!(times <= 20, "{times} of 1000 requests");
+}
+
+/// Guards against further requests to a slow target while the one that tries it is not answered yet.
+#[tokio::test(start_paused = true)]
+async fn one_request_at_a_time_tries_a_slow_target() {
+    let health = Arc::<TargetHealth>::default();
+    let targets = [target("a"), target("b")];
+    let (a, b) = (&targets[0].id, &targets[1].id);
+    health.on_answer(a, Duration::from_millis(500));
+    let mut in_flight = Vec::new();
+    for _ in 0..500 {
+        let (target, guard) = health.pick(&targets, &[], &"d1".into()).unwrap();
+        if target.id == *a {
+            in_flight.push(guard);
+        } else {
+            health.on_answer(b, Duration::from_millis(5));
+        }
+    }
+    assert_eq!(in_flight.len(), 1);
+}
