A reservation is renewed and released from its first order on

What callers see: nothing at once.

Evidence: two tests. Both failed before: none of three reservations was released after the caller had left, and 2.9 s went by between the first order and the renewal, with a time to live of 3 s.

Change: the task starts before the first orders are sent.

--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -40,14 +40,8 @@
     name: &str,
     tokens: u64,
 ) -> Result<Reservations, HostName> {
-    let requests = helpers.iter().map(|helper| {
-        let body = encode_reserve(name, tokens, ttl_ms(), false);
-        let call = TargetCall::post(RESERVATION_PATH, body).with_timeout(RESERVE_TIMEOUT);
-        send_request(cx, helper, call)
-    });
-    let answers = join_all(requests).await;
     let stopped = CancellationToken::new();
-    // From here on the task releases all reservations, including those whose answer was lost.
+    // The task renews and releases all reservations, including those whose answer is lost or no longer awaited.
     cx.spawner.spawn(renew(
         Arc::clone(cx),
         helpers.to_vec(),
@@ -56,6 +50,12 @@
         stopped.clone(),
     ));
     let renewal = stopped.drop_guard();
+    let requests = helpers.iter().map(|helper| {
+        let body = encode_reserve(name, tokens, ttl_ms(), false);
+        let call = TargetCall::post(RESERVATION_PATH, body).with_timeout(RESERVE_TIMEOUT);
+        send_request(cx, helper, call)
+    });
+    let answers = join_all(requests).await;
     for (helper, answer) in helpers.iter().zip(answers) {
         if let Err(e) = answer {
             tracing::info!(
--- /dev/null
+++ b/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
@@ -0,0 +1,181 @@
+//! Tests of prompts that are too large for one engine, some of whose helpers are silent.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use azuresaddle_core::prelude::Listener;
+use azuresaddle_platform::headers;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::caller::{chunked_body, head, send};
+use super::scripted_targets::expected_target;
+use super::target::read_head;
+use super::test_node::{TestNode, TestOptions};
+
+/// Time for which a helper may be silent after another one has answered.
+const LAG: Duration = Duration::from_millis(400);
+
+/// A silence that does not end in a test.
+const FOREVER: Duration = Duration::from_secs(3600);
+
+/// What the targets saw.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    /// Orders that reserve memory or renew a reservation: the helper, and when.
+    reserved: Vec<(String, Instant)>,
+    /// Orders that release memory.
+    released: Vec<(String, Instant)>,
+    /// Targets that got the request itself.
+    runs: Vec<String>,
+}
+
+/// The engines of a node.
+struct Engines {
+    seen: Arc<Mutex<Seen>>,
+    _task: JoinHandle<()>,
+}
+
+#[derive(Clone)]
+struct Script {
+    /// How long the helpers, in the order of their first reservations, are silent when they get them.
+    silences: Vec<Duration>,
+    /// Time after which an engine answers the request itself.
+    answer_after: Duration,
+}
+
+impl Engines {
+    fn open(node: TestNode, script: Script) -> Self {
+        let seen: Arc<Mutex<Seen>> = Arc::default();
+        let mut listener = node.target;
+        let seen_there = Arc::clone(&seen);
+        let task = tokio::spawn(async move {
+            while let Ok(stream) = listener.accept().await {
+                tokio::spawn(serve(stream, script.clone(), Arc::clone(&seen_there)));
+            }
+        });
+        Self { seen, _task: task }
+    }
+
+    fn seen(&self) -> Seen {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+/// Answers all requests on a connection.
+async fn serve(mut stream: DuplexStream, script: Script, seen: Arc<Mutex<Seen>>) {
+    loop {
+        // Nothing is sent on a connection that only checks whether the target accepts one.
+        let Some(request) = read_request(&mut stream).await else {
+            return;
+        };
+        let target = expected_target(&request);
+        if !request.starts_with("POST /order") {
+            seen.lock().unwrap().runs.push(target);
+            sleep(script.answer_after).await;
+            let id = headers::ATTEMPT_ID;
+            let event = "id: 1\ndata: 1\n\n";
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\n{id}: 1\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n0\r\n\r\n",
+                event.len()
+            );
+            let _ = stream.write_all(answer.as_bytes()).await;
+            continue;
+        }
+        let silence = {
+            let mut seen = seen.lock().unwrap();
+            if request.contains("release") {
+                seen.released.push((target, Instant::now()));
+                None
+            } else {
+                let is_first = seen.reserved.iter().all(|(t, _)| *t != target);
+                let number = seen.reserved.len();
+                seen.reserved.push((target, Instant::now()));
+                script.silences.get(number).copied().filter(|_| is_first)
+            }
+        };
+        sleep(silence.unwrap_or_default()).await;
+        let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+        let _ = stream.write_all(answer.as_bytes()).await;
+    }
+}
+
+/// Reads a request with its body; `None` if the node closes the connection without one.
+async fn read_request(stream: &mut DuplexStream) -> Option<String> {
+    let mut first = [0];
+    stream.read_exact(&mut first).await.ok()?;
+    let head = format!("{}{}", char::from(first[0]), read_head(stream).await);
+    let length = head
+        .lines()
+        .find_map(|l| l.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |l| l.parse().unwrap())];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head + std::str::from_utf8(&body).unwrap())
+}
+
+/// The head of a request with a prompt of so many tokens.
+fn long_prompt(path: &str, tokens: u64) -> String {
+    let counts = format!("{}: {tokens},100\r\n", headers::TOKEN_COUNTS);
+    head(path, &counts)
+}
+
+fn four_engines() -> TestNode {
+    TestNode::open(TestOptions {
+        has_second_target: true,
+        has_third_target: true,
+        has_fourth_target: true,
+        has_engines: true,
+        memory_tokens: 50_000,
+        ..TestOptions::default()
+    })
+}
+
+/// Whether a caller gets a whole answer within `patience`.
+async fn is_answered(mut caller: DuplexStream, patience: Duration) -> bool {
+    let mut read = Vec::new();
+    let reading = timeout(patience, caller.read_to_end(&mut read)).await;
+    reading.is_ok() && chunked_body(&read).is_some()
+}
+
+/// Guards against memory that stays reserved for nobody after a caller left while a helper was silent.
+#[tokio::test(start_paused = true)]
+async fn memory_is_released_when_the_caller_leaves_during_the_reservation() {
+    let node = four_engines();
+    let caller = send(node.connect(), &long_prompt("/resumable/1", 80_000)).await;
+    let script = Script {
+        silences: vec![FOREVER],
+        answer_after: Duration::ZERO,
+    };
+    let engines = Engines::open(node, script);
+    sleep(LAG / 2).await;
+    drop(caller);
+    sleep(LAG).await;
+    let seen = engines.seen();
+    assert!(!seen.reserved.is_empty());
+    assert_eq!(seen.released.len(), seen.reserved.len(), "{seen:?}");
+}
+
+/// Guards against a reservation that expires before its first renewal, since another helper is silent.
+#[tokio::test(start_paused = true)]
+async fn reserved_memory_is_renewed_in_time_beside_a_silent_helper() {
+    let node = four_engines();
+    let caller = send(node.connect(), &long_prompt("/resumable/1", 80_000)).await;
+    let script = Script {
+        silences: vec![Duration::ZERO, Duration::from_millis(1900)],
+        answer_after: Duration::from_millis(1500),
+    };
+    let engines = Engines::open(node, script);
+    let patience = Duration::from_secs(4);
+    assert!(is_answered(caller, patience).await, "{:?}", engines.seen());
+    let seen = engines.seen();
+    let helper = &seen.reserved[0].0;
+    let orders = seen.reserved.iter().chain(&seen.released);
+    let mut at: Vec<Instant> = orders.filter(|o| o.0 == *helper).map(|o| o.1).collect();
+    at.sort();
+    let longest = at.windows(2).map(|w| w[1] - w[0]).max();
+    assert!(
+        longest <= Some(Duration::from_secs(1)),
+        "{longest:?} {seen:?}"
+    );
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/scripted_targets.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/scripted_targets.rs
@@ -157,7 +157,8 @@
     String::from_utf8(head).ok()
 }
 
-fn expected_target(head: &str) -> String {
+/// The target that a request is meant for.
+pub(super) fn expected_target(head: &str) -> String {
     let name = format!("{}: ", headers::EXPECTED_TARGET);
     let target = head.lines().find_map(|l| l.strip_prefix(&name));
     target.unwrap().to_owned()
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -43,6 +43,9 @@
 /// Name of the third one, if there are three.
 const THIRD_TARGET: &str = "t3";
 
+/// Name of the fourth one, if there are four.
+const FOURTH_TARGET: &str = "t4";
+
 /// Sizes of a test's node and connections.
 #[derive(Clone, Copy)]
 pub(super) struct TestOptions {
@@ -53,6 +56,8 @@
     pub(super) has_second_target: bool,
     /// Whether there is a third target in addition.
     pub(super) has_third_target: bool,
+    /// Whether there is a fourth target in addition.
+    pub(super) has_fourth_target: bool,
     /// Most targets that may run a request which may be repeated.
     pub(super) max_attempts: u32,
     /// Memory of an engine, in tokens.
@@ -72,6 +77,7 @@
             target_buffer_bytes: 1024,
             has_second_target: false,
             has_third_target: false,
+            has_fourth_target: false,
             max_attempts: 2,
             memory_tokens: 450_000,
             has_engines: false,
@@ -81,7 +87,7 @@
     }
 }
 
-/// A node with one to three targets and the accounts `a` and `b`, whose keys are their names. Requests to `/events/` and
+/// A node with one to four targets and the accounts `a` and `b`, whose keys are their names. Requests to `/events/` and
 /// `/plain/` run once, those to `/resumable/` and `/idempotent/` on two targets at most unless the options say otherwise.
 pub(super) struct TestNode {
     pub(super) service: Arc<CallerService<MemoryNetwork>>,
@@ -225,9 +231,13 @@
         started: TargetStart(1),
         sequence: 1,
     };
-    let names = [TARGET, SECOND_TARGET, THIRD_TARGET].into_iter();
-    let others = usize::from(options.has_second_target) + usize::from(options.has_third_target);
-    let names = names.take(1 + others);
+    let others = [
+        (SECOND_TARGET, options.has_second_target),
+        (THIRD_TARGET, options.has_third_target),
+        (FOURTH_TARGET, options.has_fourth_target),
+    ];
+    let others = others.into_iter().filter(|(_, exists)| *exists);
+    let names = std::iter::once(TARGET).chain(others.map(|(name, _)| name));
     let targets = names.map(|name| Arc::new(target(name)));
     Snapshot {
         configuration: Some(Arc::new(configuration(
