--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -1,6 +1,7 @@
 //! Reserves memory on helper engines for a prompt that is too large for one engine.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use azuresaddle_core::deployment::TargetEntry;
@@ -18,9 +19,13 @@
 /// Time to live of a reservation without renewal, which bounds how long memory stays reserved after the node dies.
 const RESERVATION_TTL: Duration = Duration::from_millis(3000);
 
-/// Longest wait for a new reservation. A sound helper may be silent for more than a second; others are asked meanwhile.
+/// Longest wait for a new reservation. All helpers may be silent for more than a second although they are sound.
 const RESERVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a new reservation on the other helpers once half of them have answered, which shows that not all are
+/// silent.
+const MAX_LAG: Duration = Duration::from_millis(400);
+
 /// Interval of renewals. Two in a row may fail before the reservation expires.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -50,10 +55,21 @@
         stopped.clone(),
     ));
     let renewal = stopped.drop_guard();
-    let requests = helpers.iter().map(|helper| {
+    let answered = AtomicUsize::new(0);
+    let half_answered = CancellationToken::new();
+    let requests = helpers.iter().map(async |helper| {
         let body = encode_reserve(name, tokens, ttl_ms(), false);
         let call = TargetCall::post(RESERVATION_PATH, body).with_timeout(RESERVE_TIMEOUT);
-        send_request(cx, helper, call)
+        tokio::select! {
+            biased;
+            answer = send_request(cx, helper, call) => {
+                if 2 * (answered.fetch_add(1, Ordering::Relaxed) + 1) >= helpers.len() {
+                    half_answered.cancel();
+                }
+                answer
+            }
+            () = lag(&half_answered) => Err(SendFailure::TimedOut),
+        }
     });
     let answers = join_all(requests).await;
     for (helper, answer) in helpers.iter().zip(answers) {
@@ -78,6 +94,12 @@
     })
 }
 
+/// Waits until a helper lags too far behind those that have answered.
+async fn lag(half_answered: &CancellationToken) {
+    half_answered.cancelled().await;
+    tokio::time::sleep(MAX_LAG).await;
+}
+
 fn ttl_ms() -> u64 {
     u64::try_from(RESERVATION_TTL.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
@@ -7,13 +7,16 @@
 use azuresaddle_platform::headers;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::caller::{chunked_body, head, send};
 use super::scripted_targets::expected_target;
 use super::target::read_head;
 use super::test_node::{TestNode, TestOptions};
 
+/// Time without an event after which a caller leaves.
+const PATIENCE: Duration = Duration::from_secs(2);
+
 /// Time for which a helper may be silent after another one has answered.
 const LAG: Duration = Duration::from_millis(400);
 
@@ -39,10 +42,21 @@
 
 #[derive(Clone)]
 struct Script {
-    /// How long the helpers, in the order of their first reservations, are silent when they get them.
+    /// How long the helpers are silent from the start, in the order of their first reservations.
     silences: Vec<Duration>,
     /// Time after which an engine answers the request itself.
     answer_after: Duration,
+    began: Instant,
+}
+
+impl Script {
+    fn new<const N: usize>(silences: [Duration; N], answer_after: Duration) -> Self {
+        Self {
+            silences: silences.to_vec(),
+            answer_after,
+            began: Instant::now(),
+        }
+    }
 }
 
 impl Engines {
@@ -83,19 +97,24 @@
             let _ = stream.write_all(answer.as_bytes()).await;
             continue;
         }
-        let silence = {
+        let silent_until = {
             let mut seen = seen.lock().unwrap();
-            if request.contains("release") {
-                seen.released.push((target, Instant::now()));
-                None
+            let orders = if request.contains("release") {
+                &mut seen.released
             } else {
-                let is_first = seen.reserved.iter().all(|(t, _)| *t != target);
-                let number = seen.reserved.len();
-                seen.reserved.push((target, Instant::now()));
-                script.silences.get(number).copied().filter(|_| is_first)
+                &mut seen.reserved
+            };
+            orders.push((target.clone(), Instant::now()));
+            let mut helpers: Vec<&String> = Vec::new();
+            for (helper, _) in &seen.reserved {
+                if !helpers.contains(&helper) {
+                    helpers.push(helper);
+                }
             }
+            let number = helpers.iter().position(|h| **h == target).unwrap();
+            script.began + script.silences.get(number).copied().unwrap_or_default()
         };
-        sleep(silence.unwrap_or_default()).await;
+        sleep_until(silent_until).await;
         let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
         let _ = stream.write_all(answer.as_bytes()).await;
     }
@@ -143,10 +162,7 @@
 async fn memory_is_released_when_the_caller_leaves_during_the_reservation() {
     let node = four_engines();
     let caller = send(node.connect(), &long_prompt("/resumable/1", 80_000)).await;
-    let script = Script {
-        silences: vec![FOREVER],
-        answer_after: Duration::ZERO,
-    };
+    let script = Script::new([FOREVER], Duration::ZERO);
     let engines = Engines::open(node, script);
     sleep(LAG / 2).await;
     drop(caller);
@@ -161,10 +177,10 @@
 async fn reserved_memory_is_renewed_in_time_beside_a_silent_helper() {
     let node = four_engines();
     let caller = send(node.connect(), &long_prompt("/resumable/1", 80_000)).await;
-    let script = Script {
-        silences: vec![Duration::ZERO, Duration::from_millis(1900)],
-        answer_after: Duration::from_millis(1500),
-    };
+    let script = Script::new(
+        [Duration::ZERO, Duration::from_millis(1900)],
+        Duration::from_millis(1500),
+    );
     let engines = Engines::open(node, script);
     let patience = Duration::from_secs(4);
     assert!(is_answered(caller, patience).await, "{:?}", engines.seen());
@@ -179,3 +195,46 @@
         "{longest:?} {seen:?}"
     );
 }
+
+/// Guards against a long prompt whose caller leaves, since a silent one of its helpers is awaited though the others answer.
+#[tokio::test(start_paused = true)]
+async fn a_silent_one_of_several_helpers_is_replaced_in_time() {
+    for path in ["/events/1", "/resumable/1"] {
+        let node = four_engines();
+        let caller = send(node.connect(), &long_prompt(path, 80_000)).await;
+        let script = Script::new([FOREVER], Duration::ZERO);
+        let engines = Engines::open(node, script);
+        let is_answered = is_answered(caller, PATIENCE).await;
+        assert!(is_answered, "{path} {:?}", engines.seen());
+        assert_eq!(engines.seen().runs.len(), 1, "{path}");
+    }
+}
+
+/// Guards against a long prompt that is not sent although its helpers go on, one a moment after the other.
+#[tokio::test(start_paused = true)]
+async fn helpers_that_go_on_one_after_the_other_keep_their_prompt() {
+    let node = four_engines();
+    let caller = send(node.connect(), &long_prompt("/events/1", 80_000)).await;
+    let after = |ms: u64| Duration::from_millis(1000 + ms);
+    let script = Script::new([after(0), after(300), after(150)], Duration::ZERO);
+    let engines = Engines::open(node, script);
+    let is_answered = is_answered(caller, PATIENCE).await;
+    assert!(is_answered, "{:?}", engines.seen());
+    let runs = engines.seen().runs;
+    assert_eq!(runs.len(), 1, "{runs:?}");
+}
+
+/// Guards against a long prompt that leaves its helpers, most of which are silent for a second, for others that are silent as
+/// well.
+#[tokio::test(start_paused = true)]
+async fn a_silence_of_most_helpers_is_awaited() {
+    let node = four_engines();
+    let caller = send(node.connect(), &long_prompt("/events/1", 80_000)).await;
+    let silence = Duration::from_millis(900);
+    let script = Script::new([Duration::ZERO, silence, silence], Duration::ZERO);
+    let engines = Engines::open(node, script);
+    let is_answered = is_answered(caller, PATIENCE).await;
+    assert!(is_answered, "{:?}", engines.seen());
+    let seen = engines.seen();
+    assert_eq!((seen.reserved.len(), seen.runs.len()), (3, 1), "{seen:?}");
+}
