An engine overtaken by a late one does not count as failed

What callers see: new streams are refused (503) after a silence of all engines, if some go on a moment before the others.

Cause: a stream whose engine was silent goes on at the first engine that sends, and its own engine counted as failed for that, also for the owner. After a silence of all of them the first that goes on overtakes the others, and two failures take an engine out of use for a second. Plain requests compare the winner's time with the usual one already.

--- a/crates/azuresaddle-edge/src/forward/stream/takeover.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/takeover.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
+use azuresaddle_sched::passes::overdue_at;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tokio::time::Instant;
@@ -83,8 +84,13 @@
                 Err(_) => Err(SendFailure::TimedOut.into()),
             },
             Some(takeover) = &mut takeover => {
-                let loss = SendFailure::Overtaken.into();
-                Err(AnswerEnd::TakenOver(Box::new(takeover), loss))
+                // A late target may have been silent as well, and the first one about to go on.
+                let loss = if self.is_late(&takeover) {
+                    SendFailure::TimedOut
+                } else {
+                    SendFailure::Overtaken
+                };
+                Err(AnswerEnd::TakenOver(Box::new(takeover), loss.into()))
             }
         };
         self.on_silence_end(target, silent_at, &result);
@@ -94,8 +100,8 @@
     /// Asks other targets than those of a silent placement, and returns the first that sends events.
     ///
     /// A silent target may be sound and go on, and the others may be silent as well. So its answer is awaited beside theirs,
-    /// and it counts as failed only when another one has begun to answer. Once `is_lost` is cancelled, the result is `None`
-    /// as soon as no other target has the request.
+    /// and it counts as failed only when another one has begun to answer in time. Once `is_lost` is cancelled, the result is
+    /// `None` as soon as no other target has the request.
     async fn ask_others(
         &self,
         silent: &Placement<N>,
@@ -173,6 +179,13 @@
         })
     }
 
+    /// Whether another target's first event came later than expected.
+    fn is_late(&self, takeover: &Takeover<N>) -> bool {
+        let times = takeover.placement.times;
+        let expected_in = times.map_or(self.req.route.latency_target, |t| t.first_event_in);
+        Instant::now() > overdue_at(takeover.sent_at, expected_in)
+    }
+
     /// Records how a silence ended.
     fn on_silence_end<T>(
         &self,
--- a/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::caller::{chunked_body, head, send, time_limit};
+use super::scripted_targets::expected_target;
 use super::target::read_head;
 use super::test_node::{TestNode, TestOptions};
 
@@ -497,3 +498,53 @@
     assert_eq!(sends, 6);
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
+
+/// Guards against engines that get no new streams since they go on a moment after another one, after a silence of all.
+#[tokio::test(start_paused = true)]
+async fn new_streams_are_not_refused_after_engines_go_on_one_after_the_other() {
+    const LAG: Duration = Duration::from_millis(150);
+    let mut node = TestNode::open(two_engines());
+    let began = Instant::now();
+    // After the requests have been sent to the other engine as well.
+    let first_ends = began + Duration::from_secs(2);
+    let targets = async {
+        loop {
+            let mut stream = node.target.accept().await.unwrap();
+            tokio::spawn(async move {
+                let request = read_head(&mut stream).await;
+                let is_first = expected_target(&request) == "t1";
+                let ends = first_ends + if is_first { Duration::ZERO } else { LAG };
+                let script = if began.elapsed() < INTERVAL * 4 {
+                    let silent_at = Instant::now() + INTERVAL * 4;
+                    vec![Step::Events(4), Step::Pause(ends - silent_at), Step::Rest]
+                } else {
+                    // Requests that arrive in the silence are read after it.
+                    tokio::time::sleep_until(ends).await;
+                    vec![Step::Rest]
+                };
+                answer(stream, &request, script).await;
+            });
+        }
+    };
+    let service = Arc::clone(&node.service);
+    let new_at = first_ends + LAG + INTERVAL * 2;
+    let callers = async move {
+        let mut callers = JoinSet::new();
+        for number in 0..28 {
+            let connection = TestNode::connect_to(&service);
+            callers.spawn(async move {
+                if number >= 12 {
+                    tokio::time::sleep_until(new_at).await;
+                }
+                read_patiently(send(connection, &head("/resumable/1", "")).await).await
+            });
+        }
+        callers.join_all().await
+    };
+    let answers = tokio::select! {
+        answers = callers => answers,
+        () = targets => unreachable!(),
+    };
+    let whole = answers.iter().filter(|a| is_whole(a));
+    assert_eq!(whole.count(), answers.len());
+}
--- a/crates/azuresaddle-sched/src/passes/mod.rs
+++ b/crates/azuresaddle-sched/src/passes/mod.rs
@@ -25,6 +25,7 @@
 pub use forecast::{DemandForecast, Estimate, LevelChange, Sort};
 pub use mechanism::Mechanism;
 pub use options::PassOptions;
+pub use pace::overdue_at;
 pub use pool::{PassPool, PoolLoad};
 pub use request::{
     DEFAULT_PRIORITY, PlacementDecision, PlacementGrant, PlacementId, PlacementRequest,
--- a/crates/azuresaddle-sched/src/passes/pace.rs
+++ b/crates/azuresaddle-sched/src/passes/pace.rs
@@ -94,6 +94,6 @@
 }
 
 /// Time at which a first event that is expected after `expected_in` counts as overdue.
-pub(super) fn overdue_at(now: Instant, expected_in: Duration) -> Instant {
+pub fn overdue_at(now: Instant, expected_in: Duration) -> Instant {
     now + expected_in.mul_f64(1.0 + OVERDUE_SHARE) + OVERDUE_SLACK
 }
