A target that ran a stream's request counts after a further send to it was not made

What callers see: nothing. A request may run on one target more than its route's max_attempts.

Cause: a target that was asked in a silence, and given up when the silent one went on, may get the request again. If that second send ends before it is sent (no connection, a reservation that is refused), the first run was forgotten as well.

Evidence: the new test of the counts failed before. Not seen on a whole node.

Change: a send that did not get as far as the target leaves the earlier run.

--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -12,6 +12,8 @@
 mod silence_timer;
 mod takeover;
 mod target_events;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -76,6 +76,8 @@
         let mut sends = self.lock();
         sends.declined += 1;
         if let Some(run) = sends.run_at(target) {
+            // If this send did not get as far as the target, the run is an earlier one.
+            run.is_repeated |= run.state != RunState::InFlight;
             run.state = RunState::Lost;
         }
         sends
--- /dev/null
+++ b/crates/azuresaddle-edge/src/forward/stream/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of streams without a request path.
+
+mod sends;
