A late reservation does not exceed the route's attempts

What callers see: nothing. A long prompt may run on more targets than its route's max_attempts: in the test on three in place of two.

Others are asked meanwhile and may use up the attempts, and the first one gets the request all the same once its reservation is made.

Change: the attempts are checked and counted in one step right before a send. A send that is one too many ends as not sent (superfluous) and counts against no target.

--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -38,6 +38,8 @@
     InBackOff,
     /// The node stops, so the request was not sent.
     Stopping,
+    /// As many targets as the route allows have got the request meanwhile, so it was not sent.
+    Superfluous,
     /// The target answered that it did not run the request.
     Declined {
         status: StatusCode,
@@ -67,6 +69,7 @@
             | Self::NoPath
             | Self::InBackOff
             | Self::Stopping
+            | Self::Superfluous
             | Self::Declined { .. }
             | Self::WrongTarget
             | Self::Stalled { was_taken: false } => Verdict::NotRun,
@@ -85,6 +88,7 @@
             Self::NoPath => "no-path",
             Self::InBackOff => "held-back",
             Self::Stopping => "stopping",
+            Self::Superfluous => "superfluous",
             Self::Declined { .. } => "declined",
             Self::WrongTarget => "wrong-target",
             Self::Broken(_) => "broken",
@@ -103,6 +107,7 @@
                 | Self::NoPath
                 | Self::InBackOff
                 | Self::Stopping
+                | Self::Superfluous
                 | Self::Stalled { was_taken: false }
         )
     }
@@ -136,6 +141,7 @@
             Self::NoPath => f.write_str("not sent: no path to the target"),
             Self::InBackOff => f.write_str("not sent: the target is in back-off"),
             Self::Stopping => f.write_str("not sent: the node is stopping"),
+            Self::Superfluous => f.write_str("not sent: enough targets have the request"),
             Self::Declined {
                 status,
                 at_fault: None,
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -98,7 +98,7 @@
             }
         }
         // The node is at fault, not the target.
-        SendFailure::NoRoom | SendFailure::Stopping => {}
+        SendFailure::NoRoom | SendFailure::Stopping | SendFailure::Superfluous => {}
     }
 }
 
--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -123,6 +123,7 @@
             | SendFailure::NoPath
             | SendFailure::InBackOff
             | SendFailure::Stopping
+            | SendFailure::Superfluous
             | SendFailure::WrongTarget
             | SendFailure::Overtaken
             | SendFailure::NoRoom,
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -258,6 +258,7 @@
             SendFailure::TimedOut
             | SendFailure::InBackOff
             | SendFailure::Stopping
+            | SendFailure::Superfluous
             | SendFailure::NoRoom => StreamOutcome::Cancelled,
             SendFailure::WrongTarget => StreamOutcome::TargetFailed(lead),
             SendFailure::NotSent(_)
--- a/crates/azuresaddle-edge/src/forward/stream/open.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/open.rs
@@ -101,10 +101,13 @@
         let outgoing = self.req.for_target(&options);
         let id = &self.req.head.attempt_id;
         let timeout = time_until(self.req.deadline);
+        // Others may have got the request since this target was chosen.
+        if !self.sends.try_send(&target.id, self.req.route.max_attempts) {
+            return Err(SendFailure::Superfluous.into());
+        }
         if !self.req.gate.try_send() {
             return Err(SendFailure::Stopping.into());
         }
-        self.sends.on_sent(&target.id);
         silence.start(Instant::now() + placement.first_event_timeout);
         let response = send(&self.cx, target, &mut connection, outgoing, id, timeout).await?;
         if !response.status().is_success() {
--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -48,20 +48,24 @@
 }
 
 impl StreamSends {
-    /// Counts a send, after which the request may have run unless it turns out otherwise.
-    pub(super) fn on_sent(&self, target: &HostName) {
+    /// Counts a send, after which the request may have run unless it turns out otherwise. Returns `false` if `max_targets`
+    /// others may have run it.
+    pub(super) fn try_send(&self, target: &HostName, max_targets: u32) -> bool {
         let mut sends = self.lock();
-        match sends.run_at(target) {
-            Some(run) => {
-                run.state = RunState::InFlight;
-                run.is_repeated = true;
-            }
-            None => sends.runs.push(Run {
-                target: target.clone(),
-                state: RunState::InFlight,
-                is_repeated: false,
-            }),
+        if let Some(run) = sends.run_at(target) {
+            run.state = RunState::InFlight;
+            run.is_repeated = true;
+            return true;
+        }
+        if sends.runs.len() >= max_targets as usize {
+            return false;
         }
+        sends.runs.push(Run {
+            target: target.clone(),
+            state: RunState::InFlight,
+            is_repeated: false,
+        });
+        true
     }
 
     /// Records that a send ended without a whole answer.
--- a/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
@@ -13,6 +13,7 @@
 use super::scripted_targets::expected_target;
 use super::target::read_head;
 use super::test_node::{TestNode, TestOptions};
+use crate::control::tests::memory_network::memory_network;
 
 /// Time without an event after which a caller leaves.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -36,6 +37,7 @@
 
 /// The engines of a node.
 struct Engines {
+    _node: TestNode,
     seen: Arc<Mutex<Seen>>,
     _task: JoinHandle<()>,
 }
@@ -46,6 +48,8 @@
     silences: Vec<Duration>,
     /// Time after which an engine answers the request itself.
     answer_after: Duration,
+    /// Whether the first engine that gets the request closes the connection instead.
+    is_first_run_broken: bool,
     began: Instant,
 }
 
@@ -54,22 +58,28 @@
         Self {
             silences: silences.to_vec(),
             answer_after,
+            is_first_run_broken: false,
             began: Instant::now(),
         }
     }
 }
 
 impl Engines {
-    fn open(node: TestNode, script: Script) -> Self {
+    fn open(mut node: TestNode, script: Script) -> Self {
         let seen: Arc<Mutex<Seen>> = Arc::default();
-        let mut listener = node.target;
+        let (_, unused) = memory_network(node.target.local_addr());
+        let mut listener = std::mem::replace(&mut node.target, unused);
         let seen_there = Arc::clone(&seen);
         let task = tokio::spawn(async move {
             while let Ok(stream) = listener.accept().await {
                 tokio::spawn(serve(stream, script.clone(), Arc::clone(&seen_there)));
             }
         });
-        Self { seen, _task: task }
+        Self {
+            _node: node,
+            seen,
+            _task: task,
+        }
     }
 
     fn seen(&self) -> Seen {
@@ -86,7 +96,14 @@
         };
         let target = expected_target(&request);
         if !request.starts_with("POST /order") {
-            seen.lock().unwrap().runs.push(target);
+            let runs = {
+                let mut seen = seen.lock().unwrap();
+                seen.runs.push(target);
+                seen.runs.len()
+            };
+            if script.is_first_run_broken && runs == 1 {
+                return;
+            }
             sleep(script.answer_after).await;
             let id = headers::ATTEMPT_ID;
             let event = "id: 1\ndata: 1\n\n";
@@ -143,9 +160,22 @@
     TestNode::open(TestOptions {
         has_second_target: true,
         has_third_target: true,
-        has_fourth_target: true,
+        more_targets: 1,
+        has_engines: true,
+        memory_tokens: 50_000,
+        ..TestOptions::default()
+    })
+}
+
+/// Engines of which a prompt takes two, so that others are free.
+fn six_engines() -> TestNode {
+    TestNode::open(TestOptions {
+        has_second_target: true,
+        has_third_target: true,
+        more_targets: 3,
         has_engines: true,
         memory_tokens: 50_000,
+        splits_prompts: false,
         ..TestOptions::default()
     })
 }
@@ -238,3 +268,20 @@
     let seen = engines.seen();
     assert_eq!((seen.reserved.len(), seen.runs.len()), (3, 1), "{seen:?}");
 }
+
+/// Guards against a request that runs on more targets than its route allows, since the reservation for the first of them is
+/// made after two others got it.
+#[tokio::test(start_paused = true)]
+async fn a_late_reservation_exceeds_no_limit_of_attempts() {
+    let node = six_engines();
+    let caller = send(node.connect(), &long_prompt("/resumable/1", 80_000)).await;
+    let second = Duration::from_secs(1);
+    let script = Script {
+        is_first_run_broken: true,
+        ..Script::new([second], second)
+    };
+    let engines = Engines::open(node, script);
+    let is_answered = is_answered(caller, PATIENCE).await;
+    assert!(is_answered, "{:?}", engines.seen());
+    assert_eq!(engines.seen().runs.len(), 2, "{:?}", engines.seen());
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -43,9 +43,6 @@
 /// Name of the third one, if there are three.
 const THIRD_TARGET: &str = "t3";
 
-/// Name of the fourth one, if there are four.
-const FOURTH_TARGET: &str = "t4";
-
 /// Sizes of a test's node and connections.
 #[derive(Clone, Copy)]
 pub(super) struct TestOptions {
@@ -56,8 +53,10 @@
     pub(super) has_second_target: bool,
     /// Whether there is a third target in addition.
     pub(super) has_third_target: bool,
-    /// Whether there is a fourth target in addition.
-    pub(super) has_fourth_target: bool,
+    /// Number of targets in addition to the third one.
+    pub(super) more_targets: usize,
+    /// Whether a prompt is split over more engines than its memory needs.
+    pub(super) splits_prompts: bool,
     /// Most targets that may run a request which may be repeated.
     pub(super) max_attempts: u32,
     /// Memory of an engine, in tokens.
@@ -77,7 +76,8 @@
             target_buffer_bytes: 1024,
             has_second_target: false,
             has_third_target: false,
-            has_fourth_target: false,
+            more_targets: 0,
+            splits_prompts: true,
             max_attempts: 2,
             memory_tokens: 450_000,
             has_engines: false,
@@ -87,7 +87,7 @@
     }
 }
 
-/// A node with one to four targets and the accounts `a` and `b`, whose keys are their names. Requests to `/events/` and
+/// A node with one or more targets and the accounts `a` and `b`, whose keys are their names. Requests to `/events/` and
 /// `/plain/` run once, those to `/resumable/` and `/idempotent/` on two targets at most unless the options say otherwise.
 pub(super) struct TestNode {
     pub(super) service: Arc<CallerService<MemoryNetwork>>,
@@ -114,7 +114,10 @@
         let (signals, _) = mpsc::channel(1);
         let (probes, _) = mpsc::channel(1);
         let (unresponsive_owners, _) = mpsc::channel(1);
-        let pass_options = PassOptions::default();
+        let pass_options = PassOptions {
+            split_long: options.splits_prompts,
+            ..PassOptions::default()
+        };
         let owner = Owner::spawn(&spawner, &snapshots, 1, pass_options, probes, &metrics);
         let placement = PlacementClient::spawn(
             &spawner,
@@ -220,7 +223,7 @@
 
 fn snapshot(options: &TestOptions) -> Snapshot {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 8149));
-    let target = |name| TargetEntry {
+    let target = |name: &str| TargetEntry {
         id: HostName::new(name),
         service: Arc::from("svc"),
         addr,
@@ -234,11 +237,12 @@
     let others = [
         (SECOND_TARGET, options.has_second_target),
         (THIRD_TARGET, options.has_third_target),
-        (FOURTH_TARGET, options.has_fourth_target),
     ];
     let others = others.into_iter().filter(|(_, exists)| *exists);
     let names = std::iter::once(TARGET).chain(others.map(|(name, _)| name));
-    let targets = names.map(|name| Arc::new(target(name)));
+    let more = (4..4 + options.more_targets).map(|number| format!("t{number}"));
+    let names = names.map(str::to_owned).chain(more);
+    let targets = names.map(|name| Arc::new(target(&name)));
     Snapshot {
         configuration: Some(Arc::new(configuration(
             RulesVersion(1),
