--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -114,6 +114,14 @@
         self.lock().exclude.clear();
     }
 
+    /// Whether a target has the request.
+    pub(super) fn is_in_flight(&self, target: &HostName) -> bool {
+        let sends = self.lock();
+        sends
+            .find(target)
+            .is_some_and(|r| r.state == RunState::InFlight)
+    }
+
     /// Whether no target may have run the request.
     pub(super) fn has_not_run(&self) -> bool {
         self.lock().runs.is_empty()
--- a/crates/azuresaddle-edge/src/forward/stream/takeover.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/takeover.rs
@@ -84,8 +84,11 @@
                 Err(_) => Err(SendFailure::TimedOut.into()),
             },
             Some(takeover) = &mut takeover => {
-                // A late target may have been silent as well, and the first one about to go on.
-                let loss = if self.is_late(&takeover) {
+                let loss = if !self.sends.is_in_flight(target) {
+                    // Its helpers are silent, so it has not got the request.
+                    SendFailure::Superfluous
+                } else if self.is_late(&takeover) {
+                    // The other target may have been silent as well, and this one about to go on.
                     SendFailure::TimedOut
                 } else {
                     SendFailure::Overtaken
--- a/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
@@ -37,7 +37,7 @@
 
 /// The engines of a node.
 struct Engines {
-    _node: TestNode,
+    node: TestNode,
     seen: Arc<Mutex<Seen>>,
     _task: JoinHandle<()>,
 }
@@ -76,7 +76,7 @@
             }
         });
         Self {
-            _node: node,
+            node,
             seen,
             _task: task,
         }
@@ -285,3 +285,15 @@
     assert!(is_answered, "{:?}", engines.seen());
     assert_eq!(engines.seen().runs.len(), 2, "{:?}", engines.seen());
 }
+
+/// Guards against a lead that counts as failed, though it never got the request, since its helper is silent.
+#[tokio::test(start_paused = true)]
+async fn a_lead_is_not_blamed_for_its_silent_helper() {
+    let node = six_engines();
+    let caller = send(node.connect(), &long_prompt("/resumable/1", 80_000)).await;
+    let engines = Engines::open(node, Script::new([FOREVER], Duration::ZERO));
+    assert!(is_answered(caller, PATIENCE).await, "{:?}", engines.seen());
+    assert_eq!(engines.seen().runs.len(), 1);
+    let silent = "azuresaddle_sends_total{service=\"svc\",result=\"silent\"}";
+    assert!(!engines.node.has_metric_of(silent));
+}
