--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -106,7 +106,7 @@
         if self.sends.has_not_run() {
             self.req.gate.on_not_run();
         }
-        self.sends.may_follow(u32::MAX)
+        self.sends.may_follow(self.max_targets())
             && !time_until(self.req.deadline).is_zero()
             && (!failure.reached_target() || self.cx.try_take_retry(&self.req.service))
     }
@@ -118,8 +118,7 @@
 
     /// Whether the request may be sent once more although targets may have run it, the retry budget aside.
     pub(super) fn may_follow(&self) -> bool {
-        self.req.is_idempotent()
-            && self.sends.may_follow(self.req.route.max_attempts)
+        self.sends.may_follow(self.max_targets())
             && !time_until(self.req.deadline).is_zero()
             && (self.start_tx.is_some() || self.last_relayed_id.is_some())
     }
@@ -134,12 +133,21 @@
         }
     }
 
+    /// Most targets that may run the request.
+    pub(super) fn max_targets(&self) -> u32 {
+        if self.req.is_idempotent() {
+            self.req.route.max_attempts
+        } else {
+            1
+        }
+    }
+
     /// Targets that must not get the request.
     pub(super) fn excluded(&self) -> Vec<HostName> {
         let snapshot = self.cx.snapshots.load();
         let targets = snapshot.targets.of_service(&self.req.service);
         let names = targets.iter().map(|t| &t.id);
-        self.sends.excluded(names, self.req.route.max_attempts)
+        self.sends.excluded(names, self.max_targets())
     }
 
     /// Sends the final answer to a request that no engine can serve in time.
--- a/crates/azuresaddle-edge/src/forward/stream/open.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/open.rs
@@ -102,7 +102,7 @@
         let id = &self.req.head.attempt_id;
         let timeout = time_until(self.req.deadline);
         // Others may have got the request since this target was chosen.
-        if !self.sends.try_send(&target.id, self.req.route.max_attempts) {
+        if !self.sends.try_send(&target.id, self.max_targets()) {
             return Err(SendFailure::Superfluous.into());
         }
         if !self.req.gate.try_send() {
--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -49,13 +49,16 @@
 
 impl StreamSends {
     /// Counts a send, after which the request may have run unless it turns out otherwise. Returns `false` if `max_targets`
-    /// others may have run it.
+    /// others may have run it, or this one has it or lost it.
     pub(super) fn try_send(&self, target: &HostName, max_targets: u32) -> bool {
         let mut sends = self.lock();
         if let Some(run) = sends.run_at(target) {
-            run.state = RunState::InFlight;
-            run.is_repeated = true;
-            return true;
+            let may_repeat = run.state == RunState::Cancelled;
+            if may_repeat {
+                run.state = RunState::InFlight;
+                run.is_repeated = true;
+            }
+            return may_repeat;
         }
         if sends.runs.len() >= max_targets as usize {
             return false;
--- a/crates/azuresaddle-edge/src/forward/stream/takeover.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/takeover.rs
@@ -110,6 +110,9 @@
         silent: &Placement<N>,
         is_lost: &CancellationToken,
     ) -> Option<Takeover<N>> {
+        // One of the helpers may be what holds up the lead.
+        let silent = std::iter::once(&silent.target).chain(&silent.helpers);
+        let mut tried: Vec<HostName> = silent.map(|t| t.id.clone()).collect();
         let mut asked = FuturesUnordered::new();
         let mut search_at = Instant::now();
         loop {
@@ -128,7 +131,8 @@
                     }
                 },
                 () = is_lost.cancelled(), if !is_lost.is_cancelled() => {}
-                placement = self.search(silent, search_at) => {
+                placement = self.search(&tried, search_at) => {
+                    tried.push(placement.target.id.clone());
                     search_at = Instant::now() + placement.first_event_timeout;
                     asked.push(self.ask(placement));
                 }
@@ -136,11 +140,12 @@
         }
     }
 
-    /// Waits until `at`, then for other targets and a retry for them. Never returns if the request must not be sent again.
-    async fn search(&self, silent: &Placement<N>, at: Instant) -> Placement<N> {
+    /// Waits until `at`, then for targets that are not in `tried` and a retry for them. Never returns if the request must not
+    /// be sent again.
+    async fn search(&self, tried: &[HostName], at: Instant) -> Placement<N> {
         tokio::time::sleep_until(at).await;
         loop {
-            if let Some(placement) = self.try_search(silent).await {
+            if let Some(placement) = self.try_search(tried).await {
                 return placement;
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -148,18 +153,15 @@
     }
 
     /// Other targets and a retry for them, if there are any now.
-    async fn try_search(&self, silent: &Placement<N>) -> Option<Placement<N>> {
+    async fn try_search(&self, tried: &[HostName]) -> Option<Placement<N>> {
         let service = &self.req.service;
         if self.req.gate.is_closed() || !self.may_follow() || !self.cx.has_retry(service) {
             return None;
         }
-        // One of the helpers may be what holds up the lead.
-        let silent = std::iter::once(&silent.target).chain(&silent.helpers);
-        let silent = silent.map(|t| t.id.clone()).collect();
-        let exclude = [self.excluded(), silent].concat();
+        let exclude = [&self.excluded(), tried].concat();
         let placement = self.place_unless_quarantined(&exclude).await.ok()?;
-        // Another request may have taken the last retry meanwhile.
-        self.cx.try_take_retry(service).then_some(placement)
+        // The silent target may have got the request meanwhile, or another request the last retry.
+        (self.may_follow() && self.cx.try_take_retry(service)).then_some(placement)
     }
 
     async fn ask(&self, placement: Placement<N>) -> Result<Takeover<N>, Unanswered<N>> {
--- a/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
@@ -297,3 +297,35 @@
     let silent = "azuresaddle_sends_total{service=\"svc\",result=\"silent\"}";
     assert!(!engines.node.has_metric_of(silent));
 }
+
+/// Guards against a long prompt that may run once, and whose caller leaves since its only helper is silent.
+#[tokio::test(start_paused = true)]
+async fn a_silent_helper_is_replaced_for_a_request_that_may_run_once() {
+    let node = six_engines();
+    let caller = send(node.connect(), &long_prompt("/events/1", 80_000)).await;
+    let engines = Engines::open(node, Script::new([FOREVER], Duration::ZERO));
+    let is_answered = is_answered(caller, PATIENCE).await;
+    assert!(is_answered, "{:?}", engines.seen());
+    assert_eq!(engines.seen().runs.len(), 1, "{:?}", engines.seen());
+}
+
+/// Guards against a request that may run once and is sent twice, since the first of two reservations is made after all.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_may_run_once_is_sent_once_if_two_reservations_are_made() {
+    let cases = [[600, 0], [600, 600], [800, 700], [700, 800]];
+    for silences in cases {
+        for is_first_run_broken in [false, true] {
+            let node = six_engines();
+            let caller = send(node.connect(), &long_prompt("/events/1", 80_000)).await;
+            let silences = silences.map(Duration::from_millis);
+            let script = Script {
+                is_first_run_broken,
+                ..Script::new(silences, Duration::from_secs(1))
+            };
+            let engines = Engines::open(node, script);
+            let is_answered = is_answered(caller, PATIENCE).await;
+            assert_ne!(is_answered, is_first_run_broken, "{silences:?}");
+            assert_eq!(engines.seen().runs.len(), 1, "{silences:?}");
+        }
+    }
+}
