A request that crashes targets explains the parts beside it too

Callers saw sound requests with one second part of a prompt refused for 12 s (soak of five nodes with three crashing requests).

One target had ended by itself and two under a request that crashes targets; sound requests with the part were on all three. The request, quarantined after three crashes, did not explain those two, as one of its crashes was without the part, which it does not hold.

Any request with enough crashes for a quarantine by itself, counted up to the part's last crash, makes its crashes count once against a part, whether it may hold the part or not. That also does without the order in which reports on a request and its parts arrive.

A part that is the cause needs one crash more where a request that crashes targets too was on two of its first three.

Test. a_part_beside_a_crashing_request_is_not_quarantined_for_one_crash_of_its_own failed before. azuresaddle-sched (195 tests) and the quarantine tests of azuresaddle-edge are green.

--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -66,13 +66,12 @@
         weight: f64,
         until: Option<Instant>,
     ) -> bool {
-        let record = self.records.get(&cause);
-        record.is_some_and(|r| {
-            r.evidence_with(self.crashes_until(r, until).count())
-                .weight()
-                > weight
-                && !(cause.is_prompt_part() && self.explains_part(fingerprint, r))
-        })
+        if self.weight_until(cause, until) <= weight {
+            return false;
+        }
+        let part = self.records.get(&cause);
+        let part = part.filter(|_| cause.is_prompt_part());
+        !part.is_some_and(|part| self.explains_part(fingerprint, part))
     }
 
     /// Whether a request explains several crashes of a part.
@@ -84,8 +83,8 @@
 
     /// Requests that explain several of these crashes of a part each, which are removed.
     ///
-    /// A request that may hold the part and has enough crashes for a quarantine by itself explains them as well as the
-    /// part does. Together they count as one crash of the part, which only other requests with it can incriminate.
+    /// A request that has enough crashes for a quarantine by itself explains them as well as the part does. Together they
+    /// count as one crash of the part, which only other requests with it can incriminate.
     fn requests_explaining_part(
         &self,
         part: &Record,
@@ -117,8 +116,8 @@
         }
         let explains = |request: &Fingerprint, shared: &SharedCrashes| {
             shared.all > 1
-                && self.weight(*request) >= SUFFICIENT_CRASHES as f64
-                && self.may_hold(*request, part)
+                && self.weight_until(*request, Some(part.last_crash_at()))
+                    >= SUFFICIENT_CRASHES as f64
         };
         let best = shared
             .into_iter()
@@ -127,12 +126,6 @@
         best.map(|(request, _)| request)
     }
 
-    /// Whether a request may hold a part of prompts: it has crashed no target without the part.
-    fn may_hold(&self, request: Fingerprint, part: &Record) -> bool {
-        let record = self.records.get(&request);
-        record.is_some_and(|r| part.includes_crashes_of(r))
-    }
-
     /// Requests and parts that a crashed target was running.
     fn requests_on(&self, incarnation: &TargetIncarnation) -> impl Iterator<Item = Fingerprint> {
         let crashed = self.crashed_targets.get(incarnation);
@@ -226,6 +219,15 @@
         record.map_or(0.0, |r| r.evidence().weight())
     }
 
+    /// Net evidence against a request or a part by its crashes up to `until`.
+    fn weight_until(&self, fingerprint: Fingerprint, until: Option<Instant>) -> f64 {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0.0, |r| {
+            let crashes = self.crashes_until(r, until).count();
+            r.evidence_with(crashes).weight()
+        })
+    }
+
     /// Number of targets that crashed recently without the request and without any request whose net evidence exceeds
     /// one crash.
     ///
--- a/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
+++ b/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
@@ -189,3 +189,18 @@
     assert!(is_quarantined(&quarantine, 1, &["part"]));
     assert!(!is_quarantined(&quarantine, 100, &["part"]));
 }
+
+/// Guards against sound requests that are refused since one of their parts was on a target that crashed by itself, and beside
+/// a request that crashes targets.
+#[tokio::test(start_paused = true)]
+async fn a_part_beside_a_crashing_request_is_not_quarantined_for_one_crash_of_its_own() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 50, 0, &["part"]);
+    for target in 1..4 {
+        crash(&mut quarantine, 1, target, &["other part"]);
+    }
+    crash(&mut quarantine, 50, 1, &["part"]);
+    crash(&mut quarantine, 51, 3, &["part"]);
+    assert!(is_quarantined(&quarantine, 1, &["other part"]));
+    assert!(!is_quarantined(&quarantine, 100, &["part"]));
+}
