A request at a dead plain target goes on to one that was paused

Callers saw: a repeatable request whose target is dead gets 504 at its deadline if the other target accepts no connection for about a second just then.

Cause: the search for another target beside a silent one leaves a target that accepted no connection out for good, also if it may only be paused; only a request without a send in flight tried such targets again.

Evidence: a_paused_target_takes_over_from_a_dead_one failed before (504 in place of 200).

Change: both choose a target in the same way.

--- a/crates/azuresaddle-edge/src/forward/hedge.rs
+++ b/crates/azuresaddle-edge/src/forward/hedge.rs
@@ -22,15 +22,15 @@
 pub(super) struct HedgeSearch {
     /// Whether each target has been silent for too long.
     silences: Vec<watch::Receiver<bool>>,
-    /// Targets that have or had the request.
-    exclude: Vec<HostName>,
+    /// Targets that have the request.
+    targets: Vec<HostName>,
 }
 
 impl HedgeSearch {
-    pub(super) fn new<F>(history: &SendHistory, sends: &SendsInFlight<F>) -> Self {
+    pub(super) fn new<F>(sends: &SendsInFlight<F>) -> Self {
         Self {
             silences: sends.silences(),
-            exclude: history.tried(&sends.targets()),
+            targets: sends.targets(),
         }
     }
 
@@ -77,7 +77,7 @@
         if !history.has_retry(cx, req) || is_quarantined() {
             return None;
         }
-        let chosen = cx.choose_target(&req.service, &self.exclude).await?;
+        let chosen = history.choose_target(cx, req, &self.targets).await?;
         // Another request may have taken the last retry meanwhile.
         history.try_take_retry(cx, req).then_some(chosen)
     }
--- a/crates/azuresaddle-edge/src/forward/plain_request.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_request.rs
@@ -58,7 +58,7 @@
             self.checks.finish().await;
             return self.choose_or_end().await;
         }
-        let search = HedgeSearch::new(&self.history, sends);
+        let search = HedgeSearch::new(sends);
         tokio::select! {
             biased;
             (send, result) = sends.next_ended() => Next::Ended(send, result),
@@ -83,11 +83,7 @@
             record_quarantine_refusal(cx, req);
             return Next::End(history.refuse_quarantined(cx, req, left));
         }
-        let mut chosen = cx.choose_target(&req.service, &history.tried(&[])).await;
-        if chosen.is_none() && history.readmit_paused(cx) {
-            chosen = cx.choose_target(&req.service, &history.tried(&[])).await;
-        }
-        let Some(chosen) = chosen else {
+        let Some(chosen) = history.choose_target(cx, req, &[]).await else {
             let status = StatusCode::BAD_GATEWAY;
             let detail = "no target takes the request";
             return Next::End(history.give_up(cx, req, status, detail));
--- a/crates/azuresaddle-edge/src/forward/send_history.rs
+++ b/crates/azuresaddle-edge/src/forward/send_history.rs
@@ -10,7 +10,7 @@
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
 use super::plain::QUARANTINE_DETAIL;
-use super::plain_send::TargetAnswer;
+use super::plain_send::{ChosenTarget, TargetAnswer};
 use super::problem::{problem_response, refusal};
 
 /// Most sends of one request after which it did not run. Each of them takes up the caller's time.
@@ -51,12 +51,24 @@
         [&self.exclude[..], &self.unconnected, others].concat()
     }
 
-    /// Lets the request be sent again to targets that accepted no connection but may only be paused. Returns whether there
-    /// are any. An answer with a server error is not held back for them.
-    pub(super) fn readmit_paused<N: Network>(&mut self, cx: &Forwarder<N>) -> bool {
-        if self.last_failure.is_some() {
-            return false;
+    /// Chooses a target beside the sends in flight to `others`: one that had no send, or else one that accepted no connection
+    /// and may only be paused. An answer with a server error is not held back for such a target.
+    pub(super) async fn choose_target<N: Network>(
+        &mut self,
+        cx: &Forwarder<N>,
+        req: &ForwardRequest,
+        others: &[HostName],
+    ) -> Option<ChosenTarget> {
+        let chosen = cx.choose_target(&req.service, &self.tried(others)).await;
+        if chosen.is_some() || self.last_failure.is_some() || !self.readmit_paused(cx) {
+            return chosen;
         }
+        cx.choose_target(&req.service, &self.tried(others)).await
+    }
+
+    /// Lets the request be sent again to targets that accepted no connection but may only be paused. Returns whether there
+    /// are any.
+    fn readmit_paused<N: Network>(&mut self, cx: &Forwarder<N>) -> bool {
         let before = self.unconnected.len();
         self.unconnected.retain(|t| !cx.health.may_be_paused(t));
         self.unconnected.len() < before
--- a/crates/azuresaddle-edge/src/frontend/tests/connect_silences.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/connect_silences.rs
@@ -108,6 +108,29 @@
     }
 }
 
+/// Guards against a request that stays at a dead target, since the other one accepts no connection for a moment.
+#[tokio::test(start_paused = true)]
+async fn a_paused_target_takes_over_from_a_dead_one() {
+    for shares_health in [false, true] {
+        let mut node = TestNode::open(TestOptions {
+            has_second_target: true,
+            shares_health,
+            ..TestOptions::default()
+        });
+        let connections = node.target.pause();
+        let _targets = ScriptedTargets::open(&mut node, &[Reply::Never]);
+        let asked = ask(&node, PATHS[0], &time_limit(Duration::from_secs(4)));
+        // Once it has a connection.
+        sleep(Duration::from_millis(1)).await;
+        let pause = connections.write().await;
+        sleep(PAUSE + Duration::from_millis(400)).await;
+        drop(pause);
+        let (status, took) = asked.await.unwrap();
+        assert_eq!(status, "200");
+        assert!(took < Duration::from_millis(2200), "{took:?}");
+    }
+}
+
 /// Guards against an answer with a failure that is held back since another target accepts no connection.
 #[tokio::test(start_paused = true)]
 async fn a_server_error_is_delivered_beside_a_target_without_connections() {
