--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -223,14 +223,16 @@
     progress.until_stalled(MAX_WRITE_PAUSE).await;
     let was_taken = !progress.close_at(taken_before);
     on_stalled(cx, target, was_taken);
-    while was_taken {
+    if !was_taken {
+        return SendFailure::Stalled { was_taken };
+    }
+    loop {
         cx.budget().until_refused().await;
         let since = progress.blocked_since();
         if since.is_some_and(|since| since.elapsed() >= MAX_WRITE_PAUSE) {
-            break;
+            return SendFailure::Stalled { was_taken };
         }
     }
-    SendFailure::Stalled { was_taken }
 }
 
 /// Records a target that takes no bytes of a request, and keeps further requests from it for a while.
