The tests of partitions tell why requests fail

They counted failed requests and dropped the answers, so a failure left nothing to trace. Each failed request is now shown with its path, attempt, time, duration and answer. The checks and their bounds are unchanged: percent are rounded up as before.

--- a/tests/testsuite/platform/partitions.rs
+++ b/tests/testsuite/platform/partitions.rs
@@ -1,13 +1,15 @@
 //! Nodes that lose their paths to all targets, while callers, the store and the other nodes reach them.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_edge::{Node, NodeOptions};
 use azuresaddle_platform::decode_settings;
 use azuresaddle_standin::net::{PartitionedNetwork, PathLoss};
-use azuresaddle_standin::platform::{Caller, CallerRequest, PlatformOptions, StandInPlatform};
+use azuresaddle_standin::platform::{
+    Answer, Caller, CallerError, CallerRequest, PlatformOptions, StandInPlatform,
+};
 use azuresaddle_standin::soak::next_port;
 use futures::future::join_all;
 use tokio::runtime::Handle;
@@ -85,13 +87,12 @@
         }
     }
 
-    /// Sends a stream, a request that may be repeated and one that may not to each node; returns how many of them each
-    /// node served.
-    async fn send_round(&self) -> Vec<usize> {
+    /// Sends a stream, a request that may be repeated and one that may not to each node; returns the failures by node.
+    async fn send_round(&self) -> Vec<Vec<FailedRequest>> {
         let nodes = self.callers.iter().map(|node| async move {
             let requests = [stream("/ask/1", 900, 3), plain("/note/1"), plain("/post/1")];
-            let served = requests.iter().map(|req| is_served(*node, req));
-            join_all(served).await.into_iter().filter(|s| *s).count()
+            let failures = requests.iter().map(|req| failure_of(*node, req));
+            join_all(failures).await.into_iter().flatten().collect()
         });
         join_all(nodes).await
     }
@@ -104,23 +105,50 @@
         }
     }
 
-    /// Requests that each node failed to serve, in percent.
-    async fn failures_percent(&self) -> Vec<usize> {
-        let mut served = vec![0; self.callers.len()];
+    /// Sends all rounds of requests; returns the failures by node.
+    async fn failures(&self) -> Vec<Vec<FailedRequest>> {
+        let mut failures: Vec<Vec<FailedRequest>> = self.callers.iter().map(|_| vec![]).collect();
         for _ in 0..ROUNDS {
             let (round, ()) = tokio::join!(self.send_round(), tokio::time::sleep(ROUND_INTERVAL));
-            for (sum, count) in served.iter_mut().zip(round) {
-                *sum += count;
+            for (all, new) in failures.iter_mut().zip(round) {
+                all.extend(new);
             }
         }
-        let failed = served.iter().map(|s| 100 - s * 100 / (ROUNDS * 3));
-        failed.collect()
+        failures
     }
 }
 
-async fn is_served(node: SocketAddr, req: &CallerRequest) -> bool {
-    let answer = Caller::default().ask(node, req).await;
-    answer.is_ok_and(|a| a.status == 200)
+/// A request that was not served.
+#[derive(Debug)]
+#[expect(dead_code, reason = "shown when a check fails")]
+struct FailedRequest {
+    attempt: String,
+    path: String,
+    sent_at: SystemTime,
+    took: Duration,
+    outcome: Result<Answer, CallerError>,
+}
+
+/// Sends a request; returns how it failed, if it did.
+async fn failure_of(node: SocketAddr, req: &CallerRequest) -> Option<FailedRequest> {
+    let (sent_at, began) = (SystemTime::now(), Instant::now());
+    let outcome = Caller::default().ask(node, req).await;
+    let is_served = outcome.as_ref().is_ok_and(|a| a.status == 200);
+    (!is_served).then(|| FailedRequest {
+        attempt: req.attempt.clone(),
+        path: req.path.clone(),
+        sent_at,
+        took: began.elapsed(),
+        outcome,
+    })
+}
+
+/// Failed requests of each node, in percent, rounded up.
+fn percents(failures: &[Vec<FailedRequest>]) -> Vec<usize> {
+    let percents = failures
+        .iter()
+        .map(|f| (f.len() * 100).div_ceil(ROUNDS * 3));
+    percents.collect()
 }
 
 /// Guards against requests that fail at nodes without a path to any target, and against the failures of these nodes
@@ -128,8 +156,12 @@
 async fn assert_served_while_cut_off(loss: PathLoss) {
     let fleet = PartitionedFleet::open().await;
     fleet.send_for(SETTLE_TIME).await;
-    let failed = fleet.failures_percent().await;
-    assert!(failed.iter().all(|f| *f == 0), "before the cut: {failed:?}");
+    let failures = fleet.failures().await;
+    let failed = percents(&failures);
+    assert!(
+        failed.iter().all(|f| *f == 0),
+        "before the cut: {failures:#?}"
+    );
     for net in &fleet.networks[..CUT_OFF] {
         net.cut(loss);
     }
@@ -137,17 +169,22 @@
         tokio::time::sleep(KEPT_CONNECTION_TIME).await;
     }
     fleet.send_for(DETECTION_TIME).await;
-    let failed = fleet.failures_percent().await;
+    let failures = fleet.failures().await;
+    let failed = percents(&failures);
     assert!(
         failed.iter().all(|f| *f <= MAX_FAILURES_PERCENT),
-        "failed in percent, by node, the first {CUT_OFF} cut off: {failed:?}"
+        "failed in percent, by node, the first {CUT_OFF} cut off: {failed:?} {failures:#?}"
     );
     for net in &fleet.networks {
         net.heal();
     }
     fleet.send_for(DETECTION_TIME).await;
-    let failed = fleet.failures_percent().await;
-    assert!(failed.iter().all(|f| *f == 0), "after the cut: {failed:?}");
+    let failures = fleet.failures().await;
+    let failed = percents(&failures);
+    assert!(
+        failed.iter().all(|f| *f == 0),
+        "after the cut: {failures:#?}"
+    );
     let ended = fleet.platform.engines.iter().any(|t| t.has_ended());
     assert!(!ended);
 }
@@ -182,10 +219,11 @@
             }
         }
         fleet.send_for(DETECTION_TIME).await;
-        let failed = fleet.failures_percent().await;
+        let failures = fleet.failures().await;
+        let failed = percents(&failures);
         assert!(
             failed.iter().all(|f| *f <= MAX_FAILURES_PERCENT),
-            "failed in percent, by node, all but {connected} cut off: {failed:?}"
+            "failed in percent, by node, all but {connected} cut off: {failed:?} {failures:#?}"
         );
     }
 }
