--- a/crates/azuresaddle-edge/src/placement/tests/split_views.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/split_views.rs
@@ -81,12 +81,15 @@
 /// Guards against an owner that places on a full engine since it hears a node again but has dropped that node's streams.
 #[tokio::test(start_paused = true)]
 async fn an_owner_knows_the_streams_of_a_node_that_it_hears_again_before_it_places() {
-    let mut fleet = TestFleet::open(&[3, 3, 3], 1);
-    let _first = within(SOON, fleet.node(1).place()).await.expect("placed");
-    split(&mut fleet);
-    let placing = fleet.node(1).place();
-    tokio::time::sleep(SILENCE).await;
-    heal(&mut fleet);
-    tokio::time::sleep(SYNC_TIME).await;
-    assert!(!placing.is_finished());
+    // Whether the request or the list of streams arrives first differs from time to time.
+    for _ in 0..40 {
+        let mut fleet = TestFleet::open(&[3, 3, 3], 1);
+        let _first = within(SOON, fleet.node(1).place()).await.expect("placed");
+        split(&mut fleet);
+        let placing = fleet.node(1).place();
+        tokio::time::sleep(SILENCE).await;
+        heal(&mut fleet);
+        tokio::time::sleep(SYNC_TIME).await;
+        assert!(!placing.is_finished());
+    }
 }
