A node that has lost its paths is no longer believed about targets

Callers saw: when the node that others connect through is cut off as well, several nodes refused plain requests, or all nodes refused streams, for more than 3 s (503, not run) while another node reached all targets.

Cause: a node that has opened a connection for this one is known to reach targets for 5 s, and its word alone shows that a target is down. Cut off meanwhile, it refuses each target until enough of its own failures count; believing it, this node marks its failures as targets that are down, no longer counts as cut off, asks nobody else, and in turn tells other nodes that targets are down. It also reports sound engines as failed.

Change: a node that several targets in a row refuse, while this node connects to none directly, is no longer known to reach targets, and what it told of them is forgotten; other nodes are asked. The first two refusals in a row are still believed.

refusals_of_a_node_that_has_lost_its_paths_are_not_believed failed before, at the third refusal. refusals_of_a_node_that_reaches_other_targets_are_believed held before as well.

--- a/crates/azuresaddle-sched/src/paths/mod.rs
+++ b/crates/azuresaddle-sched/src/paths/mod.rs
@@ -102,7 +102,7 @@
 
     /// Records a connection through the node `peer`. Returns whether this shows that the direct path is lost.
     pub fn on_tunneled(&mut self, now: Instant, target: &HostName, peer: u64) -> bool {
-        self.peers.entry(peer).or_default().reached_at = Some(now);
+        self.peers.entry(peer).or_default().on_reached(now);
         let Some(path) = self.failed.get_mut(target) else {
             return false;
         };
@@ -126,6 +126,7 @@
         refused_by: &[u64],
         is_last: bool,
     ) -> bool {
+        self.distrust_cut_off_peers(now, target, refused_by);
         let is_known = |peer: &u64| self.peers.get(peer).is_some_and(|r| r.reaches(now));
         let is_believed = refused_by.iter().any(is_known)
             || ((is_last || refused_by.len() >= REFUSALS_TO_BELIEVE) && !self.is_cut_off(now));
@@ -138,6 +139,30 @@
         is_believed
     }
 
+    /// Records refusals. Forgets that a node reaches targets, and what it told, once several targets in a row have refused it
+    /// while this node reaches none either: it has rather lost its paths as well.
+    fn distrust_cut_off_peers(&mut self, now: Instant, target: &HostName, refused_by: &[u64]) {
+        for peer in refused_by {
+            let Some(record) = self.peers.get_mut(peer).filter(|r| r.reaches(now)) else {
+                continue;
+            };
+            record.refused.insert(target.clone());
+            let connected_at = self.connected_at;
+            let in_a_row = |path: &&mut DirectPath| {
+                path.counts(now) && connected_at.is_none_or(|at| path.failed_at > at)
+            };
+            let refused = self.failed.iter_mut();
+            let refused = refused.filter(|(target, _)| record.refused.contains(*target));
+            let refused: Vec<_> = refused.map(|(_, path)| path).filter(in_a_row).collect();
+            if refused.len() >= CUT_OFF_TARGETS {
+                for path in refused {
+                    path.down_until = None;
+                }
+                record.on_failed(now);
+            }
+        }
+    }
+
     /// Whether several targets failed in a row, which rather shows that this node has lost its paths.
     pub fn is_cut_off(&self, now: Instant) -> bool {
         let in_a_row = |path: &&DirectPath| {
@@ -185,6 +210,9 @@
     /// Drops what is known of targets and nodes that no longer exist.
     pub fn retain(&mut self, is_target: impl Fn(&HostName) -> bool, is_node: impl Fn(u64) -> bool) {
         self.failed.retain(|target, _| is_target(target));
+        for peer in self.peers.values_mut() {
+            peer.refused.retain(&is_target);
+        }
         self.peers.retain(|node, _| is_node(*node));
     }
 }
--- a/crates/azuresaddle-sched/src/paths/tunnel_peer.rs
+++ b/crates/azuresaddle-sched/src/paths/tunnel_peer.rs
@@ -1,7 +1,9 @@
 //! A node through which connections to targets can be opened.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
+use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
 /// Time for which a node that connected to a target is known to reach targets.
@@ -23,7 +25,9 @@
 #[derive(Debug, Default)]
 pub(super) struct TunnelPeer {
     /// When it last connected to a target for this node.
-    pub(super) reached_at: Option<Instant>,
+    reached_at: Option<Instant>,
+    /// Targets that have refused it since then.
+    pub(super) refused: HashSet<HostName>,
     avoided_until: Option<Instant>,
 }
 
@@ -47,8 +51,14 @@
         self.reached_at.is_some_and(|at| now < at + REACH_MEMORY)
     }
 
+    pub(super) fn on_reached(&mut self, now: Instant) {
+        self.reached_at = Some(now);
+        self.refused.clear();
+    }
+
     pub(super) fn on_failed(&mut self, now: Instant) {
         self.reached_at = None;
+        self.refused.clear();
         self.avoided_until = Some(now + AVOIDANCE_TIME);
     }
 }
--- a/crates/azuresaddle-sched/tests/suite/paths.rs
+++ b/crates/azuresaddle-sched/tests/suite/paths.rs
@@ -132,3 +132,49 @@
         [5, 4, 2, 3, 6, 1]
     );
 }
+
+/// Guards against requests that are refused for seconds because the node that connected for this one is cut off as well.
+#[tokio::test(start_paused = true)]
+async fn refusals_of_a_node_that_has_lost_its_paths_are_not_believed() {
+    let mut paths = cut_off_from(3);
+    for n in 0..3 {
+        paths.on_tunneled(Instant::now(), &target(n), PEER);
+    }
+    advance(Duration::from_secs(1)).await;
+    for n in 0..2 {
+        paths.on_failed(Instant::now(), &target(n));
+        assert!(paths.on_refused(Instant::now(), &target(n), &[PEER], false));
+    }
+    paths.on_failed(Instant::now(), &target(2));
+    assert!(!paths.on_refused(Instant::now(), &target(2), &[PEER], false));
+    assert!(paths.is_cut_off(Instant::now()));
+    let others = [PEER, 8].map(|node| TunnelCandidate {
+        node,
+        is_same_domain: true,
+    });
+    assert_eq!(paths.rank_peers(Instant::now(), &others), [8, PEER]);
+    for n in 0..3 {
+        assert_ne!(paths.plan(Instant::now(), &target(n)), PathPlan::DirectOnly);
+        assert!(!paths.on_refused(Instant::now(), &target(n), &[PEER, 8], true));
+    }
+}
+
+/// Guards against crashes that are not counted because the node that tells of them counts as cut off.
+#[tokio::test(start_paused = true)]
+async fn refusals_of_a_node_that_reaches_other_targets_are_believed() {
+    let mut paths = cut_off_from(4);
+    for n in 0..9 {
+        paths.on_tunneled(Instant::now(), &target(3), PEER);
+        let down = target(n % 3);
+        paths.on_failed(Instant::now(), &down);
+        assert!(paths.on_refused(Instant::now(), &down, &[PEER], false));
+    }
+    // A node that reaches targets itself is not cut off, and believes any number of refusals.
+    let mut paths = cut_off_from(6);
+    paths.on_tunneled(Instant::now(), &target(0), PEER);
+    advance(Duration::from_millis(1)).await;
+    paths.on_connected(Instant::now(), &target(9));
+    for n in 0..6 {
+        assert!(paths.on_refused(Instant::now(), &target(n), &[PEER], false));
+    }
+}
