One crash apart from other suspects, before shared ones, may be chance

A quarantine was short only where each crash of the request is shared with another suspect. One crash of a target that ended by itself made it long, so no run could clear the request any more.

The quarantine is short as well where one crash is apart and the last one is shared. A crash apart after a short quarantine still calls for the long one, as its test says.

A request that crashes targets and had others of its weight beside it on all but an early one is tried again once after seconds.

--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -190,7 +190,8 @@
     /// The kind of quarantine that the evidence calls for: a short one if the request may be harmless.
     ///
     /// A request that all callers send may have been on every target that a cause crashed. It shares
-    /// each of its crashes then, and only a run apart from the others tells which of them is the cause.
+    /// each of its crashes then, or all but one that was chance, and only a later run apart from the others tells which of
+    /// them is the cause.
     pub(super) fn quarantine_kind(
         &self,
         fingerprint: Fingerprint,
@@ -208,7 +209,10 @@
             // The requests with the part are on all its targets; only its own successful runs speak for it.
             return QuarantineKind::of(evidence);
         }
-        if !evidence.reaches_crash_limit() && record.crashed_incarnations().all(is_shared) {
+        let crashes: Vec<bool> = record.crashed_incarnations().map(is_shared).collect();
+        let apart = crashes.iter().filter(|is_shared| !**is_shared).count();
+        let may_be_harmless = apart < INCRIMINATING_CRASHES && crashes.last() == Some(&true);
+        if !evidence.reaches_crash_limit() && may_be_harmless {
             return QuarantineKind::Short;
         }
         QuarantineKind::of(evidence)
--- a/crates/azuresaddle-sched/tests/suite/quarantine.rs
+++ b/crates/azuresaddle-sched/tests/suite/quarantine.rs
@@ -324,3 +324,19 @@
     assert!(quarantine.status(now, request(1)).is_quarantined());
     assert!(quarantine.status(now, request(2)).is_quarantined());
 }
+
+/// A harmless request that all callers send was on a target that crashed by itself, then on three targets beside a cause. It was
+/// held back for ten minutes and more.
+#[tokio::test(start_paused = true)]
+async fn one_crash_apart_before_shared_ones_keeps_a_request_back_for_seconds_only() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    quarantine.on_crash(now, crash(1, 0));
+    for target in 1..4 {
+        quarantine.on_crash(now, crash(1, target));
+        quarantine.on_crash(now, crash(2, target));
+    }
+    assert!(quarantine.status(now, request(1)).is_quarantined());
+    let later = now + Duration::from_secs(7);
+    assert!(!quarantine.status(later, request(1)).is_quarantined());
+}
