--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -66,12 +66,13 @@
         weight: f64,
         until: Option<Instant>,
     ) -> bool {
-        if self.weight_until(cause, until) <= weight {
-            return false;
-        }
-        let part = self.records.get(&cause);
-        let part = part.filter(|_| cause.is_prompt_part());
-        !part.is_some_and(|part| self.explains_part(fingerprint, part))
+        let record = self.records.get(&cause);
+        record.is_some_and(|r| {
+            r.evidence_with(self.crashes_until(r, until).count())
+                .weight()
+                > weight
+                && !(cause.is_prompt_part() && self.explains_part(fingerprint, r))
+        })
     }
 
     /// Whether a request explains several crashes of a part.
@@ -83,8 +84,8 @@
 
     /// Requests that explain several of these crashes of a part each, which are removed.
     ///
-    /// A request that has enough crashes for a quarantine by itself explains them as well as the part does. Together they
-    /// count as one crash of the part, which only other requests with it can incriminate.
+    /// A request that may hold the part and has enough crashes for a quarantine by itself explains them as well as the
+    /// part does. Together they count as one crash of the part, which only other requests with it can incriminate.
     fn requests_explaining_part(
         &self,
         part: &Record,
@@ -116,8 +117,8 @@
         }
         let explains = |request: &Fingerprint, shared: &SharedCrashes| {
             shared.all > 1
-                && self.weight_until(*request, Some(part.last_crash_at()))
-                    >= SUFFICIENT_CRASHES as f64
+                && self.weight(*request) >= SUFFICIENT_CRASHES as f64
+                && self.may_hold(*request, part)
         };
         let best = shared
             .into_iter()
@@ -126,6 +127,12 @@
         best.map(|(request, _)| request)
     }
 
+    /// Whether a request may hold a part of prompts: it has crashed no target without the part.
+    fn may_hold(&self, request: Fingerprint, part: &Record) -> bool {
+        let record = self.records.get(&request);
+        record.is_some_and(|r| part.includes_crashes_of(r))
+    }
+
     /// Requests and parts that a crashed target was running.
     fn requests_on(&self, incarnation: &TargetIncarnation) -> impl Iterator<Item = Fingerprint> {
         let crashed = self.crashed_targets.get(incarnation);
@@ -190,8 +197,7 @@
     /// The kind of quarantine that the evidence calls for: a short one if the request may be harmless.
     ///
     /// A request that all callers send may have been on every target that a cause crashed. It shares
-    /// each of its crashes then, or all but one that was chance, and only a later run apart from the others tells which of
-    /// them is the cause.
+    /// each of its crashes then, and only a run apart from the others tells which of them is the cause.
     pub(super) fn quarantine_kind(
         &self,
         fingerprint: Fingerprint,
@@ -209,10 +215,7 @@
             // The requests with the part are on all its targets; only its own successful runs speak for it.
             return QuarantineKind::of(evidence);
         }
-        let crashes: Vec<bool> = record.crashed_incarnations().map(is_shared).collect();
-        let apart = crashes.iter().filter(|is_shared| !**is_shared).count();
-        let may_be_harmless = apart < INCRIMINATING_CRASHES && crashes.last() == Some(&true);
-        if !evidence.reaches_crash_limit() && may_be_harmless {
+        if !evidence.reaches_crash_limit() && record.crashed_incarnations().all(is_shared) {
             return QuarantineKind::Short;
         }
         QuarantineKind::of(evidence)
@@ -223,15 +226,6 @@
         record.map_or(0.0, |r| r.evidence().weight())
     }
 
-    /// Net evidence against a request or a part by its crashes up to `until`.
-    fn weight_until(&self, fingerprint: Fingerprint, until: Option<Instant>) -> f64 {
-        let record = self.records.get(&fingerprint);
-        record.map_or(0.0, |r| {
-            let crashes = self.crashes_until(r, until).count();
-            r.evidence_with(crashes).weight()
-        })
-    }
-
     /// Number of targets that crashed recently without the request and without any request whose net evidence exceeds
     /// one crash.
     ///
