Comments: plain requests, in the usual terms

Several comments named a rule only by its result ('that of the other sends', 'if only so many bytes were taken'). They now say who does what and why. No code changes.

--- a/crates/azuresaddle-core/src/byte_budget/budget.rs
+++ b/crates/azuresaddle-core/src/byte_budget/budget.rs
@@ -28,7 +28,7 @@
     total: u64,
     held: Mutex<Held>,
     returned: Notify,
-    /// Notified when bytes of a request do not fit.
+    /// Notified when the budget has no room for bytes of a request.
     refused: Notify,
 }
 
@@ -100,7 +100,7 @@
         fits
     }
 
-    /// Waits until bytes of a request do not fit.
+    /// Waits until the budget next has no room for bytes of a request. Refusals before this call don't count.
     pub async fn until_refused(&self) {
         self.0.refused.notified().await;
     }
--- a/crates/azuresaddle-edge/src/flow/write_progress.rs
+++ b/crates/azuresaddle-edge/src/flow/write_progress.rs
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Makes all later writes fail if only so many bytes were taken so far. Returns whether it does.
+    /// Makes all later writes fail if exactly `written` bytes were taken so far. Returns whether later writes fail.
     pub(crate) fn close_at(&self, written: u64) -> bool {
         let mut state = self.lock();
         state.is_closed |= state.written == written;
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -16,8 +16,8 @@
 use crate::flow::WriteProgress;
 use crate::targets::{ConnectError, Connection};
 
-/// Time without taking bytes of a request after which a target has stopped taking it. A sound target may be silent for more
-/// than a second.
+/// Longest time for which a target may take no bytes of a request before it counts as stalled. A sound target may pause for
+/// more than a second.
 const MAX_WRITE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Time for which a target that takes no bytes gets no further requests.
@@ -38,7 +38,7 @@
     InBackOff,
     /// The node stops, so the request was not sent.
     Stopping,
-    /// As many targets as the route allows have got the request meanwhile, so it was not sent.
+    /// As many targets as the route allows already have the request, so it was not sent.
     Superfluous,
     /// The target answered that it did not run the request.
     Declined {
@@ -54,8 +54,8 @@
     TimedOut,
     /// The target was silent, and another one has answered first. The request may have run.
     Overtaken,
-    /// The target stopped taking the bytes of the request: it has taken none, so the request did not run, or their memory is
-    /// needed.
+    /// The target stopped taking the bytes of the request. Either it has taken none, so the request did not run, or the memory
+    /// of the bytes is needed for other requests.
     Stalled { was_taken: bool },
     /// The node had no memory left for the answer until the timeout. The request may have run.
     NoRoom,
@@ -212,8 +212,10 @@
     checked.map(|()| response)
 }
 
-/// Waits until a target has stopped taking a request and the request is to be ended: at once if it has taken none of it, so
-/// that the request will never run there, and otherwise if its memory is needed for other requests.
+/// Waits until a stalled target gives a reason to end its request, and returns the failure.
+///
+/// If the target has taken no bytes, the request ends at once, since it did not run there. Otherwise it ends when its memory is
+/// needed for other requests.
 async fn until_stalled<N: Network>(
     cx: &Forwarder<N>,
     target: &TargetEntry,
--- a/crates/azuresaddle-edge/src/forward/disconnect_log.rs
+++ b/crates/azuresaddle-edge/src/forward/disconnect_log.rs
@@ -16,7 +16,7 @@
     progress: Arc<AnswerProgress>,
 }
 
-/// How far an answer is.
+/// Progress of an answer to a caller.
 #[derive(Debug, Default)]
 pub(super) struct AnswerProgress {
     is_complete: AtomicBool,
--- a/crates/azuresaddle-edge/src/forward/hedge.rs
+++ b/crates/azuresaddle-edge/src/forward/hedge.rs
@@ -15,12 +15,12 @@
 use super::send_history::SendHistory;
 use super::sends_in_flight::{PlainSend, SendsInFlight};
 
-/// Pause before the next search for another target, while none or no retry is left.
+/// Pause between searches for another target, while no target or no retry is available.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 
-/// What a search for another target needs to know of the sends in flight.
+/// A search for another target for a request, with the state of the sends in flight at its start.
 pub(super) struct HedgeSearch {
-    /// Whether each target has been silent for too long.
+    /// One per target; set once the target has been silent for too long.
     silences: Vec<watch::Receiver<bool>>,
     /// Targets that have the request.
     targets: Vec<HostName>,
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Waits until all targets that have the request are silent, then for another one, and takes a retry for it.
+    /// Waits until all targets that have the request are silent and another target is available, and takes a retry for it.
     ///
     /// Never returns if the request must not be sent again.
     pub(super) async fn run<N: Network>(
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Another target with a retry for it, if there are both now.
+    /// Chooses another target and takes a retry for it; `None` if there is no target or no retry now.
     async fn try_choose<N: Network>(
         &self,
         cx: &Forwarder<N>,
@@ -85,9 +85,8 @@
 
 /// Records the sends that were cancelled because another target answered with `winner`.
 ///
-/// A target that was silent before the winner had the request is at fault if the winner answered as soon as it usually
-/// does. If the winner was slow as well, it may be the same cause that held up both, and the answer of the other one may
-/// have been about to come.
+/// A target that got the request before the winner counts as failed if the winner answered as fast as usual. If the winner was
+/// slow too, the same cause may have delayed both, and the other answer may have been about to arrive.
 pub(super) fn record_cancelled<N: Network>(
     cx: &Arc<Forwarder<N>>,
     req: &Arc<ForwardRequest>,
--- a/crates/azuresaddle-edge/src/forward/pending_crash_checks.rs
+++ b/crates/azuresaddle-edge/src/forward/pending_crash_checks.rs
@@ -1,4 +1,4 @@
-//! Crash checks that run beside the other sends of their request.
+//! Crash checks that run while other sends of the same request are in flight.
 
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 use super::head::ForwardRequest;
 use super::sends_in_flight::PlainSend;
 
-/// Crash checks of one request. They go on if the request ends first, so that no crash is missed.
+/// Crash checks of one request. They continue after the request ends, so that no crash is missed.
 #[derive(Default)]
 pub(super) struct PendingCrashChecks(Vec<oneshot::Receiver<()>>);
 
--- a/crates/azuresaddle-edge/src/forward/plain_request.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_request.rs
@@ -31,7 +31,7 @@
     End(Response<ProxyBody>),
 }
 
-/// A request to a plain service, beside its sends in flight.
+/// State of a request to a plain service, without its sends in flight.
 pub(super) struct PlainRequest<'a, N: Network> {
     cx: &'a Arc<Forwarder<N>>,
     req: &'a Arc<ForwardRequest>,
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Waits for what comes next, beside the sends in flight.
+    /// Waits for the next step: a send ends, another send is due, or the request ends.
     pub(super) async fn next<F: Future<Output = SendResult>>(
         &mut self,
         sends: &mut SendsInFlight<F>,
@@ -92,7 +92,7 @@
         Next::Send(chosen)
     }
 
-    /// Longest wait for a connection to a target that gets the request beside `sends`.
+    /// Longest wait for a connection to a target that gets the request while `sends` are in flight.
     pub(super) fn connect_limit<F>(
         &self,
         sends: &SendsInFlight<F>,
@@ -103,7 +103,7 @@
         connect_limit(self.cx, self.req, target, &exclude, may_retry)
     }
 
-    /// Handles an answer; returns it for the caller unless it is a server error and another one may follow.
+    /// Handles an answer. Returns it for the caller, unless it is a server error and another answer may follow.
     pub(super) fn on_answer<F>(
         &mut self,
         sends: &mut SendsInFlight<F>,
@@ -134,15 +134,15 @@
         Some(answer.into_response())
     }
 
-    /// Whether another answer may follow one with a server error, beside `in_flight` other sends; takes a retry if it has
-    /// to be asked for.
+    /// Whether another answer may follow a server error: one of the `in_flight` other sends, or of a new send, for which this
+    /// takes a retry.
     fn may_follow_server_error(&mut self, in_flight: usize) -> bool {
         in_flight > 0
             || (self.history.may_run_again(self.req, 1)
                 && self.history.try_take_retry(self.cx, self.req))
     }
 
-    /// Handles a failed send; returns an answer of the node if no send may follow, and none is in flight.
+    /// Handles a failed send. Returns an answer of the node if no other send is in flight and none may follow.
     pub(super) async fn on_failure<F>(
         &mut self,
         sends: &SendsInFlight<F>,
@@ -169,7 +169,7 @@
         Some(history.give_up_after(cx, req, failure))
     }
 
-    /// Logs that silent targets have the request and another one gets it as well.
+    /// Logs that another target gets the request because those that have it are silent.
     pub(super) fn log_hedge<F>(&self, sends: &SendsInFlight<F>, target: &TargetEntry) {
         if sends.is_empty() {
             return;
--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -87,7 +87,7 @@
     result
 }
 
-/// Logs that another target is sought for a request, since `target` is silent.
+/// Logs that `target` is silent, so that another target is searched for the request.
 fn log_silence(req: &ForwardRequest, target: &TargetEntry) {
     tracing::info!(
         part = "forward",
@@ -204,7 +204,9 @@
     })
 }
 
-/// Reads the body of an answer. One without a server error that finds no room gets that of the other sends of the request.
+/// Reads the body of an answer.
+///
+/// If the byte budget has no room for an answer without a server error, the other sends of the request give up their memory.
 async fn read_answer<N: Network>(
     cx: &Forwarder<N>,
     req: &ForwardRequest,
--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -22,7 +22,7 @@
 /// Longest wait for a new reservation. All helpers may be silent for more than a second although they are sound.
 const RESERVE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Longest wait for a new reservation on the other helpers once half of them have answered, which shows that not all are
+/// Longest wait for the remaining helpers once half of them have answered a new reservation, which shows that not all are
 /// silent.
 const MAX_LAG: Duration = Duration::from_millis(400);
 
--- a/crates/azuresaddle-edge/src/forward/retry_budget.rs
+++ b/crates/azuresaddle-edge/src/forward/retry_budget.rs
@@ -17,8 +17,8 @@
 /// Limits the retries of each service in a sliding window.
 ///
 /// Nodes don't coordinate: each may retry the configured ratio of its own requests, plus an equal share of the fixed
-/// number of extra retries. The share is that of the largest number of nodes in the window, since retries of nodes that
-/// have left count until the window has passed.
+/// number of extra retries. The shares are those for the largest number of nodes in the window, since the retries of nodes
+/// that have left count until the window has passed.
 pub(crate) struct RetryBudget {
     bounds: Bounds,
     state: Mutex<State>,
@@ -26,6 +26,7 @@
 
 #[derive(Default)]
 struct State {
+    /// Number of nodes that share the extra retries.
     nodes: SlidingMax,
     services: HashMap<Arc<str>, Window>,
 }
--- a/crates/azuresaddle-edge/src/forward/room_claims.rs
+++ b/crates/azuresaddle-edge/src/forward/room_claims.rs
@@ -1,10 +1,10 @@
-//! Memory for the answers to one request that several targets have.
+//! Frees memory for one of several answers to the same request.
 
 use tokio::sync::watch;
 
-/// Lets an answer that finds no room in the byte budget have that of the other answers to the same request.
+/// Lets an answer for which the byte budget has no room use the memory of the other answers to the same request.
 ///
-/// Otherwise half an answer of a target that has fallen silent could keep a whole one from being read.
+/// Otherwise a partial answer of a target that has become silent could keep a complete one from being read.
 #[derive(Default)]
 pub(super) struct RoomClaims(watch::Sender<()>);
 
--- a/crates/azuresaddle-edge/src/forward/send_history.rs
+++ b/crates/azuresaddle-edge/src/forward/send_history.rs
@@ -13,7 +13,7 @@
 use super::plain_send::{ChosenTarget, TargetAnswer};
 use super::problem::{problem_response, refusal};
 
-/// Most sends of one request after which it did not run. Each of them takes up the caller's time.
+/// Maximum number of sends of one request after which it did not run. Each of them takes up the caller's time.
 const MAX_DECLINED: u32 = 4;
 
 /// `Retry-After` if all targets declined: about the time that one request takes.
@@ -33,7 +33,8 @@
     runs: u32,
     /// Sends after which it did not.
     declined: u32,
-    /// Those of the declined sends that got no connection in time, or none while other targets were left.
+    /// Declined sends that got no connection in time, or none while other targets were left. They don't count towards
+    /// [`MAX_DECLINED`].
     unsent: u32,
     /// Whether a send did not reach its target, so that the next one needs no retry.
     has_unused_send: bool,
@@ -41,18 +42,18 @@
 }
 
 impl SendHistory {
-    /// Sends that have ended.
+    /// Number of sends that have ended.
     pub(super) fn sends(&self) -> u32 {
         self.runs + self.declined
     }
 
-    /// Targets that are not to get the request, beside those of the sends in flight to `others`.
+    /// Targets that the request is not sent to now, including `others`, the targets of the sends in flight.
     pub(super) fn tried(&self, others: &[HostName]) -> Vec<HostName> {
         [&self.exclude[..], &self.unconnected, others].concat()
     }
 
-    /// Chooses a target beside the sends in flight to `others`: one that had no send, or else one that accepted no connection
-    /// and may only be paused. An answer with a server error is not held back for such a target.
+    /// Chooses a target while sends to `others` are in flight: one that had no send, or else one that accepted no connection
+    /// and may only be paused. A server error is returned to the caller rather than trying such a target.
     pub(super) async fn choose_target<N: Network>(
         &mut self,
         cx: &Forwarder<N>,
@@ -74,7 +75,7 @@
         self.unconnected.len() < before
     }
 
-    /// Whether the request may run on one more target, beside `in_flight` sends.
+    /// Whether the request may run on one more target while `in_flight` sends are in flight, the retry budget aside.
     pub(super) fn may_run_again(&self, req: &ForwardRequest, in_flight: usize) -> bool {
         req.is_idempotent()
             && self.runs as usize + in_flight < req.route.max_attempts as usize
@@ -95,14 +96,14 @@
         std::mem::take(&mut self.has_unused_send) || cx.try_take_retry(&req.service)
     }
 
-    /// Records an answer with a server error, while the request may still get another one.
+    /// Records an answer with a server error. It is kept for the caller in case no better answer follows.
     pub(super) fn on_server_error(&mut self, target: &HostName, answer: TargetAnswer) {
         self.runs += 1;
         self.exclude.push(target.clone());
         self.last_failure = Some(answer);
     }
 
-    /// Records a failed send, beside those that are in flight to the targets `others`.
+    /// Records a failed send while those to `others` are in flight.
     pub(super) fn on_failed<N: Network>(
         &mut self,
         cx: &Forwarder<N>,
--- a/crates/azuresaddle-edge/src/forward/target_call.rs
+++ b/crates/azuresaddle-edge/src/forward/target_call.rs
@@ -16,7 +16,7 @@
 use super::attempt::{SendFailure, keep_alive};
 use super::forwarder::Forwarder;
 
-/// Usual wait for an answer. Targets answer these calls immediately.
+/// Default timeout of a call. Targets answer these calls immediately.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Longest answer, in bytes.
