Comments: streams, placement, health and quarantine, in the usual terms

Comments said 'go on', 'fall silent', 'rather lost' or 'hold' where the reader needs the rule, the reason or the unit. They now state these. No code changes.

--- a/crates/azuresaddle-edge/src/control/unheard_hosts.rs
+++ b/crates/azuresaddle-edge/src/control/unheard_hosts.rs
@@ -6,15 +6,16 @@
 
 use tokio::time::Instant;
 
-/// Time for which a host counts as running that fell silent without a shutdown. A crash and a
-/// network partition look alike, so it is longer than a partition usually lasts; it is limited so
-/// that hosts that never return don't add up.
+/// Time for which a host that became silent without a shutdown still counts as running. A crash and
+/// a network partition look alike, so it is longer than a partition usually lasts; it is limited so
+/// that hosts that never return don't accumulate.
 const RETENTION: Duration = Duration::from_secs(3600);
 
-/// Seeds that never answered, hosts known only by digest, and hosts that fell silent without a
+/// Seeds that never answered, hosts known only by digest, and hosts that became silent without a
 /// shutdown.
 #[derive(Debug)]
 pub(super) struct UnheardHosts {
+    /// When each host was last assumed to be running.
     known_at: HashMap<Ipv4Addr, Instant>,
 }
 
@@ -39,6 +40,7 @@
         self.known_at.remove(&ip);
     }
 
+    /// Removes the hosts that no longer count as running.
     pub(super) fn expire(&mut self, now: Instant) {
         self.known_at
             .retain(|_, at| now.saturating_duration_since(*at) < RETENTION);
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -18,8 +18,8 @@
 use crate::forward::problem::{problem_response, refusal};
 
 impl<N: Network> Relay<N> {
-    /// Records a lost answer, and returns the outcome to report to the owner. Whether the target has crashed of the request or
-    /// of `parts` of its prompt is checked beside what follows.
+    /// Records a lost answer, and returns the outcome to report to the owner. A background task checks whether the request or
+    /// `parts` of its prompt crashed the target.
     pub(super) fn record_loss(
         &self,
         target: &Arc<TargetEntry>,
@@ -43,7 +43,8 @@
         self.outcome_of(target.id.clone(), &failure)
     }
 
-    /// Records a send without an answer. Returns a check whether a target has crashed, if one may have.
+    /// Records a send without an answer. Returns the crash check of the target or helper that the request may have crashed, if
+    /// there is one.
     pub(super) fn record_failed_send(
         &self,
         target: &Arc<TargetEntry>,
@@ -123,7 +124,7 @@
             && (self.start_tx.is_some() || self.last_relayed_id.is_some())
     }
 
-    /// If all targets have declined the request, waits until they may be asked again.
+    /// If all targets have declined the request, waits for a while and then allows further sends to them.
     pub(super) async fn await_declined(&self) {
         let snapshot = self.cx.snapshots.load();
         let targets = snapshot.targets.of_service(&self.req.service);
@@ -142,7 +143,7 @@
         }
     }
 
-    /// Targets that must not get the request.
+    /// Targets of the service that must not get the request now.
     pub(super) fn excluded(&self) -> Vec<HostName> {
         let snapshot = self.cx.snapshots.load();
         let targets = snapshot.targets.of_service(&self.req.service);
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -1,8 +1,8 @@
 //! Requests that are answered with a stream of events.
 //!
 //! A relay task sends the request and forwards complete events as they arrive. If a send fails and the route allows a
-//! retry, it resumes the stream at another target after the last forwarded event. While a target is silent, its answer is
-//! awaited beside that of another one, and the first to send events goes on.
+//! retry, it resumes the stream at another target after the last forwarded event. While a target is silent, the request is
+//! also sent to another one, and the stream continues with the first of them that sends events.
 
 mod finish;
 mod open;
@@ -41,10 +41,10 @@
 use sends::StreamSends;
 use takeover::{AnswerEnd, Takeover};
 
-/// Most sends of one request after which it did not run.
+/// Maximum number of sends of one request after which it did not run.
 const MAX_DECLINED: u32 = 5;
 
-/// Time after which targets that have all declined a request are asked again: about the time that a short one takes.
+/// Time after which a request that all targets have declined is sent to them again: about the duration of a short request.
 const DECLINED_PAUSE: Duration = Duration::from_millis(300);
 
 /// Target for the longest pause between events, if the route states none.
--- a/crates/azuresaddle-edge/src/forward/stream/open.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/open.rs
@@ -25,8 +25,8 @@
 use crate::forward::reservations::{Reservations, reserve};
 use crate::targets::Connection;
 
-/// Time for a reservation of memory after which other targets are asked: many round trips, and a part of the time that a long
-/// prompt may take.
+/// Time after which other targets are asked if a reservation of memory has not ended: many round trips, but only a part of the
+/// time that a long prompt may take.
 const MAX_RESERVATION_SILENCE: Duration = Duration::from_millis(400);
 
 /// Longest failure answer (without events) that is accepted, in bytes.
@@ -40,7 +40,7 @@
     pub(super) rest: TargetEvents,
 }
 
-/// How an answer was lost.
+/// Why a target's answer is not complete.
 pub(super) enum Loss {
     /// The target ran the request and answered with a failure.
     ServerError(Box<Response<ProxyBody>>),
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Takes the bytes of a received chunk from the budget, once it has them.
+    /// Waits until the budget has room for the bytes of a received chunk, and takes them.
     ///
     /// # Errors
     /// If no bytes become free until the request's deadline.
--- a/crates/azuresaddle-edge/src/forward/stream/relay.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/relay.rs
@@ -25,7 +25,7 @@
     /// Sends the request to the targets of a placement, unless they have already begun to answer, and relays the answer.
     ///
     /// # Errors
-    /// If the answer does not go on at these targets.
+    /// If these targets don't complete the answer.
     pub(super) async fn send(
         &mut self,
         placement: &Placement<N>,
@@ -62,7 +62,8 @@
         Ok(self.events.end()?)
     }
 
-    /// Waits for the next events; `None` at the end of the answer. Time in which the target is not read is no silence.
+    /// Waits for the next events; `None` at the end of the answer. Time in which the node does not read from the target does not
+    /// count as silence.
     async fn next_events(
         &self,
         events: &mut TargetEvents,
@@ -92,7 +93,7 @@
         }
     }
 
-    /// Silence of a target, which has sent events, after which others are asked.
+    /// Silence after which other targets are asked once a target has sent events.
     pub(super) fn max_silence(&self) -> Duration {
         (self.pause_target() * SILENCE_PAUSES).max(MIN_SILENCE)
     }
--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -41,15 +41,15 @@
 enum RunState {
     /// The target has the request.
     InFlight,
-    /// Given up since another target went on with the stream. The target may get the request again.
+    /// Cancelled because the stream continued at another target. This target may get the request again.
     Cancelled,
     /// The target gave no whole answer.
     Lost,
 }
 
 impl StreamSends {
-    /// Counts a send, after which the request may have run unless it turns out otherwise. Returns `false` if `max_targets`
-    /// others may have run it, or this one has it or lost it.
+    /// Counts a send, whose request may run from now on. Returns `false` if `max_targets` other targets may have run it, or
+    /// if this one has it now or lost its answer.
     pub(super) fn try_send(&self, target: &HostName, max_targets: u32) -> bool {
         let mut sends = self.lock();
         if let Some(run) = sends.run_at(target) {
@@ -78,12 +78,12 @@
         }
     }
 
-    /// Records that a request was not sent, or declined, and did not run.
+    /// Records that the request did not run at a target, since it was not sent or was declined.
     pub(super) fn on_not_run(&self, target: &HostName) {
         let mut sends = self.lock();
         sends.declined += 1;
         if let Some(run) = sends.run_at(target) {
-            // If this send did not get as far as the target, the run is an earlier one.
+            // If this send never reached the target, the recorded run is that of an earlier send.
             run.is_repeated |= run.state != RunState::InFlight;
             run.state = RunState::Lost;
         }
@@ -92,7 +92,7 @@
             .retain(|run| run.target != *target || run.is_repeated);
     }
 
-    /// Records that all sends but that to `target` were given up.
+    /// Records that all sends but that to `target` were cancelled.
     pub(super) fn cancel_others(&self, target: &HostName) {
         let mut sends = self.lock();
         let runs = sends.runs.iter_mut();
@@ -106,7 +106,7 @@
         self.lock().exclude.push(target);
     }
 
-    /// Whether none of `targets` may get the request since each declined it or was at fault for that.
+    /// Whether all of `targets` are excluded, since each declined the request or made another target decline it.
     pub(super) fn excludes_all(&self, targets: &[Arc<TargetEntry>]) -> bool {
         let exclude = &self.lock().exclude;
         !targets.is_empty() && targets.iter().all(|t| exclude.contains(&t.id))
@@ -125,7 +125,7 @@
             .is_some_and(|r| r.state == RunState::InFlight)
     }
 
-    /// Whether no target may have run the request.
+    /// Whether the request is known not to have run at any target.
     pub(super) fn has_not_run(&self) -> bool {
         self.lock().runs.is_empty()
     }
@@ -156,7 +156,7 @@
         max_targets: u32,
     ) -> Vec<HostName> {
         let sends = self.lock();
-        // Another target would be one too many, so only one that has run the request may run it again.
+        // Another target would exceed the maximum, so only one that may have run the request may get it again.
         let only_repeats = sends.runs.len() >= max_targets as usize;
         let is_excluded = |target: &&HostName| match sends.find(target) {
             Some(run) => run.state != RunState::Cancelled,
--- a/crates/azuresaddle-edge/src/forward/stream/silence_timer.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/silence_timer.rs
@@ -5,7 +5,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Expires when a target has been silent for too long. It is stopped while the node waits for anything but the target.
+/// Expires when a target has been silent for too long. It is stopped while the node waits for something other than the target.
 #[derive(Debug, Default)]
 pub(super) struct SilenceTimer {
     /// When it expires; `None` while it is stopped.
--- a/crates/azuresaddle-edge/src/forward/stream/takeover.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/takeover.rs
@@ -15,7 +15,7 @@
 use super::silence_timer::SilenceTimer;
 use crate::forward::attempt::SendFailure;
 
-/// Pause before the next search, while no target or no retry is left.
+/// Pause between searches for other targets, while no target or no retry is available.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Another target that has begun to answer.
@@ -32,11 +32,11 @@
     sent_at: Instant,
 }
 
-/// Why a target's answer does not go on.
+/// Why a stream does not continue with a target's answer.
 pub(super) enum AnswerEnd<N: Network> {
     /// It is lost, and no other target has begun to answer.
     Lost(Loss),
-    /// It is lost, or was silent for too long, and another target goes on.
+    /// It is lost, or was silent for too long, and the stream continues at another target.
     TakenOver(Box<Takeover<N>>, Loss),
 }
 
@@ -47,7 +47,7 @@
 }
 
 impl<N: Network> Relay<N> {
-    /// Awaits the next events of a placement's targets, and other targets if they are silent until `silence` expires.
+    /// Waits for the next events of a placement's targets. If `silence` expires first, other targets are asked as well.
     ///
     /// # Errors
     /// If the target's answer is lost, or another target takes over.
@@ -75,7 +75,7 @@
                 Ok(Ok(events)) => Ok(events),
                 Ok(Err(loss)) => {
                     is_lost.cancel();
-                    // Another target may already work on the request.
+                    // Another target may already be running the request.
                     match tokio::time::timeout_at(deadline, takeover).await {
                         Ok(Some(takeover)) => Err(AnswerEnd::TakenOver(Box::new(takeover), loss)),
                         Ok(None) | Err(_) => Err(loss.into()),
@@ -110,7 +110,7 @@
         silent: &Placement<N>,
         is_lost: &CancellationToken,
     ) -> Option<Takeover<N>> {
-        // One of the helpers may be what holds up the lead.
+        // A helper may be what delays the lead.
         let silent = std::iter::once(&silent.target).chain(&silent.helpers);
         let mut tried: Vec<HostName> = silent.map(|t| t.id.clone()).collect();
         let mut asked = FuturesUnordered::new();
@@ -184,7 +184,7 @@
         })
     }
 
-    /// Whether another target's first event came later than expected.
+    /// Whether the first event of a takeover came later than expected.
     fn is_late(&self, takeover: &Takeover<N>) -> bool {
         let times = takeover.placement.times;
         let expected_in = times.map_or(self.req.route.latency_target, |t| t.first_event_in);
--- a/crates/azuresaddle-edge/src/forward/stream/target_events.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/target_events.rs
@@ -10,7 +10,7 @@
 use crate::forward::reservations::Reservations;
 use crate::targets::Connection;
 
-/// The rest of a target's answer, which is read event by event. The target stops working on it when this is dropped.
+/// The rest of a target's answer. Dropping it closes the connection, so that the target stops working on the request.
 pub(super) struct TargetEvents {
     pub(super) body: Incoming,
     pub(super) connection: Connection,
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -236,7 +236,7 @@
         }
     }
 
-    /// The request with the times that are left now.
+    /// Creates the message for a request, with the times that remain now.
     fn place_message(&self, id: PlacementId, req: &PlaceRequest) -> PlaceMessage {
         let now = Instant::now();
         PlaceMessage {
--- a/crates/azuresaddle-edge/src/placement/owner_silence.rs
+++ b/crates/azuresaddle-edge/src/placement/owner_silence.rs
@@ -1,17 +1,18 @@
-//! How long the owner has not answered this node.
+//! Time for which the owner has not answered this node.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// Time for which this node has not heard from the owner after which it places its streams itself. The other nodes,
-/// which may have lost the owner too, replace it sooner.
+/// Time without an answer of the owner after which this node places its streams itself. If the other nodes have lost the
+/// owner too, they replace it sooner.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(1000);
 
-/// Since when messages to the owner have failed without one that was answered.
+/// Time since which all messages to the owner have failed.
 #[derive(Debug, Default)]
 pub(super) struct OwnerSilence {
+    /// Incarnation of the owner, and when the first of these messages failed; `None` if the last one was answered.
     since: Mutex<Option<(u64, Instant)>>,
 }
 
@@ -29,7 +30,7 @@
         }
     }
 
-    /// Whether this node cannot reach the owner, which the other nodes keep.
+    /// Whether this node has not reached the owner for so long that it places its streams itself.
     pub(super) fn is_unreachable(&self, now: Instant, owner: u64) -> bool {
         let is_long = |(known, at)| known == owner && now - at >= UNREACHABLE_AFTER;
         self.lock().is_some_and(is_long)
--- a/crates/azuresaddle-edge/src/placement/owner_state.rs
+++ b/crates/azuresaddle-edge/src/placement/owner_state.rs
@@ -201,7 +201,7 @@
         Err(rate.next_token_in(now))
     }
 
-    /// Removes the streams and requests of nodes that are no longer live. A node that still waits gets no decision, and
+    /// Removes the streams and requests of nodes that are no longer live. A node that is still waiting gets no decision and
     /// sends its request again.
     pub(super) fn update_nodes(&mut self, nodes: &Arc<Vec<LiveNode>>) {
         if Arc::ptr_eq(&self.nodes, nodes) {
--- a/crates/azuresaddle-edge/src/placement/redirects.rs
+++ b/crates/azuresaddle-edge/src/placement/redirects.rs
@@ -10,12 +10,12 @@
 use super::place_request::PlaceRequest;
 use crate::peer::PlaceReply;
 
-/// Time after which the node that redirected a request is asked again: many round trips, and longer than a node that
-/// has just become the owner takes to act on it. Doubles with each time.
+/// Time without a decision after which the node that redirected a request is asked again: many round trips, and longer
+/// than a new owner takes to begin to place streams. Doubles with each check.
 const FIRST_CHECK: Duration = Duration::from_millis(50);
 
 impl<N: Network> PlacementClient<N> {
-    /// Waits for a decision of the node `named`, which the node `redirector` takes for the owner.
+    /// Waits for a decision of the node `named`, which the node `redirector` believes to be the owner.
     ///
     /// One of the two knows an earlier owner, which may have stopped, and no change of owner at this node tells which.
     /// So `redirector` is asked again while `named` does not decide, and the first decision of either counts. The other
@@ -53,7 +53,7 @@
                 check_after *= 2;
                 match reply {
                     Some(PlaceReply::Redirect { peer: again }) if again != peer => break again,
-                    // The redirecting node may have ended since.
+                    // The redirecting node may have stopped meanwhile.
                     Some(PlaceReply::Redirect { .. } | PlaceReply::NoDecision) | None => {}
                     Some(reply) => return Some(reply),
                 }
--- a/crates/azuresaddle-edge/src/targets/answer_time.rs
+++ b/crates/azuresaddle-edge/src/targets/answer_time.rs
@@ -1,4 +1,4 @@
-//! How long a target takes to answer, as far as that is known.
+//! Moving average of the time that a target takes to answer.
 
 use std::time::Duration;
 
@@ -8,13 +8,14 @@
 /// Multiple of the usual answer time from which an answer is slow.
 const SLOW_FACTOR: f64 = 4.0;
 
-/// Requests to other targets, for each target to choose from, in which an average that nothing renews loses half of its
-/// weight. The share of requests that a slow target gets is thus the same for few targets and for many.
+/// Number of requests to other targets, divided by the number of targets, after which an average without a new answer has lost
+/// half of its weight. The division gives a slow target the same share of the requests among few targets and among many.
 const HALF_LIFE_REQUESTS: f64 = 8.0;
 
 /// Moving average of a target's answer time.
 ///
-/// It loses weight while other targets get the requests, since only an answer can show that the target is no longer slow.
+/// It loses weight while other targets get the requests: the target must get some, since only an answer can show that it is no
+/// longer slow.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct AnswerTime {
     mean_ms: Option<f64>,
@@ -32,7 +33,7 @@
         self.passed_over = 0.0;
     }
 
-    /// Records a send without an answer. The target has been tried, so the average has its whole weight again.
+    /// Records a send without an answer. The target was tried, so the average regains its full weight.
     pub(super) fn on_no_answer(&mut self) {
         self.passed_over = 0.0;
     }
--- a/crates/azuresaddle-edge/src/targets/connect_silence.rs
+++ b/crates/azuresaddle-edge/src/targets/connect_silence.rs
@@ -4,10 +4,12 @@
 
 use tokio::time::Instant;
 
-/// Time without a connection after which a target counts as down. A sound target may be silent for more than a second.
+/// Time without a connection after which a target counts as down rather than paused. A sound target may pause for more than
+/// a second.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time without an attempt after which it is not known how long a target has been silent.
+/// Time between two attempts after which an earlier silence no longer counts, since the target may have accepted connections
+/// meanwhile.
 const MAX_GAP: Duration = Duration::from_secs(2);
 
 /// A time in which a target neither accepted nor refused connections.
--- a/crates/azuresaddle-edge/src/targets/health.rs
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -28,7 +28,7 @@
 /// Weight of the latest outcome in the moving average of a target's trouble.
 const TROUBLE_WEIGHT: f64 = 0.2;
 
-/// Least answer time that is told apart from others, in milliseconds; that of a target without answers.
+/// Lower bound of expected answer times, in milliseconds; also used for targets that have not answered yet.
 const MIN_ANSWER_MS: f64 = 1.0;
 
 /// Load and failures of targets, as this node observed them.
@@ -315,7 +315,8 @@
 
     /// Time that an answer is expected to take, in milliseconds; more for a target in trouble.
     fn expected_answer_ms(&self) -> f64 {
-        // While a request is there to renew the average, more of them are not sent to a target that may be slow.
+        // The answer to a request in flight will renew the average. Until then the full weight applies, so that no further
+        // requests go to a target that may be slow.
         let weight = if self.in_flight == 0 {
             self.answer_time.weight()
         } else {
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -48,7 +48,8 @@
 
 impl PassPool {
     /// Returns the retry delay if one client account has more than half of the queue, has reached
-    /// its limit, and has had requests waiting for at least [`FLOOD_AGE`] while other accounts came.
+    /// its limit, and has had requests waiting for at least [`FLOOD_AGE`], while other accounts send
+    /// requests too.
     ///
     /// When an account sends several times what the engines can handle, its requests come last in
     /// the queue, but its late requests would still fill every engine.
--- a/crates/azuresaddle-sched/src/passes/pool/streams.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/streams.rs
@@ -74,8 +74,8 @@
         }
     }
 
-    /// Whether a tracked stream runs on other engines than those it is tracked on: while the owner changes, two nodes may
-    /// place the same request.
+    /// Whether a tracked stream runs on other engines than recorded. While the owner changes, two nodes may place the same
+    /// request.
     fn is_elsewhere(&self, stream: &RunningStream) -> bool {
         let Some(placed) = self.placed_streams.get(&stream.id) else {
             return false;
--- a/crates/azuresaddle-sched/src/paths/mod.rs
+++ b/crates/azuresaddle-sched/src/paths/mod.rs
@@ -139,8 +139,9 @@
         is_believed
     }
 
-    /// Records refusals. Forgets that a node reaches targets, and what it told, once several targets in a row have refused it
-    /// while this node reaches none either: it has rather lost its paths as well.
+    /// Records targets that refused other nodes. Once several targets have refused a node in a row while this node reaches none
+    /// either, the node has probably lost its paths too: it no longer counts as reaching targets, and what it reported of them
+    /// is dropped.
     fn distrust_cut_off_peers(&mut self, now: Instant, target: &HostName, refused_by: &[u64]) {
         for peer in refused_by {
             let Some(record) = self.peers.get_mut(peer).filter(|r| r.reaches(now)) else {
--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -34,7 +34,7 @@
         record: &Record,
     ) -> Evidence {
         let own = record.evidence().weight();
-        // A part in quarantine is on no target, so what others crash meanwhile does not compare with its own crashes.
+        // A part in quarantine runs on no target, so crashes that others cause meanwhile can't be compared with its own.
         let until = fingerprint.is_prompt_part().then(|| record.last_crash_at());
         let is_unexplained = |incarnation: &TargetIncarnation| {
             let mut others = self.requests_on(incarnation).filter(|r| *r != fingerprint);
@@ -54,11 +54,11 @@
         record.evidence_with(requests.len() + unexplained.len())
     }
 
-    /// Whether there is more evidence against `cause`, with its crashes up to `until`, than `weight`, that against
+    /// Whether the evidence against `cause`, with its crashes up to `until`, exceeds `weight`, the evidence against
     /// `fingerprint`.
     ///
-    /// A part always has as many crashes as the requests that hold it; it does not explain the crashes of a request that
-    /// explains those of the part.
+    /// A part has at least as many crashes as each request that contains it. So it does not outweigh a request that explains
+    /// the crashes of the part.
     fn outweighs(
         &self,
         cause: Fingerprint,
@@ -82,10 +82,11 @@
             .contains(&request)
     }
 
-    /// Requests that explain several of these crashes of a part each, which are removed.
+    /// Requests that each explain several of these crashes of a part. The explained crashes are removed from `crashes`.
     ///
-    /// A request that may hold the part and has enough crashes for a quarantine by itself explains them as well as the
-    /// part does. Together they count as one crash of the part, which only other requests with it can incriminate.
+    /// A request that may contain the part and has enough crashes for a quarantine of its own explains them as well as the
+    /// part does. All crashes that one request explains count as one crash of the part: only other requests that contain the
+    /// part can show that it is the cause.
     fn requests_explaining_part(
         &self,
         part: &Record,
@@ -99,7 +100,7 @@
         requests
     }
 
-    /// The request that explains the most of these crashes of a part, and more than one of them; `None` if there is none.
+    /// The request that explains most of these crashes of a part; `None` if no request explains more than one.
     fn best_request_for(
         &self,
         part: &Record,
@@ -127,7 +128,7 @@
         best.map(|(request, _)| request)
     }
 
-    /// Whether a request may hold a part of prompts: it has crashed no target without the part.
+    /// Whether a request may contain a part of prompts: it has crashed no target that was not running the part.
     fn may_hold(&self, request: Fingerprint, part: &Record) -> bool {
         let record = self.records.get(&request);
         record.is_some_and(|r| part.includes_crashes_of(r))
@@ -139,7 +140,7 @@
         crashed.into_iter().flat_map(|c| &c.requests).copied()
     }
 
-    /// Crashed targets of a record whose crashes this node has known since `until` or longer, all of them without it.
+    /// Targets in a record whose crashes this node learned of by `until`; all of them if it is `None`.
     fn crashes_until(
         &self,
         record: &Record,
--- a/crates/azuresaddle-sched/src/target_health/evidence.rs
+++ b/crates/azuresaddle-sched/src/target_health/evidence.rs
@@ -168,7 +168,7 @@
     }
 
     /// Whether more than half of the sends since the first failure failed, however few they are; `None` without a failure.
-    /// The observations are those of [`Self::assess`].
+    /// Uses the same observations as [`Self::assess`].
     pub(super) fn is_failing(&self, from: Option<Instant>, cut_off: &HashSet<u64>) -> Option<bool> {
         self.sums(from, cut_off).map(|s| s.is_failing())
     }
--- a/crates/azuresaddle-sched/src/target_health/fleet_health.rs
+++ b/crates/azuresaddle-sched/src/target_health/fleet_health.rs
@@ -204,8 +204,8 @@
         }
     }
 
-    /// Verdicts for this node: at most half of the targets of a service are ejected, those with the most failures first,
-    /// and none while all of them fail. That may be a pause of all, and no target is better than another one.
+    /// Verdicts for this node: at most half of the targets of a service are ejected, those with the most failures first.
+    /// None are ejected while all of them fail, since all may be paused and no target is better than another.
     fn verdicts_on(&self, targets: &[Arc<TargetEntry>]) -> HashMap<HostName, TargetVerdict> {
         let mut sizes: HashMap<&str, usize> = HashMap::new();
         let mut failing: HashMap<&str, usize> = HashMap::new();
--- a/crates/azuresaddle-sched/src/target_health/record.rs
+++ b/crates/azuresaddle-sched/src/target_health/record.rs
@@ -205,7 +205,7 @@
         }
     }
 
-    /// Whether the target fails, as far as is known: its latest sends do, or it is ejected and has had none.
+    /// Whether the latest sends to the target failed or, if there are no failures on record, whether it is ejected.
     pub(super) fn is_failing(&self, cut_off: &HashSet<u64>) -> bool {
         let is_failing = self.evidence.is_failing(self.returned_at, cut_off);
         is_failing.unwrap_or(self.ejection.is_some())
