Names: what a function waits for, decides or counts

take_over_if, close_at, run_at, lag, Next::End, Beside and MOST do not say it. The second until_stalled, which also decides when a stalled send ends, had the name of the function that it calls. Private names only; the test of close_at follows the name and checks the same.

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -294,7 +294,8 @@
         let now = Instant::now();
         let term = self.members.own.term;
         let members_changed = self.members.on_tick(now);
-        self.take_over_if(now, self.members.own.term != term).await;
+        self.take_over_if_claimed(now, self.members.own.term != term)
+            .await;
         self.send_vote(now).await;
         self.gossip_crashes().await;
         self.gossip_signals().await;
--- a/crates/azuresaddle-edge/src/control/datagrams.rs
+++ b/crates/azuresaddle-edge/src/control/datagrams.rs
@@ -49,7 +49,7 @@
             Some(Datagram::StateResponse(states)) => self.members.on_states(now, &states),
             Some(Datagram::Vote(vote)) => {
                 let claimed = self.members.on_vote(now, vote);
-                self.take_over_if(now, claimed).await;
+                self.take_over_if_claimed(now, claimed).await;
                 claimed
             }
             Some(Datagram::HostLoad(updates)) => {
--- a/crates/azuresaddle-edge/src/control/failover_messages.rs
+++ b/crates/azuresaddle-edge/src/control/failover_messages.rs
@@ -11,7 +11,7 @@
     pub(super) async fn on_unresponsive_owner(&mut self, node: u64) -> bool {
         let now = Instant::now();
         let claimed = self.members.on_unresponsive_owner(now, node);
-        self.take_over_if(now, claimed).await;
+        self.take_over_if_claimed(now, claimed).await;
         if !claimed {
             self.send_vote(now).await;
         }
@@ -30,7 +30,7 @@
     ///
     /// Nodes send requests as soon as they know of the claim. A node that did not act on it yet would redirect them to
     /// the earlier owner.
-    pub(super) async fn take_over_if(&mut self, now: Instant, claimed: bool) {
+    pub(super) async fn take_over_if_claimed(&mut self, now: Instant, claimed: bool) {
         if !claimed {
             return;
         }
--- a/crates/azuresaddle-edge/src/control/unheard_hosts.rs
+++ b/crates/azuresaddle-edge/src/control/unheard_hosts.rs
@@ -16,33 +16,33 @@
 #[derive(Debug)]
 pub(super) struct UnheardHosts {
     /// When each host was last assumed to be running.
-    known_at: HashMap<Ipv4Addr, Instant>,
+    running_at: HashMap<Ipv4Addr, Instant>,
 }
 
 impl UnheardHosts {
     pub(super) fn new(now: Instant, seeds: &[Ipv4Addr]) -> Self {
         Self {
-            known_at: seeds.iter().map(|ip| (*ip, now)).collect(),
+            running_at: seeds.iter().map(|ip| (*ip, now)).collect(),
         }
     }
 
     pub(super) fn len(&self) -> usize {
-        self.known_at.len()
+        self.running_at.len()
     }
 
     /// Adds a host whose node was running just now; true if it is new.
     pub(super) fn add(&mut self, now: Instant, ip: Ipv4Addr) -> bool {
-        self.known_at.insert(ip, now).is_none()
+        self.running_at.insert(ip, now).is_none()
     }
 
     /// Removes a host that is in the member list now.
     pub(super) fn remove(&mut self, ip: Ipv4Addr) {
-        self.known_at.remove(&ip);
+        self.running_at.remove(&ip);
     }
 
     /// Removes the hosts that no longer count as running.
     pub(super) fn expire(&mut self, now: Instant) {
-        self.known_at
+        self.running_at
             .retain(|_, at| now.saturating_duration_since(*at) < RETENTION);
     }
 }
--- a/crates/azuresaddle-edge/src/flow/tests/metered_stream.rs
+++ b/crates/azuresaddle-edge/src/flow/tests/metered_stream.rs
@@ -36,8 +36,8 @@
     let mut stream = MeteredStream::new(near, progress.clone());
     let write = tokio::spawn(async move { stream.write_all(&[0; 1000]).await });
     progress.until_stalled(STALL).await;
-    assert!(!progress.close_at(99));
-    assert!(progress.close_at(100));
+    assert!(!progress.close_if_written(99));
+    assert!(progress.close_if_written(100));
     let mut read = Vec::new();
     far.read_to_end(&mut read).await.unwrap();
     assert_eq!(read.len(), 100);
--- a/crates/azuresaddle-edge/src/flow/write_progress.rs
+++ b/crates/azuresaddle-edge/src/flow/write_progress.rs
@@ -61,7 +61,7 @@
     }
 
     /// Makes all later writes fail if exactly `written` bytes were taken so far. Returns whether later writes fail.
-    pub(crate) fn close_at(&self, written: u64) -> bool {
+    pub(crate) fn close_if_written(&self, written: u64) -> bool {
         let mut state = self.lock();
         state.is_closed |= state.written == written;
         state.is_closed
@@ -76,7 +76,7 @@
         if state.is_closed {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
-        // The lock is held meanwhile, so that no write succeeds after `close_at` has returned.
+        // The lock is held meanwhile, so that no write succeeds after `close_if_written` has returned.
         let result = write();
         match &result {
             Poll::Ready(Ok(count)) => {
--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -187,7 +187,7 @@
     let sent = tokio::select! {
         biased;
         sent = tokio::time::timeout(timeout, sending) => sent,
-        failure = until_stalled(cx, target, &progress, taken_before) => return Err(failure),
+        failure = stall_failure(cx, target, &progress, taken_before) => return Err(failure),
     };
     let response = match sent {
         Err(_) => return Err(SendFailure::TimedOut),
@@ -216,14 +216,14 @@
 ///
 /// If the target has taken no bytes, the request ends at once, since it did not run there. Otherwise it ends when its memory is
 /// needed for other requests.
-async fn until_stalled<N: Network>(
+async fn stall_failure<N: Network>(
     cx: &Forwarder<N>,
     target: &TargetEntry,
     progress: &WriteProgress,
     taken_before: u64,
 ) -> SendFailure {
     progress.until_stalled(MAX_WRITE_PAUSE).await;
-    let was_taken = !progress.close_at(taken_before);
+    let was_taken = !progress.close_if_written(taken_before);
     on_stalled(cx, target, was_taken);
     if !was_taken {
         return SendFailure::Stalled { was_taken };
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -13,7 +13,7 @@
 use super::body::ProxyBody;
 use super::forwarder::Forwarder;
 use super::head::ForwardRequest;
-use super::plain_request::{Next, PlainRequest};
+use super::plain_request::{PlainRequest, Step};
 use super::plain_send::send_observed;
 use super::room_claims::RoomClaims;
 use super::sends_in_flight::{PlainSend, SendsInFlight};
@@ -32,8 +32,8 @@
     let room = RoomClaims::default();
     let mut sends = SendsInFlight::new();
     loop {
-        match request.next(&mut sends).await {
-            Next::Send((target, guard)) => {
+        match request.next_step(&mut sends).await {
+            Step::Send((target, guard)) => {
                 request.log_hedge(&sends, &target);
                 let connect = request.connect_limit(&sends, &target);
                 let send = PlainSend {
@@ -44,17 +44,17 @@
                 let result = send_observed(cx, req, target, connect, silence, &room);
                 sends.push(send, is_silent, guard, result);
             }
-            Next::Ended(send, Ok(answer)) => {
+            Step::SendEnded(send, Ok(answer)) => {
                 if let Some(response) = request.on_answer(&mut sends, &send, answer) {
                     return response;
                 }
             }
-            Next::Ended(send, Err(failure)) => {
+            Step::SendEnded(send, Err(failure)) => {
                 if let Some(response) = request.on_failure(&sends, &send, &failure).await {
                     return response;
                 }
             }
-            Next::End(response) => return response,
+            Step::Respond(response) => return response,
         }
     }
 }
--- a/crates/azuresaddle-edge/src/forward/plain_request.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_request.rs
@@ -21,14 +21,14 @@
 use super::send_history::SendHistory;
 use super::sends_in_flight::{PlainSend, SendResult, SendsInFlight};
 
-/// What comes next for a request.
-pub(super) enum Next {
-    /// It is sent to a target.
+/// Next step of a request.
+pub(super) enum Step {
+    /// Send it to a target.
     Send(ChosenTarget),
-    /// A send ended.
-    Ended(PlainSend, SendResult),
-    /// It gets an answer of the node.
-    End(Response<ProxyBody>),
+    /// Handle the end of a send.
+    SendEnded(PlainSend, SendResult),
+    /// End it with an answer of the node.
+    Respond(Response<ProxyBody>),
 }
 
 /// State of a request to a plain service, without its sends in flight.
@@ -50,10 +50,10 @@
     }
 
     /// Waits for the next step: a send ends, another send is due, or the request ends.
-    pub(super) async fn next<F: Future<Output = SendResult>>(
+    pub(super) async fn next_step<F: Future<Output = SendResult>>(
         &mut self,
         sends: &mut SendsInFlight<F>,
-    ) -> Next {
+    ) -> Step {
         if sends.is_empty() {
             self.checks.finish().await;
             return self.choose_or_end().await;
@@ -61,35 +61,35 @@
         let search = HedgeSearch::new(sends);
         tokio::select! {
             biased;
-            (send, result) = sends.next_ended() => Next::Ended(send, result),
+            (send, result) = sends.next_ended() => Step::SendEnded(send, result),
             chosen = search.run(self.cx, self.req, &mut self.history, &mut self.checks) => {
-                Next::Send(chosen)
+                Step::Send(chosen)
             }
         }
     }
 
     /// Chooses a target while no send is in flight, or ends the request if it must not be sent.
-    async fn choose_or_end(&mut self) -> Next {
+    async fn choose_or_end(&mut self) -> Step {
         let (cx, req) = (self.cx, self.req);
         let mut history = std::mem::take(&mut self.history);
         if time_until(req.deadline).is_zero() {
             let status = StatusCode::GATEWAY_TIMEOUT;
-            return Next::End(history.give_up(cx, req, status, "no answer in time"));
+            return Step::Respond(history.give_up(cx, req, status, "no answer in time"));
         }
         let status = cx
             .quarantine
             .request_status(req.fingerprint, &req.prompt_parts);
         if let RequestStatus::Quarantined { left } = status {
             record_quarantine_refusal(cx, req);
-            return Next::End(history.refuse_quarantined(cx, req, left));
+            return Step::Respond(history.refuse_quarantined(cx, req, left));
         }
         let Some(chosen) = history.choose_target(cx, req, &[]).await else {
             let status = StatusCode::BAD_GATEWAY;
             let detail = "no target takes the request";
-            return Next::End(history.give_up(cx, req, status, detail));
+            return Step::Respond(history.give_up(cx, req, status, detail));
         };
         self.history = history;
-        Next::Send(chosen)
+        Step::Send(chosen)
     }
 
     /// Longest wait for a connection to a target that gets the request while `sends` are in flight.
--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -68,7 +68,7 @@
                 }
                 answer
             }
-            () = lag(&half_answered) => Err(SendFailure::TimedOut),
+            () = until_lagging(&half_answered) => Err(SendFailure::TimedOut),
         }
     });
     let answers = join_all(requests).await;
@@ -95,7 +95,7 @@
 }
 
 /// Waits until a helper lags too far behind those that have answered.
-async fn lag(half_answered: &CancellationToken) {
+async fn until_lagging(half_answered: &CancellationToken) {
     half_answered.cancelled().await;
     tokio::time::sleep(MAX_LAG).await;
 }
--- a/crates/azuresaddle-edge/src/forward/sends_in_flight.rs
+++ b/crates/azuresaddle-edge/src/forward/sends_in_flight.rs
@@ -87,9 +87,9 @@
     }
 
     fn poll_ended(&mut self, cx: &mut Context<'_>) -> Poll<(PlainSend, SendResult)> {
-        for at in 0..self.0.len() {
-            if let Poll::Ready(result) = self.0[at].result.as_mut().poll(cx) {
-                return Poll::Ready((self.0.remove(at).send, result));
+        for index in 0..self.0.len() {
+            if let Poll::Ready(result) = self.0[index].result.as_mut().poll(cx) {
+                return Poll::Ready((self.0.remove(index).send, result));
             }
         }
         Poll::Pending
--- a/crates/azuresaddle-edge/src/forward/stream/finish.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/finish.rs
@@ -125,7 +125,7 @@
     }
 
     /// If all targets have declined the request, waits for a while and then allows further sends to them.
-    pub(super) async fn await_declined(&self) {
+    pub(super) async fn await_declined_targets(&self) {
         let snapshot = self.cx.snapshots.load();
         let targets = snapshot.targets.of_service(&self.req.service);
         if self.sends.excludes_all(targets) {
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -176,7 +176,7 @@
                     sent_at,
                 }) => (Ok(placement), Some(answer), sent_at),
                 None => {
-                    self.await_declined().await;
+                    self.await_declined_targets().await;
                     let placement = self.place_unless_quarantined(&self.excluded()).await;
                     (placement, None, Instant::now())
                 }
--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -52,7 +52,7 @@
     /// if this one has it now or lost its answer.
     pub(super) fn try_send(&self, target: &HostName, max_targets: u32) -> bool {
         let mut sends = self.lock();
-        if let Some(run) = sends.run_at(target) {
+        if let Some(run) = sends.find_mut(target) {
             let may_repeat = run.state == RunState::Cancelled;
             if may_repeat {
                 run.state = RunState::InFlight;
@@ -73,7 +73,7 @@
 
     /// Records that a send ended without a whole answer.
     pub(super) fn on_lost(&self, target: &HostName) {
-        if let Some(run) = self.lock().run_at(target) {
+        if let Some(run) = self.lock().find_mut(target) {
             run.state = RunState::Lost;
         }
     }
@@ -82,7 +82,7 @@
     pub(super) fn on_not_run(&self, target: &HostName) {
         let mut sends = self.lock();
         sends.declined += 1;
-        if let Some(run) = sends.run_at(target) {
+        if let Some(run) = sends.find_mut(target) {
             // If this send never reached the target, the recorded run is that of an earlier send.
             run.is_repeated |= run.state != RunState::InFlight;
             run.state = RunState::Lost;
@@ -189,7 +189,7 @@
         self.runs.iter().find(|r| r.target == *target)
     }
 
-    fn run_at(&mut self, target: &HostName) -> Option<&mut Run> {
+    fn find_mut(&mut self, target: &HostName) -> Option<&mut Run> {
         self.runs.iter_mut().find(|r| r.target == *target)
     }
 
--- a/crates/azuresaddle-edge/src/placement/redirects.rs
+++ b/crates/azuresaddle-edge/src/placement/redirects.rs
@@ -12,7 +12,7 @@
 
 /// Time without a decision after which the node that redirected a request is asked again: many round trips, and longer
 /// than a new owner takes to begin to place streams. Doubles with each check.
-const FIRST_CHECK: Duration = Duration::from_millis(50);
+const FIRST_CHECK_DELAY: Duration = Duration::from_millis(50);
 
 impl<N: Network> PlacementClient<N> {
     /// Waits for a decision of the node `named`, which the node `redirector` believes to be the owner.
@@ -27,13 +27,13 @@
         id: PlacementId,
         req: &PlaceRequest,
     ) -> Option<PlaceReply> {
-        let mut check_after = FIRST_CHECK;
+        let mut check_delay = FIRST_CHECK_DELAY;
         let mut peer = named;
         loop {
             let mut call = std::pin::pin!(self.request_from_peer(peer, id, req, true));
             peer = loop {
                 let check = async {
-                    tokio::time::sleep(check_after).await;
+                    tokio::time::sleep(check_delay).await;
                     self.request_from_peer(redirector, id, req, false).await
                 };
                 let reply = tokio::select! {
@@ -41,7 +41,7 @@
                     reply = &mut call => return reply,
                     reply = check => reply,
                 };
-                if check_after == FIRST_CHECK {
+                if check_delay == FIRST_CHECK_DELAY {
                     tracing::info!(
                         part = "placement",
                         %redirector,
@@ -50,7 +50,7 @@
                         "no decision after a redirect; asked the redirecting node again"
                     );
                 }
-                check_after *= 2;
+                check_delay *= 2;
                 match reply {
                     Some(PlaceReply::Redirect { peer: again }) if again != peer => break again,
                     // The redirecting node may have stopped meanwhile.
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -25,7 +25,7 @@
 const KEEP_ADDRESSES: Duration = Duration::from_secs(2);
 
 /// Time after which the last sixth of a node's grace period begins, in which answers may be cut.
-const LAST_SIXTH: Duration = Duration::from_millis(3300);
+const LAST_SIXTH_START: Duration = Duration::from_millis(3300);
 
 /// State of one soak, shared by the callers, the fault injection and the checks.
 pub(super) struct SoakState {
@@ -114,7 +114,7 @@
         let stops = self.stops.lock().unwrap_or_else(PoisonError::into_inner);
         stops
             .iter()
-            .any(|(n, t)| *n == node && *t + STOP_TIMEOUT >= at && t.elapsed() >= LAST_SIXTH)
+            .any(|(n, t)| *n == node && *t + STOP_TIMEOUT >= at && t.elapsed() >= LAST_SIXTH_START)
     }
 
     fn limit_runs(&self, attempt: &str, max_runs: u32) {
--- a/crates/azuresaddle-standin/src/soak/overlaps.rs
+++ b/crates/azuresaddle-standin/src/soak/overlaps.rs
@@ -37,10 +37,10 @@
 const SILENCE_TIMES: Range<Duration> = Duration::from_millis(900)..Duration::from_millis(1400);
 
 /// Part of the targets that fall silent, if not all do.
-const MOST: f64 = 0.6;
+const SILENT_SHARE: f64 = 0.6;
 
 /// Most faults beside a silence.
-const MAX_BESIDE: usize = 3;
+const MAX_SIDE_FAULTS: usize = 3;
 
 /// Longest time from a fault beside a silence to the start of the silence.
 const MAX_LEAD: Duration = Duration::from_millis(600);
@@ -53,7 +53,7 @@
 
 /// A fault beside a silence. Numbers are those of nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Beside {
+enum SideFault {
     IdleTimeout(u64),
     RouteTimeout(u64),
     /// A part of a route moves to another service, or back.
@@ -105,12 +105,12 @@
     let others = async {
         for (at, fault) in &series {
             tokio::time::sleep_until(start + *at).await;
-            inject_beside(fleet, shared, *fault);
+            inject_side_fault(fleet, shared, *fault);
         }
     };
     tokio::join!(silence, others);
     for (_, fault) in series {
-        if let Beside::Stop(n) = fault {
+        if let SideFault::Stop(n) = fault {
             end_stop(fleet, shared, n).await;
         }
     }
@@ -122,7 +122,7 @@
     let mut targets: Vec<usize> = (0..fleet.target_proxies.len()).collect();
     if rng.random_bool(0.5) {
         targets.shuffle(rng);
-        targets.truncate((targets.len() as f64 * MOST).ceil() as usize);
+        targets.truncate((targets.len() as f64 * SILENT_SHARE).ceil() as usize);
     }
     targets
 }
@@ -132,14 +132,14 @@
     fleet: &Fleet,
     rng: &mut StdRng,
     silence: Duration,
-) -> Vec<(Duration, Beside)> {
+) -> Vec<(Duration, SideFault)> {
     let owner = fleet.owner().await.unwrap_or(0);
-    let count = rng.random_range(1..=MAX_BESIDE);
+    let count = rng.random_range(1..=MAX_SIDE_FAULTS);
     let mut series = Vec::new();
     let mut has_stop = false;
     for _ in 0..count {
-        let fault = random_beside(fleet, rng, owner);
-        let is_stop = matches!(fault, Beside::Stop(_));
+        let fault = random_side_fault(fleet, rng, owner);
+        let is_stop = matches!(fault, SideFault::Stop(_));
         if is_stop && has_stop {
             continue;
         }
@@ -151,29 +151,29 @@
     series
 }
 
-fn random_beside(fleet: &Fleet, rng: &mut StdRng, owner: usize) -> Beside {
+fn random_side_fault(fleet: &Fleet, rng: &mut StdRng, owner: usize) -> SideFault {
     let node = rng.random_range(0..fleet.nodes.len());
     match rng.random_range(0..8) {
-        0 => Beside::IdleTimeout(rng.random_range(3000..5000)),
-        1 => Beside::RouteTimeout(rng.random_range(7000..9000)),
-        2 | 3 => Beside::SplitRoute,
-        4 => Beside::Reload(node),
-        5 | 6 => Beside::Stop(owner),
-        _ => Beside::Stop(node),
+        0 => SideFault::IdleTimeout(rng.random_range(3000..5000)),
+        1 => SideFault::RouteTimeout(rng.random_range(7000..9000)),
+        2 | 3 => SideFault::SplitRoute,
+        4 => SideFault::Reload(node),
+        5 | 6 => SideFault::Stop(owner),
+        _ => SideFault::Stop(node),
     }
 }
 
-fn inject_beside(fleet: &mut Fleet, shared: &SoakState, fault: Beside) {
+fn inject_side_fault(fleet: &mut Fleet, shared: &SoakState, fault: SideFault) {
     match fault {
-        Beside::IdleTimeout(ms) => fleet
+        SideFault::IdleTimeout(ms) => fleet
             .platform
             .change_configuration(|c| c.idle_timeout_ms = ms),
-        Beside::RouteTimeout(ms) => fleet
+        SideFault::RouteTimeout(ms) => fleet
             .platform
             .change_configuration(|c| c.routes.iter_mut().for_each(|r| r.timeout_ms = ms)),
-        Beside::SplitRoute => fleet.platform.change_configuration(split_or_join_route),
-        Beside::Reload(n) => fleet.nodes[n].signal(Signal::SIGHUP),
-        Beside::Stop(n) => {
+        SideFault::SplitRoute => fleet.platform.change_configuration(split_or_join_route),
+        SideFault::Reload(n) => fleet.nodes[n].signal(Signal::SIGHUP),
+        SideFault::Stop(n) => {
             let node = fleet.nodes[n].callers_addr();
             shared.note_stop(node);
             shared.signals.on_affected(Affected::Node(node));
