--- a/crates/azuresaddle-standin/src/platform/caller.rs
+++ b/crates/azuresaddle-standin/src/platform/caller.rs
@@ -66,10 +66,10 @@
     /// No complete answer before the timeout.
     #[error("timeout before the answer was complete")]
     Timeout,
-    /// The caller left a stream after a time without an event.
+    /// The caller left a stream because no event arrived within its event timeout.
     #[error("no event for longer than the caller waits for one")]
     Left {
-        /// Whether it had an event.
+        /// Whether an event had arrived before.
         has_begun: bool,
     },
     /// The answer does not belong to the request or is incomplete.
@@ -174,7 +174,7 @@
     }
 }
 
-/// Waits until `event_timeout` after the last event at most; `None` if that has passed.
+/// Waits for `next` until `event_timeout` after the last event at most; `None` if that has passed.
 async fn wait_for<T>(
     next: impl Future<Output = T>,
     last_event: Instant,
--- a/crates/azuresaddle-standin/src/platform/configuration.rs
+++ b/crates/azuresaddle-standin/src/platform/configuration.rs
@@ -58,7 +58,7 @@
     pub accounts: Vec<AccountSpec>,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
-    /// Time after which the connection of a caller is closed when nothing is sent on it, in milliseconds.
+    /// Time without traffic after which a caller's connection is closed, in milliseconds.
     pub idle_timeout_ms: u64,
 }
 
--- a/crates/azuresaddle-standin/src/platform/demo.rs
+++ b/crates/azuresaddle-standin/src/platform/demo.rs
@@ -40,7 +40,7 @@
     pub whole: u64,
     /// Number of requests without a complete answer.
     pub failed: u64,
-    /// How they ended, in the order in which they were sent.
+    /// How the failed requests ended, in the order in which they were sent.
     pub failures: Vec<String>,
     /// 95th percentile of the time to the complete answer when only short prompts are sent, in
     /// milliseconds.
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -31,7 +31,7 @@
 /// Interval of the targets' heartbeats that the settings of the nodes state, in milliseconds.
 const TARGET_HEARTBEAT_MS: u64 = 500;
 
-/// Retries that the settings of the nodes allow unless a test changes them.
+/// Default for [`StandInPlatform::retry_extra`].
 const DEFAULT_RETRY_EXTRA: u32 = 100;
 
 /// Time that targets report for their first start, in Unix milliseconds; only the order of starts matters.
@@ -74,7 +74,7 @@
     pub crashing_requests: CrashingRequests,
     /// Current configuration; changes take effect once it is written.
     pub configuration: ConfigurationSpec,
-    /// Retries that the settings of the nodes allow beside a part of the requests, by all nodes together.
+    /// Fixed number of extra retries that the settings allow to all nodes together.
     pub retry_extra: u32,
     registry: EngineRegistry,
     engine_models: Vec<Arc<Engine>>,
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -24,7 +24,7 @@
 /// Time for which a caller keeps the resolved node addresses.
 const KEEP_ADDRESSES: Duration = Duration::from_secs(2);
 
-/// Time after which the last sixth of a node's grace period begins, in which answers may be cut.
+/// Time from the stop signal to the last sixth of a node's grace period, in which answers may be cut.
 const LAST_SIXTH_START: Duration = Duration::from_millis(3300);
 
 /// State of one soak, shared by the callers, the fault injection and the checks.
@@ -64,7 +64,7 @@
             .map_or_else(Caller::default, Caller::with_event_timeout)
     }
 
-    /// Whether a status tells of a failed target in a soak without such targets.
+    /// Whether a status reports a failed target although all targets of this soak are sound.
     pub(super) fn is_failure(&self, status: StatusCode) -> bool {
         let failures = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
         self.has_sound_targets && failures.contains(&status)
@@ -109,7 +109,7 @@
             .any(|(n, t)| *n == node && *t + STOP_TIMEOUT >= at)
     }
 
-    /// Whether a node was told to stop since `at` or shortly before, and its grace period ends about now.
+    /// Whether a node was told to stop since `at` or shortly before, and the last sixth of its grace period has begun.
     pub(super) fn has_outlasted_stop(&self, node: SocketAddr, at: Instant) -> bool {
         let stops = self.stops.lock().unwrap_or_else(PoisonError::into_inner);
         stops
--- a/crates/azuresaddle-standin/src/soak/faults.rs
+++ b/crates/azuresaddle-standin/src/soak/faults.rs
@@ -57,7 +57,7 @@
     /// Whether only faults are injected that must not lose an answer, also when they overlap with the load: stops, sound
     /// targets that are silent for a while, configuration changes and a store that does not answer.
     pub loses_nothing: bool,
-    /// Whether all faults are silences of sound targets during which other faults that must not lose an answer happen.
+    /// Whether all faults are silences of sound targets, overlapping with other faults that must not lose an answer.
     pub overlaps: bool,
 }
 
--- a/crates/azuresaddle-standin/src/soak/overlaps.rs
+++ b/crates/azuresaddle-standin/src/soak/overlaps.rs
@@ -1,4 +1,4 @@
-//! Silences of sound targets during which other harmless faults happen.
+//! Silences of sound targets, overlapping with other faults that must not lose an answer.
 
 use std::ops::Range;
 use std::time::Duration;
@@ -18,8 +18,8 @@
 use super::signals::Affected;
 use crate::platform::{ConfigurationSpec, RouteSpec, ServiceSpec, StandInPlatform};
 
-/// Longest pause between events that the routes aim at, in milliseconds: a silence is longer than the six pauses after which a
-/// node looks for another target.
+/// Pause target of the routes, in milliseconds. Nodes ask other targets after six such pauses, so longer silences cover that
+/// case.
 const GAP_MS: u64 = 200;
 
 /// Latency target of the routes, in milliseconds.
@@ -29,36 +29,40 @@
 /// pause, whichever is longest.
 pub(super) const EVENT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Retries of all nodes together beside a part of the requests: few, so that most requests have to wait for the target that
-/// they are at.
+/// Fixed number of extra retries of all nodes together: few, so that most requests must wait for the target that they were sent
+/// to.
 const RETRY_EXTRA: u32 = 10;
 
 /// Shortest and longest silence.
 const SILENCE_TIMES: Range<Duration> = Duration::from_millis(900)..Duration::from_millis(1400);
 
-/// Part of the targets that fall silent, if not all do.
+/// Share of the targets that become silent if not all of them do.
 const SILENT_SHARE: f64 = 0.6;
 
-/// Most faults beside a silence.
+/// Maximum number of side faults during a silence.
 const MAX_SIDE_FAULTS: usize = 3;
 
-/// Longest time from a fault beside a silence to the start of the silence.
+/// Longest time from a side fault to the start of the silence.
 const MAX_LEAD: Duration = Duration::from_millis(600);
 
-/// Time after a silence without another one: longer than callers wait for an event, so that no request meets two.
+/// Time without a silence after each one: longer than callers wait for an event, so that no request meets two silences.
 const PAUSE_AFTER: Duration = Duration::from_millis(2200);
 
-/// Service of the part of a route that moves.
+/// Service to which [`SideFault::SplitRoute`] moves a part of a route.
 const PART_SERVICE: &str = "llm-part";
 
-/// A fault beside a silence. Numbers are those of nodes.
+/// A fault that overlaps with a silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SideFault {
+    /// The idle timeout changes to this many milliseconds.
     IdleTimeout(u64),
+    /// The timeout of all routes changes to this many milliseconds.
     RouteTimeout(u64),
     /// A part of a route moves to another service, or back.
     SplitRoute,
+    /// The node with this number reloads its settings.
     Reload(usize),
+    /// The node with this number is told to stop.
     Stop(usize),
 }
 
@@ -81,7 +85,7 @@
     .await
 }
 
-/// Silences all or most targets while other faults happen in series, and waits until all of them are over.
+/// Silences all or most targets while side faults happen, and waits until all of them are over.
 pub(super) async fn inject_overlap(fleet: &mut Fleet, shared: &SoakState, rng: &mut StdRng) {
     let length = rng.random_range(SILENCE_TIMES);
     let silent = random_targets(fleet, rng);
@@ -117,7 +121,7 @@
     tokio::time::sleep(PAUSE_AFTER).await;
 }
 
-/// Numbers of the targets that fall silent: all of them, or most.
+/// Chooses the numbers of the targets that become silent: all of them, or most.
 fn random_targets(fleet: &Fleet, rng: &mut StdRng) -> Vec<usize> {
     let mut targets: Vec<usize> = (0..fleet.target_proxies.len()).collect();
     if rng.random_bool(0.5) {
@@ -127,7 +131,7 @@
     targets
 }
 
-/// Faults with their times from [`MAX_LEAD`] before the silence on, in order. At most one of them stops a node.
+/// Chooses side faults, with their times since [`MAX_LEAD`] before the silence, in order. At most one of them stops a node.
 async fn random_series(
     fleet: &Fleet,
     rng: &mut StdRng,
@@ -182,7 +186,7 @@
     }
 }
 
-/// Moves a part of the first route that nobody uses to another service, or back.
+/// Moves an unused part of the first route to another service, or back.
 fn split_or_join_route(c: &mut ConfigurationSpec) {
     let first = &c.routes[0];
     let part = RouteSpec {
--- a/crates/azuresaddle-standin/src/soak/waiting_callers.rs
+++ b/crates/azuresaddle-standin/src/soak/waiting_callers.rs
@@ -50,7 +50,7 @@
             } else {
                 shared.was_stopped_since(node, began)
             };
-        // Before the first event the caller may have left since no engine was free.
+        // A caller that left before the first event may have done so because no engine was free.
         let is_lost = match &result {
             Ok(answer) => shared.is_failure(answer.status),
             Err(CallerError::BrokenOff | CallerError::Left { has_begun: true }) => true,
