Split three long functions of streams and reservations

open: the start of an answer is read by begin_answer. await_events: the failure of a replaced target is chosen by failure_of_replaced. reserve: the requests are sent by request_new. The main loop of a stream calls end_lost and end_failed instead of repeating them. Same order of operations.

--- a/crates/azuresaddle-edge/src/forward/reservations.rs
+++ b/crates/azuresaddle-edge/src/forward/reservations.rs
@@ -55,23 +55,7 @@
         stopped.clone(),
     ));
     let renewal = stopped.drop_guard();
-    let answered = AtomicUsize::new(0);
-    let half_answered = CancellationToken::new();
-    let requests = helpers.iter().map(async |helper| {
-        let body = encode_reserve(name, tokens, ttl_ms(), false);
-        let call = TargetCall::post(RESERVATION_PATH, body).with_timeout(RESERVE_TIMEOUT);
-        tokio::select! {
-            biased;
-            answer = send_request(cx, helper, call) => {
-                if 2 * (answered.fetch_add(1, Ordering::Relaxed) + 1) >= helpers.len() {
-                    half_answered.cancel();
-                }
-                answer
-            }
-            () = until_lagging(&half_answered) => Err(SendFailure::TimedOut),
-        }
-    });
-    let answers = join_all(requests).await;
+    let answers = request_new(cx, helpers, name, tokens).await;
     for (helper, answer) in helpers.iter().zip(answers) {
         if let Err(e) = answer {
             tracing::info!(
@@ -94,6 +78,32 @@
     })
 }
 
+/// Requests a new reservation on each helper. Helpers that lag too far behind the others count as timed out.
+async fn request_new<N: Network>(
+    cx: &Arc<Forwarder<N>>,
+    helpers: &[Arc<TargetEntry>],
+    name: &str,
+    tokens: u64,
+) -> Vec<Result<(), SendFailure>> {
+    let answered = AtomicUsize::new(0);
+    let half_answered = CancellationToken::new();
+    let requests = helpers.iter().map(async |helper| {
+        let body = encode_reserve(name, tokens, ttl_ms(), false);
+        let call = TargetCall::post(RESERVATION_PATH, body).with_timeout(RESERVE_TIMEOUT);
+        tokio::select! {
+            biased;
+            answer = send_request(cx, helper, call) => {
+                if 2 * (answered.fetch_add(1, Ordering::Relaxed) + 1) >= helpers.len() {
+                    half_answered.cancel();
+                }
+                answer
+            }
+            () = until_lagging(&half_answered) => Err(SendFailure::TimedOut),
+        }
+    });
+    join_all(requests).await
+}
+
 /// Waits until a helper lags too far behind those that have answered.
 async fn until_lagging(half_answered: &CancellationToken) {
     half_answered.cancelled().await;
--- a/crates/azuresaddle-edge/src/forward/stream/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/mod.rs
@@ -194,9 +194,7 @@
             match result {
                 Ok(()) => return self.on_complete(placement, sent_at),
                 Err(AnswerEnd::TakenOver(next, loss)) => {
-                    let outcome =
-                        self.record_loss(&placement.target, loss, sent_at, self.unproven_parts());
-                    placement.end(outcome);
+                    self.end_lost(placement, loss, sent_at);
                     takeover = Some(*next);
                 }
                 Err(AnswerEnd::Lost(Loss::Quarantined)) => {
@@ -207,21 +205,13 @@
                     return placement.end(StreamOutcome::Cancelled);
                 }
                 Err(AnswerEnd::Lost(loss @ Loss::ServerError(_))) => {
-                    let outcome =
-                        self.record_loss(&placement.target, loss, sent_at, self.unproven_parts());
-                    placement.end(outcome);
+                    self.end_lost(placement, loss, sent_at);
                     if !self.may_run_again() {
                         return self.give_up(&SendFailure::Broken("target failed".to_owned()));
                     }
                 }
                 Err(AnswerEnd::Lost(Loss::Failed(failure))) => {
-                    let (target, parts) = (&placement.target, self.unproven_parts());
-                    let check = self.record_failed_send(target, &failure, sent_at, parts);
-                    if let Some(check) = check {
-                        check.await;
-                    }
-                    let outcome = self.outcome_of(target.id.clone(), &failure);
-                    placement.end(outcome);
+                    self.end_failed(placement, &failure, sent_at).await;
                     if !self.may_send_again(&failure) {
                         return self.give_up(&failure);
                     }
@@ -230,6 +220,24 @@
         }
     }
 
+    /// Records a lost answer, and ends its placement without waiting for the crash check.
+    fn end_lost(&self, placement: Placement<N>, loss: Loss, sent_at: Instant) {
+        let outcome = self.record_loss(&placement.target, loss, sent_at, self.unproven_parts());
+        placement.end(outcome);
+    }
+
+    /// Records a failed send, waits for its crash check, and ends its placement.
+    async fn end_failed(&self, placement: Placement<N>, failure: &SendFailure, sent_at: Instant) {
+        let (target, parts) = (&placement.target, self.unproven_parts());
+        let check = self.record_failed_send(target, failure, sent_at, parts);
+        if let Some(check) = check {
+            check.await;
+        }
+        let outcome = self.outcome_of(target.id.clone(), failure);
+        placement.end(outcome);
+    }
+
+    /// Records a complete answer, and ends its placement.
     fn on_complete(self, placement: Placement<N>, sent_at: Instant) {
         let target = &placement.target;
         let parts = self.unproven_parts();
--- a/crates/azuresaddle-edge/src/forward/stream/open.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/open.rs
@@ -110,6 +110,21 @@
         }
         silence.start(Instant::now() + placement.first_event_timeout);
         let response = send(&self.cx, target, &mut connection, outgoing, id, timeout).await?;
+        self.begin_answer(reserved, connection, response, silence)
+            .await
+    }
+
+    /// Reads the start of an answer and waits for the first events.
+    ///
+    /// # Errors
+    /// If the answer reports a failure, or breaks off.
+    async fn begin_answer(
+        &self,
+        reserved: Option<Reservations>,
+        connection: Connection,
+        response: Response<Incoming>,
+        silence: &SilenceTimer,
+    ) -> Result<OpenAnswer, Loss> {
         if !response.status().is_success() {
             let response = self.read_failure(response, connection).await?;
             return Err(Loss::ServerError(Box::new(response)));
--- a/crates/azuresaddle-edge/src/forward/stream/takeover.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/takeover.rs
@@ -84,16 +84,8 @@
                 Err(_) => Err(SendFailure::TimedOut.into()),
             },
             Some(takeover) = &mut takeover => {
-                let loss = if !self.sends.is_in_flight(target) {
-                    // Its helpers are silent, so it has not got the request.
-                    SendFailure::Superfluous
-                } else if self.is_late(&takeover) {
-                    // The other target may have been silent as well, and this one about to go on.
-                    SendFailure::TimedOut
-                } else {
-                    SendFailure::Overtaken
-                };
-                Err(AnswerEnd::TakenOver(Box::new(takeover), loss.into()))
+                let failure = self.failure_of_replaced(target, &takeover);
+                Err(AnswerEnd::TakenOver(Box::new(takeover), failure.into()))
             }
         };
         self.on_silence_end(target, silent_at, &result);
@@ -184,6 +176,19 @@
         })
     }
 
+    /// The failure of the silent target that `takeover` replaces.
+    fn failure_of_replaced(&self, silent: &HostName, takeover: &Takeover<N>) -> SendFailure {
+        if !self.sends.is_in_flight(silent) {
+            // Its helpers are silent, so it has not got the request.
+            SendFailure::Superfluous
+        } else if self.is_late(takeover) {
+            // The other target may have been silent as well, and this one about to go on.
+            SendFailure::TimedOut
+        } else {
+            SendFailure::Overtaken
+        }
+    }
+
     /// Whether the first event of a takeover came later than expected.
     fn is_late(&self, takeover: &Takeover<N>) -> bool {
         let times = takeover.placement.times;
