--- a/crates/azuresaddle-edge/src/targets/health.rs
+++ b/crates/azuresaddle-edge/src/targets/health.rs
@@ -104,20 +104,11 @@
             // A target that failed or refused recently is better than none.
             candidates = targets.iter().filter(|t| usable(t, false)).collect();
         }
-        let cost = |t: &TargetEntry| {
-            let state = observations.get(&t.id);
-            let requests = state.map_or(0.0, |s| s.expected_requests(now));
-            let answer_ms = state.map_or(MIN_ANSWER_MS, Observations::expected_answer_ms);
-            let local = if t.domain == *domain {
-                SAME_DOMAIN_BONUS
-            } else {
-                0.0
-            };
-            // The random part keeps nodes with the same observations from choosing the same target.
-            (requests + 1.0 - local + rand::rng().random_range(0.0..0.2)) * answer_ms
-        };
-        let costs: Vec<f64> = candidates.iter().map(|t| cost(t)).collect();
-        let best = (0..candidates.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))?;
+        let waits: Vec<f64> = candidates
+            .iter()
+            .map(|t| expected_wait_ms(observations.get(&t.id), t.domain == *domain, now))
+            .collect();
+        let best = (0..candidates.len()).min_by(|a, b| waits[*a].total_cmp(&waits[*b]))?;
         let target = Arc::clone(candidates[best]);
         for other in candidates.iter().filter(|t| t.id != target.id) {
             if let Some(state) = observations.get_mut(&other.id) {
@@ -327,6 +318,20 @@
     }
 }
 
+/// Time until a further request to a target is expected to be answered, in milliseconds, less a bonus for a target in the
+/// node's failure domain.
+fn expected_wait_ms(state: Option<&Observations>, is_same_domain: bool, now: Instant) -> f64 {
+    let requests = state.map_or(0.0, |s| s.expected_requests(now));
+    let answer_ms = state.map_or(MIN_ANSWER_MS, Observations::expected_answer_ms);
+    let bonus = if is_same_domain {
+        SAME_DOMAIN_BONUS
+    } else {
+        0.0
+    };
+    // The random part keeps nodes with the same observations from choosing the same target.
+    (requests + 1.0 - bonus + rand::rng().random_range(0.0..0.2)) * answer_ms
+}
+
 /// Counts a request in flight to a target until it is dropped.
 pub(crate) struct InFlightGuard {
     health: Arc<TargetHealth>,
--- a/crates/azuresaddle-standin/src/soak/fleet.rs
+++ b/crates/azuresaddle-standin/src/soak/fleet.rs
@@ -72,18 +72,7 @@
         dir: &Path,
         nodes: u8,
     ) -> Result<Self> {
-        let mut target_proxies = Vec::new();
-        let targets: Vec<_> = platform
-            .engines
-            .iter()
-            .chain(&platform.plain)
-            .cloned()
-            .collect();
-        for target in targets {
-            let proxy = Proxy::spawn(target.addr()).await?;
-            platform.register_behind_proxy(&target, proxy.addr);
-            target_proxies.push(proxy);
-        }
+        let target_proxies = spawn_target_proxies(&mut platform).await?;
         let port = next_port();
         let ips: Vec<Ipv4Addr> = (0..nodes)
             .map(|n| Ipv4Addr::new(127, 0, 0, 10 + n))
@@ -147,3 +136,20 @@
     let fleet = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
     FIRST_PORT + (own.wrapping_add(fleet) % (PORT_RANGE / PORTS_PER_FLEET)) * PORTS_PER_FLEET
 }
+
+/// Starts a proxy before each target, and registers the targets with the addresses of their proxies.
+async fn spawn_target_proxies(platform: &mut StandInPlatform) -> Result<Vec<Proxy>> {
+    let mut target_proxies = Vec::new();
+    let targets: Vec<_> = platform
+        .engines
+        .iter()
+        .chain(&platform.plain)
+        .cloned()
+        .collect();
+    for target in targets {
+        let proxy = Proxy::spawn(target.addr()).await?;
+        platform.register_behind_proxy(&target, proxy.addr);
+        target_proxies.push(proxy);
+    }
+    Ok(target_proxies)
+}
