--- a/crates/azuresaddle-edge/src/forward/disconnect_log.rs
+++ b/crates/azuresaddle-edge/src/forward/disconnect_log.rs
@@ -44,6 +44,7 @@
         self.is_complete.store(true, Ordering::Relaxed);
     }
 
+    /// Records that an event was received.
     pub(super) fn on_event(&self, now: Instant) {
         let last = self.last_event_at.lock();
         *last.unwrap_or_else(PoisonError::into_inner) = Some(now);
--- a/crates/azuresaddle-edge/src/forward/send_gate.rs
+++ b/crates/azuresaddle-edge/src/forward/send_gate.rs
@@ -12,7 +12,7 @@
 #[derive(Debug)]
 pub(crate) struct SendGate {
     state: watch::Sender<GateState>,
-    /// Sends that the gate let through.
+    /// Number of sends that the gate has let through.
     sends: AtomicU32,
 }
 
--- a/crates/azuresaddle-edge/src/forward/stream/sends.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/sends.rs
@@ -170,6 +170,7 @@
         self.lock().server_error = Some(response);
     }
 
+    /// Takes the last answer that [`Self::keep_server_error`] kept.
     pub(super) fn take_server_error(&self) -> Option<Response<ProxyBody>> {
         self.lock().server_error.take()
     }
--- a/crates/azuresaddle-edge/src/forward/stream/silence_timer.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/silence_timer.rs
@@ -14,6 +14,7 @@
 }
 
 impl SilenceTimer {
+    /// Starts the timer, or restarts it with another time.
     pub(super) fn start(&self, expires_at: Instant) {
         self.set(Some(expires_at));
     }
--- a/crates/azuresaddle-edge/src/forward/stream/takeover.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/takeover.rs
@@ -25,7 +25,7 @@
     pub(super) sent_at: Instant,
 }
 
-/// Another target that was asked and does not answer.
+/// Another target that was asked, but whose answer is lost.
 struct Unanswered<N: Network> {
     placement: Placement<N>,
     loss: Loss,
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -256,6 +256,7 @@
         }
     }
 
+    /// Priority that is sent with a request.
     fn priority(&self, req: &PlaceRequest) -> u8 {
         if self.sends_priority {
             req.priority
@@ -264,6 +265,7 @@
         }
     }
 
+    /// Sends a request to a node, and waits for its reply; `None` if the call fails.
     pub(super) async fn request_from_peer(
         &self,
         peer: SocketAddr,
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -261,7 +261,7 @@
         self.changed.notify_one();
     }
 
-    /// Withdraws a request, unless its node has sent it again and waits for the decision by another call.
+    /// Withdraws a request, unless its node has sent it again and another call waits for the decision.
     fn withdraw(&self, id: PlacementId) {
         let now = Instant::now();
         let mut state = self.lock();
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -117,10 +117,11 @@
         self.known_requests.load(Ordering::Relaxed) > 0 && self.lock().knows(fingerprint)
     }
 
-    /// Returns the start of a target that got a send which began at `sent_at`, as far as `targets` knows it by now.
+    /// Returns a target with the start that got a send which began at `sent_at`: the later start that `targets` knows, if the
+    /// earlier one had crashed before the send.
     ///
-    /// A node may send to a restarted target before it learns of the restart. Counted for the earlier start, a crash during
-    /// that send would differ from what the other nodes report of it, and count twice.
+    /// A node may send to a restarted target before it learns of the restart. If a crash during that send were recorded for the
+    /// earlier start, it would not match the reports of other nodes, and would count twice.
     pub(crate) fn target_at_send(
         &self,
         targets: &TargetSet,
