--- a/crates/azuresaddle-edge/src/control/tests/claims.rs
+++ b/crates/azuresaddle-edge/src/control/tests/claims.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::{
-    Bounds, Configuration, Features, ListenAddrs, NodeSettings, RequestLimits,
-};
+use azuresaddle_core::deployment::{Configuration, NodeSettings, RequestLimits};
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::version::RulesVersion;
 use azuresaddle_platform::StorePosition;
@@ -21,8 +19,10 @@
 use crate::control::read_plan::{FirstListing, ReadPlan};
 use crate::metrics::Metrics;
 use crate::quarantine::SharedQuarantine;
-use crate::snapshot::{NO_OWNER, Snapshot, Snapshots, TargetSet};
+use crate::snapshot::Snapshots;
 use crate::targets::SendObservations;
+use crate::tests::settings::node_settings;
+use crate::tests::snapshots::empty_snapshot;
 
 const OWN_IP: Ipv4Addr = Ipv4Addr::LOCALHOST;
 
@@ -31,62 +31,12 @@
 /// Another node of the same host.
 const OWNER_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
 
-fn settings(heartbeat_port: u16) -> NodeSettings {
-    let addr = SocketAddr::from((OWN_IP, 1));
-    NodeSettings {
-        name: HostName::new("n1"),
-        domain: FailureDomain::new("d1"),
-        ip: OWN_IP,
-        listen: ListenAddrs {
-            callers: addr,
-            readiness: addr,
-            directory: addr,
-        },
-        heartbeat_port,
-        peer_port: 2,
-        tunnel_port: 3,
-        seeds: Vec::new(),
-        store: addr,
-        target_heartbeat: Duration::from_secs(1),
-        cpu_share: 0.12,
-        memory_mb: 160,
-        link_bytes_per_s: 2_500_000.0,
-        bounds: Bounds {
-            stop_grace: Duration::from_secs(5),
-            retry_ratio: 0.1,
-            retry_extra: 10.0,
-            retry_window: Duration::from_secs(10),
-            max_address_ttl: Duration::from_secs(3),
-            max_hold: Duration::from_secs(10),
-            target_stall: Duration::from_secs(1),
-        },
-        features: Features::default(),
-    }
-}
-
-fn first_snapshot() -> Snapshot {
-    Snapshot {
-        configuration: None,
-        raw_configuration: None,
-        targets: Arc::new(TargetSet::default()),
-        rate_limits: Arc::default(),
-        target_verdicts: Arc::default(),
-        target_records: Arc::default(),
-        domain_drains: Arc::default(),
-        target_position: StorePosition::default(),
-        nodes: Arc::default(),
-        running_nodes: 1,
-        owner: NO_OWNER,
-        is_leaving: false,
-    }
-}
-
 /// Control of a node that has a configuration, and its snapshots.
 async fn control() -> (Control<MemoryNetwork>, Snapshots) {
     let socket = UdpSocket::bind((OWN_IP, 0)).await.expect("a socket");
     let port = socket.local_addr().expect("an address").port();
     let (net, _) = memory_network(SocketAddr::from((OWN_IP, 1)));
-    let snapshots = Snapshots::new(first_snapshot());
+    let snapshots = Snapshots::new(empty_snapshot());
     let metrics = Metrics::new();
     // Nothing sends on these channels.
     let (crashes, crashes_observed) = mpsc::channel(1);
@@ -94,7 +44,10 @@
     let (_, signals_observed) = mpsc::channel(1);
     let (crash_writes, _) = mpsc::channel(1);
     let parts = ControlParts {
-        settings: settings(port),
+        settings: NodeSettings {
+            heartbeat_port: port,
+            ..node_settings()
+        },
         net,
         spawner: Spawner::current(),
         incarnation: OWN_INCARNATION,
--- a/crates/azuresaddle-edge/src/directory/tests.rs
+++ b/crates/azuresaddle-edge/src/directory/tests.rs
@@ -4,41 +4,28 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use azuresaddle_platform::StorePosition;
-use azuresaddle_sched::addresses::{Caller, LoadLevel, MAX_ADDRESSES};
+use azuresaddle_sched::addresses::{Caller, MAX_ADDRESSES};
 
 use super::{ADDRESS_TTL, Directory};
 use crate::metrics::Metrics;
-use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, Snapshots, TargetSet};
+use crate::snapshot::{LiveNode, Snapshot, Snapshots};
+use crate::tests::snapshots::{empty_snapshot, live_node};
 
 fn node(n: u64, cpu_milli: u32) -> LiveNode {
     let [.., high, low] = n.to_be_bytes();
     LiveNode {
-        incarnation: n + 1,
         callers_addr: ([10, 0, high, low], 1).into(),
         peer_addr: ([10, 0, high, low], 2).into(),
-        takes_callers: true,
         domain: (n % 3) as u16,
         cpu_milli,
-        is_watching: false,
-        load: LoadLevel::Normal,
+        ..live_node(n + 1)
     }
 }
 
 fn directory(nodes: Vec<LiveNode>) -> (Arc<Directory>, Metrics) {
     let snapshots = Snapshots::new(Snapshot {
-        configuration: None,
-        raw_configuration: None,
-        targets: Arc::new(TargetSet::default()),
-        rate_limits: Arc::default(),
-        target_verdicts: Arc::default(),
-        target_records: Arc::default(),
-        domain_drains: Arc::default(),
-        target_position: StorePosition::default(),
         nodes: Arc::new(nodes),
-        running_nodes: 1,
-        owner: NO_OWNER,
-        is_leaving: false,
+        ..empty_snapshot()
     });
     let metrics = Metrics::new();
     (
--- a/crates/azuresaddle-edge/src/forward/tests/broken_sends.rs
+++ b/crates/azuresaddle-edge/src/forward/tests/broken_sends.rs
@@ -4,25 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
+use azuresaddle_core::deployment::{TargetEntry, TargetStart};
 use azuresaddle_core::prelude::*;
 
 use tokio::time::Instant;
 
 use crate::forward::broken_sends::{BrokenSend, BrokenSends};
 use crate::snapshot::TargetSet;
+use crate::tests::snapshots::ready_target;
 
 fn target(id: &str, host: u8, started: u64) -> TargetEntry {
+    let addr = SocketAddr::from((Ipv4Addr::new(10, 0, 0, host), 8149));
     TargetEntry {
-        id: HostName::new(id),
-        service: Arc::from("svc"),
-        addr: SocketAddr::from((Ipv4Addr::new(10, 0, 0, host), 8149)),
-        domain: FailureDomain::new("d1"),
-        state: TargetState::Ready,
-        slots: 16,
-        cold_for: Duration::ZERO,
         started: TargetStart(started),
-        sequence: 1,
+        ..ready_target(id, addr)
     }
 }
 
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -6,13 +6,11 @@
 
 use azuresaddle_core::byte_budget::{ByteBudget, HeldFor};
 use azuresaddle_core::deployment::{
-    Account, Bounds, Configuration, EngineSpec, Features, Idempotency, ListenAddrs, NodeSettings,
-    RequestLimits, Route, Service, TargetEntry, TargetStart, TargetState, WeightedService,
+    Account, Configuration, EngineSpec, Idempotency, NodeSettings, RequestLimits, Route, Service,
+    WeightedService,
 };
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::version::RulesVersion;
-use azuresaddle_platform::StorePosition;
-use azuresaddle_sched::addresses::LoadLevel;
 use azuresaddle_sched::passes::PassOptions;
 use tokio::io::{DuplexStream, duplex};
 use tokio::sync::mpsc;
@@ -30,6 +28,8 @@
 use crate::shutdown::Shutdown;
 use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
 use crate::targets::{SendObservations, SharedPaths, TargetDialer};
+use crate::tests::settings::node_settings;
+use crate::tests::snapshots::{empty_snapshot, live_node, ready_target};
 
 /// Bytes that a connection of a caller buffers.
 const CALLER_BUFFER_BYTES: usize = 1024;
@@ -106,7 +106,10 @@
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 8149));
         let (net, target) = memory_network_with_buffer(addr, options.target_buffer_bytes);
         let spawner = Spawner::current();
-        let settings = settings(options.memory_mb);
+        let settings = NodeSettings {
+            memory_mb: options.memory_mb,
+            ..node_settings()
+        };
         let snapshots = Snapshots::new(snapshot(&options));
         let metrics = Metrics::new();
         // No test of this kind sends what these channels carry.
@@ -223,17 +226,6 @@
 
 fn snapshot(options: &TestOptions) -> Snapshot {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 8149));
-    let target = |name: &str| TargetEntry {
-        id: HostName::new(name),
-        service: Arc::from("svc"),
-        addr,
-        domain: FailureDomain::new("d1"),
-        state: TargetState::Ready,
-        slots: 16,
-        cold_for: Duration::ZERO,
-        started: TargetStart(1),
-        sequence: 1,
-    };
     let others = [
         (SECOND_TARGET, options.has_second_target),
         (THIRD_TARGET, options.has_third_target),
@@ -242,33 +234,19 @@
     let names = std::iter::once(TARGET).chain(others.map(|(name, _)| name));
     let more = (4..4 + options.more_targets).map(|number| format!("t{number}"));
     let names = names.map(str::to_owned).chain(more);
-    let targets = names.map(|name| Arc::new(target(&name)));
+    let targets = names.map(|name| Arc::new(ready_target(&name, addr)));
+    let all_routes = routes(options);
+    let configuration = configuration(RulesVersion(1), options, all_routes);
     Snapshot {
-        configuration: Some(Arc::new(configuration(
-            RulesVersion(1),
-            options,
-            routes(options),
-        ))),
-        raw_configuration: None,
+        configuration: Some(Arc::new(configuration)),
         targets: Arc::new(TargetSet::new(targets)),
-        rate_limits: Arc::default(),
-        target_verdicts: Arc::default(),
-        target_records: Arc::default(),
-        domain_drains: Arc::default(),
-        target_position: StorePosition::default(),
         nodes: Arc::new(vec![LiveNode {
-            incarnation: 1,
             callers_addr: addr,
             peer_addr: addr,
-            takes_callers: true,
-            domain: 0,
-            cpu_milli: 250,
-            is_watching: false,
-            load: LoadLevel::Normal,
+            ..live_node(1)
         }]),
-        running_nodes: 1,
         owner: 1,
-        is_leaving: false,
+        ..empty_snapshot()
     }
 }
 
@@ -354,36 +332,3 @@
         is_public: false,
     }
 }
-
-fn settings(memory_mb: u64) -> NodeSettings {
-    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
-    NodeSettings {
-        name: HostName::new("n1"),
-        domain: FailureDomain::new("d1"),
-        ip: Ipv4Addr::LOCALHOST,
-        listen: ListenAddrs {
-            callers: addr,
-            readiness: addr,
-            directory: addr,
-        },
-        heartbeat_port: 1,
-        peer_port: 2,
-        tunnel_port: 3,
-        seeds: Vec::new(),
-        store: addr,
-        target_heartbeat: Duration::from_secs(1),
-        cpu_share: 0.12,
-        memory_mb,
-        link_bytes_per_s: 2_500_000.0,
-        bounds: Bounds {
-            stop_grace: Duration::from_secs(5),
-            retry_ratio: 0.1,
-            retry_extra: 10.0,
-            retry_window: Duration::from_secs(10),
-            max_address_ttl: Duration::from_secs(3),
-            max_hold: Duration::from_secs(10),
-            target_stall: Duration::from_secs(1),
-        },
-        features: Features::default(),
-    }
-}
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -22,6 +22,8 @@
 mod signals;
 mod snapshot;
 mod targets;
+#[cfg(test)]
+mod tests;
 mod traffic_watch;
 mod tunnel;
 
--- a/crates/azuresaddle-edge/src/placement/tests/handover.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/handover.rs
@@ -3,44 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_platform::StorePosition;
 use tokio::time::Instant;
 
 use crate::placement::owner_state::OwnerState;
-use azuresaddle_sched::addresses::LoadLevel;
-
-use crate::snapshot::{LiveNode, Snapshot, TargetSet};
+use crate::snapshot::Snapshot;
+use crate::tests::snapshots::{empty_snapshot, live_node};
 
 /// Longer than the longest handover.
 const LONG: Duration = Duration::from_secs(1);
 
-fn node(incarnation: u64) -> LiveNode {
-    LiveNode {
-        incarnation,
-        callers_addr: ([127, 0, 0, 1], 1).into(),
-        peer_addr: ([127, 0, 0, 1], 2).into(),
-        takes_callers: true,
-        domain: 0,
-        cpu_milli: 250,
-        is_watching: false,
-        load: LoadLevel::Normal,
-    }
-}
-
 fn snapshot(nodes: &[u64]) -> Snapshot {
     Snapshot {
-        configuration: None,
-        raw_configuration: None,
-        targets: Arc::new(TargetSet::default()),
-        rate_limits: Arc::default(),
-        target_verdicts: Arc::default(),
-        target_records: Arc::default(),
-        domain_drains: Arc::default(),
-        target_position: StorePosition::default(),
-        nodes: Arc::new(nodes.iter().map(|n| node(*n)).collect()),
+        nodes: Arc::new(nodes.iter().copied().map(live_node).collect()),
         running_nodes: nodes.len(),
         owner: 1,
-        is_leaving: false,
+        ..empty_snapshot()
     }
 }
 
--- a/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/test_fleet.rs
@@ -4,13 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::{
-    Configuration, RequestLimits, Service, TargetEntry, TargetStart, TargetState,
-};
+use azuresaddle_core::deployment::{Configuration, RequestLimits, Service, TargetEntry};
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::version::RulesVersion;
-use azuresaddle_platform::StorePosition;
-use azuresaddle_sched::addresses::LoadLevel;
 use azuresaddle_sched::passes::{DEFAULT_PRIORITY, PassOptions};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -24,6 +20,7 @@
     Owner, PlaceRequest, PlacementClient, PlacementClientParts, PlacementGuard,
 };
 use crate::snapshot::{LiveNode, Snapshot, Snapshots, TargetSet};
+use crate::tests::snapshots::{empty_snapshot, live_node, ready_target};
 
 /// Bandwidth of a node, in bytes per second.
 const LINK_BYTES_PER_S: f64 = 2_500_000.0;
@@ -181,40 +178,21 @@
 ) -> Snapshot {
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     let node = |incarnation| LiveNode {
-        incarnation,
-        callers_addr: addr,
         peer_addr: peer_addr(incarnation),
-        takes_callers: true,
-        domain: 0,
-        cpu_milli: 250,
-        is_watching: false,
-        load: LoadLevel::Normal,
+        ..live_node(incarnation)
     };
     let target = |n| TargetEntry {
-        id: HostName::new(format!("e{n}")),
-        service: Arc::from("svc"),
-        addr,
-        domain: FailureDomain::new("d1"),
-        state: TargetState::Ready,
         slots: 1,
-        cold_for: Duration::ZERO,
-        started: TargetStart(1),
-        sequence: 1,
+        ..ready_target(&format!("e{n}"), addr)
     };
     let targets = (1..=engines).map(|n| Arc::new(target(n)));
     Snapshot {
         configuration: Some(Arc::clone(configuration)),
-        raw_configuration: None,
         targets: Arc::new(TargetSet::new(targets)),
-        rate_limits: Arc::default(),
-        target_verdicts: Arc::default(),
-        target_records: Arc::default(),
-        domain_drains: Arc::default(),
-        target_position: StorePosition::default(),
         nodes: Arc::new(live.iter().copied().map(node).collect()),
         running_nodes: live.len(),
         owner,
-        is_leaving: false,
+        ..empty_snapshot()
     }
 }
 
--- a/crates/azuresaddle-edge/src/quarantine/tests/restarted_target.rs
+++ b/crates/azuresaddle-edge/src/quarantine/tests/restarted_target.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
+use azuresaddle_core::deployment::{TargetEntry, TargetStart};
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::quarantine::{Crash, TargetIncarnation};
 use tokio::sync::mpsc;
@@ -14,18 +14,14 @@
 use crate::quarantine::SharedQuarantine;
 use crate::quarantine::shared::target_hash;
 use crate::snapshot::TargetSet;
+use crate::tests::snapshots::ready_target;
 
 fn engine(number: u8, started: u64) -> TargetEntry {
+    let addr = SocketAddr::from((Ipv4Addr::new(10, 0, 0, number), 8149));
     TargetEntry {
-        id: HostName::new(format!("i-{number}")),
         service: Arc::from("llm"),
-        addr: SocketAddr::from((Ipv4Addr::new(10, 0, 0, number), 8149)),
-        domain: FailureDomain::new("d1"),
-        state: TargetState::Ready,
-        slots: 16,
-        cold_for: Duration::ZERO,
         started: TargetStart(started),
-        sequence: 1,
+        ..ready_target(&format!("i-{number}"), addr)
     }
 }
 
--- /dev/null
+++ b/crates/azuresaddle-edge/src/tests/snapshots.rs
@@ -0,0 +1,59 @@
+//! Snapshots, and the nodes and targets in them.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
+use azuresaddle_core::prelude::*;
+use azuresaddle_platform::StorePosition;
+use azuresaddle_sched::addresses::LoadLevel;
+
+use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, TargetSet};
+
+/// A snapshot without configuration, targets, nodes and owner.
+pub(crate) fn empty_snapshot() -> Snapshot {
+    Snapshot {
+        configuration: None,
+        raw_configuration: None,
+        targets: Arc::new(TargetSet::default()),
+        rate_limits: Arc::default(),
+        target_verdicts: Arc::default(),
+        target_records: Arc::default(),
+        domain_drains: Arc::default(),
+        target_position: StorePosition::default(),
+        nodes: Arc::default(),
+        running_nodes: 1,
+        owner: NO_OWNER,
+        is_leaving: false,
+    }
+}
+
+/// A node on the loopback address that accepts callers and has no load.
+pub(crate) fn live_node(incarnation: u64) -> LiveNode {
+    LiveNode {
+        incarnation,
+        callers_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 2)),
+        takes_callers: true,
+        domain: 0,
+        cpu_milli: 250,
+        is_watching: false,
+        load: LoadLevel::Normal,
+    }
+}
+
+/// A target of the service `svc` that is ready, with 16 slots.
+pub(crate) fn ready_target(name: &str, addr: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        id: HostName::new(name),
+        service: Arc::from("svc"),
+        addr,
+        domain: FailureDomain::new("d1"),
+        state: TargetState::Ready,
+        slots: 16,
+        cold_for: Duration::ZERO,
+        started: TargetStart(1),
+        sequence: 1,
+    }
+}
