Soak: one lookup of a random node for three kinds of callers

Slow readers, stalled readers and waiting callers each resolved the nodes, picked one and paused if there was none. The random draws keep their order, so seeds stand for the same plays.

--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -176,6 +176,16 @@
     known
 }
 
+/// Resolves the nodes and picks one; `None`, after a pause, if no directory lists any.
+pub(super) async fn random_node(shared: &SoakState, rng: &mut StdRng) -> Option<SocketAddr> {
+    let addresses = resolve(shared, rng, Vec::new()).await;
+    let node = addresses.choose(rng).copied();
+    if node.is_none() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    node
+}
+
 /// Part with which the prompts of all streams begin.
 pub(super) const FIRST_PART: &str = "f0";
 
--- a/crates/azuresaddle-standin/src/soak/slow_readers.rs
+++ b/crates/azuresaddle-standin/src/soak/slow_readers.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::callers::{SoakState, random_request, resolve};
+use super::callers::{SoakState, random_node, random_request};
 use super::stalled_readers::{connect, head};
 use crate::platform::{CallerRequest, LONG_BODY_BYTES, LONG_PATH};
 
@@ -26,9 +25,7 @@
 pub(super) async fn run_slow_reader(shared: Arc<SoakState>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     while !shared.stopped.is_cancelled() {
-        let addresses = resolve(&shared, &mut rng, Vec::new()).await;
-        let Some(node) = addresses.choose(&mut rng).copied() else {
-            tokio::time::sleep(Duration::from_millis(100)).await;
+        let Some(node) = random_node(&shared, &mut rng).await else {
             continue;
         };
         let request = CallerRequest {
--- a/crates/azuresaddle-standin/src/soak/stalled_readers.rs
+++ b/crates/azuresaddle-standin/src/soak/stalled_readers.rs
@@ -6,13 +6,12 @@
 
 use azuresaddle_platform::headers;
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
-use super::callers::{ANSWER_TIMEOUT, SoakState, random_request, resolve};
+use super::callers::{ANSWER_TIMEOUT, SoakState, random_node, random_request};
 use crate::platform::CallerRequest;
 
 /// Receive buffer of these callers, in bytes. A small one makes the node wait for the caller early.
@@ -56,9 +55,7 @@
 pub(super) async fn run_stalled_reader(shared: Arc<SoakState>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     while !shared.stopped.is_cancelled() {
-        let addresses = resolve(&shared, &mut rng, Vec::new()).await;
-        let Some(node) = addresses.choose(&mut rng).copied() else {
-            tokio::time::sleep(Duration::from_millis(100)).await;
+        let Some(node) = random_node(&shared, &mut rng).await else {
             continue;
         };
         let request = CallerRequest {
--- a/crates/azuresaddle-standin/src/soak/waiting_callers.rs
+++ b/crates/azuresaddle-standin/src/soak/waiting_callers.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
 
-use super::callers::{SoakState, random_request, resolve};
+use super::callers::{SoakState, random_node, random_request};
 use crate::platform::{CallerError, CallerRequest};
 
 /// Tokens per event; equals `stride` in the stand-in configuration.
@@ -24,9 +23,7 @@
 pub(super) async fn run_waiting_caller(shared: Arc<SoakState>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     while !shared.stopped.is_cancelled() {
-        let addresses = resolve(&shared, &mut rng, Vec::new()).await;
-        let Some(node) = addresses.choose(&mut rng).copied() else {
-            tokio::time::sleep(Duration::from_millis(100)).await;
+        let Some(node) = random_node(&shared, &mut rng).await else {
             continue;
         };
         let events = rng.random_range(EVENTS);
