Front-end tests: share the steps of targets and callers

Answer heads, accept loops, short events and timed requests stood in up to six files. They are now in target.rs and caller.rs; PATIENCE becomes EVENT_TIMEOUT. What the tests check is unchanged.

--- a/crates/azuresaddle-edge/src/frontend/tests/bodies.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/bodies.rs
@@ -4,12 +4,11 @@
 
 use azuresaddle_core::byte_budget::HeldFor;
 use azuresaddle_core::prelude::Listener;
-use azuresaddle_platform::headers;
 use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
 
 use super::caller::{head, head_of, read_all, read_some, send, time_limit};
-use super::target::read_head;
+use super::target::{plain_head, read_head};
 use super::test_node::{TestNode, TestOptions};
 
 fn text(answer: &[u8]) -> String {
@@ -144,8 +143,7 @@
             read_head(&mut target).await;
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             read_some(&mut target, 300_000).await;
-            let id = headers::ATTEMPT_ID;
-            let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 2\r\n\r\nok");
+            let answer = plain_head(2) + "ok";
             target.write_all(answer.as_bytes()).await.unwrap();
             let answer = text(&read_all(&mut caller).await);
             assert!(
--- a/crates/azuresaddle-edge/src/frontend/tests/caller.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/caller.rs
@@ -4,6 +4,10 @@
 
 use azuresaddle_platform::headers;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::test_node::TestNode;
 
 /// The head of a request of account `a` for one answer, after which the connection is closed.
 pub(super) fn head(path: &str, more: &str) -> String {
@@ -61,3 +65,19 @@
         rest = rest.get(length + 2..)?;
     }
 }
+
+/// The status of an answer; `none` if the connection was closed without one.
+pub(super) fn status(answer: &[u8]) -> String {
+    let text = std::str::from_utf8(answer).unwrap();
+    text.split(' ').nth(1).unwrap_or("none").to_owned()
+}
+
+/// Sends a request; the result has the status and the time of its answer.
+pub(super) fn ask(node: &TestNode, path: &str, more: &str) -> JoinHandle<(String, Duration)> {
+    let (connection, head) = (node.connect(), head(path, more));
+    tokio::spawn(async move {
+        let began = Instant::now();
+        let answer = read_all(&mut send(connection, &head).await).await;
+        (status(&answer), began.elapsed())
+    })
+}
--- a/crates/azuresaddle-edge/src/frontend/tests/connect_silences.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/connect_silences.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-use super::caller::{head, read_all, send, time_limit};
+use super::caller::{ask, time_limit};
 use super::scripted_targets::{Reply, ScriptedTargets};
 use super::test_node::{TestNode, TestOptions};
 
@@ -32,18 +31,6 @@
     })
 }
 
-/// Sends a request; the result has the status and the time of its answer.
-fn ask(node: &TestNode, path: &str, more: &str) -> JoinHandle<(String, Duration)> {
-    let (connection, head) = (node.connect(), head(path, more));
-    tokio::spawn(async move {
-        let began = Instant::now();
-        let answer = read_all(&mut send(connection, &head).await).await;
-        let answer = String::from_utf8(answer).unwrap();
-        let status = answer.split(' ').nth(1).unwrap().to_owned();
-        (status, began.elapsed())
-    })
-}
-
 /// Guards against requests that are refused since all targets pause for a moment, though they have time left.
 #[tokio::test(start_paused = true)]
 async fn a_pause_in_which_no_target_accepts_a_connection_refuses_no_request() {
--- a/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/long_prompts.rs
@@ -11,12 +11,12 @@
 
 use super::caller::{chunked_body, head, send};
 use super::scripted_targets::expected_target;
-use super::target::read_head;
+use super::target::{chunked_head, event_chunk, read_head};
 use super::test_node::{TestNode, TestOptions};
 use crate::control::tests::memory_network::memory_network;
 
 /// Time without an event after which a caller leaves.
-const PATIENCE: Duration = Duration::from_secs(2);
+const EVENT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time for which a helper may be silent after another one has answered.
 const LAG: Duration = Duration::from_millis(400);
@@ -105,12 +105,7 @@
                 return;
             }
             sleep(script.answer_after).await;
-            let id = headers::ATTEMPT_ID;
-            let event = "id: 1\ndata: 1\n\n";
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\n{id}: 1\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n0\r\n\r\n",
-                event.len()
-            );
+            let answer = chunked_head() + &event_chunk(1) + "0\r\n\r\n";
             let _ = stream.write_all(answer.as_bytes()).await;
             continue;
         }
@@ -180,10 +175,10 @@
     })
 }
 
-/// Whether a caller gets a whole answer within `patience`.
-async fn is_answered(mut caller: DuplexStream, patience: Duration) -> bool {
+/// Whether a caller gets a whole answer within `limit`.
+async fn is_answered(mut caller: DuplexStream, limit: Duration) -> bool {
     let mut read = Vec::new();
-    let reading = timeout(patience, caller.read_to_end(&mut read)).await;
+    let reading = timeout(limit, caller.read_to_end(&mut read)).await;
     reading.is_ok() && chunked_body(&read).is_some()
 }
 
@@ -212,8 +207,8 @@
         Duration::from_millis(1500),
     );
     let engines = Engines::open(node, script);
-    let patience = Duration::from_secs(4);
-    assert!(is_answered(caller, patience).await, "{:?}", engines.seen());
+    let limit = Duration::from_secs(4);
+    assert!(is_answered(caller, limit).await, "{:?}", engines.seen());
     let seen = engines.seen();
     let helper = &seen.reserved[0].0;
     let orders = seen.reserved.iter().chain(&seen.released);
@@ -234,7 +229,7 @@
         let caller = send(node.connect(), &long_prompt(path, 80_000)).await;
         let script = Script::new([FOREVER], Duration::ZERO);
         let engines = Engines::open(node, script);
-        let is_answered = is_answered(caller, PATIENCE).await;
+        let is_answered = is_answered(caller, EVENT_TIMEOUT).await;
         assert!(is_answered, "{path} {:?}", engines.seen());
         assert_eq!(engines.seen().runs.len(), 1, "{path}");
     }
@@ -248,7 +243,7 @@
     let after = |ms: u64| Duration::from_millis(1000 + ms);
     let script = Script::new([after(0), after(300), after(150)], Duration::ZERO);
     let engines = Engines::open(node, script);
-    let is_answered = is_answered(caller, PATIENCE).await;
+    let is_answered = is_answered(caller, EVENT_TIMEOUT).await;
     assert!(is_answered, "{:?}", engines.seen());
     let runs = engines.seen().runs;
     assert_eq!(runs.len(), 1, "{runs:?}");
@@ -263,7 +258,7 @@
     let silence = Duration::from_millis(900);
     let script = Script::new([Duration::ZERO, silence, silence], Duration::ZERO);
     let engines = Engines::open(node, script);
-    let is_answered = is_answered(caller, PATIENCE).await;
+    let is_answered = is_answered(caller, EVENT_TIMEOUT).await;
     assert!(is_answered, "{:?}", engines.seen());
     let seen = engines.seen();
     assert_eq!((seen.reserved.len(), seen.runs.len()), (3, 1), "{seen:?}");
@@ -281,7 +276,7 @@
         ..Script::new([second], second)
     };
     let engines = Engines::open(node, script);
-    let is_answered = is_answered(caller, PATIENCE).await;
+    let is_answered = is_answered(caller, EVENT_TIMEOUT).await;
     assert!(is_answered, "{:?}", engines.seen());
     assert_eq!(engines.seen().runs.len(), 2, "{:?}", engines.seen());
 }
@@ -292,7 +287,11 @@
     let node = six_engines();
     let caller = send(node.connect(), &long_prompt("/resumable/1", 80_000)).await;
     let engines = Engines::open(node, Script::new([FOREVER], Duration::ZERO));
-    assert!(is_answered(caller, PATIENCE).await, "{:?}", engines.seen());
+    assert!(
+        is_answered(caller, EVENT_TIMEOUT).await,
+        "{:?}",
+        engines.seen()
+    );
     assert_eq!(engines.seen().runs.len(), 1);
     let silent = "azuresaddle_sends_total{service=\"svc\",result=\"silent\"}";
     assert!(!engines.node.has_metric_of(silent));
@@ -304,7 +303,7 @@
     let node = six_engines();
     let caller = send(node.connect(), &long_prompt("/events/1", 80_000)).await;
     let engines = Engines::open(node, Script::new([FOREVER], Duration::ZERO));
-    let is_answered = is_answered(caller, PATIENCE).await;
+    let is_answered = is_answered(caller, EVENT_TIMEOUT).await;
     assert!(is_answered, "{:?}", engines.seen());
     assert_eq!(engines.seen().runs.len(), 1, "{:?}", engines.seen());
 }
@@ -323,7 +322,7 @@
                 ..Script::new(silences, Duration::from_secs(1))
             };
             let engines = Engines::open(node, script);
-            let is_answered = is_answered(caller, PATIENCE).await;
+            let is_answered = is_answered(caller, EVENT_TIMEOUT).await;
             assert_ne!(is_answered, is_first_run_broken, "{silences:?}");
             assert_eq!(engines.seen().runs.len(), 1, "{silences:?}");
         }
--- a/crates/azuresaddle-edge/src/frontend/tests/silent_targets.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/silent_targets.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use azuresaddle_core::prelude::Listener;
-use azuresaddle_platform::headers;
 use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use super::caller::{chunked_body, head, read_all, send};
-use super::target::read_head;
+use super::target::{
+    chunked_head, event_chunk, last_event_id, plain_head, read_head, serve_until, short_events,
+};
 use super::test_node::{TestNode, TestOptions};
 
 /// Requests at the same time. The retry budget suffices for seven of them.
@@ -25,16 +25,6 @@
 const SILENT_AT: Duration = Duration::from_millis(900);
 const SILENCE: Duration = Duration::from_millis(1300);
 
-fn event(id: u64) -> String {
-    format!("id: {id}\ndata: {id}\n\n")
-}
-
-/// The whole body of a stream.
-fn body() -> Vec<u8> {
-    let events: String = (1..=EVENTS).map(event).collect();
-    events.into_bytes()
-}
-
 /// Waits while targets are silent.
 async fn wait_while_silent(began: Instant) {
     let since = began.elapsed();
@@ -46,16 +36,11 @@
 /// Answers a request with the events that its caller does not have.
 async fn answer_stream(mut stream: DuplexStream, began: Instant) {
     let request = read_head(&mut stream).await;
-    let header = format!("{}: ", headers::LAST_EVENT_ID);
-    let last = request.lines().find_map(|l| l.strip_prefix(&header));
-    let last: u64 = last.map_or(0, |id| id.parse().unwrap());
-    let id = headers::ATTEMPT_ID;
-    let mut text = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ntransfer-encoding: chunked\r\n\r\n");
-    for number in last + 1..=EVENTS {
+    let mut text = chunked_head();
+    for number in last_event_id(&request) + 1..=EVENTS {
         tokio::time::sleep(INTERVAL).await;
         wait_while_silent(began).await;
-        let event = event(number);
-        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+        text.push_str(&event_chunk(number));
         // The node closes the connections of streams that go on elsewhere.
         if stream.write_all(text.as_bytes()).await.is_err() {
             return;
@@ -69,8 +54,7 @@
 async fn answer_plain(mut stream: DuplexStream, delay: Duration) {
     read_head(&mut stream).await;
     tokio::time::sleep(delay).await;
-    let id = headers::ATTEMPT_ID;
-    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 2\r\n\r\nok");
+    let answer = plain_head(2) + "ok";
     // The node closes the connections of requests that go on elsewhere.
     let _ = stream.write_all(answer.as_bytes()).await;
 }
@@ -101,17 +85,14 @@
         let mut node = TestNode::open(options(has_second_target));
         let began = Instant::now();
         let answers = ask_all(&node, "/resumable/1");
-        let targets = async {
-            loop {
-                let stream = node.target.accept().await.unwrap();
-                tokio::spawn(answer_stream(stream, began));
-            }
-        };
-        let answers = tokio::select! {
-            answers = answers.join_all() => answers,
-            () = targets => unreachable!(),
-        };
-        let whole = answers.iter().filter(|a| chunked_body(a) == Some(body()));
+        let answers = answers.join_all();
+        let answers = serve_until(&mut node.target, answers, |stream| {
+            answer_stream(stream, began)
+        })
+        .await;
+        let whole = answers
+            .iter()
+            .filter(|a| chunked_body(a) == Some(short_events(EVENTS)));
         assert_eq!(whole.count(), REQUESTS, "two targets: {has_second_target}");
     }
 }
@@ -123,16 +104,11 @@
     for has_second_target in [true, false] {
         let mut node = TestNode::open(options(has_second_target));
         let answers = ask_all(&node, "/idempotent/1");
-        let targets = async {
-            loop {
-                let stream = node.target.accept().await.unwrap();
-                tokio::spawn(answer_plain(stream, SILENCE));
-            }
-        };
-        let answers = tokio::select! {
-            answers = answers.join_all() => answers,
-            () = targets => unreachable!(),
-        };
+        let answers = answers.join_all();
+        let answers = serve_until(&mut node.target, answers, |stream| {
+            answer_plain(stream, SILENCE)
+        })
+        .await;
         let served = answers.iter().filter(|a| a.starts_with(b"HTTP/1.1 200"));
         assert_eq!(served.count(), REQUESTS, "two targets: {has_second_target}");
     }
--- a/crates/azuresaddle-edge/src/frontend/tests/single_runs.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/single_runs.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-use super::caller::{head, read_all, send, time_limit};
+use super::caller::{ask, time_limit};
 use super::scripted_targets::{Reply, ScriptedTargets};
 use super::test_node::{TestNode, TestOptions};
 use crate::shutdown::ShutdownStage;
 
+/// A route whose requests may run once.
+const PATH: &str = "/plain/1";
+
 /// Time of an answer from a target that is silent for more than a second.
 const LATE: Duration = Duration::from_millis(1780);
 
@@ -24,24 +26,12 @@
     })
 }
 
-/// Sends a request that may run once; the result has the status and the time of its answer.
-fn ask(node: &TestNode, more: &str) -> JoinHandle<(String, Duration)> {
-    let (connection, head) = (node.connect(), head("/plain/1", more));
-    tokio::spawn(async move {
-        let began = Instant::now();
-        let answer = read_all(&mut send(connection, &head).await).await;
-        let answer = String::from_utf8(answer).unwrap();
-        let status = answer.split(' ').nth(1).unwrap_or("none").to_owned();
-        (status, began.elapsed())
-    })
-}
-
 /// Requests to each target, which are all late.
 async fn assert_answered(beside: impl FnOnce(&TestNode)) {
     const REQUESTS: usize = 4;
     let mut node = node();
     let targets = ScriptedTargets::open(&mut node, &[Reply::Ok(LATE); REQUESTS]);
-    let asks: Vec<_> = (0..REQUESTS).map(|_| ask(&node, "")).collect();
+    let asks: Vec<_> = (0..REQUESTS).map(|_| ask(&node, PATH, "")).collect();
     sleep(BESIDE).await;
     beside(&node);
     for asked in asks {
@@ -82,7 +72,7 @@
     let limit = Duration::from_millis(2500);
     let mut node = node();
     let targets = ScriptedTargets::open(&mut node, &[Reply::Never]);
-    let asked = ask(&node, &time_limit(limit));
+    let asked = ask(&node, PATH, &time_limit(limit));
     sleep(BESIDE).await;
     node.change_routes(|all| all[1].timeout = Duration::from_secs(1));
     assert_eq!(asked.await.unwrap(), ("504".to_owned(), limit));
@@ -96,7 +86,7 @@
     let connections = node.target.pause();
     let pause = connections.write().await;
     let targets = ScriptedTargets::open(&mut node, &[]);
-    let asked = ask(&node, "");
+    let asked = ask(&node, PATH, "");
     sleep(BESIDE).await;
     node.shutdown.enter(ShutdownStage::Closing);
     node.shutdown.enter(ShutdownStage::Refusing);
--- a/crates/azuresaddle-edge/src/frontend/tests/slow_callers.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/slow_callers.rs
@@ -4,13 +4,11 @@
 
 use azuresaddle_core::byte_budget::HeldFor;
 use azuresaddle_core::deployment::RequestLimits;
-use azuresaddle_core::prelude::Listener;
-use azuresaddle_platform::headers;
 use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::time::Instant;
 
 use super::caller::{chunked_body, head, read_all, read_some, send, time_limit};
-use super::target::{Events, read_head};
+use super::target::{Events, accept_request, plain_head};
 use super::test_node::{TestNode, TestOptions};
 
 /// The usual answer to a prompt.
@@ -117,14 +115,13 @@
     assert!(ended.is_ok(), "the test failed or hangs");
 }
 
-/// Answers one plain request with a body of a megabyte.
-async fn answer_long(node: &mut TestNode) {
-    let mut target = node.target.accept().await.unwrap();
-    read_head(&mut target).await;
-    let id = headers::ATTEMPT_ID;
-    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 1000000\r\n\r\n");
-    target.write_all(answer.as_bytes()).await.unwrap();
+/// Answers one plain request with a body of a megabyte. Returns the connection, which is closed when it is dropped.
+async fn answer_long(node: &mut TestNode) -> DuplexStream {
+    let mut target = accept_request(&mut node.target).await;
+    let head = plain_head(1_000_000);
+    target.write_all(head.as_bytes()).await.unwrap();
     target.write_all(&vec![b'x'; 1_000_000]).await.unwrap();
+    target
 }
 
 /// Reads the rest of an answer, of which `left` bytes are left, at 40 KB a second.
@@ -142,7 +139,7 @@
     run_with_watchdog(async {
         let mut node = TestNode::open(TestOptions::default());
         let mut caller = send(node.connect(), &head("/plain/1", "")).await;
-        answer_long(&mut node).await;
+        drop(answer_long(&mut node).await);
         let idle_timeout = RequestLimits::default().idle_timeout;
         let began = Instant::now();
         read_slowly(&mut caller, 1_000_000).await;
@@ -159,12 +156,12 @@
         let mut node = TestNode::open(TestOptions::default());
         let request = head("/plain/1", "").replace("connection: close\r\n", "");
         let mut caller = send(node.connect(), &request).await;
-        answer_long(&mut node).await;
+        drop(answer_long(&mut node).await);
         read_slowly(&mut caller, 1_000_000).await;
         let idle_timeout = RequestLimits::default().idle_timeout;
         tokio::time::sleep(idle_timeout - Duration::from_secs(1)).await;
         caller.write_all(request.as_bytes()).await.unwrap();
-        answer_long(&mut node).await;
+        drop(answer_long(&mut node).await);
         tokio::time::sleep(idle_timeout + Duration::from_secs(1)).await;
         // Both answers, then the connection is closed.
         assert!(read_all(&mut caller).await.len() > 1_000_000);
@@ -192,12 +189,7 @@
 async fn an_answer_of_a_plain_target_is_counted_until_it_is_read() {
     let mut node = TestNode::open(TestOptions::default());
     let mut caller = send(node.connect(), &head("/plain/1", "")).await;
-    let mut target = node.target.accept().await.unwrap();
-    read_head(&mut target).await;
-    let id = headers::ATTEMPT_ID;
-    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 1000000\r\n\r\n");
-    target.write_all(answer.as_bytes()).await.unwrap();
-    target.write_all(&vec![b'x'; 1_000_000]).await.unwrap();
+    let _target = answer_long(&mut node).await;
     tokio::time::sleep(Duration::from_secs(5)).await;
     assert_eq!(node.held(HeldFor::Caller), 1_000_000);
     let answer = read_all(&mut caller).await;
--- a/crates/azuresaddle-edge/src/frontend/tests/stopping.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/stopping.rs
@@ -2,30 +2,14 @@
 
 use std::time::Duration;
 
-use azuresaddle_core::prelude::Listener;
-use azuresaddle_platform::headers;
-use tokio::io::{AsyncWriteExt, DuplexStream};
+use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
 
-use super::caller::{head, read_all, read_some, send};
-use super::target::read_head;
+use super::caller::{head, read_all, read_some, send, status};
+use super::target::{accept_request, plain_head};
 use super::test_node::{TestNode, TestOptions};
 use crate::shutdown::ShutdownStage;
 
-/// Reads the answer until the node closes the connection, and returns its status.
-async fn status(caller: &mut DuplexStream) -> String {
-    let answer = String::from_utf8(read_all(caller).await).unwrap();
-    let status = answer.split(' ').nth(1);
-    status.unwrap_or("none").to_owned()
-}
-
-/// Accepts a request of the node.
-async fn accept(node: &mut TestNode) -> DuplexStream {
-    let mut target = node.target.accept().await.unwrap();
-    read_head(&mut target).await;
-    target
-}
-
 /// Guards against a request that is dropped with the process because its body was still arriving.
 #[tokio::test(start_paused = true)]
 async fn a_request_whose_body_still_arrives_is_refused_at_once() {
@@ -35,7 +19,7 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     node.shutdown.enter(ShutdownStage::Refusing);
     let began = Instant::now();
-    assert_eq!(status(&mut caller).await, "503");
+    assert_eq!(status(&read_all(&mut caller).await), "503");
     assert_eq!(began.elapsed(), Duration::ZERO);
 }
 
@@ -44,13 +28,12 @@
 async fn a_request_that_was_sent_keeps_its_target_until_the_process_ends() {
     let mut node = TestNode::open(TestOptions::default());
     let mut caller = send(node.connect(), &head("/plain/1", "")).await;
-    let mut target = accept(&mut node).await;
+    let mut target = accept_request(&mut node.target).await;
     node.shutdown.enter(ShutdownStage::Refusing);
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let id = headers::ATTEMPT_ID;
-    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 2\r\n\r\nok");
+    let answer = plain_head(2) + "ok";
     target.write_all(answer.as_bytes()).await.unwrap();
-    assert_eq!(status(&mut caller).await, "200");
+    assert_eq!(status(&read_all(&mut caller).await), "200");
 }
 
 /// Guards against a process that ends while callers still read their answers, because the answers counted as finished once
@@ -59,10 +42,9 @@
 async fn a_stop_waits_for_answers_that_are_still_read() {
     let mut node = TestNode::open(TestOptions::default());
     let mut caller = send(node.connect(), &head("/plain/1", "")).await;
-    let mut target = accept(&mut node).await;
+    let mut target = accept_request(&mut node.target).await;
     node.shutdown.enter(ShutdownStage::Refusing);
-    let id = headers::ATTEMPT_ID;
-    let answer = format!("HTTP/1.1 200 OK\r\n{id}: 1\r\ncontent-length: 600000\r\n\r\n");
+    let answer = plain_head(600_000);
     target.write_all(answer.as_bytes()).await.unwrap();
     target.write_all(&[b'x'; 600_000]).await.unwrap();
     for _ in 0..59 {
@@ -82,11 +64,11 @@
     for path in ["/plain/1", "/events/1"] {
         let mut node = TestNode::open(TestOptions::default());
         let mut caller = send(node.connect(), &head(path, "")).await;
-        let mut target = accept(&mut node).await;
+        let mut target = accept_request(&mut node.target).await;
         node.shutdown.enter(ShutdownStage::Refusing);
         tokio::time::sleep(Duration::from_secs(3)).await;
         node.shutdown.enter(ShutdownStage::Ending);
-        assert_eq!(status(&mut caller).await, "504", "{path}");
+        assert_eq!(status(&read_all(&mut caller).await), "504", "{path}");
         let metric = "azuresaddle_ended_by_stop_total{service=\"svc\",verdict=\"may-have-run\"} 1";
         assert!(node.has_metric(metric), "{path}");
         // The target no longer works for it.
