--- a/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/stream_takeover.rs
@@ -23,7 +23,7 @@
 const INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time without an event after which a caller leaves.
-const PATIENCE: Duration = Duration::from_secs(2);
+const EVENT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time without an event after which a node asks another target: six times the pause target of the test's routes.
 const SILENCE: Duration = Duration::from_millis(1200);
@@ -117,11 +117,11 @@
     let _ = stream.write_all(b"0\r\n\r\n").await;
 }
 
-/// Reads an answer until the node closes the connection or the caller has had no byte for [`PATIENCE`].
-async fn read_patiently(mut stream: DuplexStream) -> Vec<u8> {
+/// Reads an answer until the node closes the connection or the caller has had no byte for [`EVENT_TIMEOUT`].
+async fn read_until_timeout(mut stream: DuplexStream) -> Vec<u8> {
     let mut read = Vec::new();
     let mut buf = [0; 512];
-    while let Ok(Ok(count)) = timeout(PATIENCE, stream.read(&mut buf)).await {
+    while let Ok(Ok(count)) = timeout(EVENT_TIMEOUT, stream.read(&mut buf)).await {
         if count == 0 {
             break;
         }
@@ -147,7 +147,7 @@
         }
     };
     let answer = tokio::select! {
-        answer = read_patiently(caller) => answer,
+        answer = read_until_timeout(caller) => answer,
         () = targets => unreachable!(),
     };
     (answer, sends.load(Ordering::Relaxed))
@@ -262,7 +262,7 @@
                 if number >= 20 {
                     tokio::time::sleep(INTERVAL * 5 + SILENCE + INTERVAL * 3).await;
                 }
-                read_patiently(send(connection, &head("/resumable/1", "")).await).await
+                read_until_timeout(send(connection, &head("/resumable/1", "")).await).await
             });
         }
         callers.join_all().await
@@ -396,7 +396,7 @@
         for _ in 0..16 {
             let request = head("/resumable/1", &limit);
             let connection = TestNode::connect_to(&service);
-            short.spawn(async move { read_patiently(send(connection, &request).await).await });
+            short.spawn(async move { read_until_timeout(send(connection, &request).await).await });
         }
         // None of them is refused, and none is whole.
         for answer in short.join_all().await {
@@ -404,7 +404,7 @@
         }
         tokio::time::sleep_until(silence_end).await;
         let caller = send(TestNode::connect_to(&service), &head("/resumable/1", "")).await;
-        let answer = read_patiently(caller).await;
+        let answer = read_until_timeout(caller).await;
         (answer, silence_end.elapsed())
     };
     let (answer, took) = tokio::select! {
@@ -462,7 +462,7 @@
         }
     };
     let answer = tokio::select! {
-        answer = read_patiently(caller) => answer,
+        answer = read_until_timeout(caller) => answer,
         () = targets => unreachable!(),
     };
     assert!(is_whole(&answer), "{}", String::from_utf8_lossy(&answer));
@@ -536,7 +536,7 @@
                 if number >= 12 {
                     tokio::time::sleep_until(new_at).await;
                 }
-                read_patiently(send(connection, &head("/resumable/1", "")).await).await
+                read_until_timeout(send(connection, &head("/resumable/1", "")).await).await
             });
         }
         callers.join_all().await
--- a/crates/azuresaddle-edge/src/placement/tests/unreachable_owner.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/unreachable_owner.rs
@@ -5,7 +5,7 @@
 use super::test_fleet::{Placed, TestFleet};
 
 /// Time in which the streams of such a node are placed: a part of the time that callers wait.
-const PATIENCE: Duration = Duration::from_millis(3500);
+const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(3500);
 
 /// Time in which a node sends its streams to the owner, with a new connection.
 const SYNC_TIME: Duration = Duration::from_millis(1100);
@@ -29,7 +29,7 @@
         fleet.set_reachable(1, 3, false);
         tokio::time::sleep(arrival).await;
         let placing = fleet.node(1).place();
-        if !is_placed(PATIENCE, placing).await {
+        if !is_placed(PLACEMENT_TIMEOUT, placing).await {
             late.push(arrival);
         }
     }
@@ -50,7 +50,7 @@
         assert_eq!(fleet.node(3).waiting(), 1);
         fleet.node(3).spawner.freeze();
         drop(first);
-        if !is_placed(PATIENCE, placing).await {
+        if !is_placed(PLACEMENT_TIMEOUT, placing).await {
             late.push(arrival);
         }
     }
@@ -66,7 +66,7 @@
         fleet.set_reachable(1, 3, false);
         tokio::time::sleep(arrival).await;
         let placing = fleet.node(1).place();
-        if !is_placed(PATIENCE, placing).await {
+        if !is_placed(PLACEMENT_TIMEOUT, placing).await {
             late.push(arrival);
         }
     }
@@ -79,16 +79,16 @@
     let mut fleet = TestFleet::open(&[3, 3, 3], 1);
     fleet.set_reachable(1, 3, false);
     let first = fleet.node(1).place();
-    assert!(is_placed(PATIENCE, first).await);
+    assert!(is_placed(PLACEMENT_TIMEOUT, first).await);
     fleet.set_reachable(1, 3, true);
     tokio::time::sleep(SYNC_TIME).await;
     let running = fleet.node(2).place().await.expect("no panic");
     let running = running.expect("placed");
     let placing = fleet.node(1).place();
-    tokio::time::sleep(PATIENCE).await;
+    tokio::time::sleep(PLACEMENT_TIMEOUT).await;
     assert_eq!(fleet.node(3).waiting(), 1);
     drop(running);
-    assert!(is_placed(PATIENCE, placing).await);
+    assert!(is_placed(PLACEMENT_TIMEOUT, placing).await);
 }
 
 /// Guards against two nodes that place on the same engines after each short stall of the owner.
@@ -108,7 +108,7 @@
         assert!(!placing.is_finished(), "arrival after {arrival:?}");
         assert_eq!(fleet.node(3).waiting(), 1, "arrival after {arrival:?}");
         drop(first);
-        assert!(is_placed(PATIENCE, placing).await);
+        assert!(is_placed(PLACEMENT_TIMEOUT, placing).await);
     }
 }
 
@@ -117,7 +117,7 @@
 async fn a_new_owner_is_asked_after_one_that_could_not_be_reached() {
     let mut fleet = TestFleet::open(&[3, 3, 3], 1);
     fleet.set_reachable(1, 3, false);
-    assert!(is_placed(PATIENCE, fleet.node(1).place()).await);
+    assert!(is_placed(PLACEMENT_TIMEOUT, fleet.node(1).place()).await);
     for node in [1, 2, 3] {
         fleet.set_owner(node, 2);
     }
@@ -127,5 +127,5 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert_eq!(fleet.node(2).waiting(), 1);
     drop(running);
-    assert!(is_placed(PATIENCE, placing).await);
+    assert!(is_placed(PLACEMENT_TIMEOUT, placing).await);
 }
