--- a/crates/azuresaddle-sched/src/quarantine/explanations.rs
+++ b/crates/azuresaddle-sched/src/quarantine/explanations.rs
@@ -1,13 +1,12 @@
 //! Which of the requests that a crashed target was running explains its crash best.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
 use super::crash::TargetIncarnation;
-use super::evidence::{Evidence, SUFFICIENT_CRASHES};
+use super::evidence::Evidence;
 use super::record::{QuarantineKind, Record};
 use super::state::{CrashedTarget, Quarantine};
 
@@ -18,14 +17,6 @@
 /// Age up to which crashes count towards how often targets crash on their own.
 const RECENT_CRASH_AGE: Duration = Duration::from_secs(60);
 
-/// Crashes that a request shares with a part of prompts.
-#[derive(Clone, Copy, Debug, Default)]
-struct SharedCrashes {
-    all: usize,
-    /// Those of targets that were running no other request.
-    alone: usize,
-}
-
 impl Quarantine {
     /// Evidence on a request, without the crashes that another request on the same target explains better.
     pub(super) fn unexplained_evidence(
@@ -34,148 +25,33 @@
         record: &Record,
     ) -> Evidence {
         let own = record.evidence().weight();
-        // A part in quarantine runs on no target, so crashes that others cause meanwhile can't be compared with its own.
-        let until = fingerprint.is_prompt_part().then(|| record.last_crash_at());
         let is_unexplained = |incarnation: &TargetIncarnation| {
-            let mut others = self.requests_on(incarnation).filter(|r| *r != fingerprint);
+            let requests = self
+                .crashed_targets
+                .get(incarnation)
+                .into_iter()
+                .flat_map(|e| &e.requests);
+            let mut others = requests.filter(|r| **r != fingerprint);
             !others.any(|other| {
-                self.outweighs(other, fingerprint, own, until)
-                    || self.is_better_explanation(other, fingerprint, until)
+                self.weight(*other) > own || self.is_better_explanation(*other, fingerprint)
             })
         };
-        let mut unexplained: Vec<TargetIncarnation> = record
-            .crashed_incarnations()
-            .filter(is_unexplained)
-            .collect();
-        if !fingerprint.is_prompt_part() {
-            return record.evidence_with(unexplained.len());
-        }
-        let requests = self.requests_explaining_part(record, &mut unexplained);
-        record.evidence_with(requests.len() + unexplained.len())
-    }
-
-    /// Whether the evidence against `cause`, with its crashes up to `until`, exceeds `weight`, the evidence against
-    /// `fingerprint`.
-    ///
-    /// A part has at least as many crashes as each request that contains it. So it does not outweigh a request that explains
-    /// the crashes of the part.
-    fn outweighs(
-        &self,
-        cause: Fingerprint,
-        fingerprint: Fingerprint,
-        weight: f64,
-        until: Option<Instant>,
-    ) -> bool {
-        let record = self.records.get(&cause);
-        record.is_some_and(|r| {
-            r.evidence_with(self.crashes_until(r, until).count())
-                .weight()
-                > weight
-                && !(cause.is_prompt_part() && self.explains_part(fingerprint, r))
-        })
-    }
-
-    /// Whether a request explains several crashes of a part.
-    fn explains_part(&self, request: Fingerprint, part: &Record) -> bool {
-        let mut crashes = part.crashed_incarnations().collect();
-        self.requests_explaining_part(part, &mut crashes)
-            .contains(&request)
-    }
-
-    /// Requests that each explain several of these crashes of a part. The explained crashes are removed from `crashes`.
-    ///
-    /// A request that may contain the part and has enough crashes for a quarantine of its own explains them as well as the
-    /// part does. All crashes that one request explains count as one crash of the part: only other requests that contain the
-    /// part can show that it is the cause.
-    fn requests_explaining_part(
-        &self,
-        part: &Record,
-        crashes: &mut Vec<TargetIncarnation>,
-    ) -> Vec<Fingerprint> {
-        let mut requests = Vec::new();
-        while let Some(request) = self.best_request_for(part, crashes) {
-            crashes.retain(|incarnation| !self.requests_on(incarnation).any(|r| r == request));
-            requests.push(request);
-        }
-        requests
-    }
-
-    /// The request that explains most of these crashes of a part; `None` if no request explains more than one.
-    fn best_request_for(
-        &self,
-        part: &Record,
-        crashes: &[TargetIncarnation],
-    ) -> Option<Fingerprint> {
-        let mut shared: HashMap<Fingerprint, SharedCrashes> = HashMap::new();
-        for incarnation in crashes {
-            let requests = self.requests_on(incarnation);
-            let requests: Vec<Fingerprint> = requests.filter(|r| !r.is_prompt_part()).collect();
-            for request in &requests {
-                let shared = shared.entry(*request).or_default();
-                shared.all += 1;
-                shared.alone += usize::from(requests.len() == 1);
-            }
-        }
-        let explains = |request: &Fingerprint, shared: &SharedCrashes| {
-            shared.all > 1
-                && self.weight(*request) >= SUFFICIENT_CRASHES as f64
-                && self.may_hold(*request, part)
-        };
-        let best = shared
-            .into_iter()
-            .filter(|(request, shared)| explains(request, shared))
-            .max_by_key(|(request, shared)| (shared.all, shared.alone, *request));
-        best.map(|(request, _)| request)
-    }
-
-    /// Whether a request may contain a part of prompts: it has crashed no target that was not running the part.
-    fn may_hold(&self, request: Fingerprint, part: &Record) -> bool {
-        let record = self.records.get(&request);
-        record.is_some_and(|r| part.includes_crashes_of(r))
-    }
-
-    /// Requests and parts that a crashed target was running.
-    fn requests_on(&self, incarnation: &TargetIncarnation) -> impl Iterator<Item = Fingerprint> {
-        let crashed = self.crashed_targets.get(incarnation);
-        crashed.into_iter().flat_map(|c| &c.requests).copied()
-    }
-
-    /// Targets in a record whose crashes this node learned of by `until`; all of them if it is `None`.
-    fn crashes_until(
-        &self,
-        record: &Record,
-        until: Option<Instant>,
-    ) -> impl Iterator<Item = TargetIncarnation> {
-        let is_counted = move |incarnation: &TargetIncarnation| {
-            let crashed = self.crashed_targets.get(incarnation);
-            until.is_none_or(|until| crashed.is_some_and(|c| c.at <= until))
-        };
-        record.crashed_incarnations().filter(is_counted)
+        record.evidence_with(record.crashed_incarnations().filter(is_unexplained).count())
     }
 
     /// Whether `cause` explains a crash better than `fingerprint`, which was on the same target: apart
-    /// from each other, only `cause` has crashed targets, up to `until`.
+    /// from each other, only `cause` has crashed targets.
     ///
     /// When different requests crash most of the targets at once, a harmless one that all callers
     /// send was on each of them and has more crashes than any of the causes.
-    fn is_better_explanation(
-        &self,
-        cause: Fingerprint,
-        fingerprint: Fingerprint,
-        until: Option<Instant>,
-    ) -> bool {
-        self.is_incriminated_without(cause, fingerprint, until)
-            && !self.is_incriminated_without(fingerprint, cause, until)
+    fn is_better_explanation(&self, cause: Fingerprint, fingerprint: Fingerprint) -> bool {
+        self.is_incriminated_without(cause, fingerprint)
+            && !self.is_incriminated_without(fingerprint, cause)
     }
 
-    /// Whether a request has crashed targets up to `until` that were running neither `absent` nor another request
+    /// Whether a request has crashed targets that were running neither `absent` nor another request
     /// with as many crashes.
-    fn is_incriminated_without(
-        &self,
-        fingerprint: Fingerprint,
-        absent: Fingerprint,
-        until: Option<Instant>,
-    ) -> bool {
+    fn is_incriminated_without(&self, fingerprint: Fingerprint, absent: Fingerprint) -> bool {
         let Some(record) = self.records.get(&fingerprint) else {
             return false;
         };
@@ -191,7 +67,7 @@
             let crashed = self.crashed_targets.get(incarnation);
             crashed.is_some_and(|c| !c.requests.iter().any(has_other_cause))
         };
-        let crashes = self.crashes_until(record, until).filter(is_only_cause);
+        let crashes = record.crashed_incarnations().filter(is_only_cause);
         record.evidence_with(crashes.count()).weight() >= INCRIMINATING_CRASHES as f64
     }
 
--- a/crates/azuresaddle-sched/src/quarantine/record.rs
+++ b/crates/azuresaddle-sched/src/quarantine/record.rs
@@ -120,11 +120,6 @@
         self.crashes.get(SUFFICIENT_CRASHES - 1).map(|k| k.at)
     }
 
-    /// When this node learned of the last crash.
-    pub(super) fn last_crash_at(&self) -> Instant {
-        self.last_crash_at
-    }
-
     /// Number of the last incarnation of a target that is known to have crashed, and when this node learned of it.
     pub(super) fn last_crashed_incarnation_of(&self, target: u64) -> Option<(u8, Instant)> {
         let known = self.crashes.iter().filter(|k| k.target.target == target);
