Review: a request that ran well before may crash sixteen servers

An idempotent request that clients repeat has run for 10 s, then crashes each server that begins to run it. Runs from before take 0.75 off each crash, and one is enough for quarantines of 3 and 6 s instead of ten minutes.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,14 +10,13 @@
 mod limit_case;
 mod parts_case;
 mod record;
+mod request_case;
 mod server;
 mod store;
 
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::Duration;
 
-use parts_case::Scene;
 use record::Record;
 
 /// Whether the rule held.
@@ -37,31 +36,8 @@
     let result = Record::create(Path::new(record)).and_then(|record| {
         let result = match case.as_str() {
             "limit" => limit_case::run(folder, &record, has_trouble),
-            "parts" => {
-                let position = std::env::var("POSITION").ok().and_then(|p| p.parse().ok());
-                let scene = Scene {
-                    shared: 9,
-                    position: position.unwrap_or(10).clamp(1, 10),
-                    is_popular: false,
-                    slots: 16,
-                    events: 8,
-                    sound_pause: Duration::from_millis(80),
-                    crashing_pause: Duration::from_millis(500),
-                };
-                parts_case::run(folder, &record, has_trouble, scene)
-            }
-            "popular" => {
-                let scene = Scene {
-                    shared: 2,
-                    position: 3,
-                    is_popular: std::env::var("BEFORE").map_or(true, |v| v != "0"),
-                    slots: 8,
-                    events: 20,
-                    sound_pause: Duration::from_millis(40),
-                    crashing_pause: Duration::from_millis(500),
-                };
-                parts_case::run(folder, &record, has_trouble, scene)
-            }
+            "parts" => parts_case::run(folder, &record, has_trouble),
+            "request" => request_case::run(folder, &record, has_trouble),
             other => Err(std::io::Error::other(format!("no case {other}"))),
         };
         record.flush();
--- a/review/standins-2/src/parts_case.rs
+++ b/review/standins-2/src/parts_case.rs
@@ -1,5 +1,4 @@
-//! One part of a prompt crashes each server that begins to write an answer on it. Two cases: the part stands behind several
-//! sound ones; the part was sound and popular until then.
+//! One part of a prompt, behind several sound ones, crashes each server that begins to write an answer on it.
 
 use std::io;
 use std::path::Path;
@@ -27,32 +26,20 @@
 /// The part that crashes servers.
 const CRASHING: &str = "c4a5e001";
 
-/// What a case is about.
-#[derive(Clone, Copy, Debug)]
-pub struct Scene {
-    /// Sound parts that all requests share.
-    pub shared: usize,
-    /// Position of the crashing part, from 1.
-    pub position: usize,
-    /// Whether requests with the part come before it crashes servers, too.
-    pub is_popular: bool,
-    /// Requests that a model server runs at once.
-    pub slots: u32,
-    /// Events of an answer.
-    pub events: u64,
-    /// Time between two sound requests.
-    pub sound_pause: Duration,
-    /// Time between two requests with the part that crashes servers.
-    pub crashing_pause: Duration,
-}
+/// Sound parts that all requests share.
+const SHARED: usize = 9;
 
 const NODES: u8 = 3;
 const ENGINES: u8 = 4;
 
+/// Time between two sound requests, and between two with the part that crashes servers.
+const SOUND_PAUSE: Duration = Duration::from_millis(80);
+const CRASHING_PAUSE: Duration = Duration::from_millis(500);
+
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-ask","host":"desk.example","prefix":"/ask/",
 "route_type":"streaming","timeout_ms":10000,"target_latency_ms":600,"priority":1,"service":"llm","max_attempts":2,
 "public":false,"sticky":true,"resumable":true,"target_gap_ms":200}],"services":[{"name":"llm","health_path":"/healthz",
-"max_connections":204,"protocol":"h1","tls":false,"engine":{"slots":SLOTS,"kv_capacity":450000,"kv_bytes":327680,
+"max_connections":204,"protocol":"h1","tls":false,"engine":{"slots":16,"kv_capacity":450000,"kv_bytes":327680,
 "link_mbps":400000.0,"stride":46,"models":[{"name":"m"}],"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,
 "read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048,"report_lag_ms":200.0,"loads_per_s":0.0,"loads_at_once":8,
 "delays":[],"usual":{"prompt":13227,"answer":368},"hop_ms":0.1}}],"limits":{"max_header_bytes":16384,
@@ -69,7 +56,8 @@
 struct Clients {
     addresses: Addresses,
     record: Record,
-    scene: Scene,
+    /// Position of the crashing part, from 1.
+    position: usize,
     ends: AtomicBool,
     sound: Mutex<Vec<Sound>>,
 }
@@ -77,10 +65,10 @@
 impl Clients {
     /// The parts of a prompt; `crashing` is put in at its position.
     fn parts(&self, crashing: bool) -> String {
-        let shared = (0..self.scene.shared).map(|n| format!("5a{n:06x}:400"));
+        let shared = (0..SHARED).map(|n| format!("5a{n:06x}:400"));
         let mut parts: Vec<String> = shared.collect();
         if crashing {
-            parts.insert(self.scene.position - 1, format!("{CRASHING}:400"));
+            parts.insert(self.position - 1, format!("{CRASHING}:400"));
         }
         parts.push(format!("ee{:06x}:400", next_number()));
         parts.join(",")
@@ -138,23 +126,22 @@
     }
 }
 
-pub fn run(folder: &Path, record: &Record, has_trouble: bool, scene: Scene) -> io::Result<Verdict> {
+pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
+    let position = std::env::var("POSITION").ok().and_then(|p| p.parse().ok());
+    let position = position.unwrap_or(SHARED + 1).clamp(1, SHARED + 1);
     let is_armed = Arc::new(AtomicBool::new(false));
     let addresses = Addresses::find()?;
     let store = Store::serve(addresses.store())?;
-    store.put(
-        "op/config",
-        &CONFIG.replace("SLOTS", &scene.slots.to_string()),
-    );
+    store.put("op/config", CONFIG);
     let mut servers = Vec::new();
     for number in 1..=ENGINES {
         let options = Options {
             id: format!("i-{number:08x}"),
             service: "llm".to_owned(),
             addr: addresses.server(number),
-            slots: scene.slots,
+            slots: 16,
             work: Work::Stream {
-                events: scene.events,
+                events: 8,
                 gap: Duration::from_millis(45),
             },
             crashing_part: Some(CRASHING.to_owned()),
@@ -178,26 +165,21 @@
     let clients = Arc::new(Clients {
         addresses,
         record: record.clone(),
-        scene,
+        position,
         ends: AtomicBool::new(false),
         sound: Mutex::default(),
     });
     let started = Arc::clone(&clients);
-    let sound = std::thread::spawn(move || started.run(false, scene.sound_pause));
-    let with_part = |clients: &Arc<Clients>| {
-        let started = Arc::clone(clients);
-        std::thread::spawn(move || started.run(true, scene.crashing_pause))
-    };
-    let popular = scene.is_popular.then(|| with_part(&clients));
+    let sound = std::thread::spawn(move || started.run(false, SOUND_PAUSE));
     std::thread::sleep(Duration::from_secs(8));
     let trouble_at = record.now();
     is_armed.store(has_trouble, Ordering::SeqCst);
     record.say(&format!(
-        "requests with the part {CRASHING} at position {} of {} come; crashes servers: {has_trouble}",
-        scene.position,
-        scene.shared + 2
+        "requests with the part {CRASHING} at position {position} of {} come; crashes servers: {has_trouble}",
+        SHARED + 2
     ));
-    let crashing = popular.unwrap_or_else(|| with_part(&clients));
+    let started = Arc::clone(&clients);
+    let crashing = std::thread::spawn(move || started.run(true, CRASHING_PAUSE));
     std::thread::sleep(Duration::from_secs(40));
     clients.ends.store(true, Ordering::SeqCst);
     let ends_at = record.now();
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -31,6 +31,7 @@
     pub at: f64,
     pub attempt: String,
     pub parts: String,
+    pub path: String,
 }
 
 pub struct Options {
@@ -39,7 +40,8 @@
     pub addr: SocketAddr,
     pub slots: u32,
     pub work: Work,
-    /// A part of prompts of which the server crashes as it begins to write an answer, once `is_armed` is set.
+    /// A part of prompts, or the path of a plain request, of which the server crashes as it begins to write an answer, once
+    /// `is_armed` is set.
     pub crashing_part: Option<String>,
     pub is_armed: Arc<AtomicBool>,
     /// Time after which a crashed server is back.
@@ -155,6 +157,12 @@
         limit.clone()
     }
 
+    /// The part of prompts, or the path, of which the server crashes now.
+    fn crashing(&self) -> Option<&str> {
+        let crashing = self.0.options.crashing_part.as_deref();
+        crashing.filter(|_| self.0.options.is_armed.load(Ordering::SeqCst))
+    }
+
     pub fn id(&self) -> &str {
         &self.0.options.id
     }
@@ -277,6 +285,7 @@
                 at: self.0.record.now(),
                 attempt: attempt.clone(),
                 parts: parts.clone(),
+                path: path.to_owned(),
             });
             let is_full = state.active >= self.0.options.slots;
             state.active += u32::from(!is_full);
@@ -293,13 +302,15 @@
         headers.push(("Azuresaddle-Server-Seal", seal.as_str()));
         let result = match self.0.options.work {
             Work::Plain(time) => {
+                if self.crashing() == Some(path) {
+                    self.crash(&attempt, start);
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
                 std::thread::sleep(time);
                 write_message(out, "HTTP/1.1 200 OK", &headers, attempt.as_bytes())
             }
             Work::Stream { events, gap } => {
-                let crashing = self.0.options.crashing_part.as_deref();
-                let crashing = crashing.filter(|_| self.0.options.is_armed.load(Ordering::SeqCst));
-                let crashes = crashing.is_some_and(|crashing| {
+                let crashes = self.crashing().is_some_and(|crashing| {
                     let mut ids: Vec<&str> = parts.split(',').collect();
                     ids.pop();
                     ids.iter().any(|p| p.split(':').next() == Some(crashing))
