Review: the scripts look for free ports on loopback addresses only

A last comparison with the issue found that the driver listened for a moment on an address that is no loopback address. It now tries the addresses that the case uses.

--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -34,9 +34,12 @@
                 part: 64 + (mix % 128) as u8,
                 port: 20_000 + (mix % 500) as u16 * 20,
             };
-            let all_free = (0..10).all(|offset| {
-                let addr = SocketAddr::from((Ipv4Addr::UNSPECIFIED, found.port + offset));
-                TcpListener::bind(addr).is_ok()
+            let groups = [(1, 8), (2, 6), (9, 1)];
+            let mut all = groups
+                .iter()
+                .flat_map(|(group, count)| (1..=*count).map(|number| found.ip(*group, number)));
+            let all_free = all.all(|ip| {
+                (0..10).all(|offset| TcpListener::bind((ip, found.port + offset)).is_ok())
             });
             if all_free {
                 return Ok(found);
