Rejections state the configuration that decided; panics reach the log

No log could tell a right 404 from that of a node that is behind, and a panic of a task stood on standard error only.

- `request rejected` has the version in force, the time since control last checked its state and since the store last answered.
- Each panic is a log line (thread, place, message) and counted.
- A node that stays behind another one for a second says so, and whether a fetch is under way.
- Metrics: newest configuration version of any node, age of control and of the store's last answer, panics.

No decision changes.

--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod losses;
 pub mod names;
 pub mod net;
+pub mod panics;
 pub mod pool_id;
 pub mod prelude;
 pub mod problem;
--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -105,6 +105,8 @@
     pub(super) raw_configuration: Option<Arc<Vec<u8>>>,
     /// Since when another node has known later changes than this one.
     pub(super) behind_since: Option<Instant>,
+    /// Whether the log says that this node is behind.
+    pub(super) is_lag_reported: bool,
     /// Since when a node at the same store position has had different targets.
     pub(super) differs_since: Option<Instant>,
     pub(super) is_fetching: bool,
@@ -211,6 +213,7 @@
             configuration: None,
             raw_configuration: None,
             behind_since: None,
+            is_lag_reported: false,
             differs_since: None,
             is_fetching: false,
             full_fetch_at: None,
@@ -292,6 +295,7 @@
 
     async fn on_tick(&mut self, fetched_tx: &mpsc::Sender<Fetched>) -> bool {
         let now = Instant::now();
+        self.snapshots.progress().on_check(now);
         let term = self.members.own.term;
         let members_changed = self.members.on_tick(now);
         self.take_over_if_claimed(now, self.members.own.term != term)
@@ -312,6 +316,7 @@
             self.send_heartbeats(now, &destinations).await;
         }
         self.fetch_if_behind(now, fetched_tx);
+        self.report_lag(now);
         self.rewrite_missing_crashes(now);
         self.update_settled(now);
         let has_started_serving = self.retry_deferred_configuration();
--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -36,6 +36,9 @@
 /// Minimum interval between two fetches of all targets.
 const MIN_FULL_FETCH_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Time for which a node is behind another one before it says so in the log.
+const LAG_REPORT_DELAY: Duration = Duration::from_millis(1000);
+
 /// What is fetched from another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum FetchScope {
@@ -208,6 +211,32 @@
         changed | self.retry_deferred_configuration()
     }
 
+    /// Logs when this node stays behind others, and when it has caught up.
+    pub(super) fn report_lag(&mut self, now: Instant) {
+        let newest = self.members.newest_configuration(now).max(self.version());
+        self.metrics.newest_configuration_version.set(newest);
+        let lag = self
+            .behind_since
+            .map(|since| now.saturating_duration_since(since));
+        let is_behind = lag.is_some_and(|lag| lag >= LAG_REPORT_DELAY);
+        if is_behind == self.is_lag_reported {
+            return;
+        }
+        self.is_lag_reported = is_behind;
+        let configuration = self.version();
+        if is_behind {
+            tracing::warn!(
+                part = "control",
+                configuration,
+                newest,
+                is_fetching = self.is_fetching,
+                "behind other nodes"
+            );
+        } else {
+            tracing::info!(part = "control", configuration, "no longer behind");
+        }
+    }
+
     /// Logs and counts a rollback of the store to an older copy.
     pub(super) fn detect_rollback(&mut self) {
         let era = self.registry.era();
--- a/crates/azuresaddle-edge/src/control/store_events.rs
+++ b/crates/azuresaddle-edge/src/control/store_events.rs
@@ -22,6 +22,7 @@
         let now = Instant::now();
         if !matches!(event, StoreEvent::Unreachable { .. }) {
             self.store_answered_at = Some(now);
+            self.snapshots.progress().on_store_answer(now);
         }
         match event {
             StoreEvent::Reconnected => {
--- /dev/null
+++ b/crates/azuresaddle-edge/src/control_progress.rs
@@ -0,0 +1,61 @@
+//! When control last did its work, for threads that depend on it.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Value of [`ControlProgress::store_answered`] before the first answer.
+const NEVER: u64 = u64::MAX;
+
+/// When control last checked its state, and when it last received an answer from the store.
+#[derive(Debug)]
+pub(crate) struct ControlProgress {
+    opened_at: Instant,
+    /// Milliseconds from `opened_at` to the last check.
+    checked: AtomicU64,
+    /// Milliseconds from `opened_at` to the last answer of the store; [`NEVER`] before the first one.
+    store_answered: AtomicU64,
+}
+
+impl ControlProgress {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            opened_at: now,
+            checked: AtomicU64::new(0),
+            store_answered: AtomicU64::new(NEVER),
+        }
+    }
+
+    /// Records that control has checked its state; what it has published is all that it knows.
+    pub(crate) fn on_check(&self, now: Instant) {
+        self.checked.store(self.millis(now), Ordering::Relaxed);
+    }
+
+    /// Records an answer of the store.
+    pub(crate) fn on_store_answer(&self, now: Instant) {
+        self.store_answered
+            .store(self.millis(now), Ordering::Relaxed);
+    }
+
+    /// Time since control last checked its state.
+    pub(crate) fn idle_for(&self, now: Instant) -> Duration {
+        self.since(now, self.checked.load(Ordering::Relaxed))
+    }
+
+    /// Time since the store last answered this node; `None` if it never has.
+    pub(crate) fn store_age(&self, now: Instant) -> Option<Duration> {
+        let answered = self.store_answered.load(Ordering::Relaxed);
+        (answered != NEVER).then(|| self.since(now, answered))
+    }
+
+    fn millis(&self, now: Instant) -> u64 {
+        let since = now.saturating_duration_since(self.opened_at);
+        since.as_millis() as u64
+    }
+
+    fn since(&self, now: Instant, millis: u64) -> Duration {
+        now.saturating_duration_since(self.opened_at)
+            .saturating_sub(Duration::from_millis(millis))
+    }
+}
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -142,12 +142,14 @@
             return Err(refuse(req.headers(), detail, UNCONFIGURED_RETRY_AFTER));
         };
         let (parts, body) = req.into_parts();
+        let version = configuration.version;
         let admitted = admit(configuration, &parts.uri, &parts.headers)
-            .map_err(|rejection| self.reject(&parts.headers, rejection))?;
+            .map_err(|rejection| self.reject(&parts.headers, version, rejection))?;
         let attempt_id = parts.headers.get(&headers::ATTEMPT_ID).cloned();
         let attempt_id = attempt_id.ok_or_else(|| {
             let status = StatusCode::BAD_REQUEST;
-            self.reject(&parts.headers, Rejection::new(status, "no attempt id"))
+            let rejection = Rejection::new(status, "no attempt id");
+            self.reject(&parts.headers, version, rejection)
         })?;
         let deadline = arrived + time_limit(&admitted, &parts.headers);
         let body = tokio::select! {
@@ -156,7 +158,7 @@
             body = self.read_body(configuration, &admitted, body, deadline) => body,
         };
         let body = body.map_err(|failure| match failure {
-            BodyFailure::Rejected(rejection) => self.reject(&parts.headers, rejection),
+            BodyFailure::Rejected(rejection) => self.reject(&parts.headers, version, rejection),
             BodyFailure::NoRoom => self.refuse_body(&parts.headers),
             BodyFailure::Stopping => refuse_stopping(&parts.headers),
         })?;
@@ -264,7 +266,17 @@
 
     /// Logs and answers a rejected request. The connection is closed, since unread bytes of the request may follow on it;
     /// it stays open after an unknown route or key.
-    fn reject(&self, map: &HeaderMap, rejection: Rejection) -> Box<Response<ProxyBody>> {
+    ///
+    /// The log has the version that decided and how recent it is, which tell a caller's fault from that of a node that is
+    /// behind.
+    fn reject(
+        &self,
+        map: &HeaderMap,
+        version: RulesVersion,
+        rejection: Rejection,
+    ) -> Box<Response<ProxyBody>> {
+        let now = Instant::now();
+        let progress = self.snapshots.progress();
         tracing::info!(
             part = "frontend",
             request = map
@@ -272,6 +284,9 @@
                 .and_then(|id| id.to_str().ok()),
             status = rejection.status.as_u16(),
             reason = rejection.detail,
+            configuration = version.0,
+            control_age_ms = progress.idle_for(now).as_millis() as u64,
+            store_age_ms = progress.store_age(now).map(|age| age.as_millis() as u64),
             "request rejected"
         );
         let mut response = problem_response(rejection.status, rejection.detail);
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! never waits for control.
 
 mod control;
+mod control_progress;
 mod directory;
 mod domain_hash;
 mod ejected_target_info;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -1,10 +1,11 @@
 //! Metrics of a node, in the OpenMetrics text format.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use azuresaddle_core::byte_budget::{ByteBudget, HeldFor};
+use azuresaddle_core::panics::panic_count;
 use azuresaddle_core::prelude::*;
 use hyper::StatusCode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -14,6 +15,9 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use tokio::time::Instant;
+
+use crate::control_progress::ControlProgress;
 
 /// Upper bounds of the latency histograms, in seconds: around the usual latency targets of 0.1, 0.3,
 /// 1.5 and 3 s.
@@ -123,6 +127,10 @@
     placement_wait: Family<ServiceLabels, Histogram>,
     answer_time: Family<ServiceLabels, Histogram>,
     pub(crate) configuration_version: Gauge<u64, AtomicU64>,
+    pub(crate) newest_configuration_version: Gauge<u64, AtomicU64>,
+    control_age: Gauge<f64, AtomicU64>,
+    store_age: Gauge<f64, AtomicU64>,
+    panics: Counter,
     pub(crate) targets: Gauge,
     pub(crate) cold_targets: Gauge,
     pub(crate) drained_domains: Gauge,
@@ -172,6 +180,10 @@
             placement_wait: Family::new_with_constructor(latency_histogram),
             answer_time: Family::new_with_constructor(latency_histogram),
             configuration_version: Gauge::default(),
+            newest_configuration_version: Gauge::default(),
+            control_age: Gauge::default(),
+            store_age: Gauge::default(),
+            panics: Counter::default(),
             targets: Gauge::default(),
             cold_targets: Gauge::default(),
             drained_domains: Gauge::default(),
@@ -238,6 +250,15 @@
             help,
             self.configuration_version.clone(),
         );
+        let help = "Latest version of the configuration that any live node has in force";
+        let newest = self.newest_configuration_version.clone();
+        r.register("newest_configuration_version", help, newest);
+        let help = "Time since control last checked its state";
+        r.register("control_age_seconds", help, self.control_age.clone());
+        let help = "Time since the store last answered this node; infinite before the first answer";
+        r.register("store_age_seconds", help, self.store_age.clone());
+        let help = "Panics of tasks and threads";
+        r.register("panics", help, self.panics.clone());
         let help = "Targets that are cold after their start";
         r.register("cold_targets", help, self.cold_targets.clone());
         let help = "Failure domains that the operator drains";
@@ -441,6 +462,16 @@
         }
     }
 
+    /// Sets the metrics of control's progress to their present values.
+    pub(crate) fn set_progress(&self, progress: &ControlProgress) {
+        let now = Instant::now();
+        self.control_age.set(progress.idle_for(now).as_secs_f64());
+        let store_age = progress.store_age(now);
+        self.store_age
+            .set(store_age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
+        self.panics.inner().store(panic_count(), Ordering::Relaxed);
+    }
+
     /// All metrics in the text format.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/azuresaddle-edge/src/operator_endpoints.rs
+++ b/crates/azuresaddle-edge/src/operator_endpoints.rs
@@ -74,6 +74,7 @@
         match path {
             METRICS_PATH => {
                 self.metrics.set_held_bytes(&self.budget);
+                self.metrics.set_progress(self.snapshots.progress());
                 page(self.metrics.text(), TEXT_FORMAT)
             }
             BURN_PATH => json(&self.burn.counts(Instant::now())),
--- a/crates/azuresaddle-edge/src/snapshot.rs
+++ b/crates/azuresaddle-edge/src/snapshot.rs
@@ -11,8 +11,10 @@
 use azuresaddle_sched::addresses::{AddressCandidate, LoadLevel, NodeRole};
 use azuresaddle_sched::target_health::TargetVerdicts;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::control::{DomainDrain, TargetRecord};
+use crate::control_progress::ControlProgress;
 
 /// Value of [`Snapshot::owner`] if no owner is known yet; no process has this incarnation.
 pub(crate) const NO_OWNER: u64 = 0;
@@ -173,6 +175,7 @@
     latest: Arc<ArcSwap<Snapshot>>,
     version: Arc<watch::Sender<u64>>,
     owner: Arc<watch::Sender<u64>>,
+    progress: Arc<ControlProgress>,
 }
 
 impl Snapshots {
@@ -182,6 +185,7 @@
             latest: Arc::new(ArcSwap::from_pointee(first)),
             version: Arc::new(watch::Sender::new(0)),
             owner: Arc::new(watch::Sender::new(owner)),
+            progress: Arc::new(ControlProgress::new(Instant::now())),
         }
     }
 
@@ -200,6 +204,11 @@
         });
     }
 
+    /// The progress of control, which publishes the snapshots.
+    pub(crate) fn progress(&self) -> &ControlProgress {
+        &self.progress
+    }
+
     /// Notifies of every new snapshot.
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Result, anyhow};
 use azuresaddle_core::net::TcpNetwork;
+use azuresaddle_core::panics::log_panics;
 use azuresaddle_core::prelude::*;
 use azuresaddle_edge::{Node, NodeOptions};
 use azuresaddle_platform::{SETTINGS_PATH_VARIABLE, read_settings};
@@ -82,6 +83,7 @@
         .expect("clap requires it");
     let settings = read_settings(path).map_err(|e| anyhow!(BadInput(e.to_string())))?;
     let log = init_log(args);
+    log_panics();
     let port = args.get_one::<u16>("metrics-port").copied();
     let options = NodeOptions {
         metrics_port: port.filter(|p| *p != 0),
--- a/tests/testsuite/platform/diagnostics.rs
+++ b/tests/testsuite/platform/diagnostics.rs
@@ -28,6 +28,33 @@
     assert!(history.contains("runs=0"), "{history}");
 }
 
+/// Guards against a rejection that does not tell whether the caller is at fault or the node has an old configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejected_request() {
+    let fleet = fleet("explain-rejected", 2).await;
+    let asked = plain("/nowhere/1");
+    assert_eq!(status(&fleet.nodes[0], &asked).await, 404);
+    wait_for_log_writer().await;
+    let history = trace(&fleet, &asked.attempt);
+    let version = fleet.platform.configuration.version;
+    assert!(
+        history.contains(&format!("configuration={version} ")),
+        "{history}"
+    );
+    assert!(history.contains("control_age_ms="), "{history}");
+    assert!(history.contains("store_age_ms="), "{history}");
+    let metrics = fleet.nodes[0].metrics().await.unwrap();
+    let newest = format!("azuresaddle_newest_configuration_version {version}");
+    for line in [
+        newest.as_str(),
+        "azuresaddle_control_age_seconds 0.",
+        "azuresaddle_store_age_seconds ",
+        "azuresaddle_panics_total 0",
+    ] {
+        assert!(metrics.contains(line), "{line}: {metrics}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_targets_asked_to_back_off() {
     let fleet = fleet("explain-paused", 1).await;
