A test of an entry that ends the control task of every node, known red

Another writer's entry with `cold_remaining_ms` 1e22 makes `now + stated` panic in the control task. Known red until the mend.

--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -10,6 +10,7 @@
 mod drains;
 mod end_to_end;
 mod faults;
+mod foreign_entries;
 mod malformed_input;
 mod partitions;
 mod quarantine_command;
