Listeners for nodes and tunnels go on after a failed accept

Cause: `serve_rpc` and `serve_tunnels` ended at the first failed accept, while the listeners for callers and for HTTP went on. Class: a task that ends and nobody notices.

Change: one `accept` for all listeners, which waits and goes on, and logs the first failure in a row and the end of them. `peer::tests::accept_failures`: both tests failed before (the call timed out, the tunnel broke).

--- a/crates/azuresaddle-core/src/http/server.rs
+++ b/crates/azuresaddle-core/src/http/server.rs
@@ -15,14 +15,10 @@
 use super::body::Body;
 use super::peer_ip::PeerIp;
 use super::respond::problem;
-use crate::net::Listener;
+use crate::net::{Listener, accept};
 use crate::problem::Problem;
 use crate::spawner::Spawner;
 
-/// Delay after a failed accept, so that the loop does not spin while file descriptors are
-/// exhausted.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-
 /// Size of the read buffer, as a multiple of the head limit. A head over the limit that fits into
 /// the buffer is answered with a problem that states the limit; a longer one gets a bare status.
 const READ_BUFFER_FACTOR: usize = 4;
@@ -71,10 +67,7 @@
             let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
                 return;
             };
-            let Ok(stream) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-                continue;
-            };
+            let stream = accept(&mut listener).await;
             let handler = Arc::clone(&handler);
             let peer_ip = L::peer_ip(&stream).map(PeerIp);
             tasks.spawn(async move {
--- a/crates/azuresaddle-core/src/net/mod.rs
+++ b/crates/azuresaddle-core/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Network abstraction: TCP in production, in-memory duplex streams in tests with a paused clock.
 
+mod accept;
 mod tcp;
 
 use std::future::Future;
@@ -8,6 +9,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite};
 
+pub use accept::accept;
 pub use tcp::{TcpListener, TcpNetwork};
 
 /// Opens and accepts byte streams.
--- a/crates/azuresaddle-edge/src/control/tests/memory_network.rs
+++ b/crates/azuresaddle-edge/src/control/tests/memory_network.rs
@@ -28,9 +28,16 @@
     addr: SocketAddr,
     accepted: mpsc::Receiver<DuplexStream>,
     pause: Arc<RwLock<()>>,
+    /// Number of accepts that fail before others succeed.
+    failures: u32,
 }
 
 impl MemoryListener {
+    /// Makes the next accepts fail, as without free file descriptors.
+    pub(crate) fn fail_accepts(&mut self, count: u32) {
+        self.failures = count;
+    }
+
     /// No connection is established while this is locked for writing; attempts wait.
     pub(crate) fn pause(&self) -> Arc<RwLock<()>> {
         Arc::clone(&self.pause)
@@ -59,6 +66,7 @@
         addr,
         accepted,
         pause,
+        failures: 0,
     };
     (net, listener)
 }
@@ -87,6 +95,10 @@
     type Stream = DuplexStream;
 
     async fn accept(&mut self) -> io::Result<DuplexStream> {
+        if self.failures > 0 {
+            self.failures -= 1;
+            return Err(io::Error::other("too many open files"));
+        }
         let next = self.accepted.recv().await;
         next.ok_or_else(|| io::Error::from(io::ErrorKind::BrokenPipe))
     }
--- a/crates/azuresaddle-edge/src/frontend/listener.rs
+++ b/crates/azuresaddle-edge/src/frontend/listener.rs
@@ -1,8 +1,8 @@
 //! Accepts connections of callers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
+use azuresaddle_core::net::accept;
 use azuresaddle_core::prelude::*;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::Semaphore;
@@ -11,9 +11,6 @@
 use super::connection::serve_connection;
 use super::service::CallerService;
 
-/// Delay after a failed accept, which prevents a busy loop when file descriptors run out.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
 /// Most connections of callers. The smallest hosts have 4,100 file descriptors, of which 200 are not for sockets; the
 /// rest is for connections to targets and other nodes.
 pub(super) const MAX_CONNECTIONS: usize = 2800;
@@ -44,17 +41,9 @@
             let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
                 return;
             };
-            let accepted = tokio::select! {
+            let stream = tokio::select! {
                 () = closed.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            let stream = match accepted {
-                Ok(stream) => stream,
-                Err(e) => {
-                    tracing::warn!(part = "frontend", error = %e, "can't accept a connection");
-                    tokio::time::sleep(ACCEPT_BACKOFF).await;
-                    continue;
-                }
+                stream = accept(&mut listener) => stream,
             };
             let service = Arc::clone(&service);
             tasks.spawn(async move {
--- a/crates/azuresaddle-edge/src/peer/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/peer/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of the calls between nodes.
 
+mod accept_failures;
 mod reply_budget;
--- a/crates/azuresaddle-edge/src/tunnel/server.rs
+++ b/crates/azuresaddle-edge/src/tunnel/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::net::accept;
 use azuresaddle_core::prelude::*;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -46,7 +47,7 @@
     pub(crate) leaving: CancellationToken,
 }
 
-/// Accepts requests for tunnels until an accept fails or the spawner is killed.
+/// Accepts requests for tunnels until the spawner is killed.
 pub(crate) fn serve_tunnels<N: Network>(
     mut listener: N::Listener,
     spawner: &Spawner,
@@ -56,7 +57,8 @@
     let server = Arc::new(server);
     let slots = Arc::new(Semaphore::new(MAX_TUNNELS));
     spawner.spawn(async move {
-        while let Ok(stream) = listener.accept().await {
+        loop {
+            let stream = accept(&mut listener).await;
             let server = Arc::clone(&server);
             let slots = Arc::clone(&slots);
             tasks.spawn(async move {
--- a/crates/azuresaddle-rpc/src/server.rs
+++ b/crates/azuresaddle-rpc/src/server.rs
@@ -1,5 +1,6 @@
 //! Accepts connections of other nodes.
 
+use azuresaddle_core::net::accept;
 use azuresaddle_core::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -18,8 +19,7 @@
     Transport<S, ClientMessage<Req>, Response<Resp>, Bincode<ClientMessage<Req>, Response<Resp>>>,
 >;
 
-/// Accepts connections of other nodes until an accept fails or the spawner is killed; `on_channel`
-/// serves each.
+/// Accepts connections of other nodes until the spawner is killed; `on_channel` serves each.
 pub fn serve_rpc<L, Req, Resp, F>(mut listener: L, spawner: &Spawner, on_channel: F)
 where
     L: Listener,
@@ -30,7 +30,8 @@
     ServerChannel<L::Stream, Req, Resp>: Channel,
 {
     spawner.spawn(async move {
-        while let Ok(stream) = listener.accept().await {
+        loop {
+            let stream = accept(&mut listener).await;
             on_channel(BaseChannel::with_defaults(transport(stream)));
         }
     });
