A fetch is over however its task ends

Control fetches from one node at a time, and kept `is_fetching` set until the task sent a result: a task that panicked left it set for good, and the node fetched nothing more from others.

The result is sent when the fetch is dropped. `control::tests::fetch` fails without that (no result after a panic).

--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -55,7 +55,31 @@
 #[derive(Debug)]
 pub(super) struct Fetched {
     scope: FetchScope,
-    state: Option<PeerState>,
+    pub(super) state: Option<PeerState>,
+}
+
+/// A fetch under way. Its result is sent when it is dropped, so that control learns of its end however the task ends.
+pub(super) struct PendingFetch {
+    pub(super) scope: FetchScope,
+    pub(super) state: Option<PeerState>,
+    pub(super) tx: mpsc::Sender<Fetched>,
+}
+
+impl PendingFetch {
+    pub(super) fn finish(mut self, state: Option<PeerState>) {
+        self.state = state;
+    }
+}
+
+impl Drop for PendingFetch {
+    fn drop(&mut self) {
+        let fetched = Fetched {
+            scope: self.scope,
+            state: self.state.take(),
+        };
+        // There is one fetch at a time, so the queue has room unless the control loop has ended.
+        let _ = self.tx.try_send(fetched);
+    }
 }
 
 impl<N: Network> Control<N> {
@@ -84,16 +108,18 @@
         };
         let configuration = self.version();
         let peers = self.peers.clone();
-        let tx = fetched_tx.clone();
+        let pending = PendingFetch {
+            scope,
+            state: None,
+            tx: fetched_tx.clone(),
+        };
         self.spawner.spawn(async move {
             let state = fetch(&peers, addr, timeout, configuration, after).await;
             if let Err(e) = &state {
                 tracing::debug!(part = "control", %addr, error = %e, "fetching an update failed");
             }
             // The other node may also be too busy to answer.
-            let state = state.ok().flatten();
-            // A send fails only if the control loop has ended.
-            let _ = tx.send(Fetched { scope, state }).await;
+            pending.finish(state.ok().flatten());
         });
     }
 
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crash_gossip;
 mod domain_drains;
 mod failover;
+mod fetch;
 mod fleet;
 mod health_fleet;
 mod host_load_gossip;
