A node does not outlive a task that it can't do without

What callers saw: after the control task of a node had panicked, the node served its last configuration for good (404 for every route added later, 200 for readiness), and nothing on standard output said so.

Cause: the runtime catches the panic of a task, and nobody waited for the end of the tasks that live as long as the process. Class: a spawned task whose end nobody notices.

- `Spawner::spawn_essential` reports the end of a task, by a panic, a return or the end of its runtime; control, the store's reader and writers, pool and target updates, reports to owners and all listeners are spawned by it, in both kinds of node.
- A node with a failure is not ready, leaves the addresses, refuses requests as not run, finishes the answers in flight and ends with exit code 1, so that the platform starts it again.
If its traffic can't do that, control ends the process after the grace period.

`platform::essential_tasks`, `directory::tests`, `thread_watch::tests`, `spawner::tests`.

--- a/crates/azuresaddle-core/src/http/server.rs
+++ b/crates/azuresaddle-core/src/http/server.rs
@@ -61,7 +61,7 @@
     H: Handler,
 {
     let tasks = spawner.clone();
-    spawner.spawn(async move {
+    spawner.spawn_essential("http listener", async move {
         let slots = Arc::new(Semaphore::new(limits.max_connections));
         loop {
             let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod rules;
 pub mod spawner;
 pub mod stream_id;
+pub mod task_failure;
 pub mod verdict;
 pub mod version;
--- a/crates/azuresaddle-core/src/prelude.rs
+++ b/crates/azuresaddle-core/src/prelude.rs
@@ -8,5 +8,6 @@
 pub use crate::request_id::RequestId;
 pub use crate::spawner::Spawner;
 pub use crate::stream_id::StreamId;
+pub use crate::task_failure::{TaskEnd, TaskFailure};
 pub use crate::verdict::Verdict;
 pub use crate::version::{Epoch, Incarnation, RulesVersion};
--- a/crates/azuresaddle-core/src/spawner.rs
+++ b/crates/azuresaddle-core/src/spawner.rs
@@ -7,9 +7,12 @@
 use std::task::{Context, Poll, Waker};
 
 use tokio::runtime::Handle;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::task_failure::{TaskEnd, TaskFailure};
+
 /// Spawns the tasks of one process and can stop all of them at once.
 ///
 /// All tasks of a process are spawned here, so that a test that runs several processes in one
@@ -25,6 +28,8 @@
     frozen: AtomicBool,
     /// Wakers of the tasks that were polled while the group was frozen.
     parked: Mutex<Vec<Waker>>,
+    /// The first failure of an essential task.
+    failure: watch::Sender<Option<TaskFailure>>,
 }
 
 impl Spawner {
@@ -35,6 +40,7 @@
                 killed: CancellationToken::new(),
                 frozen: AtomicBool::new(false),
                 parked: Mutex::new(Vec::new()),
+                failure: watch::Sender::new(None),
             }),
             handle,
         }
@@ -64,6 +70,47 @@
         self.spawn_abortable(future);
     }
 
+    /// Spawns a task that the process can't do without. Its end is a failure, which [`Self::failure`] returns, unless the
+    /// group is killed.
+    ///
+    /// The runtime catches a panic of a task; without this the process would go on with a part of it gone.
+    pub fn spawn_essential<F>(&self, task: &'static str, future: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let guard = EssentialTask {
+            group: self.clone(),
+            task,
+        };
+        self.spawn(async move {
+            let _guard = guard;
+            future.await;
+        });
+    }
+
+    /// Reports the failure of an essential task. Only the first one counts.
+    pub fn report_failure(&self, failure: TaskFailure) {
+        self.inner.failure.send_if_modified(|known| {
+            let is_first = known.is_none();
+            known.get_or_insert(failure);
+            is_first
+        });
+    }
+
+    /// Waits until an essential task has failed.
+    pub async fn failure(&self) -> TaskFailure {
+        let mut failure = self.inner.failure.subscribe();
+        loop {
+            if let Some(failure) = *failure.borrow_and_update() {
+                return failure;
+            }
+            if failure.changed().await.is_err() {
+                // `self` holds the sender, so the channel is open.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Spawns a task that ends when the group is killed or the returned handle is aborted.
     pub fn spawn_abortable<F>(&self, future: F) -> AbortHandle
     where
@@ -112,6 +159,29 @@
     }
 }
 
+/// Reports the end of an essential task when it is dropped with the task.
+struct EssentialTask {
+    group: Spawner,
+    task: &'static str,
+}
+
+impl Drop for EssentialTask {
+    fn drop(&mut self) {
+        if self.group.inner.killed.is_cancelled() {
+            return;
+        }
+        let end = if std::thread::panicking() {
+            TaskEnd::Panicked
+        } else {
+            TaskEnd::Ended
+        };
+        self.group.report_failure(TaskFailure {
+            task: self.task,
+            end,
+        });
+    }
+}
+
 /// Wraps a task's future, which is not polled while its group is frozen.
 struct FreezableTask<F> {
     inner: Arc<Inner>,
@@ -129,3 +199,6 @@
         self.future.as_mut().poll(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -164,13 +164,15 @@
         });
         let (crash_writes, crash_writes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
         let probe_enabled = watch::Sender::new(false);
-        spawner.spawn(write_crashes(store.clone(), crash_writes_rx));
-        spawner.spawn(probe_era(store.clone(), probe_enabled.subscribe()));
+        let writing = write_crashes(store.clone(), crash_writes_rx);
+        spawner.spawn_essential("crash writer", writing);
+        let probing = probe_era(store.clone(), probe_enabled.subscribe());
+        spawner.spawn_essential("era probe", probing);
         let cpu_share = parts.settings.cpu_share;
         let watching = watch_store(store, read_plan.subscribe(), cpu_share, store_tx);
-        spawner.spawn(watching);
+        spawner.spawn_essential("store watch", watching);
         let control = Self::new(parts, read_plan, probe_enabled, crash_writes);
-        spawner.spawn(control.run(store_rx));
+        spawner.spawn_essential("control", control.run(store_rx));
     }
 
     pub(super) fn new(
--- a/crates/azuresaddle-edge/src/control_progress.rs
+++ b/crates/azuresaddle-edge/src/control_progress.rs
@@ -14,6 +14,8 @@
     opened_at: Instant,
     /// Milliseconds from `opened_at` to the last check.
     checked: AtomicU64,
+    /// Number of checks.
+    checks: AtomicU64,
     /// Milliseconds from `opened_at` to the last answer of the store; [`NEVER`] before the first one.
     store_answered: AtomicU64,
 }
@@ -23,6 +25,7 @@
         Self {
             opened_at: now,
             checked: AtomicU64::new(0),
+            checks: AtomicU64::new(0),
             store_answered: AtomicU64::new(NEVER),
         }
     }
@@ -30,6 +33,12 @@
     /// Records that control has checked its state; what it has published is all that it knows.
     pub(crate) fn on_check(&self, now: Instant) {
         self.checked.store(self.millis(now), Ordering::Relaxed);
+        self.checks.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of checks so far.
+    pub(crate) fn checks(&self) -> u64 {
+        self.checks.load(Ordering::Relaxed)
     }
 
     /// Records an answer of the store.
--- a/crates/azuresaddle-edge/src/directory/tests.rs
+++ b/crates/azuresaddle-edge/src/directory/tests.rs
@@ -4,9 +4,13 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
+use azuresaddle_core::deployment::{Configuration, RequestLimits};
+use azuresaddle_core::prelude::*;
 use azuresaddle_sched::addresses::{Caller, MAX_ADDRESSES};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
-use super::{ADDRESS_TTL, Directory};
+use super::{ADDRESS_TTL, Directory, DirectoryParts, MAX_CONTROL_AGE};
 use crate::metrics::Metrics;
 use crate::snapshot::{LiveNode, Snapshot, Snapshots};
 use crate::tests::snapshots::live_node;
@@ -28,10 +32,23 @@
         ..Snapshot::empty()
     });
     let metrics = Metrics::new();
-    (
-        Directory::new(snapshots, ADDRESS_TTL, metrics.clone()),
-        metrics,
-    )
+    let directory = directory_of(snapshots, CancellationToken::new(), &metrics);
+    (directory, metrics)
+}
+
+/// The directory of the node with number 0.
+fn directory_of(
+    snapshots: Snapshots,
+    leaving: CancellationToken,
+    metrics: &Metrics,
+) -> Arc<Directory> {
+    Directory::new(DirectoryParts {
+        snapshots,
+        own_addr: node(0, 120).callers_addr,
+        leaving,
+        max_ttl: ADDRESS_TTL,
+        metrics: metrics.clone(),
+    })
 }
 
 fn caller(n: u8, domain: u16) -> Option<Caller> {
@@ -92,3 +109,40 @@
     }
     assert!(!directory.addresses(None).contains(&left_out));
 }
+
+/// Guards against a node that is offered to callers after it has failed, when control publishes nothing more.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_node_is_not_offered_though_no_snapshot_says_so() {
+    let nodes: Vec<LiveNode> = (0..3).map(|n| node(n, 120)).collect();
+    let snapshots = Snapshots::new(Snapshot {
+        nodes: Arc::new(nodes.clone()),
+        configuration: Some(Arc::new(empty_configuration())),
+        ..Snapshot::empty()
+    });
+    let leaving = CancellationToken::new();
+    let directory = directory_of(snapshots, leaving.clone(), &Metrics::new());
+    assert!(directory.is_ready());
+    leaving.cancel();
+    assert!(!directory.is_ready());
+    let offered = directory.addresses(None);
+    assert_eq!(offered, [nodes[1].callers_addr, nodes[2].callers_addr]);
+}
+
+/// Guards against a node that stays ready while its control does nothing.
+#[tokio::test(start_paused = true)]
+async fn a_node_whose_control_stands_still_is_not_ready() {
+    let snapshots = Snapshots::new(Snapshot {
+        configuration: Some(Arc::new(empty_configuration())),
+        ..Snapshot::empty()
+    });
+    let directory = directory_of(snapshots.clone(), CancellationToken::new(), &Metrics::new());
+    tokio::time::sleep(MAX_CONTROL_AGE).await;
+    assert!(!directory.is_ready());
+    snapshots.progress().on_check(Instant::now());
+    assert!(directory.is_ready());
+}
+
+fn empty_configuration() -> Configuration {
+    let limits = RequestLimits::default();
+    Configuration::new(RulesVersion(1), limits, vec![], vec![], vec![])
+}
--- a/crates/azuresaddle-edge/src/forward/forwarder.rs
+++ b/crates/azuresaddle-edge/src/forward/forwarder.rs
@@ -103,7 +103,8 @@
             burn: Arc::default(),
             budget: ByteBudget::of_memory(settings.memory_mb),
         });
-        spawner.spawn(Arc::clone(&forwarder).follow_targets());
+        let following = Arc::clone(&forwarder).follow_targets();
+        spawner.spawn_essential("target updates", following);
         forwarder
     }
 
@@ -114,7 +115,7 @@
         engines: mpsc::Receiver<HostName>,
     ) {
         let probes = run_pace_probes(Arc::clone(self), owner, engines);
-        self.spawner.spawn(probes);
+        self.spawner.spawn_essential("pace probes", probes);
     }
 
     /// Forwards one request and returns the answer for the caller.
--- a/crates/azuresaddle-edge/src/frontend/listener.rs
+++ b/crates/azuresaddle-edge/src/frontend/listener.rs
@@ -35,7 +35,7 @@
         tracing::warn!(part = "frontend", error = %e, "can't limit send buffers");
     }
     let tasks = spawner.clone();
-    spawner.spawn(async move {
+    spawner.spawn_essential("listener for callers", async move {
         let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
             let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -25,7 +25,7 @@
 mod targets;
 #[cfg(test)]
 mod tests;
-mod traffic_watch;
+mod thread_watch;
 mod tunnel;
 
 pub use ejected_target_info::EjectedTargetInfo;
--- a/crates/azuresaddle-edge/src/metrics.rs
+++ b/crates/azuresaddle-edge/src/metrics.rs
@@ -161,6 +161,7 @@
     ended_by_stop: Family<StopLabels, Counter>,
     silences: Family<SilenceLabels, Counter>,
     pub(crate) traffic_stalls: Counter,
+    pub(crate) control_stalls: Counter,
 }
 
 impl Default for Metrics {
@@ -214,6 +215,7 @@
             ended_by_stop: Family::default(),
             silences: Family::default(),
             traffic_stalls: Counter::default(),
+            control_stalls: Counter::default(),
             registry: Arc::default(),
         };
         metrics.register(&mut registry);
@@ -325,6 +327,8 @@
         r.register("silences", help, self.silences.clone());
         let help = "Times in which the thread for traffic ran nothing for a second";
         r.register("traffic_stalls", help, self.traffic_stalls.clone());
+        let help = "Times in which control checked nothing for a second";
+        r.register("control_stalls", help, self.control_stalls.clone());
     }
 
     /// Counts an answer to a caller.
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::{Control, ControlParts};
-use crate::directory::Directory;
+use crate::directory::{Directory, DirectoryParts};
 use crate::domain_hash::domain_hash;
 use crate::forward::{Forwarder, ForwarderParts, InFlightAnswers};
 use crate::frontend::{CallerService, serve_callers};
@@ -31,7 +31,7 @@
 use crate::shutdown::{Shutdown, ShutdownStage};
 use crate::snapshot::{LiveNode, NO_OWNER, Snapshot, Snapshots};
 use crate::targets::{SendObservations, SharedPaths, TargetDialer};
-use crate::traffic_watch::watch_traffic;
+use crate::thread_watch::watch_threads;
 use crate::tunnel::{TunnelServer, serve_tunnels};
 
 /// Part of the grace period of a stop after which new requests are refused. By then the time to live of the
@@ -90,6 +90,7 @@
 
 /// A running node.
 pub struct Node {
+    spawner: Spawner,
     leaving: CancellationToken,
     closed: CancellationToken,
     stopping: Arc<Shutdown>,
@@ -115,7 +116,7 @@
         let leaving = CancellationToken::new();
         let socket = bind_heartbeat_socket(&settings, &control).await?;
         let control_spawner = spawner.on_runtime(control);
-        watch_traffic(&spawner, &control_spawner, metrics.clone());
+        watch_threads(&spawner, &control_spawner, &snapshots, &metrics);
         let (unresponsive_owners, unresponsive_owners_rx) =
             mpsc::channel(UNRESPONSIVE_OWNER_QUEUE_CAPACITY);
         let (crashes, crashes_observed) = mpsc::channel(CRASH_QUEUE_CAPACITY);
@@ -229,7 +230,13 @@
             in_flight.clone(),
         );
         serve_callers(callers, &spawner, service, closed.clone());
-        let directory = Directory::new(snapshots, settings.bounds.max_address_ttl, metrics.clone());
+        let directory = Directory::new(DirectoryParts {
+            snapshots,
+            own_addr: settings.listen.callers,
+            leaving: leaving.clone(),
+            max_ttl: settings.bounds.max_address_ttl,
+            metrics: metrics.clone(),
+        });
         for (what, addr) in [
             ("the directory", settings.listen.directory),
             ("readiness", settings.listen.readiness),
@@ -243,6 +250,7 @@
             serve_metrics(&net, &spawner, addr, endpoints).await;
         }
         Ok(Self {
+            spawner,
             leaving,
             closed,
             stopping,
@@ -264,6 +272,29 @@
         self.leaving.cancel();
         self.stopping.enter(ShutdownStage::Closing);
         tokio::time::sleep_until(started + self.grace.mul_f64(REFUSE_AFTER_SHARE)).await;
+        self.finish(started).await;
+    }
+
+    /// Waits until a task has failed that the node can't do without.
+    pub async fn failure(&self) -> TaskFailure {
+        self.spawner.failure().await
+    }
+
+    /// Stops after a failure: refuses requests at once, since the node may not know the present configuration, and returns
+    /// when every answer in flight is finished or the grace period is nearly over.
+    pub async fn stop_failed(&self, failure: TaskFailure) {
+        tracing::error!(
+            part = "node",
+            %failure,
+            in_flight = self.in_flight.count(),
+            "stopping after a failure"
+        );
+        self.leaving.cancel();
+        self.finish(Instant::now()).await;
+    }
+
+    /// Refuses new requests, waits for the answers in flight and closes the connections.
+    async fn finish(&self, started: Instant) {
         self.stopping.enter(ShutdownStage::Refusing);
         let end = started + self.grace - EXIT_MARGIN;
         // Callers that looked up this address earlier may still connect for a moment. They get a refusal rather than a
--- a/crates/azuresaddle-edge/src/placement/client.rs
+++ b/crates/azuresaddle-edge/src/placement/client.rs
@@ -98,8 +98,9 @@
             unresponsive_owners: parts.unresponsive_owners,
             owner_silence: OwnerSilence::default(),
         });
-        spawner.spawn(run_reporter(Arc::clone(&placement), reports_rx));
-        spawner.spawn(run_sync(Arc::clone(&placement)));
+        let reporter = run_reporter(Arc::clone(&placement), reports_rx);
+        spawner.spawn_essential("stream reports", reporter);
+        spawner.spawn_essential("stream sync", run_sync(Arc::clone(&placement)));
         placement
     }
 
--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -58,8 +58,9 @@
             pace_probes,
             admission_log,
         });
-        spawner.spawn(Arc::clone(&owner).follow_snapshots(snapshots.clone(), node));
-        spawner.spawn(Arc::clone(&owner).run_timer());
+        let following = Arc::clone(&owner).follow_snapshots(snapshots.clone(), node);
+        spawner.spawn_essential("pool updates", following);
+        spawner.spawn_essential("pool timer", Arc::clone(&owner).run_timer());
         owner
     }
 
--- a/crates/azuresaddle-edge/src/tunnel/server.rs
+++ b/crates/azuresaddle-edge/src/tunnel/server.rs
@@ -56,7 +56,7 @@
     let tasks = spawner.clone();
     let server = Arc::new(server);
     let slots = Arc::new(Semaphore::new(MAX_TUNNELS));
-    spawner.spawn(async move {
+    spawner.spawn_essential("listener for tunnels", async move {
         loop {
             let stream = accept(&mut listener).await;
             let server = Arc::clone(&server);
--- a/crates/azuresaddle-node/src/control/hosts.rs
+++ b/crates/azuresaddle-node/src/control/hosts.rs
@@ -21,7 +21,7 @@
         let http = self.parts.http.clone();
         let addr = self.parts.settings.host_list;
         let tx = self.parts.tx.clone();
-        self.parts.spawner.spawn(async move {
+        self.parts.spawner.spawn_essential("host list", async move {
             let mut was_reachable = true;
             loop {
                 match read_host_list(&http, addr).await {
--- a/crates/azuresaddle-node/src/control/lease.rs
+++ b/crates/azuresaddle-node/src/control/lease.rs
@@ -29,32 +29,34 @@
         let store = self.parts.store.clone();
         let ttl = self.parts.settings.lease_ttl;
         let tx = self.parts.tx.clone();
-        self.parts.spawner.spawn(async move {
-            let mut held: Option<LeaseId> = None;
-            loop {
-                // The time to live is counted from before the call, since it is unknown when the
-                // store handled it.
-                let sent_at = Instant::now();
-                let result = match held {
-                    Some(lease) => store.renew_lease(lease).await.map(|()| lease),
-                    None => store.grant_lease(ttl).await,
-                };
-                match result {
-                    Ok(lease) => {
-                        held = Some(lease);
-                        let _ = tx.send(Command::LeaseHeld(lease, sent_at)).await;
-                    }
-                    Err(StoreError::LeaseExpired) => {
-                        if let Some(lease) = held.take() {
-                            let _ = tx.send(Command::LeaseExpired(lease)).await;
+        self.parts
+            .spawner
+            .spawn_essential("lease renewal", async move {
+                let mut held: Option<LeaseId> = None;
+                loop {
+                    // The time to live is counted from before the call, since it is unknown when the
+                    // store handled it.
+                    let sent_at = Instant::now();
+                    let result = match held {
+                        Some(lease) => store.renew_lease(lease).await.map(|()| lease),
+                        None => store.grant_lease(ttl).await,
+                    };
+                    match result {
+                        Ok(lease) => {
+                            held = Some(lease);
+                            let _ = tx.send(Command::LeaseHeld(lease, sent_at)).await;
+                        }
+                        Err(StoreError::LeaseExpired) => {
+                            if let Some(lease) = held.take() {
+                                let _ = tx.send(Command::LeaseExpired(lease)).await;
+                            }
+                            continue;
                         }
-                        continue;
+                        Err(_) => {}
                     }
-                    Err(_) => {}
+                    tokio::time::sleep(jittered(ttl / RENEWALS_PER_TTL)).await;
                 }
-                tokio::time::sleep(jittered(ttl / RENEWALS_PER_TTL)).await;
-            }
-        });
+            });
     }
 
     pub(super) fn on_lease_held(&mut self, id: LeaseId, sent_at: Instant) {
--- a/crates/azuresaddle-node/src/control/rules.rs
+++ b/crates/azuresaddle-node/src/control/rules.rs
@@ -30,32 +30,34 @@
     pub(super) fn spawn_store_watch(&self) {
         let store = self.parts.store.clone();
         let tx = self.parts.tx.clone();
-        self.parts.spawner.spawn(async move {
-            let mut revision = Revision(0);
-            let mut was_reachable = true;
-            loop {
-                match store.watch(WATCHED_PREFIX, revision, WATCH_WAIT).await {
-                    Ok(changes) => {
-                        if !was_reachable {
-                            tracing::info!("store: reachable again");
+        self.parts
+            .spawner
+            .spawn_essential("store watch", async move {
+                let mut revision = Revision(0);
+                let mut was_reachable = true;
+                loop {
+                    match store.watch(WATCHED_PREFIX, revision, WATCH_WAIT).await {
+                        Ok(changes) => {
+                            if !was_reachable {
+                                tracing::info!("store: reachable again");
+                            }
+                            was_reachable = true;
+                            revision = changes.revision;
+                            let _ = tx.send(Command::StoreChanges(changes)).await;
+                            tokio::time::sleep(WATCH_PAUSE).await;
                         }
-                        was_reachable = true;
-                        revision = changes.revision;
-                        let _ = tx.send(Command::StoreChanges(changes)).await;
-                        tokio::time::sleep(WATCH_PAUSE).await;
-                    }
-                    Err(e) => {
-                        if was_reachable {
-                            tracing::warn!("store: watch failed: {e}");
+                        Err(e) => {
+                            if was_reachable {
+                                tracing::warn!("store: watch failed: {e}");
+                            }
+                            was_reachable = false;
+                            // Without jitter, all nodes would reconnect to the store at the same time.
+                            let jitter = 0.5 + rand::random::<f64>();
+                            tokio::time::sleep(WATCH_BACKOFF.mul_f64(jitter)).await;
                         }
-                        was_reachable = false;
-                        // Without jitter, all nodes would reconnect to the store at the same time.
-                        let jitter = 0.5 + rand::random::<f64>();
-                        tokio::time::sleep(WATCH_BACKOFF.mul_f64(jitter)).await;
                     }
                 }
-            }
-        });
+            });
     }
 
     pub(super) fn on_store_changes(&mut self, now: Instant, changes: Changes) {
--- a/crates/azuresaddle-node/src/node.rs
+++ b/crates/azuresaddle-node/src/node.rs
@@ -196,7 +196,8 @@
             tx: tx.clone(),
             metrics: self.metrics.clone(),
         });
-        self.control_spawner.spawn(control.run(rx));
+        self.control_spawner
+            .spawn_essential("control", control.run(rx));
         ControlHandle::new(tx, Arc::clone(&self.snapshot), burn)
     }
 
--- a/crates/azuresaddle-node/src/traffic/reporter.rs
+++ b/crates/azuresaddle-node/src/traffic/reporter.rs
@@ -59,7 +59,7 @@
         control,
         peers,
     });
-    spawner.spawn(async move {
+    spawner.spawn_essential("reporter", async move {
         let mut batch = Vec::new();
         while rx.recv_many(&mut batch, MAX_BATCH).await > 0 {
             let mut by_pool: HashMap<PoolId, Vec<Report>> = HashMap::new();
--- a/crates/azuresaddle-rpc/src/server.rs
+++ b/crates/azuresaddle-rpc/src/server.rs
@@ -29,7 +29,7 @@
     F: Fn(ServerChannel<L::Stream, Req, Resp>) + Send + 'static,
     ServerChannel<L::Stream, Req, Resp>: Channel,
 {
-    spawner.spawn(async move {
+    spawner.spawn_essential("listener for nodes", async move {
         loop {
             let stream = accept(&mut listener).await;
             on_channel(BaseChannel::with_defaults(transport(stream)));
--- a/crates/azuresaddle-standin/src/http_util.rs
+++ b/crates/azuresaddle-standin/src/http_util.rs
@@ -58,7 +58,7 @@
 }
 
 /// Status of a `GET`; `None` if there is no response in time.
-pub(crate) async fn get_status(addr: SocketAddr, path: &str) -> Option<u16> {
+pub async fn get_status(addr: SocketAddr, path: &str) -> Option<u16> {
     Some(get_small(addr, path).await?.0)
 }
 
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -16,6 +16,7 @@
 mod stalled_readers;
 mod waiting_callers;
 
+pub use crate::http_util::get_status;
 pub use faults::FaultOptions;
 pub use fleet::{Fleet, FleetOptions, next_port};
 pub use process::NodeProcess;
--- a/crates/azuresaddle-store/src/claims.rs
+++ b/crates/azuresaddle-store/src/claims.rs
@@ -89,7 +89,8 @@
         let segments = (0..SEGMENTS)
             .map(|segment| {
                 let (tx, rx) = mpsc::channel(MAX_PENDING_CLAIMS);
-                spawner.spawn(write_segment(store.clone(), segment, rx));
+                let writing = write_segment(store.clone(), segment, rx);
+                spawner.spawn_essential("claims", writing);
                 tx
             })
             .collect();
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{Result, anyhow};
 use azuresaddle_core::net::TcpNetwork;
+use azuresaddle_core::panics::log_panics;
 use azuresaddle_core::prelude::*;
 use azuresaddle_node::{Node, OpenError, Settings};
 use clap::{Arg, ArgAction, ArgMatches, Command};
@@ -51,6 +52,7 @@
         return Ok(());
     }
     init_log(args);
+    log_panics();
     let traffic = Builder::new_multi_thread()
         .worker_threads(threads)
         .thread_name("traffic")
@@ -75,6 +77,10 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        failure = node.spawner().failure() => {
+            tracing::error!("node: ends after a failure: {failure}");
+            return Err(anyhow!("{failure}"));
+        }
     }
     node.stop().await;
     Ok(())
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,6 +1,7 @@
 //! `serve`: the daemon that runs a node on the platform.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use anyhow::{Result, anyhow};
 use azuresaddle_core::net::TcpNetwork;
@@ -20,6 +21,12 @@
 /// Capacity of the queue of log lines; further lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 4096;
 
+/// Time for the log writer's thread to write the last lines.
+const LOG_FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// Exit code of a process that ends after a failure.
+const EXIT_FAILED: i32 = 1;
+
 /// The log writer's thread; it writes the queued lines when this is dropped.
 struct LogWriter {
     /// Counts lines that were dropped because the queue was full.
@@ -96,31 +103,30 @@
     let traffic = single_thread_runtime()?;
     let control = single_thread_runtime()?;
     let control_handle = control.handle().clone();
+    let spawner = Spawner::new(traffic.handle().clone());
+    let (tasks, grace) = (spawner.clone(), settings.bounds.stop_grace);
     std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || control.block_on(std::future::pending::<()>()))?;
+        .spawn(move || control.block_on(exit_after_failure(tasks, grace)))?;
     traffic.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
         let name = settings.name.clone();
-        let node = Node::open(
-            settings,
-            options,
-            TcpNetwork,
-            Spawner::current(),
-            control_handle,
-        )
-        .await?;
+        let node = Node::open(settings, options, TcpNetwork, spawner, control_handle).await?;
         tracing::info!(part = "node", host = %name, without, "started");
-        loop {
+        let failure = loop {
             tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
+                _ = terminate.recv() => break None,
+                _ = interrupt.recv() => break None,
                 _ = hangup.recv() => reload(path),
+                failure = node.failure() => break Some(failure),
             }
+        };
+        match failure {
+            None => node.stop().await,
+            Some(failure) => node.stop_failed(failure).await,
         }
-        node.stop().await;
         let dropped = log.dropped.dropped_lines();
         if dropped > 0 {
             tracing::warn!(
@@ -129,7 +135,7 @@
                 "log lines were dropped because the queue was full"
             );
         }
-        Ok(())
+        failure.map_or(Ok(()), |failure| Err(anyhow!("{failure}")))
     })
 }
 
@@ -160,6 +166,16 @@
     }
 }
 
+/// Ends the process if a task that it can't do without has failed and the thread for traffic, which should end it, has
+/// not done so within the grace period.
+async fn exit_after_failure(tasks: Spawner, grace: Duration) {
+    let failure = tasks.failure().await;
+    tokio::time::sleep(grace).await;
+    tracing::error!(part = "node", %failure, "ending the process, which did not stop by itself");
+    tokio::time::sleep(LOG_FLUSH_TIME).await;
+    std::process::exit(EXIT_FAILED);
+}
+
 fn single_thread_runtime() -> Result<Runtime> {
     Ok(Builder::new_current_thread().enable_all().build()?)
 }
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -9,6 +9,7 @@
 mod domain_drains;
 mod drains;
 mod end_to_end;
+mod essential_tasks;
 mod faults;
 mod foreign_entries;
 mod malformed_input;
