Entries: a stated cold time of any size is bounded when it is decoded

Callers saw routes refused for good: an entry of another writer whose cold_remaining_ms is 1e22 ended the control task of every node that read it, and the node went on with the configuration that it knew.

Cause: 1e19 s fit into a Duration, and the registry adds them to an Instant, which panics. Every entry passes that sum, in a listing, a watch and a record of another node.

--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Scheduling and routing decisions are made in the other crates, which import the common types
 //! through [`prelude`].
 
+pub mod bounded_time;
 pub mod burn;
 pub mod byte_budget;
 pub mod deployment;
--- a/crates/azuresaddle-edge/src/control/tests/registry.rs
+++ b/crates/azuresaddle-edge/src/control/tests/registry.rs
@@ -232,7 +232,82 @@
     prop_oneof![proptest::collection::vec(any::<u8>(), 0..80), spoiled]
 }
 
+/// Numbers at the bounds of their types, and any other.
+fn number() -> impl Strategy<Value = String> {
+    let bounds = [
+        "0",
+        "-0.0",
+        "-1",
+        "1e-300",
+        "-1e22",
+        "1e17",
+        "1e22",
+        "1e300",
+        "-1e300",
+        "1e400",
+        "9223372036854775807",
+        "-9223372036854775808",
+        "18446744073709551615",
+    ];
+    prop_oneof![
+        select(bounds.to_vec()).prop_map(str::to_owned),
+        any::<u64>().prop_map(|n| n.to_string()),
+        any::<f64>().prop_map(|n| n.to_string()),
+    ]
+}
+
+/// An entry with any number in each numeric field. Most of its integers are valid, since the rest of an entry with an
+/// invalid one is not used.
+fn entry_of_numbers() -> impl Strategy<Value = Vec<u8>> {
+    let integer = || prop_oneof![3 => Just("1".to_owned()), 1 => number()];
+    let numbers = (number(), integer(), integer(), integer());
+    numbers.prop_map(|(cold_ms, born, sequence, slots)| {
+        let entry = format!(
+            r#"{{"service":"s","address":"10.0.0.9:80","zone":"d1","version":"v1","slots":{slots},
+            "state":"ready","cold_remaining_ms":{cold_ms},"born":{born},"sequence":{sequence}}}"#
+        );
+        entry.into_bytes()
+    })
+}
+
+/// Guards against a control task that ends at a cold time of 1e22 milliseconds.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_states_an_endless_cold_time_is_applied() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    for (revision, cold_ms) in (1..).zip(["1e17", "1e22", "1e300", "1.7976931348623157e308"]) {
+        let mut item = item("a", "ready", revision);
+        let value = String::from_utf8(item.value.take().expect("an entry has a value"));
+        let value = value.expect("it is text");
+        let stated = format!("\"cold_remaining_ms\":{cold_ms}");
+        item.value = Some(
+            value
+                .replace("\"cold_remaining_ms\":0", &stated)
+                .into_bytes(),
+        );
+        registry.apply(now, item);
+    }
+    assert_eq!(ids(&registry), ["a"]);
+    assert_eq!(registry.cold_targets(now).count(), 1);
+}
+
 proptest! {
+    /// Guards against a task that ends at a number in an entry.
+    #[test]
+    fn no_number_in_an_entry_panics(entries in proptest::collection::vec(entry_of_numbers(), 1..8)) {
+        let start = Instant::now();
+        let mut registry = Registry::default();
+        for (revision, value) in (1..).zip(entries) {
+            let now = start + Duration::from_secs(revision);
+            let key = "servers/a".to_owned();
+            registry.apply(now, StoreItem { key, value: Some(value), position: at(revision) });
+            let _ = registry.cold_targets(now).count();
+            registry.expire_cold(now);
+            registry.expire_removals(now);
+            registry.published();
+        }
+    }
+
     /// Whatever other writers store under any key, the targets' own entries are kept and no other
     /// targets are added.
     #[test]
