Targets: an announced keep-alive time of any size is bounded

Callers lost each answer of a target that announces Keep-Alive: timeout=: their connection was closed without an answer, though the target had run the request and answered it.

Cause: the pool adds the announced time to an Instant when the connection is returned, on the task of the request, and the sum panics.

The connection is kept and used again.

--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::MAX_DURATION;
 use azuresaddle_core::byte_budget::{HeldBytes, ReadError};
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
@@ -303,7 +304,8 @@
             .find_map(|p| p.trim().strip_prefix("timeout="))
             .and_then(|s| s.trim().parse().ok())
     });
-    Some(KeepAlive(seconds.map(Duration::from_secs)))
+    let time = seconds.map(|s| Duration::from_secs(s).min(MAX_DURATION));
+    Some(KeepAlive(time))
 }
 
 /// Time for which a target keeps an idle connection open; `None` if it states none.
--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod connect_silences;
 mod hedged_sends;
+mod keep_alive;
 mod long_prompts;
 mod memory;
 mod scripted_targets;
