Messages of nodes: durations and token counts are bounded when they are decoded

A node of another build, or a damaged message, could end the call that decides on a stream, and with it the task that places the streams of all nodes: the owner adds the times of a message to an Instant, and the client those of a reply. A rate limit in a message could be NaN, infinite or negative, which the type excludes elsewhere.

A rate limit that is none is a decoding error, so the datagram is ignored. What is sent has not changed: nodes of both builds understand each other.

--- a/crates/azuresaddle-core/src/bounded_time.rs
+++ b/crates/azuresaddle-core/src/bounded_time.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Deserializer};
+
 /// Upper bound of a duration from outside, far above every timeout and wait that has an effect.
 pub const MAX_DURATION: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -33,5 +35,13 @@
     saturating_seconds(duration.as_secs_f64() * factor)
 }
 
+/// Deserializes a duration of another node; the format is serde's own.
+///
+/// # Errors
+/// If the value is no duration.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    Duration::deserialize(deserializer).map(|d| d.min(MAX_DURATION))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/azuresaddle-core/src/deployment/mod.rs
+++ b/crates/azuresaddle-core/src/deployment/mod.rs
@@ -21,7 +21,7 @@
 pub use engine_spec::EngineSpec;
 pub use features::Features;
 pub use node_settings::{ListenAddrs, NodeSettings};
-pub use rate_limit::RateLimit;
+pub use rate_limit::{InvalidRateLimit, RateLimit};
 pub use request_limits::RequestLimits;
 pub use route::{Idempotency, Route, WeightedService};
 pub use service::Service;
--- a/crates/azuresaddle-core/src/deployment/rate_limit.rs
+++ b/crates/azuresaddle-core/src/deployment/rate_limit.rs
@@ -3,11 +3,26 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// Requests per second that a target accepts from all nodes together; finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64")]
 pub struct RateLimit(f64);
 
+/// A number that is no rate limit.
+#[derive(Clone, Copy, Debug, Error, PartialEq)]
+#[error("{0} is no rate limit")]
+pub struct InvalidRateLimit(f64);
+
+impl TryFrom<f64> for RateLimit {
+    type Error = InvalidRateLimit;
+
+    fn try_from(requests: f64) -> Result<Self, InvalidRateLimit> {
+        Self::per_second(requests).ok_or(InvalidRateLimit(requests))
+    }
+}
+
 impl RateLimit {
     /// Creates a limit; `None` if the number is negative or not finite.
     pub fn per_second(requests: f64) -> Option<Self> {
--- a/crates/azuresaddle-core/src/lib.rs
+++ b/crates/azuresaddle-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! through [`prelude`].
 
 pub mod bounded_time;
+pub mod bounded_tokens;
 pub mod burn;
 pub mod byte_budget;
 pub mod deployment;
--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_tokens::MAX_TOKENS;
 use azuresaddle_core::byte_budget::HeldBytes;
 use azuresaddle_core::deployment::{Account, Idempotency, Route};
 use azuresaddle_core::prelude::*;
@@ -115,10 +116,6 @@
     pub(crate) gate: SendGate,
 }
 
-/// Largest token count that is told apart; more than all engines together hold. Sums and estimates of larger counts would
-/// overflow.
-const MAX_TOKENS: u64 = 1 << 40;
-
 /// Most parts of a prompt that are looked at. A request without a limit could fill the memory of the quarantine.
 const MAX_PROMPT_PARTS: usize = 8;
 
--- a/crates/azuresaddle-edge/src/peer/messages.rs
+++ b/crates/azuresaddle-edge/src/peer/messages.rs
@@ -5,6 +5,7 @@
 
 use azuresaddle_core::deployment::RateLimit;
 use azuresaddle_core::prelude::*;
+use azuresaddle_core::{bounded_time, bounded_tokens};
 use azuresaddle_platform::StorePosition;
 use azuresaddle_sched::passes::{PlacementId, RunningStream, StreamOutcome, Suspect};
 use serde::{Deserialize, Serialize};
@@ -19,15 +20,21 @@
     pub(crate) account: ClientAccount,
     /// Failure domain of the requesting node.
     pub(crate) domain: FailureDomain,
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub(crate) prompt_tokens: u64,
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub(crate) answer_tokens: u64,
     /// Time left until the first event is late.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub(crate) first_event_in: Duration,
     /// Longest time between two events.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub(crate) pause: Duration,
     /// Time left until the caller gives up if it has received no event.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub(crate) give_up_in: Duration,
     /// Time left until the answer must be complete.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub(crate) time_left: Duration,
     /// Targets that must not be used, since an earlier attempt failed there.
     pub(crate) exclude: Vec<HostName>,
@@ -45,11 +52,16 @@
     Granted {
         lead: HostName,
         helpers: Vec<HostName>,
+        #[serde(deserialize_with = "bounded_tokens::deserialize")]
         helper_memory_tokens: u64,
+        #[serde(deserialize_with = "bounded_time::deserialize")]
         first_event_in: Duration,
     },
     /// The stream was not run and will not be.
-    Refused { retry_after: Duration },
+    Refused {
+        #[serde(deserialize_with = "bounded_time::deserialize")]
+        retry_after: Duration,
+    },
     /// No decision was made, for example because the node does not know the service yet; try again.
     NoDecision,
     /// Another node is the owner; send the request there.
@@ -73,7 +85,10 @@
     /// One request may be sent now.
     Granted,
     /// No request may be sent for the time `wait`.
-    Denied { wait: Duration },
+    Denied {
+        #[serde(deserialize_with = "bounded_time::deserialize")]
+        wait: Duration,
+    },
     /// The node does not count requests, since it is not the owner.
     NotOwner,
 }
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission_log;
 mod demand;
 mod dispatches;
+mod foreign_messages;
 mod handover;
 mod peer_network;
 mod permits;
--- a/crates/azuresaddle-node/src/peer/messages.rs
+++ b/crates/azuresaddle-node/src/peer/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
+use azuresaddle_core::{bounded_time, bounded_tokens};
 use azuresaddle_sched::{Grant, Outcome, PoolDigest, Refusal};
 use serde::{Deserialize, Serialize};
 
@@ -18,16 +19,20 @@
     /// The client account.
     pub account: ClientAccount,
     /// Length of the prompt, in tokens.
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub prompt_tokens: u64,
     /// Maximum length of the answer, in tokens.
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub max_tokens: u64,
     /// Chained hashes of the prompt's leading blocks.
     pub prefix: Vec<u64>,
     /// Priority from the rule.
     pub priority: i8,
     /// Time to the first token that the rule aims for.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub first_token_target: Duration,
     /// Time left until the deadline.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub time_left: Duration,
     /// Weight of the account in fair sharing.
     pub weight: f64,
--- a/crates/azuresaddle-sched/src/passes/request.rs
+++ b/crates/azuresaddle-sched/src/passes/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
+use azuresaddle_core::{bounded_time, bounded_tokens};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -124,6 +125,7 @@
         /// The target.
         target: HostName,
         /// Duration of the back-off.
+        #[serde(deserialize_with = "bounded_time::deserialize")]
         time: Duration,
     },
     /// A target broke the connection or stopped responding.
@@ -140,16 +142,21 @@
     /// Engines that each prefill a part of the prompt.
     pub helpers: Vec<HostName>,
     /// Memory held on each helper, in tokens.
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub helper_memory_tokens: u64,
     /// Length of the prompt, in tokens.
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub prompt_tokens: u64,
     /// Expected length of the answer, in tokens.
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub answer_tokens: u64,
     /// Longest acceptable pause between events.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub pause: Duration,
     /// Whether the first event has arrived.
     pub is_decoding: bool,
     /// Expected time until the first event; zero if it has arrived or is overdue.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub first_event_in: Duration,
     /// Set if a target has crashed while it ran this request.
     pub suspect: Option<Suspect>,
--- a/crates/azuresaddle-sched/src/pool_digest.rs
+++ b/crates/azuresaddle-sched/src/pool_digest.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time;
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::rules::PoolChoice;
 use serde::{Deserialize, Serialize};
@@ -25,8 +26,10 @@
     /// Number of active reservations.
     pub running: u32,
     /// Expected wait of a short prompt.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub short_wait: Duration,
     /// Expected wait of a long prompt.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub long_wait: Duration,
     /// Total memory of all usable targets, the most that a single request can get, in tokens.
     pub memory_tokens: u64,
