--- a/crates/azuresaddle-core/src/deployment/route.rs
+++ b/crates/azuresaddle-core/src/deployment/route.rs
@@ -53,8 +53,8 @@
 impl Route {
     /// The service at `fraction` (from 0 to 1) of the cumulative weights.
     pub fn pick_service(&self, fraction: f64) -> Option<&Arc<str>> {
-        let total: u32 = self.services.iter().map(|s| s.weight).sum();
-        let mut left = fraction * f64::from(total);
+        let total: f64 = self.services.iter().map(|s| f64::from(s.weight)).sum();
+        let mut left = fraction * total;
         for s in &self.services {
             left -= f64::from(s.weight);
             if left < 0.0 {
