Scheduler: no quotient ends the task that places streams

The owner places the streams of all nodes with times that it computes: prefill by a stated rate, waits by a number of starts, the share of an account by its weight.

In range it computes as before, so decisions don't change. Rate limits, back-offs, retries and the reply budget use the same functions.

--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -9,6 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_sched::addresses::{HostLoads, MAX_ADDRESSES};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -166,7 +167,7 @@
             MESH_FAILURE_TIMEOUT
         } else {
             let times = self.members.len() as f64 / GOSSIP_TIMEOUT_NODES as f64;
-            GOSSIP_FAILURE_TIMEOUT.mul_f64(times.max(1.0))
+            scaled(GOSSIP_FAILURE_TIMEOUT, times.max(1.0))
         }
     }
 
--- a/crates/azuresaddle-edge/src/control/start_delay.rs
+++ b/crates/azuresaddle-edge/src/control/start_delay.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use rand::Rng;
 use tokio::sync::watch;
 use tokio::sync::watch::error::RecvError;
@@ -74,5 +75,5 @@
     if cpu_share >= WEAK_CPU_SHARE {
         return Duration::ZERO;
     }
-    WEAK_HOST_WAIT + WEAK_HOST_SPREAD.mul_f64(rand::rng().random())
+    WEAK_HOST_WAIT + scaled(WEAK_HOST_SPREAD, rand::rng().random())
 }
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{Freshness, PlatformStore, StoreEra, StoreError, StorePosition};
 use rand::Rng;
@@ -134,5 +135,5 @@
 
 /// Returns a random duration between half and all of a pause, so that nodes do not call in step.
 pub(super) fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.5..1.0))
+    scaled(pause, rand::rng().random_range(0.5..1.0))
 }
--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::byte_budget::{HeldBytes, HeldFor, read_held};
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
@@ -154,7 +155,7 @@
 
 /// Time without an answer after which a target counts as silent.
 pub(super) fn silence_limit(req: &ForwardRequest) -> Duration {
-    req.route.latency_target.mul_f64(SILENCE_FACTOR)
+    scaled(req.route.latency_target, SILENCE_FACTOR)
 }
 
 async fn send_plain<N: Network>(
--- a/crates/azuresaddle-edge/src/forward/stream/placement.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/placement.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::deployment::TargetEntry;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::passes::StreamOutcome;
@@ -174,7 +175,7 @@
                 waited: self.req.arrived.elapsed(),
                 first_event_in: placed.first_event_in,
             };
-            let first_event_timeout = placed.first_event_in.mul_f64(FIRST_EVENT_TIMEOUT_FACTOR)
+            let first_event_timeout = scaled(placed.first_event_in, FIRST_EVENT_TIMEOUT_FACTOR)
                 + FIRST_EVENT_TIMEOUT_MARGIN
                 + stall;
             return Ok(Placement {
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::byte_budget::{
     AccountBudget, HeldBytes, HeldFor, ReadError, ReadLimits, WhenFull, read_held,
 };
@@ -201,7 +202,7 @@
             }
         };
         // If this times out, the request is refused, since there is no configuration.
-        let timeout = caller_time_left(map).mul_f64(CONFIGURATION_WAIT_SHARE);
+        let timeout = scaled(caller_time_left(map), CONFIGURATION_WAIT_SHARE);
         let _ = tokio::time::timeout(timeout.min(CONFIGURATION_TIMEOUT), wait).await;
         self.snapshots.load()
     }
--- a/crates/azuresaddle-edge/src/peer/reply_budget.rs
+++ b/crates/azuresaddle-edge/src/peer/reply_budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use tokio::time::Instant;
 
 /// Share of the link for complete answers; the rest stays for callers and targets.
@@ -39,7 +40,7 @@
     pub(super) fn accept(&mut self, now: Instant, bytes: usize) -> bool {
         let is_idle = self.sent_at <= now;
         let begin = self.sent_at.max(now);
-        let takes = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        let takes = saturating_seconds(bytes as f64 / self.bytes_per_s);
         let sent_at = begin + takes;
         let pending_bytes = (sent_at - now).as_secs_f64() * self.bytes_per_s;
         let fits = sent_at <= now + MAX_BACKLOG && pending_bytes <= MAX_PENDING_BYTES;
--- a/crates/azuresaddle-node/src/control/lease.rs
+++ b/crates/azuresaddle-node/src/control/lease.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::prelude::*;
 use azuresaddle_store::{KeyValueStore, LeaseId, StoreError};
 use tokio::time::Instant;
@@ -97,5 +98,5 @@
 
 /// Shortens a duration by up to a tenth at random, so that nodes do not renew simultaneously.
 fn jittered(duration: Duration) -> Duration {
-    duration.mul_f64(1.0 - 0.1 * rand::random::<f64>())
+    scaled(duration, 1.0 - 0.1 * rand::random::<f64>())
 }
--- a/crates/azuresaddle-node/src/control/rules.rs
+++ b/crates/azuresaddle-node/src/control/rules.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::prelude::*;
 use azuresaddle_store::{
     Changes, KeyValueStore, OWNERS_PREFIX, OwnerRecord, RULES_KEY, Revision, RulesRecord,
@@ -53,7 +54,7 @@
                             was_reachable = false;
                             // Without jitter, all nodes would reconnect to the store at the same time.
                             let jitter = 0.5 + rand::random::<f64>();
-                            tokio::time::sleep(WATCH_BACKOFF.mul_f64(jitter)).await;
+                            tokio::time::sleep(scaled(WATCH_BACKOFF, jitter)).await;
                         }
                     }
                 }
--- a/crates/azuresaddle-node/src/traffic/job.rs
+++ b/crates/azuresaddle-node/src/traffic/job.rs
@@ -1,5 +1,6 @@
 //! An admitted request for an answer.
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::prompt::prompt_tokens;
 use azuresaddle_core::rules::Then;
@@ -41,7 +42,7 @@
     /// Maximum time to the first token that meets the target: the rule's target plus the prefill
     /// time on an idle engine at `rate` tokens per second.
     pub(super) fn first_token_limit(&self, rate: f64) -> Duration {
-        self.first_token_target() + Duration::from_secs_f64(self.prompt_tokens() as f64 / rate)
+        self.first_token_target() + saturating_seconds(self.prompt_tokens() as f64 / rate)
     }
 
     pub(super) fn reserve_request(
--- a/crates/azuresaddle-sched/src/fair_clock.rs
+++ b/crates/azuresaddle-sched/src/fair_clock.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_core::prelude::*;
 
 /// Virtual clock of start-time fair queueing; tracks how far each account is ahead of its share.
@@ -31,7 +32,7 @@
         *finish = start + cost / weight;
         FairTag {
             start,
-            ahead: Duration::from_secs_f64(start - self.now),
+            ahead: saturating_seconds(start - self.now),
         }
     }
 
--- a/crates/azuresaddle-sched/src/limits.rs
+++ b/crates/azuresaddle-sched/src/limits.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::rules::AccountLimits;
 use tokio::time::Instant;
@@ -86,7 +87,7 @@
             let excess = (self.level + tokens as f64 - room).min(self.level);
             return Err(Refusal {
                 reason: RefusalReason::TokenRateLimit,
-                retry_after: Some(Duration::from_secs_f64(excess / rate)),
+                retry_after: Some(saturating_seconds(excess / rate)),
             });
         }
         self.level += tokens as f64;
--- a/crates/azuresaddle-sched/src/passes/admission/retry_schedule.rs
+++ b/crates/azuresaddle-sched/src/passes/admission/retry_schedule.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use tokio::time::Instant;
 
 /// Duration of a slot of the schedule: shorter than a pass with prefill, in which one batch of
@@ -79,7 +80,7 @@
         // Callers of one slot are spread over it.
         let place = f64::from(self.reserved[slot] % capacity) / f64::from(capacity);
         self.reserved[slot] += 1;
-        let at = begin + SLOT * slot as u32 + SLOT.mul_f64(place);
+        let at = begin + SLOT * slot as u32 + scaled(SLOT, place);
         at.saturating_duration_since(now)
             .clamp(window.earliest, window.latest)
     }
--- a/crates/azuresaddle-sched/src/passes/engine.rs
+++ b/crates/azuresaddle-sched/src/passes/engine.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::{saturating_millis, scaled};
 use azuresaddle_core::deployment::{EngineSpec, TargetStart};
 use azuresaddle_core::prelude::*;
 use slotmap::new_key_type;
@@ -216,7 +217,7 @@
             let has_prefill = self.queued_prefill_ms > 0.0;
             self.queued_prefill_ms = 0.0;
             let start = if is_idle { now } else { self.pass_ends_at };
-            let length = Duration::from_secs_f64(ms.max(1.0) / 1000.0);
+            let length = saturating_millis(ms.max(1.0));
             // Time that was not tracked is filled with whole passes.
             self.pass_ends_at = start + length;
             if has_prefill {
@@ -225,7 +226,7 @@
             if self.pass_ends_at <= now && self.queued_prefill_ms == 0.0 {
                 let behind = now.duration_since(start).as_secs_f64();
                 let passes = (behind / length.as_secs_f64()).floor();
-                self.pass_ends_at = start + length.mul_f64(passes + 1.0);
+                self.pass_ends_at = start + scaled(length, passes + 1.0);
             }
         }
     }
--- a/crates/azuresaddle-sched/src/passes/long_plan.rs
+++ b/crates/azuresaddle-sched/src/passes/long_plan.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_millis;
 use azuresaddle_core::prelude::*;
 use slotmap::SlotMap;
 use tokio::time::Instant;
@@ -74,7 +75,7 @@
 impl PlacementPlan {
     /// Whether the first event comes in time.
     pub(super) fn is_on_time(&self, now: Instant, request: &PlacementRequest) -> bool {
-        now + Duration::from_secs_f64(self.first_event_ms / 1000.0) <= request.first_event_by
+        now + saturating_millis(self.first_event_ms) <= request.first_event_by
     }
 
     /// Whether to start now rather than wait for more or earlier engines.
@@ -99,7 +100,7 @@
         if self.helper_memory_tokens > 0 && self.first_event_ms > MAX_RESERVED_FIRST_EVENT_MS {
             return false;
         }
-        let first_event_at = now + Duration::from_secs_f64(self.first_event_ms / 1000.0);
+        let first_event_at = now + saturating_millis(self.first_event_ms);
         if first_event_at > request.give_up_at
             || first_event_at + request.decode_time() > request.deadline
         {
@@ -110,7 +111,7 @@
         }
         let prefill_ms = self.part_ms * self.engines.len() as f64;
         let most = engines.clamp(1, MAX_ENGINES_PER_PROMPT);
-        let least = Duration::from_secs_f64(prefill_ms / most as f64 / 1000.0);
+        let least = saturating_millis(prefill_ms / most as f64);
         if now + least <= request.first_event_by {
             return false;
         }
--- a/crates/azuresaddle-sched/src/passes/pace.rs
+++ b/crates/azuresaddle-sched/src/passes/pace.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use tokio::time::Instant;
 
 /// Minimum time between two probes of one engine; its report is some hundred milliseconds old.
@@ -95,5 +96,5 @@
 
 /// Time at which a first event that is expected after `expected_in` counts as overdue.
 pub fn overdue_at(now: Instant, expected_in: Duration) -> Instant {
-    now + expected_in.mul_f64(1.0 + OVERDUE_SHARE) + OVERDUE_SLACK
+    now + scaled(expected_in, 1.0 + OVERDUE_SHARE) + OVERDUE_SLACK
 }
--- a/crates/azuresaddle-sched/src/passes/pool/arrivals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/arrivals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::{saturating_seconds, scaled};
 use tokio::time::Instant;
 
 use super::PassPool;
@@ -70,12 +71,12 @@
         };
         let position = self.position_of(request, prefill_ms);
         let ahead = self.queue.count_on_time_before(now, position);
-        let wait = Duration::from_secs_f64((ahead + 1) as f64 / starts_per_s);
+        let wait = saturating_seconds((ahead + 1) as f64 / starts_per_s);
         let left = request.first_event_by.saturating_duration_since(now);
         let longest = if left.is_zero() {
             LATE_WAIT
         } else {
-            left.mul_f64(WAIT_SHARE)
+            scaled(left, WAIT_SHARE)
         };
         (wait > longest).then_some(wait)
     }
--- a/crates/azuresaddle-sched/src/passes/pool/load.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/load.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_millis;
 use tokio::time::Instant;
 
 use super::PassPool;
@@ -54,7 +55,7 @@
             slots: engines * self.spec.slots as usize,
             engines,
             streams: self.placed_streams.len() + self.queue.len(),
-            prefill: Duration::from_secs_f64((waiting_ms + started_ms) / 1000.0),
+            prefill: saturating_millis(waiting_ms + started_ms),
         }
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/placement.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::{saturating_millis, scaled};
 use tokio::time::Instant;
 
 use super::PassPool;
@@ -184,7 +185,7 @@
         }
         let waited = now.saturating_duration_since(waiting.queued_at);
         let left = request.first_event_by.saturating_duration_since(now);
-        if left.is_zero() || waited < left.mul_f64(DELAY_OTHERS_AFTER) {
+        if left.is_zero() || waited < scaled(left, DELAY_OTHERS_AFTER) {
             return plan;
         }
         let delayed = (request.prompt_tokens as f64 * DELAYED_TOKENS_SHARE) as u64;
@@ -206,7 +207,7 @@
             lead: self.engines[plan.engines[0]].name.clone(),
             helpers: helper_names(&self.engines, plan),
             helper_memory_tokens: plan.helper_memory_tokens,
-            first_event_in: Duration::from_secs_f64(plan.first_event_ms / 1000.0),
+            first_event_in: saturating_millis(plan.first_event_ms),
         };
         let record = StreamRecord {
             id: request.id,
--- a/crates/azuresaddle-sched/src/passes/pool/rate_limits.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/rate_limits.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_core::deployment::RateLimit;
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
@@ -74,6 +75,6 @@
         let rates: Vec<RateBucket> = available.filter_map(|e| e.rate_bucket).collect();
         let next = rates.iter().map(|r| r.next_token_in(now)).min()?;
         let together: f64 = rates.iter().map(RateBucket::rate).sum();
-        Some(next + Duration::from_secs_f64(requests_ahead as f64 / together))
+        Some(next + saturating_seconds(requests_ahead as f64 / together))
     }
 }
--- a/crates/azuresaddle-sched/src/passes/pool/refusals.rs
+++ b/crates/azuresaddle-sched/src/passes/pool/refusals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::{saturating_millis, scaled};
 use tokio::time::Instant;
 
 use super::PassPool;
@@ -97,7 +98,7 @@
         let available = self.available_engines(now);
         let wait = self.short_load.expected_wait(now, ahead, available.max(1));
         let left = request.first_event_by.saturating_duration_since(now);
-        (wait > left.mul_f64(CROWD_WAIT_SHARE).max(MIN_CROWD_WAIT)).then_some(CROWD_RETRY_AFTER)
+        (wait > scaled(left, CROWD_WAIT_SHARE).max(MIN_CROWD_WAIT)).then_some(CROWD_RETRY_AFTER)
     }
 
     /// Updates since when a crowd of short prompts (at least [`MIN_CROWD`]) waits.
@@ -185,7 +186,7 @@
         } else {
             available.clamp(1, MAX_ENGINES_PER_PROMPT)
         };
-        Duration::from_secs_f64(prefill_ms / split as f64 / 1000.0)
+        saturating_millis(prefill_ms / split as f64)
     }
 
     /// Expected time until a long prompt starts, from the waiting prompts that will start sooner
@@ -203,7 +204,7 @@
         let share = self.long_load.free_share(now, prefill_ms, available);
         let wait_ms = (prefill_ahead_ms + prefill_ms) / (available as f64 * share)
             - prefill_ms / available as f64;
-        Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
+        saturating_millis(wait_ms)
     }
 
     /// Total prefill of the waiting prompts that will start sooner than a long prompt, in
--- a/crates/azuresaddle-sched/src/passes/request.rs
+++ b/crates/azuresaddle-sched/src/passes/request.rs
@@ -81,7 +81,7 @@
     /// Expected time from the first event to the end of the answer.
     pub(super) fn decode_time(&self) -> Duration {
         let expected =
-            Duration::from_secs_f64(self.answer_tokens as f64 * DECODE_MS_PER_TOKEN / 1000.0);
+            bounded_time::saturating_millis(self.answer_tokens as f64 * DECODE_MS_PER_TOKEN);
         expected.min(MAX_DECODE_TIME)
     }
 }
--- a/crates/azuresaddle-sched/src/passes/short_load.rs
+++ b/crates/azuresaddle-sched/src/passes/short_load.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use tokio::time::Instant;
 
 /// Time window over which starts count. A stream lasts one to three seconds, so slots become free
@@ -34,7 +35,7 @@
         let is_recent = |at: &&Instant| now.saturating_duration_since(**at) <= WINDOW;
         let recent = self.starts.iter().rev().take_while(is_recent).count();
         let starts = (recent as f64).max(MIN_STARTS_PER_ENGINE * engines as f64);
-        WINDOW.mul_f64((ahead as f64 + 1.0) / starts)
+        scaled(WINDOW, (ahead as f64 + 1.0) / starts)
     }
 
     fn drop_expired(&mut self, now: Instant) {
--- a/crates/azuresaddle-sched/src/pool/admission.rs
+++ b/crates/azuresaddle-sched/src/pool/admission.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
@@ -41,7 +42,7 @@
         self.check_capacity(now, &request)?;
         let tokens = self.best_uncached_tokens(now, &request);
         let class = self.class_of(tokens);
-        let prefill = Duration::from_secs_f64(tokens / self.reference_rate());
+        let prefill = saturating_seconds(tokens / self.reference_rate());
         let members = self.member_count_for(&request).max(1) as u32;
         let start_by = self.check_deadline(now, &request, class, prefill / members)?;
         if request.stream.attempt > 0 && !self.retries.take() {
--- a/crates/azuresaddle-sched/src/pool_digest.rs
+++ b/crates/azuresaddle-sched/src/pool_digest.rs
@@ -77,5 +77,5 @@
     } else {
         OTHER_DOMAIN_WAIT
     };
-    queued + distance + age.mul_f64(WAIT_PER_SECOND_OF_AGE)
+    queued + distance + bounded_time::scaled(age, WAIT_PER_SECOND_OF_AGE)
 }
--- a/crates/azuresaddle-sched/src/rate.rs
+++ b/crates/azuresaddle-sched/src/rate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 /// Weight of a new observation in the moving average of the prefill rate.
 const GAIN: f64 = 0.2;
 
@@ -25,7 +26,7 @@
 
     /// Expected duration of a prefill.
     pub(crate) fn time_for(self, tokens: f64) -> Duration {
-        Duration::from_secs_f64(tokens / self.tokens_per_second)
+        saturating_seconds(tokens / self.tokens_per_second)
     }
 
     pub(crate) fn observe(&mut self, tokens: f64, took: Duration) {
@@ -71,7 +72,7 @@
 
     /// Mean time from the first token to the end of the answer.
     pub(crate) fn mean_time(self) -> Duration {
-        Duration::from_secs_f64(self.mean_tokens * self.step_seconds)
+        saturating_seconds(self.mean_tokens * self.step_seconds)
     }
 
     /// Time to reserve for the answer before the deadline; zero while too few answers have been
@@ -81,7 +82,7 @@
             return Duration::ZERO;
         }
         let tokens = (Self::MARGIN * self.mean_tokens).min(max_tokens as f64);
-        Duration::from_secs_f64(tokens * self.step_seconds)
+        saturating_seconds(tokens * self.step_seconds)
     }
 
     pub(crate) fn observe(&mut self, tokens: u32, took: Duration) {
--- a/crates/azuresaddle-sched/src/rate_bucket.rs
+++ b/crates/azuresaddle-sched/src/rate_bucket.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_core::deployment::RateLimit;
 use tokio::time::Instant;
 
@@ -82,7 +83,7 @@
     /// Time until the next request may pass.
     pub fn next_token_in(&self, now: Instant) -> Duration {
         let missing = (1.0 - self.tokens_at(now)).max(0.0);
-        Duration::from_secs_f64(missing / self.rate())
+        saturating_seconds(missing / self.rate())
     }
 
     fn fill(&mut self, now: Instant) {
--- a/crates/azuresaddle-sched/tests/suite/admission.rs
+++ b/crates/azuresaddle-sched/tests/suite/admission.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::MAX_DURATION;
+use azuresaddle_core::bounded_tokens::MAX_TOKENS;
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::rules::AccountLimits;
 use azuresaddle_sched::{Outcome, ReservationRequest};
+use proptest::prelude::*;
+use proptest::sample::select;
 use tokio::time::Instant;
 
 use super::support::{decide, decided, pool, request, stream};
@@ -194,3 +198,47 @@
     }
     assert_eq!(refused, 40, "ten are saved up at the start");
 }
+
+/// The usual number, or any other that rules allow.
+fn number(usual: f64) -> impl Strategy<Value = f64> {
+    prop_oneof![
+        Just(usual),
+        select(vec![f64::MIN_POSITIVE, 1e-300, 1e300, f64::MAX]),
+        any::<f64>().prop_map(f64::abs),
+    ]
+}
+
+fn odd_request() -> impl Strategy<Value = (u64, u64, f64, Option<f64>, Duration)> {
+    let tokens = || select(vec![0, 1, 1_000, 300_000, MAX_TOKENS]);
+    let time = select(vec![
+        Duration::ZERO,
+        Duration::from_millis(350),
+        MAX_DURATION,
+    ]);
+    let rate = proptest::option::of(number(1_000.0));
+    (tokens(), tokens(), number(1.0), rate, time)
+}
+
+proptest! {
+    /// Guards against an owner that ends at a weight or a limit in the rules.
+    #[test]
+    fn no_number_in_a_rule_ends_the_pool(requests in proptest::collection::vec(odd_request(), 1..20)) {
+        let mut now = Instant::now();
+        let mut pool = pool(now, 2, MAX_TOKENS);
+        for (number, (prompt_tokens, max_tokens, weight, rate, target)) in (0..).zip(requests) {
+            let limits = AccountLimits { max_tokens_per_second: rate, ..Default::default() };
+            pool.enqueue(now, ReservationRequest {
+                max_tokens,
+                weight,
+                limits,
+                first_token_target: target,
+                ..request(number, now, prompt_tokens)
+            });
+            decide(&mut pool, now);
+            pool.on_first_token(now, stream(number));
+            now += Duration::from_millis(350);
+            pool.on_end(now, stream(number), Outcome::Done { tokens: 10 });
+            decide(&mut pool, now);
+        }
+    }
+}
--- a/crates/azuresaddle-sched/tests/suite/passes/mod.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/mod.rs
@@ -6,6 +6,7 @@
 mod engine_restart;
 mod forecast;
 mod long;
+mod odd_numbers;
 mod pace_probes;
 mod rate_limits;
 mod reference_engine;
--- a/crates/azuresaddle-store/src/claims.rs
+++ b/crates/azuresaddle-store/src/claims.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -159,7 +160,7 @@
     let mut last_error = StoreError::OutcomeUnknown("no attempt was made".to_owned());
     for attempt in 0..MAX_ATTEMPTS {
         if attempt > 0 {
-            tokio::time::sleep(MAX_RETRY_DELAY.mul_f64(rand::random::<f64>())).await;
+            tokio::time::sleep(scaled(MAX_RETRY_DELAY, rand::random())).await;
         }
         let (mut segment, version) = match read_segment(store, key).await {
             Ok(read) => read,
