Datagrams: no number in one ends the control task

A datagram of another node with a term of 2^32 - 1 ended the control task of the node that replaces that owner (in a release build its own term became 0, so that the owner was never replaced), and so did a report of 2^32 - 1 failed probes once the next probe of the target ended.

Both counts, and the sums of sends and failures, now stay at their largest value. Nodes with the same term are ranked by strength and age, which is the same order at all nodes. no_number_in_a_datagram_ends_control feeds heartbeats, states, votes, health and signals with any numbers to what consumes them; it held with 2,000 cases (PROPTEST_CASES=2000).

--- a/crates/azuresaddle-edge/src/control/failover.rs
+++ b/crates/azuresaddle-edge/src/control/failover.rs
@@ -174,10 +174,10 @@
         true
     }
 
-    /// Claims ownership with a term above all known ones.
+    /// Claims ownership with a term above all known ones, unless one of them is the highest possible.
     fn claim(&mut self, now: Instant) {
         let highest = self.members.values().map(|m| m.state.term).max();
-        self.own.term = highest.unwrap_or(0).max(self.own.term) + 1;
+        self.own.term = highest.unwrap_or(0).max(self.own.term).saturating_add(1);
         let votes = self.failover.votes.len();
         tracing::info!(
             part = "control",
@@ -186,7 +186,9 @@
             "ownership claimed"
         );
         self.failover = Failover::default();
-        debug_assert_eq!(self.ranked(now)[0].incarnation, self.own.incarnation);
+        debug_assert!(
+            self.own.term == u32::MAX || self.ranked(now)[0].incarnation == self.own.incarnation
+        );
     }
 
     /// The node that would be the owner without the current one.
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -7,6 +7,7 @@
 mod failover;
 mod fetch;
 mod fleet;
+mod foreign_datagrams;
 mod health_fleet;
 mod host_load_gossip;
 mod host_use;
--- a/crates/azuresaddle-sched/src/target_health/evidence.rs
+++ b/crates/azuresaddle-sched/src/target_health/evidence.rs
@@ -221,8 +221,8 @@
 
 impl Sums {
     fn add(&mut self, observer: Observer, counts: &SendCounts) {
-        self.sends += u32::from(counts.sends);
-        self.failures += counts.failures();
+        self.sends = self.sends.saturating_add(counts.sends.into());
+        self.failures = self.failures.saturating_add(counts.failures());
         if counts.failures() > 0 {
             self.failing_nodes.insert(observer.node);
             self.failing_domains.insert(observer.domain);
@@ -243,7 +243,7 @@
     /// A late answer counts as a failure and then as a response, so a target with as many responses as failures may have
     /// answered all sends.
     fn is_failing(&self) -> bool {
-        self.failures * 2 > self.sends
+        self.failures > self.sends / 2
     }
 
     fn assess(&self) -> Assessment {
--- a/crates/azuresaddle-sched/src/target_health/fleet_health.rs
+++ b/crates/azuresaddle-sched/src/target_health/fleet_health.rs
@@ -125,7 +125,9 @@
         let report = ProbeReport {
             sequence: self.reports,
             stage,
-            failed_probes: ejection.failed_probes + u32::from(stage == ProbeStage::Failed),
+            failed_probes: ejection
+                .failed_probes
+                .saturating_add(u32::from(stage == ProbeStage::Failed)),
             scope: ejection.evidence.scope,
             age_ms: 0,
         };
--- a/crates/azuresaddle-sched/src/target_health/record.rs
+++ b/crates/azuresaddle-sched/src/target_health/record.rs
@@ -218,7 +218,7 @@
         };
         let ended = ejection.trial.filter(|t| t.until <= now);
         if let Some(trial) = ended {
-            self.unanswered_probes = ejection.failed_probes + 1;
+            self.unanswered_probes = ejection.failed_probes.saturating_add(1);
             self.return_to_use(trial.until);
         }
     }
