--- a/crates/azuresaddle-edge/src/lib.rs
+++ b/crates/azuresaddle-edge/src/lib.rs
@@ -14,10 +14,6 @@
 mod forward;
 mod frontend;
 mod metrics;
-#[allow(
-    clippy::disallowed_methods,
-    reason = "the grace period is bounded and the share a constant"
-)]
 mod node;
 mod operator_endpoints;
 mod peer;
--- a/crates/azuresaddle-edge/src/node.rs
+++ b/crates/azuresaddle-edge/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::scaled;
 use azuresaddle_core::deployment::NodeSettings;
 use azuresaddle_core::http::{ServerLimits, serve};
 use azuresaddle_core::prelude::*;
@@ -271,7 +272,7 @@
         );
         self.leaving.cancel();
         self.stopping.enter(ShutdownStage::Closing);
-        tokio::time::sleep_until(started + self.grace.mul_f64(REFUSE_AFTER_SHARE)).await;
+        tokio::time::sleep_until(started + scaled(self.grace, REFUSE_AFTER_SHARE)).await;
         self.finish(started).await;
     }
 
