A node lists the store again if its changes can't be read

A watch whose answer is longer than 16 MiB (many changes of large values after an outage) or of another form was repeated from the same position, with the same answer, until the store dropped its history.

Change: such an answer has its own error, after which the store is listed again, page by page. `the_store_is_listed_again_if_its_changes_cannot_be_read` failed before (no listing within a second).

--- a/crates/azuresaddle-core/src/http/client.rs
+++ b/crates/azuresaddle-core/src/http/client.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::body::read_limited;
+use super::body::{BodyError, read_limited};
 use super::error::HttpError;
 use crate::net::Network;
 use crate::spawner::Spawner;
@@ -146,7 +146,10 @@
     let status = resp.status();
     let bytes = read_limited(resp.into_body(), MAX_RESPONSE_BYTES, timeout)
         .await
-        .map_err(|e| HttpError::Body(e.to_string()))?;
+        .map_err(|e| match e {
+            BodyError::TooLarge(_) => HttpError::Unreadable(e.to_string()),
+            BodyError::TooSlow(_) | BodyError::Broken => HttpError::Body(e.to_string()),
+        })?;
     if !status.is_success() {
         let body = String::from_utf8_lossy(&bytes);
         return Err(HttpError::Status {
@@ -154,5 +157,5 @@
             body: body.chars().take(MAX_ERROR_CHARS).collect(),
         });
     }
-    serde_json::from_slice(&bytes).map_err(|e| HttpError::Body(e.to_string()))
+    serde_json::from_slice(&bytes).map_err(|e| HttpError::Unreadable(e.to_string()))
 }
--- a/crates/azuresaddle-core/src/http/error.rs
+++ b/crates/azuresaddle-core/src/http/error.rs
@@ -30,9 +30,12 @@
         /// Start of the response's body.
         body: String,
     },
-    /// The response's body can't be read.
+    /// The response's body did not arrive.
     #[error("bad body: {0}")]
     Body(String),
+    /// The response's body is too long or has another form; the same request would get the same.
+    #[error("unreadable body: {0}")]
+    Unreadable(String),
 }
 
 impl HttpError {
--- a/crates/azuresaddle-edge/src/control/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/store_watch.rs
@@ -78,6 +78,16 @@
                 progress = ReadProgress::start(Freshness::Latest);
                 continue;
             }
+            Err(StoreError::Unreadable(reason)) => {
+                tracing::warn!(
+                    part = "control",
+                    reason,
+                    "store changes could not be read; listing again"
+                );
+                progress = ReadProgress::start(Freshness::Latest);
+                tokio::time::sleep(jittered(FIRST_BACKOFF)).await;
+                continue;
+            }
             Err(e) => {
                 progress.on_failure();
                 tokio::time::sleep(jittered(backoff)).await;
--- a/crates/azuresaddle-edge/src/control/tests/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_watch.rs
@@ -33,6 +33,8 @@
 struct PagedStore {
     queries: Mutex<Vec<String>>,
     is_silent: AtomicBool,
+    /// Answer to the next watch; it is not answered without one.
+    changes: Mutex<Option<String>>,
 }
 
 impl PagedStore {
@@ -45,6 +47,11 @@
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         let target = req.uri().to_string();
         self.queries.lock().unwrap().push(target.clone());
+        if target.starts_with("/kv-watch")
+            && let Some(changes) = self.changes.lock().unwrap().take()
+        {
+            return Response::new(full(changes));
+        }
         if target.starts_with("/kv-watch") || self.is_silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
@@ -191,3 +198,20 @@
     let mut alone = start_on(0.12, FirstListing::Own, store).await;
     alone.listing().await;
 }
+
+/// Guards against a node that requests the same changes for good and never gets them, since they are too long or of another
+/// form.
+#[tokio::test(start_paused = true)]
+async fn the_store_is_listed_again_if_its_changes_cannot_be_read() {
+    let too_long = format!(r#"{{"events":[],"at":31,"x":"{}"}}"#, "x".repeat(17 << 20));
+    let other_form = r#"{"events":{},"at":31}"#.to_owned();
+    for changes in [too_long, other_form] {
+        let mut node = start(FirstListing::Own).await;
+        node.listing().await;
+        *node.store.changes.lock().unwrap() = Some(changes);
+        node.plan
+            .send_modify(|p| p.watch_interval = Some(Duration::from_millis(1)));
+        let listed = tokio::time::timeout(Duration::from_secs(1), node.listing()).await;
+        assert_eq!(listed.unwrap().revision, REVISION);
+    }
+}
