Long entries of other writers keep no node from its peers' configuration

What callers saw: 404 for a route that was added, at a node that does not reach the store for a while. Cause: a node passes every entry under `servers/` on as it stands in the store, also those that it can't read; a few of 1 MB are longer than the longest message between nodes (4 MiB), so each fetch broke, and with it the configuration, which travels in the same message.

`long_entries_keep_no_node_from_the_configuration_of_its_peers` failed before (404 at the node without the store).

--- a/crates/azuresaddle-edge/src/control/target_record.rs
+++ b/crates/azuresaddle-edge/src/control/target_record.rs
@@ -63,7 +63,7 @@
     number: EntryNumber,
     /// The entry with that number; `None` if none could be decoded.
     entry: Option<Arc<TargetEntry>>,
-    /// Latest value of the key, as written to the store.
+    /// Latest value of the key, as written to the store; empty if it is not a valid target entry.
     value: Option<Arc<[u8]>>,
     presence: Presence,
 }
@@ -133,6 +133,8 @@
             Some(Err(e)) => {
                 if !record.is_removed() {
                     record.presence = Presence::Unreadable(presence.position());
+                    // Another writer's value may be as long as a message between nodes.
+                    record.value = Some(Arc::from([]));
                 }
                 (record, Some(e))
             }
--- a/crates/azuresaddle-edge/src/peer/server.rs
+++ b/crates/azuresaddle-edge/src/peer/server.rs
@@ -19,6 +19,7 @@
 };
 use super::reply_budget::ReplyBudget;
 use super::service::EdgePeer;
+use crate::control::TargetRecord;
 use crate::placement::Owner;
 use crate::snapshot::{Snapshot, Snapshots};
 
@@ -54,6 +55,9 @@
     });
 }
 
+/// Most bytes of target records in one message; the rest of the longest message is for a configuration.
+const MAX_RECORD_BYTES: usize = 2_900_000;
+
 #[derive(Clone)]
 struct PeerServer {
     owner: Arc<Owner>,
@@ -149,13 +153,22 @@
     let newer = version > configuration;
     let records = snapshot.target_records.iter();
     let records = records.filter(|r| targets.is_none_or(|after| r.position() > after));
+    let records: Vec<&Arc<TargetRecord>> = records.collect();
+    let fits = records.iter().map(|r| r.size()).sum::<usize>() <= MAX_RECORD_BYTES;
+    // The configuration arrives even if there are too many records for one message.
+    let (records, position) = if fits {
+        (records, snapshot.target_position)
+    } else {
+        (Vec::new(), targets.unwrap_or_default())
+    };
+    let records = records.into_iter();
     PeerUpdate {
         configuration: snapshot
             .raw_configuration
             .as_deref()
             .filter(|_| newer)
             .cloned(),
-        position: snapshot.target_position,
+        position,
         targets: records.map(|r| r.to_update()).collect(),
     }
 }
--- a/tests/testsuite/platform/foreign_entries.rs
+++ b/tests/testsuite/platform/foreign_entries.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use azuresaddle_standin::platform::{CallerRequest, RouteSpec};
-use azuresaddle_standin::soak::Fleet;
+use azuresaddle_standin::soak::{Fleet, ProxyMode};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
@@ -75,3 +75,25 @@
     let entry = entry_with("cold_remaining_ms", json!(1e22));
     assert_nodes_follow_after("foreign-cold-time", entry).await;
 }
+
+/// Guards against entries of other writers that make the messages between nodes too long, so that a node which does not
+/// reach the store gets no configuration from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_entries_keep_no_node_from_the_configuration_of_its_peers() {
+    let mut fleet = fleet("foreign-long", 3).await;
+    fleet.store_proxies[1].set_mode(ProxyMode::Reset);
+    let few = vec!["x".repeat(1_000_000); 6];
+    let many = vec![entry_with("version", json!("x".repeat(15_000))); 300];
+    for (prefix, entries) in [("/few/", few), ("/many/", many)] {
+        for (n, entry) in entries.into_iter().enumerate() {
+            let key = format!("servers/i{prefix}{n}");
+            fleet.platform.store.put(&key, entry);
+        }
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        let asked = add_route(&mut fleet, prefix);
+        tokio::time::sleep(APPLY_TIME).await;
+        for node in &fleet.nodes {
+            assert_eq!(status(node, &asked).await, 200, "{prefix} {}", node.name);
+        }
+    }
+}
