Soak: each node must follow each change of the configuration in time

The soak checked one change, once, at its end. An answer that only an older version allows is reported with the node, the version, the status and the age of the acknowledgement: later than 2,000 ms after it at a node in touch, later than 7,000 ms where only the node's own path to the store was disturbed, and at any time once the same process has shown a later version. A node is in touch if its process and the store were undisturbed for 3 s; a store that has lost its history, or that answers with a delay of 150 ms, counts as undisturbed. A store that is restored from a copy is disturbed until its entries are written again. The open connections to the store of one node or of all of them also become silent, while new ones work.

A process that ends by itself is reported in every soak.

--- a/crates/azuresaddle-standin/src/cmd/soak.rs
+++ b/crates/azuresaddle-standin/src/cmd/soak.rs
@@ -119,6 +119,19 @@
                 .action(ArgAction::SetTrue)
                 .help("Inject only silences of sound targets, during which the configuration changes and nodes stop or reload"),
         )
+        .arg(
+            Arg::new("changes")
+                .long("changes")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("overlap")
+                .help("Also change the configuration, and check that each node follows each change in time"),
+        )
+        .arg(
+            Arg::new("odd-entries")
+                .long("odd-entries")
+                .action(ArgAction::SetTrue)
+                .help("Also let another writer leave odd entries among those of the targets"),
+        )
         .arg(
             Arg::new("engines")
                 .long("engines")
@@ -176,6 +189,8 @@
                 silent_targets: get::<u64>(args, "silent-targets") as usize,
                 loses_nothing: args.get_flag("no-losses"),
                 overlaps: args.get_flag("overlap"),
+                has_changes: args.get_flag("changes"),
+                has_odd_entries: args.get_flag("odd-entries"),
             },
             crashers: get(args, "crashers"),
             part_crashers: get(args, "part-crashers"),
--- a/crates/azuresaddle-standin/src/platform/mod.rs
+++ b/crates/azuresaddle-standin/src/platform/mod.rs
@@ -26,6 +26,7 @@
 pub use raw::{Arrival, Arrivals, ProtocolFault};
 pub use runs::{AttemptRuns, Runs};
 pub use signals::Signals;
-pub use stand_in::{PlatformOptions, StandInPlatform, StoreRollback};
+pub(crate) use stand_in::REWRITE_TIME;
+pub use stand_in::{ConfigurationWriter, PlatformOptions, StandInPlatform, StoreRollback};
 pub use store::{PlatformStoreModel, StoreFault};
 pub use target::{ArrivedRequest, TargetFault, TargetHandle};
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -1,5 +1,6 @@
 //! A stand-in platform with a store, targets and a configuration, on loopback addresses.
 
+mod configuration_writer;
 mod desired_state;
 mod entries;
 mod restart;
@@ -25,7 +26,9 @@
 use super::store::PlatformStoreModel;
 use super::store_server::StoreServer;
 use super::target::{Target, TargetFault, TargetHandle, serve_target};
+pub use configuration_writer::ConfigurationWriter;
 use desired_state::DesiredState;
+pub(crate) use store_rollback::REWRITE_TIME;
 pub use store_rollback::StoreRollback;
 
 /// Interval of the targets' heartbeats that the settings of the nodes state, in milliseconds.
--- a/crates/azuresaddle-standin/src/platform/stand_in/store_rollback.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in/store_rollback.rs
@@ -11,7 +11,7 @@
 use crate::platform::store::{PlatformStoreModel, StoreFault};
 
 /// Time within which the operator and all targets have rewritten their entries after a rollback.
-const REWRITE_TIME: Duration = Duration::from_millis(1900);
+pub(crate) const REWRITE_TIME: Duration = Duration::from_millis(1900);
 
 /// Time after the rewrite at which entries without a writer are removed: at least three heartbeats of the targets.
 const ABANDONED_ENTRY_LIFETIME: Duration = Duration::from_millis(2000);
--- a/crates/azuresaddle-standin/src/soak/callers.rs
+++ b/crates/azuresaddle-standin/src/soak/callers.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::disturbances::Disturbances;
 use super::faults::STOP_TIMEOUT;
 use super::report::SoakReport;
 use super::signals::SignalLog;
@@ -41,6 +42,7 @@
     pub(super) stops: Mutex<Vec<(SocketAddr, Instant)>>,
     pub(super) stopped: CancellationToken,
     pub(super) signals: SignalLog,
+    pub(super) disturbances: Disturbances,
     /// Whether all targets are sound, though silent at times.
     pub(super) has_sound_targets: bool,
     /// Time without an event after which callers leave a stream; `None` if they wait until their timeout.
--- a/crates/azuresaddle-standin/src/soak/faults.rs
+++ b/crates/azuresaddle-standin/src/soak/faults.rs
@@ -8,10 +8,11 @@
 use rand::rngs::StdRng;
 
 use super::callers::SoakState;
+use super::disturbances::Disturbed;
 use super::fleet::Fleet;
 use super::proxy::ProxyMode;
 use super::signals::{Affected, SignalFault, begin_signals};
-use crate::platform::{StoreFault, StoreRollback, TargetFault};
+use crate::platform::{REWRITE_TIME, StoreFault, StoreRollback, TargetFault};
 
 /// Maximum duration of a fault.
 const MAX_FAULT_TIME: Duration = Duration::from_millis(1800);
@@ -41,6 +42,8 @@
     SilentTargets(usize),
     /// All targets are silent for a while, then go on.
     PausedTargets,
+    /// The open connections of a node to the store become silent; those of all nodes without a number.
+    SilentStoreConnections(Option<usize>),
 }
 
 /// Additional kinds of faults, injected only if they are enabled.
@@ -59,6 +62,11 @@
     pub loses_nothing: bool,
     /// Whether all faults are silences of sound targets, overlapping with other faults that must not lose an answer.
     pub overlaps: bool,
+    /// Whether another task changes the configuration, and each node must follow each change; the open connections to the
+    /// store also become silent.
+    pub has_changes: bool,
+    /// Whether another writer leaves odd entries among those of the targets.
+    pub has_odd_entries: bool,
 }
 
 /// Shortest and longest silence of all targets in [`Fault::PausedTargets`].
@@ -93,6 +101,9 @@
 /// Weight of several silent targets relative to another kind of fault.
 const SILENT_TARGETS_WEIGHT: u32 = 6;
 
+/// Weight of silent connections to the store relative to another kind of fault.
+const SILENT_STORE_CONNECTIONS_WEIGHT: u32 = 2;
+
 /// Returns a random fault.
 fn random_fault(rng: &mut StdRng, fleet: &Fleet, options: FaultOptions) -> Fault {
     let node = rng.random_range(0..fleet.nodes.len());
@@ -109,7 +120,9 @@
     let signals = u32::from(options.has_signals) * SIGNAL_WEIGHT;
     let others = COMMON_FAULT_KINDS + restarts + rollbacks + signals;
     let silent_targets = u32::from(options.silent_targets > 0) * SILENT_TARGETS_WEIGHT;
-    match rng.random_range(0..others + silent_targets) {
+    let all = others + silent_targets;
+    let silent_connections = u32::from(options.has_changes) * SILENT_STORE_CONNECTIONS_WEIGHT;
+    match rng.random_range(0..all + silent_connections) {
         0 => Fault::Kill(node),
         1 | 2 => Fault::Stop(node),
         3 => Fault::Freeze(node),
@@ -130,6 +143,7 @@
         ),
         11 => Fault::Configuration,
         12 if options.has_restarts => Fault::RestartTarget(target),
+        n if n >= all => Fault::SilentStoreConnections((n == all).then_some(node)),
         n if n >= others => Fault::SilentTargets(options.silent_targets),
         n if n >= COMMON_FAULT_KINDS + restarts + rollbacks => {
             Fault::Signals(target, SignalFault::random(rng))
@@ -162,6 +176,10 @@
     let length = MAX_FAULT_TIME.mul_f64(rng.random_range(0.3..1.0));
     record_fault(shared, fault, length);
     record_affected(fleet, shared, fault);
+    let disturbed = disturbed_by(fault);
+    if let Some(what) = disturbed {
+        shared.disturbances.begin(what);
+    }
     match fault {
         Fault::Kill(n) => {
             fleet.nodes[n].signal(Signal::SIGKILL);
@@ -228,6 +246,15 @@
             tokio::time::sleep(length).await;
         }
         Fault::Signals(n, signals) => begin_signals(fleet, shared, n, signals),
+        Fault::SilentStoreConnections(node) => {
+            for (n, proxy) in fleet.store_proxies.iter().enumerate() {
+                if node.is_none_or(|node| node == n) {
+                    proxy.silence_open_connections();
+                }
+            }
+        }
+        // Another task writes the configuration.
+        Fault::Configuration if options.has_changes => {}
         Fault::Configuration => fleet.platform.change_configuration(|_| {}),
         Fault::StoreRollback(how, times) => {
             for _ in 0..times {
@@ -240,12 +267,36 @@
             }
         }
     }
+    if let Some(what) = disturbed {
+        let is_rollback = matches!(fault, Fault::StoreRollback(..));
+        let after = if is_rollback {
+            REWRITE_TIME
+        } else {
+            Duration::ZERO
+        };
+        shared.disturbances.end(what, after);
+    }
     record_affected(fleet, shared, fault);
     if may_lose_answers(fault) {
         shared.note_disruption();
     }
 }
 
+/// What a fault disturbs of that by which nodes learn of changes. A store that is only slower or has dropped its history is
+/// not disturbed.
+fn disturbed_by(fault: Fault) -> Option<Disturbed> {
+    match fault {
+        Fault::Kill(n) | Fault::Stop(n) | Fault::Freeze(n) => Some(Disturbed::Node(n)),
+        Fault::Store(_) | Fault::StoreRollback(..) => Some(Disturbed::Store),
+        Fault::StoreCut(_, ProxyMode::Delay(_)) => None,
+        Fault::StoreCut(n, _) | Fault::SilentStoreConnections(Some(n)) => {
+            Some(Disturbed::StorePath(n))
+        }
+        Fault::SilentStoreConnections(None) => Some(Disturbed::AllStorePaths),
+        _ => None,
+    }
+}
+
 /// Numbers of the first plain targets, which come after the engines.
 fn silent_targets(fleet: &Fleet, count: usize) -> Range<usize> {
     let engines = fleet.platform.engines.len();
@@ -285,6 +336,7 @@
             | Fault::PausedTargets
             | Fault::Store(_)
             | Fault::StoreCut(..)
+            | Fault::SilentStoreConnections(_)
             | Fault::Compact
             | Fault::Signals(..)
             | Fault::Configuration
@@ -292,6 +344,18 @@
     )
 }
 
+/// Reports nodes that have ended though nothing ended them, and starts them again.
+pub(super) async fn restart_ended_nodes(fleet: &mut Fleet, shared: &SoakState) {
+    for n in 0..fleet.nodes.len() {
+        if !fleet.nodes[n].is_running() {
+            shared.report_violation(format!("node {n} ended by itself"));
+            shared.disturbances.begin(Disturbed::Node(n));
+            restart_node(fleet, shared, n).await;
+            shared.disturbances.end(Disturbed::Node(n), Duration::ZERO);
+        }
+    }
+}
+
 /// Waits until a stopping node has ended, and starts it again.
 pub(super) async fn end_stop(fleet: &mut Fleet, shared: &SoakState, n: usize) {
     if !fleet.nodes[n].wait_until_ended(STOP_TIMEOUT).await {
@@ -302,6 +366,7 @@
 }
 
 async fn restart_node(fleet: &mut Fleet, shared: &SoakState, n: usize) {
+    shared.disturbances.on_restart(n);
     if let Err(e) = fleet.nodes[n].start() {
         shared.report_violation(format!("node {n} did not start: {e}"));
         return;
--- a/crates/azuresaddle-standin/src/soak/mod.rs
+++ b/crates/azuresaddle-standin/src/soak/mod.rs
@@ -2,9 +2,13 @@
 //! nodes.
 
 mod callers;
+mod change_checks;
+mod changes;
 mod crashers;
+mod disturbances;
 mod faults;
 mod fleet;
+mod odd_entries;
 mod overlaps;
 mod process;
 mod proxy;
@@ -14,6 +18,7 @@
 mod signals;
 mod slow_readers;
 mod stalled_readers;
+mod version_log;
 mod waiting_callers;
 
 pub use crate::http_util::get_status;
--- a/crates/azuresaddle-standin/src/soak/proxy.rs
+++ b/crates/azuresaddle-standin/src/soak/proxy.rs
@@ -41,6 +41,8 @@
     /// Address that it listens on.
     pub addr: SocketAddr,
     mode: watch::Sender<ProxyMode>,
+    /// Number of times that the open connections became silent.
+    silenced: watch::Sender<u64>,
 }
 
 impl Proxy {
@@ -52,22 +54,39 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let addr = listener.local_addr()?;
         let mode = watch::Sender::new(ProxyMode::Pass);
-        tokio::spawn(accept(listener, upstream, mode.subscribe()));
-        Ok(Self { addr, mode })
+        let silenced = watch::Sender::new(0);
+        let controls = Controls {
+            modes: mode.subscribe(),
+            silenced: silenced.subscribe(),
+        };
+        tokio::spawn(accept(listener, upstream, controls));
+        Ok(Self {
+            addr,
+            mode,
+            silenced,
+        })
     }
 
     /// Changes the behaviour, for open connections too.
     pub fn set_mode(&self, mode: ProxyMode) {
         self.mode.send_replace(mode);
     }
+
+    /// Forwards nothing more on the open connections, which stay open; new ones are not affected.
+    pub fn silence_open_connections(&self) {
+        self.silenced.send_modify(|times| *times += 1);
+    }
 }
 
-/// Accepts connections until the upstream has ended, and refuses them until it listens again.
-async fn accept(
-    mut listener: TcpListener,
-    upstream: SocketAddr,
+/// What the owner of the proxy has set.
+#[derive(Clone)]
+struct Controls {
     modes: watch::Receiver<ProxyMode>,
-) {
+    silenced: watch::Receiver<u64>,
+}
+
+/// Accepts connections until the upstream has ended, and refuses them until it listens again.
+async fn accept(mut listener: TcpListener, upstream: SocketAddr, controls: Controls) {
     let Ok(addr) = listener.local_addr() else {
         return;
     };
@@ -77,7 +96,7 @@
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { return };
-                tokio::spawn(serve(stream, upstream, modes.clone(), is_open.clone()));
+                tokio::spawn(serve(stream, upstream, controls.clone(), is_open.clone()));
                 continue;
             }
             // The wait can't fail: `is_open` is the sender and lives as long as this function.
@@ -99,18 +118,19 @@
 async fn serve(
     mut stream: TcpStream,
     upstream: SocketAddr,
-    modes: watch::Receiver<ProxyMode>,
+    controls: Controls,
     is_open: watch::Sender<bool>,
 ) {
-    relay(&mut stream, upstream, modes).await;
+    relay(&mut stream, upstream, controls).await;
     if TcpStream::connect(upstream).await.is_err() {
         is_open.send_replace(false);
         tokio::time::sleep(CLOSE_DELAY).await;
     }
 }
 
-async fn relay(stream: &mut TcpStream, upstream: SocketAddr, modes: watch::Receiver<ProxyMode>) {
-    if *modes.borrow() == ProxyMode::Reset {
+async fn relay(stream: &mut TcpStream, upstream: SocketAddr, mut controls: Controls) {
+    controls.silenced.mark_unchanged();
+    if *controls.modes.borrow() == ProxyMode::Reset {
         return;
     }
     let Ok(mut target) = TcpStream::connect(upstream).await else {
@@ -121,10 +141,10 @@
     let _ = target.set_nodelay(true);
     let (from_caller, to_caller) = stream.split();
     let (from_target, to_target) = target.split();
-    let mut reset = modes.clone();
+    let mut reset = controls.modes.clone();
     tokio::select! {
-        () = forward(from_caller, to_target, modes.clone(), false) => {}
-        () = forward(from_target, to_caller, modes, true) => {}
+        () = forward(from_caller, to_target, controls.clone(), false) => {}
+        () = forward(from_target, to_caller, controls, true) => {}
         // The connection breaks when it is dropped.
         _ = reset.wait_for(|m| *m == ProxyMode::Reset) => {}
     }
@@ -134,7 +154,7 @@
 async fn forward(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
-    mut modes: watch::Receiver<ProxyMode>,
+    mut controls: Controls,
     is_answer: bool,
 ) {
     let mut buf = vec![0; CHUNK_BYTES];
@@ -143,10 +163,11 @@
             break;
         }
         // The sender lives as long as the proxy.
-        let resumed = modes.wait_for(|m| *m != ProxyMode::Paused).await;
+        let resumed = controls.modes.wait_for(|m| *m != ProxyMode::Paused).await;
         let Ok(mode) = resumed.map(|m| *m) else { break };
-        let is_silent =
-            mode == ProxyMode::Silent || (mode == ProxyMode::SilentAnswers && is_answer);
+        let is_silent = controls.silenced.has_changed().unwrap_or(false)
+            || mode == ProxyMode::Silent
+            || (mode == ProxyMode::SilentAnswers && is_answer);
         if is_silent {
             // Bytes are lost, so the connection can't continue and stays silent for good.
             return std::future::pending().await;
--- a/crates/azuresaddle-standin/src/soak/run.rs
+++ b/crates/azuresaddle-standin/src/soak/run.rs
@@ -8,13 +8,18 @@
 use anyhow::Result;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::callers::{SoakState, run_caller};
+use super::change_checks::run_change_checker;
+use super::changes::{open_version_log, run_changes};
 use super::crashers::{check_crashes, run_crasher, run_part_crasher};
-use super::faults::{FaultOptions, inject_fault};
+use super::disturbances::Disturbances;
+use super::faults::{FaultOptions, inject_fault, restart_ended_nodes};
 use super::fleet::{Fleet, FleetOptions};
+use super::odd_entries::run_odd_writer;
 use super::overlaps::{EVENT_TIMEOUT, inject_overlap, open_fleet};
 use super::report::SoakReport;
 use super::signal_checks::check_signals;
@@ -22,13 +27,13 @@
 use super::slow_readers::run_slow_reader;
 use super::stalled_readers::run_stalled_reader;
 use super::waiting_callers::run_waiting_caller;
-use crate::platform::{Caller, CallerRequest};
+use crate::platform::{Caller, CallerRequest, ConfigurationSpec};
 
 /// Time after the callers have stopped within which the last requests end and release their memory.
 const SETTLE_TIME: Duration = Duration::from_millis(4500);
 
 /// Maximum time until a configuration is in effect on every node.
-const APPLY_TIME: Duration = Duration::from_millis(2000);
+pub(super) const APPLY_TIME: Duration = Duration::from_millis(2000);
 
 /// Longest time for which the traffic thread of a node may run nothing, in milliseconds. A loaded machine stalls it for less.
 const MAX_STALL_MS: u64 = 2000;
@@ -87,6 +92,7 @@
         stops: Mutex::default(),
         stopped: CancellationToken::new(),
         signals: SignalLog::default(),
+        disturbances: Disturbances::default(),
         has_sound_targets: overlaps,
         event_timeout: overlaps.then_some(EVENT_TIMEOUT),
     });
@@ -114,6 +120,19 @@
         let seed = options.seed * 1000 + 600 + n;
         tokio::spawn(run_waiting_caller(Arc::clone(&shared), seed))
     }));
+    if options.faults.has_odd_entries {
+        let store = fleet.platform.store.clone();
+        let seed = options.seed * 1000 + 700;
+        callers.push(tokio::spawn(run_odd_writer(
+            Arc::clone(&shared),
+            store,
+            seed,
+        )));
+    }
+    let changes = options
+        .faults
+        .has_changes
+        .then(|| spawn_changes(&fleet, &shared, options.seed, &mut callers));
     let mut rng = StdRng::seed_from_u64(options.seed);
     let end = Instant::now() + options.length;
     while Instant::now() < end {
@@ -123,6 +142,7 @@
             inject_fault(&mut fleet, &shared, &mut rng, options.faults).await;
         }
         end_signals(&mut fleet, &shared).await;
+        restart_ended_nodes(&mut fleet, &shared).await;
         if let Err(e) = fleet.platform.restart_ended().await {
             shared.report_violation(format!("a target did not restart: {e}"));
         }
@@ -133,7 +153,11 @@
             shared.report_violation(format!("a caller panicked: {e}"));
         }
     }
+    if let Some(changes) = changes {
+        fleet.platform.configuration = changes.await?;
+    }
     check_recovery(&mut fleet, &shared).await;
+    restart_ended_nodes(&mut fleet, &shared).await;
     check_crashes(&fleet, &shared);
     check_signals(&shared);
     check_hangs(&fleet, &shared);
@@ -141,6 +165,32 @@
     Ok(report.clone())
 }
 
+/// Changes the configuration during the soak, and checks that each node follows; returns the task that ends with the last
+/// configuration.
+fn spawn_changes(
+    fleet: &Fleet,
+    shared: &Arc<SoakState>,
+    seed: u64,
+    callers: &mut Vec<JoinHandle<()>>,
+) -> JoinHandle<ConfigurationSpec> {
+    let mut writer = fleet.platform.configuration_writer();
+    let log = Arc::new(open_version_log(&mut writer));
+    callers.extend(fleet.nodes.iter().enumerate().map(|(n, node)| {
+        tokio::spawn(run_change_checker(
+            Arc::clone(shared),
+            Arc::clone(&log),
+            (n, node.callers_addr()),
+            seed * 1000 + 800 + n as u64,
+        ))
+    }));
+    tokio::spawn(run_changes(
+        Arc::clone(shared),
+        log,
+        writer,
+        seed * 1000 + 900,
+    ))
+}
+
 /// Checks that no node has served nobody while it ran.
 fn check_hangs(fleet: &Fleet, shared: &SoakState) {
     for node in &fleet.nodes {
--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -51,6 +51,8 @@
     silent_targets: 0,
     loses_nothing: false,
     overlaps: false,
+    has_changes: false,
+    has_odd_entries: false,
 };
 
 #[tokio::test(flavor = "multi_thread")]
