--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -12,6 +12,7 @@
 mod essential_tasks;
 mod faults;
 mod foreign_entries;
+mod late_changes;
 mod malformed_input;
 mod partitions;
 mod quarantine_command;
