--- a/tests/testsuite/platform/soak.rs
+++ b/tests/testsuite/platform/soak.rs
@@ -128,6 +128,21 @@
     assert!(whole.is_some_and(|n| *n > 0), "{report}");
 }
 
+/// Guards against nodes that stop following the configuration, for example after an odd entry among those of the targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_change_is_followed_beside_odd_entries_and_faults() {
+    let faults = FaultOptions {
+        has_changes: true,
+        has_odd_entries: true,
+        ..FaultOptions::default()
+    };
+    let options = options(Duration::from_secs(18), 73_003, 3, faults, 0, 0);
+    let report = run_soak(&options).await.unwrap();
+    assert!(report.passed(), "{report}");
+    let checked = report.ends.get("answers checked against a change");
+    assert!(checked.is_some_and(|n| *n > 0), "{report}");
+}
+
 async fn soak(seed: u64, nodes: u8, faults: FaultOptions, crashers: u64) {
     soak_for(Duration::from_secs(7), seed, nodes, faults, crashers).await;
 }
