Answers: a load or an event id of any size loses no answer

Callers lost the answer of a target that stated a load of 2^32 - 1 running and some waiting requests, and a stream whose target sent an event after one with the id 2^64 - 1 was lost rather than continued at another target. In a release build the sums wrapped: the target counted as idle, and id 0 as the next one.

The load is a saturating sum, and no id follows the highest one, so the events are out of order and the stream goes on at another target.

--- a/crates/azuresaddle-edge/src/forward/plain_send.rs
+++ b/crates/azuresaddle-edge/src/forward/plain_send.rs
@@ -190,7 +190,8 @@
         .get(&headers::TARGET_LOAD)
         .and_then(headers::parse_load)
     {
-        cx.health.on_load(&target.id, running + waiting);
+        cx.health
+            .on_load(&target.id, running.saturating_add(waiting));
     }
     let body = read_answer(cx, req, parts.status, body, room).await?;
     if let Some(kept) = keep_alive(&parts.headers) {
--- a/crates/azuresaddle-edge/src/forward/stream/open.rs
+++ b/crates/azuresaddle-edge/src/forward/stream/open.rs
@@ -224,7 +224,7 @@
     pub(super) fn check_order(&self, ids: &[u64]) -> Result<Option<u64>, SendFailure> {
         let mut last_id = self.last_relayed_id;
         for id in ids {
-            if last_id.is_some_and(|last| *id != last + 1) {
+            if last_id.is_some_and(|last| last.checked_add(1) != Some(*id)) {
                 return Err(SendFailure::Broken("event id is out of order".to_owned()));
             }
             last_id = Some(*id);
--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -7,6 +7,7 @@
 mod keep_alive;
 mod long_prompts;
 mod memory;
+mod odd_answers;
 mod scripted_targets;
 mod silent_targets;
 mod single_runs;
