Losses: numbers of any size in a log don't end the report

`azuresaddle losses` sums, multiplies and subtracts the times of log lines, which a debug build ends with a panic and a release build wraps: a line with an age of 2^64 - 1 ms gave a wrong reason and a wrong second. The sums now stay at the bounds of their type.

The new test was not run on the code before.

--- a/crates/azuresaddle-core/src/losses/report.rs
+++ b/crates/azuresaddle-core/src/losses/report.rs
@@ -143,7 +143,7 @@
         };
         let mut seconds: BTreeMap<i64, SecondTotals> = BTreeMap::new();
         for request in &self.requests {
-            let offset_s = (request.arrived_ms - first) / 1000;
+            let offset_s = request.arrived_ms.saturating_sub(first) / 1000;
             let second = seconds.entry(offset_s).or_default();
             second.offset_s = offset_s;
             second.count += 1;
--- a/crates/azuresaddle-core/src/losses/request.rs
+++ b/crates/azuresaddle-core/src/losses/request.rs
@@ -38,7 +38,7 @@
         }
         let age = line.age_ms.or(line.waited_ms);
         if let (Some(at), Some(age)) = (line.timestamp_ms(), age) {
-            self.arrived_ms = at - age as i64;
+            self.arrived_ms = at.saturating_sub_unsigned(age);
         }
         let end = match line.message.as_str() {
             "stream complete" => End::Complete,
@@ -78,7 +78,7 @@
     if first > target {
         let queued = line.queued_ms.unwrap_or(0);
         let expected = line.expected_ms.unwrap_or(0);
-        if queued + expected <= target {
+        if queued.saturating_add(expected) <= target {
             return Reason::LateAtEngine;
         }
         return if queued > expected {
@@ -111,7 +111,7 @@
 fn reason_of_refusal(line: &LogLine) -> Reason {
     let age = line.age_ms.unwrap_or(0);
     let target = line.target_ms.unwrap_or(0);
-    if age * IMMEDIATE_REFUSAL_DIVISOR <= target {
+    if age.saturating_mul(IMMEDIATE_REFUSAL_DIVISOR) <= target {
         Reason::RefusedAtOnce
     } else {
         Reason::RefusedLater
--- a/tests/testsuite/losses.rs
+++ b/tests/testsuite/losses.rs
@@ -127,3 +127,26 @@
     assert_eq!(seconds[0].lost.get(&Reason::LateAnswer), Some(&1.0));
     assert!(seconds[1].lost.is_empty());
 }
+
+/// Guards against a report that ends at a log line with numbers of any size.
+#[test]
+fn numbers_of_any_size_in_a_log_are_reported() {
+    let most = u64::MAX;
+    let line = |message: &str, fields: &str| {
+        format!(
+            r#"{{"timestamp":"2026-12-01T10:00:00.000Z","message":"{message}","part":"forward",
+"request":"{message}","route":"r","age_ms":{most},"target_ms":{most}{fields}}}"#
+        )
+        .replace('\n', "")
+    };
+    let lines = [
+        line(
+            "stream complete",
+            &format!(r#","first_event_ms":{most},"queued_ms":{most},"expected_ms":{most}"#),
+        ),
+        line("stream refused", r#","runs":0"#),
+        line("answered", ""),
+    ];
+    let report = LossReport::new(lines.iter().map(String::as_str), |_| 1.0);
+    assert_eq!(report.seconds().iter().map(|s| s.count).sum::<usize>(), 3);
+}
