--- a/crates/azuresaddle-core/src/host_list.rs
+++ b/crates/azuresaddle-core/src/host_list.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::bounded_tokens;
 use crate::names::{FailureDomain, HostName, Model};
 
 /// What runs on a listed host.
@@ -24,6 +25,7 @@
         /// The model it serves.
         model: Model,
         /// KV-cache capacity, in tokens.
+        #[serde(deserialize_with = "bounded_tokens::deserialize")]
         memory_tokens: u64,
         /// Whether it rejects requests that carry an outdated fencing token.
         #[serde(default)]
--- a/crates/azuresaddle-core/src/version.rs
+++ b/crates/azuresaddle-core/src/version.rs
@@ -14,9 +14,9 @@
         pub struct $name(pub u64);
 
         impl $name {
-            /// The value after this one.
+            /// The value after this one; the highest one is followed by itself.
             pub fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
 
--- a/crates/azuresaddle-node/src/engine/wire.rs
+++ b/crates/azuresaddle-node/src/engine/wire.rs
@@ -14,6 +14,7 @@
 //! Errors are returned as [`Problem`]s; their `title` is one of the `TITLE_` constants. While no
 //! token is ready, a comment line is sent at least once per second.
 
+use azuresaddle_core::bounded_tokens;
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::{CacheEvent, LiveStream};
 use serde::{Deserialize, Serialize};
@@ -120,6 +121,7 @@
     /// The engine's incarnation.
     pub incarnation: Incarnation,
     /// KV-cache capacity, in tokens.
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub memory_tokens: u64,
     /// Memory in use, in tokens.
     pub used_tokens: u64,
--- a/crates/azuresaddle-node/src/traffic/generate.rs
+++ b/crates/azuresaddle-node/src/traffic/generate.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use azuresaddle_core::bounded_time::MAX_DURATION;
 use azuresaddle_core::http::{Body, read_limited};
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::prompt::{prefix_hashes, prompt_tokens};
@@ -171,7 +172,7 @@
                 None => problem,
             });
         }
-        let max_deadline = Duration::from_millis(then.deadline_ms);
+        let max_deadline = Duration::from_millis(then.deadline_ms).min(MAX_DURATION);
         Ok(RequestPolicy {
             rule: rule.map(|rule| rule.name.clone()).unwrap_or_default(),
             idempotent: then.idempotent.unwrap_or(facts.idempotent),
--- a/crates/azuresaddle-node/src/traffic/job.rs
+++ b/crates/azuresaddle-node/src/traffic/job.rs
@@ -1,6 +1,6 @@
 //! An admitted request for an answer.
 
-use azuresaddle_core::bounded_time::saturating_seconds;
+use azuresaddle_core::bounded_time::{MAX_DURATION, saturating_seconds};
 use azuresaddle_core::prelude::*;
 use azuresaddle_core::prompt::prompt_tokens;
 use azuresaddle_core::rules::Then;
@@ -36,7 +36,7 @@
 
     /// The rule's target for the time from arrival to the first token.
     pub(super) fn first_token_target(&self) -> Duration {
-        Duration::from_millis(self.then.first_token_target_ms)
+        Duration::from_millis(self.then.first_token_target_ms).min(MAX_DURATION)
     }
 
     /// Maximum time to the first token that meets the target: the rule's target plus the prefill
--- a/crates/azuresaddle-sched/src/prefix_index.rs
+++ b/crates/azuresaddle-sched/src/prefix_index.rs
@@ -52,7 +52,7 @@
     pub fn replace(&mut self, sequence: u64, blocks: impl IntoIterator<Item = u64>) {
         self.clear();
         self.stale = false;
-        self.next_sequence = Some(sequence + 1);
+        self.next_sequence = Some(sequence.saturating_add(1));
         for block in blocks {
             self.store(block);
         }
@@ -72,7 +72,7 @@
             }
             _ => {}
         }
-        self.next_sequence = Some(event.sequence + 1);
+        self.next_sequence = Some(event.sequence.saturating_add(1));
         match event.kind {
             CacheEventKind::Stored => self.store(event.block),
             CacheEventKind::Evicted => {
--- a/crates/azuresaddle-sched/src/reservation.rs
+++ b/crates/azuresaddle-sched/src/reservation.rs
@@ -1,5 +1,6 @@
 //! Reservations in the memory ledger.
 
+use azuresaddle_core::bounded_tokens;
 use azuresaddle_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
@@ -42,6 +43,7 @@
     /// The client account of the request.
     pub account: ClientAccount,
     /// Memory held, in tokens.
+    #[serde(deserialize_with = "bounded_tokens::deserialize")]
     pub memory_tokens: u64,
     /// Whether the first token has been sent.
     pub decoding: bool,
--- a/crates/azuresaddle-sched/tests/suite/prefix_index.rs
+++ b/crates/azuresaddle-sched/tests/suite/prefix_index.rs
@@ -47,3 +47,12 @@
     assert_eq!(index.cached_blocks(&[1]), 0, "the oldest are forgotten");
     assert_eq!(index.cached_blocks(&[100_000]), 1);
 }
+
+/// Guards against an owner that ends at the highest sequence number of a target's cache.
+#[test]
+fn the_highest_sequence_number_is_followed_by_itself() {
+    let mut index = PrefixIndex::default();
+    index.replace(u64::MAX, [1]);
+    index.apply(stored(u64::MAX, 2));
+    assert_eq!(index.cached_blocks(&[1, 2]), 2);
+}
--- a/src/cmd/node_settings.rs
+++ b/src/cmd/node_settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use azuresaddle_core::bounded_time::MAX_DURATION;
 use azuresaddle_node::Settings;
 use azuresaddle_node::settings::NodeAddrs;
 use clap::parser::ValueSource;
@@ -227,7 +228,7 @@
     if ms == 0 {
         return Err(bad_value(name, "0", "must be at least 1"));
     }
-    Ok(Duration::from_millis(ms))
+    Ok(Duration::from_millis(ms).min(MAX_DURATION))
 }
 
 fn parse_addr(args: &ArgMatches, name: &str) -> Result<SocketAddr> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod ci;
 mod command_line;
 mod days;
+mod engine_memory;
 mod losses;
 mod operators;
 mod platform;
