A node that gets no answer from its neighbour asks nodes of other domains

What callers saw: 404 for an added route for as long as it lasts, at a node that doesn't reach the store and whose only neighbour sends heartbeats but answers no calls; ready all the while.

Cause: `choose_peer` drew among the nodes of the own failure domain as long as one of them announced something newer, and nothing remembered that it had not answered. Class: a node held to an older version by one that can't help it.

Change: a node that did not answer a fetch comes last for two seconds. One that answers that it is too busy is not meant, so a fleet that starts together stays within its domains.

--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -1,6 +1,6 @@
 //! Fetches configurations and targets from other nodes that know later changes.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
@@ -55,18 +55,23 @@
 #[derive(Debug)]
 pub(super) struct Fetched {
     scope: FetchScope,
+    /// The node that did not answer, if it did not.
+    unanswered_by: Option<Ipv4Addr>,
     pub(super) state: Option<PeerState>,
 }
 
 /// A fetch under way. Its result is sent when it is dropped, so that control learns of its end however the task ends.
 pub(super) struct PendingFetch {
     pub(super) scope: FetchScope,
+    /// The node that is asked, until it answers.
+    pub(super) unanswered_by: Option<Ipv4Addr>,
     pub(super) state: Option<PeerState>,
     pub(super) tx: mpsc::Sender<Fetched>,
 }
 
 impl PendingFetch {
     pub(super) fn finish(mut self, state: Option<PeerState>) {
+        self.unanswered_by = None;
         self.state = state;
     }
 }
@@ -75,6 +80,7 @@
     fn drop(&mut self) {
         let fetched = Fetched {
             scope: self.scope,
+            unanswered_by: self.unanswered_by,
             state: self.state.take(),
         };
         // There is one fetch at a time, so the queue has room unless the control loop has ended.
@@ -110,16 +116,19 @@
         let peers = self.peers.clone();
         let pending = PendingFetch {
             scope,
+            unanswered_by: ipv4(addr),
             state: None,
             tx: fetched_tx.clone(),
         };
         self.spawner.spawn(async move {
             let state = fetch(&peers, addr, timeout, configuration, after).await;
-            if let Err(e) = &state {
-                tracing::debug!(part = "control", %addr, error = %e, "fetching an update failed");
+            match state {
+                // The other node may also be too busy to provide everything.
+                Ok(state) => pending.finish(state),
+                Err(e) => {
+                    tracing::debug!(part = "control", %addr, error = %e, "fetching an update failed");
+                }
             }
-            // The other node may also be too busy to answer.
-            pending.finish(state.ok().flatten());
         });
     }
 
@@ -204,6 +213,9 @@
 
     pub(super) fn on_fetched(&mut self, fetched: Fetched) -> bool {
         self.is_fetching = false;
+        if let Some(node) = fetched.unanswered_by {
+            self.members.on_fetch_failed(Instant::now(), node);
+        }
         let Some(PeerState {
             update,
             domain_drains,
@@ -281,6 +293,14 @@
     }
 }
 
+/// Address of the host of a node, which has an IPv4 address.
+fn ipv4(addr: SocketAddr) -> Option<Ipv4Addr> {
+    match addr.ip() {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
+    }
+}
+
 /// Fetches what a node knows beyond a configuration version and a position; everything without one.
 /// `None` if it is too busy.
 async fn fetch<N: Network>(
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -49,6 +49,9 @@
 /// Time without a heartbeat after which a node is removed from the member list.
 const MEMBER_RETENTION: Duration = Duration::from_secs(20);
 
+/// Time for which a node that did not answer a fetch is asked only if no other one can be.
+const FAILED_FETCH_MEMORY: Duration = Duration::from_secs(2);
+
 /// Tick delay above which a missing heartbeat does not count, since this process itself was
 /// stalled.
 const STALL_THRESHOLD: Duration = Duration::from_millis(250);
@@ -111,6 +114,8 @@
     pub(super) loads: HostLoads,
     /// Since when too few nodes get answers from the store.
     unwatched_since: Option<Instant>,
+    /// Nodes that did not answer a fetch, and when.
+    failed_fetches: HashMap<Ipv4Addr, Instant>,
     /// Random generator for the choice of peers; seeded with the incarnation to make tests
     /// reproducible.
     pub(super) rng: SmallRng,
@@ -134,6 +139,7 @@
             candidates: Candidates::new(now),
             loads: HostLoads::default(),
             unwatched_since: None,
+            failed_fetches: HashMap::new(),
         }
     }
 
@@ -355,20 +361,32 @@
         self.alive(now).any(|m| m.state.has_all_targets())
     }
 
+    /// Records that a node did not answer a fetch.
+    pub(super) fn on_fetch_failed(&mut self, now: Instant, node: Ipv4Addr) {
+        self.failed_fetches.insert(node, now);
+    }
+
     /// Chooses a random live node that satisfies the predicate and returns its peer address. Nodes
     /// of the own failure domain take precedence: responses may be large, and bandwidth between
-    /// domains is scarce and expensive.
+    /// domains is scarce and expensive. Those that did not answer lately come last, since a node
+    /// that sends heartbeats does not always answer calls.
     pub(super) fn choose_peer(
         &mut self,
         now: Instant,
         predicate: impl Fn(&MemberState) -> bool,
     ) -> Option<SocketAddr> {
+        self.failed_fetches
+            .retain(|_, at| now.saturating_duration_since(*at) < FAILED_FETCH_MEMORY);
+        let rank = |n: &MemberState| {
+            let has_failed = self.failed_fetches.contains_key(&n.ip);
+            (has_failed, n.domain != self.own.domain)
+        };
         let alive = self.alive(now).filter(|m| predicate(&m.state));
-        let (near, far): (Vec<&MemberState>, Vec<&MemberState>) = alive
-            .map(|m| &m.state)
-            .partition(|n| n.domain == self.own.domain);
-        let better = if near.is_empty() { far } else { near };
-        let better: Vec<Ipv4Addr> = better.into_iter().map(|n| n.ip).collect();
+        let ranked = alive.map(|m| (rank(&m.state), m.state.ip));
+        let ranked: Vec<((bool, bool), Ipv4Addr)> = ranked.collect();
+        let best = ranked.iter().map(|(rank, _)| *rank).min()?;
+        let better = ranked.iter().filter(|(rank, _)| *rank == best);
+        let better: Vec<Ipv4Addr> = better.map(|(_, ip)| *ip).collect();
         let ip = *better.choose(&mut self.rng)?;
         Some(SocketAddr::from((ip, self.peer_port)))
     }
--- a/crates/azuresaddle-edge/src/control/tests/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/tests/fetch.rs
@@ -8,8 +8,13 @@
 fn pending() -> (PendingFetch, mpsc::Receiver<Fetched>) {
     let (tx, rx) = mpsc::channel(1);
     let scope = FetchScope::All { from_settled: true };
-    let state = None;
-    (PendingFetch { scope, state, tx }, rx)
+    let fetch = PendingFetch {
+        scope,
+        unanswered_by: None,
+        state: None,
+        tx,
+    };
+    (fetch, rx)
 }
 
 /// Guards against a node that fetches nothing more, since the task of one fetch has ended without a result.
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -4,6 +4,7 @@
 mod burn;
 mod cold_targets;
 mod configuration;
+mod configuration_from_nodes;
 mod crashing_parts;
 mod diagnostics;
 mod domain_drains;
