A change that a lost watch has missed arrives within two seconds

A watch whose connection had gone silent was given up after 2.2 s, and one whose answer stopped in its body after 3.8 s, since head and body had a timeout each; a node without others that help it applied a change after 2.39 and 3.81 s (`config_apply_ms` is 2,000).

It costs two thirds more watch calls where nothing changes. Both tests of `control::tests::store_watch` failed before.

--- a/crates/azuresaddle-edge/src/control/read_progress.rs
+++ b/crates/azuresaddle-edge/src/control/read_progress.rs
@@ -9,9 +9,9 @@
 
 use super::store_event::StoreEvent;
 
-/// Maximum duration of one watch call; a dead connection is detected shortly after it. Each watch
-/// is a paid call.
-const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// Maximum duration of one watch call. A dead connection is detected shortly after it, early enough
+/// for a change that it has lost to come into force in time. Each watch is a paid call.
+const WATCH_WAIT: Duration = Duration::from_millis(900);
 
 /// Time without an answer after which a call counts as hanging.
 const HANGING_CALL: Duration = Duration::from_millis(400);
--- a/crates/azuresaddle-edge/src/control/tests/store_watch.rs
+++ b/crates/azuresaddle-edge/src/control/tests/store_watch.rs
@@ -1,17 +1,21 @@
 //! Tests of how a node that starts reads a store whose listing has several pages.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use azuresaddle_core::http::{Body, Handler, HttpClient, ServerLimits, full, serve};
 use azuresaddle_core::prelude::*;
 use azuresaddle_platform::{PlatformStore, StoreEra, StorePosition};
-use hyper::body::Incoming;
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::{Request, Response};
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use super::memory_network::memory_network;
 use crate::control::read_plan::{FirstListing, ReadPlan};
@@ -215,3 +219,85 @@
         assert_eq!(listed.unwrap().revision, REVISION);
     }
 }
+/// Time within which a change of the configuration must be in force.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// How the first watch of a [`WatchedStore`] is lost.
+#[derive(Clone, Copy)]
+enum LostWatch {
+    /// It is never answered.
+    Silent,
+    /// The head of its answer arrives after a time, and its body never ends.
+    EndlessBody(Duration),
+}
+
+/// A store whose first watch is lost, and whose later ones return a change at once.
+struct WatchedStore {
+    lost: LostWatch,
+    watches: AtomicU64,
+}
+
+impl Handler for WatchedStore {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        if !req.uri().path().starts_with("/kv-watch") {
+            let body = json!({"entries": [], "has_more": false, "at": REVISION});
+            return Response::new(full(body.to_string()));
+        }
+        if self.watches.fetch_add(1, Ordering::Relaxed) > 0 {
+            let event = json!({"key": "op/config", "value": "e30=", "revision": REVISION + 1});
+            let body = json!({"events": [event], "at": REVISION + 1});
+            return Response::new(full(body.to_string()));
+        }
+        match self.lost {
+            LostWatch::Silent => std::future::pending().await,
+            LostWatch::EndlessBody(after) => {
+                tokio::time::sleep(after).await;
+                let begin = Frame::data(Bytes::from_static(b"{\"events\":["));
+                let begin = futures::stream::iter([Ok(begin)]);
+                let body = begin.chain(futures::stream::pending());
+                Response::new(BodyExt::boxed(StreamBody::new(body)))
+            }
+        }
+    }
+}
+
+/// Time from the start of a watch that is lost to the arrival of a change that was made right after it.
+async fn time_to_change(lost: LostWatch) -> Duration {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let (net, listener) = memory_network(addr);
+    let watches = AtomicU64::new(0);
+    let store = Arc::new(WatchedStore { lost, watches });
+    serve(listener, Spawner::current(), ServerLimits::default(), store);
+    let http = HttpClient::new(net, Spawner::current());
+    let client = PlatformStore::new(http, addr, Duration::from_secs(1));
+    let plan = watch::Sender::new(ReadPlan {
+        watch_interval: Some(Duration::from_millis(40)),
+        first_listing: FirstListing::Own,
+        position: StorePosition::default(),
+    });
+    let (tx, mut events) = mpsc::channel(16);
+    Spawner::current().spawn(watch_store(client, plan.subscribe(), 1.0, tx));
+    while !matches!(events.recv().await, Some(StoreEvent::Listing { .. })) {}
+    let changed_at = Instant::now();
+    while !matches!(events.recv().await, Some(StoreEvent::Changes { .. })) {}
+    changed_at.elapsed()
+}
+
+/// Guards against a node that learns of a change only after the time to apply it, since its connection went silent.
+#[tokio::test(start_paused = true)]
+async fn a_change_arrives_in_time_although_a_watch_is_never_answered() {
+    let took = time_to_change(LostWatch::Silent).await;
+    assert!(took < APPLY_TIME, "{took:?}");
+}
+
+/// Guards against an answer that may take the whole timeout again once its head has arrived.
+#[tokio::test(start_paused = true)]
+async fn a_watch_whose_answer_stops_in_its_body_takes_no_longer_than_a_silent_one() {
+    let silent = time_to_change(LostWatch::Silent).await;
+    let body = LostWatch::EndlessBody(Duration::from_millis(1400));
+    let took = time_to_change(body).await;
+    assert!(
+        took < silent + Duration::from_millis(500),
+        "{took:?}, silent: {silent:?}"
+    );
+}
