--- a/crates/azuresaddle-edge/src/placement/owner.rs
+++ b/crates/azuresaddle-edge/src/placement/owner.rs
@@ -25,6 +25,7 @@
 /// The pools as this node knows them. While this node is the owner, it places the streams of all nodes from them.
 pub(crate) struct Owner {
     state: Mutex<OwnerState>,
+    spawner: Spawner,
     /// Wakes the timer task when its next wake-up may have changed.
     changed: Notify,
     /// Engines to probe for their pace, the slowdown relative to a reference engine.
@@ -54,6 +55,7 @@
         };
         let owner = Arc::new(Self {
             state: Mutex::new(state),
+            spawner: spawner.clone(),
             changed: Notify::new(),
             pace_probes,
             admission_log,
@@ -279,8 +281,15 @@
         self.changed.notify_one();
     }
 
+    /// Locks the pools. A panic of an earlier call may have left them half changed, so it is a failure of the node.
     pub(super) fn lock(&self) -> MutexGuard<'_, OwnerState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(|poisoned| {
+            self.spawner.report_failure(TaskFailure {
+                task: "pools",
+                end: TaskEnd::Panicked,
+            });
+            poisoned.into_inner()
+        })
     }
 }
 
--- a/crates/azuresaddle-edge/src/placement/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/placement/tests/mod.rs
@@ -5,6 +5,7 @@
 mod dispatches;
 mod foreign_messages;
 mod handover;
+mod panics;
 mod peer_network;
 mod permits;
 mod ranked_calls;
