--- a/crates/azuresaddle-edge/src/control/datagrams.rs
+++ b/crates/azuresaddle-edge/src/control/datagrams.rs
@@ -1,6 +1,8 @@
 //! Sends and handles datagrams.
 
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
@@ -8,6 +10,9 @@
 use super::actor::Control;
 use super::heartbeat::Datagram;
 
+/// Longest wait for room in the socket's send buffer, so that a congested link does not hold up what control does besides.
+const SEND_TIMEOUT: Duration = Duration::from_millis(20);
+
 impl<N: Network> Control<N> {
     /// Handles a datagram of another node; true if it changed something.
     pub(super) async fn on_datagram(&mut self, from: SocketAddr, bytes: &[u8]) -> bool {
@@ -74,7 +79,8 @@
     /// Sends a datagram, best effort: a later round makes up for a lost one.
     pub(super) async fn send_to(&self, ip: Ipv4Addr, bytes: &[u8]) {
         let to = SocketAddr::from((ip, self.heartbeat_port));
-        if let Err(e) = self.socket.send_to(bytes, to).await {
+        let sent = tokio::time::timeout(SEND_TIMEOUT, self.socket.send_to(bytes, to)).await;
+        if let Err(e) = sent.unwrap_or(Err(io::ErrorKind::TimedOut.into())) {
             // No retry: the next heartbeat follows soon.
             tracing::debug!(part = "control", %to, error = %e, "sending a datagram failed");
         }
