A node that has failed or is behind rejects nothing by its configuration

A 404 or 401 ends a request for its caller, who does not repeat it.

- A node that has failed, and one that stops, refuses each new request before it looks for a route.
Before, it answered 404 by its old configuration while it finished its answers.
- Where control has checked nothing for 1 s, or another node has had a newer configuration for 1 s, an unknown route or key is refused as not run (503 with the time to come back) in place of 404 or 401.
This bounds the whole class, whatever the cause.
- A normal stop is no failure of the listener for callers.

--- a/crates/azuresaddle-edge/src/control/fetch.rs
+++ b/crates/azuresaddle-edge/src/control/fetch.rs
@@ -257,6 +257,8 @@
             .behind_since
             .map(|since| now.saturating_duration_since(since));
         let is_behind = lag.is_some_and(|lag| lag >= LAG_REPORT_DELAY);
+        let has_newer = newest > self.version();
+        self.snapshots.progress().set_behind(is_behind && has_newer);
         if is_behind == self.is_lag_reported {
             return;
         }
--- a/crates/azuresaddle-edge/src/control_progress.rs
+++ b/crates/azuresaddle-edge/src/control_progress.rs
@@ -1,6 +1,6 @@
 //! When control last did its work, for threads that depend on it.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -8,6 +8,9 @@
 /// Value of [`ControlProgress::store_answered`] before the first answer.
 const NEVER: u64 = u64::MAX;
 
+/// Time since control's last check after which its snapshot may be outdated.
+const MAX_IDLE: Duration = Duration::from_secs(1);
+
 /// When control last checked its state, and when it last received an answer from the store.
 #[derive(Debug)]
 pub(crate) struct ControlProgress {
@@ -18,6 +21,8 @@
     checks: AtomicU64,
     /// Milliseconds from `opened_at` to the last answer of the store; [`NEVER`] before the first one.
     store_answered: AtomicU64,
+    /// Whether other nodes have had a newer configuration for a while.
+    is_behind: AtomicBool,
 }
 
 impl ControlProgress {
@@ -27,6 +32,7 @@
             checked: AtomicU64::new(0),
             checks: AtomicU64::new(0),
             store_answered: AtomicU64::new(NEVER),
+            is_behind: AtomicBool::new(false),
         }
     }
 
@@ -41,6 +47,16 @@
         self.checks.load(Ordering::Relaxed)
     }
 
+    /// Records whether other nodes have had a newer configuration for a while.
+    pub(crate) fn set_behind(&self, is_behind: bool) {
+        self.is_behind.store(is_behind, Ordering::Relaxed);
+    }
+
+    /// Whether the latest snapshot may have an older configuration than other nodes.
+    pub(crate) fn may_be_outdated(&self, now: Instant) -> bool {
+        self.is_behind.load(Ordering::Relaxed) || self.idle_for(now) >= MAX_IDLE
+    }
+
     /// Records an answer of the store.
     pub(crate) fn on_store_answer(&self, now: Instant) {
         self.store_answered
--- a/crates/azuresaddle-edge/src/frontend/admission.rs
+++ b/crates/azuresaddle-edge/src/frontend/admission.rs
@@ -25,6 +25,14 @@
     pub(super) fn new(status: StatusCode, detail: &'static str) -> Self {
         Self { status, detail }
     }
+
+    /// Whether another configuration may allow the request.
+    pub(super) fn depends_on_configuration(&self) -> bool {
+        matches!(
+            self.status,
+            StatusCode::NOT_FOUND | StatusCode::UNAUTHORIZED
+        )
+    }
 }
 
 /// Finds the route and the account of a request.
--- a/crates/azuresaddle-edge/src/frontend/listener.rs
+++ b/crates/azuresaddle-edge/src/frontend/listener.rs
@@ -42,7 +42,7 @@
                 return;
             };
             let stream = tokio::select! {
-                () = closed.cancelled() => return,
+                () = closed.cancelled() => break,
                 stream = accept(&mut listener) => stream,
             };
             let service = Arc::clone(&service);
@@ -51,5 +51,8 @@
                 drop(slot);
             });
         }
+        drop(listener);
+        // The node stops on purpose, so the end of this task would be no failure.
+        std::future::pending::<()>().await;
     });
 }
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -37,6 +37,9 @@
 /// `Retry-After` if the node has no configuration yet, or the route has no service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` if the node may not have the latest configuration. Other nodes have it, so the caller may retry at once.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// `Retry-After` if the body does not fit into the byte budget. Most requests end within this time and return their bytes.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -137,6 +140,10 @@
         arrived: Instant,
         req: Request<Incoming>,
     ) -> Result<ForwardRequest, Box<Response<ProxyBody>>> {
+        if self.shutdown.stage() >= ShutdownStage::Refusing {
+            // The node may have failed, and then its configuration may be old.
+            return Err(refuse_stopping(req.headers()));
+        }
         let snapshot = self.configured_snapshot(req.headers()).await;
         let Some(configuration) = &snapshot.configuration else {
             let detail = "the node has no configuration yet";
@@ -265,7 +272,7 @@
         self.forwarder.metrics().on_slow_reader("caller");
     }
 
-    /// Logs and answers a rejected request. The connection is closed, since unread bytes of the request may follow on it;
+    /// Logs and answers a rejected request, or refuses it if a newer configuration may allow it. The connection is closed, since unread bytes of the request may follow on it;
     /// it stays open after an unknown route or key.
     ///
     /// The log has the version that decided and how recent it is, which tell a caller's fault from that of a node that is
@@ -278,6 +285,10 @@
     ) -> Box<Response<ProxyBody>> {
         let now = Instant::now();
         let progress = self.snapshots.progress();
+        if rejection.depends_on_configuration() && progress.may_be_outdated(now) {
+            let detail = "the node may not have the latest configuration";
+            return refuse(map, detail, OUTDATED_RETRY_AFTER);
+        }
         tracing::info!(
             part = "frontend",
             request = map
@@ -291,11 +302,7 @@
             "request rejected"
         );
         let mut response = problem_response(rejection.status, rejection.detail);
-        let keeps = matches!(
-            rejection.status,
-            StatusCode::NOT_FOUND | StatusCode::UNAUTHORIZED
-        );
-        if !keeps {
+        if !rejection.depends_on_configuration() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -8,6 +8,7 @@
 mod long_prompts;
 mod memory;
 mod odd_answers;
+mod outdated;
 mod scripted_targets;
 mod silent_targets;
 mod single_runs;
--- a/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/test_node.rs
@@ -18,6 +18,7 @@
 use crate::control::tests::memory_network::{
     MemoryListener, MemoryNetwork, memory_network_with_buffer,
 };
+use crate::control_progress::ControlProgress;
 use crate::forward::{Forwarder, ForwarderParts, InFlightAnswers};
 use crate::frontend::CallerService;
 use crate::frontend::connection::serve_connection;
@@ -192,6 +193,11 @@
         });
     }
 
+    /// The progress of control, which tests report in its place.
+    pub(super) fn progress(&self) -> &ControlProgress {
+        self.snapshots.progress()
+    }
+
     /// Opens a caller's connection to the node.
     pub(super) fn connect(&self) -> DuplexStream {
         Self::connect_to(&self.service)
