Nodes whose seeds are all gone find the others by the store

Callers saw a server's limit exceeded after three machines, those of the seeds, were replaced at once: 83 to 85 requests in 4 s where 35 are allowed. The settings of the new nodes name addresses that are gone, and the old nodes don't know the new ones. Nodes found each other by the seeds of their first settings only, so each new node stayed alone for good, and four owners counted the limit, each for itself.

Now one node of those that know each other has an entry in the platform's store, `azuresaddle/nodes/IP`, under a lease of ten minutes that it renews each 200 s at a tenth of a read. A node that reads an entry whose node it does not hear sends a heartbeat there; the rest is as with a seed. If no entry names a live node, those that watch write one in the order of their rank, the first after 1 to 2 s. A group that knows no other has no live entry, so it writes its own, and each reads the other's by its watch. An entry is only a hint where to send a heartbeat; the 16 latest are looked at. Nothing of it is on the way of a request.

Weighed besides: an entry of each node or of each watcher (calls grow with the fleet or fourfold and more, and each write wakes all watches); an entry only of a node that is alone (two groups with seeds of their own never meet); a key without a lease (what dead nodes left would have to be removed by others, and the sides of a partition would remove each other's); the next settings file (it may be stale as well).

--- a/crates/azuresaddle-edge/src/control/actor.rs
+++ b/crates/azuresaddle-edge/src/control/actor.rs
@@ -20,6 +20,8 @@
 use super::host_capacity::HostCapacity;
 use super::host_loads::LoadGossip;
 use super::members::{Members, TICK};
+use super::node_entries::{NodeEntries, NodeEntryCall};
+use super::node_entry_calls::make_node_entry_calls;
 use super::own_load::OwnLoad;
 use super::read_plan::{FirstListing, ReadPlan};
 use super::registry::Registry;
@@ -57,6 +59,9 @@
 /// Capacity of the queue of crash writes: enough for the crashes of all streams on a few targets.
 const MAX_WAITING_CRASHES: usize = 64;
 
+/// Capacity of the queue of calls for the node entries; the next one follows seconds later.
+const MAX_WAITING_ENTRY_CALLS: usize = 1;
+
 /// Capacity of the queue of probe results; a node probes few targets at a time.
 const MAX_WAITING_PROBES: usize = 64;
 
@@ -140,6 +145,9 @@
     pub(super) probe_results_tx: mpsc::Sender<ProbeResult>,
     pub(super) crash_gossip: CrashGossip,
     pub(super) stored_crashes: StoredCrashes,
+    pub(super) node_entries: NodeEntries,
+    /// Queue of calls to the store for the node entries.
+    pub(super) node_entry_calls: mpsc::Sender<NodeEntryCall>,
     pub(super) own_load: OwnLoad,
     pub(super) load_gossip: LoadGossip,
     /// Queue of crashes to store or to remove from the store.
@@ -163,15 +171,21 @@
             position: StorePosition::default(),
         });
         let (crash_writes, crash_writes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
+        let (node_entry_calls, entry_calls_rx) = mpsc::channel(MAX_WAITING_ENTRY_CALLS);
         let probe_enabled = watch::Sender::new(false);
         let writing = write_crashes(store.clone(), crash_writes_rx);
         spawner.spawn_essential("crash writer", writing);
         let probing = probe_era(store.clone(), probe_enabled.subscribe());
         spawner.spawn_essential("era probe", probing);
+        let ip = parts.settings.ip;
+        let entry_calls =
+            make_node_entry_calls(store.clone(), ip, entry_calls_rx, store_tx.clone());
+        spawner.spawn_essential("node entries", entry_calls);
         let cpu_share = parts.settings.cpu_share;
         let watching = watch_store(store, read_plan.subscribe(), cpu_share, store_tx);
         spawner.spawn_essential("store watch", watching);
-        let control = Self::new(parts, read_plan, probe_enabled, crash_writes);
+        let writes = (crash_writes, node_entry_calls);
+        let control = Self::new(parts, read_plan, probe_enabled, writes);
         spawner.spawn_essential("control", control.run(store_rx));
     }
 
@@ -179,7 +193,7 @@
         parts: ControlParts<N>,
         read_plan: watch::Sender<ReadPlan>,
         probe_enabled: watch::Sender<bool>,
-        crash_writes: mpsc::Sender<CrashWrite>,
+        (crash_writes, node_entry_calls): (mpsc::Sender<CrashWrite>, mpsc::Sender<NodeEntryCall>),
     ) -> Self {
         let settings = &parts.settings;
         let own = MemberState {
@@ -238,6 +252,8 @@
             probe_results_tx,
             crash_gossip: CrashGossip::default(),
             stored_crashes: StoredCrashes::default(),
+            node_entries: NodeEntries::default(),
+            node_entry_calls,
             own_load: OwnLoad::new(HostCapacity::new(settings)),
             load_gossip: LoadGossip::default(),
             crash_writes,
@@ -317,6 +333,7 @@
         if !destinations.is_empty() {
             self.send_heartbeats(now, &destinations).await;
         }
+        self.follow_node_entries(now).await;
         self.fetch_if_behind(now, fetched_tx);
         self.report_lag(now);
         self.rewrite_missing_crashes(now);
--- a/crates/azuresaddle-edge/src/control/members.rs
+++ b/crates/azuresaddle-edge/src/control/members.rs
@@ -322,6 +322,43 @@
         (rank < most).then_some(role)
     }
 
+    /// Returns whether a host is this node's own or that of a live node.
+    pub(super) fn is_live(&self, now: Instant, ip: Ipv4Addr) -> bool {
+        let member = self.members.get(&ip);
+        ip == self.own.ip || member.is_some_and(|m| self.is_alive(m, now))
+    }
+
+    /// Returns whether no other node is live.
+    pub(super) fn is_alone(&self, now: Instant) -> bool {
+        self.alive(now).next().is_none()
+    }
+
+    /// Returns how many of the live nodes that get answers from the store rank above this one; `None`
+    /// if it gets none or is shutting down.
+    pub(super) fn watcher_rank(&self, now: Instant) -> Option<u32> {
+        if !self.own.is_watching || self.own.is_leaving {
+            return None;
+        }
+        let ranked = self.ranked(now);
+        let above = ranked
+            .iter()
+            .take_while(|n| n.incarnation != self.own.incarnation);
+        let watching = above.filter(|n| n.is_watching && !n.is_leaving);
+        u32::try_from(watching.count()).ok()
+    }
+
+    /// Returns the host of the first-ranked live node whose host satisfies the predicate; not one that
+    /// is shutting down.
+    pub(super) fn first_ranked(
+        &self,
+        now: Instant,
+        predicate: impl Fn(Ipv4Addr) -> bool,
+    ) -> Option<Ipv4Addr> {
+        let ranked = self.ranked(now);
+        let mut staying = ranked.iter().filter(|n| !n.is_leaving);
+        staying.find(|n| predicate(n.ip)).map(|n| n.ip)
+    }
+
     fn watch_delay(&self, now: Instant) -> Duration {
         let is_stronger = |m: &Member| m.state.cpu_milli > self.own.cpu_milli;
         if !self.is_mesh() && self.alive(now).any(is_stronger) {
--- a/crates/azuresaddle-edge/src/control/mod.rs
+++ b/crates/azuresaddle-edge/src/control/mod.rs
@@ -20,6 +20,8 @@
 mod host_loads;
 mod host_use;
 mod members;
+mod node_entries;
+mod node_entry_calls;
 mod own_load;
 mod publish;
 mod published_targets;
--- a/crates/azuresaddle-edge/src/control/store_event.rs
+++ b/crates/azuresaddle-edge/src/control/store_event.rs
@@ -28,6 +28,8 @@
         /// Position up to which the changes are complete.
         at: StorePosition,
     },
+    /// The entries of nodes, possibly as they were seconds ago.
+    Nodes(Vec<StoreItem>),
     /// An answer revealed a later era of the store than all previous ones.
     Era(StoreEra),
 }
--- a/crates/azuresaddle-edge/src/control/store_events.rs
+++ b/crates/azuresaddle-edge/src/control/store_events.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use azuresaddle_core::prelude::*;
-use azuresaddle_platform::{KeyKind, StoreItem, decode_configuration, drained_domain, key_kind};
+use azuresaddle_platform::{
+    KeyKind, NodeKey, StoreItem, decode_configuration, drained_domain, key_kind,
+};
 use tokio::time::Instant;
 
 use super::actor::Control;
@@ -47,6 +49,7 @@
                 let had_all_targets = self.has_all_targets();
                 self.has_listed_store = true;
                 self.on_crash_listing(now, &items);
+                self.on_node_listing(&items);
                 let (targets, others): (Vec<_>, Vec<_>) = items
                     .into_iter()
                     .partition(|i| key_kind(&i.key) == KeyKind::Target);
@@ -59,7 +62,19 @@
                 changed |= !had_all_targets;
                 self.on_items(now, others) | changed
             }
-            StoreEvent::Page(items) => self.on_items(now, items),
+            StoreEvent::Page(items) => {
+                let covers_nodes = items.last().is_some_and(|i| NodeKey::all_precede(&i.key));
+                let changed = self.on_items(now, items);
+                if covers_nodes {
+                    self.node_entries.on_complete();
+                }
+                changed
+            }
+            StoreEvent::Nodes(items) => {
+                let changed = self.on_items(now, items);
+                self.node_entries.on_complete();
+                changed
+            }
             StoreEvent::Changes { items, at } => {
                 let changed = self.on_items(now, items);
                 self.registry.on_read_up_to(at);
@@ -85,6 +100,10 @@
                 self.on_crash_item(now, &item);
                 false
             }
+            KeyKind::Node => {
+                self.node_entries.apply(&item);
+                false
+            }
             KeyKind::Other => false,
         }
     }
--- a/crates/azuresaddle-edge/src/control/tests/claims.rs
+++ b/crates/azuresaddle-edge/src/control/tests/claims.rs
@@ -41,7 +41,7 @@
     let (crashes, crashes_observed) = mpsc::channel(1);
     let (_, unresponsive_owners) = mpsc::channel(1);
     let (_, signals_observed) = mpsc::channel(1);
-    let (crash_writes, _) = mpsc::channel(1);
+    let writes = (mpsc::channel(1).0, mpsc::channel(1).0);
     let parts = ControlParts {
         settings: NodeSettings {
             heartbeat_port: port,
@@ -67,7 +67,7 @@
         position: StorePosition::default(),
     });
     let probe_enabled = watch::Sender::new(false);
-    let mut control = Control::new(parts, read_plan, probe_enabled, crash_writes);
+    let mut control = Control::new(parts, read_plan, probe_enabled, writes);
     let configuration = Configuration::new(
         RulesVersion(1),
         RequestLimits::default(),
--- a/crates/azuresaddle-edge/src/control/tests/fleet.rs
+++ b/crates/azuresaddle-edge/src/control/tests/fleet.rs
@@ -69,14 +69,19 @@
             sent.extend(to.into_iter().map(|ip| (ip, heartbeat.clone())));
         }
         for (to, heartbeat) in claims.into_iter().chain(sent) {
-            if self.is_cut(to, heartbeat.from.ip) || self.rng.random_bool(self.loss_rate) {
-                continue;
-            }
-            changes += usize::from(self.deliver(to, &heartbeat));
+            changes += usize::from(self.send(to, &heartbeat));
         }
         changes
     }
 
+    /// Sends a heartbeat, unless it is lost; a host without a node does not answer.
+    pub(super) fn send(&mut self, to: Ipv4Addr, heartbeat: &Heartbeat) -> bool {
+        let is_lost = number(to) > self.nodes.len()
+            || self.is_cut(to, heartbeat.from.ip)
+            || self.rng.random_bool(self.loss_rate);
+        !is_lost && self.deliver(to, heartbeat)
+    }
+
     fn is_cut(&self, a: Ipv4Addr, b: Ipv4Addr) -> bool {
         let (a, b) = (number(a), number(b));
         self.cuts.contains(&(a, b)) || self.cuts.contains(&(b, a))
--- a/crates/azuresaddle-edge/src/control/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/control/tests/mod.rs
@@ -13,6 +13,7 @@
 mod host_use;
 mod members;
 pub(crate) mod memory_network;
+mod node_entries;
 mod registry;
 mod running_nodes;
 mod short_silences;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -18,6 +18,7 @@
 mod partitions;
 mod quarantine_command;
 mod repeats;
+mod replaced_seeds;
 mod signals;
 mod silences;
 mod soak;
