Each byte of a long event is searched for its end once

A target that sends an event in many small parts made the node search all parts again after each one: for an event of n bytes in parts of k bytes, n*n/2k steps on a thread that serves other requests too. Up to 1 MiB of one event is taken. Callers of such a stream got a 504 after its deadline: `endless body without a length: /ask-26/1 took 2.33 s`, at a timeout of 1.2 s, in a debug build.

The splitter now keeps how far it has searched and where the line begins that the search is in, so the work is in proportion to the bytes received.

Before: `cargo test -p azuresaddle-edge event_splitter`, the new test ran for more than 6 minutes without an end (stopped). After: all five tests in 0.26 s.

--- a/crates/azuresaddle-edge/src/forward/event_splitter.rs
+++ b/crates/azuresaddle-edge/src/forward/event_splitter.rs
@@ -9,6 +9,10 @@
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buf: BytesMut,
+    /// Bytes of the incomplete event that were searched for its end, so that each is searched once.
+    searched: usize,
+    /// Where the line begins that the search is in.
+    line_start: usize,
 }
 
 /// Complete events that became available together.
@@ -29,7 +33,7 @@
         let mut ids = Vec::new();
         let mut lengths = Vec::new();
         let mut start = 0;
-        while let Some(len) = event_len(&self.buf[start..]) {
+        while let Some(len) = self.next_event_len(start) {
             if let Some(id) = event_id(&self.buf[start..start + len]) {
                 ids.push(id);
             }
@@ -47,6 +51,22 @@
         })
     }
 
+    /// Length of the event that begins at `start`, including the blank line that ends it; `None` if it is incomplete.
+    fn next_event_len(&mut self, start: usize) -> Option<usize> {
+        let event = &self.buf[start..];
+        while let Some(count) = event[self.searched..].iter().position(|b| *b == b'\n') {
+            let at = self.searched + count;
+            let line = &event[self.line_start..at];
+            if line.is_empty() || line == b"\r" {
+                (self.searched, self.line_start) = (0, 0);
+                return Some(at + 1);
+            }
+            (self.searched, self.line_start) = (at + 1, at + 1);
+        }
+        self.searched = event.len();
+        None
+    }
+
     /// Whether the buffer has bytes of an incomplete event.
     pub(super) fn has_partial_event(&self) -> bool {
         !self.buf.is_empty()
@@ -58,22 +78,6 @@
     }
 }
 
-/// Length of the first event including the blank line that ends it; `None` if it is incomplete.
-fn event_len(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in buf.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buf[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            return Some(at + 1);
-        }
-        line_start = at + 1;
-    }
-    None
-}
-
 /// Number in the event's `id` field.
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|b| *b == b'\n');
--- a/crates/azuresaddle-edge/src/forward/tests/event_splitter.rs
+++ b/crates/azuresaddle-edge/src/forward/tests/event_splitter.rs
@@ -1,9 +1,16 @@
 //! Tests of splitting chunks into events.
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 
 use crate::forward::event_splitter::EventSplitter;
 
+const LONG_EVENT_BYTES: usize = 500_000;
+
+/// Many times the time that the search of a long event takes, and a small part of what searching it again after each byte does.
+const MAX_SEARCH_TIME: Duration = Duration::from_secs(10);
+
 #[test]
 fn incomplete_events_are_buffered() {
     let mut splitter = EventSplitter::default();
@@ -54,3 +61,20 @@
     let kept = (0..4).all(|_| splitter.push(&chunk).is_some());
     assert!(!kept);
 }
+
+/// Guards against work that grows with the square of an event's length, which a target can cause with small chunks.
+#[test]
+fn a_long_event_in_small_chunks_is_searched_once() {
+    let mut splitter = EventSplitter::default();
+    let started = Instant::now();
+    for _ in 0..LONG_EVENT_BYTES {
+        assert!(splitter.push(&Bytes::from_static(b"b")).is_some());
+    }
+    let end = splitter.push(&Bytes::from_static(b"\n\n")).unwrap();
+    assert_eq!(end.lengths, [LONG_EVENT_BYTES + 2]);
+    assert!(
+        started.elapsed() < MAX_SEARCH_TIME,
+        "{:?}",
+        started.elapsed()
+    );
+}
