A target may send sixteen interim answers to a request

The HTTP library reads and drops answers with a status of 1xx, however many come.

The head of an answer was bounded in bytes, its interim answers by nothing but the deadline. They are now counted for each request and each call of the node, and the seventeenth ends the send as a broken one, which closes the connection.

--- a/crates/azuresaddle-edge/src/forward/attempt.rs
+++ b/crates/azuresaddle-edge/src/forward/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::forwarder::Forwarder;
+use super::interim_answers::InterimAnswers;
 use crate::flow::WriteProgress;
 use crate::targets::{ConnectError, Connection};
 
@@ -173,7 +174,7 @@
     cx: &Forwarder<N>,
     target: &TargetEntry,
     connection: &mut Connection,
-    req: Request<Full<HeldBytes>>,
+    mut req: Request<Full<HeldBytes>>,
     attempt_id: &hyper::header::HeaderValue,
     timeout: Duration,
 ) -> Result<Response<Incoming>, SendFailure> {
@@ -184,10 +185,12 @@
     let sent_at = Instant::now();
     let progress = connection.progress().clone();
     let taken_before = progress.written();
+    let interim = InterimAnswers::count(&mut req);
     let sending = connection.sender().try_send_request(req);
     let sent = tokio::select! {
         biased;
         sent = tokio::time::timeout(timeout, sending) => sent,
+        failure = interim.too_many() => return Err(failure),
         failure = stall_failure(cx, target, &progress, taken_before) => return Err(failure),
     };
     let response = match sent {
--- a/crates/azuresaddle-edge/src/forward/mod.rs
+++ b/crates/azuresaddle-edge/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod forwarder;
 mod head;
 mod hedge;
+mod interim_answers;
 mod pace_probes;
 mod pending_crash_checks;
 mod plain;
--- a/crates/azuresaddle-edge/src/forward/target_call.rs
+++ b/crates/azuresaddle-edge/src/forward/target_call.rs
@@ -15,6 +15,7 @@
 
 use super::attempt::{SendFailure, keep_alive};
 use super::forwarder::Forwarder;
+use super::interim_answers::InterimAnswers;
 
 /// Default timeout of a call. Targets answer these calls immediately.
 const TIMEOUT: Duration = Duration::from_millis(400);
@@ -93,11 +94,14 @@
 ) -> Result<Bytes, SendFailure> {
     let mut connection = cx.connect(target).await?;
     let sent_at = Instant::now();
-    let response = connection
-        .sender()
-        .send_request(call.into_request(target))
-        .await
-        .map_err(|e| SendFailure::Broken(e.to_string()))?;
+    let mut req = call.into_request(target);
+    let interim = InterimAnswers::count(&mut req);
+    let response = tokio::select! {
+        biased;
+        response = connection.sender().send_request(req) => response,
+        failure = interim.too_many() => return Err(failure),
+    };
+    let response = response.map_err(|e| SendFailure::Broken(e.to_string()))?;
     let (parts, body) = response.into_parts();
     // This status means that another server now has the address. Its signals are not the target's.
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
