Tests of targets and a store whose answers break off or never end

A stand-in target that writes given bytes in place of an answer and then closes, resets, stops, goes on without end, or trickles. One route and target for each case, so that cases of one fleet run at the same time and don't disturb another.

- Heads cut at seven places, bodies at seven, by close, reset and silence; streams without a length that end inside an event; heads, interim answers, chunks, trailers, bodies and events without end, fast and a byte each 50 ms; bytes after a whole answer; odd lengths, back-offs and signals.
- Idempotent and unsafe requests, streams that may be resumed and that may not, directly and through another node's tunnel; reservations of memory; idempotent requests beside a sound target.
- Ten such answers of the store, each to one node.

Expected: no 2xx but a whole answer, an end by the timeout and half a second, no second run of an unsafe request, the connection closed a second later, at most 64 MiB more memory, other requests served, and a store's change in effect once it is whole again.

The stand-in engine now ends a stream at once whose caller has all events; it sent one more.

--- a/crates/azuresaddle-standin/src/platform/caller.rs
+++ b/crates/azuresaddle-standin/src/platform/caller.rs
@@ -229,4 +229,4 @@
 }
 
 /// Tokens per event; equals `stride` in the stand-in configuration.
-const STEPS_PER_EVENT: u64 = 46;
+pub(super) const STEPS_PER_EVENT: u64 = 46;
--- a/crates/azuresaddle-standin/src/platform/engine.rs
+++ b/crates/azuresaddle-standin/src/platform/engine.rs
@@ -183,6 +183,11 @@
         };
         let parts = helpers.len() + 1;
         let steps = u64::from(self.spec.steps_per_pass);
+        if last > 0 && last * steps >= answer_tokens {
+            // The caller has all events already.
+            target.record_run(&map);
+            return target.answer(&attempt, ChannelBody::whole(""));
+        }
         let (tx, rx) = mpsc::unbounded_channel();
         {
             let mut state = self.lock();
--- a/crates/azuresaddle-standin/src/platform/raw.rs
+++ b/crates/azuresaddle-standin/src/platform/raw.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azuresaddle_platform::headers;
+use hyper::header::HeaderValue;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -97,17 +98,19 @@
 }
 
 /// The parts of a request head that the target uses.
-struct Head {
-    attempt: String,
-    length: usize,
-    account: Option<String>,
-    has_key: bool,
+pub(super) struct Head {
+    pub(super) attempt: String,
+    pub(super) length: usize,
+    pub(super) account: Option<String>,
+    pub(super) has_key: bool,
+    /// Numbers of prompt and answer tokens.
+    pub(super) tokens: Option<(u64, u64)>,
 }
 
 impl Connection {
     async fn run(mut self) -> io::Result<()> {
         loop {
-            let head = self.read_head().await?;
+            let head = read_head(&mut self.stream).await?;
             let is_early = self.fault == ProtocolFault::Early;
             if is_early {
                 self.run_and_answer(&head).await?;
@@ -126,32 +129,6 @@
         }
     }
 
-    async fn read_head(&mut self) -> io::Result<Head> {
-        let mut bytes = Vec::new();
-        while !bytes.ends_with(b"\r\n\r\n") {
-            if bytes.len() > MAX_HEAD_BYTES {
-                return Err(io::ErrorKind::InvalidData.into());
-            }
-            bytes.push(self.stream.read_u8().await?);
-        }
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let value = |name: &str| {
-            text.lines().find_map(|line| {
-                let (key, value) = line.split_once(':')?;
-                key.eq_ignore_ascii_case(name)
-                    .then(|| value.trim().to_owned())
-            })
-        };
-        Ok(Head {
-            attempt: value(headers::ATTEMPT_ID.as_str()).unwrap_or_default(),
-            length: value("content-length")
-                .and_then(|v| v.parse().ok())
-                .unwrap_or(0),
-            account: value(headers::ACCOUNT.as_str()),
-            has_key: value("authorization").is_some(),
-        })
-    }
-
     /// Records the run and writes the answer; returns `false` if the connection ends after it.
     async fn run_and_answer(&mut self, head: &Head) -> io::Result<bool> {
         let Head {
@@ -193,3 +170,32 @@
         Ok(goes_on)
     }
 }
+
+pub(super) async fn read_head(stream: &mut BufReader<TcpStream>) -> io::Result<Head> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if bytes.len() > MAX_HEAD_BYTES {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        bytes.push(stream.read_u8().await?);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let value = |name: &str| {
+        text.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name)
+                .then(|| value.trim().to_owned())
+        })
+    };
+    let tokens = value(headers::TOKEN_COUNTS.as_str());
+    let tokens = tokens.and_then(|v| HeaderValue::try_from(v).ok());
+    Ok(Head {
+        attempt: value(headers::ATTEMPT_ID.as_str()).unwrap_or_default(),
+        length: value("content-length")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0),
+        account: value(headers::ACCOUNT.as_str()),
+        has_key: value("authorization").is_some(),
+        tokens: tokens.as_ref().and_then(headers::parse_token_counts),
+    })
+}
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -22,6 +22,7 @@
 use super::engine::{Engine, EngineHandler, EngineRegistry};
 use super::plain::PlainHandler;
 use super::raw::{Arrivals, ProtocolFault, serve_raw};
+use super::raw_answer::{RawAnswer, RawConnections, serve_raw_answer};
 use super::runs::Runs;
 use super::store::PlatformStoreModel;
 use super::store_server::StoreServer;
@@ -152,7 +153,15 @@
     /// # Errors
     /// Returns an error if no port is free.
     pub async fn add_engine(&mut self) -> std::io::Result<()> {
-        let (listener, target) = self.new_target("llm").await?;
+        self.add_engine_of("llm").await
+    }
+
+    /// Starts an engine of a service and registers it.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn add_engine_of(&mut self, service: &str) -> std::io::Result<()> {
+        let (listener, target) = self.new_target(service).await?;
         let engine = self.serve_engine(listener, &target);
         self.engine_models.push(engine);
         self.engines.push(TargetHandle { target });
@@ -181,7 +190,15 @@
     /// # Errors
     /// Returns an error if no port is free.
     pub async fn add_plain(&mut self) -> std::io::Result<()> {
-        let (listener, target) = self.new_target("desk").await?;
+        self.add_plain_of("desk").await
+    }
+
+    /// Starts a target of a plain service and registers it.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn add_plain_of(&mut self, service: &str) -> std::io::Result<()> {
+        let (listener, target) = self.new_target(service).await?;
         serve_target(listener, Arc::clone(&target), Arc::new(PlainHandler));
         self.plain.push(TargetHandle { target });
         Ok(())
@@ -200,6 +217,19 @@
         Ok(arrivals)
     }
 
+    /// Starts a target of a service that writes given bytes to all requests; returns its connections.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn add_raw_answer(
+        &mut self,
+        service: &str,
+        answer: RawAnswer,
+    ) -> std::io::Result<RawConnections> {
+        let (listener, target) = self.new_target(service).await?;
+        Ok(serve_raw_answer(listener, target, answer))
+    }
+
     async fn new_target(&mut self, service: &str) -> std::io::Result<(TcpListener, Arc<Target>)> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         self.target_count += 1;
--- a/crates/azuresaddle-standin/src/soak/process.rs
+++ b/crates/azuresaddle-standin/src/soak/process.rs
@@ -139,6 +139,15 @@
             .is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
+    /// Returns the resident memory of the process, in bytes; `None` if it is not running.
+    pub fn resident_bytes(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kib << 10)
+    }
+
     /// Waits until the process has ended; returns `false` if it is still running after `timeout`.
     pub async fn wait_until_ended(&mut self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
--- a/crates/azuresaddle-standin/src/soak/proxy.rs
+++ b/crates/azuresaddle-standin/src/soak/proxy.rs
@@ -33,6 +33,8 @@
     SilentAnswers,
     /// Breaks all connections, and each new one at once.
     Reset,
+    /// Forwards new connections to another address.
+    Divert(SocketAddr),
 }
 
 /// A running proxy; clones control the same one.
@@ -130,9 +132,11 @@
 
 async fn relay(stream: &mut TcpStream, upstream: SocketAddr, mut controls: Controls) {
     controls.silenced.mark_unchanged();
-    if *controls.modes.borrow() == ProxyMode::Reset {
-        return;
-    }
+    let upstream = match *controls.modes.borrow() {
+        ProxyMode::Reset => return,
+        ProxyMode::Divert(addr) => addr,
+        _ => upstream,
+    };
     let Ok(mut target) = TcpStream::connect(upstream).await else {
         return;
     };
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Real node processes against a stand-in platform: store, targets and callers.
 
 mod addresses;
+mod broken_answers;
 mod burn;
 mod cold_targets;
 mod configuration;
