Tests of entries that nodes can't read among those of the targets

Deep nesting, no text, addresses that are none, long names, and numbers at and beyond the limits of their types in each field that holds one: 73 entries in one store. Three nodes follow it, and a node that starts then reads them in its first listing.

--- a/tests/testsuite/platform/foreign_entries.rs
+++ b/tests/testsuite/platform/foreign_entries.rs
@@ -44,11 +44,14 @@
     plain(&format!("{prefix}1"))
 }
 
-/// Expects that all nodes serve a route that is added after an entry was written, and that a node that starts then
+/// Expects that all nodes serve a route that is added after entries were written, and that a node that starts then
 /// serves it too.
-async fn assert_nodes_follow_after(test: &str, entry: String) {
+async fn assert_nodes_follow_after(test: &str, entries: &[String]) {
     let mut fleet = fleet(test, 3).await;
-    fleet.platform.store.put("servers/i-foreign", entry);
+    for (n, entry) in entries.iter().enumerate() {
+        let key = format!("servers/i-foreign-{n}");
+        fleet.platform.store.put(&key, entry.as_bytes());
+    }
     tokio::time::sleep(Duration::from_millis(600)).await;
     let asked = add_route(&mut fleet, "/added/");
     tokio::time::sleep(APPLY_TIME).await;
@@ -73,7 +76,54 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cold_time_beyond_the_clock_keeps_no_node_from_new_configurations() {
     let entry = entry_with("cold_remaining_ms", json!(1e22));
-    assert_nodes_follow_after("foreign-cold-time", entry).await;
+    assert_nodes_follow_after("foreign-cold-time", &[entry]).await;
+}
+
+/// An entry with a number in place of a field's value, as written. A value of this crate's JSON type can't hold all numbers.
+fn entry_with_number(field: &str, number: &str) -> String {
+    entry_with(field, json!("number")).replace("\"number\"", number)
+}
+
+/// Guards against entries that can't be read and keep a node from reading the others, in a watch and in the first listing.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_cannot_be_read_keep_no_node_from_new_configurations() {
+    let brackets = 200_000;
+    let mut entries = vec![
+        "[".repeat(brackets),
+        format!("{}{}", "[".repeat(brackets), "]".repeat(brackets)),
+        format!("{}1{}", "{\"a\":".repeat(100_000), "}".repeat(100_000)),
+        entry_with_number("extra", &"[".repeat(brackets)),
+        String::new(),
+        "\u{0}\u{1}".to_owned(),
+        "null".to_owned(),
+        entry_with("address", json!("127.0.0.1:99999")),
+        entry_with("address", json!("127.0.0.1")),
+        entry_with("address", json!("[::1]:9")),
+        entry_with("address", json!("0.0.0.0:0")),
+        entry_with("service", json!("x".repeat(200_000))),
+        entry_with("zone", json!("x".repeat(200_000))),
+    ];
+    for field in ["sequence", "born", "slots", "cold_remaining_ms"] {
+        let numbers = [
+            "18446744073709551615",
+            "18446744073709551616",
+            "123456789012345678901",
+            "9223372036854775807",
+            "4294967295",
+            "4294967296",
+            "1e400",
+            "1e17",
+            "-1e30",
+            "-1",
+            "0.5",
+            "NaN",
+            "Infinity",
+            "\"NaN\"",
+            "null",
+        ];
+        entries.extend(numbers.iter().map(|n| entry_with_number(field, n)));
+    }
+    assert_nodes_follow_after("foreign-entries", &entries).await;
 }
 
 /// Guards against entries of other writers that make the messages between nodes too long, so that a node which does not
