--- a/tests/testsuite/platform/broken_answers/direct.rs
+++ b/tests/testsuite/platform/broken_answers/direct.rs
@@ -161,6 +161,16 @@
     assert_outcomes(fleet.nodes[0].callers_addr(), &fleet.platform, &plays).await;
 }
 
+/// Guards against an answer that is lost because its connection is to be kept for longer than the clock can tell.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keep_alive_time_beyond_the_clock_loses_no_answer() {
+    let values = [
+        "timeout=9223372036854775807",
+        "timeout=18446744073709551615",
+    ];
+    assert_served("odd-keep-alive", odd_headers("keep-alive", &values)).await;
+}
+
 /// Expects that answers are forwarded, also those of targets that have answered before.
 async fn assert_served(test: &str, cases: Vec<Case>) {
     let (fleet, plays) = open(test, vec![(cases, Services::All)]).await;
