A part of prompts that crashes targets is found at any position

Cause: nodes looked at the first eight parts of a prompt, to bound the memory of the quarantine. A part behind them had no record, and no request was refused for it.

All shared parts are looked up before a send now; the size of the head bounds them. What grows with them is bounded by what is recorded: a crash is held against sixteen parts of a prompt at most, those with the strongest evidence against them first, then those of which nothing is known, then those that targets survived lately. Among equals the choice differs between requests, so no part is left out each time. The memory of recent runs takes up to 64 parts of a prompt, and drops the oldest half when it is full, not everything, so that popular parts stay in it.

--- a/crates/azuresaddle-core/src/fingerprint.rs
+++ b/crates/azuresaddle-core/src/fingerprint.rs
@@ -37,6 +37,11 @@
         Self(hash & !(0xffff << TAG_SHIFT) | PART_TAG << TAG_SHIFT)
     }
 
+    /// A number below `count` that differs between fingerprints; 0 if `count` is 0.
+    pub fn index_below(self, count: usize) -> usize {
+        (self.0 as u64).checked_rem(count as u64).unwrap_or(0) as usize
+    }
+
     /// Whether this is the fingerprint of a part of a prompt, not of a request.
     pub fn is_prompt_part(self) -> bool {
         self.0 >> TAG_SHIFT == PART_TAG
--- a/crates/azuresaddle-edge/src/forward/crash_check.rs
+++ b/crates/azuresaddle-edge/src/forward/crash_check.rs
@@ -20,7 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Checks whether a target has crashed after it gave no answer to a request that it may have run, and records a crash for
-/// the request and for the `parts` of its prompt if so. Otherwise keeps the send, since the crash may show later.
+/// the request and for the most suspicious `parts` of its prompt if so. Otherwise keeps the send, since the crash may show
+/// later.
 pub(super) async fn check_for_crash<N: Network>(
     cx: &Forwarder<N>,
     req: &ForwardRequest,
@@ -30,6 +31,7 @@
 ) {
     let targets = Arc::clone(&cx.snapshots.load().targets);
     let target = &cx.quarantine.target_at_send(&targets, target, sent_at);
+    let parts = cx.quarantine.parts_to_blame(req.fingerprint, parts);
     // The check must not delay the answer beyond the deadline.
     if !time_until(req.deadline).is_zero() && has_crashed(cx, target).await {
         tracing::info!(
@@ -43,14 +45,14 @@
         cx.metrics.on_target_crash(&req.service);
         cx.quarantine.on_crash(req.fingerprint, target, sent_at);
         for part in parts {
-            cx.quarantine.on_crash(*part, target, sent_at);
+            cx.quarantine.on_crash(part, target, sent_at);
         }
     } else {
         let attempt_id = req.head.id().to_owned();
         cx.broken_sends.push(BrokenSend {
             attempt_id,
             fingerprint: req.fingerprint,
-            prompt_parts: parts.to_vec(),
+            prompt_parts: parts,
             target: target.clone(),
             sent_at,
             broken_at: Instant::now(),
@@ -65,12 +67,8 @@
     req: &ForwardRequest,
     target: &TargetEntry,
 ) {
-    let run = run_hash(req);
-    for part in &req.prompt_parts {
-        let fingerprint = *part;
-        let run = SuccessfulRun { fingerprint, run };
-        cx.quarantine.on_survived_part(run, target);
-    }
+    cx.quarantine
+        .on_survived_parts(req.fingerprint, &req.prompt_parts, run_hash(req), target);
 }
 
 /// Records a successful run of a request and of the `parts` of its prompt, once the target has survived it for
@@ -83,14 +81,15 @@
     sent_at: Instant,
 ) {
     let run = run_hash(req);
-    let mut known = Vec::new();
-    for fingerprint in [&[req.fingerprint], parts].concat() {
+    let (mut known, unknown) = cx.quarantine.partition_known(parts);
+    cx.quarantine
+        .remember_successful_parts(req.fingerprint, &unknown, run, target);
+    if cx.quarantine.knows(req.fingerprint) {
+        known.insert(0, req.fingerprint);
+    } else {
+        let fingerprint = req.fingerprint;
         let run = SuccessfulRun { fingerprint, run };
-        if cx.quarantine.knows(fingerprint) {
-            known.push(run);
-        } else {
-            cx.quarantine.remember_successful_run(run, target);
-        }
+        cx.quarantine.remember_successful_run(run, target);
     }
     if known.is_empty() {
         return;
@@ -102,17 +101,18 @@
         let targets = Arc::clone(&cx.snapshots.load().targets);
         let target = cx.quarantine.target_at_send(&targets, &target, sent_at);
         if targets.has_restarted(&target) || has_crashed(&cx, &target).await {
-            for run in known {
+            for fingerprint in known {
                 tracing::info!(
                     part = "forward",
-                    fingerprint = %run.fingerprint,
+                    %fingerprint,
                     target = %target.id,
                     "target crashed after a complete answer"
                 );
-                cx.quarantine.on_crash(run.fingerprint, &target, sent_at);
+                cx.quarantine.on_crash(fingerprint, &target, sent_at);
             }
         } else {
-            for run in known {
+            for fingerprint in known {
+                let run = SuccessfulRun { fingerprint, run };
                 cx.quarantine.on_successful_run(run);
             }
         }
--- a/crates/azuresaddle-edge/src/forward/head.rs
+++ b/crates/azuresaddle-edge/src/forward/head.rs
@@ -110,22 +110,18 @@
     pub(crate) deadline: Instant,
     /// Identifies the request across attempts.
     pub(crate) fingerprint: Fingerprint,
-    /// Identify the parts of its prompt that other requests may share, at most [`MAX_PROMPT_PARTS`].
+    /// Identify the parts of its prompt that other requests may share; the size of the head bounds them.
     pub(crate) prompt_parts: Vec<Fingerprint>,
     /// Passed before each send.
     pub(crate) gate: SendGate,
 }
 
-/// Most parts of a prompt that are looked at. A request without a limit could fill the memory of the quarantine.
-const MAX_PROMPT_PARTS: usize = 8;
-
 /// Fingerprints of the parts of a request's prompt that other requests of a service may share.
 pub(crate) fn prompt_parts_of(head: &RequestHead, service: &str) -> Vec<Fingerprint> {
     let value = head.headers.get(&headers::PROMPT_PARTS);
     let ids = value.map(headers::parse_shared_parts).unwrap_or_default();
     let mut parts: Vec<Fingerprint> = ids
         .into_iter()
-        .take(MAX_PROMPT_PARTS)
         .map(|id| Fingerprint::of_prompt_part(service, id))
         .collect();
     parts.sort_unstable();
--- a/crates/azuresaddle-edge/src/forward/plain.rs
+++ b/crates/azuresaddle-edge/src/forward/plain.rs
@@ -62,11 +62,14 @@
 /// Logs and counts the refusal of a quarantined request.
 pub(super) fn record_quarantine_refusal<N: Network>(cx: &Forwarder<N>, req: &ForwardRequest) {
     cx.metrics.on_quarantine_refusal(&req.service);
+    let parts = cx
+        .quarantine
+        .parts_to_blame(req.fingerprint, &req.prompt_parts);
     tracing::info!(
         part = "forward",
         request = req.head.id(),
         fingerprint = %req.fingerprint,
-        prompt_parts = ?req.prompt_parts,
+        prompt_parts = ?parts,
         "request in quarantine"
     );
 }
--- a/crates/azuresaddle-edge/src/quarantine/shared.rs
+++ b/crates/azuresaddle-edge/src/quarantine/shared.rs
@@ -8,7 +8,7 @@
 use azuresaddle_sched::passes::Suspect;
 use azuresaddle_sched::quarantine::{
     Crash, CrashStatus, Quarantine, RecentSuccessfulRuns, RequestStatus, SuccessfulRun,
-    TargetIncarnation,
+    TargetIncarnation, parts_to_remember,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -145,15 +145,60 @@
             .record(Instant::now(), run, target_hash(target));
     }
 
-    /// Records that a target has survived a request with this part of a prompt, if that is still of use.
-    pub(crate) fn on_survived_part(&self, run: SuccessfulRun, target: &TargetEntry) {
-        if !self.knows(run.fingerprint) {
-            self.remember_successful_run(run, target);
-        } else if self.lock().needs_successful_run(run.fingerprint) {
-            self.on_successful_run(run);
+    /// Keeps a successful run of these parts of a request's prompt for a while, in case a crash is reported for one of them.
+    pub(crate) fn remember_successful_parts(
+        &self,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+        run: u64,
+        target: &TargetEntry,
+    ) {
+        let (now, target) = (Instant::now(), target_hash(target));
+        let mut recent = self.lock_recent();
+        for fingerprint in parts_to_remember(request, parts) {
+            recent.record(now, SuccessfulRun { fingerprint, run }, target);
         }
     }
 
+    /// Records that a target has survived a request with these parts in its prompt, as far as that is still of use.
+    pub(crate) fn on_survived_parts(
+        &self,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+        run: u64,
+        target: &TargetEntry,
+    ) {
+        let (known, unknown) = self.partition_known(parts);
+        self.remember_successful_parts(request, &unknown, run, target);
+        for fingerprint in known {
+            if self.lock().needs_successful_run(fingerprint) {
+                self.on_successful_run(SuccessfulRun { fingerprint, run });
+            }
+        }
+    }
+
+    /// Separates those that the quarantine has a record of from the others.
+    pub(crate) fn partition_known(
+        &self,
+        fingerprints: &[Fingerprint],
+    ) -> (Vec<Fingerprint>, Vec<Fingerprint>) {
+        if self.known_requests.load(Ordering::Relaxed) == 0 {
+            return (Vec::new(), fingerprints.to_vec());
+        }
+        let state = self.lock();
+        fingerprints.iter().partition(|f| state.knows(**f))
+    }
+
+    /// The parts of a request's prompt that a crash of its target is held against.
+    pub(crate) fn parts_to_blame(
+        &self,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> Vec<Fingerprint> {
+        let state = self.lock();
+        state.parts_to_blame(Instant::now(), request, parts, &self.lock_recent())
+    }
+
     /// Records a successful run that this node observed, and shares it with the other nodes if it is new.
     pub(crate) fn on_successful_run(&self, run: SuccessfulRun) {
         if self.learn_successful_run(run) {
--- a/crates/azuresaddle-sched/src/quarantine/mod.rs
+++ b/crates/azuresaddle-sched/src/quarantine/mod.rs
@@ -7,8 +7,10 @@
 //! targets that crash without the request.
 //!
 //! The cause may also be a part of the prompt that requests share of which no two are alike. Parts have records of their
-//! own, and each request with a quarantined part is kept from targets.
+//! own, and each request with a quarantined part is kept from targets. A prompt may have hundreds of parts: all of them are
+//! looked up before a send, and a crash is held against the most suspicious ones.
 
+mod attribution;
 mod crash;
 mod evidence;
 mod explanations;
@@ -16,6 +18,7 @@
 mod record;
 mod state;
 
+pub use attribution::{MAX_PARTS_PER_CRASH, parts_to_remember};
 pub use crash::{Crash, CrashStatus, SuccessfulRun, TargetIncarnation};
 pub use recent::{RecentSuccessfulRuns, SURVIVAL_TIME};
 pub use record::RequestStatus;
--- a/crates/azuresaddle-sched/src/quarantine/recent.rs
+++ b/crates/azuresaddle-sched/src/quarantine/recent.rs
@@ -18,8 +18,11 @@
 /// Maximum number of runs remembered per request.
 const MAX_RUNS: usize = 4;
 
-/// Maximum number of requests remembered; nearly all are sent only once.
-const MAX_REQUESTS: usize = 2048;
+/// Maximum number of requests and parts of prompts remembered, about 1 MB; nearly all requests are sent only once.
+const MAX_REQUESTS: usize = 4096;
+
+/// Number of entries left once a full table is cleaned up: those with the latest runs, as popular parts have.
+const KEPT_REQUESTS: usize = MAX_REQUESTS / 2;
 
 /// A completed run.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +33,12 @@
     target: u64,
 }
 
+impl Run {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < RETENTION
+    }
+}
+
 /// Recent successful runs, used when the first crash under a request is reported.
 ///
 /// If several targets crash within a second, runs after the first crash would come too late to count for the request.
@@ -75,11 +84,24 @@
         .collect()
     }
 
+    /// Whether a recent run of a request is remembered.
+    pub(super) fn has_run(&self, now: Instant, fingerprint: Fingerprint) -> bool {
+        let last = self.0.get(&fingerprint).and_then(VecDeque::back);
+        last.is_some_and(|run| run.is_fresh(now))
+    }
+
     fn evict(&mut self, now: Instant) {
-        let is_fresh = |run: &Run| now.saturating_duration_since(run.at) < RETENTION;
+        let is_fresh = |run: &Run| run.is_fresh(now);
         self.0.retain(|_, runs| runs.back().is_some_and(is_fresh));
-        if self.0.len() >= MAX_REQUESTS {
-            self.0.clear();
+        if self.0.len() < MAX_REQUESTS {
+            return;
         }
+        let last_runs = self.0.values().filter_map(|runs| runs.back());
+        let mut last_runs: Vec<Instant> = last_runs.map(|run| run.at).collect();
+        let oldest_kept = last_runs.len() - KEPT_REQUESTS;
+        let (_, oldest_kept, _) = last_runs.select_nth_unstable(oldest_kept);
+        let oldest_kept = *oldest_kept;
+        self.0
+            .retain(|_, runs| runs.back().is_some_and(|run| run.at > oldest_kept));
     }
 }
--- a/crates/azuresaddle-sched/src/quarantine/state.rs
+++ b/crates/azuresaddle-sched/src/quarantine/state.rs
@@ -6,6 +6,7 @@
 use azuresaddle_core::prelude::*;
 use tokio::time::Instant;
 
+use super::attribution::MAX_PARTS_PER_CRASH;
 use super::crash::{Crash, CrashStatus, SuccessfulRun, TargetIncarnation};
 use super::evidence::{Evidence, Subject};
 use super::record::{Record, RequestStatus};
@@ -17,8 +18,8 @@
 /// Number of records evicted at once when the table is full, so that not every new record requires a full scan.
 const EVICTION_BATCH: usize = 64;
 
-/// Maximum number of requests and parts of prompts recorded per crashed target: several times what a target runs.
-const MAX_REQUESTS_PER_CRASH: usize = 128;
+/// Maximum number of requests and parts of prompts recorded per crashed target: those of 16 streams that share no part.
+const MAX_REQUESTS_PER_CRASH: usize = 16 * (1 + MAX_PARTS_PER_CRASH);
 
 /// Net evidence for a part of prompts, in crashes, from which on further successful runs are not counted: where causes crash
 /// targets one after the other, few answers come through, and a popular part is on each of these targets.
--- a/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
+++ b/crates/azuresaddle-sched/tests/suite/prompt_parts.rs
@@ -4,7 +4,8 @@
 
 use azuresaddle_core::prelude::*;
 use azuresaddle_sched::quarantine::{
-    Crash, Quarantine, RequestStatus, SuccessfulRun, TargetIncarnation,
+    Crash, MAX_PARTS_PER_CRASH, Quarantine, RecentSuccessfulRuns, RequestStatus, SuccessfulRun,
+    TargetIncarnation, parts_to_remember,
 };
 use tokio::time::{Instant, advance};
 
@@ -30,6 +31,30 @@
     }
 }
 
+/// Records that a target crashed while it ran a request with these parts, of which the quarantine chooses some.
+fn blame(
+    quarantine: &mut Quarantine,
+    number: u32,
+    parts: &[Fingerprint],
+    recent: &RecentSuccessfulRuns,
+) {
+    let now = Instant::now();
+    let target = TargetIncarnation {
+        target: u64::from(number),
+        number: 0,
+    };
+    let mut blamed = quarantine.parts_to_blame(now, request(number), parts, recent);
+    assert!(blamed.len() <= MAX_PARTS_PER_CRASH);
+    blamed.push(request(number));
+    for fingerprint in blamed {
+        let crash = Crash {
+            fingerprint,
+            target,
+        };
+        quarantine.on_crash(now, crash);
+    }
+}
+
 fn succeed(quarantine: &mut Quarantine, id: &str, run: u64) {
     let fingerprint = part(id);
     quarantine.on_successful_run(Instant::now(), SuccessfulRun { fingerprint, run });
@@ -204,3 +229,50 @@
     assert!(is_quarantined(&quarantine, 1, &["other part"]));
     assert!(!is_quarantined(&quarantine, 100, &["part"]));
 }
+
+/// Guards against a crashing part that is never found since it stands behind many others, which all requests share.
+#[tokio::test(start_paused = true)]
+async fn a_crashing_part_is_found_among_hundreds_whatever_its_position() {
+    let shared: Vec<Fingerprint> = (0..400).map(|n| part(&format!("shared {n}"))).collect();
+    let mut recent = RecentSuccessfulRuns::default();
+    for number in 0..80 {
+        for fingerprint in parts_to_remember(request(number), &shared) {
+            let run = u64::from(number);
+            recent.record(Instant::now(), SuccessfulRun { fingerprint, run }, 99);
+        }
+    }
+    advance(Duration::from_secs(1)).await;
+    for position in [0, 9, 200, 400] {
+        let mut parts = shared.clone();
+        parts.insert(position, part("cause"));
+        let mut quarantine = Quarantine::default();
+        for n in 0..3 {
+            blame(&mut quarantine, 100 + n, &parts, &recent);
+        }
+        let status = quarantine.request_status(Instant::now(), request(200), &parts);
+        assert!(status.is_quarantined(), "position {position}");
+        assert!(quarantine.len() <= 3 * (1 + MAX_PARTS_PER_CRASH));
+    }
+}
+
+/// Guards against a crashing part that is left out each time among parts of which nothing is known.
+#[tokio::test(start_paused = true)]
+async fn a_crashing_part_is_found_among_parts_that_differ_between_requests() {
+    let recent = RecentSuccessfulRuns::default();
+    for position in [0, 9, 31] {
+        let mut quarantine = Quarantine::default();
+        let mut crashes = 0;
+        let status = loop {
+            let mut parts: Vec<Fingerprint> =
+                (0..31).map(|n| part(&format!("{crashes} {n}"))).collect();
+            parts.insert(position, part("cause"));
+            let status = quarantine.request_status(Instant::now(), request(crashes), &parts);
+            if status.is_quarantined() || crashes > 8 {
+                break status;
+            }
+            blame(&mut quarantine, crashes, &parts, &recent);
+            crashes += 1;
+        };
+        assert!(status.is_quarantined(), "position {position}");
+    }
+}
--- a/tests/testsuite/platform/crashing_parts.rs
+++ b/tests/testsuite/platform/crashing_parts.rs
@@ -40,23 +40,30 @@
     }
 }
 
-/// A sound request, which shares its first part and one of four others with requests that crash targets.
-fn sound(number: u64) -> CallerRequest {
+/// The parts that all requests begin with.
+fn leading_parts(count: usize) -> String {
+    let parts: Vec<String> = (0..count).map(|n| format!("a{n}:400")).collect();
+    parts.join(",")
+}
+
+/// A sound request, which shares its leading parts and one of four others with requests that crash targets.
+fn sound(number: u64, leading: &str) -> CallerRequest {
     let shared = number % 4;
-    unique(number, &format!("a0:400,c{shared}:100"))
+    unique(number, &format!("{leading},c{shared}:100"))
 }
 
 /// A request with the part that crashes targets.
-fn crashing(number: u64) -> CallerRequest {
+fn crashing(number: u64, leading: &str) -> CallerRequest {
     let shared = number % 4;
-    unique(number, &format!("a0:400,{CRASHING_PART}:100,c{shared}:100"))
+    let parts = format!("{leading},{CRASHING_PART}:100,c{shared}:100");
+    unique(number, &parts)
 }
 
 /// Sends one sound request to each node; returns how many were served.
-async fn send_sound(fleet: &Fleet, round: u64) -> usize {
+async fn send_sound(fleet: &Fleet, round: u64, leading: &str) -> usize {
     let nodes = fleet.nodes.iter().zip(1..);
     let served = nodes.map(|(node, n)| async move {
-        let answer = ask(node, &sound(1_000_000 + round * 10 + n)).await;
+        let answer = ask(node, &sound(1_000_000 + round * 10 + n, leading)).await;
         answer.is_ok_and(|a| a.status == 200)
     });
     join_all(served).await.into_iter().filter(|s| *s).count()
@@ -77,9 +84,27 @@
 /// against sound requests that are held back because they share other parts with these.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_share_a_crashing_part_are_kept_from_targets() {
-    let mut fleet = open("crashing-part").await;
+    send_crashing_part("crashing-part", 1).await;
+}
+
+/// Guards against a crashing part that is never kept from targets since it stands behind many others.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_with_a_crashing_part_behind_many_others_are_kept_from_targets() {
+    send_crashing_part("crashing-part-behind", 9).await;
+}
+
+/// Guards against sound requests that are refused with all of the many parts that they share with requests that crash targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_requests_that_share_forty_parts_with_crashing_ones_are_served() {
+    send_crashing_part("crashing-part-far-behind", 40).await;
+}
+
+/// Sends requests with a crashing part behind `leading` parts that sound requests share, beside sound requests.
+async fn send_crashing_part(test: &str, leading: usize) {
+    let leading = leading_parts(leading);
+    let mut fleet = open(test).await;
     for round in 0..SOUND_ROUNDS {
-        assert_eq!(send_sound(&fleet, round).await, fleet.nodes.len());
+        assert_eq!(send_sound(&fleet, round, &leading).await, fleet.nodes.len());
     }
     fleet
         .platform
@@ -92,10 +117,10 @@
             break;
         }
         let node = &fleet.nodes[round as usize % fleet.nodes.len()];
-        let attack = crashing(round);
+        let attack = crashing(round, &leading);
         let (_, served_now, ()) = tokio::join!(
             ask(node, &attack),
-            send_sound(&fleet, round),
+            send_sound(&fleet, round, &leading),
             tokio::time::sleep(ROUND_INTERVAL)
         );
         // The last third, in which the cause must be known and the targets be back.
