--- a/tests/testsuite/platform/essential_tasks.rs
+++ b/tests/testsuite/platform/essential_tasks.rs
@@ -131,6 +131,7 @@
     let fleet = SeparateNode::open().await;
     fleet.node.stop().await;
     let failure = timeout(NOTICE_TIME, fleet.node.failure()).await;
+    fleet.control.shutdown_background();
     assert!(failure.is_err(), "{failure:?}");
 }
 
