--- a/crates/azuresaddle-standin/src/platform/mod.rs
+++ b/crates/azuresaddle-standin/src/platform/mod.rs
@@ -29,6 +29,8 @@
 pub use runs::{AttemptRuns, Runs};
 pub use signals::Signals;
 pub(crate) use stand_in::REWRITE_TIME;
-pub use stand_in::{ConfigurationWriter, PlatformOptions, StandInPlatform, StoreRollback};
+pub use stand_in::{
+    ConfigurationWriter, PlatformOptions, StandInPlatform, StoreRollback, draining_entry,
+};
 pub use store::{PlatformStoreModel, StoreFault};
 pub use target::{ArrivedRequest, TargetFault, TargetHandle};
--- a/crates/azuresaddle-standin/src/platform/stand_in.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in.rs
@@ -29,6 +29,7 @@
 use super::target::{Target, TargetFault, TargetHandle, serve_target};
 pub use configuration_writer::ConfigurationWriter;
 use desired_state::DesiredState;
+pub use entries::draining_entry;
 pub(crate) use store_rollback::REWRITE_TIME;
 pub use store_rollback::StoreRollback;
 
--- a/crates/azuresaddle-standin/src/platform/stand_in/entries.rs
+++ b/crates/azuresaddle-standin/src/platform/stand_in/entries.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::{FIRST_DOMAIN, StandInPlatform};
 use crate::platform::target::{Target, TargetHandle};
@@ -86,3 +86,18 @@
 fn domain_drain_key(domain: &str) -> String {
     format!("op/evacuate/{domain}")
 }
+
+/// The entry of a draining target that does not exist, and so gets no requests.
+pub fn draining_entry() -> Value {
+    json!({
+        "service": "desk",
+        "address": "127.0.0.1:9",
+        "zone": "d1",
+        "version": "v1",
+        "slots": 16,
+        "state": "draining",
+        "cold_remaining_ms": 0,
+        "born": 1,
+        "sequence": 1,
+    })
+}
--- a/crates/azuresaddle-standin/src/soak/odd_entries.rs
+++ b/crates/azuresaddle-standin/src/soak/odd_entries.rs
@@ -5,10 +5,10 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde_json::{Value, json};
+use serde_json::json;
 
 use super::callers::SoakState;
-use crate::platform::PlatformStoreModel;
+use crate::platform::{PlatformStoreModel, draining_entry};
 
 /// Longest pause between two entries.
 const MAX_PAUSE: Duration = Duration::from_millis(1500);
@@ -92,34 +92,23 @@
         4 => ("no fields", key, b"{}".to_vec()),
         5 => {
             let long = format!("{key}-{}", "x".repeat(LONG_KEY_BYTES));
-            ("a long key", long, sound_entry().to_string().into_bytes())
+            (
+                "a long key",
+                long,
+                draining_entry().to_string().into_bytes(),
+            )
         }
         _ => {
-            let entry = sound_entry().to_string().into_bytes();
+            let entry = draining_entry().to_string().into_bytes();
             ("an empty key", "servers/".to_owned(), entry)
         }
     };
     (what.to_owned(), key, value)
 }
 
-/// The entry of a draining target, which gets no requests.
-fn sound_entry() -> Value {
-    json!({
-        "service": "desk",
-        "address": "127.0.0.1:9",
-        "zone": "d1",
-        "version": "v1",
-        "slots": 16,
-        "state": "draining",
-        "cold_remaining_ms": 0,
-        "born": 1,
-        "sequence": 1,
-    })
-}
-
 /// The entry with one field replaced by a value that [`Value`] may not be able to hold.
 fn entry_with(field: &str, value: &str) -> String {
-    let mut entry = sound_entry();
+    let mut entry = draining_entry();
     entry[field] = json!("?");
     entry.to_string().replace("\"?\"", value)
 }
--- a/tests/testsuite/platform/configuration_from_nodes.rs
+++ b/tests/testsuite/platform/configuration_from_nodes.rs
@@ -7,11 +7,11 @@
 use azuresaddle_edge::{Node, NodeOptions};
 use azuresaddle_platform::decode_settings;
 use azuresaddle_standin::net::{PartitionedNetwork, PathLoss};
-use azuresaddle_standin::platform::{Caller, PlatformOptions, RouteSpec, StandInPlatform};
+use azuresaddle_standin::platform::{Caller, PlatformOptions, StandInPlatform};
 use azuresaddle_standin::soak::next_port;
 use tokio::runtime::Handle;
 
-use super::support::plain;
+use super::support::add_route;
 
 /// Time for the nodes to find each other and the targets.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
@@ -45,18 +45,12 @@
     }
     tokio::time::sleep(SETTLE_TIME).await;
     nets[0].cut(PathLoss::Silent);
-    platform.change_configuration(|c| {
-        let route = c.routes.iter().find(|r| r.prefix == "/note/").cloned();
-        c.routes.push(RouteSpec {
-            prefix: "/added/".to_owned(),
-            ..route.expect("the first configuration has it")
-        });
-    });
+    let asked = add_route(&mut platform, "/added/");
     let mut statuses = Vec::new();
     for wait in [APPLY_TIME, APPLY_TIME * 3] {
         tokio::time::sleep(wait).await;
         for node in &callers {
-            let answer = Caller::default().ask(*node, &plain("/added/1")).await;
+            let answer = Caller::default().ask(*node, &asked).await;
             statuses.push(answer.unwrap().status.as_u16());
         }
     }
--- a/tests/testsuite/platform/foreign_entries.rs
+++ b/tests/testsuite/platform/foreign_entries.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::platform::{CallerRequest, RouteSpec};
-use azuresaddle_standin::soak::{Fleet, ProxyMode};
+use azuresaddle_standin::platform::draining_entry;
+use azuresaddle_standin::soak::ProxyMode;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
-use super::support::{fleet, plain, status};
+use super::support::{add_route, fleet, status};
 
 /// Time within which a change must be in effect on all nodes.
 const APPLY_TIME: Duration = Duration::from_millis(1800);
@@ -17,33 +17,11 @@
 
 /// The entry of a target that does not exist, with one field replaced.
 fn entry_with(field: &str, value: Value) -> String {
-    let mut entry = json!({
-        "service": "desk",
-        "address": "127.0.0.1:9",
-        "zone": "d1",
-        "version": "v1",
-        "slots": 16,
-        "state": "draining",
-        "cold_remaining_ms": 0,
-        "born": 1,
-        "sequence": 1,
-    });
+    let mut entry = draining_entry();
     entry[field] = value;
     entry.to_string()
 }
 
-/// Adds a route to the plain service, and returns a request for it.
-fn add_route(fleet: &mut Fleet, prefix: &str) -> CallerRequest {
-    fleet.platform.change_configuration(|c| {
-        let route = c.routes.iter().find(|r| r.prefix == "/note/").cloned();
-        c.routes.push(RouteSpec {
-            prefix: prefix.to_owned(),
-            ..route.expect("the first configuration has it")
-        });
-    });
-    plain(&format!("{prefix}1"))
-}
-
 /// Expects that all nodes serve a route that is added after entries were written, and that a node that starts then
 /// serves it too.
 async fn assert_nodes_follow_after(test: &str, entries: &[String]) {
@@ -53,7 +31,7 @@
         fleet.platform.store.put(&key, entry.as_bytes());
     }
     tokio::time::sleep(Duration::from_millis(600)).await;
-    let asked = add_route(&mut fleet, "/added/");
+    let asked = add_route(&mut fleet.platform, "/added/");
     tokio::time::sleep(APPLY_TIME).await;
     for node in &mut fleet.nodes {
         assert_eq!(status(node, &asked).await, 200, "{test}: {}", node.name);
@@ -64,7 +42,7 @@
     assert!(node.wait_until_ended(KILL_TIME).await);
     node.start().unwrap();
     node.wait_until_ready().await.unwrap();
-    let asked = add_route(&mut fleet, "/later/");
+    let asked = add_route(&mut fleet.platform, "/later/");
     tokio::time::sleep(APPLY_TIME).await;
     for node in &mut fleet.nodes {
         assert_eq!(status(node, &asked).await, 200, "{test}: {}", node.name);
@@ -140,7 +118,7 @@
             fleet.platform.store.put(&key, entry);
         }
         tokio::time::sleep(Duration::from_millis(600)).await;
-        let asked = add_route(&mut fleet, prefix);
+        let asked = add_route(&mut fleet.platform, prefix);
         tokio::time::sleep(APPLY_TIME).await;
         for node in &fleet.nodes {
             assert_eq!(status(node, &asked).await, 200, "{prefix} {}", node.name);
--- a/tests/testsuite/platform/late_changes.rs
+++ b/tests/testsuite/platform/late_changes.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use azuresaddle_standin::platform::{CallerRequest, RouteSpec};
+use azuresaddle_standin::platform::{CallerRequest, draining_entry};
 use azuresaddle_standin::soak::{Fleet, NodeProcess, ProxyMode};
 use futures::future::join_all;
 use nix::sys::signal::Signal;
-use serde_json::json;
 use tokio::time::Instant;
 
-use super::support::{ask, fleet, plain};
+use super::support::{self, ask, fleet, plain};
 
 /// Time after the acknowledgement of a change within which undisturbed nodes must follow it.
 const APPLY_TIME: Duration = Duration::from_millis(2000);
@@ -52,15 +51,8 @@
 }
 
 fn add_route(fleet: &mut Fleet, prefix: &str) -> Change {
-    fleet.platform.change_configuration(|c| {
-        let route = c.routes.iter().find(|r| r.prefix == "/note/").cloned();
-        c.routes.push(RouteSpec {
-            prefix: prefix.to_owned(),
-            ..route.expect("the first configuration has it")
-        });
-    });
     Change {
-        request: plain(&format!("{prefix}1")),
+        request: support::add_route(&mut fleet.platform, prefix),
         acknowledged: Instant::now(),
     }
 }
@@ -173,17 +165,7 @@
 /// Writes thousands of entries, changes the configuration in between, and expects that all nodes follow in time.
 async fn assert_followed_beside(test: &str, key: impl Fn(usize) -> String) {
     let mut fleet = settled_fleet(test, 3).await;
-    let entry = json!({
-        "service": "desk",
-        "address": "127.0.0.1:9",
-        "zone": "d1",
-        "version": "v1",
-        "slots": 16,
-        "state": "draining",
-        "cold_remaining_ms": 0,
-        "born": 1,
-        "sequence": 1,
-    });
+    let entry = draining_entry();
     let store = fleet.platform.store.clone();
     let written: Vec<String> = (0..ENTRIES).map(&key).collect();
     let writing = tokio::spawn(async move {
--- a/tests/testsuite/platform/support.rs
+++ b/tests/testsuite/platform/support.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use azuresaddle_standin::platform::{Answer, Caller, CallerError, CallerRequest, TargetHandle};
+use azuresaddle_standin::platform::{
+    Answer, Caller, CallerError, CallerRequest, RouteSpec, StandInPlatform, TargetHandle,
+};
 use azuresaddle_standin::soak::{Fleet, FleetOptions, NodeProcess};
 use tokio::time::Instant;
 
@@ -63,6 +65,18 @@
     }
 }
 
+/// Adds a route to the plain service, and returns a request for it.
+pub(super) fn add_route(platform: &mut StandInPlatform, prefix: &str) -> CallerRequest {
+    platform.change_configuration(|c| {
+        let route = c.routes.iter().find(|r| r.prefix == "/note/").cloned();
+        c.routes.push(RouteSpec {
+            prefix: prefix.to_owned(),
+            ..route.expect("the first configuration has it")
+        });
+    });
+    plain(&format!("{prefix}1"))
+}
+
 /// A request that is answered by a stream of events.
 pub(super) fn stream(path: &str, prompt: u64, events: u64) -> CallerRequest {
     CallerRequest {
