--- a/crates/azuresaddle-standin/src/soak/fleet.rs
+++ b/crates/azuresaddle-standin/src/soak/fleet.rs
@@ -20,6 +20,9 @@
 /// collide.
 const PORT_RANGE: u16 = 30_000;
 
+/// Address of the first node of a fleet of processes.
+const FIRST_NODE: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 10);
+
 static FLEET_COUNT: AtomicU16 = AtomicU16::new(0);
 
 /// Size of a fleet.
@@ -130,11 +133,19 @@
     }
 }
 
-/// Returns the first of ten ports that no other fleet of this process uses.
+/// Returns the first of ten ports that no other fleet of this process uses, nor one of another process at this moment.
 pub fn next_port() -> u16 {
     let own = (std::process::id() as u16).wrapping_mul(7) % (PORT_RANGE / PORTS_PER_FLEET);
-    let fleet = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
-    FIRST_PORT + (own.wrapping_add(fleet) % (PORT_RANGE / PORTS_PER_FLEET)) * PORTS_PER_FLEET
+    loop {
+        let fleet = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
+        let place = own.wrapping_add(fleet) % (PORT_RANGE / PORTS_PER_FLEET);
+        let port = FIRST_PORT + place * PORTS_PER_FLEET;
+        // The first node of a fleet listens for heartbeats on one of its ports.
+        let is_free = |port| std::net::UdpSocket::bind((FIRST_NODE, port)).is_ok();
+        if (port..port + PORTS_PER_FLEET).all(is_free) {
+            return port;
+        }
+    }
 }
 
 /// Starts a proxy before each target, and registers the targets with the addresses of their proxies.
