Answers whose status has no class are failures

What callers saw: a target's answers with the status 600 or 999 were passed on, and no caller can tell whether they are a success or a failure.

Change: the check of heads refuses them, so the answer is broken: 502, or another target where the request may run again.

--- a/crates/azuresaddle-core/src/http/response_head.rs
+++ b/crates/azuresaddle-core/src/http/response_head.rs
@@ -4,6 +4,9 @@
 use hyper::{Response, StatusCode};
 use thiserror::Error;
 
+/// Highest status that has a class.
+const MAX_STATUS: u16 = 599;
+
 /// Why the head of a response does not tell what the response is, or where its body ends.
 ///
 /// The library reads such responses as far as RFC 9112 lets a client do so: up to the end of the connection if the last
@@ -11,6 +14,9 @@
 /// for the body that the server meant.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum InvalidHead {
+    /// The status has no class, so it says neither success nor failure (RFC 9110, section 15).
+    #[error("status {0} has no class")]
+    Status(StatusCode),
     /// The protocol of the connection changes, though no request asks for that.
     #[error("unexpected upgrade")]
     Upgrade,
@@ -38,6 +44,9 @@
         // The library reads the other interim responses itself.
         return Err(InvalidHead::Upgrade);
     }
+    if status.as_u16() > MAX_STATUS {
+        return Err(InvalidHead::Status(status));
+    }
     let is_coded = map.contains_key(TRANSFER_ENCODING);
     if is_coded && !is_chunked(map) {
         return Err(InvalidHead::TransferCoding);
--- a/crates/azuresaddle-core/src/http/tests/response_head.rs
+++ b/crates/azuresaddle-core/src/http/tests/response_head.rs
@@ -116,3 +116,12 @@
     assert_eq!(check(101, &[]), Err(InvalidHead::Upgrade));
     assert_eq!(check(101, &[("upgrade", "h2c")]), Err(InvalidHead::Upgrade));
 }
+
+/// Guards against a response that is neither a success nor a failure.
+#[test]
+fn a_status_without_class_is_rejected() {
+    for status in [600, 999] {
+        let invalid = InvalidHead::Status(StatusCode::from_u16(status).unwrap());
+        assert_eq!(check(status, &[(LENGTH, "5")]), Err(invalid));
+    }
+}
--- a/tests/testsuite/platform/broken_answers/calls.rs
+++ b/tests/testsuite/platform/broken_answers/calls.rs
@@ -3,7 +3,8 @@
 use super::Services;
 use super::assert_outcomes;
 use super::cases::{
-    ambiguous_lengths, cut_answers, endless_answers, odd_fields, odd_status_lines, unasked_upgrades,
+    ambiguous_lengths, cut_answers, endless_answers, odd_fields, odd_status_lines,
+    statuses_without_class, unasked_upgrades,
 };
 use super::direct::open;
 
@@ -21,6 +22,7 @@
     let cases = [
         ambiguous_lengths(),
         unasked_upgrades(),
+        statuses_without_class(),
         odd_status_lines(),
         odd_fields(),
     ];
--- a/tests/testsuite/platform/broken_answers/cases.rs
+++ b/tests/testsuite/platform/broken_answers/cases.rs
@@ -411,6 +411,11 @@
     with_status_lines(&lines)
 }
 
+/// Answers with a status of no class (RFC 9110, section 15).
+pub(super) fn statuses_without_class() -> Vec<Case> {
+    with_status_lines(&["HTTP/1.1 600 OK", "HTTP/1.1 999 OK"])
+}
+
 /// Complete answers with the given status lines.
 fn with_status_lines(lines: &[&str]) -> Vec<Case> {
     let ok = ok();
--- a/tests/testsuite/platform/broken_answers/direct.rs
+++ b/tests/testsuite/platform/broken_answers/direct.rs
@@ -7,7 +7,7 @@
 use super::cases::{
     Case, ambiguous_lengths, answers_with_excess, cut_answers, cut_events, endless_answers,
     endless_events, odd_back_offs, odd_fields, odd_headers, odd_lengths, odd_status_lines,
-    unasked_upgrades,
+    statuses_without_class, unasked_upgrades,
 };
 use super::{
     APPLY_TIME, MAX_GROWTH_BYTES, POLL_INTERVAL, Play, Services, add_cases, assert_outcomes,
@@ -205,6 +205,12 @@
     assert_failures("unasked-upgrades", unasked_upgrades()).await;
 }
 
+/// Guards against an answer of which callers can't tell whether it is a success or a failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn statuses_without_class_are_not_forwarded() {
+    assert_failures("no-class", statuses_without_class()).await;
+}
+
 /// Guards against a status line that can't be read but is taken for an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_with_odd_status_lines_are_not_forwarded() {
