A reset that a tunnel's upload meets is not the end of the answer

What callers saw: a target that is reached through another node answers a long upload at once with a 200 without a length, sends a part and resets the connection while the upload is written. The part reached the caller as a complete answer, streams too.

Cause: the system reports a reset once. The node that provides the tunnel met it with its write, which it dropped since the target may have answered already; its read then saw the end of the bytes, and the tunnel told the other node that the target had closed its side.

Change: such a write marks the connection as reset, and the end that a read sees afterwards gets no frame: the tunnel is shut down after the bytes that came, so an answer with a length that is whole is still delivered, and one without is seen as broken. A broken pipe is not a reset: the target has closed in order first.

--- a/crates/azuresaddle-edge/src/tunnel/server.rs
+++ b/crates/azuresaddle-edge/src/tunnel/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use azuresaddle_core::net::accept;
@@ -117,19 +118,21 @@
 }
 
 /// Copies bytes both ways until either side ends.
-pub(super) async fn copy<S>(near: FramedStream<S>, far: S) -> io::Result<()>
+pub(super) async fn copy<N, F>(near: FramedStream<N>, far: F) -> io::Result<()>
 where
-    S: AsyncRead + AsyncWrite + Unpin,
+    N: AsyncRead + AsyncWrite + Unpin,
+    F: AsyncRead + AsyncWrite + Unpin,
 {
     let near = near.into_parts();
     let (near_rx, near_tx) = split(near.io);
     let (far_rx, far_tx) = split(far);
     let frames = FramedWrite::new(near_tx, near.codec);
-    let mut upload = std::pin::pin!(upload(near_rx, far_tx));
+    let is_reset = AtomicBool::new(false);
+    let mut upload = std::pin::pin!(upload(near_rx, far_tx, &is_reset));
     tokio::select! {
         // The other node has closed the tunnel, which closes the connection to the target.
         () = &mut upload => Ok(()),
-        downloaded = download(far_rx, frames) => {
+        downloaded = download(far_rx, frames, &is_reset) => {
             downloaded?;
             // Closing a connection with unread bytes would reset it, and the end of the answer could be lost.
             let _ = timeout(CLOSE_TIME, upload).await;
@@ -139,26 +142,42 @@
 }
 
 /// Copies the other node's bytes to the target until that node closes the tunnel. Bytes that the target no longer takes
-/// are dropped, since it may have answered already.
-async fn upload(mut near: impl AsyncRead + Unpin, mut far: impl AsyncWrite + Unpin) {
+/// are dropped, since it may have answered already. Sets `is_reset` if a write meets a reset.
+async fn upload(
+    mut near: impl AsyncRead + Unpin,
+    mut far: impl AsyncWrite + Unpin,
+    is_reset: &AtomicBool,
+) {
     let mut buf = vec![0; MAX_FRAME_BYTES];
     let mut is_taken = true;
     while let Ok(count @ 1..) = near.read(&mut buf).await {
         if is_taken {
             let written = timeout(MAX_WRITE_PAUSE, far.write_all(&buf[..count])).await;
             is_taken = matches!(written, Ok(Ok(())));
+            // A broken pipe means that the target has closed its side in order, before it refused the bytes.
+            let failure = written.ok().and_then(Result::err);
+            if failure.is_some_and(|e| e.kind() != io::ErrorKind::BrokenPipe) {
+                is_reset.store(true, Ordering::Relaxed);
+            }
         }
     }
 }
 
 /// Copies the target's bytes to the other node, and an empty frame once the target has closed its side.
+///
+/// The system reports a reset once, to a write or to a read, and later reads see the end of the bytes. That end is not the
+/// target's if `is_reset`, and gets no frame.
 async fn download<W: AsyncWrite + Unpin>(
     mut far: impl AsyncRead + Unpin,
     mut frames: FramedWrite<W, tokio_util::codec::LengthDelimitedCodec>,
+    is_reset: &AtomicBool,
 ) -> io::Result<()> {
     let mut buf = vec![0; MAX_FRAME_BYTES];
     loop {
         let count = far.read(&mut buf).await?;
+        if count == 0 && is_reset.load(Ordering::Relaxed) {
+            return frames.get_mut().shutdown().await;
+        }
         frames.send(Bytes::copy_from_slice(&buf[..count])).await?;
         if count == 0 {
             return Ok(());
--- a/crates/azuresaddle-edge/src/tunnel/tests.rs
+++ b/crates/azuresaddle-edge/src/tunnel/tests.rs
@@ -2,12 +2,16 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use azuresaddle_core::prelude::*;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
+use tokio::io::{
+    AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex,
+};
 use tokio::time::timeout;
 
 use super::messages::{FramedStream, TunnelReply, TunnelRequest, framed};
@@ -118,6 +122,71 @@
     assert_eq!(answer, b"too large");
 }
 
+/// A target's connection that is reset after some bytes. As with a socket, a write meets the reset, and then reads see the end.
+struct ResetConnection {
+    unread: &'static [u8],
+    is_reset: bool,
+    reader: Option<Waker>,
+}
+
+impl AsyncRead for ResetConnection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        buf.put_slice(std::mem::take(&mut self.unread));
+        if buf.filled().is_empty() && !self.is_reset {
+            self.reader = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ResetConnection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        _: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.is_reset = true;
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+        Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Guards against an answer without a length that looks complete after a reset that the upload meets.
+#[tokio::test]
+async fn a_reset_that_the_upload_meets_is_not_the_end_of_an_answer() {
+    let (near, far) = handshake(TunnelReply::Open).await;
+    let mut near = near.unwrap();
+    let target = ResetConnection {
+        unread: b"half",
+        is_reset: false,
+        reader: None,
+    };
+    tokio::spawn(async move {
+        let _ = copy(far, target).await;
+    });
+    let mut answer = vec![0; 4];
+    near.read_exact(&mut answer).await.unwrap();
+    assert_eq!(answer, b"half");
+    near.write_all(b"request").await.unwrap();
+    let error = near.read_to_end(&mut answer).await.unwrap_err();
+    assert_eq!(error.kind(), io::ErrorKind::UnexpectedEof);
+}
+
 #[tokio::test]
 async fn a_refusal_of_the_target_is_told_apart_from_a_lost_path() {
     let (refused, _) = handshake(TunnelReply::Refused).await;
--- a/tests/testsuite/platform/broken_answers/cases.rs
+++ b/tests/testsuite/platform/broken_answers/cases.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// An upload that the buffers of a connection take.
+const SHORT_UPLOAD_BYTES: usize = 200_000;
+
+/// An upload that is still being written while its target reads nothing.
+const LONG_UPLOAD_BYTES: usize = 8 << 20;
+
 /// Status line and headers of an answer to the request, without its length.
 fn head(status: &str) -> String {
     let id = azuresaddle_platform::headers::ATTEMPT_ID;
@@ -478,3 +484,31 @@
     });
     cases.collect()
 }
+
+/// Answers without a length to uploads that are not read, and then a reset.
+pub(super) fn early_resets() -> Vec<Case> {
+    let closing = format!("{}connection: close\r\n\r\n", ok());
+    let unframed = format!("{}\r\n", ok());
+    let starts = [
+        ("first bytes", format!("{unframed}{{few}}")),
+        ("first bytes, closing", format!("{closing}{{few}}")),
+        ("half", format!("{closing}{{half}}")),
+        ("all", format!("{closing}{{body}}")),
+    ];
+    let delays = [0, 5, 100, 400].map(Duration::from_millis);
+    let cases = [SHORT_UPLOAD_BYTES, LONG_UPLOAD_BYTES]
+        .into_iter()
+        .flat_map(|bytes| {
+            starts.iter().flat_map(move |(name, start)| {
+                delays.map(|delay| Case {
+                    upload_bytes: Some(bytes),
+                    ..Case::new(
+                        format!("reset of an upload of {bytes} bytes after {delay:?}: {name}"),
+                        start,
+                        RawEnd::EarlyReset(delay),
+                    )
+                })
+            })
+        });
+    cases.collect()
+}
--- a/tests/testsuite/platform/broken_answers/direct.rs
+++ b/tests/testsuite/platform/broken_answers/direct.rs
@@ -5,9 +5,9 @@
 use azuresaddle_standin::soak::{Fleet, NodeProcess};
 
 use super::cases::{
-    Case, ambiguous_lengths, answers_with_excess, cut_answers, cut_events, endless_answers,
-    endless_events, odd_back_offs, odd_fields, odd_headers, odd_lengths, odd_status_lines,
-    statuses_without_class, unasked_upgrades,
+    Case, ambiguous_lengths, answers_with_excess, cut_answers, cut_events, early_resets,
+    endless_answers, endless_events, odd_back_offs, odd_fields, odd_headers, odd_lengths,
+    odd_status_lines, statuses_without_class, unasked_upgrades,
 };
 use super::{
     APPLY_TIME, MAX_GROWTH_BYTES, POLL_INTERVAL, Play, Services, add_cases, assert_outcomes,
@@ -222,3 +222,9 @@
 async fn answers_with_lines_that_are_no_field_are_not_forwarded() {
     assert_failures("odd-fields", odd_fields()).await;
 }
+
+/// Guards against the start of an answer that looks complete once the write of the request has met the reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answers_to_uploads_that_are_reset_are_not_forwarded_as_complete() {
+    assert_failures("early-resets", early_resets()).await;
+}
--- a/tests/testsuite/platform/broken_answers/tunnels.rs
+++ b/tests/testsuite/platform/broken_answers/tunnels.rs
@@ -11,8 +11,8 @@
 use tokio::runtime::Handle;
 
 use super::cases::{
-    Case, ambiguous_lengths, answers_with_excess, cut_answers, cut_events, endless_answers,
-    endless_events, odd_fields, odd_lengths, odd_status_lines, unasked_upgrades,
+    Case, ambiguous_lengths, answers_with_excess, cut_answers, cut_events, early_resets,
+    endless_answers, endless_events, odd_fields, odd_lengths, odd_status_lines, unasked_upgrades,
 };
 use super::{APPLY_TIME, Play, Services, add_cases, assert_outcomes};
 
@@ -108,3 +108,9 @@
 async fn answers_with_odd_heads_behind_a_tunnel_are_not_forwarded() {
     assert_failures(&[odd_status_lines(), odd_fields(), odd_lengths()].concat()).await;
 }
+
+/// Guards against a reset that the end of a tunnel meets when it writes, and passes on as the end of the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answers_that_are_reset_behind_a_tunnel_are_not_forwarded_as_complete() {
+    assert_failures(&early_resets()).await;
+}
