Test of requests that arrive late while several nodes stop

The system handles this: a stopping node refuses what was not sent from a third of its grace period on, and gives what was sent a final answer before the process ends.

The test stops two of three nodes, 0.7 s apart, under callers that use their connections until the processes are gone: plain requests of 0.2, 0.9 and 2.4 s, streams, and uploads whose bodies are still under way. No change to the nodes.

--- a/crates/azuresaddle-standin/src/platform/raw_answer.rs
+++ b/crates/azuresaddle-standin/src/platform/raw_answer.rs
@@ -49,6 +49,8 @@
     EarlyReset(Duration),
     /// The next request.
     Next,
+    /// The next request. The answer is written this long after its request.
+    Delayed(Duration),
     /// Nothing more, until the other side closes the connection.
     Silence,
     /// These bytes again and again, some megabytes a second.
@@ -144,11 +146,14 @@
         target
             .runs
             .record_run(&head.attempt, &target.service, account, head.has_key);
+        if let RawEnd::Delayed(delay) = answer.end {
+            tokio::time::sleep(delay).await;
+        }
         let start = fill_in(&answer.start, target, &head);
         stream.get_mut().write_all(start.as_bytes()).await?;
         let (rx, tx) = stream.get_mut().split();
         match answer.end {
-            RawEnd::Next => {}
+            RawEnd::Next | RawEnd::Delayed(_) => {}
             RawEnd::Silence => return write_forever(rx, tx, &[], None).await,
             RawEnd::Close => return Ok(()),
             RawEnd::Reset => {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod foreign_entries;
 mod late_changes;
+mod late_requests;
 mod malformed_input;
 mod partitions;
 mod quarantine_command;
