Requests for a tunnel are rejected

What callers saw: a `CONNECT` for the path of a route was forwarded, and the target's 200 came back without its body. A success to that method is the start of a tunnel, so the library reads no body, whatever the head says: what the answer is is left open, by the request this time.

Change: such a request gets a 501 and is not sent. Nodes provide no tunnels to callers.

Evidence: frontend::tests::methods failed before (the caller got no answer from a target with a body of two bytes) and passes.

--- a/crates/azuresaddle-edge/src/frontend/admission.rs
+++ b/crates/azuresaddle-edge/src/frontend/admission.rs
@@ -5,7 +5,7 @@
 use azuresaddle_core::deployment::{Account, Configuration, Route};
 use azuresaddle_platform::headers;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
-use hyper::{StatusCode, Uri};
+use hyper::{Method, StatusCode, Uri};
 
 /// Route and account of an accepted request.
 #[derive(Clone, Debug)]
@@ -38,12 +38,15 @@
 /// Finds the route and the account of a request.
 ///
 /// # Errors
-/// If the head is too long, no route matches, or the route requires an account and the key is unknown.
+/// If the method can't be forwarded, the head is too long, no route matches, or the route requires an account and the key is
+/// unknown.
 pub(super) fn admit(
     configuration: &Configuration,
+    method: &Method,
     uri: &Uri,
     map: &HeaderMap,
 ) -> Result<Admitted, Rejection> {
+    check_method(method)?;
     check_head_size(configuration, uri, map)?;
     let host = map
         .get(HOST)
@@ -60,6 +63,15 @@
     })
 }
 
+/// Rejects the method that asks for a tunnel: a success is then the start of the tunnel, and its body is lost.
+fn check_method(method: &Method) -> Result<(), Rejection> {
+    if method == Method::CONNECT {
+        let status = StatusCode::NOT_IMPLEMENTED;
+        return Err(Rejection::new(status, "no tunnels are provided"));
+    }
+    Ok(())
+}
+
 fn check_head_size(
     configuration: &Configuration,
     uri: &Uri,
--- a/crates/azuresaddle-edge/src/frontend/service.rs
+++ b/crates/azuresaddle-edge/src/frontend/service.rs
@@ -151,7 +151,7 @@
         };
         let (parts, body) = req.into_parts();
         let version = configuration.version;
-        let admitted = admit(configuration, &parts.uri, &parts.headers)
+        let admitted = admit(configuration, &parts.method, &parts.uri, &parts.headers)
             .map_err(|rejection| self.reject(&parts.headers, version, rejection))?;
         let attempt_id = parts.headers.get(&headers::ATTEMPT_ID).cloned();
         let attempt_id = attempt_id.ok_or_else(|| {
--- a/crates/azuresaddle-edge/src/frontend/tests/mod.rs
+++ b/crates/azuresaddle-edge/src/frontend/tests/mod.rs
@@ -7,6 +7,7 @@
 mod keep_alive;
 mod long_prompts;
 mod memory;
+mod methods;
 mod odd_answers;
 mod outdated;
 mod scripted_targets;
