--- a/crates/azuresaddle-core/src/http/mod.rs
+++ b/crates/azuresaddle-core/src/http/mod.rs
@@ -17,5 +17,5 @@
 pub use peer_ip::PeerIp;
 pub use request_sender::{RequestSender, SendError};
 pub use respond::{json, problem};
-pub use response_head::{InvalidHead, check_head};
+pub use response_head::InvalidHead;
 pub use server::{Handler, ServerLimits, serve};
--- a/crates/azuresaddle-core/src/http/response_head.rs
+++ b/crates/azuresaddle-core/src/http/response_head.rs
@@ -38,7 +38,7 @@
 ///
 /// # Errors
 /// If it does not.
-pub fn check_head<B>(response: &Response<B>) -> Result<(), InvalidHead> {
+pub(super) fn check_head<B>(response: &Response<B>) -> Result<(), InvalidHead> {
     let (status, map) = (response.status(), response.headers());
     if status.is_informational() {
         // The library reads the other interim responses itself.
--- a/crates/azuresaddle-core/src/http/tests/response_head.rs
+++ b/crates/azuresaddle-core/src/http/tests/response_head.rs
@@ -1,9 +1,8 @@
 //! Tests of the check of response heads.
 
-use hyper::Response;
-use hyper::StatusCode;
+use hyper::{Response, StatusCode};
 
-use crate::http::{InvalidHead, check_head};
+use crate::http::response_head::{InvalidHead, check_head};
 
 /// Result of the check of a head with a status and fields.
 fn check(status: u16, fields: &[(&str, &str)]) -> Result<(), InvalidHead> {
