--- a/crates/azuresaddle-core/src/http/error.rs
+++ b/crates/azuresaddle-core/src/http/error.rs
@@ -17,7 +17,7 @@
     /// No connection was made in time, so nothing was sent.
     #[error("connect timed out")]
     ConnectTimeout,
-    /// The connection broke, or the response has no valid head.
+    /// The connection broke after the request may have been sent, or the head of the response is not valid.
     #[error("exchange failed: {0}")]
     Exchange(#[from] SendError),
     /// No response came in time.
--- a/crates/azuresaddle-edge/src/tunnel/server.rs
+++ b/crates/azuresaddle-edge/src/tunnel/server.rs
@@ -118,10 +118,10 @@
 }
 
 /// Copies bytes both ways until either side ends.
-pub(super) async fn copy<N, F>(near: FramedStream<N>, far: F) -> io::Result<()>
+pub(super) async fn copy<S, T>(near: FramedStream<S>, far: T) -> io::Result<()>
 where
-    N: AsyncRead + AsyncWrite + Unpin,
-    F: AsyncRead + AsyncWrite + Unpin,
+    S: AsyncRead + AsyncWrite + Unpin,
+    T: AsyncRead + AsyncWrite + Unpin,
 {
     let near = near.into_parts();
     let (near_rx, near_tx) = split(near.io);
--- a/tests/testsuite/platform/broken_answers/cases.rs
+++ b/tests/testsuite/platform/broken_answers/cases.rs
@@ -306,6 +306,7 @@
         "identity",
         "chunked, gzip",
         "gzip, chunked",
+        "xx, chunked",
         "chunked, chunked",
         "chunked;q=1",
         "chunked,",
@@ -313,6 +314,7 @@
         "\"chunked\"",
         "chunked chunked",
         "chunked\r\ntransfer-encoding: gzip",
+        "chunked\r\ntransfer-encoding: xx",
         "gzip\r\ntransfer-encoding: chunked",
         "chunked\r\ntransfer-encoding: chunked",
         "chunked\r\ntransfer-encoding:",
@@ -495,20 +497,17 @@
         ("half", format!("{closing}{{half}}")),
         ("all", format!("{closing}{{body}}")),
     ];
-    let delays = [0, 5, 100, 400].map(Duration::from_millis);
-    let cases = [SHORT_UPLOAD_BYTES, LONG_UPLOAD_BYTES]
-        .into_iter()
-        .flat_map(|bytes| {
-            starts.iter().flat_map(move |(name, start)| {
-                delays.map(|delay| Case {
+    let mut cases = Vec::new();
+    for bytes in [SHORT_UPLOAD_BYTES, LONG_UPLOAD_BYTES] {
+        for delay in [0, 5, 100, 400].map(Duration::from_millis) {
+            for (name, start) in &starts {
+                let name = format!("reset of an upload of {bytes} bytes after {delay:?}: {name}");
+                cases.push(Case {
                     upload_bytes: Some(bytes),
-                    ..Case::new(
-                        format!("reset of an upload of {bytes} bytes after {delay:?}: {name}"),
-                        start,
-                        RawEnd::EarlyReset(delay),
-                    )
-                })
-            })
-        });
-    cases.collect()
+                    ..Case::new(name, start, RawEnd::EarlyReset(delay))
+                });
+            }
+        }
+    }
+    cases
 }
--- a/tests/testsuite/platform/broken_answers/direct.rs
+++ b/tests/testsuite/platform/broken_answers/direct.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// Expects that callers of all routes see that they have no complete answer.
+async fn assert_failures(test: &str, cases: Vec<Case>) {
+    let (fleet, plays) = open(test, vec![(cases, Services::All)]).await;
+    assert_outcomes(fleet.nodes[0].callers_addr(), &fleet.platform, &plays).await;
+}
+
 /// Guards against answers that broke off but reach the caller as complete ones.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_break_off_are_not_forwarded_as_complete() {
@@ -146,12 +152,7 @@
         "Fri, 31 Dec 9999 23:59:59 GMT",
         "never",
     ];
-    let (fleet, plays) = open(
-        "odd-back-offs",
-        vec![(odd_back_offs(&values), Services::All)],
-    )
-    .await;
-    assert_outcomes(fleet.nodes[0].callers_addr(), &fleet.platform, &plays).await;
+    assert_failures("odd-back-offs", odd_back_offs(&values)).await;
 }
 
 /// Guards against requests that fail although another target can serve them.
@@ -183,14 +184,7 @@
 /// Guards against a length that can't be read but is taken for one.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_with_odd_lengths_are_not_forwarded_as_complete() {
-    let (fleet, plays) = open("odd-lengths", vec![(odd_lengths(), Services::All)]).await;
-    assert_outcomes(fleet.nodes[0].callers_addr(), &fleet.platform, &plays).await;
-}
-
-/// Expects that callers of all routes see that they have no complete answer.
-async fn assert_failures(test: &str, cases: Vec<Case>) {
-    let (fleet, plays) = open(test, vec![(cases, Services::All)]).await;
-    assert_outcomes(fleet.nodes[0].callers_addr(), &fleet.platform, &plays).await;
+    assert_failures("odd-lengths", odd_lengths()).await;
 }
 
 /// Guards against a head that leaves open where the body ends, and is read until the connection closes.
--- a/tests/testsuite/platform/late_requests.rs
+++ b/tests/testsuite/platform/late_requests.rs
@@ -34,8 +34,10 @@
 /// Time after which the end of a connection loses a request that was not sent to a target.
 const MAX_UNSENT_TIME: Duration = Duration::from_millis(200);
 
-/// Parts in which an upload is written, and the pause after each.
+/// Parts in which an upload is written.
 const UPLOAD_PARTS: usize = 8;
+
+/// Pause before each part of an upload.
 const UPLOAD_PAUSE: Duration = Duration::from_millis(120);
 
 /// Bytes of each part of an upload.
